coord: store contract, accounts in pages, grants, ledger

Cause: a fresh repository; the library is the part that decides overspend. Ruled out: nothing yet, no measurement has been run. Change: store interface with an in-memory implementation that plays outages and lost answers; accounts with the invariant checked on each read and write; holders with grants and lots; a ledger whose log of create-only segments is its own fence.

--- /dev/null
+++ b/coord/backoff/backoff.go
@@ -0,0 +1,51 @@
+// Package backoff spaces retries: pauses double up to a bound, with full jitter,
+// so that many clients that failed together do not return together.
+package backoff
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Backoff yields the pauses of one retry loop. It is not safe for concurrent use.
+type Backoff struct {
+	min, max, next time.Duration
+}
+
+// New returns a Backoff whose first pause is at most min and whose later
+// pauses double up to max.
+func New(min, max time.Duration) *Backoff {
+	return &Backoff{min: min, max: max, next: min}
+}
+
+// Next returns the pause before the next try.
+func (b *Backoff) Next() time.Duration {
+	d := b.next
+	b.next = min(b.max, 2*b.next)
+	return Jitter(d)
+}
+
+// Reset starts again at the first pause.
+func (b *Backoff) Reset() { b.next = b.min }
+
+// Wait sleeps for the next pause; it returns early with the context's error.
+func (b *Backoff) Wait(ctx context.Context) error {
+	t := time.NewTimer(b.Next())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Jitter returns a random duration in [d/2, d].
+func Jitter(d time.Duration) time.Duration {
+	if d <= 1 {
+		return d
+	}
+	half := d / 2
+	return half + rand.N(d-half+1)
+}
--- /dev/null
+++ b/coord/grant/book.go
@@ -0,0 +1,173 @@
+package grant
+
+import (
+	"math"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+)
+
+// demandWindow is the time constant of a book's demand average.
+const demandWindow = 60 * time.Second
+
+// issued is a reservation out of the holder's own row.
+type issued struct {
+	seq     int64
+	tokens  int64
+	used    int64
+	settled bool
+}
+
+// lot is what a peer reserved for this holder out of its own row.
+type lot struct {
+	Part
+	used     int64
+	reserved int64
+	lastUse  time.Time
+}
+
+func (l *lot) left() int64 { return l.Tokens - l.used - l.reserved }
+
+// lent is a lot that this holder gave to a peer, kept by the peer's request id so
+// that a repeated request gets the same lot.
+type lent struct {
+	part     Part
+	borrower string
+	settled  bool
+}
+
+// book is one holder's side of one budget. Holder's lock guards it.
+type book struct {
+	budget   string
+	granted  int64
+	returned int64
+	settled  int64 // by all settled reservations
+	reserved int64 // by open reservations
+
+	queue          []issued // in order of seq; settled heads are cut off
+	through        int64
+	settledThrough int64
+	durableThrough int64
+
+	lots  []*lot
+	lent  map[string]*lent // by request id
+	waits []int64          // tokens that each waiting request wants
+	worst int64            // the largest recent reservation
+
+	demand     float64 // tokens a second, as of demandAt
+	demandAt   time.Time
+	lastUse    time.Time
+	lastReport time.Time
+	nextSync   time.Time
+	lastSync   time.Time
+	emptyUntil time.Time
+	absent     bool // the page has no such budget
+	folding    bool // the removal of the row was sent
+}
+
+// clear resets the book after its row was removed from the page.
+func (b *book) clear() {
+	b.granted, b.returned, b.settled, b.settledThrough = 0, 0, 0, 0
+	b.durableThrough, b.folding = b.through, false
+}
+
+// waiting is what all waiting requests want together.
+func (b *book) waiting() int64 {
+	var n int64
+	for _, w := range b.waits {
+		n += w
+	}
+	return n
+}
+
+// available is what the own row still has for new reservations.
+func (b *book) available() int64 { return b.granted - b.returned - b.settled - b.reserved }
+
+// atHand adds what is left of borrowed lots.
+func (b *book) atHand() int64 {
+	n := b.available()
+	for _, l := range b.lots {
+		n += l.left()
+	}
+	return n
+}
+
+// issue reserves n tokens of the own row.
+func (b *book) issue(seq, n int64) {
+	b.queue = append(b.queue, issued{seq: seq, tokens: n})
+	b.reserved += n
+}
+
+// settle closes reservation seq. It reports false for one that is not open: a
+// repeated settlement has no effect.
+func (b *book) settle(seq, used int64) bool {
+	i := b.find(seq)
+	if i < 0 || b.queue[i].settled {
+		return false
+	}
+	q := &b.queue[i]
+	used = max(0, min(used, q.tokens))
+	q.settled, q.used = true, used
+	b.reserved -= q.tokens
+	b.settled += used
+	b.advance()
+	return true
+}
+
+// advance moves the watermark over the settled heads of the queue.
+func (b *book) advance() {
+	i := 0
+	for ; i < len(b.queue) && b.queue[i].settled; i++ {
+		b.through = b.queue[i].seq
+		b.settledThrough += b.queue[i].used
+	}
+	b.queue = b.queue[i:]
+}
+
+// find is a binary search, since seq numbers grow.
+func (b *book) find(seq int64) int {
+	lo, hi := 0, len(b.queue)
+	for lo < hi {
+		mid := (lo + hi) / 2
+		if b.queue[mid].seq < seq {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	if lo < len(b.queue) && b.queue[lo].seq == seq {
+		return lo
+	}
+	return -1
+}
+
+// spend adds used tokens to the demand average.
+func (b *book) spend(now time.Time, used int64) {
+	b.demand = b.demandNow(now) + float64(used)/demandWindow.Seconds()
+	b.demandAt = now
+	b.lastUse = now
+}
+
+func (b *book) demandNow(now time.Time) float64 {
+	if b.demandAt.IsZero() {
+		return 0
+	}
+	age := now.Sub(b.demandAt).Seconds()
+	return b.demand * math.Exp(-max(0, age)/demandWindow.Seconds())
+}
+
+// row is the report of this book's totals.
+func (b *book) row(now time.Time) account.Row {
+	return account.Row{
+		Granted:  b.granted,
+		Returned: b.returned,
+		Settled:  b.settledThrough,
+		Through:  b.through,
+		Demand:   math.Round(b.demandNow(now)*10) / 10,
+	}
+}
+
+// idle reports whether nothing is open on the budget.
+func (b *book) idle() bool {
+	return b.reserved == 0 && len(b.queue) == 0 && len(b.lots) == 0 && len(b.waits) == 0
+}
--- /dev/null
+++ b/coord/grant/holder.go
@@ -0,0 +1,383 @@
+package grant
+
+import (
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+)
+
+// Holder keeps one incarnation's side of all its budgets. It makes no calls and
+// reads no clock: callers pass the time. It is safe for concurrent use.
+type Holder struct {
+	id     string
+	policy Policy
+
+	lowPause time.Duration
+
+	mu     sync.Mutex
+	seq    int64
+	fenced bool
+	books  map[string]*book
+	// returns are closed lots that their lenders have not acknowledged.
+	returns  map[Part]LotReturn
+	disowned map[Part]struct{}
+	byPage   func(budget string) string
+	pages    map[string]map[string]*book
+}
+
+// LotReturn settles a borrowed lot with its lender.
+type LotReturn struct {
+	Lender string `json:"lender"`
+	Budget string `json:"budget"`
+	Seq    int64  `json:"seq"`
+	Used   int64  `json:"used"`
+}
+
+// Lot is a lender's answer: tokens out of its own row, and its durable watermark.
+type Lot struct {
+	Part    Part  `json:"part"`
+	Through int64 `json:"through"`
+}
+
+// NewHolder returns an empty holder. The id must be unique for the incarnation.
+func NewHolder(id string, layout account.Layout, policy Policy) *Holder {
+	return &Holder{
+		id:       id,
+		policy:   policy,
+		lowPause: DefaultTiming().LowPause,
+		books:    map[string]*book{},
+		returns:  map[Part]LotReturn{},
+		disowned: map[Part]struct{}{},
+		byPage:   layout.Key,
+		pages:    map[string]map[string]*book{},
+	}
+}
+
+// ID returns the holder's id.
+func (h *Holder) ID() string { return h.id }
+
+// Fence makes the holder spend nothing more.
+func (h *Holder) Fence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fenced = true
+}
+
+// Reserve sets n tokens aside for one request, from the own row first and from
+// lots after it. With too few at hand it takes nothing and returns ErrShort.
+func (h *Holder) Reserve(now time.Time, budget string, n int64) (Reservation, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fenced {
+		return Reservation{}, Error.Wrap(ErrFenced)
+	}
+	b := h.bookLocked(budget)
+	b.lastUse = now
+	b.worst = max(n, b.worst-b.worst/64)
+	if n <= 0 || b.atHand() < n {
+		return Reservation{}, Error.Wrap(ErrShort)
+	}
+	return Reservation{Budget: budget, Parts: h.takeLocked(now, b, n)}, nil
+}
+
+func (h *Holder) takeLocked(now time.Time, b *book, n int64) []Part {
+	var parts []Part
+	if own := min(n, b.available()); own > 0 {
+		h.seq++
+		b.issue(h.seq, own)
+		parts = append(parts, Part{Holder: h.id, Seq: h.seq, Tokens: own})
+		n -= own
+	}
+	for _, l := range b.lots {
+		if t := min(n, l.left()); t > 0 {
+			l.reserved += t
+			l.lastUse = now
+			parts = append(parts, Part{Holder: l.Holder, Seq: l.Seq, Tokens: t})
+			n -= t
+		}
+	}
+	return parts
+}
+
+// Settle closes a reservation: used tokens are spent, the rest is available again.
+func (h *Holder) Settle(now time.Time, r Reservation, used int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.bookLocked(r.Budget)
+	split := r.Split(used)
+	for i, p := range r.Parts {
+		if p.Holder == h.id {
+			b.settle(p.Seq, split[i].Tokens)
+			continue
+		}
+		b.settleLot(p, split[i].Tokens)
+	}
+	b.spend(now, min(used, r.Tokens()))
+}
+
+// settleLot settles a part of a borrowed lot.
+func (b *book) settleLot(p Part, used int64) {
+	for _, l := range b.lots {
+		if l.Holder == p.Holder && l.Seq == p.Seq {
+			l.reserved -= p.Tokens
+			l.used += used
+			return
+		}
+	}
+}
+
+// Through returns the watermark of the own row that is durable in the store:
+// the outcome of reservations up to it need not be kept by anyone.
+func (h *Holder) Through(budget string) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if b := h.books[budget]; b != nil {
+		return b.durableThrough
+	}
+	return 0
+}
+
+// Lend reserves a lot for a peer out of the own row: at least need tokens, or
+// as many as there are, and up to want when the policy can spare them. The id names
+// the peer's request; a repeated id gets the same lot, so an answer that was lost
+// strands nothing.
+func (h *Holder) Lend(now time.Time, budget, id, borrower string, need, want int64) (Lot, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fenced {
+		return Lot{}, Error.Wrap(ErrFenced)
+	}
+	b := h.books[budget]
+	if b == nil {
+		return Lot{}, Error.Wrap(ErrShort)
+	}
+	if have := b.lent[id]; have != nil {
+		return Lot{Part: have.part, Through: b.durableThrough}, nil
+	}
+	n := min(b.available(), max(need, min(want, b.available()/2)))
+	if n <= 0 {
+		return Lot{}, Error.Wrap(ErrShort)
+	}
+	return h.lendLocked(b, id, borrower, n), nil
+}
+
+func (h *Holder) lendLocked(b *book, id, borrower string, n int64) Lot {
+	h.seq++
+	b.issue(h.seq, n)
+	if b.lent == nil {
+		b.lent = map[string]*lent{}
+	}
+	p := Part{Holder: h.id, Seq: h.seq, Tokens: n}
+	b.lent[id] = &lent{part: p, borrower: borrower}
+	return Lot{Part: p, Through: b.durableThrough}
+}
+
+// Borrow adds a peer's lot. A lot that is already there is not added again.
+func (h *Holder) Borrow(now time.Time, budget string, l Lot) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, closed := h.returns[l.Part]; closed {
+		return
+	}
+	// An answer that comes after the lender was told that this lot is not
+	// here must not bring it back: the lender spends it again.
+	if _, gone := h.disowned[l.Part]; gone {
+		return
+	}
+	b := h.bookLocked(budget)
+	for _, have := range b.lots {
+		if have.Holder == l.Part.Holder && have.Seq == l.Part.Seq {
+			return
+		}
+	}
+	b.lots = append(b.lots, &lot{Part: l.Part, lastUse: now})
+}
+
+// TakeBack settles a lot that this holder lent. Settling it again has no effect.
+func (h *Holder) TakeBack(now time.Time, r LotReturn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.books[r.Budget]
+	if b == nil {
+		return
+	}
+	if b.settle(r.Seq, r.Used) {
+		b.lastUse = now
+	}
+	for id, l := range b.lent {
+		if l.part.Seq == r.Seq {
+			delete(b.lent, id)
+		}
+	}
+}
+
+// LentTo lists the open lots that a borrower has, for recovery after its death.
+func (h *Holder) LentTo(borrower string) []LotReturn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []LotReturn
+	for _, b := range h.books {
+		for _, l := range b.lent {
+			if l.borrower == borrower {
+				out = append(out, LotReturn{Lender: h.id, Budget: b.budget, Seq: l.part.Seq})
+			}
+		}
+	}
+	return out
+}
+
+// CloseLots closes borrowed lots without open reservations that were not used
+// since idleSince, and returns all closed lots that lenders have yet to
+// acknowledge. Send each until Acknowledge.
+func (h *Holder) CloseLots(idleSince time.Time) []LotReturn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.books {
+		b.lots = h.closeLocked(b, idleSince)
+	}
+	out := make([]LotReturn, 0, len(h.returns))
+	for _, r := range h.returns {
+		out = append(out, r)
+	}
+	return out
+}
+
+func (h *Holder) closeLocked(b *book, idleSince time.Time) []*lot {
+	kept := b.lots[:0]
+	for _, l := range b.lots {
+		spent := l.left() == 0
+		if l.reserved > 0 || (!spent && l.lastUse.After(idleSince)) {
+			kept = append(kept, l)
+			continue
+		}
+		h.returns[l.Part] = LotReturn{Lender: l.Holder, Budget: b.budget, Seq: l.Seq, Used: l.used}
+	}
+	return kept
+}
+
+// Disown lists which of the given lots this holder does not have, and makes sure
+// that it never will: a lender takes those back whose answers were lost.
+func (h *Holder) Disown(parts []Part) []Part {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var none []Part
+	for _, p := range parts {
+		if !h.hasLocked(p) {
+			h.disowned[p] = struct{}{}
+			none = append(none, p)
+		}
+	}
+	return none
+}
+
+func (h *Holder) hasLocked(p Part) bool {
+	if _, ok := h.returns[p]; ok {
+		return true
+	}
+	for _, b := range h.books {
+		for _, l := range b.lots {
+			if l.Holder == p.Holder && l.Seq == p.Seq {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// LentLots lists the open lots by borrower.
+func (h *Holder) LentLots() map[string][]Part {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string][]Part{}
+	for _, b := range h.books {
+		for _, l := range b.lent {
+			out[l.borrower] = append(out[l.borrower], l.part)
+		}
+	}
+	return out
+}
+
+// Acknowledge forgets a closed lot that its lender has taken back.
+func (h *Holder) Acknowledge(r LotReturn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for p := range h.returns {
+		if p.Holder == r.Lender && p.Seq == r.Seq {
+			delete(h.returns, p)
+		}
+	}
+}
+
+// DropLots forgets the lots of a lender that was fenced; agents would refuse them.
+func (h *Holder) DropLots(lender string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.books {
+		kept := b.lots[:0]
+		for _, l := range b.lots {
+			if l.Holder != lender {
+				kept = append(kept, l)
+			}
+		}
+		b.lots = kept
+	}
+	for p := range h.returns {
+		if p.Holder == lender {
+			delete(h.returns, p)
+		}
+	}
+}
+
+func (h *Holder) bookLocked(budget string) *book {
+	b := h.books[budget]
+	if b == nil {
+		b = &book{budget: budget, through: h.seq, durableThrough: h.seq}
+		h.books[budget] = b
+		page := h.byPage(budget)
+		if h.pages[page] == nil {
+			h.pages[page] = map[string]*book{}
+		}
+		h.pages[page][budget] = b
+	}
+	return b
+}
+
+func (h *Holder) forgetLocked(b *book) {
+	delete(h.books, b.budget)
+	page := h.byPage(b.budget)
+	delete(h.pages[page], b.budget)
+	if len(h.pages[page]) == 0 {
+		delete(h.pages, page)
+	}
+}
+
+// BudgetState is a book as dumps show it. Amounts are tokens.
+type BudgetState struct {
+	Budget    string  `json:"budget"`
+	Granted   int64   `json:"granted"`
+	Returned  int64   `json:"returned"`
+	Settled   int64   `json:"settled"`
+	Reserved  int64   `json:"reserved"`
+	Available int64   `json:"available"`
+	AtHand    int64   `json:"at_hand"`
+	Lots      int     `json:"lots"`
+	Lent      int     `json:"lent"`
+	Through   int64   `json:"through"`
+	Demand    float64 `json:"demand_tokens_per_second"`
+}
+
+// State lists the books.
+func (h *Holder) State(now time.Time) []BudgetState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]BudgetState, 0, len(h.books))
+	for _, b := range h.books {
+		out = append(out, BudgetState{
+			Budget: b.budget, Granted: b.granted, Returned: b.returned, Settled: b.settled,
+			Reserved: b.reserved, Available: b.available(), AtHand: b.atHand(),
+			Lots: len(b.lots), Lent: len(b.lent), Through: b.through, Demand: b.demandNow(now),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/coord/grant/reservation.go
@@ -0,0 +1,69 @@
+// Package grant lets one process spend from prepaid budgets without a store call
+// for each request. A Holder has grants: tokens that its row of the account
+// gives to it alone, and lots: tokens that a peer reserved for it out of the
+// peer's own grant. Requests reserve their worst case first, and settle what they
+// used afterwards.
+//
+// Grants and lots do not lapse by clock. A holder that is cut off may spend what
+// it holds and nobody else may, so a pause or a partition of any length cannot
+// make two holders spend the same tokens.
+package grant
+
+import (
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("grant")
+
+var (
+	// ErrShort says that the holder has too few tokens at hand.
+	ErrShort = errs.New("too few tokens at hand")
+	// ErrExhausted says that the whole budget has too few tokens left,
+	// wherever they lie.
+	ErrExhausted = errs.New("budget exhausted")
+	// ErrUnreachable says that the budget may have tokens left, but none that
+	// can be reached now.
+	ErrUnreachable = errs.New("no tokens within reach")
+	// ErrFenced says that this incarnation's grants were recovered while it
+	// was thought dead. It must spend nothing and start as a new incarnation.
+	ErrFenced = errs.New("holder is fenced")
+	// ErrNoBudget says that the budget does not exist.
+	ErrNoBudget = errs.New("no such budget")
+)
+
+// Part is a reserved amount out of one source: reservation Seq of the row of
+// Holder. Seq numbers are unique for a holder across its budgets.
+type Part struct {
+	Holder string `json:"holder"`
+	Seq    int64  `json:"seq"`
+	Tokens int64  `json:"tokens"`
+}
+
+// Reservation is the worst case of one request, set aside before any work starts.
+type Reservation struct {
+	Budget string `json:"budget"`
+	Parts  []Part `json:"parts"`
+}
+
+// Tokens is the reserved amount.
+func (r Reservation) Tokens() int64 {
+	var n int64
+	for _, p := range r.Parts {
+		n += p.Tokens
+	}
+	return n
+}
+
+// Split attributes used tokens to the parts, in order. Router and agent both
+// use it, so that their records agree on what each source paid. Used is cut
+// to the reserved amount.
+func (r Reservation) Split(used int64) []Part {
+	out := make([]Part, len(r.Parts))
+	for i, p := range r.Parts {
+		n := min(used, p.Tokens)
+		out[i] = Part{Holder: p.Holder, Seq: p.Seq, Tokens: n}
+		used -= n
+	}
+	return out
+}
--- /dev/null
+++ b/coord/ledger/group.go
@@ -0,0 +1,85 @@
+package ledger
+
+import (
+	"context"
+	"time"
+)
+
+// Group collects the charges that reach a shard's owner during one interval and
+// appends them together, so that the store sees about one write a second for a
+// shard whatever the request rate is.
+type Group struct {
+	shard    *Shard
+	interval time.Duration
+	requests chan groupRequest
+}
+
+type groupRequest struct {
+	charges []Charge
+	done    chan error
+}
+
+// groupQueue bounds the appends that wait for a flush.
+const groupQueue = 1024
+
+// NewGroup returns the group commit of a shard. Run must be running for Append.
+func NewGroup(s *Shard, interval time.Duration) *Group {
+	return &Group{shard: s, interval: interval, requests: make(chan groupRequest, groupQueue)}
+}
+
+// Append waits until the charges are durable and returns the last segment.
+func (g *Group) Append(ctx context.Context, charges []Charge) (int64, error) {
+	r := groupRequest{charges: charges, done: make(chan error, 1)}
+	select {
+	case g.requests <- r:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	select {
+	case err := <-r.done:
+		return g.shard.Last(), err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// Run flushes once an interval until the context ends.
+func (g *Group) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-g.requests:
+			g.flush(ctx, g.collect(ctx, first))
+		}
+	}
+}
+
+// collect gathers what comes within the interval after the first request.
+func (g *Group) collect(ctx context.Context, first groupRequest) []groupRequest {
+	batch := []groupRequest{first}
+	t := time.NewTimer(g.interval)
+	defer t.Stop()
+	for len(batch) < groupQueue {
+		select {
+		case r := <-g.requests:
+			batch = append(batch, r)
+		case <-t.C:
+			return batch
+		case <-ctx.Done():
+			return batch
+		}
+	}
+	return batch
+}
+
+func (g *Group) flush(ctx context.Context, batch []groupRequest) {
+	var all []Charge
+	for _, r := range batch {
+		all = append(all, r.charges...)
+	}
+	err := g.shard.Append(ctx, all)
+	for _, r := range batch {
+		r.done <- err
+	}
+}
--- /dev/null
+++ b/coord/rendezvous/rendezvous.go
@@ -0,0 +1,48 @@
+// Package rendezvous maps a key to nodes by highest random weight: every
+// process that knows the same nodes chooses the same ones without talking, and
+// a node that comes or goes moves only its own keys.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Rank returns the nodes in order of preference for key.
+func Rank(key string, nodes []string) []string {
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(a, b string) int {
+		if c := cmp.Compare(weight(key, b), weight(key, a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return ranked
+}
+
+// Pick returns the first choice for key, or "" when there are no nodes.
+func Pick(key string, nodes []string) string {
+	best, top := "", uint64(0)
+	for _, n := range nodes {
+		w := weight(key, n)
+		if best == "" || w > top || (w == top && n < best) {
+			best, top = n, w
+		}
+	}
+	return best
+}
+
+// Bucket maps key to one of n numbered buckets.
+func Bucket(key string, n int) int {
+	return int(xxhash.Sum64String(key) % uint64(n))
+}
+
+func weight(key, node string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(node)
+	return d.Sum64()
+}
--- /dev/null
+++ b/coord/store/memstore/memstore.go
@@ -0,0 +1,225 @@
+// Package memstore is a Store in memory, for tests and for stand-ins of the
+// platform. It can be told to fail the ways the platform fails.
+package memstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/store"
+)
+
+// Faults are the failures to play. The zero value plays none.
+type Faults struct {
+	// Down makes every call fail without effect.
+	Down bool `json:"down"`
+	// LoseWrites makes that many next writes take effect and then lose
+	// their answers.
+	LoseWrites int `json:"lose_writes"`
+	// Delay is added to each call.
+	Delay time.Duration `json:"delay_ns"`
+}
+
+// Calls counts the calls answered or refused so far.
+type Calls struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+	// WrittenBytes sums the sizes of the values of all write calls.
+	WrittenBytes int64 `json:"written_bytes"`
+	// ReadBytes sums the sizes of the values of all read calls.
+	ReadBytes int64 `json:"read_bytes"`
+}
+
+type entry struct {
+	value []byte
+	rev   store.Revision
+	lease store.LeaseID
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store keeps keys in memory. Use New.
+type Store struct {
+	mu       sync.Mutex
+	rev      store.Revision
+	entries  map[string]entry
+	keys     []string // sorted
+	leases   map[store.LeaseID]*lease
+	watchers map[*watcher]struct{}
+	faults   Faults
+	calls    Calls
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		entries:  map[string]entry{},
+		leases:   map[store.LeaseID]*lease{},
+		watchers: map[*watcher]struct{}{},
+	}
+}
+
+// SetFaults replaces the failures to play. A store that goes down also closes
+// its watches.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if f.Down {
+		for w := range s.watchers {
+			s.dropLocked(w)
+		}
+	}
+}
+
+// Calls returns the counts so far.
+func (s *Store) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// enter counts a call and plays the faults that come before its effect.
+func (s *Store) enter(ctx context.Context, count func(*Calls)) error {
+	s.mu.Lock()
+	count(&s.calls)
+	delay := s.faults.Delay
+	s.mu.Unlock()
+	if err := sleep(ctx, delay); err != nil {
+		return store.Error.Wrap(store.ErrUnknown)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return store.Error.Wrap(store.ErrUnknown)
+	}
+	s.expireLocked(time.Now())
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// loseLocked reports whether the answer of the write just made is lost.
+func (s *Store) loseLocked() bool {
+	if s.faults.LoseWrites == 0 {
+		return false
+	}
+	s.faults.LoseWrites--
+	return true
+}
+
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Item, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Reads++ }); err != nil {
+		return store.Item{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[key]
+	s.calls.ReadBytes += int64(len(e.value))
+	return store.Item{Key: key, Value: e.value, Revision: e.rev}, nil
+}
+
+// List implements store.Store.
+func (s *Store) List(ctx context.Context, prefix, from string, limit int) ([]store.Item, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Reads++ }); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []store.Item
+	for i := sort.SearchStrings(s.keys, max(prefix, from)); i < len(s.keys) && len(items) < limit; i++ {
+		k := s.keys[i]
+		if !strings.HasPrefix(k, prefix) {
+			break
+		}
+		e := s.entries[k]
+		s.calls.ReadBytes += int64(len(e.value))
+		items = append(items, store.Item{Key: k, Value: e.value, Revision: e.rev})
+	}
+	return items, nil
+}
+
+// CompareAndSwap implements store.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, id store.LeaseID) (store.Revision, error) {
+	if len(value) > store.MaxValueBytes {
+		return 0, store.Error.Wrap(store.ErrTooLarge)
+	}
+	if err := s.enter(ctx, func(c *Calls) { c.Writes++; c.WrittenBytes += int64(len(value)) }); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].rev != expect {
+		return 0, store.Error.Wrap(store.ErrConflict)
+	}
+	if id != 0 && s.leases[id] == nil {
+		return 0, store.Error.Wrap(store.ErrNoLease)
+	}
+	s.putLocked(key, value, id)
+	if s.loseLocked() {
+		return 0, store.Error.Wrap(store.ErrUnknown)
+	}
+	return s.rev, nil
+}
+
+// Delete implements store.Store.
+func (s *Store) Delete(ctx context.Context, key string, expect store.Revision) error {
+	if err := s.enter(ctx, func(c *Calls) { c.Writes++ }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[key].rev != expect {
+		return store.Error.Wrap(store.ErrConflict)
+	}
+	s.deleteLocked(key)
+	if s.loseLocked() {
+		return store.Error.Wrap(store.ErrUnknown)
+	}
+	return nil
+}
+
+func (s *Store) putLocked(key string, value []byte, id store.LeaseID) {
+	s.rev++
+	if _, ok := s.entries[key]; !ok {
+		i := sort.SearchStrings(s.keys, key)
+		s.keys = append(s.keys, "")
+		copy(s.keys[i+1:], s.keys[i:])
+		s.keys[i] = key
+	}
+	s.entries[key] = entry{value: append([]byte(nil), value...), rev: s.rev, lease: id}
+	s.notifyLocked(store.Event{Item: store.Item{Key: key, Value: value, Revision: s.rev}})
+}
+
+func (s *Store) deleteLocked(key string) {
+	if _, ok := s.entries[key]; !ok {
+		return
+	}
+	s.rev++
+	delete(s.entries, key)
+	i := sort.SearchStrings(s.keys, key)
+	s.keys = append(s.keys[:i], s.keys[i+1:]...)
+	s.notifyLocked(store.Event{Item: store.Item{Key: key, Revision: s.rev}, Deleted: true})
+}
--- /dev/null
+++ b/coord/store/memstore/watch.go
@@ -0,0 +1,143 @@
+package memstore
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/store"
+)
+
+// watchBuffer bounds the events that wait for a slow watcher. One that falls
+// further behind is closed, and reads its keys again.
+const watchBuffer = 256
+
+// progressInterval is the pause between the progress events of a watch.
+const progressInterval = time.Second
+
+type watcher struct {
+	prefix string
+	events chan store.Event
+	closed bool
+}
+
+// Watch implements store.Store. Events older than the call are not kept: when
+// any key under prefix is newer than after, the current items come first.
+func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Watches++ }); err != nil {
+		return nil, err
+	}
+	w := &watcher{prefix: prefix, events: make(chan store.Event, watchBuffer)}
+	s.mu.Lock()
+	s.watchers[w] = struct{}{}
+	for _, k := range s.keys {
+		if e := s.entries[k]; strings.HasPrefix(k, prefix) && e.rev > after {
+			s.sendLocked(w, store.Event{Item: store.Item{Key: k, Value: e.value, Revision: e.rev}})
+		}
+	}
+	s.mu.Unlock()
+	go s.tend(ctx, w)
+	return w.events, nil
+}
+
+// tend sends progress events until the watch ends.
+func (s *Store) tend(ctx context.Context, w *watcher) {
+	t := time.NewTicker(progressInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.mu.Lock()
+			s.dropLocked(w)
+			s.mu.Unlock()
+			return
+		case <-t.C:
+			if !s.progress(w) {
+				return
+			}
+		}
+	}
+}
+
+// progress sends one progress event; it reports whether the watch goes on.
+func (s *Store) progress(w *watcher) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked(time.Now())
+	s.sendLocked(w, store.Event{Item: store.Item{Revision: s.rev}, Progress: true})
+	return !w.closed
+}
+
+func (s *Store) notifyLocked(ev store.Event) {
+	for w := range s.watchers {
+		if strings.HasPrefix(ev.Key, w.prefix) {
+			s.sendLocked(w, ev)
+		}
+	}
+}
+
+func (s *Store) sendLocked(w *watcher, ev store.Event) {
+	if w.closed {
+		return
+	}
+	select {
+	case w.events <- ev:
+	default:
+		s.dropLocked(w)
+	}
+}
+
+func (s *Store) dropLocked(w *watcher) {
+	if w.closed {
+		return
+	}
+	w.closed = true
+	close(w.events)
+	delete(s.watchers, w)
+}
+
+// GrantLease implements store.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Writes++ }); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	id := store.LeaseID(s.rev)
+	s.leases[id] = &lease{ttl: ttl, expires: time.Now().Add(ttl)}
+	return id, nil
+}
+
+// KeepAlive implements store.Store.
+func (s *Store) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	if err := s.enter(ctx, func(c *Calls) { c.Writes++ }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return store.Error.Wrap(store.ErrNoLease)
+	}
+	l.expires = time.Now().Add(l.ttl)
+	return nil
+}
+
+// expireLocked removes the leases that lapsed, and their keys.
+func (s *Store) expireLocked(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			delete(s.leases, id)
+			s.deleteLeasedLocked(id)
+		}
+	}
+}
+
+func (s *Store) deleteLeasedLocked(id store.LeaseID) {
+	for k, e := range s.entries {
+		if e.lease == id {
+			s.deleteLocked(k)
+		}
+	}
+}
--- /dev/null
+++ b/coord/store/update.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
+)
+
+// Change computes a key's next value from the current one (nil when absent).
+// It is called again after each conflict and after each lost answer, so it must
+// be idempotent: given a value that already holds its effect, it returns that
+// value unchanged.
+type Change func(old Item) (next []byte, err error)
+
+// Retry bounds of Update: the first pause and the longest one.
+const (
+	updatePauseMin = 2 * time.Millisecond
+	updatePauseMax = 200 * time.Millisecond
+)
+
+// Update applies change to the key until its effect is durable or the context
+// ends. It guards against the answer that is lost after a write took effect: it
+// reads the key again, and change finds its own effect there instead of
+// applying it twice.
+//
+// When the context ends before the outcome is known, the error wraps ErrUnknown.
+func Update(ctx context.Context, s Store, key string, change Change) (Item, error) {
+	pause := backoff.New(updatePauseMin, updatePauseMax)
+	for {
+		item, err := updateOnce(ctx, s, key, change)
+		if err == nil || !retryable(err) {
+			return item, err
+		}
+		if pause.Wait(ctx) != nil {
+			return Item{}, err
+		}
+	}
+}
+
+func updateOnce(ctx context.Context, s Store, key string, change Change) (Item, error) {
+	old, err := s.Get(ctx, key)
+	if err != nil {
+		return Item{}, err
+	}
+	next, err := change(old)
+	if err != nil {
+		return Item{}, err
+	}
+	if old.Revision != 0 && bytes.Equal(old.Value, next) {
+		return old, nil
+	}
+	rev, err := s.CompareAndSwap(ctx, key, old.Revision, next, 0)
+	if err != nil {
+		return Item{}, err
+	}
+	return Item{Key: key, Value: next, Revision: rev}, nil
+}
+
+func retryable(err error) bool {
+	return errors.Is(err, ErrConflict) || errors.Is(err, ErrUnknown)
+}
