--- /dev/null
+++ b/agent/upstream.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/openai"
+)
+
+// Bounds of what is read of an upstream's answer.
+const (
+	// maxLine bounds one line of a stream of events.
+	maxLine = 1 << 20
+	// maxAnswer bounds an answer that is not streamed.
+	maxAnswer = 8 << 20
+	// copyBuffer is the piece in which plain answers are passed on.
+	copyBuffer = 32 << 10
+)
+
+// hopHeaders are meant for one connection only (RFC 9110, 7.6.1), or are the
+// system's own; they are not passed on.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Proxy-Authenticate", "Proxy-Authorization", "Authorization", contract.WorkHeader, contract.RefusalHeader,
+}
+
+// CopyHeaders copies what may be passed on from one hop to the next.
+func CopyHeaders(dst, src http.Header) {
+	drop := map[string]bool{}
+	for _, h := range hopHeaders {
+		drop[h] = true
+	}
+	for _, v := range src.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for k, vv := range src {
+		if !drop[k] {
+			dst[k] = append([]string(nil), vv...)
+		}
+	}
+}
+
+// upstreamCaller calls the one upstream that this agent stands beside.
+type upstreamCaller struct {
+	url    string
+	client *http.Client
+}
+
+// errNotSent says that the request did not reach the upstream.
+var errNotSent = errors.New("upstream not reached")
+
+// call sends a request. An error that wraps errNotSent had no effect there.
+func (u *upstreamCaller) call(ctx context.Context, r *http.Request, path string, body io.Reader) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, u.url+path, body)
+	if err != nil {
+		return nil, errors.Join(errNotSent, err)
+	}
+	CopyHeaders(req.Header, r.Header)
+	req.ContentLength = r.ContentLength
+	sent := &sentBody{}
+	req = req.WithContext(sent.trace(ctx))
+	resp, err := u.client.Do(req)
+	if err != nil && !sent.connected() {
+		err = errors.Join(errNotSent, err)
+	}
+	return resp, err
+}
+
+// sink takes an answer piece by piece; Write must not keep the piece.
+type sink interface {
+	start(status int, header http.Header)
+	write(piece []byte) error
+}
+
+// passEngine passes an engine's answer on and counts its tokens. It ends a stream
+// that would pass more pieces of output than the limit: the engine was told that
+// limit, and what it generates beyond it is not paid for.
+func passEngine(resp *http.Response, limit int64, to sink) (openai.Meter, error) {
+	var m openai.Meter
+	to.start(resp.StatusCode, resp.Header)
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+		if err != nil {
+			return m, err
+		}
+		m.Whole(b)
+		return m, to.write(b)
+	}
+	lines := bufio.NewReaderSize(resp.Body, copyBuffer)
+	for !m.Done {
+		line, err := readLine(lines)
+		if err != nil {
+			return m, err
+		}
+		m.Line(line)
+		if m.Outputs > limit {
+			return m, errOverLimit
+		}
+		if err := to.write(line); err != nil {
+			return m, err
+		}
+	}
+	return m, to.write([]byte("\n"))
+}
+
+// errOverLimit says that an engine ignored the output limit.
+var errOverLimit = errors.New("engine passed the output limit")
+
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		rest, err := r.ReadBytes('\n')
+		line = append(bytes.Clone(line), rest...)
+		if len(line) > maxLine {
+			return nil, errors.New("line too long")
+		}
+		return line, err
+	}
+	return line, err
+}
+
+// passPlain passes a plain service's answer on.
+func passPlain(resp *http.Response, to sink) error {
+	to.start(resp.StatusCode, resp.Header)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			if werr := to.write(buf[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/agent/witness.go
@@ -0,0 +1,254 @@
+package agent
+
+import (
+	"sync"
+
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/incarnation"
+	"github.com/arbutusmill/arbutusmill/coord/recovery"
+)
+
+// Witness remembers what each reservation used at this upstream, until the
+// holder of the tokens has reported it durably. Tokens are served only through
+// agents, so together their witnesses are the whole evidence for a dead holder.
+//
+// It is also the fence: a holder that was thought dead and wakes up is refused
+// here, whatever it believes.
+type Witness struct {
+	limit int
+
+	mu      sync.Mutex
+	records map[string]*record   // by request id, the newest run
+	rows    map[row]*rowEvidence // by the source of the tokens
+	count   int                  // runs whose evidence is kept
+	fenced  map[string]bool
+	upTo    map[string]int64 // by VM, its newest life that is shut out
+}
+
+// row is one holder's row of one budget.
+type row struct{ holder, budget string }
+
+// rowEvidence is what a row's reservations used here.
+type rowEvidence struct {
+	trimmed int64
+	bySeq   map[int64]*uses
+}
+
+// uses is what one reservation used here.
+type uses struct {
+	spender string
+	running int
+	used    int64
+	runs    []*record
+}
+
+// record is one run of a request.
+type record struct {
+	work    contract.Work
+	done    bool
+	outcome contract.Outcome
+	left    int // parts whose evidence is still kept
+}
+
+// NewWitness returns an empty witness of up to limit runs.
+func NewWitness(limit int) *Witness {
+	return &Witness{limit: limit, records: map[string]*record{}, rows: map[row]*rowEvidence{},
+		fenced: map[string]bool{}, upTo: map[string]int64{}}
+}
+
+// Begin notes that a request starts. It refuses a fenced source, an id that is
+// known here, and work for which there is no room.
+func (w *Witness) Begin(work contract.Work) *contract.Refusal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.refuseLocked(work); r != nil {
+		return r
+	}
+	rec := &record{work: work, left: len(work.Reservation.Parts)}
+	w.records[work.ID] = rec
+	w.count++
+	for _, p := range work.Reservation.Parts {
+		u := w.usesLocked(row{p.Holder, work.Reservation.Budget}, p.Seq)
+		u.spender = work.Spender
+		u.running++
+		u.runs = append(u.runs, rec)
+	}
+	return nil
+}
+
+func (w *Witness) refuseLocked(work contract.Work) *contract.Refusal {
+	if w.shutOutLocked(work.Spender) {
+		return contract.Refuse(contract.Fenced, "router %s was replaced", work.Spender)
+	}
+	for _, p := range work.Reservation.Parts {
+		if w.shutOutLocked(p.Holder) {
+			return contract.Refuse(contract.Fenced, "tokens of %s were recovered", p.Holder)
+		}
+	}
+	if rec := w.records[work.ID]; rec != nil && !rec.done {
+		return contract.Refuse(contract.InProgress, "the request is running")
+	}
+	if w.count >= w.limit {
+		return contract.Refuse(contract.ChargeBacklog, "too many outcomes are not reported yet")
+	}
+	return nil
+}
+
+func (w *Witness) shutOutLocked(holder string) bool {
+	if w.fenced[holder] {
+		return true
+	}
+	vm, count, err := incarnation.Parse(holder)
+	return err != nil || count <= w.upTo[vm]
+}
+
+func (w *Witness) usesLocked(r row, seq int64) *uses {
+	ev := w.rows[r]
+	if ev == nil {
+		ev = &rowEvidence{bySeq: map[int64]*uses{}}
+		w.rows[r] = ev
+	}
+	u := ev.bySeq[seq]
+	if u == nil {
+		u = &uses{}
+		ev.bySeq[seq] = u
+	}
+	return u
+}
+
+// End notes what the request used.
+func (w *Witness) End(id string, o contract.Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rec := w.records[id]
+	if rec == nil || rec.done {
+		return
+	}
+	rec.done, rec.outcome = true, o
+	r := rec.work.Reservation
+	for _, p := range r.Split(o.Used) {
+		u := w.usesLocked(row{p.Holder, r.Budget}, p.Seq)
+		u.running--
+		u.used += p.Tokens
+	}
+}
+
+// Trim forgets the evidence that holders have reported durably, given their
+// watermarks of a budget.
+func (w *Witness) Trim(budget string, watermarks map[string]int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for holder, through := range watermarks {
+		r := row{holder, budget}
+		ev := w.rows[r]
+		if ev == nil || ev.trimmed >= through {
+			continue
+		}
+		ev.trimmed = through
+		for seq, u := range ev.bySeq {
+			if seq <= through && u.running == 0 {
+				w.dropLocked(r, ev, seq, u)
+			}
+		}
+	}
+}
+
+// dropLocked forgets one reservation, and the runs that no other part keeps.
+func (w *Witness) dropLocked(r row, ev *rowEvidence, seq int64, u *uses) {
+	delete(ev.bySeq, seq)
+	if len(ev.bySeq) == 0 {
+		delete(w.rows, r)
+	}
+	for _, rec := range u.runs {
+		if rec.left--; rec.left > 0 {
+			continue
+		}
+		w.count--
+		if w.records[rec.work.ID] == rec {
+			delete(w.records, rec.work.ID)
+		}
+	}
+}
+
+// Outcome returns what became of a request.
+func (w *Witness) Outcome(id string) (o contract.Outcome, running, known bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rec := w.records[id]
+	if rec == nil {
+		return contract.Outcome{}, false, false
+	}
+	return rec.outcome, !rec.done, true
+}
+
+// Fence refuses the holder's tokens and the holder as a spender from now on, and
+// returns the evidence about both.
+func (w *Witness) Fence(holder string) recovery.Evidence {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fenced[holder] = true
+	var out recovery.Evidence
+	for r, ev := range w.rows {
+		for seq, u := range ev.bySeq {
+			if r.holder != holder && u.spender != holder {
+				continue
+			}
+			out.Running += u.running
+			out.Uses = append(out.Uses, recovery.Use{Holder: r.holder, Budget: r.budget, Seq: seq, Used: u.used})
+		}
+	}
+	return out
+}
+
+// Restore sets the fences that were in force before this process started: for each
+// VM its newest life that is shut out.
+func (w *Witness) Restore(upTo map[string]int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for vm, count := range upTo {
+		w.upTo[vm] = max(w.upTo[vm], count)
+	}
+}
+
+// Forget drops all evidence about the row of a holder whose recovery is complete.
+func (w *Witness) Forget(holder string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for r, ev := range w.rows {
+		if r.holder != holder {
+			continue
+		}
+		for seq, u := range ev.bySeq {
+			w.dropLocked(r, ev, seq, u)
+		}
+	}
+}
+
+// Rows lists, for each holder, the budgets about which evidence is kept.
+func (w *Witness) Rows() map[string][]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string][]string{}
+	for r := range w.rows {
+		out[r.holder] = append(out[r.holder], r.budget)
+	}
+	return out
+}
+
+// WitnessState is a witness as dumps show it.
+type WitnessState struct {
+	Runs   int      `json:"runs"`
+	Rows   int      `json:"rows"`
+	Fenced []string `json:"fenced"`
+}
+
+// State returns the witness's counts.
+func (w *Witness) State() WitnessState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := WitnessState{Runs: w.count, Rows: len(w.rows)}
+	for h := range w.fenced {
+		s.Fenced = append(s.Fenced, h)
+	}
+	return s
+}
--- /dev/null
+++ b/contract/kind.go
@@ -0,0 +1,114 @@
+// Package contract is what the system promises for one request: its identity, its
+// priority, its limits, and the closed list of ways in which it can be refused.
+package contract
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Kind is one way in which a request can end without its answer. The list is
+// closed: every error that a caller sees is one of these.
+type Kind string
+
+// The kinds. What a caller sees for each is in the table below.
+const (
+	BadRequest        Kind = "bad_request"
+	BodyTooLarge      Kind = "body_too_large"
+	Unauthorized      Kind = "unauthorized"
+	NotAllowed        Kind = "not_allowed"
+	UnknownModel      Kind = "unknown_model"
+	UnknownService    Kind = "unknown_service"
+	UnknownPath       Kind = "unknown_path"
+	KeyReused         Kind = "idempotency_key_reused"
+	BudgetExhausted   Kind = "budget_exhausted"
+	BudgetUnreachable Kind = "budget_unreachable"
+	BudgetMissing     Kind = "budget_missing"
+	Overloaded        Kind = "overloaded"
+	DeadlineTooShort  Kind = "deadline_too_short"
+	NoUpstream        Kind = "no_upstream"
+	Stopping          Kind = "stopping"
+	NotReady          Kind = "not_ready"
+	ChargeBacklog     Kind = "charge_backlog"
+	ClaimUnavailable  Kind = "claim_unavailable"
+	Fenced            Kind = "fenced"
+	InProgress        Kind = "in_progress"
+	UpstreamFailed    Kind = "upstream_failed"
+	OutcomeUnknown    Kind = "outcome_unknown"
+	TimedOut          Kind = "timed_out"
+	Internal          Kind = "internal"
+)
+
+// Answer is what a caller gets for a kind.
+type Answer struct {
+	// Status is the HTTP status.
+	Status int
+	// NotRun says that the request had no effect and cost nothing.
+	NotRun bool
+	// RetryAfter is when a retry may help; 0 means that none will.
+	RetryAfter time.Duration
+	// TryOther says that the router may try another upstream itself.
+	TryOther bool
+}
+
+// answers is the one table from kind to answer. NotRun is true only where the
+// decision falls before the request left, or on the word of the agent that held it.
+var answers = map[Kind]Answer{
+	BadRequest:        {Status: http.StatusBadRequest, NotRun: true},
+	BodyTooLarge:      {Status: http.StatusRequestEntityTooLarge, NotRun: true},
+	Unauthorized:      {Status: http.StatusUnauthorized, NotRun: true},
+	NotAllowed:        {Status: http.StatusForbidden, NotRun: true},
+	UnknownModel:      {Status: http.StatusNotFound, NotRun: true},
+	UnknownService:    {Status: http.StatusNotFound, NotRun: true},
+	UnknownPath:       {Status: http.StatusNotFound, NotRun: true},
+	KeyReused:         {Status: http.StatusUnprocessableEntity, NotRun: true},
+	BudgetExhausted:   {Status: http.StatusPaymentRequired, NotRun: true},
+	BudgetUnreachable: {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
+	BudgetMissing:     {Status: http.StatusPaymentRequired, NotRun: true},
+	Overloaded:        {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second, TryOther: true},
+	DeadlineTooShort:  {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second},
+	NoUpstream:        {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
+	Stopping:          {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second, TryOther: true},
+	NotReady:          {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second, TryOther: true},
+	ChargeBacklog:     {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 10 * time.Second, TryOther: true},
+	ClaimUnavailable:  {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 5 * time.Second},
+	Fenced:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second},
+	InProgress:        {Status: http.StatusConflict, RetryAfter: time.Second},
+	UpstreamFailed:    {Status: http.StatusBadGateway, RetryAfter: time.Second},
+	OutcomeUnknown:    {Status: http.StatusBadGateway, RetryAfter: time.Second},
+	TimedOut:          {Status: http.StatusGatewayTimeout},
+	Internal:          {Status: http.StatusInternalServerError},
+}
+
+// Kinds lists all kinds.
+func Kinds() []Kind {
+	out := make([]Kind, 0, len(answers))
+	for k := range answers {
+		out = append(out, k)
+	}
+	return out
+}
+
+// Answer returns the kind's row of the table.
+func (k Kind) Answer() Answer {
+	a, ok := answers[k]
+	if !ok {
+		return answers[Internal]
+	}
+	return a
+}
+
+// Refusal is an error of a kind, with a message for the caller.
+type Refusal struct {
+	Kind    Kind
+	Message string
+}
+
+// Refuse returns a refusal.
+func Refuse(k Kind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: k, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return string(r.Kind) + ": " + r.Message }
--- a/coord/account/account.go
+++ b/coord/account/account.go
@@ -51,6 +51,9 @@
 	// Through is the watermark of settled reservations: every one numbered
 	// up to it is in Settled, none above it is.
 	Through int64 `json:"t,omitempty"`
+	// Since is a store revision from before the oldest reservation above
+	// Through was made: evidence from earlier times is not needed.
+	Since int64 `json:"v,omitempty"`
 	// Demand is the holder's recent use in tokens a second.
 	Demand float64 `json:"d,omitempty"`
 }
@@ -155,7 +158,8 @@
 	if r.Settled < have.Settled || r.Through < have.Through || r.Returned < have.Returned {
 		return Error.Wrap(ErrBackwards)
 	}
-	have.Settled, have.Through, have.Returned, have.Demand = r.Settled, r.Through, r.Returned, r.Demand
+	have.Settled, have.Through, have.Returned = r.Settled, r.Through, r.Returned
+	have.Since, have.Demand = r.Since, r.Demand
 	if have.Balance() < 0 {
 		return Error.Wrap(ErrBroken)
 	}
--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -16,6 +16,7 @@
 	tokens  int64
 	used    int64
 	settled bool
+	since   int64 // a store revision from before it was issued
 }
 
 // lot is what a peer reserved for this holder out of its own row.
@@ -23,6 +24,7 @@
 	Part
 	used     int64
 	reserved int64
+	through  int64 // the lender's durable watermark, as last heard
 	lastUse  time.Time
 }
 
@@ -33,7 +35,7 @@
 type lent struct {
 	part     Part
 	borrower string
-	settled  bool
+	since    int64
 }
 
 // book is one holder's side of one budget. Holder's lock guards it.
@@ -93,8 +95,8 @@
 }
 
 // issue reserves n tokens of the own row.
-func (b *book) issue(seq, n int64) {
-	b.queue = append(b.queue, issued{seq: seq, tokens: n})
+func (b *book) issue(seq, n, since int64) {
+	b.queue = append(b.queue, issued{seq: seq, tokens: n, since: since})
 	b.reserved += n
 }
 
@@ -157,12 +159,17 @@
 }
 
 // row is the report of this book's totals.
-func (b *book) row(now time.Time) account.Row {
+func (b *book) row(now time.Time, revision int64) account.Row {
+	since := revision
+	if len(b.queue) > 0 {
+		since = b.queue[0].since
+	}
 	return account.Row{
 		Granted:  b.granted,
 		Returned: b.returned,
 		Settled:  b.settledThrough,
 		Through:  b.through,
+		Since:    since,
 		Demand:   math.Round(b.demandNow(now)*10) / 10,
 	}
 }
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -120,7 +120,7 @@
 		if err != nil {
 			return nil, err
 		}
-		commits, write, err = g.Holder.plan(g.Now(), g.Timing, key, page)
+		commits, write, err = g.Holder.plan(g.Now(), g.Timing, key, old.Revision, page)
 		if err != nil {
 			return nil, err
 		}
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -1,10 +1,13 @@
 package grant
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
 // Holder keeps one incarnation's side of all its budgets. It makes no calls and
@@ -15,13 +18,21 @@
 
 	lowPause time.Duration
 
-	mu     sync.Mutex
-	seq    int64
-	fenced bool
-	books  map[string]*book
+	mu  sync.Mutex
+	seq int64
+	// revision is the newest store revision seen.
+	revision int64
+	fenced   bool
+	books    map[string]*book
 	// returns are closed lots that their lenders have not acknowledged.
 	returns  map[Part]LotReturn
 	disowned map[Part]struct{}
+	// shutOut are holders that were found dead.
+	shutOut map[string]struct{}
+	// others are the holders with rows on the pages seen.
+	others map[string]struct{}
+	// stopping folds every row as soon as nothing is open on it.
+	stopping bool
 	byPage   func(budget string) string
 	pages    map[string]map[string]*book
 }
@@ -32,6 +43,8 @@
 	Budget string `json:"budget"`
 	Seq    int64  `json:"seq"`
 	Used   int64  `json:"used"`
+	// Since is a store revision from before the lot was made.
+	Since int64 `json:"since,omitempty"`
 }
 
 // Lot is a lender's answer: tokens out of its own row, and its durable watermark.
@@ -49,6 +62,8 @@
 		books:    map[string]*book{},
 		returns:  map[Part]LotReturn{},
 		disowned: map[Part]struct{}{},
+		shutOut:  map[string]struct{}{},
+		others:   map[string]struct{}{},
 		byPage:   layout.Key,
 		pages:    map[string]map[string]*book{},
 	}
@@ -57,6 +72,20 @@
 // ID returns the holder's id.
 func (h *Holder) ID() string { return h.id }
 
+// Revision returns the newest store revision that the holder has seen.
+func (h *Holder) Revision() store.Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return store.Revision(h.revision)
+}
+
+// Fenced reports whether the holder may spend nothing more.
+func (h *Holder) Fenced() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fenced
+}
+
 // Fence makes the holder spend nothing more.
 func (h *Holder) Fence() {
 	h.mu.Lock()
@@ -85,7 +114,7 @@
 	var parts []Part
 	if own := min(n, b.available()); own > 0 {
 		h.seq++
-		b.issue(h.seq, own)
+		b.issue(h.seq, own, h.revision)
 		parts = append(parts, Part{Holder: h.id, Seq: h.seq, Tokens: own})
 		n -= own
 	}
@@ -127,15 +156,22 @@
 	}
 }
 
-// Through returns the watermark of the own row that is durable in the store:
-// the outcome of reservations up to it need not be kept by anyone.
-func (h *Holder) Through(budget string) int64 {
+// Watermarks returns, for each source that reservations on the budget may draw
+// on, the watermark that is durable in the store: the outcomes of reservations up
+// to it need not be kept by anyone.
+func (h *Holder) Watermarks(budget string) map[string]int64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if b := h.books[budget]; b != nil {
-		return b.durableThrough
+	out := map[string]int64{}
+	b := h.books[budget]
+	if b == nil {
+		return out
 	}
-	return 0
+	out[h.id] = b.durableThrough
+	for _, l := range b.lots {
+		out[l.Holder] = max(out[l.Holder], l.through)
+	}
+	return out
 }
 
 // Lend reserves a lot for a peer out of the own row: at least need tokens, or
@@ -149,7 +185,7 @@
 		return Lot{}, Error.Wrap(ErrFenced)
 	}
 	b := h.books[budget]
-	if b == nil {
+	if _, dead := h.shutOut[borrower]; dead || b == nil {
 		return Lot{}, Error.Wrap(ErrShort)
 	}
 	if have := b.lent[id]; have != nil {
@@ -164,12 +200,12 @@
 
 func (h *Holder) lendLocked(b *book, id, borrower string, n int64) Lot {
 	h.seq++
-	b.issue(h.seq, n)
+	b.issue(h.seq, n, h.revision)
 	if b.lent == nil {
 		b.lent = map[string]*lent{}
 	}
 	p := Part{Holder: h.id, Seq: h.seq, Tokens: n}
-	b.lent[id] = &lent{part: p, borrower: borrower}
+	b.lent[id] = &lent{part: p, borrower: borrower, since: h.revision}
 	return Lot{Part: p, Through: b.durableThrough}
 }
 
@@ -185,13 +221,16 @@
 	if _, gone := h.disowned[l.Part]; gone {
 		return
 	}
+	if _, dead := h.shutOut[l.Part.Holder]; dead {
+		return
+	}
 	b := h.bookLocked(budget)
 	for _, have := range b.lots {
 		if have.Holder == l.Part.Holder && have.Seq == l.Part.Seq {
 			return
 		}
 	}
-	b.lots = append(b.lots, &lot{Part: l.Part, lastUse: now})
+	b.lots = append(b.lots, &lot{Part: l.Part, through: l.Through, lastUse: now})
 }
 
 // TakeBack settles a lot that this holder lent. Settling it again has no effect.
@@ -212,6 +251,19 @@
 	}
 }
 
+// TakeBackLost settles a lot whose borrower never got it.
+func (h *Holder) TakeBackLost(now time.Time, p Part) {
+	h.mu.Lock()
+	budget := ""
+	for _, b := range h.books {
+		if b.find(p.Seq) >= 0 {
+			budget = b.budget
+		}
+	}
+	h.mu.Unlock()
+	h.TakeBack(now, LotReturn{Lender: h.id, Budget: budget, Seq: p.Seq})
+}
+
 // LentTo lists the open lots that a borrower has, for recovery after its death.
 func (h *Holder) LentTo(borrower string) []LotReturn {
 	h.mu.Lock()
@@ -220,7 +272,7 @@
 	for _, b := range h.books {
 		for _, l := range b.lent {
 			if l.borrower == borrower {
-				out = append(out, LotReturn{Lender: h.id, Budget: b.budget, Seq: l.part.Seq})
+				out = append(out, LotReturn{Lender: h.id, Budget: b.budget, Seq: l.part.Seq, Since: l.since})
 			}
 		}
 	}
@@ -309,10 +361,13 @@
 	}
 }
 
-// DropLots forgets the lots of a lender that was fenced; agents would refuse them.
-func (h *Holder) DropLots(lender string) {
+// ShutOut forgets the lots of a holder that was found dead, since agents refuse
+// them now, and lends it nothing more: what is lent to it at this moment is what
+// its recovery settles.
+func (h *Holder) ShutOut(lender string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.shutOut[lender] = struct{}{}
 	for _, b := range h.books {
 		kept := b.lots[:0]
 		for _, l := range b.lots {
@@ -352,6 +407,59 @@
 	}
 }
 
+// Pages lists the pages of the budgets that the holder has books of.
+func (h *Holder) Pages() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.pages))
+}
+
+// Empty reports whether the holder has nothing that it would have to give back.
+func (h *Holder) Empty() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.returns) == 0 && !slices.ContainsFunc(slices.Collect(maps.Values(h.books)), func(b *book) bool {
+		return b.granted > 0 || !b.idle()
+	})
+}
+
+// Others lists the other holders that had rows on the pages seen lately.
+func (h *Holder) Others() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.others))
+}
+
+// Recovered forgets a holder whose recovery is complete.
+func (h *Holder) Recovered(holder string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.others, holder)
+}
+
+// postpone is the pause after a failed sync.
+const postpone = time.Second
+
+// Postpone puts the next sync of a page off, after one that failed.
+func (h *Holder) Postpone(now time.Time, page string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, b := range h.pages[page] {
+		b.lastSync, b.nextSync = now, now.Add(postpone)
+	}
+}
+
+// ReportNow makes the next sync of the budgets' pages write what is unreported.
+func (h *Holder) ReportNow(budgets []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range budgets {
+		if b := h.books[id]; b != nil {
+			b.lastReport = time.Time{}
+		}
+	}
+}
+
 // BudgetState is a book as dumps show it. Amounts are tokens.
 type BudgetState struct {
 	Budget    string  `json:"budget"`
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
 // Timing of the work between a holder and the pages.
@@ -44,13 +45,17 @@
 // plan applies the holder's reports, takes and returns to a page, and says what
 // to commit and whether the page must be written. It may be called again for the
 // same page after a conflict or a lost answer.
-func (h *Holder) plan(now time.Time, t Timing, key string, p *account.Page) (commits []commit, write bool, err error) {
+func (h *Holder) plan(now time.Time, t Timing, key string, rev store.Revision, p *account.Page) (commits []commit, write bool, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.revision = max(h.revision, int64(rev))
 	if h.fenced {
 		return nil, false, Error.Wrap(ErrFenced)
 	}
-	h.adoptLocked(key, p)
+	if !h.stopping {
+		h.adoptLocked(key, p)
+	}
+	h.noteOthersLocked(p)
 	for budget, b := range h.pages[key] {
 		a := p.Accounts[budget]
 		b.absent = a == nil
@@ -84,6 +89,18 @@
 	}
 }
 
+// noteOthersLocked keeps the names of the other holders on a page, among which
+// recovery looks for dead ones.
+func (h *Holder) noteOthersLocked(p *account.Page) {
+	for _, a := range p.Accounts {
+		for id := range a.Rows {
+			if id != h.id {
+				h.others[id] = struct{}{}
+			}
+		}
+	}
+}
+
 func (h *Holder) planOne(now time.Time, t Timing, a *account.Account, b *book) (commit, error) {
 	row := a.Rows[h.id]
 	// Guard against a holder that was thought dead, had its row recovered,
@@ -105,7 +122,7 @@
 	b.granted = max(b.granted, row.Granted)
 	d := h.policy.Decide(h.view(now, a, b))
 	b.returned += d.Give
-	report := b.row(now)
+	report := b.row(now, h.revision)
 	returned := report.Returned != row.Returned
 	stale := report.Through > row.Through || demandMoved(row.Demand, report.Demand)
 	due := stale && now.Sub(b.lastReport) >= t.Report
@@ -115,7 +132,8 @@
 	took := a.Grant(h.id, d.Take)
 	c := commit{book: b, granted: row.Granted, row: report}
 	c.empty = took == 0 && len(b.waits) > 0 && a.Unspent() < slices.Min(b.waits)
-	if b.idle() && now.Sub(b.lastUse) > t.Fold && !b.lastUse.IsZero() {
+	unused := now.Sub(b.lastUse) > t.Fold && !b.lastUse.IsZero()
+	if b.idle() && (unused || h.stopping) {
 		c.folded = h.foldLocked(a, b)
 	}
 	c.wrote = join || took > 0 || returned || due || c.folded
@@ -132,7 +150,7 @@
 func (h *Holder) foldLocked(a *account.Account, b *book) bool {
 	b.folding = true
 	b.returned += b.available()
-	if err := a.Report(h.id, b.row(b.lastUse)); err != nil {
+	if err := a.Report(h.id, b.row(b.lastUse, h.revision)); err != nil {
 		return false
 	}
 	return a.Fold(h.id)
@@ -265,6 +283,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.policy = returnPolicy{}
+	h.stopping = true
 	for _, b := range h.books {
 		b.nextSync = time.Time{}
 	}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,133 @@
+// Package daemon is the command line of arbutusmilld.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/arbutusmill/arbutusmill/agent"
+	"github.com/arbutusmill/arbutusmill/observe"
+	"github.com/arbutusmill/arbutusmill/router"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/google/subcommands"
+)
+
+// Register adds the commands.
+func Register(c *subcommands.Commander) {
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(&runCmd{role: settings.RoleRouter}, "processes")
+	c.Register(&runCmd{role: settings.RoleAgent}, "processes")
+	c.Register(&checkCmd{}, "settings")
+}
+
+// runCmd runs one process.
+type runCmd struct {
+	role   string
+	config string
+}
+
+// Name implements subcommands.Command.
+func (c *runCmd) Name() string { return c.role }
+
+// Synopsis implements subcommands.Command.
+func (c *runCmd) Synopsis() string { return "run the " + c.role + " of this VM until SIGTERM" }
+
+// Usage implements subcommands.Command.
+func (c *runCmd) Usage() string {
+	return fmt.Sprintf(`%s -config FILE
+Runs the %s of this VM. SIGTERM makes a planned stop: no request is cut off.
+Example: arbutusmilld %s -config examples/brekke/bergen-%s-1.yaml
+`, c.role, c.role, c.role, map[string]string{settings.RoleRouter: "router", settings.RoleAgent: "engine"}[c.role])
+}
+
+// SetFlags implements subcommands.Command.
+func (c *runCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", "", "settings `file` (YAML)")
+}
+
+// Execute implements subcommands.Command.
+func (c *runCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, ok := load(c.config)
+	if !ok {
+		return subcommands.ExitUsageError
+	}
+	if s.Role != c.role {
+		fmt.Fprintf(os.Stderr, "settings: role: %q in %s, but this is the %s\n", s.Role, c.config, c.role)
+		return subcommands.ExitUsageError
+	}
+	if err := run(ctx, s); err != nil && !errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func run(ctx context.Context, s *settings.Settings) error {
+	if s.Role == settings.RoleRouter {
+		r, err := router.New(s, observe.Stderr())
+		if err != nil {
+			return err
+		}
+		return r.Run(ctx)
+	}
+	a, err := agent.New(s, observe.Stderr())
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
+
+// load reads settings and says what is wrong with them.
+func load(path string) (*settings.Settings, bool) {
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "settings: -config FILE is missing")
+		return nil, false
+	}
+	s, err := settings.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return nil, false
+	}
+	return s, true
+}
+
+// checkCmd checks settings files.
+type checkCmd struct{}
+
+// Name implements subcommands.Command.
+func (*checkCmd) Name() string { return "check-config" }
+
+// Synopsis implements subcommands.Command.
+func (*checkCmd) Synopsis() string { return "check settings files and say what is wrong" }
+
+// Usage implements subcommands.Command.
+func (*checkCmd) Usage() string {
+	return `check-config FILE...
+Checks settings files and names each wrong field. Exit status 2 if any is wrong.
+Example: arbutusmilld check-config examples/brekke/*.yaml
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (*checkCmd) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (*checkCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		fmt.Fprintln(os.Stderr, "check-config: no file given")
+		return subcommands.ExitUsageError
+	}
+	status := subcommands.ExitSuccess
+	for _, path := range f.Args() {
+		if _, ok := load(path); !ok {
+			status = subcommands.ExitUsageError
+			continue
+		}
+		fmt.Println(path + ": ok")
+	}
+	return status
+}
--- /dev/null
+++ b/link/messages.go
@@ -0,0 +1,109 @@
+package link
+
+import (
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/ledger"
+)
+
+// Methods of routers.
+const (
+	// MethodLend asks for a lot: LendRequest, grant.Lot.
+	MethodLend = "budget.lend"
+	// MethodReturn settles a lot: grant.LotReturn, Empty.
+	MethodReturn = "budget.return"
+	// MethodDisown asks which lots are not there: DisownRequest, DisownReply.
+	MethodDisown = "budget.disown"
+	// MethodWatermarks asks how far rows are reported durably:
+	// WatermarkRequest, WatermarkReply.
+	MethodWatermarks = "budget.watermarks"
+	// MethodAppend makes charges durable: AppendRequest, AppendReply.
+	MethodAppend = "ledger.append"
+)
+
+// Methods of routers and agents.
+const (
+	// MethodFence shuts out a dead holder: FenceRequest; routers answer with
+	// RouterEvidence, agents with AgentEvidence.
+	MethodFence = "recovery.fence"
+	// MethodSettleLot settles a dead borrower's lot by evidence:
+	// grant.LotReturn, Empty.
+	MethodSettleLot = "recovery.settle_lot"
+)
+
+// Methods of agents.
+const (
+	// MethodForget ends the need for evidence: FenceRequest, Empty.
+	MethodForget = "recovery.forget"
+	// MethodOutcome asks what became of a request: OutcomeRequest, OutcomeReply.
+	MethodOutcome = "work.outcome"
+)
+
+// Empty is an answer without content.
+type Empty struct{}
+
+// LendRequest asks for a lot of a budget.
+type LendRequest struct {
+	Borrower string `json:"borrower"`
+	Budget   string `json:"budget"`
+	// ID makes a repeat harmless.
+	ID string `json:"id"`
+	// Need is what the request at hand lacks, Want what would be useful.
+	Need int64 `json:"need"`
+	Want int64 `json:"want"`
+}
+
+// DisownRequest lists lots that a lender believes to be with the other side.
+type DisownRequest struct {
+	// Borrower is the life of the other side that asked for them.
+	Borrower string       `json:"borrower"`
+	Parts    []grant.Part `json:"parts"`
+}
+
+// DisownReply lists those that are not there and never will be.
+type DisownReply struct {
+	Parts []grant.Part `json:"parts"`
+}
+
+// AppendRequest brings charges of one shard.
+type AppendRequest struct {
+	Shard   int             `json:"shard"`
+	Charges []ledger.Charge `json:"charges"`
+}
+
+// AppendReply says that all of them are durable.
+type AppendReply struct {
+	// Floor is the shard's last segment.
+	Floor int64 `json:"floor"`
+}
+
+// FenceRequest names a holder whose tokens must not be used any more.
+type FenceRequest struct {
+	Holder string `json:"holder"`
+}
+
+// WatermarkRequest asks about rows of one holder.
+type WatermarkRequest struct {
+	Holder  string   `json:"holder"`
+	Budgets []string `json:"budgets"`
+	// Urgent asks the holder to report first: the agent is leaving.
+	Urgent bool `json:"urgent"`
+}
+
+// WatermarkReply maps each budget to the row's durable watermark.
+type WatermarkReply struct {
+	Through map[string]int64 `json:"through"`
+}
+
+// OutcomeRequest names a request.
+type OutcomeRequest struct {
+	ID string `json:"id"`
+}
+
+// OutcomeReply is what an agent knows of a request.
+type OutcomeReply struct {
+	Incarnation string           `json:"incarnation"`
+	Known       bool             `json:"known"`
+	Running     bool             `json:"running"`
+	Outcome     contract.Outcome `json:"outcome"`
+}
--- /dev/null
+++ b/observe/log.go
@@ -0,0 +1,31 @@
+// Package observe is what can be seen of a process from outside: its log, and the
+// listener for health, metrics and dumps.
+package observe
+
+import (
+	"io"
+	"os"
+
+	"github.com/rs/zerolog"
+)
+
+// logTime is the form of the time in a log line.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
+// NewLogger writes one line of key=value pairs for each event.
+func NewLogger(w io.Writer, level, vm string) zerolog.Logger {
+	lv, err := zerolog.ParseLevel(level)
+	if err != nil {
+		lv = zerolog.InfoLevel
+	}
+	out := zerolog.ConsoleWriter{
+		Out: w, NoColor: true, TimeFormat: logTime,
+		FormatTimestamp: func(i any) string { return pair("time", i) },
+		FormatLevel:     func(i any) string { return pair("level", i) },
+		FormatMessage:   func(i any) string { return pair("event", i) },
+	}
+	return zerolog.New(out).Level(lv).With().Timestamp().Str("vm", vm).Logger()
+}
+
+// Stderr is where logs go.
+func Stderr() io.Writer { return os.Stderr }
--- /dev/null
+++ b/openai/request.go
@@ -0,0 +1,198 @@
+// Package openai reads and writes the parts of the published OpenAI API that the
+// system needs: what a request may cost at most, and what an answer says it cost.
+package openai
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Paths of the API.
+const (
+	ChatPath        = "/v1/chat/completions"
+	CompletionsPath = "/v1/completions"
+	ModelsPath      = "/v1/models"
+)
+
+// Bounds of what a prompt costs beside its text. A token covers at least one
+// byte, so the body's length bounds the prompt; the chat template adds tokens for
+// each message and around the whole.
+const (
+	tokensPerMessage = 16
+	tokensPerPrompt  = 64
+	maxChoices       = 8
+)
+
+// prefixBytes is how much of a prompt decides which engine probably has it cached.
+const prefixBytes = 1024
+
+// Request is a checked request for a completion.
+type Request struct {
+	Model  string
+	Stream bool
+	// PromptBound is the most tokens that the prompt can be.
+	PromptBound int64
+	// OutputLimit is the most output tokens, over all choices.
+	OutputLimit int64
+	// PrefixKey names the beginning of the conversation.
+	PrefixKey uint64
+	// Body is what goes to the engine: the caller's request with the output
+	// limit, the priority and the wish for a usage chunk set.
+	Body []byte
+}
+
+// body is what is read of a request; everything else passes through.
+type body struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           *int64          `json:"max_tokens"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	N                   *int64          `json:"n"`
+	BestOf              *int64          `json:"best_of"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// streamOptions asks for the usage chunk at the end of a stream.
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Parse checks a request for the path, and returns why it is refused if it is.
+func Parse(path string, raw []byte) (*Request, *contract.Refusal) {
+	var b body
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, contract.Refuse(contract.BadRequest, "the body is not a JSON object of the API: %v", err)
+	}
+	if b.Model == "" {
+		return nil, contract.Refuse(contract.BadRequest, "model: is missing")
+	}
+	text, r := b.text(path)
+	if r != nil {
+		return nil, r
+	}
+	return &Request{
+		Model:       b.Model,
+		Stream:      b.Stream,
+		PromptBound: int64(len(raw)) + tokensPerPrompt + tokensPerMessage*int64(len(b.Messages)),
+		OutputLimit: b.outputLimit(),
+		PrefixKey:   xxhash.Sum64String(text[:min(len(text), prefixBytes)]),
+		Body:        raw,
+	}, b.checkCounts()
+}
+
+// text returns the prompt's text, and refuses what is not text: an image's bytes do
+// not bound its tokens.
+func (b *body) text(path string) (string, *contract.Refusal) {
+	if path == CompletionsPath {
+		var s string
+		if json.Unmarshal(b.Prompt, &s) != nil || s == "" {
+			return "", contract.Refuse(contract.BadRequest, "prompt: must be one string")
+		}
+		return s, nil
+	}
+	if len(b.Messages) == 0 {
+		return "", contract.Refuse(contract.BadRequest, "messages: must not be empty")
+	}
+	var sb strings.Builder
+	for i, m := range b.Messages {
+		s, ok := m.text()
+		if !ok {
+			return "", contract.Refuse(contract.BadRequest, "messages[%d].content: only text is served", i)
+		}
+		sb.WriteString(m.Role)
+		sb.WriteString(s)
+	}
+	return sb.String(), nil
+}
+
+func (m message) text() (string, bool) {
+	var s string
+	if len(m.Content) == 0 || json.Unmarshal(m.Content, &s) == nil {
+		return s, true
+	}
+	var parts []contentPart
+	if json.Unmarshal(m.Content, &parts) != nil {
+		return "", false
+	}
+	for _, p := range parts {
+		if p.Type != "text" {
+			return "", false
+		}
+		s += p.Text
+	}
+	return s, true
+}
+
+func (b *body) outputLimit() int64 {
+	switch {
+	case b.MaxCompletionTokens != nil:
+		return *b.MaxCompletionTokens
+	case b.MaxTokens != nil:
+		return *b.MaxTokens
+	}
+	return 0
+}
+
+func (b *body) checkCounts() *contract.Refusal {
+	if b.outputLimit() < 0 {
+		return contract.Refuse(contract.BadRequest, "max_tokens: must not be negative")
+	}
+	if b.N != nil && (*b.N < 1 || *b.N > maxChoices) {
+		return contract.Refuse(contract.BadRequest, "n: must be from 1 to %d", maxChoices)
+	}
+	if b.BestOf != nil && *b.BestOf != 1 {
+		return contract.Refuse(contract.BadRequest, "best_of: only 1 is served")
+	}
+	return nil
+}
+
+// Bind sets the output limit and the priority in the body, and asks for usage. The
+// limit that is set is for one choice; OutputLimit becomes that of all.
+func (r *Request) Bind(most int64, class contract.Class) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(r.Body, &fields); err != nil {
+		return err
+	}
+	limit := r.OutputLimit
+	if limit == 0 || limit > most {
+		limit = most
+	}
+	set := map[string]any{"max_tokens": limit, "priority": int(class)}
+	if r.Stream {
+		set["stream_options"] = streamOptions{IncludeUsage: true}
+	}
+	delete(fields, "max_completion_tokens")
+	for k, v := range set {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return err
+		}
+		fields[k] = b
+	}
+	r.OutputLimit = limit * choices(fields["n"])
+	out, err := json.Marshal(fields)
+	r.Body = out
+	return err
+}
+
+func choices(n json.RawMessage) int64 {
+	var v int64
+	if json.Unmarshal(n, &v) != nil || v < 1 {
+		return 1
+	}
+	return v
+}
--- /dev/null
+++ b/operator/command.go
@@ -0,0 +1,129 @@
+// Package operator is the command line of arbutusmill.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/ledger"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/fleet"
+	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/google/subcommands"
+)
+
+// Register adds the commands.
+func Register(c *subcommands.Commander) {
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	for _, cmd := range []*command{demoCommand(), standinCommand(), loadCommand()} {
+		c.Register(cmd, "local")
+	}
+	for _, cmd := range []*command{budgetCommand(), ledgerCommand()} {
+		c.Register(cmd, "budgets")
+	}
+	for _, cmd := range []*command{applyCommand(), presetCommand(), teamCommand(), serviceCommand()} {
+		c.Register(cmd, "configuration")
+	}
+	for _, cmd := range []*command{dumpCommand(), versionCommand()} {
+		c.Register(cmd, "processes")
+	}
+}
+
+// command is one subcommand: its texts, its flags, and what it does.
+type command struct {
+	name, synopsis, usage string
+	flags                 func(*flag.FlagSet)
+	run                   func(ctx context.Context, args []string) error
+}
+
+// errUsage marks mistakes of the command line.
+var errUsage = errors.New("usage")
+
+func usagef(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", errUsage, fmt.Sprintf(format, args...))
+}
+
+// Name implements subcommands.Command.
+func (c *command) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *command) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *command) Usage() string { return c.usage }
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	if c.flags != nil {
+		c.flags(f)
+	}
+}
+
+// Execute implements subcommands.Command. Exit status 2 is a mistake of the command
+// line or of a file, 1 any other failure.
+func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.run(ctx, f.Args())
+	if err == nil {
+		return subcommands.ExitSuccess
+	}
+	fmt.Fprintln(os.Stderr, c.name+": "+err.Error())
+	if errors.Is(err, errUsage) || fleet.Error.Has(err) {
+		return subcommands.ExitUsageError
+	}
+	return subcommands.ExitFailure
+}
+
+// target is the platform's store, as flags name it.
+type target struct {
+	url     string
+	pages   int
+	shards  int
+	timeout time.Duration
+}
+
+// callTimeout is the default bound of one store call.
+const callTimeout = 5 * time.Second
+
+func (t *target) flags(f *flag.FlagSet) {
+	d := settings.Default()
+	f.StringVar(&t.url, "store", "http://127.0.0.1:2379", "`URL` of the platform's key-value service")
+	f.IntVar(&t.pages, "pages", d.Budgets.Pages, "number of account pages, as in the routers' settings")
+	f.IntVar(&t.shards, "shards", d.Ledger.Shards, "number of ledger shards, as in the routers' settings")
+	f.DurationVar(&t.timeout, "timeout", callTimeout, "bound of one store call")
+}
+
+func (t *target) store() store.Store {
+	return &platform.Etcd{URL: t.url, Client: http.DefaultClient, Timeout: t.timeout}
+}
+
+func (t *target) book() account.Book {
+	return account.Book{Store: t.store(), Layout: account.Layout{Prefix: process.PagePrefix, Pages: t.pages}}
+}
+
+func (t *target) ledger() ledger.Reader {
+	return ledger.Reader{Store: t.store(), Layout: ledger.Layout{Prefix: process.LedgerPrefix, Shards: t.shards}}
+}
+
+func (t *target) registry() fleet.Registry { return fleet.Registry{Store: t.store()} }
+
+// bounded gives an operator's whole command a bound: stores may be down for long.
+func bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	const whole = 30 * time.Second
+	return context.WithTimeout(ctx, whole)
+}
+
+func printJSON(v any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/operator/load.go
@@ -0,0 +1,205 @@
+package operator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/openai"
+)
+
+type loadFlags struct {
+	url      string
+	key      string
+	model    string
+	rate     float64
+	requests int
+	prompt   string
+	tokens   int
+}
+
+// Bounds of a load run: it ends by itself.
+const (
+	maxLoadRequests = 100_000
+	maxLoadRate     = 2000
+	loadTimeout     = 2 * time.Minute
+)
+
+func loadCommand() *command {
+	l := &loadFlags{}
+	return &command{
+		name:     "load",
+		synopsis: "send a bounded load of streamed questions to a router on this machine",
+		usage: `load [flags]
+Sends -requests streamed questions at -rate a second, open loop, and prints the time to
+the first token, the time between tokens, and how many ended how. Loopback only.
+Example: arbutusmill load -url http://127.0.0.1:8080 -key am_... -rate 20 -requests 200
+`,
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&l.url, "url", "http://127.0.0.1:8080", "router's `URL` for callers")
+			f.StringVar(&l.key, "key", "", "team's `key`")
+			f.StringVar(&l.model, "model", "tides-1", "`model` to ask")
+			f.Float64Var(&l.rate, "rate", 10, "requests a second")
+			f.IntVar(&l.requests, "requests", 100, "requests in all")
+			f.StringVar(&l.prompt, "prompt", "When is low water tonight?", "`text` to ask; a number is added")
+			f.IntVar(&l.tokens, "max-tokens", 64, "output limit of each request")
+		},
+		run: l.run,
+	}
+}
+
+// loadResult collects what happened.
+type loadResult struct {
+	mu      sync.Mutex
+	first   *hdrhistogram.Histogram // microseconds
+	between *hdrhistogram.Histogram // microseconds
+	ends    map[string]int
+	tokens  int64
+}
+
+func newLoadResult() *loadResult {
+	const lowest, highest, digits = 1, int64(time.Minute / time.Microsecond), 3
+	return &loadResult{first: hdrhistogram.New(lowest, highest, digits),
+		between: hdrhistogram.New(lowest, highest, digits), ends: map[string]int{}}
+}
+
+func (l *loadFlags) check() error {
+	u, err := url.Parse(l.url)
+	if err != nil {
+		return usagef("-url: %v", err)
+	}
+	if ip := net.ParseIP(u.Hostname()); ip == nil || !ip.IsLoopback() {
+		return usagef("-url: %q is not on this machine", l.url)
+	}
+	if l.requests < 1 || l.requests > maxLoadRequests {
+		return usagef("-requests: must be from 1 to %d", maxLoadRequests)
+	}
+	if l.rate <= 0 || l.rate > maxLoadRate {
+		return usagef("-rate: must be above 0 and at most %d", maxLoadRate)
+	}
+	return nil
+}
+
+func (l *loadFlags) run(ctx context.Context, args []string) error {
+	if len(args) > 0 {
+		return usagef("no arguments are taken")
+	}
+	if err := l.check(); err != nil {
+		return err
+	}
+	res := newLoadResult()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: loadTimeout}
+	tick := time.NewTicker(time.Duration(float64(time.Second) / l.rate))
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	for i := range l.requests {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Go(func() { l.one(ctx, client, i, res) })
+	}
+	wg.Wait()
+	res.print()
+	return nil
+}
+
+func (l *loadFlags) one(ctx context.Context, client *http.Client, i int, res *loadResult) {
+	body, _ := json.Marshal(map[string]any{"model": l.model, "stream": true, "max_tokens": l.tokens,
+		"messages": []openai.Message{{Role: "user", Content: fmt.Sprintf("%s (%d)", l.prompt, i)}}})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.url+openai.ChatPath, strings.NewReader(string(body)))
+	if err != nil {
+		res.end("bad_request")
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+l.key)
+	start := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		res.end("no_answer")
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		res.end(kindOf(resp.Body))
+		return
+	}
+	res.stream(start, resp.Body)
+}
+
+func kindOf(r io.Reader) string {
+	var e contract.ErrorBody
+	if json.NewDecoder(r).Decode(&e) != nil || e.Error.Kind == "" {
+		return "unreadable_refusal"
+	}
+	return string(e.Error.Kind)
+}
+
+func (r *loadResult) stream(start time.Time, body io.Reader) {
+	var m openai.Meter
+	last := start
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		before := m.Outputs
+		m.Line(lines.Bytes())
+		if m.Outputs > before {
+			now := time.Now()
+			r.token(before == 0, now.Sub(last))
+			last = now
+		}
+	}
+	if lines.Err() != nil || !m.Done {
+		r.end("cut")
+		return
+	}
+	r.mu.Lock()
+	r.tokens += m.Billed()
+	r.mu.Unlock()
+	r.end("whole")
+}
+
+func (r *loadResult) token(first bool, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.between
+	if first {
+		h = r.first
+	}
+	_ = h.RecordValue(d.Microseconds()) // out of range only past a minute
+}
+
+func (r *loadResult) end(how string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends[how]++
+}
+
+func (r *loadResult) print() {
+	for _, how := range slices.Sorted(maps.Keys(r.ends)) {
+		fmt.Printf("%-20s %d\n", how, r.ends[how])
+	}
+	fmt.Printf("billed tokens        %d\n", r.tokens)
+	show("first token", r.first)
+	show("between tokens", r.between)
+}
+
+func show(name string, h *hdrhistogram.Histogram) {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	fmt.Printf("%-20s p50 %.1f ms  p95 %.1f ms  p99 %.1f ms  max %.1f ms\n", name, ms(50), ms(95), ms(99), float64(h.Max())/1000)
+}
--- /dev/null
+++ b/router/budgets.go
@@ -0,0 +1,216 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/arbutusmill/arbutusmill/vm"
+)
+
+// auditRounds is the number of idle times after which lent lots are asked about.
+const auditRounds = 12
+
+// makeHolder makes the holder and the ways to more tokens, in their order: the
+// store, then peers, nearest first. A router that is not one of its data centre's
+// holders of a page asks those holders before the store.
+func (r *Router) makeHolder() {
+	b := r.base.Settings.Budgets
+	r.holder = grant.NewHolder(r.base.Incarnation, r.layout, policyOf(b))
+	timing := grant.DefaultTiming()
+	timing.Rebalance, timing.Report = time.Duration(b.Rebalance), time.Duration(b.Report)
+	r.pages = &grant.StoreGranter{Holder: r.holder, Store: r.base.Store, Layout: r.layout, Timing: timing, Now: time.Now}
+	peers := func(list func(string) []string) *grant.PeerGranter {
+		return &grant.PeerGranter{Holder: r.holder, Lender: lender{r}, Peers: list,
+			Timeout: time.Duration(b.PeerTimeout), Now: time.Now}
+	}
+	r.acquirer = &grant.Acquirer{Holder: r.holder, Now: time.Now, Chain: []grant.Granter{
+		peers(r.homes), r.pages, peers(r.others),
+	}}
+}
+
+func policyOf(b settings.Budgets) grant.Policy {
+	p := grant.FavourAvailability()
+	if b.Favour == settings.FavourExactness {
+		p = grant.FavourExactness()
+	}
+	p.MinDemand = b.AdoptFrom
+	return p
+}
+
+// holders lists the routers of this data centre that hold grants of a page
+// themselves.
+func (r *Router) holders(page string) []vm.VM {
+	var here []vm.VM
+	for _, m := range r.base.View.Routers() {
+		if m.Datacentre == r.base.Settings.Datacentre {
+			here = append(here, m)
+		}
+	}
+	ranked := r.places.Nearest(page, here)
+	return ranked[:min(len(ranked), r.base.Settings.Budgets.HoldersPerDatacentre)]
+}
+
+// holdsPage reports whether this router holds grants of the page itself. One that
+// is not listed yet does, so that a new fleet can start.
+func (r *Router) holdsPage(page string) bool {
+	list := r.holders(page)
+	for _, m := range list {
+		if m.ID == r.base.Settings.VM {
+			return true
+		}
+	}
+	return len(list) == 0
+}
+
+// homes are the holders to ask first, for a router that is none itself.
+func (r *Router) homes(budget string) []string {
+	page := r.layout.Key(budget)
+	if r.holdsPage(page) {
+		return nil
+	}
+	return ids(r.holders(page))
+}
+
+// others are all other routers, nearest first, the homes left out.
+func (r *Router) others(budget string) []string {
+	asked := map[string]bool{r.base.Settings.VM: true}
+	for _, id := range r.homes(budget) {
+		asked[id] = true
+	}
+	var out []string
+	for _, m := range r.places.Nearest(budget, r.base.View.Routers()) {
+		if !asked[m.ID] {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+func ids(list []vm.VM) []string {
+	out := make([]string, len(list))
+	for i, m := range list {
+		out[i] = m.ID
+	}
+	return out
+}
+
+// lender asks other routers for lots over links.
+type lender struct{ r *Router }
+
+// Lend implements grant.Lender.
+func (l lender) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
+	m, ok := l.r.base.View.Get(peer)
+	if !ok {
+		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
+	}
+	var out grant.Lot
+	in := link.LendRequest{Borrower: l.r.base.Incarnation, Budget: budget, ID: id, Need: need, Want: want}
+	err := l.r.base.Links.Call(ctx, m.Link, link.MethodLend, in, &out)
+	if err == nil {
+		l.r.metrics.lots.Inc()
+	}
+	return out, err
+}
+
+// syncDue syncs the pages that want it.
+func (r *Router) syncDue(ctx context.Context) {
+	for _, key := range r.holder.Due(time.Now()) {
+		r.syncPage(ctx, key)
+	}
+	if r.holder.Fenced() {
+		r.fencedOut()
+	}
+}
+
+func (r *Router) syncPage(ctx context.Context, key string) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.base.Settings.Platform.Timeout))
+	defer cancel()
+	err := r.pages.Sync(ctx, key)
+	switch {
+	case err == nil:
+		r.metrics.syncs.Inc()
+	case errors.Is(err, grant.ErrFenced):
+	default:
+		r.metrics.syncErrors.Inc()
+		r.holder.Postpone(time.Now(), key)
+		r.log.Warn().Err(err).Str("page", key).Msg("page_sync_failed")
+	}
+}
+
+// placeTokens looks at each page once at the start, so that this router holds its
+// share of the budgets that others use before a partition needs it.
+func (r *Router) placeTokens(ctx context.Context) {
+	for page := range r.layout.Pages {
+		key := r.layout.KeyOf(page)
+		if !r.holdsPage(key) {
+			continue
+		}
+		r.syncPage(ctx, key)
+		r.pause(ctx, backoff.Jitter(dutyInterval))
+	}
+}
+
+// returnLots gives idle lots back to their lenders.
+func (r *Router) returnLots(ctx context.Context) {
+	idleSince := time.Now().Add(-time.Duration(r.base.Settings.Budgets.LotIdle))
+	for _, back := range r.holder.CloseLots(idleSince) {
+		if r.sendBack(ctx, back) == nil {
+			r.holder.Acknowledge(back)
+		}
+	}
+}
+
+func (r *Router) sendBack(ctx context.Context, back grant.LotReturn) error {
+	m, ok := r.base.View.Get(vm.IDOf(back.Lender))
+	if !ok {
+		return link.Error.Wrap(link.ErrDown)
+	}
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	return r.base.Links.Call(ctx, m.Link, link.MethodReturn, back, nil)
+}
+
+// auditLots asks borrowers about the lots lent to them, and takes back those whose
+// answer was lost: without it such a lot would stay open for ever.
+func (r *Router) auditLots(ctx context.Context) {
+	for borrower, parts := range r.holder.LentLots() {
+		m, ok := r.base.View.Get(vm.IDOf(borrower))
+		if !ok {
+			continue
+		}
+		var out link.DisownReply
+		ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+		err := r.base.Links.Call(ctx, m.Link, link.MethodDisown, link.DisownRequest{Borrower: borrower, Parts: parts}, &out)
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, p := range out.Parts {
+			r.holder.TakeBackLost(time.Now(), p)
+		}
+	}
+}
+
+// giveBack returns all lots and grants; it reports whether nothing is left here.
+func (r *Router) giveBack(ctx context.Context) bool {
+	r.holder.ReturnAll()
+	r.returnLots(ctx)
+	for _, key := range r.holder.Pages() {
+		r.syncPage(ctx, key)
+	}
+	return r.holder.Empty()
+}
+
+// fencedOut ends this life: its tokens were recovered by others. A new life gets
+// new ones. Requests are refused with a true "not run" until then.
+func (r *Router) fencedOut() {
+	if r.base.Admin.Ready() {
+		r.log.Error().Str("incarnation", r.base.Incarnation).Msg("fenced_restart_needed")
+	}
+	r.base.Admin.SetReady(false)
+}
--- /dev/null
+++ b/router/ledger.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/billing"
+	"github.com/arbutusmill/arbutusmill/coord/ledger"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/process"
+)
+
+// shards is this router's side of the ledger: it can append to any shard, and does
+// so for those that the others take it to own.
+type shards struct {
+	list   []*ledger.Shard
+	groups []*ledger.Group
+}
+
+// makeLedger makes the shards and the outbox.
+func (r *Router) makeLedger() {
+	s := r.base.Settings.Ledger
+	layout := ledger.Layout{Prefix: process.LedgerPrefix, Shards: s.Shards}
+	r.shards = &shards{}
+	for n := range s.Shards {
+		shard := ledger.OpenShard(r.base.Store, layout, n, r.base.Incarnation, s.Window)
+		r.shards.list = append(r.shards.list, shard)
+		r.shards.groups = append(r.shards.groups, ledger.NewGroup(shard, time.Duration(s.Flush)))
+	}
+	sender := &billing.Sender{Self: r.base.Settings.VM, Local: r.shards.append, Links: r.base.Links,
+		View: r.base.View, Timeout: sendTimeout}
+	r.outbox = ledger.NewOutbox(layout, sender, s.Backlog, nil)
+}
+
+// start starts the group commit of each shard.
+func (s *shards) start(d *process.Duties) {
+	for _, g := range s.groups {
+		d.Go(g.Run)
+	}
+}
+
+func (s *shards) append(ctx context.Context, shard int, charges []ledger.Charge) (int64, error) {
+	if shard < 0 || shard >= len(s.groups) {
+		return 0, billing.Error.New("there is no shard %d", shard)
+	}
+	return s.groups[shard].Append(ctx, charges)
+}
+
+func (s *shards) state() []ledger.ShardState {
+	var out []ledger.ShardState
+	for _, sh := range s.list {
+		out = append(out, sh.State())
+	}
+	return out
+}
+
+// appendCharges answers another process's charges.
+func (r *Router) appendCharges(ctx context.Context, in link.AppendRequest) (link.AppendReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	floor, err := r.shards.append(ctx, in.Shard, in.Charges)
+	return link.AppendReply{Floor: floor}, err
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,234 @@
+// Package standin has small stand-ins for the systems around a fleet: the
+// platform's store and VM list, a model engine, and a plain service. They are for
+// tests, demos and measurements, and can be told over HTTP to fail.
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/vm"
+)
+
+// Platform serves a memstore by the etcd v3 JSON API, and a VM list.
+type Platform struct {
+	Store *memstore.Store
+
+	mu  sync.Mutex
+	vms []vm.VM
+}
+
+// NewPlatform returns a platform with an empty store and the given VMs.
+func NewPlatform(vms []vm.VM) *Platform {
+	return &Platform{Store: memstore.New(), vms: vms}
+}
+
+// SetVMs replaces the list of VMs.
+func (p *Platform) SetVMs(vms []vm.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = vms
+}
+
+// Handler returns the HTTP interface:
+//
+//	POST /v3/...          the etcd v3 JSON API
+//	GET  /vms             the list; PUT replaces it
+//	PUT  /control/faults  memstore.Faults as JSON
+//	GET  /control/calls   memstore.Calls as JSON
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", p.kvRange)
+	mux.HandleFunc("POST /v3/kv/txn", p.kvTxn)
+	mux.HandleFunc("POST /v3/watch", p.watch)
+	mux.HandleFunc("POST /v3/lease/grant", p.leaseGrant)
+	mux.HandleFunc("POST /v3/lease/keepalive", p.leaseKeepAlive)
+	mux.HandleFunc("GET /vms", p.getVMs)
+	mux.HandleFunc("PUT /vms", p.putVMs)
+	mux.HandleFunc("PUT /control/faults", p.putFaults)
+	mux.HandleFunc("GET /control/calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, p.Store.Calls()) })
+	return mux
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// fail answers a store error as the API does.
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, store.ErrNoLease):
+		http.Error(w, `{"error":"etcdserver: requested lease not found","code":5}`, http.StatusNotFound)
+	case errors.Is(err, store.ErrTooLarge):
+		http.Error(w, `{"error":"etcdserver: request is too large","code":3}`, http.StatusBadRequest)
+	default:
+		http.Error(w, `{"error":"etcdserver: request timed out","code":14}`, http.StatusServiceUnavailable)
+	}
+}
+
+func keyValue(it store.Item) platform.KeyValue {
+	return platform.KeyValue{Key: []byte(it.Key), Value: it.Value, ModRevision: int64(it.Revision)}
+}
+
+func (p *Platform) kvRange(w http.ResponseWriter, r *http.Request) {
+	var in platform.RangeRequest
+	if !read(w, r, &in) {
+		return
+	}
+	items, err := p.items(r, in)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	out := platform.RangeResponse{Count: int64(len(items))}
+	for _, it := range items {
+		out.KVs = append(out.KVs, keyValue(it))
+	}
+	reply(w, out)
+}
+
+// items reads one key, or a range. A range's common prefix is that of its ends.
+func (p *Platform) items(r *http.Request, in platform.RangeRequest) ([]store.Item, error) {
+	if len(in.RangeEnd) == 0 {
+		it, err := p.Store.Get(r.Context(), string(in.Key))
+		if err != nil || it.Revision == 0 {
+			return nil, err
+		}
+		return []store.Item{it}, nil
+	}
+	limit := int(in.Limit)
+	if limit == 0 {
+		limit = int(^uint(0) >> 1)
+	}
+	end := string(in.RangeEnd)
+	return p.Store.List(r.Context(), prefixOf(end), string(in.Key), limit)
+}
+
+// prefixOf undoes the API's way to write the end of a prefix.
+func prefixOf(end string) string {
+	b := []byte(end)
+	b[len(b)-1]--
+	return string(b)
+}
+
+func (p *Platform) kvTxn(w http.ResponseWriter, r *http.Request) {
+	var in platform.TxnRequest
+	if !read(w, r, &in) {
+		return
+	}
+	if len(in.Compare) != 1 || len(in.Success) != 1 {
+		http.Error(w, "the stand-in takes one compare and one operation", http.StatusBadRequest)
+		return
+	}
+	rev, err := p.apply(r, in.Compare[0], in.Success[0])
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		fail(w, err)
+		return
+	}
+	reply(w, platform.TxnResponse{Header: platform.Header{Revision: int64(rev)}, Succeeded: err == nil})
+}
+
+func (p *Platform) apply(r *http.Request, c platform.Compare, op platform.RequestOp) (store.Revision, error) {
+	expect := store.Revision(c.ModRevision)
+	if op.DeleteRange != nil {
+		return 0, p.Store.Delete(r.Context(), string(c.Key), expect)
+	}
+	return p.Store.CompareAndSwap(r.Context(), string(c.Key), expect, op.Put.Value, store.LeaseID(op.Put.Lease))
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	var in platform.WatchRequest
+	if !read(w, r, &in) {
+		return
+	}
+	prefix := string(in.Create.Key)
+	events, err := p.Store.Watch(r.Context(), prefix, store.Revision(in.Create.StartRevision-1))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	rc := http.NewResponseController(w)
+	reply(w, platform.WatchResult{Result: platform.WatchResponse{Created: true}})
+	_ = rc.Flush()
+	for ev := range events {
+		reply(w, platform.WatchResult{Result: watchResponse(ev)})
+		_ = rc.Flush()
+	}
+}
+
+func watchResponse(ev store.Event) platform.WatchResponse {
+	out := platform.WatchResponse{Header: platform.Header{Revision: int64(ev.Revision)}}
+	if ev.Progress {
+		return out
+	}
+	e := platform.WatchEvent{KV: keyValue(ev.Item)}
+	if ev.Deleted {
+		e.Type = platform.EventDelete
+	}
+	out.Events = []platform.WatchEvent{e}
+	return out
+}
+
+func (p *Platform) leaseGrant(w http.ResponseWriter, r *http.Request) {
+	var in platform.LeaseGrantRequest
+	if !read(w, r, &in) {
+		return
+	}
+	id, err := p.Store.GrantLease(r.Context(), time.Duration(in.TTL)*time.Second)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, platform.LeaseGrantResponse{ID: int64(id), TTL: in.TTL})
+}
+
+func (p *Platform) leaseKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var in platform.LeaseKeepAliveRequest
+	if !read(w, r, &in) {
+		return
+	}
+	out := platform.LeaseKeepAliveResult{Result: platform.LeaseGrantResponse{ID: in.ID, TTL: 1}}
+	if err := p.Store.KeepAlive(r.Context(), store.LeaseID(in.ID)); err != nil {
+		if !errors.Is(err, store.ErrNoLease) {
+			fail(w, err)
+			return
+		}
+		out.Result.TTL = 0
+	}
+	reply(w, out)
+}
+
+func (p *Platform) getVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply(w, p.vms)
+}
+
+func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
+	var list []vm.VM
+	if read(w, r, &list) {
+		p.SetVMs(list)
+	}
+}
+
+func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f memstore.Faults
+	if read(w, r, &f) {
+		p.Store.SetFaults(f)
+	}
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Service is a stand-in of a plain service. It counts the effects that each
+// idempotency key had, so that a test sees what ran twice.
+type Service struct {
+	// Delay is the time that a call takes.
+	Delay time.Duration
+
+	mu      sync.Mutex
+	effects map[string]int64
+	fault   ServiceFault
+}
+
+// ServiceFault is a failure to play.
+type ServiceFault struct {
+	// BreakAfterEffect makes that many next calls have their effect and then
+	// break the connection without an answer.
+	BreakAfterEffect int `json:"break_after_effect"`
+	// ErrorAfterEffect makes that many next calls have their effect and then
+	// answer 500.
+	ErrorAfterEffect int `json:"error_after_effect"`
+}
+
+// NewService returns a service that had no effect yet.
+func NewService() *Service { return &Service{effects: map[string]int64{}} }
+
+// SetFault replaces the failure to play.
+func (s *Service) SetFault(f ServiceFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Effects returns how often each key had its effect.
+func (s *Service) Effects() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int64{}
+	for k, n := range s.effects {
+		out[k] = n
+	}
+	return out
+}
+
+// Handler returns the HTTP interface: any path echoes; /control/effects and
+// /control/fault are for tests.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/effects", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Effects()) })
+	mux.HandleFunc("PUT /control/fault", func(w http.ResponseWriter, r *http.Request) {
+		var f ServiceFault
+		if read(w, r, &f) {
+			s.SetFault(f)
+		}
+	})
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+// echo is the answer to a call.
+type echo struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Key    string `json:"key"`
+	Body   string `json:"body"`
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	time.Sleep(s.Delay)
+	key := r.Header.Get("Idempotency-Key")
+	breaks, fails := s.effect(key)
+	switch {
+	case breaks:
+		panic(http.ErrAbortHandler)
+	case fails:
+		http.Error(w, "failed after its effect", http.StatusInternalServerError)
+	default:
+		reply(w, echo{Method: r.Method, Path: r.URL.RequestURI(), Key: key, Body: string(b)})
+	}
+}
+
+func (s *Service) effect(key string) (breaks, fails bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effects[key]++
+	if s.fault.BreakAfterEffect > 0 {
+		s.fault.BreakAfterEffect--
+		return true, false
+	}
+	if s.fault.ErrorAfterEffect > 0 {
+		s.fault.ErrorAfterEffect--
+		return false, true
+	}
+	return false, false
+}
