coord/witness: evidence beside an upstream becomes part of the library

Cause: recovery tests need the real evidence keeper without the daemons. Change: the agent's witness moves to coord, free of the daemons' types; holders expect the other holders, so that the first one does not take a whole budget. Before: demo stop 15.4 s, waiting for a lot that a cold start had made necessary. Ruled out: a lost watermark (the engines stopped at once).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/claim"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 	"github.com/arbutusmill/arbutusmill/coord/recovery"
+	"github.com/arbutusmill/arbutusmill/coord/witness"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/settings"
@@ -33,7 +34,7 @@
 	incarnation string
 	log         zerolog.Logger
 	queue       *Queue
-	witness     *Witness
+	witness     *witness.Witness
 	outbox      *ledger.Outbox
 	claims      claim.Register
 	upstream    *upstreamCaller
@@ -71,7 +72,7 @@
 	a := &Agent{
 		base: base, id: s.VM, log: base.Log,
 		queue:   NewQueue(s.Upstream.Slots, s.Upstream.Queue),
-		witness: NewWitness(witnessRuns),
+		witness: witness.New(witnessRuns),
 		outbox:  ledger.NewOutbox(layout, sender, s.Ledger.Backlog, nil),
 		claims:  claim.Register{Store: base.Store, Prefix: process.ClaimPrefix},
 		upstream: &upstreamCaller{url: s.Upstream.URL, client: &http.Client{
@@ -270,23 +271,23 @@
 			return link.Empty{}, nil
 		}),
 		link.MethodOutcome: link.Handle(func(_ context.Context, in link.OutcomeRequest) (link.OutcomeReply, error) {
-			o, running, known := a.witness.Outcome(in.ID)
-			return link.OutcomeReply{Incarnation: a.incarnation, Known: known, Running: running, Outcome: o}, nil
+			used, running, known := a.witness.Outcome(in.ID)
+			return link.OutcomeReply{Known: known, Running: running, Used: used}, nil
 		}),
 	}
 }
 
 // State is an agent as dumps show it.
 type State struct {
-	Incarnation string       `json:"incarnation"`
-	Ready       bool         `json:"ready"`
-	Leaving     bool         `json:"leaving"`
-	Active      int          `json:"active_requests"`
-	Charges     int          `json:"waiting_charges"`
-	Queue       QueueState   `json:"queue"`
-	Witness     WitnessState `json:"witness"`
-	VMs         vm.ViewState `json:"vms"`
-	Links       []string     `json:"links"`
+	Incarnation string        `json:"incarnation"`
+	Ready       bool          `json:"ready"`
+	Leaving     bool          `json:"leaving"`
+	Active      int           `json:"active_requests"`
+	Charges     int           `json:"waiting_charges"`
+	Queue       QueueState    `json:"queue"`
+	Witness     witness.State `json:"witness"`
+	VMs         vm.ViewState  `json:"vms"`
+	Links       []string      `json:"links"`
 }
 
 func (a *Agent) dump() any {
--- a/agent/run.go
+++ b/agent/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
+	"github.com/arbutusmill/arbutusmill/coord/witness"
 )
 
 // WorkPath is the prefix of an agent's requests; the upstream's path follows.
@@ -67,15 +68,27 @@
 		return refusal
 	}
 	defer release()
-	if refusal := a.witness.Begin(t.work); refusal != nil {
+	run := witness.Run{ID: t.work.ID, Spender: t.work.Spender, Reservation: t.work.Reservation}
+	if err := a.witness.Begin(run); err != nil {
 		a.outbox.Cancel()
-		return refusal
+		return beginRefusal(err)
 	}
 	ctx, cancel := t.context(deadline)
 	defer cancel()
 	return t.claimed(ctx)
 }
 
+func beginRefusal(err error) *contract.Refusal {
+	kind := contract.ChargeBacklog
+	switch {
+	case errors.Is(err, witness.ErrFenced):
+		kind = contract.Fenced
+	case errors.Is(err, witness.ErrRunning):
+		kind = contract.InProgress
+	}
+	return contract.Refuse(kind, "%v", err)
+}
+
 // context bounds the run. A request that may be repeated ends with its caller; one
 // that may not is brought to its end, so that its claim can keep the answer.
 func (t *run) context(deadline time.Time) (context.Context, context.CancelFunc) {
@@ -98,7 +111,7 @@
 // is returned when the request had no effect and nothing was sent.
 func (t *run) finish(o contract.Outcome, refusal *contract.Refusal) *contract.Refusal {
 	a := t.agent
-	a.witness.End(t.work.ID, o)
+	a.witness.End(t.work.ID, o.Billed())
 	t.charge(o)
 	a.metrics.ended(t.work, o)
 	a.log.Info().Str("id", t.work.ID).Str("service", t.work.Service).Int64("tokens", o.Used).
@@ -112,7 +125,7 @@
 
 // charge hands the charge to the outbox, or gives its room back.
 func (t *run) charge(o contract.Outcome) {
-	if o.Used == 0 || o.Replayed {
+	if o.Billed() == 0 {
 		t.agent.outbox.Cancel()
 		return
 	}
--- a/contract/work.go
+++ b/contract/work.go
@@ -114,6 +114,14 @@
 	return w, err
 }
 
+// Billed is what the outcome costs; an answer that is replayed was paid before.
+func (o Outcome) Billed() int64 {
+	if o.Replayed {
+		return 0
+	}
+	return o.Used
+}
+
 // SetTrailer puts the outcome into an answer's trailers.
 func (o Outcome) SetTrailer(h http.Header) {
 	b, _ := json.Marshal(o) // a struct of plain fields
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -31,6 +31,8 @@
 	shutOut map[string]struct{}
 	// others are the holders with rows on the pages seen.
 	others map[string]struct{}
+	// expected is how many holders the fleet has, whether they have rows or not.
+	expected int
 	// stopping folds every row as soon as nothing is open on it.
 	stopping bool
 	byPage   func(budget string) string
@@ -72,6 +74,15 @@
 // ID returns the holder's id.
 func (h *Holder) ID() string { return h.id }
 
+// Expect tells how many holders the fleet has. Without it the first holder that
+// comes to a new budget would take all of it, and every other one would have to
+// borrow until the next rebalance.
+func (h *Holder) Expect(holders int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expected = holders
+}
+
 // Revision returns the newest store revision that the holder has seen.
 func (h *Holder) Revision() store.Revision {
 	h.mu.Lock()
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -160,7 +160,7 @@
 	v := View{
 		Now: now, Credit: a.Credit(), Free: a.Free(), Unspent: a.Unspent(),
 		Granted: b.granted, Available: b.available(), Reserved: b.reserved,
-		Waiting: b.waiting(), Worst: b.worst, Demand: b.demandNow(now), Holders: len(a.Rows),
+		Waiting: b.waiting(), Worst: b.worst, Demand: b.demandNow(now), Holders: max(len(a.Rows), h.expected),
 	}
 	for id, r := range a.Rows {
 		if id != h.id {
--- a/coord/grant/policy.go
+++ b/coord/grant/policy.go
@@ -17,7 +17,7 @@
 	// Demand is the holder's recent use, Others the sum of all other rows'
 	// (tokens a second).
 	Demand, Others float64
-	// Holders counts the rows, the holder's included.
+	// Holders counts the holders of the budget that there are or may be.
 	Holders int
 	// IdleFor is the time since the last use here.
 	IdleFor time.Duration
--- a/agent/witness.go
+++ b/coord/witness/witness.go
@@ -1,13 +1,38 @@
-package agent
+// Package witness remembers, beside an upstream, what was served of whose tokens.
+package witness
 
 import (
+	"slices"
 	"sync"
 
-	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/incarnation"
 	"github.com/arbutusmill/arbutusmill/coord/recovery"
+	"github.com/zeebo/errs"
 )
 
+// Error is the class of all errors of this package.
+var Error = errs.Class("witness")
+
+var (
+	// ErrFenced says that the spender, or a holder whose tokens are used, was
+	// shut out: its tokens were recovered, or will be.
+	ErrFenced = errs.New("holder is fenced")
+	// ErrRunning says that a run with the same id has not ended.
+	ErrRunning = errs.New("request is running")
+	// ErrFull says that too many outcomes are not reported yet.
+	ErrFull = errs.New("too many outcomes are not reported")
+)
+
+// Run is one run of a request.
+type Run struct {
+	// ID is the request's identity.
+	ID string
+	// Spender is the router's incarnation.
+	Spender     string
+	Reservation grant.Reservation
+}
+
 // Witness remembers what each reservation used at this upstream, until the
 // holder of the tokens has reported it durably. Tokens are served only through
 // agents, so together their witnesses are the whole evidence for a dead holder.
@@ -42,54 +67,51 @@
 	runs    []*record
 }
 
-// record is one run of a request.
+// record is a run and what became of it.
 type record struct {
-	work    contract.Work
-	done    bool
-	outcome contract.Outcome
-	left    int // parts whose evidence is still kept
+	run  Run
+	done bool
+	used int64
+	left int // parts whose evidence is still kept
 }
 
-// NewWitness returns an empty witness of up to limit runs.
-func NewWitness(limit int) *Witness {
+// New returns an empty witness of up to limit runs.
+func New(limit int) *Witness {
 	return &Witness{limit: limit, records: map[string]*record{}, rows: map[row]*rowEvidence{},
 		fenced: map[string]bool{}, upTo: map[string]int64{}}
 }
 
 // Begin notes that a request starts. It refuses a fenced source, an id that is
 // known here, and work for which there is no room.
-func (w *Witness) Begin(work contract.Work) *contract.Refusal {
+func (w *Witness) Begin(run Run) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r := w.refuseLocked(work); r != nil {
-		return r
+	if err := w.refuseLocked(run); err != nil {
+		return err
 	}
-	rec := &record{work: work, left: len(work.Reservation.Parts)}
-	w.records[work.ID] = rec
+	rec := &record{run: run, left: len(run.Reservation.Parts)}
+	w.records[run.ID] = rec
 	w.count++
-	for _, p := range work.Reservation.Parts {
-		u := w.usesLocked(row{p.Holder, work.Reservation.Budget}, p.Seq)
-		u.spender = work.Spender
+	for _, p := range run.Reservation.Parts {
+		u := w.usesLocked(row{p.Holder, run.Reservation.Budget}, p.Seq)
+		u.spender = run.Spender
 		u.running++
 		u.runs = append(u.runs, rec)
 	}
 	return nil
 }
 
-func (w *Witness) refuseLocked(work contract.Work) *contract.Refusal {
-	if w.shutOutLocked(work.Spender) {
-		return contract.Refuse(contract.Fenced, "router %s was replaced", work.Spender)
-	}
-	for _, p := range work.Reservation.Parts {
-		if w.shutOutLocked(p.Holder) {
-			return contract.Refuse(contract.Fenced, "tokens of %s were recovered", p.Holder)
-		}
-	}
-	if rec := w.records[work.ID]; rec != nil && !rec.done {
-		return contract.Refuse(contract.InProgress, "the request is running")
-	}
-	if w.count >= w.limit {
-		return contract.Refuse(contract.ChargeBacklog, "too many outcomes are not reported yet")
+func (w *Witness) refuseLocked(run Run) error {
+	fenced := w.shutOutLocked(run.Spender) || slices.ContainsFunc(run.Reservation.Parts, func(p grant.Part) bool {
+		return w.shutOutLocked(p.Holder)
+	})
+	switch rec := w.records[run.ID]; {
+	case fenced:
+		return Error.Wrap(ErrFenced)
+	case rec != nil && !rec.done:
+		return Error.Wrap(ErrRunning)
+	case w.count >= w.limit:
+		return Error.Wrap(ErrFull)
 	}
 	return nil
 }
@@ -117,16 +139,16 @@
 }
 
 // End notes what the request used.
-func (w *Witness) End(id string, o contract.Outcome) {
+func (w *Witness) End(id string, used int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	rec := w.records[id]
 	if rec == nil || rec.done {
 		return
 	}
-	rec.done, rec.outcome = true, o
-	r := rec.work.Reservation
-	for _, p := range r.Split(o.Used) {
+	rec.done, rec.used = true, used
+	r := rec.run.Reservation
+	for _, p := range r.Split(used) {
 		u := w.usesLocked(row{p.Holder, r.Budget}, p.Seq)
 		u.running--
 		u.used += p.Tokens
@@ -164,21 +186,21 @@
 			continue
 		}
 		w.count--
-		if w.records[rec.work.ID] == rec {
-			delete(w.records, rec.work.ID)
+		if w.records[rec.run.ID] == rec {
+			delete(w.records, rec.run.ID)
 		}
 	}
 }
 
-// Outcome returns what became of a request.
-func (w *Witness) Outcome(id string) (o contract.Outcome, running, known bool) {
+// Outcome returns what became of the newest run of a request.
+func (w *Witness) Outcome(id string) (used int64, running, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	rec := w.records[id]
 	if rec == nil {
-		return contract.Outcome{}, false, false
+		return 0, false, false
 	}
-	return rec.outcome, !rec.done, true
+	return rec.used, !rec.done, true
 }
 
 // Fence refuses the holder's tokens and the holder as a spender from now on, and
@@ -235,18 +257,18 @@
 	return out
 }
 
-// WitnessState is a witness as dumps show it.
-type WitnessState struct {
+// State is a witness as dumps show it.
+type State struct {
 	Runs   int      `json:"runs"`
 	Rows   int      `json:"rows"`
 	Fenced []string `json:"fenced"`
 }
 
 // State returns the witness's counts.
-func (w *Witness) State() WitnessState {
+func (w *Witness) State() State {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := WitnessState{Runs: w.count, Rows: len(w.rows)}
+	s := State{Runs: w.count, Rows: len(w.rows)}
 	for h := range w.fenced {
 		s.Fenced = append(s.Fenced, h)
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -148,6 +148,7 @@
 	s.Security.SharedSecret = secret
 	s.Listen.Link, s.Listen.Admin = freeAddr(), freeAddr()
 	s.Ledger.Flush = fleet.Duration(50 * time.Millisecond)
+	s.Budgets.LotIdle = fleet.Duration(500 * time.Millisecond)
 	s.StopNotice = 0
 	s.StopTimeout = fleet.Duration(20 * time.Second)
 	return &s
--- a/link/messages.go
+++ b/link/messages.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 )
@@ -102,8 +101,8 @@
 
 // OutcomeReply is what an agent knows of a request.
 type OutcomeReply struct {
-	Incarnation string           `json:"incarnation"`
-	Known       bool             `json:"known"`
-	Running     bool             `json:"running"`
-	Outcome     contract.Outcome `json:"outcome"`
+	Known   bool `json:"known"`
+	Running bool `json:"running"`
+	// Used is the billed amount in tokens, once it ended.
+	Used int64 `json:"used"`
 }
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -117,8 +117,22 @@
 	return out, err
 }
 
+// directHolders counts the routers of the fleet that hold grants of one page.
+func (r *Router) directHolders() int {
+	byDC := map[string]int{}
+	for _, m := range r.base.View.Routers() {
+		byDC[m.Datacentre]++
+	}
+	n := 0
+	for _, routers := range byDC {
+		n += min(routers, r.base.Settings.Budgets.HoldersPerDatacentre)
+	}
+	return n
+}
+
 // syncDue syncs the pages that want it.
 func (r *Router) syncDue(ctx context.Context) {
+	r.holder.Expect(r.directHolders())
 	for _, key := range r.holder.Due(time.Now()) {
 		r.syncPage(ctx, key)
 	}
@@ -142,9 +156,10 @@
 	}
 }
 
-// placeTokens looks at each page once at the start, so that this router holds its
-// share of the budgets that others use before a partition needs it.
+// placeTokens looks at each page, so that this router holds its share of the
+// budgets that others use before a partition needs it.
 func (r *Router) placeTokens(ctx context.Context) {
+	r.holder.Expect(r.directHolders())
 	for page := range r.layout.Pages {
 		key := r.layout.KeyOf(page)
 		if !r.holdsPage(key) {
--- a/router/limbo.go
+++ b/router/limbo.go
@@ -79,7 +79,7 @@
 		r.strand(lost)
 		return true
 	}
-	r.settle(lost.job, out.Outcome)
+	r.settle(lost.job, contract.Outcome{Used: out.Used})
 	return true
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -188,6 +188,7 @@
 	d.Every(limboInterval, r.resolveLimbo)
 	d.Every(time.Duration(b.RecoverInterval), r.recoverDead)
 	d.Go(r.placeTokens)
+	d.Every(time.Duration(b.Place), r.placeTokens)
 	server := &link.Server{Security: r.base.Security, Methods: r.methods()}
 	d.Go(func(ctx context.Context) { server.Serve(ctx, l.link) })
 	callers := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: headerTimeout,
--- a/router/serve.go
+++ b/router/serve.go
@@ -102,9 +102,9 @@
 // settle closes the books of a request: what was not used is available again.
 func (r *Router) settle(j *job, o contract.Outcome) {
 	if len(j.reservation.Parts) > 0 {
-		r.holder.Settle(time.Now(), j.reservation, billed(o))
+		r.holder.Settle(time.Now(), j.reservation, o.Billed())
 	}
-	if billed(o) == 0 {
+	if o.Billed() == 0 {
 		r.outbox.Cancel()
 		return
 	}
@@ -115,14 +115,6 @@
 	})
 }
 
-// billed is what an outcome costs; an answer that is replayed was paid before.
-func billed(o contract.Outcome) int64 {
-	if o.Replayed {
-		return 0
-	}
-	return o.Used
-}
-
 // modelList is the answer to GET /v1/models.
 type modelList struct {
 	Object string  `json:"object"`
--- a/settings/check.go
+++ b/settings/check.go
@@ -87,6 +87,7 @@
 		{"platform.config_interval", s.Platform.ConfigInterval},
 		{"budgets.rebalance", s.Budgets.Rebalance},
 		{"budgets.report", s.Budgets.Report},
+		{"budgets.place", s.Budgets.Place},
 		{"budgets.peer_timeout", s.Budgets.PeerTimeout},
 		{"budgets.lot_idle", s.Budgets.LotIdle},
 		{"budgets.recover_interval", s.Budgets.RecoverInterval},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -131,6 +131,9 @@
 	AdoptFrom float64        `yaml:"adopt_from_tokens_per_second"`
 	Rebalance fleet.Duration `yaml:"rebalance"`
 	Report    fleet.Duration `yaml:"report"`
+	// Place is the pause between two looks at all pages for budgets that this
+	// router should hold tokens of although nobody asked here.
+	Place fleet.Duration `yaml:"place"`
 	// PeerTimeout bounds one request for a lot.
 	PeerTimeout fleet.Duration `yaml:"peer_timeout"`
 	// LotIdle is the time after which an unused lot goes back.
@@ -203,6 +206,7 @@
 			Pages: 4, Favour: FavourAvailability, HoldersPerDatacentre: 3, AdoptFrom: -1,
 			Rebalance:       fleet.Duration(10 * time.Second),
 			Report:          fleet.Duration(time.Minute),
+			Place:           fleet.Duration(time.Minute),
 			PeerTimeout:     fleet.Duration(500 * time.Millisecond),
 			LotIdle:         fleet.Duration(10 * time.Second),
 			RecoverInterval: fleet.Duration(10 * time.Second),
