Lots of a shut-out holder are still settled with it

Cause: found by the interleaving property. A recovery was begun for a frozen router, shut it out at its peers, and stayed incomplete. The peer forgot the lot that it had borrowed and partly used; the frozen router woke, audited the lot, heard that it was not there, and took it back as unused: one token served and neither settled nor granted, free to be spent again. Ruled out: the return path (acknowledged returns settle once), the witness. Change: a shut-out lender's lots are barred for new work, but kept and settled. Conclusion: forgetting is only safe after the recovery itself has ended.

--- /dev/null
+++ b/coord/account/account_test.go
@@ -0,0 +1,106 @@
+package account_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Any order of operations, repeats included, keeps settled + outstanding + forfeited
+// within the credits, and no token appears or disappears.
+func TestInvariantUnderAnyOperations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := &account.Account{Team: "pilots"}
+		holder := rapid.SampledFrom([]string{"a#1", "b#1", "b#2"})
+		amount := rapid.Int64Range(0, 500)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			h, n := holder.Draw(t, "holder"), amount.Draw(t, "amount")
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0:
+				_, _ = a.TopUp(fmt.Sprint(n%7), n)
+			case 1:
+				require.LessOrEqual(t, a.Grant(h, n), n)
+			case 2:
+				report(a, h, n)
+			case 3:
+				_, err := a.Recover(h, n, n/3)
+				require.NoError(t, err)
+			case 4:
+				_, _ = a.Release(fmt.Sprint(n%5), n)
+			case 5:
+				a.Fold(h)
+			}
+			require.NoError(t, a.Check())
+			require.Equal(t, a.Credit(), a.Settled()+a.Outstanding()+a.Forfeited+a.Free())
+		}
+	})
+}
+
+// report settles up to n more and returns up to n more.
+func report(a *account.Account, h string, n int64) {
+	r := a.Rows[h]
+	if r == nil {
+		return
+	}
+	next := *r
+	next.Settled += min(n, r.Balance())
+	next.Through += n
+	next.Returned += min(n/2, next.Balance())
+	_ = a.Report(h, next)
+}
+
+// A late report of a holder arrives after a newer one. It must not lower what is
+// settled: the difference would be granted and spent again.
+func TestReportNeverGoesBack(t *testing.T) {
+	a := &account.Account{}
+	_, err := a.TopUp("x", 100)
+	require.NoError(t, err)
+	a.Grant("r#1", 100)
+	require.NoError(t, a.Report("r#1", account.Row{Settled: 60, Through: 6}))
+	require.ErrorIs(t, a.Report("r#1", account.Row{Settled: 40, Through: 4}), account.ErrBackwards)
+	require.Error(t, a.Report("r#1", account.Row{Settled: 101, Through: 9}))
+}
+
+// A page in the store breaks the invariant, by a fault or by hand. It must be
+// refused on reading: granting from it could overspend.
+func TestBrokenPageIsRefused(t *testing.T) {
+	_, err := account.Decode([]byte(`{"accounts":{"b":{"team":"t","credits":{"x":10},"rows":{"r#1":{"g":11}}}}}`))
+	require.ErrorIs(t, err, account.ErrBroken)
+	require.ErrorContains(t, err, `"b"`)
+}
+
+// Budgets are created until their page nears the store's megabyte. New ones must be
+// refused while the old ones still have room: a page that cannot be written any
+// more would stop every team on it.
+func TestPageNearTheMegabyte(t *testing.T) {
+	ctx := t.Context()
+	book := account.Book{Store: memstore.New(), Layout: account.Layout{Prefix: "p/", Pages: 1}}
+	id := func(i int) string { return fmt.Sprintf("team/%0200d", i) }
+	old := &account.Page{Accounts: map[string]*account.Account{}}
+	for i := range 2300 {
+		old.Accounts[id(i)] = &account.Account{Team: "team", Credits: map[string]int64{"first": 1000}}
+	}
+	value, err := old.Encode()
+	require.NoError(t, err)
+	require.Greater(t, len(value), account.PageFullBytes)
+	_, err = book.Store.CompareAndSwap(ctx, book.Layout.KeyOf(0), 0, value, 0)
+	require.NoError(t, err)
+	require.ErrorIs(t, book.Create(ctx, "team/new", "team"), account.ErrPageFull)
+	require.NoError(t, book.Create(ctx, id(7), "team"), "one that is there already")
+	require.NoError(t, book.TopUp(ctx, id(0), "second", 1000))
+	for h := range 33 {
+		err := book.Update(ctx, id(0), func(a *account.Account) error {
+			a.Grant(fmt.Sprintf("router-%d#1", h), 10)
+			return nil
+		})
+		require.NoError(t, err)
+	}
+	item, err := book.Store.Get(ctx, book.Layout.KeyOf(0))
+	require.NoError(t, err)
+	require.Less(t, len(item.Value), store.MaxValueBytes)
+}
--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -26,9 +26,16 @@
 	reserved int64
 	through  int64 // the lender's durable watermark, as last heard
 	lastUse  time.Time
+	barred   bool // its lender was shut out
 }
 
-func (l *lot) left() int64 { return l.Tokens - l.used - l.reserved }
+// left is what the lot still has for new reservations.
+func (l *lot) left() int64 {
+	if l.barred {
+		return 0
+	}
+	return l.Tokens - l.used - l.reserved
+}
 
 // lent is a lot that this holder gave to a peer, kept by the peer's request id so
 // that a repeated request gets the same lot.
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -115,7 +115,7 @@
 func (g *StoreGranter) sync(ctx context.Context, key string) error {
 	var commits []commit
 	var write bool
-	_, err := store.Update(ctx, g.Store, key, func(old store.Item) ([]byte, error) {
+	item, err := store.Update(ctx, g.Store, key, func(old store.Item) ([]byte, error) {
 		page, err := account.Decode(old.Value)
 		if err != nil {
 			return nil, err
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	g.Holder.commit(g.Now(), g.Timing, commits, write)
+	g.Holder.commit(g.Now(), g.Timing, item.Revision, commits, write)
 	return nil
 }
 
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -372,25 +372,17 @@
 	}
 }
 
-// ShutOut forgets the lots of a holder that was found dead, since agents refuse
-// them now, and lends it nothing more: what is lent to it at this moment is what
-// its recovery settles.
+// ShutOut uses the lots of a holder that was found dead no more, since agents refuse
+// them now, and lends it nothing: what is lent to it at this moment is what its
+// recovery settles. Its lots are still settled with it, for it may be alive after
+// all: forgetting them would let it take them back as unused and spend them again.
 func (h *Holder) ShutOut(lender string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.shutOut[lender] = struct{}{}
 	for _, b := range h.books {
-		kept := b.lots[:0]
 		for _, l := range b.lots {
-			if l.Holder != lender {
-				kept = append(kept, l)
-			}
-		}
-		b.lots = kept
-	}
-	for p := range h.returns {
-		if p.Holder == lender {
-			delete(h.returns, p)
+			l.barred = l.barred || l.Holder == lender
 		}
 	}
 }
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -174,9 +174,10 @@
 }
 
 // commit records a page that is known to be durable as planned.
-func (h *Holder) commit(now time.Time, t Timing, commits []commit, wrote bool) {
+func (h *Holder) commit(now time.Time, t Timing, rev store.Revision, commits []commit, wrote bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.revision = max(h.revision, int64(rev))
 	for _, c := range commits {
 		b := c.book
 		b.lastSync = now
--- a/coord/ledger/outbox.go
+++ b/coord/ledger/outbox.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
+	"golang.org/x/sync/errgroup"
 )
 
 // Sender takes charges of one shard to the shard's owner. A nil error says that
@@ -82,6 +83,23 @@
 	}
 }
 
+// Prime learns the last segment of each shard. A process calls it before it takes
+// work: with a floor of 0 the owner would have to look through the whole log for a
+// repeat of each of its first charges.
+func (o *Outbox) Prime(ctx context.Context) error {
+	var group errgroup.Group
+	for shard := range o.layout.Shards {
+		group.Go(func() error {
+			floor, err := o.sender.Send(ctx, shard, nil)
+			if err == nil {
+				o.drop(shard, nil, floor)
+			}
+			return err
+		})
+	}
+	return group.Wait()
+}
+
 // Floor returns the last segment known of the team's shard.
 func (o *Outbox) Floor(team string) int64 {
 	o.mu.Lock()
