--- a/agent/run.go
+++ b/agent/run.go
@@ -71,18 +71,22 @@
 	run := witness.Run{ID: t.work.ID, Spender: t.work.Spender, Reservation: t.work.Reservation}
 	if err := a.witness.Begin(run); err != nil {
 		a.outbox.Cancel()
-		return beginRefusal(err)
+		return t.beginRefusal(err)
 	}
 	ctx, cancel := t.context(deadline)
 	defer cancel()
 	return t.claimed(ctx)
 }
 
-func beginRefusal(err error) *contract.Refusal {
+// beginRefusal maps the witness's errors. A fenced holder is named, so that the
+// router knows whether it is shut out itself or a peer whose lot it used.
+func (t *run) beginRefusal(err error) *contract.Refusal {
 	kind := contract.ChargeBacklog
+	var fenced *witness.FencedError
 	switch {
-	case errors.Is(err, witness.ErrFenced):
+	case errors.As(err, &fenced):
 		kind = contract.Fenced
+		t.w.Header().Set(contract.FencedHeader, fenced.Holder)
 	case errors.Is(err, witness.ErrRunning):
 		kind = contract.InProgress
 	}
--- a/contract/work.go
+++ b/contract/work.go
@@ -78,6 +78,8 @@
 	// OutcomeTrailer carries the Outcome after the body. An answer without it
 	// is cut short, however its connection ended.
 	OutcomeTrailer = "Arbutusmill-Outcome"
+	// FencedHeader names the holder for whose sake an agent refused as Fenced.
+	FencedHeader = "Arbutusmill-Fenced"
 	// RefusalHeader carries the kind of an agent's refusal.
 	RefusalHeader = "Arbutusmill-Refusal"
 )
--- a/coord/witness/witness.go
+++ b/coord/witness/witness.go
@@ -24,6 +24,15 @@
 	ErrFull = errs.New("too many outcomes are not reported")
 )
 
+// FencedError is an ErrFenced that names the holder.
+type FencedError struct{ Holder string }
+
+// Error implements error.
+func (e *FencedError) Error() string { return "witness: " + e.Holder + ": " + ErrFenced.Error() }
+
+// Unwrap returns ErrFenced.
+func (e *FencedError) Unwrap() error { return ErrFenced }
+
 // Run is one run of a request.
 type Run struct {
 	// ID is the request's identity.
@@ -102,12 +111,14 @@
 }
 
 func (w *Witness) refuseLocked(run Run) error {
-	fenced := w.shutOutLocked(run.Spender) || slices.ContainsFunc(run.Reservation.Parts, func(p grant.Part) bool {
-		return w.shutOutLocked(p.Holder)
-	})
+	holders := []string{run.Spender}
+	for _, p := range run.Reservation.Parts {
+		holders = append(holders, p.Holder)
+	}
+	if i := slices.IndexFunc(holders, w.shutOutLocked); i >= 0 {
+		return &FencedError{Holder: holders[i]}
+	}
 	switch rec := w.records[run.ID]; {
-	case fenced:
-		return Error.Wrap(ErrFenced)
 	case rec != nil && !rec.done:
 		return Error.Wrap(ErrRunning)
 	case w.count >= w.limit:
--- a/operator/command.go
+++ b/operator/command.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -121,9 +120,3 @@
 	const whole = 30 * time.Second
 	return context.WithTimeout(ctx, whole)
 }
-
-func printJSON(v any) error {
-	enc := json.NewEncoder(os.Stdout)
-	enc.SetIndent("", "  ")
-	return enc.Encode(v)
-}
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -221,11 +221,13 @@
 	return r.holder.Empty()
 }
 
-// fencedOut ends this life: its tokens were recovered by others. A new life gets
-// new ones. Requests are refused with a true "not run" until then.
+// fencedOut ends this life: its tokens were, or will be, recovered by others. The
+// process ends with ErrFenced, and whoever keeps it running starts its next life.
+// Requests are refused with a true "not run" until then.
 func (r *Router) fencedOut() {
-	if r.base.Admin.Ready() {
-		r.log.Error().Str("incarnation", r.base.Incarnation).Msg("fenced_restart_needed")
-	}
-	r.base.Admin.SetReady(false)
+	r.fencedOnce.Do(func() {
+		r.log.Error().Str("incarnation", r.base.Incarnation).Msg("fenced")
+		r.base.Admin.SetReady(false)
+		close(r.fenced)
+	})
 }
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -108,7 +108,7 @@
 		r.chooser.Report(chosen.ID, load)
 	}
 	if k := contract.Kind(resp.Header.Get(contract.RefusalHeader)); k != "" {
-		return r.refusedBy(chosen, k)
+		return r.refusedBy(chosen, k, resp.Header.Get(contract.FencedHeader))
 	}
 	return r.pass(ctx, w, resp, j)
 }
@@ -123,9 +123,14 @@
 }
 
 // refusedBy is a request that an agent refused, on the agent's own word.
-func (r *Router) refusedBy(chosen vm.VM, k contract.Kind) attempt {
-	if k == contract.Stopping {
+func (r *Router) refusedBy(chosen vm.VM, k contract.Kind, fenced string) attempt {
+	switch {
+	case k == contract.Stopping:
 		r.base.View.MarkLeaving(chosen.ID)
+	case k == contract.Fenced && fenced == r.holder.ID():
+		r.holder.Fence()
+	case k == contract.Fenced:
+		r.holder.ShutOut(fenced)
 	}
 	return attempt{known: true, refusal: contract.Refuse(k, "refused by %s", chosen.ID)}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -48,6 +48,9 @@
 	scheme   string
 	// begun says that this life has its incarnation, holder and ledger.
 	begun atomic.Bool
+	// fenced is closed when this life may spend nothing more.
+	fenced     chan struct{}
+	fencedOnce sync.Once
 
 	mu      sync.Mutex
 	leaving bool
@@ -82,7 +85,7 @@
 		base: base, log: base.Log, current: &fleet.Current{}, chooser: upstream.NewChooser(),
 		places: datacentre.Map{Here: s.Datacentre, Regions: s.Regions},
 		layout: account.Layout{Prefix: process.PagePrefix, Pages: s.Budgets.Pages},
-		work:   workClient(base.Security), scheme: "http", idle: make(chan struct{}),
+		work:   workClient(base.Security), scheme: "http", idle: make(chan struct{}), fenced: make(chan struct{}),
 	}
 	if base.Security.Client != nil {
 		r.scheme = "https"
@@ -120,13 +123,41 @@
 		return err
 	}
 	r.start(duties, l, secure)
-	r.base.Admin.SetReady(true)
-	<-stop.Done()
+	err = r.serveUntil(stop)
 	r.stop(ctx)
 	cancel()
 	r.base.Links.Close()
 	duties.Wait()
-	return nil
+	return err
+}
+
+// serveUntil takes requests until the stop, or until this life is fenced.
+func (r *Router) serveUntil(stop context.Context) error {
+	if err := r.prime(stop); err != nil {
+		return err
+	}
+	r.base.Admin.SetReady(true)
+	select {
+	case <-stop.Done():
+		return nil
+	case <-r.fenced:
+		return grant.Error.Wrap(grant.ErrFenced)
+	}
+}
+
+// prime learns the ledger's positions before the first request.
+func (r *Router) prime(ctx context.Context) error {
+	pause := backoff.New(50*time.Millisecond, 2*time.Second)
+	for {
+		err := r.outbox.Prime(ctx)
+		if err == nil {
+			return nil
+		}
+		r.log.Warn().Err(err).Msg("ledger_not_reached")
+		if pause.Wait(ctx) != nil {
+			return ctx.Err()
+		}
+	}
 }
 
 type listeners struct{ admin, link, callers net.Listener }
@@ -237,7 +268,7 @@
 	case <-ctx.Done():
 	}
 	pause := backoff.New(50*time.Millisecond, time.Second)
-	for ctx.Err() == nil && !r.handedOver(ctx) {
+	for ctx.Err() == nil && !r.holder.Fenced() && !r.handedOver(ctx) {
 		_ = pause.Wait(ctx)
 	}
 	r.log.Info().Int("charges_left", r.outbox.Waiting()).Int("limbo_left", r.limbo.size()).Msg("stopped")
