A waiting request keeps what its holder has

Giving back what does not suffice left nothing for a peer's lot to add to. Ruled out: order of the chain; the lot alone had 500 of the 600 needed. Change: nothing is given back while a request waits; after a refusal the page is due at once. Conclusion: giving back belongs after the refusal, not into it.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -223,5 +223,6 @@
 			verdict = Error.Wrap(ErrUnreachable)
 		}
 	}
+	q.Holder.syncSoon(budget)
 	return Reservation{}, verdict
 }
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -262,6 +262,16 @@
 	}
 }
 
+// syncSoon makes the budget's page due: a request was refused, and what this holder
+// has may serve another one elsewhere.
+func (h *Holder) syncSoon(budget string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if b := h.books[budget]; b != nil && b.available() > 0 {
+		b.nextSync = time.Time{}
+	}
+}
+
 // shortage is what a waiting request knows of its budget.
 type shortage struct {
 	lack   int64 // tokens that a reservation still lacks
--- a/coord/grant/policy.go
+++ b/coord/grant/policy.go
@@ -117,15 +117,16 @@
 }
 
 // exact takes just what waits and gives the rest back. What does not suffice for
-// any waiting request stays in, or goes back to, the pool: taken, it would serve
-// nobody, and would be missing when a smaller request comes elsewhere.
+// any waiting request stays in the pool: taken, it would serve nobody, and would be
+// missing when a smaller request comes elsewhere. What the holder has stays too while
+// a request waits, for peers may add what lacks.
 func exact(v View) Decision {
 	need := v.Waiting - v.Available
 	switch {
 	case need <= 0:
 		return Decision{Give: -need}
 	case v.Free+v.Available < v.Smallest:
-		return Decision{Give: v.Available}
+		return Decision{}
 	}
 	return Decision{Take: min(v.Free, need)}
 }
--- a/coord/internal/lab/experiment.go
+++ b/coord/internal/lab/experiment.go
@@ -123,7 +123,7 @@
 	reserved [teams]int64
 	refusals [teams]int // false ones that Lost has not looked at
 	dead     []string
-	next int
+	next     int
 }
 
 // ending is a request that ends at a moment.
