--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,11 +4,13 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"crypto/subtle"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,8 +64,8 @@
 )
 
 // New makes an agent; it makes no call.
-func New(s *settings.Settings, log io.Writer) (*Agent, error) {
-	base, err := process.New(s, log)
+func New(s *settings.Settings, log io.Writer, open process.Opener) (*Agent, error) {
+	base, err := process.New(s, log, open)
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +106,7 @@
 	duties.Go(a.base.Follow)
 	duties.Go(a.outbox.Run)
 	duties.Every(sweepInterval, a.sweep)
-	server := &link.Server{Security: a.base.Security, Methods: a.methods()}
+	server := &link.Server{Log: a.base.Log.Printf, Security: a.base.Security, Methods: a.methods()}
 	duties.Go(func(ctx context.Context) { server.Serve(ctx, listeners.link) })
 	work := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout}
 	duties.Serve(work, listeners.work, a.base.Security.Server)
@@ -121,13 +123,13 @@
 
 func (a *Agent) listen() (l listeners, err error) {
 	s := a.base.Settings.Listen
-	if l.admin, err = process.Listen("listen.admin", s.Admin); err != nil {
+	if l.admin, err = a.base.Listen("listen.admin", s.Admin); err != nil {
 		return l, err
 	}
-	if l.link, err = process.Listen("listen.link", s.Link); err != nil {
+	if l.link, err = a.base.Listen("listen.link", s.Link); err != nil {
 		return l, err
 	}
-	l.work, err = process.Listen("listen.work", s.Work)
+	l.work, err = a.base.Listen("listen.work", s.Work)
 	return l, err
 }
 
@@ -232,20 +234,13 @@
 	return a.outbox.Waiting() == 0 && a.witness.State().Runs == 0
 }
 
-// sweep asks holders how far they have reported, for budgets that no request has
-// told it of, and forgets that evidence.
+// sweep asks how far holders have reported, for budgets that no request has told it
+// of, and forgets that evidence.
 func (a *Agent) sweep(ctx context.Context) {
 	for holder, budgets := range a.witness.Rows() {
-		m, ok := a.base.View.Get(vm.IDOf(holder))
-		if !ok {
-			continue
-		}
-		var out link.WatermarkReply
 		in := link.WatermarkRequest{Holder: holder, Budgets: budgets, Urgent: a.isLeaving()}
-		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-		err := a.base.Links.Call(ctx, m.Link, link.MethodWatermarks, in, &out)
-		cancel()
-		if err != nil {
+		out, ok := a.askWatermarks(ctx, holder, in)
+		if !ok {
 			continue
 		}
 		for budget, through := range out.Through {
@@ -254,6 +249,37 @@
 	}
 }
 
+// askWatermarks asks the holder's own VM, and any other router when that one does not
+// answer: the pages tell it too, if later.
+func (a *Agent) askWatermarks(ctx context.Context, holder string, in link.WatermarkRequest) (link.WatermarkReply, bool) {
+	routers := a.base.View.Routers()
+	own := vm.IDOf(holder)
+	slices.SortStableFunc(routers, func(x, y vm.VM) int {
+		return cmp.Compare(distance(own, x), distance(own, y))
+	})
+	for _, m := range routers[:min(len(routers), askedRouters)] {
+		var out link.WatermarkReply
+		call, cancel := context.WithTimeout(ctx, sendTimeout)
+		err := a.base.Links.Call(call, m.Link, link.MethodWatermarks, in, &out)
+		cancel()
+		if err == nil {
+			return out, true
+		}
+	}
+	return link.WatermarkReply{}, false
+}
+
+// askedRouters bounds the routers that are asked about one holder.
+const askedRouters = 3
+
+// distance puts the VM named own first.
+func distance(own string, m vm.VM) int {
+	if m.ID == own {
+		return 0
+	}
+	return 1
+}
+
 func (a *Agent) isLeaving() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/contract/kind_test.go
@@ -0,0 +1,37 @@
+package contract
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A row of the table that does not fit together would mislead callers: a retry of
+// something that ran, or no time to come back when a retry helps.
+func TestTable(t *testing.T) {
+	for _, k := range Kinds() {
+		a := k.Answer()
+		require.GreaterOrEqual(t, a.Status, 400, k)
+		if a.TryOther {
+			require.True(t, a.NotRun, "%s: another upstream is tried only for what did not run", k)
+		}
+		if a.Status == 503 || a.Status == 429 {
+			require.Positive(t, a.RetryAfter, k)
+		}
+	}
+	for _, k := range []Kind{OutcomeUnknown, UpstreamFailed, TimedOut, InProgress, Internal} {
+		require.False(t, k.Answer().NotRun, k)
+	}
+	require.Equal(t, Internal.Answer(), Kind("no such kind").Answer())
+}
+
+func TestRefusalBody(t *testing.T) {
+	w := httptest.NewRecorder()
+	Refuse(BudgetUnreachable, "cut off").Write(w, "r-1")
+	var body ErrorBody
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &body))
+	require.Equal(t, ErrorDetail{Kind: BudgetUnreachable, Message: "cut off", RequestID: "r-1", NotRun: true}, body.Error)
+	require.Equal(t, "2", w.Header().Get("Retry-After"))
+}
--- a/coord/grant/policy.go
+++ b/coord/grant/policy.go
@@ -71,7 +71,7 @@
 // of a budget is treated as such late. The figures behind the numbers are in
 // docs/MEASUREMENTS.md.
 func FavourAvailability() DemandPolicy {
-	return DemandPolicy{Floor: 0.08, Slack: 0.20, LowSeconds: 5, MinDemand: -1,
+	return DemandPolicy{Floor: 0.08, Slack: 0.25, LowSeconds: 5, MinDemand: -1,
 		LotSeconds: 5, IdleAfter: 10 * time.Minute, EndFactor: 1}
 }
 
@@ -79,7 +79,7 @@
 // most: a lower floor, and an end that begins sooner, so that the last tokens lie
 // in one place and unspent ones are seen early.
 func FavourExactness() DemandPolicy {
-	return DemandPolicy{Floor: 0.04, Slack: 0.20, LowSeconds: 5, MinDemand: -1,
+	return DemandPolicy{Floor: 0.04, Slack: 0.25, LowSeconds: 5, MinDemand: -1,
 		LotSeconds: 2, IdleAfter: 2 * time.Minute, EndFactor: 3}
 }
 
--- a/coord/witness/witness.go
+++ b/coord/witness/witness.go
@@ -158,6 +158,9 @@
 		return
 	}
 	rec.done, rec.used = true, used
+	if rec.left == 0 { // it cost nothing, so nobody reports it
+		w.forgetLocked(rec)
+	}
 	r := rec.run.Reservation
 	for _, p := range r.Split(used) {
 		u := w.usesLocked(row{p.Holder, r.Budget}, p.Seq)
@@ -193,16 +196,19 @@
 		delete(w.rows, r)
 	}
 	for _, rec := range u.runs {
-		if rec.left--; rec.left > 0 {
-			continue
-		}
-		w.count--
-		if w.records[rec.run.ID] == rec {
-			delete(w.records, rec.run.ID)
+		if rec.left--; rec.left == 0 {
+			w.forgetLocked(rec)
 		}
 	}
 }
 
+func (w *Witness) forgetLocked(rec *record) {
+	w.count--
+	if w.records[rec.run.ID] == rec {
+		delete(w.records, rec.run.ID)
+	}
+}
+
 // Outcome returns what became of the newest run of a request.
 func (w *Witness) Outcome(id string) (used int64, running, known bool) {
 	w.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 
 	"github.com/arbutusmill/arbutusmill/agent"
@@ -68,13 +69,13 @@
 
 func run(ctx context.Context, s *settings.Settings) error {
 	if s.Role == settings.RoleRouter {
-		r, err := router.New(s, observe.Stderr())
+		r, err := router.New(s, observe.Stderr(), net.Listen)
 		if err != nil {
 			return err
 		}
 		return r.Run(ctx)
 	}
-	a, err := agent.New(s, observe.Stderr())
+	a, err := agent.New(s, observe.Stderr(), net.Listen)
 	if err != nil {
 		return err
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -69,6 +69,8 @@
 	procs map[string]*proc
 	mu    sync.Mutex
 	errs  errs.Group
+	// reserved are ports that no process has taken yet.
+	reserved map[string]net.Listener
 }
 
 // proc is one router or agent.
@@ -84,7 +86,7 @@
 // Start starts the stand-ins and all processes and waits until they are ready.
 func Start(ctx context.Context, opt Options) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	f := &Fleet{opt: opt, ctx: ctx, stop: cancel, Callers: map[string]string{}, Admins: map[string]string{}, procs: map[string]*proc{}}
+	f := &Fleet{opt: opt, ctx: ctx, stop: cancel, Callers: map[string]string{}, Admins: map[string]string{}, procs: map[string]*proc{}, reserved: map[string]net.Listener{}}
 	f.Platform = standin.NewPlatform(nil)
 	var err error
 	if f.StoreURL, err = f.serve(f.Platform.Handler()); err != nil {
@@ -146,7 +148,7 @@
 	s.Role, s.VM, s.Datacentre = role, id, dc
 	s.Platform.Store, s.Platform.VMs = f.StoreURL, f.StoreURL+"/vms"
 	s.Security.SharedSecret = secret
-	s.Listen.Link, s.Listen.Admin = freeAddr(), freeAddr()
+	s.Listen.Link, s.Listen.Admin = f.reserve(), f.reserve()
 	s.Ledger.Flush = fleet.Duration(50 * time.Millisecond)
 	s.Budgets.LotIdle = fleet.Duration(500 * time.Millisecond)
 	s.StopNotice = 0
@@ -156,7 +158,7 @@
 
 func (f *Fleet) routerSettings(dc string, i int) *settings.Settings {
 	s := f.base(fmt.Sprintf("%s-router-%d", dc, i+1), dc, settings.RoleRouter)
-	s.Listen.Callers = freeAddr()
+	s.Listen.Callers = f.reserve()
 	return s
 }
 
@@ -169,7 +171,7 @@
 		return nil, err
 	}
 	s := f.base(fmt.Sprintf("%s-engine-%d", dc, i+1), dc, settings.RoleAgent)
-	s.Listen.Work = freeAddr()
+	s.Listen.Work = f.reserve()
 	s.Upstream = settings.Upstream{Service: Assistant, URL: url, Slots: f.opt.Engine.Slots, Queue: 64}
 	return s, nil
 }
@@ -181,7 +183,7 @@
 		return nil, err
 	}
 	s := f.base(dc+"-orders-1", dc, settings.RoleAgent)
-	s.Listen.Work = freeAddr()
+	s.Listen.Work = f.reserve()
 	s.Upstream = settings.Upstream{Service: Orders, URL: url, Slots: 8, Queue: 64}
 	return s, nil
 }
@@ -192,24 +194,38 @@
 	return m
 }
 
-// freeAddr finds a loopback port that is free at this moment.
-func freeAddr() string {
+// reserve opens a free loopback port and keeps it open for the process that will
+// have it: a port that were only looked up could be taken by another one meanwhile.
+func (f *Fleet) reserve() string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "127.0.0.1:0"
 	}
-	defer ln.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reserved[ln.Addr().String()] = ln
 	return ln.Addr().String()
 }
 
+// open hands a reserved port over.
+func (f *Fleet) open(network, address string) (net.Listener, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ln := f.reserved[address]; ln != nil {
+		delete(f.reserved, address)
+		return ln, nil
+	}
+	return net.Listen(network, address)
+}
+
 // runner is a router or an agent.
 type runner interface{ Run(context.Context) error }
 
 func (f *Fleet) make(s *settings.Settings) (runner, error) {
 	if s.Role == settings.RoleRouter {
-		return router.New(s, f.opt.Log)
+		return router.New(s, f.opt.Log, f.open)
 	}
-	return agent.New(s, f.opt.Log)
+	return agent.New(s, f.opt.Log, f.open)
 }
 
 func (f *Fleet) start(s *settings.Settings) error {
--- a/link/link.go
+++ b/link/link.go
@@ -78,7 +78,9 @@
 // Server answers the messages of other processes.
 type Server struct {
 	Security Security
-	Methods  map[string]Handler
+	// Log takes messages about connections that broke the protocol.
+	Log     func(format string, args ...any)
+	Methods map[string]Handler
 }
 
 // Serve accepts connections until the context ends.
@@ -101,7 +103,7 @@
 
 func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
 	session := &session{server: s}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(session))
+	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(session), jsonrpc2.SetLogger(printer(s.Log)))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -109,6 +111,16 @@
 	}
 }
 
+// printer is a function as the library's logger.
+type printer func(format string, args ...any)
+
+// Printf implements jsonrpc2.Logger.
+func (p printer) Printf(format string, args ...any) {
+	if p != nil {
+		p(format, args...)
+	}
+}
+
 // session is one accepted connection.
 type session struct {
 	server *Server
--- a/process/process.go
+++ b/process/process.go
@@ -54,13 +54,18 @@
 	Admin    *observe.Admin
 	// Incarnation names this life of the process.
 	Incarnation string
+	// Open opens a listening address; net.Listen but in local fleets.
+	Open Opener
 }
 
+// Opener opens a listening address, as net.Listen does.
+type Opener func(network, address string) (net.Listener, error)
+
 // idleConns bounds the kept connections to one address.
 const idleConns = 256
 
 // New makes the common part; it makes no call.
-func New(s *settings.Settings, log io.Writer) (*Base, error) {
+func New(s *settings.Settings, log io.Writer, open Opener) (*Base, error) {
 	security, err := processSecurity(s.Security)
 	if err != nil {
 		return nil, err
@@ -69,6 +74,7 @@
 	st := &platform.Etcd{URL: s.Platform.Store, Client: client, Timeout: time.Duration(s.Platform.Timeout)}
 	return &Base{
 		Settings: s,
+		Open:     open,
 		Log:      observe.NewLogger(log, s.Log.Level, s.VM),
 		Store:    st,
 		Lister:   &platform.VMList{URL: s.Platform.VMs, Client: client},
@@ -132,9 +138,9 @@
 	}, nil
 }
 
-// Listen opens a TCP address.
-func Listen(field, addr string) (net.Listener, error) {
-	ln, err := net.Listen("tcp", addr)
+// Listen opens a TCP address of a settings field.
+func (b *Base) Listen(field, addr string) (net.Listener, error) {
+	ln, err := b.Open("tcp", addr)
 	if err != nil {
 		return nil, Error.New("%s: %w", field, err)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -76,8 +76,8 @@
 )
 
 // New makes a router; it makes no call.
-func New(s *settings.Settings, log io.Writer) (*Router, error) {
-	base, err := process.New(s, log)
+func New(s *settings.Settings, log io.Writer, open process.Opener) (*Router, error) {
+	base, err := process.New(s, log, open)
 	if err != nil {
 		return nil, err
 	}
@@ -164,13 +164,13 @@
 
 func (r *Router) listen() (l listeners, err error) {
 	s := r.base.Settings.Listen
-	if l.admin, err = process.Listen("listen.admin", s.Admin); err != nil {
+	if l.admin, err = r.base.Listen("listen.admin", s.Admin); err != nil {
 		return l, err
 	}
-	if l.link, err = process.Listen("listen.link", s.Link); err != nil {
+	if l.link, err = r.base.Listen("listen.link", s.Link); err != nil {
 		return l, err
 	}
-	l.callers, err = process.Listen("listen.callers", s.Callers)
+	l.callers, err = r.base.Listen("listen.callers", s.Callers)
 	return l, err
 }
 
@@ -220,7 +220,7 @@
 	d.Every(time.Duration(b.RecoverInterval), r.recoverDead)
 	d.Go(r.placeTokens)
 	d.Every(time.Duration(b.Place), r.placeTokens)
-	server := &link.Server{Security: r.base.Security, Methods: r.methods()}
+	server := &link.Server{Log: r.base.Log.Printf, Security: r.base.Security, Methods: r.methods()}
 	d.Go(func(ctx context.Context) { server.Serve(ctx, l.link) })
 	callers := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: r.base.Settings.Limits.HeaderBytes}
