Guards are shown: a list of guards and the tests that fail without them

Cause: 13 of 42 guards had no failing test, or were not guards at all. Ruled out by running each: the two idle waits of planned stops (handing over waits as well), re-reading a shard after a lost answer (the log itself tells). Before: 29 shown. After: each of the changed ones fails without its guard. Conclusion: the list stays runnable.

--- a/coord/account/account_test.go
+++ b/coord/account/account_test.go
@@ -62,7 +62,7 @@
 	require.NoError(t, err)
 	a.Grant("r#1", 100)
 	require.NoError(t, a.Report("r#1", account.Row{Settled: 60, Through: 6}))
-	require.ErrorIs(t, a.Report("r#1", account.Row{Settled: 40, Through: 4}), account.ErrBackwards)
+	require.ErrorIs(t, a.Report("r#1", account.Row{Settled: 40, Through: 9}), account.ErrBackwards)
 	require.Error(t, a.Report("r#1", account.Row{Settled: 101, Through: 9}))
 }
 
--- a/coord/grant/fleet_test.go
+++ b/coord/grant/fleet_test.go
@@ -209,6 +209,9 @@
 // its own repeat must not open the lot again.
 func TestLotMessagesRepeatedAndReordered(t *testing.T) {
 	f, near, far := newFleet(t, 1000)
+	// An open reservation before the lot keeps the lot's settlement in the books.
+	_, err := far.Serve(t.Context(), "open", budget, 10)
+	require.NoError(t, err)
 	available := far.Holder.State(f.Now)[0].Available
 	one, err := far.Holder.Lend(f.Now, budget, "near/1", near.Holder.ID(), 100, 100)
 	require.NoError(t, err)
@@ -245,12 +248,42 @@
 	})
 }
 
+// A recovery is begun for a router that is only frozen, and stays incomplete. Its peer
+// had used a lot of it. When the router wakes it must learn what was used: if the peer
+// had forgotten the lot, the router would take it back as unused and spend it again.
+func TestShutOutLenderIsStillSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, near, far := newFleet(t, 1000)
+		ctx := t.Context()
+		f.Store.SetFaults(memstore.Faults{Down: true})
+		drainOwn(ctx, f, near)
+		r, err := near.Serve(ctx, "lot", budget, 50)
+		require.NoError(t, err)
+		r.Finish(50)
+		f.Store.SetFaults(memstore.Faults{})
+		far.Frozen = true
+		f.Agents[1].Dead = true
+		_, err = f.Recover(ctx, near.DC, far.Holder.ID(), false)
+		require.Error(t, err, "one agent does not answer")
+		far.Frozen, f.Agents[1].Dead = false, false
+		far.Audit()
+		near.ReturnLots(0)
+		far.Audit()
+		f.Now = f.Now.Add(10 * time.Minute)
+		far.Sync(ctx)
+		a, err := f.Book().Get(ctx, budget)
+		require.NoError(t, err)
+		require.Equal(t, int64(50), a.Rows[far.Holder.ID()].Settled)
+	})
+}
+
 // Three requests wait for the store at once. Together they want more than the budget
 // has, but each alone would fit: the first must be served.
 func TestWaitingTogetherIsNotExhausted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, near, _ := newFleet(t, 1000)
+		f, near, _ := newFleet(t, 1000)
 		ctx := t.Context()
+		f.Store.SetFaults(memstore.Faults{Delay: 50 * time.Millisecond}) // so that all wait
 		errs := make(chan error, 3)
 		for i := range 3 {
 			go func() {
--- a/coord/ledger/shard.go
+++ b/coord/ledger/shard.go
@@ -106,10 +106,8 @@
 			return nil
 		}
 		if !errors.Is(err, store.ErrConflict) {
-			// The write may have taken effect. The next try reads the log first.
-			s.mu.Lock()
-			s.loaded = false
-			s.mu.Unlock()
+			// The write may have taken effect. The next try then finds this
+			// number taken, and reads its own charges there.
 			return err
 		}
 		if err := s.readOn(ctx); err != nil {
@@ -194,15 +192,15 @@
 	}
 }
 
-// catchUp loads the shard at first use and after an unknown outcome.
+// catchUp loads the shard at first use.
 func (s *Shard) catchUp(ctx context.Context) error {
 	s.mu.Lock()
-	loaded, fresh := s.loaded, s.last == 0
+	loaded, empty := s.loaded, s.last == 0
 	s.mu.Unlock()
 	if loaded {
 		return nil
 	}
-	if fresh {
+	if empty { // else an earlier try got past the snapshot
 		if err := s.loadSnapshot(ctx); err != nil {
 			return err
 		}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -41,7 +41,7 @@
 		require.True(t, ok)
 		got[a.ID]++
 	}
-	require.Less(t, got[list[3].ID], 60, "%v", got)
+	require.Less(t, got[list[3].ID], 30, "%v", got)
 }
 
 // The turns of one conversation go to the engine that has their beginning cached,
