--- a/agent/agent.go
+++ b/agent/agent.go
@@ -252,7 +252,7 @@
 // askWatermarks asks the holder's own VM, and any other router when that one does not
 // answer: the pages tell it too, if later.
 func (a *Agent) askWatermarks(ctx context.Context, holder string, in link.WatermarkRequest) (link.WatermarkReply, bool) {
-	routers := a.base.View.Routers()
+	routers := slices.Clone(a.base.View.Routers())
 	own := vm.IDOf(holder)
 	slices.SortStableFunc(routers, func(x, y vm.VM) int {
 		return cmp.Compare(distance(own, x), distance(own, y))
--- a/coord/ledger/shard.go
+++ b/coord/ledger/shard.go
@@ -288,11 +288,17 @@
 // whole log. It is an optimisation: a failure, or a loser's write, costs nothing.
 func (s *Shard) snapshot(ctx context.Context) {
 	s.mu.Lock()
-	due := s.last-s.snap >= snapshotEvery
+	if s.last-s.snap < snapshotEvery {
+		s.mu.Unlock()
+		return
+	}
 	value, err := json.Marshal(Snapshot{Upto: s.last, Budgets: s.totals})
 	upto := s.last
+	// Whatever becomes of the write, the next try is due after as many segments
+	// again: a snapshot that cannot be written must not be made for each append.
+	s.snap = upto
 	s.mu.Unlock()
-	if !due || err != nil {
+	if err != nil {
 		return
 	}
 	key := s.layout.snapshotKey(s.number)
@@ -304,11 +310,7 @@
 	if old.Revision != 0 && (json.Unmarshal(old.Value, &have) != nil || have.Upto >= upto) {
 		return
 	}
-	if _, err := s.store.CompareAndSwap(ctx, key, old.Revision, value, 0); err == nil {
-		s.mu.Lock()
-		s.snap = upto
-		s.mu.Unlock()
-	}
+	_, _ = s.store.CompareAndSwap(ctx, key, old.Revision, value, 0)
 }
 
 // ShardState is a shard as dumps show it.
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -36,6 +36,8 @@
 	// the first one.
 	Routers, Engines int
 	Engine           standin.EngineOptions
+	// Upstream, if not nil, takes the engines' place.
+	Upstream http.Handler
 	// Log takes the processes' logs.
 	Log io.Writer
 	// Tune changes a process's settings before it starts; it may be nil.
@@ -166,7 +168,11 @@
 	e := standin.NewEngine(f.opt.Engine)
 	f.Engines = append(f.Engines, e)
 	f.wg.Go(func() { e.Run(f.ctx) })
-	url, err := f.serve(e.Handler())
+	h := e.Handler()
+	if f.opt.Upstream != nil {
+		h = f.opt.Upstream
+	}
+	url, err := f.serve(h)
 	if err != nil {
 		return nil, err
 	}
--- a/vm/view.go
+++ b/vm/view.go
@@ -2,22 +2,33 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
 // View is what one process knows of the fleet's VMs: the platform's list, and what
-// it learnt sooner from the VMs themselves.
+// it learnt sooner from the VMs themselves. Requests read it, so the lists that they
+// want are made when something changes, and not for each of them. Lists that it
+// returns must not be changed.
 type View struct {
 	mu      sync.Mutex
 	listed  map[string]VM
-	leaving map[string]bool // on the VM's own word, whatever the list says
+	leaving map[string]time.Time // said so itself, whatever the list says
 	updated time.Time
+
+	routers []VM
+	agents  map[string][]VM // by service
 }
 
 // NewView returns an empty view.
-func NewView() *View { return &View{listed: map[string]VM{}, leaving: map[string]bool{}} }
+func NewView() *View { return &View{listed: map[string]VM{}, leaving: map[string]time.Time{}} }
+
+// leavingFor is how long a VM's own word counts. The VM may come back under its name
+// while the list called it live all the time, so the word must not count for ever;
+// one that is still leaving then refuses the next request and is marked again.
+const leavingFor = 5 * time.Second
 
 // Set replaces the list. A VM that is gone from it is forgotten.
 func (v *View) Set(list []VM) {
@@ -27,26 +38,36 @@
 	for _, m := range list {
 		v.listed[m.ID] = m
 	}
-	for id := range v.leaving {
-		if _, ok := v.listed[id]; !ok {
+	v.updated = time.Now()
+	for id, since := range v.leaving {
+		if v.updated.Sub(since) > leavingFor {
 			delete(v.leaving, id)
 		}
 	}
-	v.updated = time.Now()
+	v.indexLocked()
 }
 
-// MarkLeaving notes that a VM said itself that it is leaving.
-func (v *View) MarkLeaving(id string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.leaving[id] = true
+// indexLocked makes the lists of VMs that take new work, sorted by id.
+func (v *View) indexLocked() {
+	v.routers, v.agents = nil, map[string][]VM{}
+	for _, id := range slices.Sorted(maps.Keys(v.listed)) {
+		m := v.listed[id]
+		switch {
+		case m.State != Live || !v.leaving[id].IsZero():
+		case m.Role == Router:
+			v.routers = append(v.routers, m)
+		case m.Role == Agent:
+			v.agents[m.Service] = append(v.agents[m.Service], m)
+		}
+	}
 }
 
-// MarkLive notes that a VM took work again: it was replaced under its old name.
-func (v *View) MarkLive(id string) {
+// MarkLeaving notes that a VM said itself that it is leaving.
+func (v *View) MarkLeaving(id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	delete(v.leaving, id)
+	v.leaving[id] = time.Now()
+	v.indexLocked()
 }
 
 // Get returns a listed VM.
@@ -59,50 +80,34 @@
 
 // Agents returns the agents of a service that take new work, sorted by id.
 func (v *View) Agents(service string) []VM {
-	return v.filter(func(m VM) bool { return m.Role == Agent && m.Service == service && m.State == Live })
-}
-
-// AllAgents returns every listed agent, leaving ones included.
-func (v *View) AllAgents() []VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var out []VM
-	for _, m := range v.listed {
-		if m.Role == Agent {
-			out = append(out, m)
-		}
-	}
-	sortByID(out)
-	return out
+	return v.agents[service]
 }
 
 // Routers returns the live routers, sorted by id.
 func (v *View) Routers() []VM {
-	return v.filter(func(m VM) bool { return m.Role == Router && m.State == Live })
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.routers
 }
 
-func (v *View) filter(keep func(VM) bool) []VM {
+// AllAgents returns every listed agent, leaving ones included, sorted by id.
+func (v *View) AllAgents() []VM {
+	return slices.DeleteFunc(v.All(), func(m VM) bool { return m.Role != Agent })
+}
+
+// All returns every listed VM, sorted by id.
+func (v *View) All() []VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var out []VM
-	for id, m := range v.listed {
-		if keep(m) && !v.leaving[id] {
-			out = append(out, m)
-		}
+	for _, id := range slices.Sorted(maps.Keys(v.listed)) {
+		out = append(out, v.listed[id])
 	}
-	sortByID(out)
 	return out
 }
 
-func sortByID(list []VM) {
-	slices.SortFunc(list, func(a, b VM) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-}
-
 // Follow reads the list at each interval until the context ends.
 func (v *View) Follow(ctx context.Context, l Lister, interval time.Duration, failed func(error)) {
 	t := time.NewTicker(interval)
@@ -140,7 +145,7 @@
 
 // State returns the whole view.
 func (v *View) State() ViewState {
-	all := v.filter(func(VM) bool { return true })
+	all := v.All()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := ViewState{VMs: all, Updated: v.updated.Format(time.RFC3339)}
