--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -13,7 +13,9 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -58,20 +60,41 @@
 var ports = []string{"STORE", "ENGINE", "SERVICE", "CALLERS", "CALLERS2", "LINK1", "LINK2", "LINK3", "LINK4",
 	"ADMIN1", "ADMIN2", "ADMIN3", "ADMIN4", "WORK1", "WORK2"}
 
+// Ports are taken in turn from a range below the one from which the system gives ports
+// to connections: a port of that range could be given away before its process opens it.
+const (
+	firstPort = 15000
+	lastPort  = 32000
+	portStep  = 100
+)
+
+var nextPort atomic.Int64
+
 func setup(env *testscript.Env) error {
+	nextPort.CompareAndSwap(0, firstPort+int64(os.Getpid())%((lastPort-firstPort)/portStep)*portStep)
 	for _, name := range ports {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, err := freeAddr()
 		if err != nil {
 			return err
 		}
-		env.Setenv(name, ln.Addr().String())
-		if err := ln.Close(); err != nil {
-			return err
-		}
+		env.Setenv(name, addr)
 	}
 	return nil
 }
 
+func freeAddr() (string, error) {
+	for {
+		port := nextPort.Add(1)
+		if port > lastPort {
+			return "", fmt.Errorf("no free port up to %d", lastPort)
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			return addr, ln.Close()
+		}
+	}
+}
+
 // expand FILE... replaces $NAME in files by the script's variables.
 func expand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
@@ -83,8 +106,10 @@
 // awaitTimeout bounds the start of a process.
 const awaitTimeout = 20 * time.Second
 
-// await URL TEXT waits until a GET answers 200 with the text in its body.
+// await URL PATTERN waits until a GET answers 200 with a match in its body.
 func await(ts *testscript.TestScript, _ bool, args []string) {
+	pattern, err := regexp.Compile(args[1])
+	ts.Check(err)
 	deadline := time.Now().Add(awaitTimeout)
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
@@ -95,7 +120,7 @@
 			b, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
 			last = string(b)
-			if resp.StatusCode == http.StatusOK && strings.Contains(last, args[1]) {
+			if resp.StatusCode == http.StatusOK && pattern.MatchString(last) {
 				return
 			}
 		}
@@ -104,8 +129,9 @@
 	ts.Fatalf("%s never had %q; last %.2000s", args[0], args[1], last)
 }
 
-// request [-H 'NAME: VALUE']... METHOD URL [BODY] sends a request; its status,
-// headers and body become the standard output. A body "@N" is N bytes long.
+// request [-H 'NAME: VALUE']... [-f FILE] METHOD URL [BODY] sends a request, with a file
+// or the text as its body; its status, headers and body become the standard output. A
+// body "@N" is N bytes long.
 func request(ts *testscript.TestScript, _ bool, args []string) {
 	header := http.Header{}
 	for len(args) > 1 && args[0] == "-H" {
@@ -114,6 +140,10 @@
 		args = args[2:]
 	}
 	body := ""
+	if args[0] == "-f" {
+		body = ts.ReadFile(args[1])
+		args = args[2:]
+	}
 	if len(args) > 2 {
 		body = args[2]
 	}
