Read as a newcomer: one place for the class, silent agents asked once a round

Cause: names and settings that nothing used (checks_fencing, two errors), a class computed twice, a map to make a sorted list, lost requests of one silent agent holding up all others. Change: mended. Behaviour as before but for the last.

--- a/coord/ledger/charge.go
+++ b/coord/ledger/charge.go
@@ -18,13 +18,9 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("ledger")
 
-var (
-	// ErrFull says that as many charges wait as may be kept; the caller must
-	// take no new work rather than lose one.
-	ErrFull = errs.New("too many charges wait for the ledger")
-	// ErrLost says that the shard's owner is another process by now.
-	ErrLost = errs.New("shard has another owner")
-)
+// ErrFull says that as many charges wait as may be kept; the caller must take no new
+// work rather than lose one.
+var ErrFull = errs.New("too many charges wait for the ledger")
 
 // Charge is the bill of one request.
 type Charge struct {
--- a/coord/ledger/report.go
+++ b/coord/ledger/report.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
@@ -62,13 +61,14 @@
 	return out, nil
 }
 
+// shards lists the shards to read: a team's own, or all.
 func (r Reader) shards(team string) []int {
 	if team != "" {
 		return []int{r.Layout.Shard(team)}
 	}
-	all := map[int]struct{}{}
-	for n := range r.Layout.Shards {
-		all[n] = struct{}{}
+	all := make([]int, r.Layout.Shards)
+	for n := range all {
+		all[n] = n
 	}
-	return slices.Sorted(maps.Keys(all))
+	return all
 }
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -24,8 +24,6 @@
 	ErrUnknown = errs.New("outcome unknown")
 	// ErrTooLarge says that the value passes MaxValueBytes; nothing was written.
 	ErrTooLarge = errs.New("value too large")
-	// ErrCompacted says that a watch asked for a revision that is gone.
-	ErrCompacted = errs.New("revision compacted")
 	// ErrNoLease says that the lease lapsed or never existed.
 	ErrNoLease = errs.New("no such lease")
 )
@@ -57,8 +55,8 @@
 
 // Store is the platform's service. Each method counts as one call, a waiting
 // watch as one. Implementations are safe for concurrent use and honour the
-// context's deadline. Errors other than ErrConflict, ErrTooLarge, ErrCompacted
-// and ErrNoLease wrap ErrUnknown.
+// context's deadline. Errors other than ErrConflict, ErrTooLarge and
+// ErrNoLease wrap ErrUnknown.
 type Store interface {
 	// Get reads one key. An absent key is no error.
 	Get(ctx context.Context, key string) (Item, error)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,15 +20,16 @@
 func Register(c *subcommands.Commander) {
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
-	c.Register(&runCmd{role: settings.RoleRouter}, "processes")
-	c.Register(&runCmd{role: settings.RoleAgent}, "processes")
+	c.Register(&runCmd{role: settings.RoleRouter, example: "examples/brekke/bergen-router-1.yaml"}, "processes")
+	c.Register(&runCmd{role: settings.RoleAgent, example: "examples/brekke/bergen-engine-1.yaml"}, "processes")
 	c.Register(&checkCmd{}, "settings")
 }
 
 // runCmd runs one process.
 type runCmd struct {
-	role   string
-	config string
+	role    string
+	example string
+	config  string
 }
 
 // Name implements subcommands.Command.
@@ -41,8 +42,8 @@
 func (c *runCmd) Usage() string {
 	return fmt.Sprintf(`%s -config FILE
 Runs the %s of this VM. SIGTERM makes a planned stop: no request is cut off.
-Example: arbutusmilld %s -config examples/brekke/bergen-%s-1.yaml
-`, c.role, c.role, c.role, map[string]string{settings.RoleRouter: "router", settings.RoleAgent: "engine"}[c.role])
+Example: arbutusmilld %s -config %s
+`, c.role, c.role, c.role, c.example)
 }
 
 // SetFlags implements subcommands.Command.
--- a/router/job.go
+++ b/router/job.go
@@ -106,10 +106,15 @@
 	if !j.team.May(j.service.Name) {
 		return contract.Refuse(contract.NotAllowed, "team %s may not use %s", j.team.Name, j.service.Name)
 	}
-	j.class = j.snapshot.Preset.Class(j.team.Name, j.service.Name, req.Header.Get(taskHeader))
 	return nil
 }
 
+// use notes the service that the request is for, and the class that the preset gives it.
+func (j *job) use(sv *fleet.Service, req *http.Request) {
+	j.service = sv
+	j.class = j.snapshot.Preset.Class(j.team.Name, sv.Name, req.Header.Get(taskHeader))
+}
+
 func (r *Router) understandEngine(j *job, w http.ResponseWriter, req *http.Request) *contract.Refusal {
 	raw, refusal := readAll(w, req, r.base.Settings.Limits.BodyBytes)
 	if refusal != nil {
@@ -123,11 +128,11 @@
 	if !ok {
 		return contract.Refuse(contract.UnknownModel, "there is no model %q", parsed.Model)
 	}
-	class := j.snapshot.Preset.Class(j.team.Name, sv.Name, req.Header.Get(taskHeader))
-	if err := parsed.Bind(sv.MaxOutputTokens, class); err != nil {
+	j.use(sv, req)
+	if err := parsed.Bind(sv.MaxOutputTokens, j.class); err != nil {
 		return contract.Refuse(contract.BadRequest, "%v", err)
 	}
-	j.service, j.engine, j.idempotent = sv, true, true
+	j.engine, j.idempotent = true, true
 	j.path = req.URL.Path
 	j.body = whole(parsed.Body)
 	j.prefixKey = parsed.PrefixKey
@@ -142,7 +147,7 @@
 	if !ok || sv.Kind != fleet.KindPlain {
 		return contract.Refuse(contract.UnknownService, "there is no service %q", name)
 	}
-	j.service = sv
+	j.use(sv, req)
 	j.path = strings.TrimPrefix(req.URL.RequestURI(), servicePrefix+name)
 	if !strings.HasPrefix(j.path, "/") {
 		j.path = "/" + j.path
--- a/router/limbo.go
+++ b/router/limbo.go
@@ -52,10 +52,17 @@
 	return len(l.jobs)
 }
 
-// resolveLimbo asks the agents what became of lost requests.
+// resolveLimbo asks the agents what became of lost requests. An agent that does not
+// answer is asked once a round, or a silent one would hold up all the others.
 func (r *Router) resolveLimbo(ctx context.Context) {
+	silent := map[string]bool{}
 	for key, lost := range r.limbo.list() {
-		if r.resolve(ctx, lost) {
+		if silent[lost.agent.ID] {
+			continue
+		}
+		done, answered := r.resolve(ctx, lost)
+		silent[lost.agent.ID] = !answered
+		if done {
 			r.limbo.remove(key)
 		}
 	}
@@ -67,20 +74,23 @@
 // is not known; its own charge may be in the ledger. The whole reservation counts
 // as used then, so that no token can be spent twice, and the caller is not billed by
 // this router.
-func (r *Router) resolve(ctx context.Context, lost lostJob) bool {
+func (r *Router) resolve(ctx context.Context, lost lostJob) (done, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
 	defer cancel()
 	var out link.OutcomeReply
 	err := r.base.Links.Call(ctx, lost.agent.Link, link.MethodOutcome, link.OutcomeRequest{ID: lost.job.id()}, &out)
-	if err != nil || out.Running {
-		return r.abandon(ctx, lost)
+	if err != nil {
+		return r.abandon(ctx, lost), false
+	}
+	if out.Running {
+		return false, true
 	}
 	if !out.Known && r.lostSince(ctx, lost) {
 		r.strand(lost)
-		return true
+		return true, true
 	}
 	r.settle(lost.job, contract.Outcome{Used: out.Used})
-	return true
+	return true, true
 }
 
 // lostSince reports whether the agent had another life since the request began.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -186,8 +186,6 @@
 	Slots int `yaml:"slots"`
 	// Queue is the most requests that wait, for each class.
 	Queue int `yaml:"queue"`
-	// ChecksFencing says that the engine refuses orders with an old number.
-	ChecksFencing bool `yaml:"checks_fencing"`
 }
 
 // Default returns the default values. A file overrides them field by field.
