A request that its router gave up never begins

Cause: reading the path of lost requests: the agent's 'not known' was taken for 'never began', but the request could still wait in the agent's queue behind a connection that had gone silent, and begin after its tokens were given to others. Also two runs of one id were told apart by id only; a router could settle by the other's use. Ruled out: the witness's fence (it is for dead holders). Change: the question names the reservation; one that is not known is refused from then on. Before: TestGivenUpRequestNeverBegins fails (seen with the guard out). After: passes. Conclusion: 'not run' is now a promise of the one who says it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -297,7 +297,7 @@
 			return link.Empty{}, nil
 		}),
 		link.MethodOutcome: link.Handle(func(_ context.Context, in link.OutcomeRequest) (link.OutcomeReply, error) {
-			used, running, known := a.witness.Outcome(in.ID)
+			used, running, known := a.witness.Resolve(in.Reservation)
 			return link.OutcomeReply{Known: known, Running: running, Used: used}, nil
 		}),
 	}
--- a/agent/run.go
+++ b/agent/run.go
@@ -90,6 +90,8 @@
 		t.w.Header().Set(contract.FencedHeader, fenced.Holder)
 	case errors.Is(err, witness.ErrRunning):
 		kind = contract.InProgress
+	case errors.Is(err, witness.ErrCancelled):
+		kind = contract.DeadlineTooShort
 	}
 	return contract.Refuse(kind, "%v", err)
 }
--- a/coord/witness/witness.go
+++ b/coord/witness/witness.go
@@ -20,6 +20,8 @@
 	ErrFenced = errs.New("holder is fenced")
 	// ErrRunning says that a run with the same id has not ended.
 	ErrRunning = errs.New("request is running")
+	// ErrCancelled says that the router has given the reservation up.
+	ErrCancelled = errs.New("reservation was given up")
 	// ErrFull says that too many outcomes are not reported yet.
 	ErrFull = errs.New("too many outcomes are not reported")
 )
@@ -56,7 +58,10 @@
 	rows    map[row]*rowEvidence // by the source of the tokens
 	count   int                  // runs whose evidence is kept
 	fenced  map[string]bool
-	upTo    map[string]int64 // by VM, its newest life that is shut out
+	cancels map[cancelled]struct{}
+	// cancelOrder lists the cancels, the oldest first.
+	cancelOrder []cancelled
+	upTo        map[string]int64 // by VM, its newest life that is shut out
 }
 
 // row is one holder's row of one budget.
@@ -80,14 +85,13 @@
 type record struct {
 	run  Run
 	done bool
-	used int64
 	left int // parts whose evidence is still kept
 }
 
 // New returns an empty witness of up to limit runs.
 func New(limit int) *Witness {
 	return &Witness{limit: limit, records: map[string]*record{}, rows: map[row]*rowEvidence{},
-		fenced: map[string]bool{}, upTo: map[string]int64{}}
+		fenced: map[string]bool{}, cancels: map[cancelled]struct{}{}, upTo: map[string]int64{}}
 }
 
 // Begin notes that a request starts. It refuses a fenced source, an id that is
@@ -118,6 +122,11 @@
 	if i := slices.IndexFunc(holders, w.shutOutLocked); i >= 0 {
 		return &FencedError{Holder: holders[i]}
 	}
+	for _, p := range run.Reservation.Parts {
+		if _, gone := w.cancels[cancelled{row{p.Holder, run.Reservation.Budget}, p.Seq}]; gone {
+			return Error.Wrap(ErrCancelled)
+		}
+	}
 	switch rec := w.records[run.ID]; {
 	case rec != nil && !rec.done:
 		return Error.Wrap(ErrRunning)
@@ -157,7 +166,7 @@
 	if rec == nil || rec.done {
 		return
 	}
-	rec.done, rec.used = true, used
+	rec.done = true
 	if rec.left == 0 { // it cost nothing, so nobody reports it
 		w.forgetLocked(rec)
 	}
@@ -209,15 +218,52 @@
 	}
 }
 
-// Outcome returns what became of the newest run of a request.
-func (w *Witness) Outcome(id string) (used int64, running, known bool) {
+// Resolve returns what became of a reservation here. When it is not known, its run has
+// not begun, and never will: the run may still wait in a queue or on a connection that
+// its router has given up, and the router, told that nothing ran, spends the tokens
+// again.
+func (w *Witness) Resolve(r grant.Reservation) (used int64, running, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	rec := w.records[id]
-	if rec == nil {
-		return 0, false, false
+	for _, p := range r.Parts {
+		u := w.findLocked(row{p.Holder, r.Budget}, p.Seq)
+		if u == nil {
+			w.cancelLocked(row{p.Holder, r.Budget}, p.Seq)
+			continue
+		}
+		known = true
+		used += u.used
+		running = running || u.running > 0
+	}
+	return used, running, known
+}
+
+func (w *Witness) findLocked(r row, seq int64) *uses {
+	if ev := w.rows[r]; ev != nil {
+		return ev.bySeq[seq]
+	}
+	return nil
+}
+
+// cancelled is one reservation that was given up.
+type cancelled struct {
+	row
+	seq int64
+}
+
+// cancelLocked refuses a reservation from now on. The oldest cancellations are
+// forgotten beyond the limit; by then their runs have passed their deadlines.
+func (w *Witness) cancelLocked(r row, seq int64) {
+	c := cancelled{r, seq}
+	if _, ok := w.cancels[c]; ok {
+		return
+	}
+	w.cancels[c] = struct{}{}
+	w.cancelOrder = append(w.cancelOrder, c)
+	if len(w.cancelOrder) > w.limit {
+		delete(w.cancels, w.cancelOrder[0])
+		w.cancelOrder = w.cancelOrder[1:]
 	}
-	return rec.used, !rec.done, true
 }
 
 // Fence refuses the holder's tokens and the holder as a spender from now on, and
--- a/coord/witness/witness_test.go
+++ b/coord/witness/witness_test.go
@@ -48,6 +48,25 @@
 	require.Zero(t, w.State().Rows)
 }
 
+// A request waits in the agent's queue when its connection breaks. The router asks what
+// became of it, hears that it is not known here, and gives the tokens to others. If the
+// request left the queue afterwards it would be served with tokens spent elsewhere.
+func TestGivenUpRequestNeverBegins(t *testing.T) {
+	w := witness.New(10)
+	r := reservation(grant.Part{Holder: "r#1", Seq: 7, Tokens: 10})
+	_, _, known := w.Resolve(r)
+	require.False(t, known)
+	require.ErrorIs(t, w.Begin(witness.Run{ID: "a", Spender: "r#1", Reservation: r}), witness.ErrCancelled)
+	retry := reservation(grant.Part{Holder: "r#1", Seq: 8, Tokens: 10})
+	require.NoError(t, w.Begin(witness.Run{ID: "a", Spender: "r#1", Reservation: retry}))
+	_, running, known := w.Resolve(retry)
+	require.True(t, running && known)
+	w.End("a", 4)
+	used, running, _ := w.Resolve(retry)
+	require.Equal(t, int64(4), used)
+	require.False(t, running)
+}
+
 // The same request runs twice here, and its outcomes wait to be reported. The bound on
 // what is kept must refuse new work rather than forget.
 func TestBoundRefusesWork(t *testing.T) {
--- a/link/messages.go
+++ b/link/messages.go
@@ -94,9 +94,9 @@
 	Through map[string]int64 `json:"through"`
 }
 
-// OutcomeRequest names a request.
+// OutcomeRequest names the reservation of a request.
 type OutcomeRequest struct {
-	ID string `json:"id"`
+	Reservation grant.Reservation `json:"reservation"`
 }
 
 // OutcomeReply is what an agent knows of a request.
--- a/router/limbo.go
+++ b/router/limbo.go
@@ -69,7 +69,7 @@
 }
 
 // resolve settles one lost request if its outcome can be known. An agent that says
-// that it does not know the request never began it, unless it is a new life of that
+// that it does not know the request never began it and never will, unless it is a new life of that
 // agent: then the work of the old one is gone with it. What the old life had served
 // is not known; its own charge may be in the ledger. The whole reservation counts
 // as used then, so that no token can be spent twice, and the caller is not billed by
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
 	defer cancel()
 	var out link.OutcomeReply
-	err := r.base.Links.Call(ctx, lost.agent.Link, link.MethodOutcome, link.OutcomeRequest{ID: lost.job.id()}, &out)
+	err := r.base.Links.Call(ctx, lost.agent.Link, link.MethodOutcome, link.OutcomeRequest{Reservation: lost.job.reservation}, &out)
 	if err != nil {
 		return r.abandon(ctx, lost), false
 	}
