A request keeps time for peers when the store is cut off

Cause: reading the chain of granters: a store call is tried until its context ends, and the whole reservation had one context. On the side without the store every request that was short spent all its time there, and peers were asked with none left: a false refusal for each. The fakes had hidden it: they lent whatever the context said. With that mended, three tests failed. Also, requests share a look at a page, and the caller of the first could end it for all by going away. Ruled out: the peers' own timeout (500 ms each). Change: the store's part is bounded (1 s of 5); a shared look keeps its deadline but not its first caller's cancellation. Before: 3 tests failed, 2 new ones fail without their guards. After: all pass.

--- a/coord/grant/fleet_test.go
+++ b/coord/grant/fleet_test.go
@@ -277,6 +277,42 @@
 	})
 }
 
+// The store is cut off and a peer has tokens. A request must not spend its whole time
+// on the store, or it is refused although it could be served.
+func TestStoreOutageLeavesTimeForPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, near, far := newFleet(t, 1000)
+		ctx := t.Context()
+		f.Cut("cleveland", "detroit")
+		drainOwn(ctx, f, near)
+		r, err := near.Serve(ctx, "peer", budget, 50)
+		require.NoError(t, err)
+		require.Equal(t, far.Holder.ID(), r.Res.Parts[0].Holder)
+	})
+}
+
+// Two requests wait for the same look at a page; the caller of the first goes away. The
+// second must not be refused for that.
+func TestFirstCallerGoesAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, near, far := newFleet(t, 1000)
+		far.Dead = true
+		require.NoError(t, f.Book().TopUp(t.Context(), budget, "second", 5000))
+		f.Store.SetFaults(memstore.Faults{Delay: 50 * time.Millisecond})
+		first, cancel := context.WithCancel(t.Context())
+		go func() { _, _ = near.Serve(first, "first", budget, 800) }()
+		synctest.Wait()
+		got := make(chan error, 1)
+		go func() {
+			_, err := near.Serve(t.Context(), "second", budget, 900)
+			got <- err
+		}()
+		synctest.Wait()
+		cancel()
+		require.NoError(t, <-got)
+	})
+}
+
 // Three requests wait for the store at once. Together they want more than the budget
 // has, but each alone would fit: the first must be served.
 func TestWaitingTogetherIsNotExhausted(t *testing.T) {
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -28,6 +28,11 @@
 	Store  store.Store
 	Layout account.Layout
 	Timing Timing
+	// Timeout bounds what one request waits for the store. It must leave time
+	// for peers: a store that is cut off is tried until the bound, and a request
+	// that had spent all its time there would be refused although a peer has
+	// tokens.
+	Timeout time.Duration
 	// Now is the clock.
 	Now func() time.Time
 
@@ -42,8 +47,9 @@
 
 // Obtain implements Granter.
 func (g *StoreGranter) Obtain(ctx context.Context, budget string, lack int64) error {
-	key := g.Layout.Key(budget)
-	if err := g.Sync(ctx, key); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
+	defer cancel()
+	if err := g.Sync(ctx, g.Layout.Key(budget)); err != nil {
 		return err
 	}
 	return g.verdict(budget, lack)
@@ -77,11 +83,24 @@
 			return f.wait(ctx)
 		}
 	}
-	f.err = g.sync(ctx, key)
+	// Others wait for this flight too: it must not end because the request that
+	// began it was given up by its caller.
+	own, cancel := detached(ctx)
+	defer cancel()
+	f.err = g.sync(own, key)
 	g.leave(key, f)
 	return f.err
 }
 
+// detached keeps a context's deadline but not its cancellation.
+func detached(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(context.WithoutCancel(ctx))
+	}
+	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+}
+
 func (f *flight) wait(ctx context.Context) error {
 	select {
 	case <-f.done:
--- a/coord/internal/lab/lab.go
+++ b/coord/internal/lab/lab.go
@@ -161,7 +161,8 @@
 	n := &Node{VM: vm, DC: dc, fleet: f, Holder: grant.NewHolder(life, f.Layout, f.Opt.Policy())}
 	n.Holder.Expect(f.Opt.Expect)
 	now := func() time.Time { return f.Now }
-	n.Pages = &grant.StoreGranter{Holder: n.Holder, Store: f.gate(dc), Layout: f.Layout, Timing: f.Opt.Timing, Now: now}
+	n.Pages = &grant.StoreGranter{Holder: n.Holder, Store: f.gate(dc), Layout: f.Layout, Timing: f.Opt.Timing,
+		Timeout: CallTimeout / 2, Now: now}
 	chain := []grant.Granter{n.Pages}
 	if f.Opt.Transfers {
 		chain = append(chain, &grant.PeerGranter{Holder: n.Holder, Lender: n, Peers: n.peers, Timeout: CallTimeout, Now: now})
@@ -199,9 +200,9 @@
 var errDown = fmt.Errorf("link down")
 
 // Lend implements grant.Lender.
-func (n *Node) Lend(_ context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
+func (n *Node) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
 	p := n.fleet.Node(peer)
-	if p == nil || p.Dead || p.Frozen || !n.fleet.reach(n.DC, p.DC) {
+	if p == nil || p.Dead || p.Frozen || !n.fleet.reach(n.DC, p.DC) || ctx.Err() != nil {
 		return grant.Lot{}, errDown
 	}
 	l, err := p.Holder.Lend(n.fleet.Now, budget, id, n.Holder.ID(), need, want)
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -23,7 +23,8 @@
 	r.holder = grant.NewHolder(r.base.Incarnation, r.layout, policyOf(b))
 	timing := grant.DefaultTiming()
 	timing.Rebalance, timing.Report = time.Duration(b.Rebalance), time.Duration(b.Report)
-	r.pages = &grant.StoreGranter{Holder: r.holder, Store: r.base.Store, Layout: r.layout, Timing: timing, Now: time.Now}
+	r.pages = &grant.StoreGranter{Holder: r.holder, Store: r.base.Store, Layout: r.layout, Timing: timing,
+		Timeout: storeTimeout, Now: time.Now}
 	peers := func(list func(string) []string) *grant.PeerGranter {
 		return &grant.PeerGranter{Holder: r.holder, Lender: lender{r}, Peers: list,
 			Timeout: time.Duration(b.PeerTimeout), Now: time.Now}
--- a/router/serve.go
+++ b/router/serve.go
@@ -84,8 +84,11 @@
 	return nil
 }
 
-// reserveTimeout bounds the search for tokens: a store call and a few peers.
-const reserveTimeout = 5 * time.Second
+// Bounds of the search for tokens: for all of it, and for the store's part.
+const (
+	reserveTimeout = 5 * time.Second
+	storeTimeout   = time.Second
+)
 
 func budgetRefusal(budget string, err error) *contract.Refusal {
 	switch {
