--- a/coord/ledger/group.go
+++ b/coord/ledger/group.go
@@ -43,6 +43,10 @@
 	}
 }
 
+// Waiting counts the appends that wait for a flush, and the most that may. More than
+// that are not dropped: their callers wait, within their contexts.
+func (g *Group) Waiting() (n, most int) { return len(g.requests), cap(g.requests) }
+
 // Run flushes once an interval until the context ends.
 func (g *Group) Run(ctx context.Context) {
 	for {
--- a/operator/command.go
+++ b/operator/command.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
@@ -71,7 +72,10 @@
 // Execute implements subcommands.Command. Exit status 2 is a mistake of the command
 // line or of a file, 1 any other failure.
 func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := c.run(ctx, f.Args())
+	args, err := positional(f)
+	if err == nil {
+		err = c.run(ctx, args)
+	}
 	if err == nil {
 		return subcommands.ExitSuccess
 	}
@@ -82,6 +86,23 @@
 	return subcommands.ExitFailure
 }
 
+// positional returns the arguments that are no flags; flags may stand among them.
+func positional(f *flag.FlagSet) ([]string, error) {
+	var args []string
+	rest := f.Args()
+	for len(rest) > 0 {
+		if strings.HasPrefix(rest[0], "-") && len(rest[0]) > 1 {
+			if err := f.Parse(rest); err != nil {
+				return nil, usagef("%v", err)
+			}
+			rest = f.Args()
+			continue
+		}
+		args, rest = append(args, rest[0]), rest[1:]
+	}
+	return args, nil
+}
+
 // target is the platform's store, as flags name it.
 type target struct {
 	url     string
--- a/router/ledger.go
+++ b/router/ledger.go
@@ -46,6 +46,16 @@
 	return s.groups[shard].Append(ctx, charges)
 }
 
+// waiting counts the appends that wait for a flush in all shards.
+func (s *shards) waiting() int {
+	total := 0
+	for _, g := range s.groups {
+		n, _ := g.Waiting()
+		total += n
+	}
+	return total
+}
+
 func (s *shards) state() []ledger.ShardState {
 	var out []ledger.ShardState
 	for _, sh := range s.list {
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -35,6 +35,12 @@
 		}
 		return float64(r.outbox.Waiting())
 	})
+	set.NewGauge("arbutusmill_router_ledger_queue_appends", func() float64 {
+		if !r.begun.Load() {
+			return 0
+		}
+		return float64(r.shards.waiting())
+	})
 	set.NewGauge("arbutusmill_router_configuration_generation", func() float64 {
 		if s := r.current.Load(); s != nil {
 			return float64(s.Generation)
