--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,7 @@
 	upstream    *upstreamCaller
 	metrics     *agentMetrics
 	nonce       atomic.Int64
+	claimCounts claimCounts
 
 	mu      sync.Mutex
 	leaving bool
@@ -312,6 +313,7 @@
 	Charges     int           `json:"waiting_charges"`
 	Queue       QueueState    `json:"queue"`
 	Witness     witness.State `json:"witness"`
+	Claims      ClaimState    `json:"claims"`
 	VMs         vm.ViewState  `json:"vms"`
 	Links       []string      `json:"links"`
 }
@@ -326,7 +328,7 @@
 	}
 	return State{
 		Incarnation: life, Ready: a.base.Admin.Ready(), Leaving: leaving, Active: active,
-		Charges: a.outbox.Waiting(), Queue: a.queue.State(), Witness: a.witness.State(),
+		Charges: a.outbox.Waiting(), Queue: a.queue.State(), Witness: a.witness.State(), Claims: a.claimCounts.state(),
 		VMs: a.base.View.State(), Links: a.base.Links.Peers(),
 	}
 }
--- a/agent/once.go
+++ b/agent/once.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
@@ -22,6 +23,31 @@
 // endTimeout bounds the tries to record a claim's end.
 const endTimeout = 10 * time.Second
 
+// claimCounts are the claims that this life asked for, by what came of them.
+type claimCounts struct{ taken, found, unavailable atomic.Int64 }
+
+func (c *claimCounts) note(mine bool, err error) {
+	switch {
+	case err != nil:
+		c.unavailable.Add(1)
+	case mine:
+		c.taken.Add(1)
+	default:
+		c.found.Add(1)
+	}
+}
+
+// ClaimState is the counts as dumps show them.
+type ClaimState struct {
+	Taken       int64 `json:"taken"`
+	Found       int64 `json:"found_taken"`
+	Unavailable int64 `json:"unavailable"`
+}
+
+func (c *claimCounts) state() ClaimState {
+	return ClaimState{Taken: c.taken.Load(), Found: c.found.Load(), Unavailable: c.unavailable.Load()}
+}
+
 // savedAnswer is an answer as a claim keeps it.
 type savedAnswer struct {
 	Status int         `json:"status"`
@@ -65,6 +91,7 @@
 	take, cancel := context.WithTimeout(ctx, min(claimTimeout, t.work.Timeout()))
 	got, mine, err := a.claims.Take(take, t.work.ID, want)
 	cancel()
+	a.claimCounts.note(mine, err)
 	if err != nil {
 		return t.finish(contract.Outcome{Kind: contract.ClaimUnavailable}, contract.Refuse(contract.ClaimUnavailable, "%v", err))
 	}
