--- a/agent/agent.go
+++ b/agent/agent.go
@@ -76,7 +76,7 @@
 		base: base, id: s.VM, log: base.Log,
 		queue:   NewQueue(s.Upstream.Slots, s.Upstream.Queue),
 		witness: witness.New(witnessRuns),
-		outbox:  ledger.NewOutbox(layout, sender, s.Ledger.Backlog, nil),
+		outbox:  ledger.NewOutbox(layout, sender, s.Ledger.Backlog),
 		claims:  claim.Register{Store: base.Store, Prefix: process.ClaimPrefix},
 		upstream: &upstreamCaller{url: s.Upstream.URL, client: &http.Client{
 			Transport: &http.Transport{MaxIdleConnsPerHost: s.Upstream.Slots, DisableCompression: true}}},
--- a/capacity/slopes_test.go
+++ b/capacity/slopes_test.go
@@ -272,7 +272,7 @@
 				o.Put(charge(n))
 			}
 			kept, bytes := held(func() any {
-				o := ledger.NewOutbox(ledger.Layout{Shards: 64}, nil, 1<<30, nil)
+				o := ledger.NewOutbox(ledger.Layout{Shards: 64}, nil, 1<<30)
 				for range size {
 					put(o)
 				}
--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -122,7 +122,7 @@
 		s := memstore.New()
 		d := &direct{shard: ledger.OpenShard(s, layout, 0, "r#1", 100)}
 		d.down.Store(true)
-		o := ledger.NewOutbox(layout, d, 3, nil)
+		o := ledger.NewOutbox(layout, d, 3)
 		ctx, cancel := context.WithCancel(t.Context())
 		go o.Run(ctx)
 		for i := range 3 {
--- a/coord/ledger/outbox.go
+++ b/coord/ledger/outbox.go
@@ -29,7 +29,6 @@
 	layout Layout
 	sender Sender
 	limit  int
-	acked  func(Charge)
 
 	mu       sync.Mutex
 	waiting  map[int][]Charge
@@ -40,9 +39,9 @@
 }
 
 // NewOutbox returns an outbox that holds up to limit charges, those of admitted
-// work included. Acked, if not nil, is called for each durable charge.
-func NewOutbox(l Layout, s Sender, limit int, acked func(Charge)) *Outbox {
-	o := &Outbox{layout: l, sender: s, limit: limit, acked: acked,
+// work included.
+func NewOutbox(l Layout, s Sender, limit int) *Outbox {
+	o := &Outbox{layout: l, sender: s, limit: limit,
 		waiting: map[int][]Charge{}, floors: map[int]int64{}, wake: map[int]chan struct{}{}}
 	for i := range l.Shards {
 		o.wake[i] = make(chan struct{}, 1)
@@ -176,6 +175,7 @@
 // drop removes the acknowledged head of a shard's charges.
 func (o *Outbox) drop(shard int, batch []Charge, floor int64) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	sent := map[string]struct{}{}
 	for _, c := range batch {
 		sent[c.ID] = struct{}{}
@@ -189,11 +189,4 @@
 	o.count -= len(o.waiting[shard]) - len(kept)
 	o.waiting[shard] = kept
 	o.floors[shard] = max(o.floors[shard], floor)
-	o.mu.Unlock()
-	if o.acked == nil {
-		return
-	}
-	for _, c := range batch {
-		o.acked(c)
-	}
 }
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -8,8 +8,8 @@
 	"slices"
 
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/mistake"
 	"github.com/arbutusmill/arbutusmill/team"
-	"github.com/zeebo/errs"
 )
 
 // nameForm is what names of teams, services, presets and budgets look like; they
@@ -19,22 +19,18 @@
 // ValidName reports whether a name may be used.
 func ValidName(name string) bool { return nameForm.MatchString(name) }
 
-// checker collects what is wrong, each with the field's path.
-type checker struct{ group errs.Group }
-
-func (c *checker) fail(field, format string, args ...any) {
-	c.group.Add(fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
-}
+// checker collects mistakes by field.
+type checker struct{ mistake.List }
 
 func (c *checker) name(field, name string) {
 	if !ValidName(name) {
-		c.fail(field, "%q is not a name (lower-case letters, digits, . _ / -)", name)
+		c.Add(field, "%q is not a name (lower-case letters, digits, . _ / -)", name)
 	}
 }
 
 func (c *checker) unique(seen map[string]bool, field, name string) {
 	if seen[name] {
-		c.fail(field, "%q stands twice", name)
+		c.Add(field, "%q stands twice", name)
 	}
 	seen[name] = true
 }
@@ -45,7 +41,7 @@
 	services := c.services(d.Services)
 	teams := c.teams(d.Teams, services)
 	c.presets(d, teams, services)
-	return Error.Wrap(c.group.Err())
+	return Error.Wrap(c.Err())
 }
 
 func (c *checker) services(list []*Service) map[string]bool {
@@ -53,7 +49,7 @@
 	for i, s := range list {
 		at := fmt.Sprintf("services[%d]", i)
 		if s == nil {
-			c.fail(at, "is empty")
+			c.Add(at, "is empty")
 			continue
 		}
 		c.name(at+".name", s.Name)
@@ -68,26 +64,26 @@
 
 func (c *checker) service(at string, s *Service) {
 	if s.Timeout <= 0 {
-		c.fail(at+".timeout", "must be positive")
+		c.Add(at+".timeout", "must be positive")
 	}
 	if s.PriceTokens < 0 || s.MaxOutputTokens < 0 {
-		c.fail(at+".price_tokens, .max_output_tokens", "must not be negative")
+		c.Add(at+".price_tokens, .max_output_tokens", "must not be negative")
 	}
 	switch s.Kind {
 	case KindEngine:
 		if len(s.Models) == 0 {
-			c.fail(at+".models", "an engine service needs at least one")
+			c.Add(at+".models", "an engine service needs at least one")
 		}
 	case KindPlain:
 		if len(s.Models) > 0 {
-			c.fail(at+".models", "a plain service has none")
+			c.Add(at+".models", "a plain service has none")
 		}
 	default:
-		c.fail(at+".kind", "%q is neither engine nor plain", s.Kind)
+		c.Add(at+".kind", "%q is neither engine nor plain", s.Kind)
 	}
 	for _, m := range s.IdempotentMethods {
 		if !slices.Contains(methods, m) {
-			c.fail(at+".idempotent_methods", "%q is no HTTP method", m)
+			c.Add(at+".idempotent_methods", "%q is no HTTP method", m)
 		}
 	}
 }
@@ -100,7 +96,7 @@
 	for i, t := range list {
 		at := fmt.Sprintf("teams[%d]", i)
 		if t == nil {
-			c.fail(at, "is empty")
+			c.Add(at, "is empty")
 			continue
 		}
 		c.name(at+".name", t.Name)
@@ -112,12 +108,12 @@
 		for s, b := range t.Budgets {
 			c.name(at+".budgets."+s, b)
 			if s != team.DefaultBudget && !services[s] {
-				c.fail(at+".budgets", "there is no service %q", s)
+				c.Add(at+".budgets", "there is no service %q", s)
 			}
 		}
 		for _, s := range t.Services {
 			if !services[s] {
-				c.fail(at+".services", "there is no service %q", s)
+				c.Add(at+".services", "there is no service %q", s)
 			}
 		}
 	}
@@ -126,7 +122,7 @@
 
 func (c *checker) key(at, k string) {
 	if b, err := hex.DecodeString(k); err != nil || len(b) != 32 {
-		c.fail(at, "is not a SHA-256 hash in hex")
+		c.Add(at, "is not a SHA-256 hash in hex")
 	}
 }
 
@@ -135,7 +131,7 @@
 	for i, p := range d.Presets {
 		at := fmt.Sprintf("presets[%d]", i)
 		if p == nil {
-			c.fail(at, "is empty")
+			c.Add(at, "is empty")
 			continue
 		}
 		c.name(at+".name", p.Name)
@@ -145,20 +141,20 @@
 			at := fmt.Sprintf("%s.rules[%d]", at, j)
 			c.class(at+".class", r.Class)
 			if r.Team != "" && !teams[r.Team] {
-				c.fail(at+".team", "there is no team %q", r.Team)
+				c.Add(at+".team", "there is no team %q", r.Team)
 			}
 			if r.Service != "" && !services[r.Service] {
-				c.fail(at+".service", "there is no service %q", r.Service)
+				c.Add(at+".service", "there is no service %q", r.Service)
 			}
 		}
 	}
 	if !names[d.Preset] {
-		c.fail("preset", "there is no preset %q", d.Preset)
+		c.Add("preset", "there is no preset %q", d.Preset)
 	}
 }
 
 func (c *checker) class(at, name string) {
 	if _, ok := contract.ParseClass(name); !ok {
-		c.fail(at, "%q is neither urgent, normal nor deferrable", name)
+		c.Add(at, "%q is neither urgent, normal nor deferrable", name)
 	}
 }
--- a/hop/headers.go
+++ b/hop/headers.go
@@ -11,24 +11,22 @@
 
 // hopHeaders are meant for one connection only (RFC 9110, 7.6.1), or are the
 // system's own; they are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	"Proxy-Authenticate", "Proxy-Authorization", "Authorization", contract.WorkHeader, contract.RefusalHeader,
+var hopHeaders = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Authorization": true, contract.WorkHeader: true, contract.RefusalHeader: true,
 }
 
 // CopyHeaders copies what may be passed on from one hop to the next.
 func CopyHeaders(dst, src http.Header) {
-	drop := map[string]bool{}
-	for _, h := range hopHeaders {
-		drop[h] = true
-	}
+	named := map[string]bool{}
 	for _, v := range src.Values("Connection") {
 		for name := range strings.SplitSeq(v, ",") {
-			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
 	for k, vv := range src {
-		if !drop[k] {
+		if !hopHeaders[k] && !named[k] {
 			dst[k] = append([]string(nil), vv...)
 		}
 	}
--- a/router/ledger.go
+++ b/router/ledger.go
@@ -29,7 +29,7 @@
 	}
 	sender := &billing.Sender{Self: r.base.Settings.VM, Local: r.shards.append, Links: r.base.Links,
 		View: r.base.View, Timeout: sendTimeout}
-	r.outbox = ledger.NewOutbox(layout, sender, s.Backlog, nil)
+	r.outbox = ledger.NewOutbox(layout, sender, s.Backlog)
 }
 
 // start starts the group commit of each shard.
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,26 +1,21 @@
 package settings
 
 import (
-	"fmt"
 	"net"
 	"net/url"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/fleet"
+	"github.com/arbutusmill/arbutusmill/mistake"
 	"github.com/rs/zerolog"
-	"github.com/zeebo/errs"
 )
 
 // checker collects mistakes by field.
-type checker struct{ group errs.Group }
-
-func (c *checker) fail(field, format string, args ...any) {
-	c.group.Add(fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
-}
+type checker struct{ mistake.List }
 
 func (c *checker) require(ok bool, field, format string, args ...any) {
 	if !ok {
-		c.fail(field, format, args...)
+		c.Add(field, format, args...)
 	}
 }
 
@@ -38,9 +33,9 @@
 	c.security(s)
 	c.numbers(s)
 	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
-		c.fail("log.level", "%q is not a level", s.Log.Level)
+		c.Add("log.level", "%q is not a level", s.Log.Level)
 	}
-	return Error.Wrap(c.group.Err())
+	return Error.Wrap(c.Err())
 }
 
 func (c *checker) role(s *Settings) {
@@ -57,14 +52,14 @@
 		c.require(s.Upstream.Slots > 0, "upstream.slots", "must be positive")
 		c.require(s.Upstream.Queue >= 0, "upstream.queue", "must not be negative")
 	default:
-		c.fail("role", "%q is neither router nor agent", s.Role)
+		c.Add("role", "%q is neither router nor agent", s.Role)
 	}
 }
 
 func (c *checker) address(field, addr string) {
 	host, _, err := net.SplitHostPort(addr)
 	if err != nil {
-		c.fail(field, "%q is not host:port", addr)
+		c.Add(field, "%q is not host:port", addr)
 		return
 	}
 	c.require(net.ParseIP(host) != nil, field, "%q is not an IP number", host)
