--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"strings"
 	"sync"
@@ -161,6 +162,22 @@
 	return items, nil
 }
 
+// Snapshot implements store.Store.
+func (s *Store) Snapshot(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
+	// The revision is read first: a write between the two reads is then sent
+	// again by the watch instead of being missed.
+	rev := s.Revision()
+	items, err := s.List(ctx, prefix, "", math.MaxInt)
+	return items, rev, err
+}
+
+// Revision returns the number of the last write.
+func (s *Store) Revision() store.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
+
 // CompareAndSwap implements store.Store.
 func (s *Store) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, id store.LeaseID) (store.Revision, error) {
 	if len(value) > store.MaxValueBytes {
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -22,6 +22,10 @@
 	// ErrUnknown says that the call may or may not have taken effect: the
 	// store was unreachable, timed out, or its answer was lost.
 	ErrUnknown = errs.New("outcome unknown")
+	// ErrUnavailable says that the store refused the call and did nothing: it is
+	// overloaded or down. It comes together with ErrUnknown, so that callers
+	// which do not tell the two apart are safe.
+	ErrUnavailable = errs.New("store unavailable, nothing was done")
 	// ErrTooLarge says that the value passes MaxValueBytes; nothing was written.
 	ErrTooLarge = errs.New("value too large")
 	// ErrNoLease says that the lease lapsed or never existed.
@@ -63,6 +67,11 @@
 	// List reads up to limit keys that begin with prefix, in key order,
 	// starting at from (inclusive; empty for the first).
 	List(ctx context.Context, prefix, from string, limit int) ([]Item, error)
+	// Snapshot reads all keys that begin with prefix, in key order, and returns
+	// a revision from which a Watch misses nothing: events at or below it are in
+	// the items. Large sets are read in pages, so an item may be newer than the
+	// revision; the watch then sends it again.
+	Snapshot(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// CompareAndSwap writes value if the key is still at revision expect, and
 	// returns the new revision. The key goes away with the lease, if one is given.
 	CompareAndSwap(ctx context.Context, key string, expect Revision, value []byte, lease LeaseID) (Revision, error)
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -16,8 +16,8 @@
 	"github.com/arbutusmill/arbutusmill/agent"
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
+	"github.com/arbutusmill/arbutusmill/etcd"
 	"github.com/arbutusmill/arbutusmill/fleet"
-	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/router"
 	"github.com/arbutusmill/arbutusmill/settings"
@@ -324,8 +324,8 @@
 }
 
 // Store is an operator's access to the platform's stand-in.
-func (f *Fleet) Store() *platform.Etcd {
-	return &platform.Etcd{URL: f.StoreURL, Client: http.DefaultClient, Timeout: 5 * time.Second}
+func (f *Fleet) Store() *etcd.Store {
+	return &etcd.Store{URL: f.StoreURL, Client: http.DefaultClient, Timeout: 5 * time.Second}
 }
 
 // Book is an operator's access to the accounts.
--- a/platform/etcd.go
+++ b/etcd/etcd.go
@@ -1,7 +1,5 @@
-// Package platform reaches the outside systems that a fleet stands on: the
-// key-value service, by the published JSON form of the etcd v3 API, and the list of
-// VMs.
-package platform
+// Package etcd is a store over the published JSON form of the etcd v3 API.
+package etcd
 
 import (
 	"bytes"
@@ -16,8 +14,8 @@
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
-// Etcd is a store.Store over the etcd v3 JSON API.
-type Etcd struct {
+// Store is a store.Store over the etcd v3 JSON API.
+type Store struct {
 	// URL is the base address, such as http://127.0.0.1:2379.
 	URL string
 	// Client sends the calls. It must have no overall timeout, for watches.
@@ -26,11 +24,11 @@
 	Timeout time.Duration
 }
 
-var _ store.Store = (*Etcd)(nil)
+var _ store.Store = (*Store)(nil)
 
 // call posts a JSON request and decodes the JSON answer. Every failure counts as
 // an unknown outcome: a write may have taken effect before its answer was lost.
-func (e *Etcd) call(ctx context.Context, path string, in, out any) error {
+func (e *Store) call(ctx context.Context, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	resp, err := e.post(ctx, path, in)
@@ -44,7 +42,7 @@
 	return nil
 }
 
-func (e *Etcd) post(ctx context.Context, path string, in any) (*http.Response, error) {
+func (e *Store) post(ctx context.Context, path string, in any) (*http.Response, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, store.Error.Wrap(err)
@@ -86,7 +84,7 @@
 }
 
 // Get implements store.Store.
-func (e *Etcd) Get(ctx context.Context, key string) (store.Item, error) {
+func (e *Store) Get(ctx context.Context, key string) (store.Item, error) {
 	var out RangeResponse
 	if err := e.call(ctx, "/v3/kv/range", RangeRequest{Key: []byte(key)}, &out); err != nil {
 		return store.Item{}, err
@@ -98,7 +96,7 @@
 }
 
 // List implements store.Store.
-func (e *Etcd) List(ctx context.Context, prefix, from string, limit int) ([]store.Item, error) {
+func (e *Store) List(ctx context.Context, prefix, from string, limit int) ([]store.Item, error) {
 	in := RangeRequest{Key: []byte(max(prefix, from)), RangeEnd: prefixEnd(prefix), Limit: int64(limit)}
 	var out RangeResponse
 	if err := e.call(ctx, "/v3/kv/range", in, &out); err != nil {
@@ -111,8 +109,22 @@
 	return items, nil
 }
 
+// Snapshot implements store.Store.
+func (e *Store) Snapshot(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
+	in := RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	var out RangeResponse
+	if err := e.call(ctx, "/v3/kv/range", in, &out); err != nil {
+		return nil, 0, err
+	}
+	items := make([]store.Item, len(out.KVs))
+	for i, kv := range out.KVs {
+		items[i] = kv.item()
+	}
+	return items, store.Revision(out.Header.Revision), nil
+}
+
 // CompareAndSwap implements store.Store.
-func (e *Etcd) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+func (e *Store) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
 	if len(value) > store.MaxValueBytes {
 		return 0, store.Error.Wrap(store.ErrTooLarge)
 	}
@@ -121,12 +133,12 @@
 }
 
 // Delete implements store.Store.
-func (e *Etcd) Delete(ctx context.Context, key string, expect store.Revision) error {
+func (e *Store) Delete(ctx context.Context, key string, expect store.Revision) error {
 	_, err := e.swap(ctx, key, expect, RequestOp{DeleteRange: &DeleteRangeRequest{Key: []byte(key)}})
 	return err
 }
 
-func (e *Etcd) swap(ctx context.Context, key string, expect store.Revision, op RequestOp) (store.Revision, error) {
+func (e *Store) swap(ctx context.Context, key string, expect store.Revision, op RequestOp) (store.Revision, error) {
 	in := TxnRequest{
 		Compare: []Compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: int64(expect)}},
 		Success: []RequestOp{op},
@@ -142,7 +154,7 @@
 }
 
 // GrantLease implements store.Store.
-func (e *Etcd) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+func (e *Store) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	in := LeaseGrantRequest{TTL: int64(max(1, ttl/time.Second))}
 	var out LeaseGrantResponse
 	if err := e.call(ctx, "/v3/lease/grant", in, &out); err != nil {
@@ -152,7 +164,7 @@
 }
 
 // KeepAlive implements store.Store.
-func (e *Etcd) KeepAlive(ctx context.Context, id store.LeaseID) error {
+func (e *Store) KeepAlive(ctx context.Context, id store.LeaseID) error {
 	var out LeaseKeepAliveResult
 	if err := e.call(ctx, "/v3/lease/keepalive", LeaseKeepAliveRequest{ID: int64(id)}, &out); err != nil {
 		return err
@@ -167,7 +179,7 @@
 const watchBuffer = 64
 
 // Watch implements store.Store.
-func (e *Etcd) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
+func (e *Store) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
 	in := WatchRequest{Create: WatchCreateRequest{
 		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: int64(after) + 1, ProgressNotify: true,
 	}}
@@ -180,7 +192,7 @@
 	return events, nil
 }
 
-func (e *Etcd) readWatch(ctx context.Context, body io.ReadCloser, events chan<- store.Event) {
+func (e *Store) readWatch(ctx context.Context, body io.ReadCloser, events chan<- store.Event) {
 	defer close(events)
 	defer body.Close()
 	dec := json.NewDecoder(body)
--- a/platform/etcdjson.go
+++ b/etcd/json.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import "github.com/arbutusmill/arbutusmill/coord/store"
 
--- a/operator/command.go
+++ b/operator/command.go
@@ -14,8 +14,8 @@
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/etcd"
 	"github.com/arbutusmill/arbutusmill/fleet"
-	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/google/subcommands"
@@ -123,7 +123,7 @@
 }
 
 func (t *target) store() store.Store {
-	return &platform.Etcd{URL: t.url, Client: http.DefaultClient, Timeout: t.timeout}
+	return &etcd.Store{URL: t.url, Client: http.DefaultClient, Timeout: t.timeout}
 }
 
 func (t *target) book() account.Book {
--- a/process/process.go
+++ b/process/process.go
@@ -17,10 +17,10 @@
 	"github.com/arbutusmill/arbutusmill/coord/incarnation"
 	"github.com/arbutusmill/arbutusmill/coord/recovery"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/etcd"
 	"github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
-	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/arbutusmill/arbutusmill/vm"
 	"github.com/rs/zerolog"
@@ -71,13 +71,13 @@
 		return nil, err
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}}
-	st := &platform.Etcd{URL: s.Platform.Store, Client: client, Timeout: time.Duration(s.Platform.Timeout)}
+	st := &etcd.Store{URL: s.Platform.Store, Client: client, Timeout: time.Duration(s.Platform.Timeout)}
 	return &Base{
 		Settings: s,
 		Open:     open,
 		Log:      observe.NewLogger(log, s.Log.Level, s.VM),
 		Store:    st,
-		Lister:   &platform.VMList{URL: s.Platform.VMs, Client: client},
+		Lister:   &vm.HTTPList{URL: s.Platform.VMs, Client: client},
 		View:     vm.NewView(),
 		Security: security,
 		Links: &link.Pool{From: s.VM, Security: security, Heartbeat: time.Duration(s.Links.Heartbeat),
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -12,7 +12,7 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
-	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/etcd"
 	"github.com/arbutusmill/arbutusmill/vm"
 )
 
@@ -81,21 +81,22 @@
 	}
 }
 
-func keyValue(it store.Item) platform.KeyValue {
-	return platform.KeyValue{Key: []byte(it.Key), Value: it.Value, ModRevision: int64(it.Revision)}
+func keyValue(it store.Item) etcd.KeyValue {
+	return etcd.KeyValue{Key: []byte(it.Key), Value: it.Value, ModRevision: int64(it.Revision)}
 }
 
 func (p *Platform) kvRange(w http.ResponseWriter, r *http.Request) {
-	var in platform.RangeRequest
+	var in etcd.RangeRequest
 	if !read(w, r, &in) {
 		return
 	}
+	revision := int64(p.Store.Revision())
 	items, err := p.items(r, in)
 	if err != nil {
 		fail(w, err)
 		return
 	}
-	out := platform.RangeResponse{Count: int64(len(items))}
+	out := etcd.RangeResponse{Header: etcd.Header{Revision: revision}, Count: int64(len(items))}
 	for _, it := range items {
 		out.KVs = append(out.KVs, keyValue(it))
 	}
@@ -103,7 +104,7 @@
 }
 
 // items reads one key, or a range. A range's common prefix is that of its ends.
-func (p *Platform) items(r *http.Request, in platform.RangeRequest) ([]store.Item, error) {
+func (p *Platform) items(r *http.Request, in etcd.RangeRequest) ([]store.Item, error) {
 	if len(in.RangeEnd) == 0 {
 		it, err := p.Store.Get(r.Context(), string(in.Key))
 		if err != nil || it.Revision == 0 {
@@ -127,7 +128,7 @@
 }
 
 func (p *Platform) kvTxn(w http.ResponseWriter, r *http.Request) {
-	var in platform.TxnRequest
+	var in etcd.TxnRequest
 	if !read(w, r, &in) {
 		return
 	}
@@ -140,10 +141,10 @@
 		fail(w, err)
 		return
 	}
-	reply(w, platform.TxnResponse{Header: platform.Header{Revision: int64(rev)}, Succeeded: err == nil})
+	reply(w, etcd.TxnResponse{Header: etcd.Header{Revision: int64(rev)}, Succeeded: err == nil})
 }
 
-func (p *Platform) apply(r *http.Request, c platform.Compare, op platform.RequestOp) (store.Revision, error) {
+func (p *Platform) apply(r *http.Request, c etcd.Compare, op etcd.RequestOp) (store.Revision, error) {
 	expect := store.Revision(c.ModRevision)
 	if op.DeleteRange != nil {
 		return 0, p.Store.Delete(r.Context(), string(c.Key), expect)
@@ -152,7 +153,7 @@
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	var in platform.WatchRequest
+	var in etcd.WatchRequest
 	if !read(w, r, &in) {
 		return
 	}
@@ -163,29 +164,29 @@
 		return
 	}
 	rc := http.NewResponseController(w)
-	reply(w, platform.WatchResult{Result: platform.WatchResponse{Created: true}})
+	reply(w, etcd.WatchResult{Result: etcd.WatchResponse{Created: true}})
 	_ = rc.Flush()
 	for ev := range events {
-		reply(w, platform.WatchResult{Result: watchResponse(ev)})
+		reply(w, etcd.WatchResult{Result: watchResponse(ev)})
 		_ = rc.Flush()
 	}
 }
 
-func watchResponse(ev store.Event) platform.WatchResponse {
-	out := platform.WatchResponse{Header: platform.Header{Revision: int64(ev.Revision)}}
+func watchResponse(ev store.Event) etcd.WatchResponse {
+	out := etcd.WatchResponse{Header: etcd.Header{Revision: int64(ev.Revision)}}
 	if ev.Progress {
 		return out
 	}
-	e := platform.WatchEvent{KV: keyValue(ev.Item)}
+	e := etcd.WatchEvent{KV: keyValue(ev.Item)}
 	if ev.Deleted {
-		e.Type = platform.EventDelete
+		e.Type = etcd.EventDelete
 	}
-	out.Events = []platform.WatchEvent{e}
+	out.Events = []etcd.WatchEvent{e}
 	return out
 }
 
 func (p *Platform) leaseGrant(w http.ResponseWriter, r *http.Request) {
-	var in platform.LeaseGrantRequest
+	var in etcd.LeaseGrantRequest
 	if !read(w, r, &in) {
 		return
 	}
@@ -194,15 +195,15 @@
 		fail(w, err)
 		return
 	}
-	reply(w, platform.LeaseGrantResponse{ID: int64(id), TTL: in.TTL})
+	reply(w, etcd.LeaseGrantResponse{ID: int64(id), TTL: in.TTL})
 }
 
 func (p *Platform) leaseKeepAlive(w http.ResponseWriter, r *http.Request) {
-	var in platform.LeaseKeepAliveRequest
+	var in etcd.LeaseKeepAliveRequest
 	if !read(w, r, &in) {
 		return
 	}
-	out := platform.LeaseKeepAliveResult{Result: platform.LeaseGrantResponse{ID: in.ID, TTL: 1}}
+	out := etcd.LeaseKeepAliveResult{Result: etcd.LeaseGrantResponse{ID: in.ID, TTL: 1}}
 	if err := p.Store.KeepAlive(r.Context(), store.LeaseID(in.ID)); err != nil {
 		if !errors.Is(err, store.ErrNoLease) {
 			fail(w, err)
--- a/platform/vmlist.go
+++ b/vm/httplist.go
@@ -1,24 +1,22 @@
-package platform
+package vm
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-
-	"github.com/arbutusmill/arbutusmill/vm"
 )
 
-// VMList reads the platform's list of VMs over HTTP: a JSON array of vm.VM.
-type VMList struct {
+// HTTPList reads the platform's list of VMs over HTTP: a JSON array of VM.
+type HTTPList struct {
 	URL    string
 	Client *http.Client
 }
 
-var _ vm.Lister = (*VMList)(nil)
+var _ Lister = (*HTTPList)(nil)
 
-// List implements vm.Lister.
-func (l *VMList) List(ctx context.Context) ([]vm.VM, error) {
+// List implements Lister.
+func (l *HTTPList) List(ctx context.Context) ([]VM, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.URL, nil)
 	if err != nil {
 		return nil, err
@@ -31,7 +29,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("VM list: status %d", resp.StatusCode)
 	}
-	var list []vm.VM
+	var list []VM
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return nil, fmt.Errorf("VM list: %w", err)
 	}
