--- a/coord/account/account.go
+++ b/coord/account/account.go
@@ -66,6 +66,10 @@
 	Team string `json:"team"`
 	// Credits maps the id of each top-up to its tokens; a repeated id counts once.
 	Credits map[string]int64 `json:"credits,omitempty"`
+	// Prepaid is the part of the credit that the operators' configuration gives,
+	// and Version the configuration that last changed it.
+	Prepaid int64 `json:"prepaid,omitempty"`
+	Version int64 `json:"version,omitempty"`
 	// Folded is the settled total of rows that were removed.
 	Folded int64 `json:"folded,omitempty"`
 	// Forfeited is what recovery could not prove unspent; it is never granted.
@@ -77,8 +81,8 @@
 	Rows map[string]*Row `json:"rows,omitempty"`
 }
 
-// Credit is the sum of all top-ups.
-func (a *Account) Credit() int64 { return sum(a.Credits) }
+// Credit is the sum of all top-ups and of what the configuration gives.
+func (a *Account) Credit() int64 { return sum(a.Credits) + a.Prepaid }
 
 // Settled is what was used, as far as holders reported it.
 func (a *Account) Settled() int64 {
@@ -109,7 +113,7 @@
 // Check verifies the invariant: settled + outstanding + forfeited <= credits,
 // and no amount negative or too large.
 func (a *Account) Check() error {
-	amounts := []int64{a.Credit(), a.Folded, a.Forfeited, a.Free()}
+	amounts := []int64{a.Credit(), a.Prepaid, a.Folded, a.Forfeited, a.Free()}
 	for _, r := range a.Rows {
 		amounts = append(amounts, r.Granted, r.Returned, r.Settled, r.Through, r.Balance())
 	}
@@ -139,6 +143,22 @@
 	return true, nil
 }
 
+// SetPrepaid makes n tokens the configuration's part of the credit, and reports whether
+// that changed anything. A configuration older than the one that last changed it has no
+// effect: its reader is late, and would undo what operators decided since. A limit that
+// is lowered takes back what is free, never what holders may already be spending.
+func (a *Account) SetPrepaid(version, n int64) bool {
+	if version <= a.Version || n < 0 || n > MaxTokens {
+		return false
+	}
+	a.Version = version // goes along with the next write; alone it is not worth one
+	if n == a.Prepaid {
+		return false
+	}
+	a.Prepaid = max(n, a.Prepaid-max(0, a.Free()))
+	return true
+}
+
 // Grant hands up to n free tokens to the holder and returns how many.
 func (a *Account) Grant(holder string, n int64) int64 {
 	n = min(n, a.Free())
--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -8,8 +8,8 @@
 	"github.com/arbutusmill/arbutusmill/coord/account"
 )
 
-// demandWindow is the time constant of a book's demand average.
-const demandWindow = 5 * time.Minute
+// defaultDemandWindow is the time constant of a book's demand average.
+const defaultDemandWindow = 5 * time.Minute
 
 // issued is a reservation out of the holder's own row.
 type issued struct {
@@ -64,7 +64,8 @@
 	waits []int64          // tokens that each waiting request wants
 	worst int64            // the largest recent reservation
 
-	demand     float64 // tokens a second, as of demandAt
+	window     time.Duration // the time constant of demand
+	demand     float64       // tokens a second, as of demandAt
 	demandAt   time.Time
 	lastUse    time.Time
 	lastReport time.Time
@@ -162,7 +163,7 @@
 
 // spend adds used tokens to the demand average.
 func (b *book) spend(now time.Time, used int64) {
-	b.demand = b.demandNow(now) + float64(used)/demandWindow.Seconds()
+	b.demand = b.demandNow(now) + float64(used)/b.window.Seconds()
 	b.demandAt = now
 	b.lastUse = now
 }
@@ -172,7 +173,7 @@
 		return 0
 	}
 	age := now.Sub(b.demandAt).Seconds()
-	return b.demand * math.Exp(-max(0, age)/demandWindow.Seconds())
+	return b.demand * math.Exp(-max(0, age)/b.window.Seconds())
 }
 
 // row is the report of this book's totals.
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -33,6 +33,10 @@
 	// that had spent all its time there would be refused although a peer has
 	// tokens.
 	Timeout time.Duration
+	// Prepare, if set, brings a page's accounts up to date with what operators
+	// decided elsewhere, before the holder plans on it; it reports whether it
+	// changed the page. It must be idempotent.
+	Prepare func(key string, p *account.Page) bool
 	// Now is the clock.
 	Now func() time.Time
 
@@ -139,11 +143,12 @@
 		if err != nil {
 			return nil, err
 		}
+		prepared := g.Prepare != nil && g.Prepare(key, page)
 		commits, write, err = g.Holder.plan(g.Now(), g.Timing, key, old.Revision, page)
 		if err != nil {
 			return nil, err
 		}
-		if !write {
+		if !write && !prepared {
 			return old.Value, nil
 		}
 		return page.Encode()
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -31,6 +31,8 @@
 	others map[string]struct{}
 	// expected is how many holders the fleet has, whether they have rows or not.
 	expected int
+	// window is the time constant of the average of demand.
+	window time.Duration
 	// stopping folds every row as soon as nothing is open on it.
 	stopping bool
 	byPage   func(budget string) string
@@ -63,6 +65,7 @@
 		disowned: map[Part]struct{}{},
 		shutOut:  map[string]struct{}{},
 		others:   map[string]struct{}{},
+		window:   defaultDemandWindow,
 		byPage:   layout.Key,
 		pages:    map[string]map[string]*book{},
 	}
@@ -80,6 +83,14 @@
 	h.expected = holders
 }
 
+// AverageDemand sets the time constant of the average of demand, before the first
+// request. A short one follows a team whose traffic jumps, a long one spares calls.
+func (h *Holder) AverageDemand(window time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.window = window
+}
+
 // Revision returns the newest store revision that the holder has seen.
 func (h *Holder) Revision() store.Revision {
 	h.mu.Lock()
@@ -185,7 +196,7 @@
 func (h *Holder) bookLocked(budget string) *book {
 	b := h.books[budget]
 	if b == nil {
-		b = &book{budget: budget, through: h.seq, durableThrough: h.seq}
+		b = &book{budget: budget, through: h.seq, durableThrough: h.seq, window: h.window}
 		h.books[budget] = b
 		page := h.byPage(budget)
 		if h.pages[page] == nil {
--- /dev/null
+++ b/coord/mirror/errors.go
@@ -0,0 +1,6 @@
+package mirror
+
+import "github.com/zeebo/errs"
+
+// ErrCut says that a watch ended; the keys are read again.
+var ErrCut = errs.New("watch was cut")
--- /dev/null
+++ b/coord/retrybudget/retrybudget.go
@@ -0,0 +1,85 @@
+// Package retrybudget bounds how often a process sends requests more than once. Without
+// a bound, a service that fails gets each request several times just when it can serve
+// least, and its failure feeds itself.
+package retrybudget
+
+import (
+	"sync"
+	"time"
+)
+
+// Rule is the bound for a whole fleet: in any window, the sends beyond the first of
+// each request stay below Ratio x requests + Extra.
+type Rule struct {
+	Ratio  float64
+	Extra  float64
+	Window time.Duration
+}
+
+// slices is the number of parts of a window; older parts leave one by one.
+const slices = 10
+
+// part is what was counted in one slice of the window.
+type part struct {
+	number   int64
+	requests int
+	repeats  int
+}
+
+// Budget is one process's share for one service. It is safe for concurrent use.
+type Budget struct {
+	mu    sync.Mutex
+	parts [slices]part
+}
+
+// Request counts one request of a caller.
+func (b *Budget) Request(now time.Time, r Rule) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(now, r).requests++
+}
+
+// Allow reports whether one more repeat fits, and counts it if so. Each process gets
+// the part of Ratio that its own requests bring, and an equal share of Extra; peers is
+// the number of processes that share it. Shares need no message, and their sum stays
+// within the rule as long as peers is not too low.
+func (b *Budget) Allow(now time.Time, r Rule, peers int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	requests, repeats := b.sumLocked(now, r)
+	limit := r.Ratio*float64(requests) + r.Extra/float64(max(1, peers))
+	if float64(repeats+1) > limit {
+		return false
+	}
+	b.at(now, r).repeats++
+	return true
+}
+
+func (b *Budget) sumLocked(now time.Time, r Rule) (requests, repeats int) {
+	current := number(now, r)
+	for _, p := range b.parts {
+		if p.number > current-slices && p.number <= current {
+			requests += p.requests
+			repeats += p.repeats
+		}
+	}
+	return requests, repeats
+}
+
+// at returns the slice of this moment, emptied if it was last used a window ago.
+func (b *Budget) at(now time.Time, r Rule) *part {
+	n := number(now, r)
+	p := &b.parts[n%slices]
+	if p.number != n {
+		*p = part{number: n}
+	}
+	return p
+}
+
+func number(now time.Time, r Rule) int64 {
+	return int64(now.Sub(epoch) / (r.Window / slices))
+}
+
+// epoch is any fixed moment with a monotonic reading, so that steps of the time of day
+// do not move the window.
+var epoch = time.Now().Add(-time.Hour)
--- a/coord/store/memstore/watch.go
+++ b/coord/store/memstore/watch.go
@@ -124,6 +124,18 @@
 	return nil
 }
 
+// EndLease implements store.Store.
+func (s *Store) EndLease(ctx context.Context, id store.LeaseID) error {
+	if err := s.enter(ctx, func(c *Calls) { c.Writes++ }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.leases, id)
+	s.deleteLeasedLocked(id)
+	return nil
+}
+
 // expireLocked removes the leases that lapsed, and their keys.
 func (s *Store) expireLocked(now time.Time) {
 	for id, l := range s.leases {
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -28,6 +28,9 @@
 	ErrUnavailable = errs.New("store unavailable, nothing was done")
 	// ErrTooLarge says that the value passes MaxValueBytes; nothing was written.
 	ErrTooLarge = errs.New("value too large")
+	// ErrCompacted says that the store no longer has the history that a watch
+	// asked for; read a snapshot and watch from there.
+	ErrCompacted = errs.New("history is gone")
 	// ErrNoLease says that the lease lapsed or never existed.
 	ErrNoLease = errs.New("no such lease")
 )
@@ -55,12 +58,15 @@
 	Item
 	Deleted  bool
 	Progress bool
+	// Err is the reason why a watch ends; it comes alone in the last event. A
+	// watch may also end without one.
+	Err error
 }
 
 // Store is the platform's service. Each method counts as one call, a waiting
 // watch as one. Implementations are safe for concurrent use and honour the
-// context's deadline. Errors other than ErrConflict, ErrTooLarge and
-// ErrNoLease wrap ErrUnknown.
+// context's deadline. Errors other than ErrConflict, ErrTooLarge,
+// ErrCompacted and ErrNoLease wrap ErrUnknown.
 type Store interface {
 	// Get reads one key. An absent key is no error.
 	Get(ctx context.Context, key string) (Item, error)
@@ -85,4 +91,6 @@
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews the lease for its whole ttl.
 	KeepAlive(ctx context.Context, id LeaseID) error
+	// EndLease removes the lease and its keys. A lease that has ended is no error.
+	EndLease(ctx context.Context, id LeaseID) error
 }
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/arbutusmill/arbutusmill/gateway"
+	"github.com/arbutusmill/arbutusmill/observe"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/google/subcommands"
+)
+
+// settingsVariable holds the path of the settings file where the platform starts a
+// process.
+const settingsVariable = "ARBUTUSMILL_SETTINGS"
+
+// gatewayCmd runs a router on the operators' platform.
+type gatewayCmd struct{ config string }
+
+// Name implements subcommands.Command.
+func (*gatewayCmd) Name() string { return "gateway" }
+
+// Synopsis implements subcommands.Command.
+func (*gatewayCmd) Synopsis() string {
+	return "run the router of this VM on the operators' platform until SIGTERM"
+}
+
+// Usage implements subcommands.Command.
+func (*gatewayCmd) Usage() string {
+	return `gateway [-config FILE]
+Runs the router of this VM on the operators' platform. SIGTERM makes a planned stop: no
+request is cut off. Without -config the file is the one that ` + settingsVariable + ` names.
+Example: arbutusmilld gateway -config examples/platform/gateway.yaml
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *gatewayCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.config, "config", os.Getenv(settingsVariable), "settings `file` (YAML)")
+}
+
+// Execute implements subcommands.Command.
+func (c *gatewayCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.config == "" {
+		fmt.Fprintln(os.Stderr, "settings: -config FILE is missing")
+		return subcommands.ExitUsageError
+	}
+	s, err := settings.LoadGateway(c.config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	out, dropped := observe.Stdout()
+	err = gateway.New(s, out, dropped).Run(ctx, net.Listen)
+	if closeErr := out.Close(); closeErr != nil {
+		fmt.Fprintln(os.Stderr, closeErr)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/etcd/etcd.go
+++ b/etcd/etcd.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -175,6 +176,16 @@
 	return nil
 }
 
+// EndLease implements store.Store.
+func (e *Store) EndLease(ctx context.Context, id store.LeaseID) error {
+	var out struct{}
+	err := e.call(ctx, "/v3/lease/revoke", LeaseRevokeRequest{ID: int64(id)}, &out)
+	if errors.Is(err, store.ErrNoLease) {
+		return nil
+	}
+	return err
+}
+
 // watchBuffer bounds the events that wait for the reader of a watch.
 const watchBuffer = 64
 
--- a/etcd/json.go
+++ b/etcd/json.go
@@ -96,6 +96,11 @@
 	Result LeaseGrantResponse `json:"result"`
 }
 
+// LeaseRevokeRequest ends a lease.
+type LeaseRevokeRequest struct {
+	ID int64 `json:"ID,string"`
+}
+
 // WatchRequest opens a watch.
 type WatchRequest struct {
 	Create WatchCreateRequest `json:"create_request"`
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,292 @@
+// Package gateway is the router process on the operators' platform: it answers callers
+// on an entry VM, and keeps what must last in the platform's store. What the platform
+// speaks is translated in package platform; the path of a request is package serving.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/catalog"
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/mirror"
+	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
+	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/observe"
+	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/pool"
+	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/serving"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/rs/zerolog"
+)
+
+// memberPrefix begins the keys by which routers know of each other.
+const memberPrefix = "arbutusmill/router/"
+
+const (
+	// memoryShare is the part of the process's memory that the collector may fill;
+	// the rest is for stacks, buffers of the kernel and a burst between two
+	// collections.
+	memoryShare = 0.7
+	// assumedRouters is the number of routers assumed until the store told it:
+	// too many rather than too few, for shares of the retry budget.
+	assumedRouters = 8
+	// headerTimeout bounds the wait for a request's headers, beyond what the
+	// operators' limits allow callers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds a caller's unused connection. Callers use connections
+	// again that were idle for many seconds, and a close that crosses a request
+	// costs it.
+	idleTimeout = 75 * time.Second
+	// headerBytes bounds a request's headers.
+	headerBytes = 64 << 10
+	// expirePause is the pause between two looks for entries that did not return.
+	expirePause = 200 * time.Millisecond
+	// forgetPause is the pause between two looks for upstreams that are gone.
+	forgetPause = 10 * time.Second
+	// placePause is the pause between two looks at all budget pages.
+	placePause = 5 * time.Second
+	// stopMargin is the part of the grace that is kept for the last writes.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Opener opens a listening address, as net.Listen does.
+type Opener func(network, address string) (net.Listener, error)
+
+// Gateway is one router process.
+type Gateway struct {
+	settings *settings.Gateway
+	log      zerolog.Logger
+	// logDropped returns the lines that the log's writer could not keep.
+	logDropped func() uint64
+	life       string
+	store      *platform.Store
+
+	catalog   catalog.Current
+	directory *directory.Directory
+	members   *member.Group
+	pool      *pool.Pool
+	budgets   *budgets
+	repeats   *repeats
+	path      *serving.Path
+	metrics   *gatewayMetrics
+	admin     *observe.Admin
+
+	active   atomic.Int64
+	stopping atomic.Bool
+	// first is closed when the first configuration is in force.
+	first  chan struct{}
+	hasOne atomic.Bool
+}
+
+// New makes a gateway; it makes no call.
+func New(s *settings.Gateway, log io.Writer, dropped func() uint64) *Gateway {
+	g := &Gateway{
+		settings:   s,
+		log:        observe.NewLogger(log, s.Log.Level, s.VM),
+		logDropped: dropped,
+		life:       s.VM + "/" + rand.Text()[:8],
+		admin:      &observe.Admin{},
+		first:      make(chan struct{}),
+	}
+	g.log = g.log.With().Str("life", g.life).Logger()
+	g.store = &platform.Store{
+		Address:   s.Store.Address,
+		Client:    &http.Client{Transport: storeTransport()},
+		Timeout:   time.Duration(s.Store.Timeout),
+		WatchWait: time.Duration(s.Store.WatchWait),
+	}
+	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
+	g.members = &member.Group{
+		Store: g.store, Prefix: memberPrefix, TTL: time.Duration(s.Store.MemberTTL), Report: g,
+		Self: member.Member{ID: g.life, VM: s.VM, Datacentre: s.Datacentre},
+	}
+	g.pool = &pool.Pool{
+		Directory: g.directory, PrefillPerMs: s.Upstreams.PrefillPerMs, Routers: g.routers,
+		Here: s.Datacentre, Now: time.Now,
+	}
+	g.budgets = newBudgets(g.life, s.Budgets, g.store, &g.catalog, g.log)
+	g.repeats = &repeats{rule: retrybudget.Rule{Ratio: s.Repeats.Ratio, Extra: s.Repeats.Extra,
+		Window: time.Duration(s.Repeats.Window)}, routers: g.routers}
+	g.path = &serving.Path{
+		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(s.Upstreams)},
+		Budgets:   g.budgets,
+		Repeats:   g.repeats,
+		Now:       time.Now,
+	}
+	g.metrics = newMetrics(g)
+	g.admin.Metrics, g.admin.Dump = g.metrics.set, g.dump
+	return g
+}
+
+func storeTransport() *http.Transport {
+	d := &net.Dialer{Timeout: time.Second, KeepAliveConfig: keepAlive, Control: boundUnacknowledged}
+	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: storeIdleConns}
+}
+
+// storeIdleConns bounds the kept connections to the store: two watches, the lease and
+// a few calls at once.
+const storeIdleConns = 8
+
+// routers is how many routers there are, as far as is known.
+func (g *Gateway) routers() int {
+	if n, known := g.members.Count(); known {
+		return n
+	}
+	return assumedRouters
+}
+
+// version is that of the configuration in force, 0 before the first.
+func (g *Gateway) version() int64 {
+	if t := g.catalog.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// configured is called after each change of the configuration.
+func (g *Gateway) configured() {
+	if g.hasOne.CompareAndSwap(false, true) {
+		close(g.first)
+	}
+}
+
+// ready reports whether callers should be sent here. A router that lost the store goes
+// on with what it knows; one that never knew anything cannot serve.
+func (g *Gateway) ready() bool {
+	return !g.stopping.Load() && g.hasOne.Load() && g.directory.Read()
+}
+
+// enter counts a request in.
+func (g *Gateway) enter() bool {
+	if g.active.Add(1) > int64(g.settings.Limits.Concurrent) {
+		g.active.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (g *Gateway) leave() { g.active.Add(-1) }
+
+// Run serves until stop is done, then stops in order: not ready for the balancer, new
+// work still served for a while, open requests finish, unused tokens go back.
+func (g *Gateway) Run(stop context.Context, open Opener) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(g.settings.Limits.MemoryMB<<20)))
+	listeners, err := g.listen(open)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	duties := process.NewDuties(ctx)
+	g.log.Info().Str("datacentre", g.settings.Datacentre).Str("callers", g.settings.Listen.Callers).Msg("started")
+	callers := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+	g.serve(duties, listeners, callers)
+	g.start(duties)
+	<-stop.Done()
+	g.stop(ctx, callers)
+	cancel()
+	duties.Wait()
+	return nil
+}
+
+type listeners struct{ callers, ready, admin net.Listener }
+
+func (g *Gateway) listen(open Opener) (l listeners, err error) {
+	s := g.settings.Listen
+	for _, x := range []struct {
+		field, address string
+		into           *net.Listener
+	}{
+		{"listen.callers", s.Callers, &l.callers},
+		{"listen.ready", s.Ready, &l.ready},
+		{"listen.admin", s.Admin, &l.admin},
+	} {
+		if *x.into, err = open("tcp", x.address); err != nil {
+			return l, process.Error.New("%s: %w", x.field, err)
+		}
+	}
+	return l, nil
+}
+
+// serve starts the three servers.
+func (g *Gateway) serve(d *process.Duties, l listeners, callers *http.Server) {
+	d.Serve(callers, l.callers, nil)
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
+	d.Serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, l.ready, nil)
+	d.Serve(&http.Server{Handler: g.admin.Handler(), ReadHeaderTimeout: headerTimeout}, l.admin, nil)
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// start starts a goroutine for each duty.
+func (g *Gateway) start(d *process.Duties) {
+	config := &mirror.Mirror{Store: g.store, Prefix: platform.ConfigKey, Reader: configReader{g}}
+	upstreams := &mirror.Mirror{Store: g.store, Prefix: platform.UpstreamPrefix, Reader: g.directory}
+	d.Go(config.Run)
+	d.Go(upstreams.Run)
+	d.Go(g.members.Follow)
+	d.Go(g.members.Keep)
+	d.Go(g.holdTokens)
+	d.Every(expirePause, func(context.Context) { g.directory.Expire() })
+	d.Every(forgetPause, func(context.Context) { g.pool.Forget() })
+	d.Every(placePause, g.budgets.place)
+}
+
+// holdTokens takes part in the budgets from the first configuration on.
+func (g *Gateway) holdTokens(ctx context.Context) {
+	select {
+	case <-g.first:
+	case <-ctx.Done():
+		return
+	}
+	g.budgets.place(ctx)
+	g.budgets.run(ctx)
+}
+
+// stop is a planned stop.
+func (g *Gateway) stop(ctx context.Context, callers *http.Server) {
+	began := time.Now()
+	s := g.settings.Stop
+	g.stopping.Store(true)
+	g.log.Info().Int64("active", g.active.Load()).Msg("stopping")
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Grace)-stopMargin)
+	defer cancel()
+	pause(ctx, time.Duration(s.Notice))
+	if err := callers.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		g.log.Error().Err(err).Msg("shutdown_failed")
+	}
+	last, end := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
+	defer end()
+	if err := g.budgets.giveBack(last); err != nil {
+		g.log.Warn().Err(err).Msg("tokens_not_given_back")
+	}
+	if err := g.members.Leave(last); err != nil {
+		g.log.Warn().Err(err).Msg("lease_not_ended")
+	}
+	g.log.Info().Int64("active", g.active.Load()).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/serving"
+)
+
+// gatewayMetrics are the counters and histograms of a gateway.
+type gatewayMetrics struct{ set *metrics.Set }
+
+func newMetrics(g *Gateway) *gatewayMetrics {
+	m := &gatewayMetrics{set: metrics.NewSet()}
+	m.set.NewGauge("arbutusmill_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
+	m.set.NewGauge("arbutusmill_gateway_configuration_version", func() float64 { return float64(g.version()) })
+	m.set.NewGauge("arbutusmill_gateway_routers", func() float64 {
+		n, _ := g.members.Count()
+		return float64(n)
+	})
+	m.set.NewGauge("arbutusmill_gateway_dropped_log_lines_total", func() float64 { return float64(g.logDropped()) })
+	return m
+}
+
+// refused counts a refusal.
+func (m *gatewayMetrics) refused(k contract.Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_refused_requests_total{kind=%q}", k)).Inc()
+}
+
+// ended counts the end of a request that came onto the path.
+func (m *gatewayMetrics) ended(r *serving.Request, e serving.End, took time.Duration) {
+	service := r.Service.Name
+	if e.Refusal != nil {
+		m.refused(e.Refusal.Kind)
+	}
+	for _, a := range e.Attempts {
+		m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_attempts_total{service=%q,result=%q}", service, a.Result)).Inc()
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_used_tokens_total{team=%q}", r.Team)).Add(int(e.Used))
+	m.set.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_gateway_request_duration_seconds{service=%q}", service)).Update(took.Seconds())
+}
--- /dev/null
+++ b/gateway/send.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/catalog"
+	"github.com/arbutusmill/arbutusmill/hop"
+	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/pool"
+	"github.com/arbutusmill/arbutusmill/serving"
+	"github.com/arbutusmill/arbutusmill/settings"
+)
+
+// maxAnswerBytes bounds an answer that is held until it is whole.
+const maxAnswerBytes = 8 << 20
+
+// cancelEvents is how many events an upstream may have made beyond those that arrived
+// when a run is broken off: they are charged, since the team may have consumed them.
+const cancelEvents = 8
+
+// upstreams implements serving.Upstreams in the platform's dialect.
+type upstreams struct {
+	*pool.Pool
+	transport http.RoundTripper
+}
+
+// Keep-alive probes find an upstream that went dark while a request waits for its
+// answer: without them the caller would wait for its whole deadline.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
+func newTransport(s settings.Upstreams) *http.Transport {
+	d := &net.Dialer{Timeout: time.Duration(s.DialTimeout), KeepAliveConfig: keepAlive, Control: boundUnacknowledged}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		DisableCompression:  true, // callers get the upstream's own bytes
+		MaxIdleConnsPerHost: idleConnsPerUpstream,
+		IdleConnTimeout:     time.Duration(s.IdleTimeout),
+	}
+}
+
+// idleConnsPerUpstream bounds the kept connections to one upstream, of the few hundred
+// that it accepts from all routers.
+const idleConnsPerUpstream = 16
+
+// Send implements serving.Upstreams.
+func (u *upstreams) Send(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
+	at := exchange{request: r, target: t, out: out, caller: ctx}
+	ctx, cancel := context.WithDeadline(ctx, t.Until)
+	defer cancel()
+	sent := &hop.Sent{}
+	req := u.upstreamRequest(sent.Trace(ctx), r, t, out)
+	resp, err := u.transport.RoundTrip(req)
+	if err != nil {
+		return at.noAnswer(sent.Connected(), err)
+	}
+	defer resp.Body.Close()
+	return at.answer(resp)
+}
+
+// oneShot is a body that the HTTP client cannot send a second time by itself: it would
+// repeat requests when a kept connection breaks, those that must not run twice too.
+type oneShot struct{ io.Reader }
+
+// Close implements io.Closer.
+func (oneShot) Close() error { return nil }
+
+func (u *upstreams) upstreamRequest(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) *http.Request {
+	if out.Began() {
+		resumed := *r
+		resumed.LastEvent = out.LastEvent()
+		r = &resumed
+	}
+	req := (&http.Request{
+		Method:        r.Method,
+		URL:           requestURL(t.Address, r.URI),
+		Host:          r.Host,
+		Header:        platform.UpstreamHeader(r, t, u.Now()),
+		Body:          oneShot{bytes.NewReader(r.Body)},
+		ContentLength: int64(len(r.Body)),
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}).WithContext(ctx)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = []string{""} // or the client would add its own
+	}
+	return req
+}
+
+// exchange is one send and the answer to it.
+type exchange struct {
+	request *serving.Request
+	target  serving.Target
+	out     serving.Caller
+	// caller ends when the caller leaves or the request's time is over.
+	caller context.Context
+	events int64
+}
+
+func (x *exchange) attempt(result serving.Result, format string, args ...any) serving.Attempt {
+	a := serving.Attempt{Upstream: x.target.ID, Result: result, Why: fmt.Sprintf(format, args...)}
+	if !result.NotRun() {
+		a.Began = true
+		a.Output = x.output(result)
+	}
+	return a
+}
+
+// output is the most tokens that the run may have made.
+func (x *exchange) output(result serving.Result) int64 {
+	r := x.request
+	if r.Service.Engine == nil {
+		return 0
+	}
+	perEvent := r.Service.Engine.TokensPerEvent
+	switch {
+	case result == serving.Whole:
+		return min(r.MaxOutput, x.events*perEvent)
+	case x.events == 0 && result == serving.Unknown:
+		return r.MaxOutput
+	}
+	return min(r.MaxOutput, (x.events+cancelEvents)*perEvent)
+}
+
+// noAnswer is a send without a valid answer.
+func (x *exchange) noAnswer(connected bool, err error) serving.Attempt {
+	switch cause := x.caller.Err(); {
+	case !connected && errors.Is(cause, context.Canceled):
+		a := x.attempt(serving.CallerGone, "before it was sent")
+		a.Began, a.Output = false, 0
+		return a
+	case !connected:
+		return x.attempt(serving.Unreached, "%v", err)
+	case errors.Is(cause, context.Canceled):
+		return x.attempt(serving.CallerGone, "while the upstream had it")
+	case errors.Is(cause, context.DeadlineExceeded):
+		return x.attempt(serving.OutOfTime, "%v", err)
+	}
+	return x.attempt(serving.Unknown, "%v", err)
+}
+
+// answer passes an answer on, or says what is wrong with it.
+func (x *exchange) answer(resp *http.Response) serving.Attempt {
+	m := platform.ReadMarks(resp.StatusCode, resp.Header)
+	if m.ID != x.request.ID && (m.ID != "" || !m.NotRun) {
+		// The answer to another request: an upstream may send a second one on
+		// a kept connection, where the next answer is expected. What became of
+		// this request is not known.
+		return x.attempt(serving.Unknown, "answer to request %q", m.ID)
+	}
+	switch {
+	case m.Misdirected:
+		return x.attempt(serving.Misdirected, "another process answers there")
+	case m.NotRun:
+		drain(resp)
+		return x.attempt(serving.Declined, "status %d", resp.StatusCode)
+	case m.Encoded:
+		return x.attempt(serving.Unknown, "encoded answer")
+	case resp.StatusCode >= 300:
+		return x.failure(resp, m)
+	case !m.Signed:
+		return x.attempt(serving.Unknown, "answer without signature")
+	case x.request.Route.Kind == catalog.Streaming:
+		return x.stream(resp)
+	}
+	return x.whole(resp)
+}
+
+// drain reads the rest of a short answer, so that its connection can be used again.
+func drain(resp *http.Response) {
+	const short = 4 << 10
+	_, _ = io.CopyN(io.Discard, resp.Body, short) // a longer one costs the connection only
+}
+
+// failure reads an upstream's failure. Statuses that promise "not run" without its
+// proof are not passed on.
+func (x *exchange) failure(resp *http.Response, m platform.Marks) serving.Attempt {
+	body, err := readAnswer(resp)
+	if err != nil {
+		return x.noAnswer(true, err)
+	}
+	if !m.Signed || promisesNotRun(resp.StatusCode) {
+		return x.attempt(serving.Unknown, "status %d without proof", resp.StatusCode)
+	}
+	a := x.attempt(serving.Failed, "status %d", resp.StatusCode)
+	a.Answer = &serving.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	return a
+}
+
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func readAnswer(resp *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.New("the answer is too long")
+	}
+	return body, err
+}
+
+// whole holds an answer until all of it is there: one that breaks off has then not
+// begun for the caller, and may be asked for again where that is allowed.
+func (x *exchange) whole(resp *http.Response) serving.Attempt {
+	body, err := readAnswer(resp)
+	if err != nil {
+		return x.noAnswer(true, err)
+	}
+	x.target.Read()
+	if err := pass(x.out, resp, body); err != nil {
+		return x.attempt(serving.CallerGone, "%v", err)
+	}
+	return x.attempt(serving.Whole, "")
+}
+
+func pass(out serving.Caller, resp *http.Response, body []byte) error {
+	if err := out.Begin(resp.StatusCode, resp.Header); err != nil {
+		return err
+	}
+	if err := out.Piece(body); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
+// stream passes events on as they arrive.
+func (x *exchange) stream(resp *http.Response) serving.Attempt {
+	events := newEventReader(resp.Body)
+	for {
+		event, id, err := events.next()
+		if errors.Is(err, io.EOF) && x.out.Began() {
+			return x.attempt(serving.Whole, "")
+		}
+		if err != nil {
+			return x.broken(err)
+		}
+		x.events++
+		x.target.Read()
+		if err := x.event(resp, event, id, events.more()); err != nil {
+			return x.attempt(serving.CallerGone, "%v", err)
+		}
+	}
+}
+
+// event passes one event on. The headers go with the first one, so that a run that
+// breaks before it leaves nothing behind.
+func (x *exchange) event(resp *http.Response, event []byte, id string, more bool) error {
+	if !x.out.Began() {
+		if err := x.out.Begin(resp.StatusCode, resp.Header); err != nil {
+			return err
+		}
+	}
+	if err := x.out.Piece(event); err != nil {
+		return err
+	}
+	if id != "" {
+		x.out.SetLastEvent(id)
+	}
+	if more {
+		return nil
+	}
+	return x.out.Flush()
+}
+
+// broken is a stream that stopped.
+func (x *exchange) broken(err error) serving.Attempt {
+	a := x.noAnswer(true, err)
+	if a.Result == serving.Unknown && x.out.Began() {
+		a.Result = serving.Broken
+	}
+	return a
+}
--- /dev/null
+++ b/gateway/socket.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"net/url"
+	"syscall"
+)
+
+// unacknowledgedMillis is how long (ms) sent bytes may stay without acknowledgement
+// before a connection counts as broken. A VM without power or behind a cut answers
+// nothing, and without this bound the kernel would go on sending for minutes.
+const unacknowledgedMillis = 2000
+
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux; package syscall has
+// no name for it.
+const tcpUserTimeout = 18
+
+// boundUnacknowledged sets the bound on a new socket.
+func boundUnacknowledged(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, unacknowledgedMillis)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// requestURL keeps path and query byte for byte as the caller sent them: the opaque part
+// of a URL is written as it is.
+func requestURL(address, uri string) *url.URL {
+	return &url.URL{Scheme: "http", Host: address, Opaque: uri}
+}
--- a/observe/log.go
+++ b/observe/log.go
@@ -5,8 +5,10 @@
 import (
 	"io"
 	"os"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
 // logTime is the form of the time in a log line.
@@ -27,5 +29,17 @@
 	return zerolog.New(out).Level(lv).With().Timestamp().Str("vm", vm).Logger()
 }
 
+// bufferedLines bounds the lines that wait for a slow reader of the log; more are
+// dropped and counted, for a request must never wait for its log line.
+const bufferedLines = 4096
+
+// Stdout returns a writer to standard output that never blocks, and a function that
+// returns how many lines it dropped so far.
+func Stdout() (w io.WriteCloser, dropped func() uint64) {
+	var n atomic.Uint64
+	d := diode.NewWriter(os.Stdout, bufferedLines, 0, func(missed int) { n.Add(uint64(missed)) })
+	return d, n.Load
+}
+
 // Stderr is where logs go.
 func Stderr() io.Writer { return os.Stderr }
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,227 @@
+// Package placement chooses the upstream for a request. It is a pure decision: what is
+// known of the upstreams comes in, the choice goes out.
+//
+// For model engines the load is prefill: reading a prompt takes most of an engine's
+// time, unless its leading parts are cached there. So requests that share a part go to
+// the same engine, found by rendezvous hashing without any message between routers, as
+// long as that engine's queue costs less time than reading the part again elsewhere.
+package placement
+
+import (
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
+	"github.com/arbutusmill/arbutusmill/serving"
+)
+
+// Upstream is one candidate as the router believes it to be.
+type Upstream struct {
+	ID         string
+	Datacentre string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Running is this router's requests there that have not ended.
+	Running int
+	// Unread is the prompt tokens of this router's requests there whose first
+	// event has not come, without those believed cached.
+	Unread int64
+	// Cached is how many leading tokens of the request's prompt it is believed to
+	// have cached, by what this router sent there.
+	Cached int64
+	// Avoid says that it failed lately.
+	Avoid bool
+	// FailureShare is the share of its recent answers that failed, 0 to 1.
+	FailureShare float64
+}
+
+// Rates are what the choice assumes of upstreams.
+type Rates struct {
+	// PrefillPerMs is the prompt tokens that an engine reads in a millisecond.
+	PrefillPerMs float64
+	// FetchPerMs is the tokens of cached prompt that engines pass on in a
+	// millisecond.
+	FetchPerMs float64
+	// Routers is how many routers send to the same upstreams.
+	Routers int
+	// Here is the router's data centre.
+	Here string
+}
+
+// Weights of the choice.
+const (
+	// crowdedCost is added in proportion to the slots believed taken, squared:
+	// a batch slows down each of its requests, and a full one makes the next wait.
+	crowdedCost = 200 * time.Millisecond
+	// farCost prefers an upstream of the own data centre when all else is alike:
+	// about two of the networks' one-way delays, and bytes between data centres
+	// are paid for.
+	farCost = 3 * time.Millisecond
+	// failureCost is what an upstream that fails every request costs.
+	failureCost = 2 * time.Second
+	// fetchLeast is the fewest tokens that are worth a transfer; below it the
+	// set-up of the transfer takes longer than reading them.
+	fetchLeast = 1000
+	// homeTrust is the share of the shared parts that the home engine is believed
+	// to have cached although this router never sent them there: other routers
+	// send to it too.
+	homeTrust = 0.8
+)
+
+// Choice is the upstream for a request.
+type Choice struct {
+	Index int
+	// FetchFrom is the index of an upstream that should have more of the prompt
+	// cached, or -1.
+	FetchFrom int
+	// Unread is the tokens that the chosen one must read.
+	Unread int64
+	// Cost is the estimated time to the first event.
+	Cost time.Duration
+}
+
+// Key is the part of a prompt by which requests are brought together: the last one
+// that others may share. The very last part belongs to the request alone.
+func Key(parts []serving.Part) string {
+	switch len(parts) {
+	case 0:
+		return ""
+	case 1:
+		return parts[0].ID
+	}
+	return parts[len(parts)-2].ID
+}
+
+// shared is the tokens of all parts but the last.
+func shared(parts []serving.Part) int64 {
+	var n int64
+	for i := 0; i+1 < len(parts); i++ {
+		n += parts[i].Tokens
+	}
+	return n
+}
+
+// Choose returns the upstream with the least estimated cost, or false when there is
+// none. Upstreams to avoid are taken only when no other is left.
+func Choose(r *serving.Request, ups []Upstream, rates Rates, tie func(n int) int) (Choice, bool) {
+	usable := candidates(ups)
+	if len(usable) == 0 {
+		return Choice{}, false
+	}
+	if r.Prompt == 0 {
+		return choosePlain(ups, usable, rates, tie), true
+	}
+	return choosePrompt(r, ups, usable, rates, tie), true
+}
+
+func candidates(ups []Upstream) []int {
+	var good, avoided []int
+	for i, u := range ups {
+		if u.Avoid {
+			avoided = append(avoided, i)
+		} else {
+			good = append(good, i)
+		}
+	}
+	if len(good) == 0 {
+		return avoided
+	}
+	return good
+}
+
+// choosePlain takes the upstream with the most room.
+func choosePlain(ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
+	best := Choice{Index: -1, FetchFrom: -1}
+	start := tie(len(usable))
+	for k := range usable {
+		i := usable[(start+k)%len(usable)]
+		c := common(ups[i], mean(ups, usable), rates)
+		if best.Index < 0 || c < best.Cost {
+			best.Index, best.Cost = i, c
+		}
+	}
+	return best
+}
+
+// load is what the usable upstreams have on average, by this router's own requests.
+type load struct {
+	running float64
+	unread  float64
+}
+
+func mean(ups []Upstream, usable []int) load {
+	var l load
+	for _, i := range usable {
+		l.running += float64(ups[i].Running)
+		l.unread += float64(ups[i].Unread)
+	}
+	n := float64(len(usable))
+	return load{running: l.running / n, unread: l.unread / n}
+}
+
+// others is the number of routers beside this one. Each is assumed to have the same
+// load as this one, spread evenly: the own requests at an upstream say little about
+// what the others have there at this moment.
+func (r Rates) others() float64 { return float64(max(0, r.Routers-1)) }
+
+// common is the part of the cost that plain services and engines share.
+func common(u Upstream, m load, rates Rates) time.Duration {
+	taken := (float64(u.Running) + m.running*rates.others()) / float64(max(1, u.Slots))
+	c := time.Duration(float64(crowdedCost) * taken * taken)
+	c += time.Duration(float64(failureCost) * u.FailureShare)
+	if u.Datacentre != rates.Here {
+		c += farCost
+	}
+	return c
+}
+
+func choosePrompt(r *serving.Request, ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
+	m := mean(ups, usable)
+	home := homeOf(r, ups, usable)
+	homeShared := int64(homeTrust * float64(shared(r.Parts)))
+	best := Choice{Index: -1}
+	start := tie(len(usable))
+	for k := range usable {
+		i := usable[(start+k)%len(usable)]
+		u := ups[i]
+		cached := u.Cached
+		if i == home {
+			cached = max(cached, homeShared)
+		}
+		unread := max(0, r.Prompt-cached)
+		from := -1
+		waitTokens := float64(unread)
+		if i != home && home >= 0 && homeShared-cached >= fetchLeast {
+			from = home
+			fetched := float64(homeShared - cached)
+			waitTokens += fetched * (rates.PrefillPerMs/rates.FetchPerMs - 1)
+			unread -= homeShared - cached
+		}
+		waitTokens += float64(u.Unread) + m.unread*rates.others()
+		c := common(u, m, rates) + time.Duration(waitTokens/rates.PrefillPerMs*float64(time.Millisecond))
+		if best.Index < 0 || c < best.Cost {
+			best = Choice{Index: i, FetchFrom: from, Unread: unread, Cost: c}
+		}
+	}
+	return best
+}
+
+// homeOf is the upstream that all routers prefer for the request's shared parts. It is
+// found among all candidates, so that one upstream's failures at one router do not
+// move the homes of others' requests.
+func homeOf(r *serving.Request, ups []Upstream, usable []int) int {
+	key := Key(r.Parts)
+	if key == "" {
+		return -1
+	}
+	ids := make([]string, len(usable))
+	for k, i := range usable {
+		ids[k] = ups[i].ID
+	}
+	id := rendezvous.Pick(key, ids)
+	for _, i := range usable {
+		if ups[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,251 @@
+// Package pool is what a router knows of its upstreams by its own requests: how many
+// run there, how much they have to read, what they probably have cached, and how they
+// failed. It asks nobody.
+package pool
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/placement"
+	"github.com/arbutusmill/arbutusmill/serving"
+)
+
+// How failing upstreams are left alone.
+const (
+	// avoidFirst is for how long an upstream is avoided after it could not be
+	// reached or did not answer; it doubles with each further failure up to
+	// avoidMost, which bounds how late a returned one gets work again.
+	avoidFirst = 250 * time.Millisecond
+	avoidMost  = 2 * time.Second
+	// failureWeight is the weight of one answer in the share of failures: some
+	// ten answers decide.
+	failureWeight = 0.1
+	// failureHalfLife is the time in which the share of failures halves without
+	// further answers, so that an avoided upstream is tried again.
+	failureHalfLife = 2 * time.Second
+)
+
+// Pool chooses upstreams by this router's own experience.
+type Pool struct {
+	Directory *directory.Directory
+	// PrefillPerMs is the tokens that an engine reads in a millisecond, by the
+	// settings.
+	PrefillPerMs float64
+	// Routers returns how many routers there are.
+	Routers func() int
+	// Here is the router's data centre.
+	Here string
+	// Now is the clock.
+	Now func() time.Time
+
+	mu     sync.Mutex
+	states map[string]*state // by incarnation
+}
+
+// state is what is known of one incarnation.
+type state struct {
+	running   int
+	unread    int64
+	fails     int
+	avoid     time.Time
+	failShare float64
+	failAt    time.Time
+	cache     cache
+	lastUse   time.Time
+}
+
+// shareOfTime is the part of the time left that one attempt gets when the request may
+// be tried at another upstream after it.
+const shareOfTime = 0.5
+
+// Pick implements serving.Upstreams' choice.
+func (p *Pool) Pick(r *serving.Request, attempts []serving.Attempt) (serving.Target, bool) {
+	ups := untried(p.Directory.Of(r.Service.Name), attempts)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Now()
+	views := make([]placement.Upstream, len(ups))
+	for i, u := range ups {
+		views[i] = p.viewLocked(now, r, u)
+	}
+	choice, ok := placement.Choose(r, views, p.rates(r), rand.IntN)
+	if !ok {
+		return serving.Target{}, false
+	}
+	return p.takeLocked(now, r, ups, choice), true
+}
+
+// untried leaves out the upstreams that the request was sent to.
+func untried(ups []directory.Upstream, attempts []serving.Attempt) []directory.Upstream {
+	if len(attempts) == 0 {
+		return ups
+	}
+	tried := map[string]bool{}
+	for _, a := range attempts {
+		tried[a.Upstream] = true
+	}
+	var out []directory.Upstream
+	for _, u := range ups {
+		if !tried[u.ID] {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+func (p *Pool) rates(r *serving.Request) placement.Rates {
+	rates := placement.Rates{
+		PrefillPerMs: p.PrefillPerMs,
+		FetchPerMs:   p.PrefillPerMs,
+		Routers:      p.Routers(),
+		Here:         p.Here,
+	}
+	if e := r.Service.Engine; e != nil && e.BytesPerToken > 0 && e.LinkMbps > 0 {
+		bytesPerMs := e.LinkMbps * 1e6 / 8 / 1e3
+		rates.FetchPerMs = bytesPerMs / float64(e.BytesPerToken)
+	}
+	return rates
+}
+
+func (p *Pool) viewLocked(now time.Time, r *serving.Request, u directory.Upstream) placement.Upstream {
+	s := p.stateLocked(u.ID)
+	return placement.Upstream{
+		ID:           u.ID,
+		Datacentre:   u.Datacentre,
+		Slots:        u.Slots,
+		Running:      s.running,
+		Unread:       s.unread,
+		Cached:       s.cache.match(r.Parts),
+		Avoid:        now.Before(s.avoid),
+		FailureShare: s.failureShare(now),
+	}
+}
+
+func (p *Pool) stateLocked(id string) *state {
+	if p.states == nil {
+		p.states = map[string]*state{}
+	}
+	s := p.states[id]
+	if s == nil {
+		s = &state{}
+		p.states[id] = s
+	}
+	return s
+}
+
+func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice) serving.Target {
+	u := ups[c.Index]
+	s := p.stateLocked(u.ID)
+	s.running++
+	s.unread += c.Unread
+	s.lastUse = now
+	if e := r.Service.Engine; e != nil {
+		s.cache.add(r.Parts, e.CacheTokens)
+	}
+	t := serving.Target{ID: u.ID, Address: u.Address, Until: r.Until}
+	if c.FetchFrom >= 0 {
+		t.FetchFrom = ups[c.FetchFrom].Address
+	}
+	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && !(r.Prompt > 0) {
+		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
+	}
+	var read sync.Once
+	t.Read = func() { read.Do(func() { p.read(u.ID, c.Unread) }) }
+	t.Done = func(a serving.Attempt) {
+		t.Read()
+		p.done(u.ID, a)
+	}
+	return t
+}
+
+// read notes that a request's prompt was read: its first event came, or it ended.
+func (p *Pool) read(id string, tokens int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stateLocked(id).unread -= tokens
+}
+
+// done notes how an attempt ended.
+func (p *Pool) done(id string, a serving.Attempt) {
+	if a.Result == serving.Misdirected {
+		p.Directory.Reject(id)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateLocked(id)
+	s.running--
+	now := p.Now()
+	switch a.Result {
+	case serving.Whole, serving.Declined:
+		s.fails = 0
+		s.answered(now, 0)
+	case serving.Failed, serving.Broken:
+		s.answered(now, 1)
+	case serving.Unreached, serving.Unknown, serving.OutOfTime:
+		s.answered(now, 1)
+		s.avoid = now.Add(min(avoidMost, avoidFirst<<min(s.fails, 4)))
+		s.fails++
+	}
+}
+
+// answered moves the share of failures towards the newest answer.
+func (s *state) answered(now time.Time, failed float64) {
+	s.failShare = s.failureShare(now)*(1-failureWeight) + failed*failureWeight
+	s.failAt = now
+}
+
+func (s *state) failureShare(now time.Time) float64 {
+	if s.failShare == 0 {
+		return 0
+	}
+	age := now.Sub(s.failAt)
+	return s.failShare * halved(age)
+}
+
+// halved is 1 at age 0 and halves each half-life.
+func halved(age time.Duration) float64 {
+	return math.Exp2(-float64(age) / float64(failureHalfLife))
+}
+
+// Forget drops what is known of incarnations that are no longer listed and have
+// nothing running; call it now and then.
+func (p *Pool) Forget() {
+	listed := map[string]bool{}
+	for _, u := range p.Directory.All() {
+		listed[u.ID] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.states {
+		if !listed[id] && s.running == 0 {
+			delete(p.states, id)
+		}
+	}
+}
+
+// State is what is known of one upstream, for dumps.
+type State struct {
+	Upstream     string  `json:"upstream"`
+	Running      int     `json:"running"`
+	Unread       int64   `json:"unread_tokens"`
+	Cached       int64   `json:"cached_tokens"`
+	Fails        int     `json:"fails_in_a_row"`
+	FailureShare float64 `json:"failure_share"`
+}
+
+// States lists what is known of all upstreams.
+func (p *Pool) States() []State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Now()
+	out := make([]State, 0, len(p.states))
+	for id, s := range p.states {
+		out = append(out, State{Upstream: id, Running: s.running, Unread: s.unread,
+			Cached: s.cache.tokens, Fails: s.fails, FailureShare: s.failureShare(now)})
+	}
+	return out
+}
--- /dev/null
+++ b/serving/attempt.go
@@ -0,0 +1,78 @@
+package serving
+
+import (
+	"net/http"
+
+	"github.com/arbutusmill/arbutusmill/contract"
+)
+
+// Result is what one send came to.
+type Result int
+
+// The results.
+const (
+	// Whole says that the caller has the whole answer.
+	Whole Result = iota
+	// Unreached says that nothing was sent: no connection was made.
+	Unreached
+	// Declined says that the upstream refused and proved that it did not run.
+	Declined
+	// Misdirected says that another process answered at the address; it did not run.
+	Misdirected
+	// Failed says that the upstream ran the request and answered with a failure.
+	Failed
+	// Unknown says that the request was sent and no valid answer came.
+	Unknown
+	// Broken says that a stream stopped after the caller had got a part of it.
+	Broken
+	// CallerGone says that the caller left or took nothing more.
+	CallerGone
+	// OutOfTime says that the request's time ended while the upstream had it.
+	OutOfTime
+)
+
+var resultNames = [...]string{"whole", "unreached", "declined", "misdirected", "failed",
+	"unknown", "broken", "caller_gone", "out_of_time"}
+
+// String is the result's name in logs.
+func (r Result) String() string { return resultNames[r] }
+
+// NotRun reports whether the result proves that the upstream did not run the request.
+func (r Result) NotRun() bool { return r == Unreached || r == Declined || r == Misdirected }
+
+// Sent reports whether the upstream may have got the request.
+func (r Result) Sent() bool { return r != Unreached }
+
+// Attempt is one send and what came of it.
+type Attempt struct {
+	Upstream string
+	Result   Result
+	// Why says more, for the log.
+	Why string
+	// Answer is the upstream's failure, for Failed; it is passed on unless the
+	// request is sent again.
+	Answer *Answer
+	// Output is the most tokens that the run may have produced.
+	Output int64
+	// Began says that the run read the prompt, or may have.
+	Began bool
+}
+
+// Answer is a complete answer that is not yet passed on.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// End is how a request ended.
+type End struct {
+	Attempts []Attempt
+	// Refusal is set when the caller gets none of an upstream's answers.
+	Refusal *contract.Refusal
+	// Cut says that the caller has a part of an answer that never ends; its
+	// connection must be broken, or the part would look whole.
+	Cut bool
+	// Used is what the team is charged, in tokens.
+	Used int64
+}
--- /dev/null
+++ b/serving/path.go
@@ -0,0 +1,154 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/contract"
+)
+
+// Upstreams chooses upstreams and speaks their dialect.
+type Upstreams interface {
+	// Pick chooses an upstream that was not tried, or none.
+	Pick(r *Request, attempts []Attempt) (Target, bool)
+	// Send sends the request and passes the answer on. It returns when the answer
+	// has ended, one way or another, and never sends a second time.
+	Send(ctx context.Context, r *Request, t Target, out Caller) Attempt
+}
+
+// Target is the upstream that was chosen.
+type Target struct {
+	// ID is the upstream's incarnation.
+	ID string
+	// Address is host:port.
+	Address string
+	// FetchFrom is the address of an upstream that probably has more of the
+	// prompt cached, or "".
+	FetchFrom string
+	// Until bounds this attempt; it is before the request's own bound when
+	// another upstream may still be tried after it.
+	Until time.Time
+	// Read is called when the upstream has read the prompt: its first event came.
+	Read func()
+	// Done is called once with the attempt.
+	Done func(Attempt)
+}
+
+// Caller is the caller's side of an answer.
+type Caller interface {
+	// Begin sends status and headers; it is called once, with the first piece.
+	Begin(status int, header map[string][]string) error
+	// Piece sends bytes; they need not be on their way before Flush.
+	Piece(b []byte) error
+	Flush() error
+	// Began reports whether Begin was called.
+	Began() bool
+	// LastEvent is the id of the last whole event that was sent, or "".
+	LastEvent() string
+	// SetLastEvent notes it.
+	SetLastEvent(id string)
+}
+
+// Budgets sets tokens aside before a request may run.
+type Budgets interface {
+	// Reserve sets the request's worst case aside; settle must be called once
+	// with what was used.
+	Reserve(ctx context.Context, r *Request) (settle func(used int64), refusal *contract.Refusal)
+}
+
+// Repeats bounds the sends beyond the first of each request.
+type Repeats interface {
+	// Request counts a request of a service.
+	Request(service string)
+	// Allow reports whether one more repeat is within the bound, and counts it.
+	Allow(service string) bool
+}
+
+// Path is the path of requests.
+type Path struct {
+	Upstreams Upstreams
+	Budgets   Budgets
+	Repeats   Repeats
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// Serve takes a request to its end. The caller of Serve sends the refusal, if there is
+// one, or breaks the connection of an answer that was cut.
+func (p *Path) Serve(ctx context.Context, r *Request, out Caller) End {
+	ctx, cancel := context.WithDeadline(ctx, r.Until)
+	defer cancel()
+	p.Repeats.Request(r.Service.Name)
+	settle, refused := p.Budgets.Reserve(ctx, r)
+	if refused != nil {
+		return End{Refusal: refused}
+	}
+	end := p.run(ctx, r, out)
+	end.Used = used(r, end.Attempts)
+	settle(end.Used)
+	return end
+}
+
+// run sends the request until it has its answer or nothing more is allowed.
+func (p *Path) run(ctx context.Context, r *Request, out Caller) End {
+	var attempts []Attempt
+	for {
+		target, ok := p.Upstreams.Pick(r, attempts)
+		if !ok {
+			return p.end(r, attempts, out)
+		}
+		a := p.Upstreams.Send(ctx, r, target, out)
+		target.Done(a)
+		attempts = append(attempts, a)
+		v := decide(r, attempts, p.Now())
+		if !v.again || v.counted && !p.Repeats.Allow(r.Service.Name) {
+			return p.end(r, attempts, out)
+		}
+	}
+}
+
+// end passes on the best of what there is.
+func (p *Path) end(r *Request, attempts []Attempt, out Caller) End {
+	e := End{Attempts: attempts}
+	if n := len(attempts); n > 0 {
+		last := attempts[n-1]
+		if last.Result == Whole || last.Result == CallerGone && !out.Began() {
+			return e
+		}
+	}
+	if out.Began() {
+		e.Cut = true
+		return e
+	}
+	if a := failure(attempts); a != nil {
+		e.Cut = pass(a, out) != nil
+		return e
+	}
+	e.Refusal = refusal(r, attempts, p.Now())
+	return e
+}
+
+// failure is the upstream's own failure that the caller gets. It is the last one of a
+// run, and only if no later run may have gone on: then the outcome is not known.
+func failure(attempts []Attempt) *Answer {
+	for i := len(attempts) - 1; i >= 0; i-- {
+		a := attempts[i]
+		if a.Answer != nil {
+			return a.Answer
+		}
+		if !a.Result.NotRun() {
+			return nil
+		}
+	}
+	return nil
+}
+
+func pass(a *Answer, out Caller) error {
+	if err := out.Begin(a.Status, a.Header); err != nil {
+		return err
+	}
+	if err := out.Piece(a.Body); err != nil {
+		return err
+	}
+	return out.Flush()
+}
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,199 @@
+package settings
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/fleet"
+	"github.com/goccy/go-yaml"
+	"github.com/rs/zerolog"
+)
+
+// Gateway are the settings of a router on the operators' platform. The platform fills
+// them in from the template in deploy/.
+type Gateway struct {
+	VM         string         `yaml:"vm"`
+	Datacentre string         `yaml:"datacentre"`
+	Listen     GatewayListen  `yaml:"listen"`
+	Store      GatewayStore   `yaml:"store"`
+	Log        Log            `yaml:"log"`
+	Budgets    GatewayBudgets `yaml:"budgets"`
+	Repeats    Repeats        `yaml:"repeats"`
+	Upstreams  Upstreams      `yaml:"upstreams"`
+	Limits     GatewayLimits  `yaml:"limits"`
+	Stop       Stop           `yaml:"stop"`
+}
+
+// GatewayListen are the addresses (host:port) that a gateway listens on.
+type GatewayListen struct {
+	// Callers is for callers.
+	Callers string `yaml:"callers"`
+	// Ready is for the balancer's question whether to send callers here.
+	Ready string `yaml:"ready"`
+	// Admin is for health, metrics and dumps.
+	Admin string `yaml:"admin"`
+}
+
+// GatewayStore is how the platform's store is reached.
+type GatewayStore struct {
+	// Address is host:port.
+	Address string `yaml:"address"`
+	// Timeout bounds one call.
+	Timeout fleet.Duration `yaml:"timeout"`
+	// WatchWait is how long one waiting call of a watch waits.
+	WatchWait fleet.Duration `yaml:"watch_wait"`
+	// MemberTTL is the lease of a router's own entry.
+	MemberTTL fleet.Duration `yaml:"member_ttl"`
+}
+
+// GatewayBudgets is how prepaid budgets are held.
+type GatewayBudgets struct {
+	// Pages is the number of values that the accounts are spread over; the same
+	// for the whole fleet, for its life.
+	Pages int `yaml:"pages"`
+	// Horizon is the longest cut from the store that a router's tokens should
+	// outlast at recent demand.
+	Horizon fleet.Duration `yaml:"horizon"`
+	// DemandWindow is the time constant of the average of recent demand.
+	DemandWindow fleet.Duration `yaml:"demand_window"`
+	// Report is the longest time that use stays unreported.
+	Report fleet.Duration `yaml:"report"`
+	// StoreWait bounds what one request waits for tokens.
+	StoreWait fleet.Duration `yaml:"store_wait"`
+}
+
+// Repeats bounds the sends beyond the first of each request, for the whole fleet.
+type Repeats struct {
+	// Ratio is the share of a service's requests that may be repeated.
+	Ratio float64 `yaml:"ratio"`
+	// Extra is the number of repeats allowed beside that in each window.
+	Extra float64 `yaml:"extra"`
+	// Window is the span in which both are counted.
+	Window fleet.Duration `yaml:"window"`
+}
+
+// Upstreams is how upstreams are called.
+type Upstreams struct {
+	// DialTimeout bounds the start of a connection.
+	DialTimeout fleet.Duration `yaml:"dial_timeout"`
+	// IdleTimeout is how long a kept connection to an upstream may be unused.
+	IdleTimeout fleet.Duration `yaml:"idle_timeout"`
+	// PrefillPerMs is the prompt tokens that an engine reads in a millisecond.
+	PrefillPerMs float64 `yaml:"prefill_tokens_per_ms"`
+}
+
+// GatewayLimits bound what a gateway takes on.
+type GatewayLimits struct {
+	// Concurrent is the most requests in progress.
+	Concurrent int `yaml:"concurrent_requests"`
+	// WriteTimeout bounds the wait for a slow caller to take one piece.
+	WriteTimeout fleet.Duration `yaml:"write_timeout"`
+	// MemoryMB is the memory (MiB) that the process may use.
+	MemoryMB int `yaml:"memory_mb"`
+}
+
+// Stop is how a planned stop goes.
+type Stop struct {
+	// Notice is how long callers' new connections are still served while the
+	// balancer learns that this router is leaving.
+	Notice fleet.Duration `yaml:"notice"`
+	// Grace is the time from the signal to the end of the process.
+	Grace fleet.Duration `yaml:"grace"`
+}
+
+// DefaultGateway returns the default values. A file overrides them field by field.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Log: Log{Level: "info"},
+		Store: GatewayStore{
+			// A call takes some milliseconds; a store that is slow by a factor
+			// of 80 still answers within the bound.
+			Timeout: fleet.Duration(1500 * time.Millisecond),
+			// A connection that went silent is noticed after this and the
+			// timeout; a leaving upstream must be known within seconds.
+			WatchWait: fleet.Duration(2 * time.Second),
+			MemberTTL: fleet.Duration(6 * time.Second),
+		},
+		Budgets: GatewayBudgets{
+			Pages: 1,
+			// Cuts of seven to nine seconds are usual.
+			Horizon:      fleet.Duration(10 * time.Second),
+			DemandWindow: fleet.Duration(5 * time.Second),
+			Report:       fleet.Duration(time.Second),
+			StoreWait:    fleet.Duration(400 * time.Millisecond),
+		},
+		Repeats: Repeats{Ratio: 0.2, Extra: 50, Window: fleet.Duration(10 * time.Second)},
+		Upstreams: Upstreams{
+			DialTimeout:  fleet.Duration(400 * time.Millisecond),
+			IdleTimeout:  fleet.Duration(3 * time.Second),
+			PrefillPerMs: 50,
+		},
+		Limits: GatewayLimits{Concurrent: 2000, WriteTimeout: fleet.Duration(10 * time.Second), MemoryMB: 128},
+		// The balancer asks once a second and needs two misses.
+		Stop: Stop{Notice: fleet.Duration(3 * time.Second), Grace: fleet.Duration(8 * time.Second)},
+	}
+}
+
+// LoadGateway reads and checks a gateway's settings file.
+func LoadGateway(path string) (*Gateway, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return ParseGateway(b)
+}
+
+// ParseGateway reads and checks a gateway's settings. An unknown field is an error with
+// its line and column.
+func ParseGateway(b []byte) (*Gateway, error) {
+	s := DefaultGateway()
+	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(&s); err != nil {
+		return nil, Error.New("%s", yaml.FormatError(err, false, true))
+	}
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Check verifies all settings and names each wrong field.
+func (s *Gateway) Check() error {
+	c := &checker{}
+	c.require(s.VM != "", "vm", "is missing")
+	c.require(s.Datacentre != "", "datacentre", "is missing")
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.ready", s.Listen.Ready)
+	c.address("listen.admin", s.Listen.Admin)
+	c.address("store.address", s.Store.Address)
+	c.require(s.Budgets.Pages > 0, "budgets.pages", "must be positive")
+	c.require(s.Repeats.Ratio >= 0, "repeats.ratio", "must not be negative")
+	c.require(s.Repeats.Extra >= 0, "repeats.extra", "must not be negative")
+	c.require(s.Upstreams.PrefillPerMs > 0, "upstreams.prefill_tokens_per_ms", "must be positive")
+	c.require(s.Limits.Concurrent > 0, "limits.concurrent_requests", "must be positive")
+	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
+	c.require(s.Stop.Notice < s.Stop.Grace, "stop.notice", "must be shorter than stop.grace")
+	for _, p := range []struct {
+		field string
+		value fleet.Duration
+	}{
+		{"store.timeout", s.Store.Timeout},
+		{"store.watch_wait", s.Store.WatchWait},
+		{"store.member_ttl", s.Store.MemberTTL},
+		{"budgets.horizon", s.Budgets.Horizon},
+		{"budgets.demand_window", s.Budgets.DemandWindow},
+		{"budgets.report", s.Budgets.Report},
+		{"budgets.store_wait", s.Budgets.StoreWait},
+		{"repeats.window", s.Repeats.Window},
+		{"upstreams.dial_timeout", s.Upstreams.DialTimeout},
+		{"upstreams.idle_timeout", s.Upstreams.IdleTimeout},
+		{"limits.write_timeout", s.Limits.WriteTimeout},
+		{"stop.notice", s.Stop.Notice},
+	} {
+		c.require(p.value > 0, p.field, "must be positive, with a unit")
+	}
+	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
+		c.Add("log.level", "%q is not a level", s.Log.Level)
+	}
+	return Error.Wrap(c.Err())
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -49,6 +49,7 @@
 	mux.HandleFunc("POST /v3/watch", p.watch)
 	mux.HandleFunc("POST /v3/lease/grant", p.leaseGrant)
 	mux.HandleFunc("POST /v3/lease/keepalive", p.leaseKeepAlive)
+	mux.HandleFunc("POST /v3/lease/revoke", p.leaseRevoke)
 	mux.HandleFunc("GET /vms", p.getVMs)
 	mux.HandleFunc("PUT /vms", p.putVMs)
 	mux.HandleFunc("PUT /control/faults", p.putFaults)
@@ -214,6 +215,18 @@
 	reply(w, out)
 }
 
+func (p *Platform) leaseRevoke(w http.ResponseWriter, r *http.Request) {
+	var in etcd.LeaseRevokeRequest
+	if !read(w, r, &in) {
+		return
+	}
+	if err := p.Store.EndLease(r.Context(), store.LeaseID(in.ID)); err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, struct{}{})
+}
+
 func (p *Platform) getVMs(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
