A changed settings file is reloaded: SIGHUP no longer ends the process

Cause: no handler for SIGHUP, so the runtime ended the process (exit 129) and cut every open stream. Ruled out: the stop path (its own exits have code 0). Change: the daemon reads the file again on SIGHUP, and when its content changed; wrong settings leave those in force. Tests: scenario reload (failed: signal: hangup), and the gateway's request tests in virtual time with stand-ins of store and upstreams.

--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -29,6 +29,7 @@
 // Budget is one process's share for one service. It is safe for concurrent use.
 type Budget struct {
 	mu    sync.Mutex
+	start time.Time // of slice 0
 	parts [slices]part
 }
 
@@ -56,7 +57,7 @@
 }
 
 func (b *Budget) sumLocked(now time.Time, r Rule) (requests, repeats int) {
-	current := number(now, r)
+	current := b.number(now, r)
 	for _, p := range b.parts {
 		if p.number > current-slices && p.number <= current {
 			requests += p.requests
@@ -68,7 +69,7 @@
 
 // at returns the slice of this moment, emptied if it was last used a window ago.
 func (b *Budget) at(now time.Time, r Rule) *part {
-	n := number(now, r)
+	n := b.number(now, r)
 	p := &b.parts[n%slices]
 	if p.number != n {
 		*p = part{number: n}
@@ -76,10 +77,10 @@
 	return p
 }
 
-func number(now time.Time, r Rule) int64 {
-	return int64(now.Sub(epoch) / (r.Window / slices))
+// number is that of the slice of this moment, counted from the first call.
+func (b *Budget) number(now time.Time, r Rule) int64 {
+	if b.start.IsZero() {
+		b.start = now.Add(-r.Window)
+	}
+	return int64(now.Sub(b.start) / (r.Window / slices))
 }
-
-// epoch is any fixed moment with a monotonic reading, so that steps of the time of day
-// do not move the window.
-var epoch = time.Now().Add(-time.Hour)
--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -54,7 +54,11 @@
 	keys     []string // sorted
 	leases   map[store.LeaseID]*lease
 	watchers map[*watcher]struct{}
-	faults   Faults
+	// history holds the newest events, oldest first; what came up to compacted
+	// is gone.
+	history   []store.Event
+	compacted store.Revision
+	faults    Faults
 	calls    Calls
 }
 
--- a/coord/store/memstore/watch.go
+++ b/coord/store/memstore/watch.go
@@ -21,25 +21,55 @@
 	closed bool
 }
 
-// Watch implements store.Store. Events older than the call are not kept: when
-// any key under prefix is newer than after, the current items come first.
+// historyEvents bounds the events that are kept for watches from older revisions.
+const historyEvents = 4096
+
+// Watch implements store.Store. It begins with the events after the given revision; if
+// they are gone, the watch ends with ErrCompacted.
 func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Watches++ }); err != nil {
 		return nil, err
 	}
-	w := &watcher{prefix: prefix, events: make(chan store.Event, watchBuffer)}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	replay := s.sinceLocked(prefix, after)
+	w := &watcher{prefix: prefix, events: make(chan store.Event, len(replay)+watchBuffer)}
 	s.watchers[w] = struct{}{}
-	for _, k := range s.keys {
-		if e := s.entries[k]; strings.HasPrefix(k, prefix) && e.rev > after {
-			s.sendLocked(w, store.Event{Item: store.Item{Key: k, Value: e.value, Revision: e.rev}})
-		}
+	for _, e := range replay {
+		s.sendLocked(w, e)
+	}
+	if after < s.compacted {
+		s.sendLocked(w, store.Event{Err: store.Error.Wrap(store.ErrCompacted)})
+		s.dropLocked(w)
 	}
-	s.mu.Unlock()
 	go s.tend(ctx, w)
 	return w.events, nil
 }
 
+// sinceLocked lists the kept events of a prefix after a revision.
+func (s *Store) sinceLocked(prefix string, after store.Revision) []store.Event {
+	if after < s.compacted {
+		return nil
+	}
+	var out []store.Event
+	for _, e := range s.history {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Compact forgets the history and ends all watches.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.compacted = nil, s.rev
+	for w := range s.watchers {
+		s.dropLocked(w)
+	}
+}
+
 // tend sends progress events until the watch ends.
 func (s *Store) tend(ctx context.Context, w *watcher) {
 	t := time.NewTicker(progressInterval)
@@ -69,6 +99,11 @@
 }
 
 func (s *Store) notifyLocked(ev store.Event) {
+	s.history = append(s.history, ev)
+	if over := len(s.history) - historyEvents; over > 0 {
+		s.compacted = s.history[over-1].Revision
+		s.history = append([]store.Event(nil), s.history[over:]...)
+	}
 	for w := range s.watchers {
 		if strings.HasPrefix(ev.Key, w.prefix) {
 			s.sendLocked(w, ev)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,16 +58,39 @@
 	stopMargin = 700 * time.Millisecond
 )
 
-// Opener opens a listening address, as net.Listen does.
-type Opener func(network, address string) (net.Listener, error)
+// Network is how a gateway reaches others and is reached.
+type Network struct {
+	// Listen opens a listening address, as net.Listen does.
+	Listen func(network, address string) (net.Listener, error)
+	// Dial connects, as net.Dialer.DialContext does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the network of a real process.
+func TCP() Network {
+	d := &net.Dialer{KeepAliveConfig: keepAlive, Control: boundUnacknowledged}
+	return Network{Listen: net.Listen, Dial: d.DialContext}
+}
+
+// within bounds the start of a connection.
+func (n Network) within(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return n.Dial(ctx, network, address)
+	}
+}
 
 // Gateway is one router process.
 type Gateway struct {
+	// settings are those of the start, current those of the last reload.
 	settings *settings.Gateway
+	current  atomic.Pointer[settings.Gateway]
 	log      zerolog.Logger
 	// logDropped returns the lines that the log's writer could not keep.
 	logDropped func() uint64
 	life       string
+	network    Network
 	store      *platform.Store
 
 	catalog   catalog.Current
@@ -88,19 +111,21 @@
 }
 
 // New makes a gateway; it makes no call.
-func New(s *settings.Gateway, log io.Writer, dropped func() uint64) *Gateway {
+func New(s *settings.Gateway, network Network, log io.Writer, dropped func() uint64) *Gateway {
 	g := &Gateway{
 		settings:   s,
+		network:    network,
 		log:        observe.NewLogger(log, s.Log.Level, s.VM),
 		logDropped: dropped,
 		life:       s.VM + "/" + rand.Text()[:8],
 		admin:      &observe.Admin{},
 		first:      make(chan struct{}),
 	}
+	g.current.Store(s)
 	g.log = g.log.With().Str("life", g.life).Logger()
 	g.store = &platform.Store{
 		Address:   s.Store.Address,
-		Client:    &http.Client{Transport: storeTransport()},
+		Client:    &http.Client{Transport: storeTransport(network)},
 		Timeout:   time.Duration(s.Store.Timeout),
 		WatchWait: time.Duration(s.Store.WatchWait),
 	}
@@ -114,10 +139,9 @@
 		Here: s.Datacentre, Now: time.Now,
 	}
 	g.budgets = newBudgets(g.life, s.Budgets, g.store, &g.catalog, g.log)
-	g.repeats = &repeats{rule: retrybudget.Rule{Ratio: s.Repeats.Ratio, Extra: s.Repeats.Extra,
-		Window: time.Duration(s.Repeats.Window)}, routers: g.routers}
+	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers}
 	g.path = &serving.Path{
-		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(s.Upstreams)},
+		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(network, s.Upstreams)},
 		Budgets:   g.budgets,
 		Repeats:   g.repeats,
 		Now:       time.Now,
@@ -127,9 +151,8 @@
 	return g
 }
 
-func storeTransport() *http.Transport {
-	d := &net.Dialer{Timeout: time.Second, KeepAliveConfig: keepAlive, Control: boundUnacknowledged}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: storeIdleConns}
+func storeTransport(n Network) *http.Transport {
+	return &http.Transport{DialContext: n.within(time.Second), MaxIdleConnsPerHost: storeIdleConns}
 }
 
 // storeIdleConns bounds the kept connections to the store: two watches, the lease and
@@ -144,6 +167,12 @@
 	return assumedRouters
 }
 
+// repeatRule is the bound on repeats by the settings in force.
+func (g *Gateway) repeatRule() retrybudget.Rule {
+	s := g.current.Load().Repeats
+	return retrybudget.Rule{Ratio: s.Ratio, Extra: s.Extra, Window: time.Duration(s.Window)}
+}
+
 // version is that of the configuration in force, 0 before the first.
 func (g *Gateway) version() int64 {
 	if t := g.catalog.Load(); t != nil {
@@ -167,7 +196,7 @@
 
 // enter counts a request in.
 func (g *Gateway) enter() bool {
-	if g.active.Add(1) > int64(g.settings.Limits.Concurrent) {
+	if g.active.Add(1) > int64(g.current.Load().Limits.Concurrent) {
 		g.active.Add(-1)
 		return false
 	}
@@ -178,9 +207,9 @@
 
 // Run serves until stop is done, then stops in order: not ready for the balancer, new
 // work still served for a while, open requests finish, unused tokens go back.
-func (g *Gateway) Run(stop context.Context, open Opener) error {
+func (g *Gateway) Run(stop context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(g.settings.Limits.MemoryMB<<20)))
-	listeners, err := g.listen(open)
+	listeners, err := g.listen()
 	if err != nil {
 		return err
 	}
@@ -200,7 +229,7 @@
 
 type listeners struct{ callers, ready, admin net.Listener }
 
-func (g *Gateway) listen(open Opener) (l listeners, err error) {
+func (g *Gateway) listen() (l listeners, err error) {
 	s := g.settings.Listen
 	for _, x := range []struct {
 		field, address string
@@ -210,7 +239,7 @@
 		{"listen.ready", s.Ready, &l.ready},
 		{"listen.admin", s.Admin, &l.admin},
 	} {
-		if *x.into, err = open("tcp", x.address); err != nil {
+		if *x.into, err = g.network.Listen("tcp", x.address); err != nil {
 			return l, process.Error.New("%s: %w", x.field, err)
 		}
 	}
@@ -262,7 +291,7 @@
 // stop is a planned stop.
 func (g *Gateway) stop(ctx context.Context, callers *http.Server) {
 	began := time.Now()
-	s := g.settings.Stop
+	s := g.current.Load().Stop
 	g.stopping.Store(true)
 	g.log.Info().Int64("active", g.active.Load()).Msg("stopping")
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Grace)-stopMargin)
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,261 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/gateway"
+	"github.com/arbutusmill/arbutusmill/memnet"
+	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/stretchr/testify/require"
+)
+
+// Addresses of a test fleet.
+const (
+	storeAddress   = "10.9.0.1:80"
+	callersAddress = "10.1.0.1:80"
+	readyAddress   = "10.1.0.1:81"
+	adminAddress   = "10.1.0.1:82"
+)
+
+// The configuration of a test fleet, in the platform's form. The verbs are version,
+// prepaid tokens, and keys of the team.
+const configForm = `{"version":%d,"routes":[
+ {"name":"chat","host":"a.example","prefix":"/chat/","type":"streaming","timeout_ms":6000,"latency_goal_ms":800,
+  "priority":0,"service":"model","max_attempts":1,"sticky":true,"resumable":false,"gap_target_ms":400},
+ {"name":"review","host":"a.example","prefix":"/review/","type":"streaming","timeout_ms":12000,"latency_goal_ms":800,
+  "priority":1,"service":"model","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":400},
+ {"name":"alert","host":"a.example","prefix":"/alert/","type":"unsafe","timeout_ms":1000,"latency_goal_ms":150,
+  "priority":2,"service":"plain","max_attempts":1},
+ {"name":"level","host":"a.example","prefix":"/level/","type":"safe","timeout_ms":1000,"latency_goal_ms":150,
+  "priority":2,"service":"plain","max_attempts":2},
+ {"name":"deep","host":"a.example","prefix":"/level/deep/","type":"safe","timeout_ms":1000,"latency_goal_ms":150,
+  "priority":2,"service":"none","max_attempts":2,"public":true}],
+ "services":[{"name":"model","max_connections":360,
+  "engine":{"slots":64,"kv_capacity_tokens":400000,"kv_bytes":327680,"link_mbps":250000,"stride":3}},
+  {"name":"plain","max_connections":100},{"name":"none","max_connections":100}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"pilots","api_keys":[%s],"priority":1,"prepaid":%d}]}`
+
+// fleet is one gateway between callers and stand-ins, on a network in memory and, when
+// it is made inside synctest.Test, in virtual time.
+type fleet struct {
+	t       *testing.T
+	network memnet.Network
+	store   *platformtest.Store
+	log     *syncBuffer
+	life    *life
+	version int
+}
+
+// life is one process of the gateway.
+type life struct {
+	gateway *gateway.Gateway
+	stop    context.CancelFunc
+	done    chan error
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// play runs a test with a fleet in virtual time.
+func play(t *testing.T, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		test(f)
+	})
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, store: platformtest.NewStore(), log: &syncBuffer{}}
+	f.serve(storeAddress, f.store.Handler())
+	return f
+}
+
+// serve starts a server that ends with the test.
+func (f *fleet) serve(address string, h http.Handler) {
+	l, err := f.network.Listen("tcp", address)
+	require.NoError(f.t, err)
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }() // ends with Close
+	f.t.Cleanup(func() { _ = s.Close() })
+}
+
+// config puts the next version in force.
+func (f *fleet) config(prepaid int, keys ...string) {
+	f.version++
+	require.NoError(f.t, f.store.PutConfig(fmt.Sprintf(configForm, f.version, `"`+strings.Join(keys, `","`)+`"`, prepaid)))
+}
+
+// upstream starts and registers a stand-in.
+func (f *fleet) upstream(id, service string, events int) *platformtest.Upstream {
+	u := &platformtest.Upstream{ID: id, Events: events, Pause: 10 * time.Millisecond}
+	f.serve(addressOf(id), u)
+	f.register(id, service, "ready")
+	return u
+}
+
+func addressOf(id string) string { return "10.2.0." + strings.TrimPrefix(id, "i-") + ":80" }
+
+func (f *fleet) register(id, service, state string) {
+	require.NoError(f.t, f.store.Register(id, service, addressOf(id), "bergen", state, 6))
+}
+
+func (f *fleet) settings() *settings.Gateway {
+	s := settings.DefaultGateway()
+	s.VM, s.Datacentre = "router-1", "bergen"
+	s.Listen = settings.GatewayListen{Callers: callersAddress, Ready: readyAddress, Admin: adminAddress}
+	s.Store.Address = storeAddress
+	return &s
+}
+
+// start starts the gateway and waits until it has settled.
+func (f *fleet) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	g := gateway.New(f.settings(), gateway.Network{Listen: f.network.Listen, Dial: f.network.Dial}, f.log,
+		func() uint64 { return 0 })
+	f.life = &life{gateway: g, stop: stop, done: make(chan error, 1)}
+	go func() { f.life.done <- g.Run(ctx) }()
+	f.settle()
+}
+
+// settle lets half a second pass, enough for what a change needs to be in force.
+func (f *fleet) settle() { time.Sleep(500 * time.Millisecond) }
+
+// close ends everything that the test started.
+func (f *fleet) close() {
+	if f.life != nil {
+		f.life.stop()
+		require.NoError(f.t, <-f.life.done)
+	}
+	f.store.SetSilent(false)
+	f.store.Compact() // ends waiting calls
+}
+
+// question is one request of a caller.
+type question struct {
+	id, method, path, key, body string
+	deadline                    time.Duration
+	usage, parts                string
+	header                      map[string]string
+	ctx                         context.Context
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// cut says that the body did not end.
+	cut  bool
+	took time.Duration
+	err  error
+}
+
+// client is a caller with a connection of its own.
+func (f *fleet) client() *http.Client {
+	t := &http.Transport{DialContext: f.network.Dial, DisableCompression: true}
+	f.t.Cleanup(t.CloseIdleConnections)
+	return &http.Client{Transport: t}
+}
+
+func (f *fleet) ask(q question) answer { return f.askWith(f.client(), q) }
+
+func (f *fleet) askWith(c *http.Client, q question) answer {
+	ctx := q.ctx
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	if q.method == "" {
+		q.method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+callersAddress+q.path, strings.NewReader(q.body))
+	require.NoError(f.t, err)
+	req.Host = "a.example"
+	for name, value := range map[string]string{"Arbutusmill-Attempt-Id": q.id, "Api-Key": q.key,
+		"Arbutusmill-Token-Usage": q.usage, "Arbutusmill-Prefix-Hash": q.parts} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	if q.deadline > 0 {
+		req.Header.Set("Arbutusmill-Deadline-Ms", fmt.Sprint(q.deadline.Milliseconds()))
+	}
+	for name, value := range q.header {
+		req.Header.Set(name, value)
+	}
+	began := time.Now()
+	resp, err := c.Do(req)
+	if err != nil {
+		return answer{err: err, took: time.Since(began)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil, took: time.Since(began)}
+}
+
+// alert is a request that must not run twice, level one that may.
+func alert(id string) question {
+	return question{id: id, path: "/alert/x?y=1", key: "k1", body: "surge", deadline: time.Second}
+}
+
+func level(id string) question {
+	return question{id: id, method: http.MethodGet, path: "/level/x", key: "k1", deadline: time.Second}
+}
+
+// chat is a stream that must not run twice, review one that may be resumed.
+func chat(id string) question {
+	return question{id: id, path: "/chat/x", key: "k1", body: "tide?", deadline: 6 * time.Second,
+		usage: "1000,60", parts: "aa:600,bb:400"}
+}
+
+func review(id string) question {
+	q := chat(id)
+	q.path, q.deadline = "/review/x", 12*time.Second
+	return q
+}
+
+// events is the whole stream of n events.
+func events(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(platformtest.Event(i))
+	}
+	return b.String()
+}
+
+// ready asks as the balancer does.
+func (f *fleet) ready() int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+readyAddress+"/arbutusmill/readyz", nil)
+	require.NoError(f.t, err)
+	resp, err := f.client().Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -149,7 +149,7 @@
 // serve takes the request through the path.
 func (v *visit) serve(w http.ResponseWriter, req *http.Request) {
 	g := v.gateway
-	out := newCaller(w, time.Duration(g.settings.Limits.WriteTimeout), v.request.Route.Kind == catalog.Streaming)
+	out := newCaller(w, time.Duration(g.current.Load().Limits.WriteTimeout), v.request.Route.Kind == catalog.Streaming)
 	end := g.path.Serve(req.Context(), v.request, out)
 	if end.Refusal != nil {
 		v.logEnd(end, end.Refusal.Kind.Answer().Status)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,11 @@
 	return m
 }
 
+// reloaded counts a reload of the settings file.
+func (m *gatewayMetrics) reloaded(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_reloads_total{result=%q}", result)).Inc()
+}
+
 // refused counts a refusal.
 func (m *gatewayMetrics) refused(k contract.Kind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_refused_requests_total{kind=%q}", k)).Inc()
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -9,7 +9,7 @@
 
 // repeats implements serving.Repeats with a budget for each service.
 type repeats struct {
-	rule    retrybudget.Rule
+	rule    func() retrybudget.Rule
 	routers func() int
 
 	mu       sync.Mutex
@@ -17,11 +17,11 @@
 }
 
 // Request implements serving.Repeats.
-func (r *repeats) Request(service string) { r.of(service).Request(time.Now(), r.rule) }
+func (r *repeats) Request(service string) { r.of(service).Request(time.Now(), r.rule()) }
 
 // Allow implements serving.Repeats.
 func (r *repeats) Allow(service string) bool {
-	return r.of(service).Allow(time.Now(), r.rule, r.routers())
+	return r.of(service).Allow(time.Now(), r.rule(), r.routers())
 }
 
 func (r *repeats) of(service string) *retrybudget.Budget {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -35,10 +35,9 @@
 // answer: without them the caller would wait for its whole deadline.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
 
-func newTransport(s settings.Upstreams) *http.Transport {
-	d := &net.Dialer{Timeout: time.Duration(s.DialTimeout), KeepAliveConfig: keepAlive, Control: boundUnacknowledged}
+func newTransport(n Network, s settings.Upstreams) *http.Transport {
 	return &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         n.within(time.Duration(s.DialTimeout)),
 		DisableCompression:  true, // callers get the upstream's own bytes
 		MaxIdleConnsPerHost: idleConnsPerUpstream,
 		IdleConnTimeout:     time.Duration(s.IdleTimeout),
--- a/observe/log.go
+++ b/observe/log.go
@@ -14,6 +14,10 @@
 // logTime is the form of the time in a log line.
 const logTime = "2006-01-02T15:04:05.000Z07:00"
 
+// The time of a line is to the millisecond: what happened first matters when one request
+// is followed through several processes.
+func init() { zerolog.TimeFieldFormat = logTime }
+
 // NewLogger writes one line of key=value pairs for each event.
 func NewLogger(w io.Writer, level, vm string) zerolog.Logger {
 	lv, err := zerolog.ParseLevel(level)
@@ -21,7 +25,7 @@
 		lv = zerolog.InfoLevel
 	}
 	out := zerolog.ConsoleWriter{
-		Out: w, NoColor: true, TimeFormat: logTime,
+		Out: w, NoColor: true,
 		FormatTimestamp: func(i any) string { return pair("time", i) },
 		FormatLevel:     func(i any) string { return pair("level", i) },
 		FormatMessage:   func(i any) string { return pair("event", i) },
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -51,6 +51,7 @@
 			"await":   await,
 			"request": request,
 			"expand":  expand,
+			"hangup":  hangup,
 		},
 		RequireExplicitExec: true,
 	})
@@ -103,6 +104,13 @@
 	}
 }
 
+// hangup sends SIGHUP to every process of the script that runs in the background.
+func hangup(ts *testscript.TestScript, _ bool, _ []string) {
+	for _, c := range ts.BackgroundCmds() {
+		ts.Check(c.Process.Signal(syscall.SIGHUP))
+	}
+}
+
 // awaitTimeout bounds the start of a process.
 const awaitTimeout = 20 * time.Second
 
