--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -37,11 +37,23 @@
 	// decided elsewhere, before the holder plans on it; it reports whether it
 	// changed the page. It must be idempotent.
 	Prepare func(key string, p *account.Page) bool
+	// KeepPages is how long a page that was read or written is used again without
+	// reading it; 0 reads each time. It suits pages that one process writes: a write
+	// on a page that others changed meanwhile only fails and is tried again on a
+	// fresh read.
+	KeepPages time.Duration
 	// Now is the clock.
 	Now func() time.Time
 
 	mu      sync.Mutex
 	flights map[string]*flight
+	kept    map[string]keptPage
+}
+
+// keptPage is a page as it was last read or written.
+type keptPage struct {
+	item store.Item
+	at   time.Time
 }
 
 type flight struct {
@@ -135,10 +147,25 @@
 	close(f.done)
 }
 
+// sync plans on a kept page first. A page that others changed since may have free tokens
+// that it does not show, so nothing is called lacking without a fresh read.
 func (g *StoreGranter) sync(ctx context.Context, key string) error {
+	if kept, ok := g.keptPage(key); ok {
+		lacking, err := g.apply(ctx, key, kept)
+		if err == nil && !lacking || errors.Is(err, ErrFenced) {
+			return err
+		}
+		g.forget(key)
+	}
+	_, err := g.apply(ctx, key, store.Item{})
+	return err
+}
+
+// apply plans on a page, and writes it if needed; a known item stands for the first read.
+func (g *StoreGranter) apply(ctx context.Context, key string, known store.Item) (lacking bool, err error) {
 	var commits []commit
 	var write bool
-	item, err := store.Update(ctx, g.Store, key, func(old store.Item) ([]byte, error) {
+	item, err := store.UpdateFrom(ctx, g.Store, key, known, func(old store.Item) ([]byte, error) {
 		page, err := account.Decode(old.Value)
 		if err != nil {
 			return nil, err
@@ -154,10 +181,43 @@
 		return page.Encode()
 	})
 	if err != nil {
-		return err
+		return false, err
+	}
+	g.keep(key, item, known.Revision == item.Revision)
+	for _, c := range commits {
+		lacking = lacking || c.lacking
+	}
+	// What a kept page seems to lack is no verdict: the caller reads it afresh.
+	if known.Revision == 0 || !lacking || write {
+		g.Holder.commit(g.Now(), g.Timing, item.Revision, commits, write)
+	}
+	return lacking, nil
+}
+
+func (g *StoreGranter) keptPage(key string) (store.Item, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k, ok := g.kept[key]
+	return k.item, ok && k.item.Revision != 0 && g.Now().Sub(k.at) < g.KeepPages
+}
+
+// keep notes a page; one that was neither read nor written goes on ageing.
+func (g *StoreGranter) keep(key string, item store.Item, untouched bool) {
+	if g.KeepPages == 0 || untouched {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.kept == nil {
+		g.kept = map[string]keptPage{}
 	}
-	g.Holder.commit(g.Now(), g.Timing, item.Revision, commits, write)
-	return nil
+	g.kept[key] = keptPage{item: item, at: g.Now()}
+}
+
+func (g *StoreGranter) forget(key string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.kept, key)
 }
 
 // Lender is the way to one peer's holder.
@@ -185,6 +245,9 @@
 	verdict := Error.Wrap(ErrShort)
 	for _, peer := range g.Peers(budget) {
 		l, err := g.ask(ctx, peer, budget, lack, want)
+		if errors.Is(err, ErrExhausted) || errors.Is(err, ErrNoBudget) {
+			return err // a peer has just looked at the whole budget
+		}
 		if err != nil {
 			if !errors.Is(err, ErrShort) {
 				verdict = Error.Wrap(ErrUnreachable)
@@ -227,6 +290,36 @@
 	return q.obtain(ctx, budget, n)
 }
 
+// Lend reserves a lot for a peer like Holder.Lend, and first brings what lacks for need.
+// It lends need or nothing: a peer that got a part would have to ask on, and the part
+// would be missing here meanwhile.
+func (q *Acquirer) Lend(ctx context.Context, budget, id, borrower string, need, want int64) (Lot, error) {
+	if q.Holder.ownShortage(budget, need) > 0 {
+		done := q.Holder.wait(budget, need)
+		err := q.fill(ctx, budget, need)
+		done()
+		if err != nil {
+			return Lot{}, err
+		}
+	}
+	return q.Holder.Lend(q.Now(), budget, id, borrower, need, want)
+}
+
+// fill asks along the chain until the own row has need tokens.
+func (q *Acquirer) fill(ctx context.Context, budget string, need int64) error {
+	verdict := Error.Wrap(ErrShort)
+	for _, g := range q.Chain {
+		err := g.Obtain(ctx, budget, q.Holder.ownShortage(budget, need))
+		if q.Holder.ownShortage(budget, need) <= 0 {
+			return nil
+		}
+		if err != nil {
+			verdict = err
+		}
+	}
+	return verdict
+}
+
 // obtain asks along the chain. A budget counts as exhausted when each way
 // answered that it has too little, and as out of reach when any way was closed.
 func (q *Acquirer) obtain(ctx context.Context, budget string, n int64) (Reservation, error) {
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -33,6 +33,8 @@
 	expected int
 	// window is the time constant of the average of demand.
 	window time.Duration
+	// lean holders have rows only for what they were granted; see Lean.
+	lean bool
 	// stopping folds every row as soon as nothing is open on it.
 	stopping bool
 	byPage   func(budget string) string
@@ -91,6 +93,17 @@
 	h.window = window
 }
 
+// Lean makes rows as small as they can be, for fleets that take a dead life's rest as
+// spent instead of recovering it by evidence. A row is made with the first grant and not
+// before. Reports count every settled reservation, also those numbered after one that is
+// still open; that keeps small what a dead life leaves unreported, but such a row does
+// not say which reservations it covers.
+func (h *Holder) Lean() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lean = true
+}
+
 // Revision returns the newest store revision that the holder has seen.
 func (h *Holder) Revision() store.Revision {
 	h.mu.Lock()
@@ -112,6 +125,10 @@
 	h.fenced = true
 }
 
+// worstDecay is the part of the largest recent request that is forgotten with each
+// smaller one: it halves in some 44 requests.
+const worstDecay = 64
+
 // Reserve sets n tokens aside for one request, from the own row first and from
 // lots after it. With too few at hand it takes nothing and returns ErrShort.
 func (h *Holder) Reserve(now time.Time, budget string, n int64) (Reservation, error) {
@@ -122,7 +139,7 @@
 	}
 	b := h.bookLocked(budget)
 	b.lastUse = now
-	b.worst = max(n, b.worst-b.worst/64)
+	b.worst = max(n, b.worst-b.worst/worstDecay)
 	if n <= 0 || b.atHand() < n {
 		return Reservation{}, Error.Wrap(ErrShort)
 	}
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -7,56 +7,46 @@
 // a dead life held and had not reported counts as spent, so to spread all unspent
 // tokens, as DemandPolicy does, would lose the rest of a budget at the first power
 // loss. To hold nothing would turn away everything at the first cut from the store.
+//
+// It is meant for one holder of a budget (its home) from which all others borrow: held
+// by each of many routers, the room for a large request alone would add up to much of
+// a budget.
 type HorizonPolicy struct {
 	// Horizon is the longest cut that held tokens should outlast.
 	Horizon time.Duration
 	// Worsts is how many of the largest recent requests a holder keeps room for
 	// beside that: a single request may need more than many seconds of demand.
 	Worsts float64
-	// Floor is held of a budget that others use and this holder does not, so that
-	// a cut finds a few tokens everywhere.
-	Floor int64
 	// Slack is the deviation from the target that is left alone (0..1).
 	Slack float64
+	// Lot is the demand that a borrowed lot covers beyond the request at hand. It
+	// spares messages; what a lot holds is missing for others until it is back.
+	Lot time.Duration
 }
 
 // Decide implements Policy.
 func (p HorizonPolicy) Decide(v View) Decision {
-	mine := v.Available + v.Reserved
 	need := v.Waiting - v.Available
-	target := p.target(v)
+	target := int64(v.Demand*p.Horizon.Seconds() + p.Worsts*float64(v.Worst))
+	slack := int64(p.Slack * float64(target))
 	switch {
-	case need > 0 || mine < target-int64(p.Slack*float64(target)):
-		return Decision{Take: max(0, min(v.Free, max(need, target-mine)))}
-	case mine > target+int64(p.Slack*float64(target)):
-		return Decision{Give: max(0, min(v.Available-v.Waiting, mine-target))}
+	case need > 0 || v.Available < target-slack:
+		return Decision{Take: max(0, min(v.Free, max(need, target-v.Available)))}
+	case v.Available > target+slack:
+		return Decision{Give: max(0, min(v.Available-v.Waiting, v.Available-target))}
 	}
 	return Decision{}
 }
 
-// target is what the holder should have. Near the end of a budget it is no more than
-// an even share of what is left, so that the last tokens are not all in one place.
-func (p HorizonPolicy) target(v View) int64 {
-	n := float64(max(1, v.Holders))
-	mean := (v.Demand + v.Others) / n
-	demand := max(v.Demand, mean/2)
-	target := int64(demand*p.Horizon.Seconds()) + int64(p.Worsts*float64(v.Worst))
-	if target > 0 {
-		target = max(target, p.Floor)
-	}
-	pool := v.Free + v.Available + v.Reserved
-	return min(target, int64(float64(pool)/n)+v.Reserved)
-}
-
-// Adopt implements Policy.
-func (HorizonPolicy) Adopt(others float64, _ int) bool { return others > 0 }
+// Adopt implements Policy: a holder takes part in a budget once a request asks for it.
+func (HorizonPolicy) Adopt(float64, int) bool { return false }
 
 // LowWater implements Policy.
 func (p HorizonPolicy) LowWater(demand float64, worst int64) int64 {
-	return int64(demand*p.Horizon.Seconds()/2) + worst
+	return int64(demand*p.Horizon.Seconds()*(1-p.Slack)) + worst
 }
 
 // Spare implements Policy.
-func (p HorizonPolicy) Spare(demand float64, worst int64) int64 {
-	return max(worst, int64(demand*p.Horizon.Seconds()))
+func (p HorizonPolicy) Spare(demand float64, _ int64) int64 {
+	return int64(demand * p.Lot.Seconds())
 }
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -16,6 +16,8 @@
 	if _, dead := h.shutOut[borrower]; dead || b == nil {
 		return Lot{}, Error.Wrap(ErrShort)
 	}
+	b.worst = max(need, b.worst-b.worst/worstDecay)
+	b.lastUse = now
 	if have := b.lent[id]; have != nil {
 		return Lot{Part: have.part, Through: b.durableThrough}, nil
 	}
@@ -70,7 +72,7 @@
 		return
 	}
 	if b.settle(r.Seq, r.Used) {
-		b.lastUse = now
+		b.spend(now, r.Used)
 	}
 	for id, l := range b.lent {
 		if l.part.Seq == r.Seq {
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -42,6 +42,8 @@
 	folded  bool
 	empty   bool
 	took    bool
+	// lacking says that requests wait for more than there is.
+	lacking bool
 }
 
 // plan applies the holder's reports, takes and returns to a page, and says what
@@ -116,6 +118,10 @@
 		return commit{}, Error.Wrap(ErrFenced)
 	}
 	join := row == nil
+	if join && h.lean && h.policy.Decide(h.view(now, a, b)).Take <= 0 {
+		lacks := len(b.waits) > 0
+		return commit{book: b, lacking: lacks, empty: lacks && a.Unspent() < b.smallest()}, nil
+	}
 	if join {
 		a.Join(h.id)
 		row = a.Rows[h.id]
@@ -124,15 +130,16 @@
 	b.granted = max(b.granted, row.Granted)
 	d := h.policy.Decide(h.view(now, a, b))
 	b.returned += d.Give
-	report := b.row(now, h.revision)
+	report := h.reportLocked(now, b)
 	returned := report.Returned != row.Returned
-	stale := report.Through > row.Through || demandMoved(row.Demand, report.Demand)
+	stale := report.Through > row.Through || report.Settled > row.Settled || demandMoved(row.Demand, report.Demand)
 	due := stale && now.Sub(b.lastReport) >= t.Report
 	if err := a.Report(h.id, report); err != nil {
 		return commit{}, err
 	}
 	took := a.Grant(h.id, d.Take)
 	c := commit{book: b, granted: row.Granted, row: report, took: took > 0}
+	c.lacking = b.waiting() > b.available()+took
 	c.empty = took == 0 && len(b.waits) > 0 && a.Unspent() < b.smallest()
 	unused := now.Sub(b.lastUse) > t.Fold && !b.lastUse.IsZero()
 	if b.idle() && (unused || h.stopping) {
@@ -142,6 +149,15 @@
 	return c, nil
 }
 
+// reportLocked is the holder's own totals for its row.
+func (h *Holder) reportLocked(now time.Time, b *book) account.Row {
+	row := b.row(now, h.revision)
+	if h.lean {
+		row.Settled = b.settled
+	}
+	return row
+}
+
 // demandMoved reports whether a row's demand is worth a write.
 func demandMoved(old, now float64) bool {
 	const ratio, least = 0.5, 1.0
@@ -152,7 +168,7 @@
 func (h *Holder) foldLocked(a *account.Account, b *book) bool {
 	b.folding = true
 	b.returned += b.available()
-	if err := a.Report(h.id, b.row(b.lastUse, h.revision)); err != nil {
+	if err := a.Report(h.id, h.reportLocked(b.lastUse, b)); err != nil {
 		return false
 	}
 	return a.Fold(h.id)
@@ -231,6 +247,9 @@
 }
 
 func (h *Holder) dueLocked(now time.Time, b *book) bool {
+	if h.lean && b.granted == 0 {
+		return false // it borrows; a request that needs more asks by itself
+	}
 	if !now.Before(b.nextSync) {
 		return true
 	}
@@ -286,6 +305,13 @@
 	return shortage{lack: n - b.atHand(), empty: now.Before(b.emptyUntil), absent: b.absent}
 }
 
+// ownShortage returns how many tokens the own row lacks for n more.
+func (h *Holder) ownShortage(budget string, n int64) int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return n - h.bookLocked(budget).available()
+}
+
 // lotWant returns how much a lot for this budget should hold.
 func (h *Holder) lotWant(now time.Time, budget string) int64 {
 	h.mu.Lock()
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
+	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
@@ -22,6 +23,10 @@
 	VM string `json:"vm"`
 	// Datacentre is where that is.
 	Datacentre string `json:"datacentre"`
+	// Address is where it takes messages of other members.
+	Address string `json:"address"`
+	// revision is that of the key; of two lives of one VM the newer has the higher.
+	revision store.Revision
 }
 
 // Group is a process's view of all members, itself included while its lease holds.
@@ -134,6 +139,34 @@
 	return max(1, len(g.members)), g.members != nil
 }
 
+// Get returns a member by its id.
+func (g *Group) Get(id string) (Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[g.Prefix+id]
+	return m, ok
+}
+
+// Rank returns the members in the order of preference for key, one for each VM: the
+// newest of its lives. All members with the same view have the same order.
+func (g *Group) Rank(key string) []Member {
+	newest := map[string]Member{}
+	for _, m := range g.Members() {
+		if have, ok := newest[m.VM]; !ok || have.revision < m.revision {
+			newest[m.VM] = m
+		}
+	}
+	vms := make([]string, 0, len(newest))
+	for vm := range newest {
+		vms = append(vms, vm)
+	}
+	out := make([]Member, 0, len(vms))
+	for _, vm := range rendezvous.Rank(key, vms) {
+		out = append(out, newest[vm])
+	}
+	return out
+}
+
 // Members lists the known members.
 func (g *Group) Members() []Member {
 	g.mu.Lock()
@@ -189,5 +222,6 @@
 	if err := json.Unmarshal(it.Value, &m); err != nil {
 		r.Report.MembersLost(err)
 	}
+	m.revision = it.Revision
 	return m
 }
--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -59,7 +59,7 @@
 	history   []store.Event
 	compacted store.Revision
 	faults    Faults
-	calls    Calls
+	calls     Calls
 }
 
 var _ store.Store = (*Store)(nil)
--- a/coord/store/update.go
+++ b/coord/store/update.go
@@ -28,9 +28,16 @@
 //
 // When the context ends before the outcome is known, the error wraps ErrUnknown.
 func Update(ctx context.Context, s Store, key string, change Change) (Item, error) {
+	return UpdateFrom(ctx, s, key, Item{}, change)
+}
+
+// UpdateFrom is Update with a known item in place of the first read; an item with
+// revision 0 is not known. If it is out of date, the write fails and the key is read.
+func UpdateFrom(ctx context.Context, s Store, key string, known Item, change Change) (Item, error) {
 	pause := backoff.New(updatePauseMin, updatePauseMax)
 	for {
-		item, err := updateOnce(ctx, s, key, change)
+		item, err := updateOnce(ctx, s, key, known, change)
+		known = Item{}
 		if err == nil || !retryable(err) {
 			return item, err
 		}
@@ -40,10 +47,12 @@
 	}
 }
 
-func updateOnce(ctx context.Context, s Store, key string, change Change) (Item, error) {
-	old, err := s.Get(ctx, key)
-	if err != nil {
-		return Item{}, err
+func updateOnce(ctx context.Context, s Store, key string, old Item, change Change) (Item, error) {
+	if old.Revision == 0 {
+		var err error
+		if old, err = s.Get(ctx, key); err != nil {
+			return Item{}, err
+		}
 	}
 	next, err := change(old)
 	if err != nil {
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/lending"
+	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/rs/zerolog"
@@ -21,13 +23,12 @@
 
 // How tokens are held; see grant.HorizonPolicy.
 const (
-	// heldWorsts is how many of the largest recent requests a router keeps room for.
+	// heldWorsts is how many of the largest recent requests a home keeps room for.
 	heldWorsts = 2
-	// heldFloor is held of budgets that only other routers draw on: about one
-	// large prompt.
-	heldFloor = 30_000
 	// heldSlack spares writes for small deviations.
 	heldSlack = 0.25
+	// heldLot is the demand that a borrowed lot covers beyond the request at hand.
+	heldLot = time.Second
 	// syncPause is the pause between two looks for pages that are due.
 	syncPause = 100 * time.Millisecond
 	// lowPause is the shortest time between two looks at a page that runs low.
@@ -37,44 +38,105 @@
 	// emptyFor is the time for which an exhausted budget is not asked for again.
 	emptyFor = 300 * time.Millisecond
 	// downFor is the time after a failed call in which requests do not wait for
-	// the store: it has just been tried.
+	// the store, or for a peer: it has just been tried.
 	downFor = 500 * time.Millisecond
+	// keepPages is how long a home plans on a page without reading it again.
+	keepPages = 10 * time.Second
+	// askedHomes is how many routers a request asks for tokens: the home and the
+	// one that would be it next, for a home that is gone but still listed.
+	askedHomes = 2
+	// lotPause is the pause between two rounds of returning lots, lotIdle the
+	// time after which an unused lot goes back. Both keep short what is missing
+	// at the home.
+	lotPause = 250 * time.Millisecond
+	lotIdle  = time.Second
+	// auditPause is the pause between two rounds of questions about lent lots.
+	auditPause = 3 * time.Second
+	// goneFor is the time after which the lots of a router that is not listed
+	// count as used. It is longer than a lease and what living routers need to
+	// register again after an outage of the store.
+	goneFor = 15 * time.Second
 )
 
 // budgets implements serving.Budgets over the accounts in the store.
+//
+// Each page of accounts has a home: the router that ranks first for it among the members.
+// The home takes grants from the store and reports use; all others borrow from it for
+// each request. So a budget's tokens lie in one place whatever the number of routers, a
+// page has one writer, and while the store is cut off routers still reach each other.
 type budgets struct {
 	holder   *grant.Holder
 	pages    *grant.StoreGranter
 	acquirer *grant.Acquirer
+	desk     *lending.Desk
+	members  *member.Group
 	layout   account.Layout
 	catalog  *catalog.Current
 	timeout  time.Duration
 	log      zerolog.Logger
-
-	mu     sync.Mutex
-	failed time.Time // when the store last did not answer
+	store    outage
+	peers    outages
+	gone     absences
 }
 
-func newBudgets(life string, s settings.GatewayBudgets, st store.Store, c *catalog.Current, log zerolog.Logger) *budgets {
+func newBudgets(life string, s settings.GatewayBudgets, st store.Store, members *member.Group, links lending.Caller,
+	c *catalog.Current, log zerolog.Logger) *budgets {
 	b := &budgets{
 		layout:  account.Layout{Prefix: pagePrefix, Pages: s.Pages},
+		members: members,
 		catalog: c,
 		timeout: time.Duration(s.StoreWait),
 		log:     log,
 	}
 	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
-		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Floor: heldFloor, Slack: heldSlack,
+		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Slack: heldSlack, Lot: heldLot,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
+	b.holder.Lean()
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: st, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
+		KeepPages: keepPages,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
 	}
-	b.acquirer = &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}}
+	b.desk = &lending.Desk{
+		Holder: b.holder, Links: links, Address: b.addressOf, Timeout: time.Duration(s.PeerWait), Now: time.Now,
+		Fill: &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}},
+	}
+	peers := &grant.PeerGranter{Holder: b.holder, Lender: b, Peers: b.homes, Timeout: time.Duration(s.PeerWait), Now: time.Now}
+	b.acquirer = &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{peers, b}}
 	return b
 }
 
+func (b *budgets) addressOf(life string) (string, bool) {
+	m, ok := b.members.Get(life)
+	return m.Address, ok
+}
+
+// homes lists the routers to ask for tokens of a budget; a home asks the store itself.
+func (b *budgets) homes(budget string) []string {
+	ranked := b.members.Rank(b.layout.Key(budget))
+	var out []string
+	for _, m := range ranked[:min(askedHomes, len(ranked))] {
+		if m.ID == b.holder.ID() {
+			break
+		}
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+// Lend implements grant.Lender: a peer that just failed is not asked again at once.
+func (b *budgets) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
+	o := b.peers.of(peer)
+	if o.lately() {
+		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
+	}
+	lot, err := b.desk.Lend(ctx, peer, budget, id, need, want)
+	b.noteOutage(o, "router", peer, err, link.ErrDown)
+	return lot, err
+}
+
 // prepare brings the accounts of a page up to the configuration.
 func (b *budgets) prepare(key string, p *account.Page) bool {
 	t := b.catalog.Load()
@@ -98,36 +160,25 @@
 
 // Obtain implements grant.Granter: the store, unless it just failed.
 func (b *budgets) Obtain(ctx context.Context, budget string, lack int64) error {
-	if b.down() {
+	if b.store.lately() {
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
 	err := b.pages.Obtain(ctx, budget, lack)
-	b.note(err)
+	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
 	return err
 }
 
-func (b *budgets) down() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.failed.IsZero() && time.Since(b.failed) < downFor
-}
-
-// note keeps whether the store answers.
-func (b *budgets) note(err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	was := !b.failed.IsZero()
-	if !errors.Is(err, store.ErrUnknown) {
-		b.failed = time.Time{}
-		if was {
-			b.log.Info().Msg("budgets_regained")
-		}
+// noteOutage keeps whether the store or a peer answers, and logs when that changes.
+func (b *budgets) noteOutage(o *outage, what, name string, err, sign error) {
+	failed := errors.Is(err, sign)
+	if !o.note(failed) {
 		return
 	}
-	b.failed = time.Now()
-	if !was {
-		b.log.Warn().Err(err).Msg("budgets_lost")
+	if failed {
+		b.log.Warn().Err(err).Str("of", what).Str("name", name).Msg("tokens_lost")
+		return
 	}
+	b.log.Info().Str("of", what).Str("name", name).Msg("tokens_regained")
 }
 
 // run keeps the pages in step until the context ends.
@@ -144,30 +195,45 @@
 	}
 }
 
-// place looks at all pages, so that this router holds tokens of budgets that are used
-// elsewhere before a cut and not after it began.
-func (b *budgets) place(ctx context.Context) {
-	keys := make([]string, b.layout.Pages)
-	for i := range keys {
-		keys[i] = b.layout.KeyOf(i)
-	}
-	b.sync(ctx, keys)
-}
-
 func (b *budgets) sync(ctx context.Context, keys []string) {
 	for _, key := range keys {
 		ctx, cancel := context.WithTimeout(ctx, b.timeout)
 		err := b.pages.Sync(ctx, key)
 		cancel()
-		b.note(err)
+		b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
 		if err != nil {
 			b.holder.Postpone(time.Now(), key)
 		}
 	}
 }
 
+// returnLots gives unused lots back.
+func (b *budgets) returnLots(ctx context.Context) { b.desk.ReturnLots(ctx, lotIdle) }
+
+// settleGone counts the lots of routers that are gone as used: what a dead router had
+// not returned it may have spent.
+func (b *budgets) settleGone(context.Context) {
+	if b.store.lately() {
+		return // members cannot be told from missing ones now
+	}
+	now := time.Now()
+	for borrower := range b.holder.LentLots() {
+		_, listed := b.members.Get(borrower)
+		if b.gone.since(now, borrower, !listed) < goneFor {
+			continue
+		}
+		lots := b.holder.LentTo(borrower)
+		for _, l := range lots {
+			l.Used = account.MaxTokens // cut to what was lent
+			b.holder.TakeBack(now, l)
+		}
+		b.log.Warn().Str("borrower", borrower).Int("lots", len(lots)).Msg("lots_of_gone_router_counted_as_used")
+	}
+}
+
 // giveBack returns everything that is not reserved; it is the end of a planned stop.
 func (b *budgets) giveBack(ctx context.Context) error {
+	b.desk.ReturnLots(ctx, 0)
 	b.holder.ReturnAll()
 	for _, key := range b.holder.Pages() {
 		if err := b.pages.Sync(ctx, key); err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
 	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/pool"
@@ -52,12 +53,17 @@
 	expirePause = 200 * time.Millisecond
 	// forgetPause is the pause between two looks for upstreams that are gone.
 	forgetPause = 10 * time.Second
-	// placePause is the pause between two looks at all budget pages.
-	placePause = 5 * time.Second
+	// linkHeartbeat and linkDialTimeout watch the connections between routers.
+	linkHeartbeat   = time.Second
+	linkDialTimeout = 400 * time.Millisecond
 	// stopMargin is the part of the grace that is kept for the last writes.
 	stopMargin = 700 * time.Millisecond
 )
 
+// private is the security of control messages: the platform's internal ports are
+// reached by the system's own VMs only.
+var private = link.Security{Private: true}
+
 // Network is how a gateway reaches others and is reached.
 type Network struct {
 	// Listen opens a listening address, as net.Listen does.
@@ -97,6 +103,7 @@
 	directory *directory.Directory
 	members   *member.Group
 	pool      *pool.Pool
+	links     *link.Pool
 	budgets   *budgets
 	repeats   *repeats
 	path      *serving.Path
@@ -105,9 +112,6 @@
 
 	active   atomic.Int64
 	stopping atomic.Bool
-	// first is closed when the first configuration is in force.
-	first  chan struct{}
-	hasOne atomic.Bool
 }
 
 // New makes a gateway; it makes no call.
@@ -119,7 +123,6 @@
 		logDropped: dropped,
 		life:       s.VM + "/" + rand.Text()[:8],
 		admin:      &observe.Admin{},
-		first:      make(chan struct{}),
 	}
 	g.current.Store(s)
 	g.log = g.log.With().Str("life", g.life).Logger()
@@ -132,13 +135,15 @@
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.members = &member.Group{
 		Store: g.store, Prefix: memberPrefix, TTL: time.Duration(s.Store.MemberTTL), Report: g,
-		Self: member.Member{ID: g.life, VM: s.VM, Datacentre: s.Datacentre},
+		Self: member.Member{ID: g.life, VM: s.VM, Datacentre: s.Datacentre, Address: s.Listen.Link},
 	}
 	g.pool = &pool.Pool{
 		Directory: g.directory, PrefillPerMs: s.Upstreams.PrefillPerMs, Routers: g.routers,
 		Here: s.Datacentre, Now: time.Now,
 	}
-	g.budgets = newBudgets(g.life, s.Budgets, g.store, &g.catalog, g.log)
+	g.links = &link.Pool{From: g.life, Security: private, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
+		Dial: network.Dial}
+	g.budgets = newBudgets(g.life, s.Budgets, g.store, g.members, g.links, &g.catalog, g.log)
 	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers}
 	g.path = &serving.Path{
 		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(network, s.Upstreams)},
@@ -181,17 +186,10 @@
 	return 0
 }
 
-// configured is called after each change of the configuration.
-func (g *Gateway) configured() {
-	if g.hasOne.CompareAndSwap(false, true) {
-		close(g.first)
-	}
-}
-
 // ready reports whether callers should be sent here. A router that lost the store goes
 // on with what it knows; one that never knew anything cannot serve.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && g.hasOne.Load() && g.directory.Read()
+	return !g.stopping.Load() && g.catalog.Load() != nil && g.directory.Read()
 }
 
 // enter counts a request in.
@@ -223,11 +221,12 @@
 	<-stop.Done()
 	g.stop(ctx, callers)
 	cancel()
+	g.links.Close()
 	duties.Wait()
 	return nil
 }
 
-type listeners struct{ callers, ready, admin net.Listener }
+type listeners struct{ callers, ready, admin, link net.Listener }
 
 func (g *Gateway) listen() (l listeners, err error) {
 	s := g.settings.Listen
@@ -238,6 +237,7 @@
 		{"listen.callers", s.Callers, &l.callers},
 		{"listen.ready", s.Ready, &l.ready},
 		{"listen.admin", s.Admin, &l.admin},
+		{"listen.link", s.Link, &l.link},
 	} {
 		if *x.into, err = g.network.Listen("tcp", x.address); err != nil {
 			return l, process.Error.New("%s: %w", x.field, err)
@@ -253,6 +253,8 @@
 	ready.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	d.Serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, l.ready, nil)
 	d.Serve(&http.Server{Handler: g.admin.Handler(), ReadHeaderTimeout: headerTimeout}, l.admin, nil)
+	links := &link.Server{Security: private, Log: g.log.Printf, Methods: g.budgets.desk.Methods()}
+	d.Go(func(ctx context.Context) { links.Serve(ctx, l.link) })
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -271,21 +273,12 @@
 	d.Go(upstreams.Run)
 	d.Go(g.members.Follow)
 	d.Go(g.members.Keep)
-	d.Go(g.holdTokens)
+	d.Go(g.budgets.run)
 	d.Every(expirePause, func(context.Context) { g.directory.Expire() })
 	d.Every(forgetPause, func(context.Context) { g.pool.Forget() })
-	d.Every(placePause, g.budgets.place)
-}
-
-// holdTokens takes part in the budgets from the first configuration on.
-func (g *Gateway) holdTokens(ctx context.Context) {
-	select {
-	case <-g.first:
-	case <-ctx.Done():
-		return
-	}
-	g.budgets.place(ctx)
-	g.budgets.run(ctx)
+	d.Every(lotPause, g.budgets.returnLots)
+	d.Every(auditPause, g.budgets.desk.AuditLots)
+	d.Every(auditPause, g.budgets.settleGone)
 }
 
 // stop is a planned stop.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	callersAddress = "10.1.0.1:80"
 	readyAddress   = "10.1.0.1:81"
 	adminAddress   = "10.1.0.1:82"
+	linkAddress    = "10.1.0.1:83"
 )
 
 // The configuration of a test fleet, in the platform's form. The verbs are version,
@@ -128,7 +129,7 @@
 func (f *fleet) settings() *settings.Gateway {
 	s := settings.DefaultGateway()
 	s.VM, s.Datacentre = "router-1", "bergen"
-	s.Listen = settings.GatewayListen{Callers: callersAddress, Ready: readyAddress, Admin: adminAddress}
+	s.Listen = settings.GatewayListen{Callers: callersAddress, Ready: readyAddress, Admin: adminAddress, Link: linkAddress}
 	s.Store.Address = storeAddress
 	return &s
 }
--- /dev/null
+++ b/gateway/outage.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// outage is whether something outside answers.
+type outage struct {
+	mu     sync.Mutex
+	failed time.Time // the last failure; zero while it answers
+}
+
+// lately reports whether it failed so recently that it is not worth another try.
+func (o *outage) lately() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.failed.IsZero() && time.Since(o.failed) < downFor
+}
+
+// note keeps the outcome of a call and reports whether that changed the belief.
+func (o *outage) note(failed bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	was := !o.failed.IsZero()
+	o.failed = time.Time{}
+	if failed {
+		o.failed = time.Now()
+	}
+	return was != failed
+}
+
+// outages are those of several others, by name.
+type outages struct {
+	mu sync.Mutex
+	by map[string]*outage
+}
+
+func (o *outages) of(name string) *outage {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.by == nil {
+		o.by = map[string]*outage{}
+	}
+	if o.by[name] == nil {
+		o.by[name] = &outage{}
+	}
+	return o.by[name]
+}
+
+// absences is since when others have been missing.
+type absences struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+// since notes whether one is missing and returns for how long it has been.
+func (a *absences) since(now time.Time, name string, missing bool) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.at == nil {
+		a.at = map[string]time.Time{}
+	}
+	if !missing {
+		delete(a.at, name)
+		return 0
+	}
+	if a.at[name].IsZero() {
+		a.at[name] = now
+	}
+	return now.Sub(a.at[name])
+}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -34,7 +34,6 @@
 // MembersChanged implements member.Reporter.
 func (g *Gateway) MembersChanged(count int) {
 	g.log.Info().Int("routers", count).Msg("routers_changed")
-	g.budgets.holder.Expect(count)
 }
 
 // MembersLost implements member.Reporter.
@@ -72,9 +71,6 @@
 	raised := c.g.catalog.Raise(catalog.NewTable(config))
 	c.g.log.Info().Int64("version", config.Version).Int64("revision", int64(it.Revision)).Bool("taken", raised).
 		Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Msg("configuration")
-	if raised {
-		c.g.configured()
-	}
 }
 
 // state is a gateway as dumps show it.
--- /dev/null
+++ b/lending/lending.go
@@ -0,0 +1,125 @@
+// Package lending moves prepaid tokens between the routers of a fleet without the
+// store: one reserves a lot out of its own grant, another spends from it and settles
+// it. The rules are those of coord/grant; this package carries the messages.
+package lending
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/link"
+)
+
+// Caller sends one message to another process.
+type Caller interface {
+	Call(ctx context.Context, addr, method string, params, result any) error
+}
+
+// Desk is one router's side of lending, as lender and as borrower.
+type Desk struct {
+	Holder *grant.Holder
+	Links  Caller
+	// Address returns where a router answers, by the name of its VM or of one of
+	// its lives; false if it is not known.
+	Address func(name string) (string, bool)
+	// Fill brings tokens of a budget for a peer that asks for more than there are
+	// at hand. It may be nil: then a peer gets what there is.
+	Fill *grant.Acquirer
+	// Timeout bounds one message.
+	Timeout time.Duration
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// Methods answers the messages of other routers.
+func (d *Desk) Methods() map[string]link.Handler {
+	return map[string]link.Handler{
+		link.MethodLend:   link.Handle(d.lend),
+		link.MethodReturn: link.Handle(d.takeBack),
+		link.MethodDisown: link.Handle(d.disown),
+	}
+}
+
+func (d *Desk) lend(ctx context.Context, in link.LendRequest) (grant.Lot, error) {
+	if d.Fill != nil {
+		ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+		defer cancel()
+		return d.Fill.Lend(ctx, in.Budget, in.ID, in.Borrower, in.Need, in.Want)
+	}
+	return d.Holder.Lend(d.Now(), in.Budget, in.ID, in.Borrower, in.Need, in.Want)
+}
+
+// takeBack settles lots. Those of an earlier life are not known here; its row's
+// recovery settles them.
+func (d *Desk) takeBack(_ context.Context, in link.ReturnRequest) (link.Empty, error) {
+	for _, r := range in.Lots {
+		if r.Lender == d.Holder.ID() {
+			d.Holder.TakeBack(d.Now(), r)
+		}
+	}
+	return link.Empty{}, nil
+}
+
+// disown answers only for this life: what an earlier one did with its lots is for its
+// recovery to find out.
+func (d *Desk) disown(_ context.Context, in link.DisownRequest) (link.DisownReply, error) {
+	if in.Borrower != d.Holder.ID() {
+		return link.DisownReply{}, nil
+	}
+	return link.DisownReply{Parts: d.Holder.Disown(in.Parts)}, nil
+}
+
+// Lend implements grant.Lender: it asks a peer for a lot.
+func (d *Desk) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
+	addr, ok := d.Address(peer)
+	if !ok {
+		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
+	}
+	in := link.LendRequest{Borrower: d.Holder.ID(), Budget: budget, ID: id, Need: need, Want: want}
+	var out grant.Lot
+	err := d.Links.Call(ctx, addr, link.MethodLend, in, &out)
+	return out, err
+}
+
+// ReturnLots settles the lots that were not used for the idle time with their lenders,
+// one message for each lender.
+func (d *Desk) ReturnLots(ctx context.Context, idle time.Duration) {
+	byLender := map[string][]grant.LotReturn{}
+	for _, r := range d.Holder.CloseLots(d.Now().Add(-idle)) {
+		byLender[r.Lender] = append(byLender[r.Lender], r)
+	}
+	for lender, lots := range byLender {
+		if d.call(ctx, lender, link.MethodReturn, link.ReturnRequest{Lots: lots}, nil) != nil {
+			continue // they are sent again with the next round
+		}
+		for _, r := range lots {
+			d.Holder.Acknowledge(r)
+		}
+	}
+}
+
+// AuditLots asks borrowers about the lots lent to them, and takes back those whose
+// answer was lost: without it such a lot would stay open for ever.
+func (d *Desk) AuditLots(ctx context.Context) {
+	for borrower, parts := range d.Holder.LentLots() {
+		var out link.DisownReply
+		in := link.DisownRequest{Borrower: borrower, Parts: parts}
+		if d.call(ctx, borrower, link.MethodDisown, in, &out) != nil {
+			continue // asked again with the next round
+		}
+		for _, p := range out.Parts {
+			d.Holder.TakeBackLost(d.Now(), p)
+		}
+	}
+}
+
+func (d *Desk) call(ctx context.Context, peer, method string, in, out any) error {
+	addr, ok := d.Address(peer)
+	if !ok {
+		return link.Error.Wrap(link.ErrDown)
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	return d.Links.Call(ctx, addr, method, in, out)
+}
--- a/link/link.go
+++ b/link/link.go
@@ -36,6 +36,9 @@
 	{1001, grant.ErrShort},
 	{1002, grant.ErrFenced},
 	{1003, ErrUnauthorized},
+	{1004, grant.ErrExhausted},
+	{1005, grant.ErrNoBudget},
+	{1006, grant.ErrUnreachable},
 }
 
 // Method names.
@@ -61,12 +64,15 @@
 	}
 }
 
-// Security is how the two ends know each other: mutual TLS, or a shared secret on
-// loopback addresses.
+// Security is how the two ends know each other: mutual TLS, a shared secret on loopback
+// addresses, or a network that only the system's own VMs can reach.
 type Security struct {
 	Secret string
-	Server *tls.Config
-	Client *tls.Config
+	// Private says that nobody but the system's own VMs reaches the address; then
+	// no secret is asked for.
+	Private bool
+	Server  *tls.Config
+	Client  *tls.Config
 }
 
 // hello is the first message of each connection.
@@ -172,7 +178,7 @@
 		return ErrUnauthorized
 	}
 	want := s.server.Security.Secret
-	ok := s.server.Security.Server != nil ||
+	ok := s.server.Security.Server != nil || s.server.Security.Private ||
 		(want != "" && subtle.ConstantTimeCompare([]byte(h.Secret), []byte(want)) == 1)
 	if !ok {
 		return ErrUnauthorized
@@ -218,6 +224,8 @@
 	Heartbeat time.Duration
 	// DialTimeout bounds a connection's start.
 	DialTimeout time.Duration
+	// Dial connects; nil stands for TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	conns map[string]*dialled
@@ -297,6 +305,9 @@
 		d := tls.Dialer{Config: p.Security.Client}
 		return d.DialContext(ctx, "tcp", addr)
 	}
+	if p.Dial != nil {
+		return p.Dial(ctx, "tcp", addr)
+	}
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr)
 }
--- a/link/messages.go
+++ b/link/messages.go
@@ -9,7 +9,7 @@
 const (
 	// MethodLend asks for a lot: LendRequest, grant.Lot.
 	MethodLend = "budget.lend"
-	// MethodReturn settles a lot: grant.LotReturn, Empty.
+	// MethodReturn settles lots: ReturnRequest, Empty.
 	MethodReturn = "budget.return"
 	// MethodDisown asks which lots are not there: DisownRequest, DisownReply.
 	MethodDisown = "budget.disown"
@@ -52,6 +52,11 @@
 	Want int64 `json:"want"`
 }
 
+// ReturnRequest settles lots of one lender.
+type ReturnRequest struct {
+	Lots []grant.LotReturn `json:"lots"`
+}
+
 // DisownRequest lists lots that a lender believes to be with the other side.
 type DisownRequest struct {
 	// Borrower is the life of the other side that asked for them.
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -7,7 +7,7 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
-	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/lending"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/arbutusmill/arbutusmill/vm"
 )
@@ -21,6 +21,7 @@
 func (r *Router) makeHolder() {
 	b := r.base.Settings.Budgets
 	r.holder = grant.NewHolder(r.base.Incarnation, r.layout, policyOf(b))
+	r.desk = &lending.Desk{Holder: r.holder, Links: r.base.Links, Address: r.addressOf, Timeout: linkTimeout, Now: time.Now}
 	timing := grant.DefaultTiming()
 	timing.Rebalance, timing.Report = time.Duration(b.Rebalance), time.Duration(b.Report)
 	r.pages = &grant.StoreGranter{Holder: r.holder, Store: r.base.Store, Layout: r.layout, Timing: timing,
@@ -103,22 +104,22 @@
 	return out
 }
 
-// lender asks other routers for lots over links.
+// lender asks other routers for lots, and counts those that it got.
 type lender struct{ r *Router }
 
 // Lend implements grant.Lender.
 func (l lender) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
-	m, ok := l.r.base.View.Get(peer)
-	if !ok {
-		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
-	}
-	var out grant.Lot
-	in := link.LendRequest{Borrower: l.r.base.Incarnation, Budget: budget, ID: id, Need: need, Want: want}
-	err := l.r.base.Links.Call(ctx, m.Link, link.MethodLend, in, &out)
+	lot, err := l.r.desk.Lend(ctx, peer, budget, id, need, want)
 	if err == nil {
 		l.r.metrics.lots.Inc()
 	}
-	return out, err
+	return lot, err
+}
+
+// addressOf returns where a router answers, by its VM or one of its incarnations.
+func (r *Router) addressOf(name string) (string, bool) {
+	m, ok := r.base.View.Get(vm.IDOf(name))
+	return m.Link, ok
 }
 
 // directHolders counts the routers of the fleet that hold grants of one page.
@@ -176,43 +177,7 @@
 
 // returnLots gives idle lots back to their lenders.
 func (r *Router) returnLots(ctx context.Context) {
-	idleSince := time.Now().Add(-time.Duration(r.base.Settings.Budgets.LotIdle))
-	for _, back := range r.holder.CloseLots(idleSince) {
-		if r.sendBack(ctx, back) == nil {
-			r.holder.Acknowledge(back)
-		}
-	}
-}
-
-func (r *Router) sendBack(ctx context.Context, back grant.LotReturn) error {
-	m, ok := r.base.View.Get(vm.IDOf(back.Lender))
-	if !ok {
-		return link.Error.Wrap(link.ErrDown)
-	}
-	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
-	defer cancel()
-	return r.base.Links.Call(ctx, m.Link, link.MethodReturn, back, nil)
-}
-
-// auditLots asks borrowers about the lots lent to them, and takes back those whose
-// answer was lost: without it such a lot would stay open for ever.
-func (r *Router) auditLots(ctx context.Context) {
-	for borrower, parts := range r.holder.LentLots() {
-		m, ok := r.base.View.Get(vm.IDOf(borrower))
-		if !ok {
-			continue
-		}
-		var out link.DisownReply
-		ctx, cancel := context.WithTimeout(ctx, linkTimeout)
-		err := r.base.Links.Call(ctx, m.Link, link.MethodDisown, link.DisownRequest{Borrower: borrower, Parts: parts}, &out)
-		cancel()
-		if err != nil {
-			continue
-		}
-		for _, p := range out.Parts {
-			r.holder.TakeBackLost(time.Now(), p)
-		}
-	}
+	r.desk.ReturnLots(ctx, time.Duration(r.base.Settings.Budgets.LotIdle))
 }
 
 // giveBack returns all lots and grants; it reports whether nothing is left here.
--- a/router/methods.go
+++ b/router/methods.go
@@ -12,39 +12,22 @@
 
 // methods answers the control messages of other processes.
 func (r *Router) methods() map[string]link.Handler {
-	return map[string]link.Handler{
-		link.MethodLend:       link.Handle(r.lend),
-		link.MethodReturn:     link.Handle(r.takeBack),
-		link.MethodDisown:     link.Handle(r.disown),
-		link.MethodWatermarks: link.Handle(r.watermarks),
-		link.MethodAppend:     link.Handle(r.appendCharges),
-		link.MethodFence:      link.Handle(r.fencePeer),
-		link.MethodSettleLot:  link.Handle(r.takeBack),
-	}
-}
-
-func (r *Router) lend(_ context.Context, in link.LendRequest) (grant.Lot, error) {
-	return r.holder.Lend(time.Now(), in.Budget, in.ID, in.Borrower, in.Need, in.Want)
+	m := r.desk.Methods()
+	m[link.MethodWatermarks] = link.Handle(r.watermarks)
+	m[link.MethodAppend] = link.Handle(r.appendCharges)
+	m[link.MethodFence] = link.Handle(r.fencePeer)
+	m[link.MethodSettleLot] = link.Handle(r.settleLot)
+	return m
 }
 
-// takeBack settles a lot. A lot of an earlier life is not known here; its row's
-// recovery settles it.
-func (r *Router) takeBack(_ context.Context, in grant.LotReturn) (link.Empty, error) {
+// settleLot settles a lot of a dead borrower by the evidence that its recovery found.
+func (r *Router) settleLot(_ context.Context, in grant.LotReturn) (link.Empty, error) {
 	if in.Lender == r.holder.ID() {
 		r.holder.TakeBack(time.Now(), in)
 	}
 	return link.Empty{}, nil
 }
 
-// disown answers only for this life: what an earlier one did with its lots is for
-// its recovery to find out.
-func (r *Router) disown(_ context.Context, in link.DisownRequest) (link.DisownReply, error) {
-	if in.Borrower != r.holder.ID() {
-		return link.DisownReply{}, nil
-	}
-	return link.DisownReply{Parts: r.holder.Disown(in.Parts)}, nil
-}
-
 func (r *Router) fencePeer(_ context.Context, in link.FenceRequest) (recovery.PeerEvidence, error) {
 	if in.Holder == r.holder.ID() {
 		r.holder.Fence()
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 	"github.com/arbutusmill/arbutusmill/datacentre"
 	"github.com/arbutusmill/arbutusmill/fleet"
+	"github.com/arbutusmill/arbutusmill/lending"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/settings"
@@ -36,6 +37,7 @@
 	layout  account.Layout
 
 	holder   *grant.Holder
+	desk     *lending.Desk
 	pages    *grant.StoreGranter
 	acquirer *grant.Acquirer
 	outbox   *ledger.Outbox
@@ -215,7 +217,7 @@
 	r.shards.start(d)
 	d.Every(dutyInterval, r.syncDue)
 	d.Every(min(time.Second, time.Duration(b.LotIdle)/2), r.returnLots)
-	d.Every(time.Duration(b.LotIdle)*auditRounds, r.auditLots)
+	d.Every(time.Duration(b.LotIdle)*auditRounds, r.desk.AuditLots)
 	d.Every(limboInterval, r.resolveLimbo)
 	d.Every(time.Duration(b.RecoverInterval), r.recoverDead)
 	d.Go(r.placeTokens)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -33,6 +33,9 @@
 	Ready string `yaml:"ready"`
 	// Admin is for health, metrics and dumps.
 	Admin string `yaml:"admin"`
+	// Link is for control messages of other routers. Only the system's own VMs may
+	// reach it.
+	Link string `yaml:"link"`
 }
 
 // GatewayStore is how the platform's store is reached.
@@ -59,8 +62,10 @@
 	DemandWindow fleet.Duration `yaml:"demand_window"`
 	// Report is the longest time that use stays unreported.
 	Report fleet.Duration `yaml:"report"`
-	// StoreWait bounds what one request waits for tokens.
+	// StoreWait bounds what one request waits for the store's tokens, PeerWait
+	// what it waits for those of one other router.
 	StoreWait fleet.Duration `yaml:"store_wait"`
+	PeerWait  fleet.Duration `yaml:"peer_wait"`
 }
 
 // Repeats bounds the sends beyond the first of each request, for the whole fleet.
@@ -116,12 +121,14 @@
 			MemberTTL: fleet.Duration(6 * time.Second),
 		},
 		Budgets: GatewayBudgets{
-			Pages: 1,
+			Pages: 16,
 			// Cuts of seven to nine seconds are usual.
 			Horizon:      fleet.Duration(10 * time.Second),
 			DemandWindow: fleet.Duration(5 * time.Second),
 			Report:       fleet.Duration(time.Second),
 			StoreWait:    fleet.Duration(400 * time.Millisecond),
+			// The home may have to ask the store in this time.
+			PeerWait: fleet.Duration(500 * time.Millisecond),
 		},
 		Repeats: Repeats{Ratio: 0.2, Extra: 50, Window: fleet.Duration(10 * time.Second)},
 		Upstreams: Upstreams{
@@ -165,6 +172,7 @@
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.ready", s.Listen.Ready)
 	c.address("listen.admin", s.Listen.Admin)
+	c.address("listen.link", s.Listen.Link)
 	c.address("store.address", s.Store.Address)
 	c.require(s.Budgets.Pages > 0, "budgets.pages", "must be positive")
 	c.require(s.Repeats.Ratio >= 0, "repeats.ratio", "must not be negative")
@@ -184,6 +192,7 @@
 		{"budgets.demand_window", s.Budgets.DemandWindow},
 		{"budgets.report", s.Budgets.Report},
 		{"budgets.store_wait", s.Budgets.StoreWait},
+		{"budgets.peer_wait", s.Budgets.PeerWait},
 		{"repeats.window", s.Repeats.Window},
 		{"upstreams.dial_timeout", s.Upstreams.DialTimeout},
 		{"upstreams.idle_timeout", s.Upstreams.IdleTimeout},
