Fewer calls of the store: members are read, events of a burst share a call, only homes hold tokens

Change: members are read stale every two seconds and kept for a lease after an outage; a watch rests 150 ms after events and waits 10 s (keep-alive probes find silent connections); routers that are not a page's home take what waits and give the rest back.

--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -64,17 +64,19 @@
 	waits []int64          // tokens that each waiting request wants
 	worst int64            // the largest recent reservation
 
-	window     time.Duration // the time constant of demand
-	demand     float64       // tokens a second, as of demandAt
-	demandAt   time.Time
-	lastUse    time.Time
-	lastReport time.Time
-	nextSync   time.Time
-	lastSync   time.Time
-	lowPause   time.Duration // before the next look while it runs low
-	emptyUntil time.Time
-	absent     bool // the page has no such budget
-	folding    bool // the removal of the row was sent
+	window   time.Duration // the time constant of demand
+	demand   float64       // tokens a second, as of demandAt
+	demandAt time.Time
+	// demandSince is the first use.
+	demandSince time.Time
+	lastUse     time.Time
+	lastReport  time.Time
+	nextSync    time.Time
+	lastSync    time.Time
+	lowPause    time.Duration // before the next look while it runs low
+	emptyUntil  time.Time
+	absent      bool // the page has no such budget
+	folding     bool // the removal of the row was sent
 }
 
 // clear resets the book after its row was removed from the page.
@@ -163,12 +165,16 @@
 
 // spend adds used tokens to the demand average.
 func (b *book) spend(now time.Time, used int64) {
-	b.demand = b.demandNow(now) + float64(used)/b.window.Seconds()
+	if b.demandAt.IsZero() {
+		b.demandSince = now
+	}
+	b.demand = b.decayed(now) + float64(used)/b.window.Seconds()
 	b.demandAt = now
 	b.lastUse = now
 }
 
-func (b *book) demandNow(now time.Time) float64 {
+// decayed is the average as if nothing had been used before the first use.
+func (b *book) decayed(now time.Time) float64 {
 	if b.demandAt.IsZero() {
 		return 0
 	}
@@ -176,6 +182,17 @@
 	return b.demand * math.Exp(-max(0, age)/b.window.Seconds())
 }
 
+// leastSpan bounds how much the average of a book's first moments is scaled up.
+const leastSpan = time.Second
+
+// demandNow is the average over the time since the first use, where that is shorter than
+// the window: a cut in a process's first seconds would otherwise find it holding far too
+// little.
+func (b *book) demandNow(now time.Time) float64 {
+	span := max(leastSpan, now.Sub(b.demandSince)).Seconds()
+	return b.decayed(now) / (1 - math.Exp(-span/b.window.Seconds()))
+}
+
 // row is the report of this book's totals.
 func (b *book) row(now time.Time, revision int64) account.Row {
 	since := revision
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -97,7 +97,8 @@
 // spent instead of recovering it by evidence. A row is made with the first grant and not
 // before. Reports count every settled reservation, also those numbered after one that is
 // still open; that keeps small what a dead life leaves unreported, but such a row does
-// not say which reservations it covers.
+// not say which reservations it covers. Demand is counted when tokens are set aside: a
+// cut may come before the first long streams have ended.
 func (h *Holder) Lean() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -143,6 +144,9 @@
 	if n <= 0 || b.atHand() < n {
 		return Reservation{}, Error.Wrap(ErrShort)
 	}
+	if h.lean {
+		b.spend(now, n)
+	}
 	return Reservation{Budget: budget, Parts: h.takeLocked(now, b, n)}, nil
 }
 
@@ -178,7 +182,9 @@
 		}
 		b.settleLot(p, split[i].Tokens)
 	}
-	b.spend(now, min(used, r.Tokens()))
+	if !h.lean {
+		b.spend(now, min(used, r.Tokens()))
+	}
 }
 
 // settleLot settles a part of a borrowed lot.
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -17,6 +17,9 @@
 	// Worsts is how many of the largest recent requests a holder keeps room for
 	// beside that: a single request may need more than many seconds of demand.
 	Worsts float64
+	// Home says whether this holder is a budget's home; nil stands for always. Any
+	// other holder takes what waits and gives the rest back at once.
+	Home func(budget string) bool
 	// Slack is the deviation from the target that is left alone (0..1).
 	Slack float64
 	// Lot is the demand that a borrowed lot covers beyond the request at hand. It
@@ -26,6 +29,9 @@
 
 // Decide implements Policy.
 func (p HorizonPolicy) Decide(v View) Decision {
+	if !p.home(v.Budget) {
+		return exact(v)
+	}
 	need := v.Waiting - v.Available
 	target := int64(v.Demand*p.Horizon.Seconds() + p.Worsts*float64(v.Worst))
 	slack := int64(p.Slack * float64(target))
@@ -38,11 +44,16 @@
 	return Decision{}
 }
 
+func (p HorizonPolicy) home(budget string) bool { return p.Home == nil || p.Home(budget) }
+
 // Adopt implements Policy: a holder takes part in a budget once a request asks for it.
 func (HorizonPolicy) Adopt(float64, int) bool { return false }
 
 // LowWater implements Policy.
-func (p HorizonPolicy) LowWater(demand float64, worst int64) int64 {
+func (p HorizonPolicy) LowWater(budget string, demand float64, worst int64) int64 {
+	if !p.home(budget) {
+		return 0
+	}
 	return int64(demand*p.Horizon.Seconds()*(1-p.Slack)) + worst
 }
 
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -25,6 +25,9 @@
 	if n <= 0 {
 		return Lot{}, Error.Wrap(ErrShort)
 	}
+	if h.lean {
+		b.spend(now, min(need, n))
+	}
 	return h.lendLocked(b, id, borrower, n), nil
 }
 
@@ -71,7 +74,7 @@
 	if b == nil {
 		return
 	}
-	if b.settle(r.Seq, r.Used) {
+	if b.settle(r.Seq, r.Used) && !h.lean {
 		b.spend(now, r.Used)
 	}
 	for id, l := range b.lent {
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -176,7 +176,7 @@
 
 func (h *Holder) view(now time.Time, a *account.Account, b *book) View {
 	v := View{
-		Now: now, Credit: a.Credit(), Free: a.Free(), Unspent: a.Unspent(),
+		Now: now, Budget: b.budget, Credit: a.Credit(), Free: a.Free(), Unspent: a.Unspent(),
 		Granted: b.granted, Available: b.available(), Reserved: b.reserved,
 		Waiting: b.waiting(), Smallest: b.smallest(), Worst: b.worst, Demand: b.demandNow(now), Holders: max(len(a.Rows), h.expected),
 	}
@@ -253,7 +253,7 @@
 	if !now.Before(b.nextSync) {
 		return true
 	}
-	low := b.available() < h.policy.LowWater(b.demandNow(now), b.worst)
+	low := b.available() < h.policy.LowWater(b.budget, b.demandNow(now), b.worst)
 	return low && b.demandNow(now) > 0 && now.Sub(b.lastSync) >= b.lowPause
 }
 
--- a/coord/grant/policy.go
+++ b/coord/grant/policy.go
@@ -6,6 +6,8 @@
 // show it at one moment. Amounts are tokens.
 type View struct {
 	Now time.Time
+	// Budget is the budget's name.
+	Budget string
 	// Credit is the sum of top-ups; Free may be granted; Unspent is left
 	// anywhere, in grants or free.
 	Credit, Free, Unspent int64
@@ -35,9 +37,9 @@
 	// Adopt reports whether to take part in a budget that this holder has not
 	// used, given the others' demand and the number of their rows.
 	Adopt(others float64, holders int) bool
-	// LowWater is the amount at hand below which the holder should sync
-	// the page ahead of need.
-	LowWater(demand float64, worst int64) int64
+	// LowWater is the amount at hand of a budget below which the holder should
+	// sync the page ahead of need.
+	LowWater(budget string, demand float64, worst int64) int64
 	// Spare is how much a lender may add to a peer's need, given the
 	// borrower's demand.
 	Spare(demand float64, worst int64) int64
@@ -135,7 +137,7 @@
 func (p DemandPolicy) Adopt(others float64, _ int) bool { return others > p.MinDemand }
 
 // LowWater implements Policy.
-func (p DemandPolicy) LowWater(demand float64, worst int64) int64 {
+func (p DemandPolicy) LowWater(_ string, demand float64, worst int64) int64 {
 	return max(worst, int64(p.LowSeconds*demand))
 }
 
@@ -157,7 +159,7 @@
 func (EvenPolicy) Adopt(float64, int) bool { return true }
 
 // LowWater implements Policy.
-func (EvenPolicy) LowWater(float64, int64) int64 { return 0 }
+func (EvenPolicy) LowWater(string, float64, int64) int64 { return 0 }
 
 // Spare implements Policy.
 func (EvenPolicy) Spare(float64, int64) int64 { return 0 }
@@ -173,7 +175,7 @@
 func (RequestPolicy) Adopt(float64, int) bool { return false }
 
 // LowWater implements Policy.
-func (RequestPolicy) LowWater(float64, int64) int64 { return 0 }
+func (RequestPolicy) LowWater(string, float64, int64) int64 { return 0 }
 
 // Spare implements Policy.
 func (RequestPolicy) Spare(float64, int64) int64 { return 0 }
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
@@ -47,6 +46,10 @@
 	mu      sync.Mutex
 	members map[string]Member
 	lease   store.LeaseID
+	// lost says that the last read failed; doubtUntil is the end of the time in
+	// which missing members may have lapsed only because the store was away.
+	lost       bool
+	doubtUntil time.Time
 }
 
 // Reporter hears what a group goes through.
@@ -60,28 +63,38 @@
 // renewals is how many renewals fit into a lease: two may be lost.
 const renewals = 3
 
-// Follow keeps the view up to date until the context ends.
-func (g *Group) Follow(ctx context.Context) {
-	m := mirror.Mirror{Store: g.Store, Prefix: g.Prefix, Reader: (*reader)(g)}
-	m.Run(ctx)
-}
-
-// Keep registers this process and renews its lease until the context ends.
+// Keep registers this process, renews its lease and reads the members until the context
+// ends. Members are read, not watched: in a fleet of n, each one that comes or goes would
+// end n waiting calls, and a view that is two seconds old does no harm.
 func (g *Group) Keep(ctx context.Context) {
-	t := time.NewTicker(g.TTL / renewals)
-	defer t.Stop()
+	pause := firstPause
 	for {
-		if err := g.renew(ctx); err != nil && ctx.Err() == nil {
-			g.Report.MembersLost(err)
+		err := errors.Join(g.renew(ctx), g.read(ctx))
+		if err != nil && ctx.Err() == nil {
+			g.lose(err)
 		}
+		t := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
+			t.Stop()
 			return
 		case <-t.C:
 		}
+		pause = min(2*pause, g.TTL/renewals)
 	}
 }
 
+// firstPause is the pause between the first two reads; it doubles up to the renewal's.
+// The members of a fleet that starts find each other within a second that way.
+const firstPause = 250 * time.Millisecond
+
+func (g *Group) lose(err error) {
+	g.mu.Lock()
+	g.lost = true
+	g.mu.Unlock()
+	g.Report.MembersLost(err)
+}
+
 // renew renews the lease, or registers anew when it has ended.
 func (g *Group) renew(ctx context.Context) error {
 	if id := g.current(); id != 0 {
@@ -178,49 +191,46 @@
 	return out
 }
 
-// reader is the mirror's side of a group.
-type reader Group
-
-// Reset implements mirror.Reader.
-func (r *reader) Reset(items []store.Item) {
+// read replaces the view. For one lease's time after an outage, members that are missing
+// are kept: their leases may have ended although they live, and a view that empties and
+// fills again would move every home of a budget twice.
+func (g *Group) read(ctx context.Context) error {
+	items, err := g.Store.Peek(ctx, g.Prefix)
+	if err != nil {
+		return err
+	}
 	members := map[string]Member{}
 	for _, it := range items {
-		members[it.Key] = r.decode(it)
+		members[it.Key] = g.decode(it)
+	}
+	if before, after := g.replace(time.Now(), members); before != after {
+		g.Report.MembersChanged(after)
 	}
-	r.update(func(map[string]Member) map[string]Member { return members })
+	return nil
 }
 
-// Changed implements mirror.Reader.
-func (r *reader) Changed(e store.Event) {
-	r.update(func(have map[string]Member) map[string]Member {
-		if e.Deleted {
-			delete(have, e.Key)
-		} else {
-			have[e.Key] = r.decode(e.Item)
+// replace takes a new view and returns the numbers of members before and after.
+func (g *Group) replace(now time.Time, members map[string]Member) (before, after int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lost {
+		g.lost, g.doubtUntil = false, now.Add(g.TTL)
+	}
+	for key, m := range g.members {
+		if _, listed := members[key]; !listed && now.Before(g.doubtUntil) {
+			members[key] = m
 		}
-		return have
-	})
-}
-
-// Lost implements mirror.Reader.
-func (r *reader) Lost(err error) { r.Report.MembersLost(err) }
-
-func (r *reader) update(change func(map[string]Member) map[string]Member) {
-	r.mu.Lock()
-	before := len(r.members)
-	r.members = change(r.members)
-	after := len(r.members)
-	r.mu.Unlock()
-	if before != after {
-		r.Report.MembersChanged(after)
 	}
+	before = len(g.members)
+	g.members = members
+	return before, len(members)
 }
 
 // decode reads a member; one whose value cannot be read still counts, by its key.
-func (r *reader) decode(it store.Item) Member {
-	m := Member{ID: strings.TrimPrefix(it.Key, r.Prefix)}
+func (g *Group) decode(it store.Item) Member {
+	m := Member{ID: strings.TrimPrefix(it.Key, g.Prefix)}
 	if err := json.Unmarshal(it.Value, &m); err != nil {
-		r.Report.MembersLost(err)
+		g.Report.MembersLost(err)
 	}
 	m.revision = it.Revision
 	return m
--- a/coord/mirror/mirror.go
+++ b/coord/mirror/mirror.go
@@ -28,7 +28,7 @@
 // late a process learns of changes after the store's return.
 const (
 	pauseMin = 20 * time.Millisecond
-	pauseMax = 300 * time.Millisecond
+	pauseMax = time.Second
 )
 
 // Mirror follows one prefix.
--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -175,6 +175,11 @@
 	return items, rev, err
 }
 
+// Peek implements store.Store.
+func (s *Store) Peek(ctx context.Context, prefix string) ([]store.Item, error) {
+	return s.List(ctx, prefix, "", math.MaxInt)
+}
+
 // Revision returns the number of the last write.
 func (s *Store) Revision() store.Revision {
 	s.mu.Lock()
--- a/etcd/etcd.go
+++ b/etcd/etcd.go
@@ -98,21 +98,24 @@
 
 // List implements store.Store.
 func (e *Store) List(ctx context.Context, prefix, from string, limit int) ([]store.Item, error) {
-	in := RangeRequest{Key: []byte(max(prefix, from)), RangeEnd: prefixEnd(prefix), Limit: int64(limit)}
-	var out RangeResponse
-	if err := e.call(ctx, "/v3/kv/range", in, &out); err != nil {
-		return nil, err
-	}
-	items := make([]store.Item, len(out.KVs))
-	for i, kv := range out.KVs {
-		items[i] = kv.item()
-	}
-	return items, nil
+	items, _, err := e.read(ctx, RangeRequest{Key: []byte(max(prefix, from)), RangeEnd: prefixEnd(prefix), Limit: int64(limit)})
+	return items, err
 }
 
 // Snapshot implements store.Store.
 func (e *Store) Snapshot(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
-	in := RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	return e.read(ctx, RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+}
+
+// Peek implements store.Store by a serializable read, which one member of the store
+// answers alone.
+func (e *Store) Peek(ctx context.Context, prefix string) ([]store.Item, error) {
+	in := RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), Serializable: true}
+	items, _, err := e.read(ctx, in)
+	return items, err
+}
+
+func (e *Store) read(ctx context.Context, in RangeRequest) ([]store.Item, store.Revision, error) {
 	var out RangeResponse
 	if err := e.call(ctx, "/v3/kv/range", in, &out); err != nil {
 		return nil, 0, err
--- a/etcd/json.go
+++ b/etcd/json.go
@@ -27,6 +27,8 @@
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
 	Limit    int64  `json:"limit,omitempty,string"`
+	// Serializable reads may be out of date.
+	Serializable bool `json:"serializable,omitempty"`
 }
 
 // RangeResponse answers a RangeRequest.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
@@ -39,7 +40,7 @@
 	emptyFor = 300 * time.Millisecond
 	// downFor is the time after a failed call in which requests do not wait for
 	// the store, or for a peer: it has just been tried.
-	downFor = 500 * time.Millisecond
+	downFor = time.Second
 	// keepPages is how long a home plans on a page without reading it again.
 	keepPages = 10 * time.Second
 	// askedHomes is how many routers a request asks for tokens: the home and the
@@ -52,6 +53,9 @@
 	lotIdle  = time.Second
 	// auditPause is the pause between two rounds of questions about lent lots.
 	auditPause = 3 * time.Second
+	// standInFor is how long a router that was asked for tokens of a page acts as
+	// its home.
+	standInFor = 3 * time.Second
 	// goneFor is the time after which the lots of a router that is not listed
 	// count as used. It is longer than a lease and what living routers need to
 	// register again after an outage of the store.
@@ -77,6 +81,7 @@
 	store    outage
 	peers    outages
 	gone     absences
+	asked    lastAsked
 }
 
 func newBudgets(life string, s settings.GatewayBudgets, st store.Store, members *member.Group, links lending.Caller,
@@ -89,7 +94,7 @@
 		log:     log,
 	}
 	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
-		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Slack: heldSlack, Lot: heldLot,
+		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Slack: heldSlack, Lot: heldLot, Home: b.isHome,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean()
@@ -113,6 +118,33 @@
 	return m.Address, ok
 }
 
+// isHome reports whether this router is the home of a budget, or stands in for it: others
+// ask it because they do not reach the home. Before the members are known it is none: if
+// every router of a new fleet took itself for the home, each would hold room for large
+// requests.
+func (b *budgets) isHome(budget string) bool {
+	page := b.layout.Key(budget)
+	if b.asked.within(page, standInFor) {
+		return true
+	}
+	ranked := b.members.Rank(page)
+	return len(ranked) > 0 && ranked[0].ID == b.holder.ID()
+}
+
+// methods answers the messages of other routers.
+func (b *budgets) methods() map[string]link.Handler {
+	m := b.desk.Methods()
+	lend := m[link.MethodLend]
+	m[link.MethodLend] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var in link.LendRequest
+		if json.Unmarshal(params, &in) == nil { // if not, lend says what is wrong
+			b.asked.note(b.layout.Key(in.Budget))
+		}
+		return lend(ctx, params)
+	}
+	return m
+}
+
 // homes lists the routers to ask for tokens of a budget; a home asks the store itself.
 func (b *budgets) homes(budget string) []string {
 	ranked := b.members.Rank(b.layout.Key(budget))
@@ -197,6 +229,9 @@
 
 func (b *budgets) sync(ctx context.Context, keys []string) {
 	for _, key := range keys {
+		if b.store.lately() {
+			return // calls are paid for, also those that fail
+		}
 		ctx, cancel := context.WithTimeout(ctx, b.timeout)
 		err := b.pages.Sync(ctx, key)
 		cancel()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,7 @@
 		Address:   s.Store.Address,
 		Client:    &http.Client{Transport: storeTransport(network)},
 		Timeout:   time.Duration(s.Store.Timeout),
-		WatchWait: time.Duration(s.Store.WatchWait),
+		WatchWait: time.Duration(s.Store.WatchWait), WatchPause: time.Duration(s.Store.WatchPause),
 	}
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.members = &member.Group{
@@ -253,7 +253,7 @@
 	ready.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	d.Serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, l.ready, nil)
 	d.Serve(&http.Server{Handler: g.admin.Handler(), ReadHeaderTimeout: headerTimeout}, l.admin, nil)
-	links := &link.Server{Security: private, Log: g.log.Printf, Methods: g.budgets.desk.Methods()}
+	links := &link.Server{Security: private, Log: g.log.Printf, Methods: g.budgets.methods()}
 	d.Go(func(ctx context.Context) { links.Serve(ctx, l.link) })
 }
 
@@ -271,7 +271,6 @@
 	upstreams := &mirror.Mirror{Store: g.store, Prefix: platform.UpstreamPrefix, Reader: g.directory}
 	d.Go(config.Run)
 	d.Go(upstreams.Run)
-	d.Go(g.members.Follow)
 	d.Go(g.members.Keep)
 	d.Go(g.budgets.run)
 	d.Every(expirePause, func(context.Context) { g.directory.Expire() })
--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -70,3 +70,25 @@
 	}
 	return now.Sub(a.at[name])
 }
+
+// lastAsked is when others last asked for something, by name.
+type lastAsked struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+func (l *lastAsked) note(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.at == nil {
+		l.at = map[string]time.Time{}
+	}
+	l.at[name] = time.Now()
+}
+
+func (l *lastAsked) within(name string, d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, ok := l.at[name]
+	return ok && time.Since(t) < d
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -46,6 +46,8 @@
 	Timeout fleet.Duration `yaml:"timeout"`
 	// WatchWait is how long one waiting call of a watch waits.
 	WatchWait fleet.Duration `yaml:"watch_wait"`
+	// WatchPause follows each call of a watch that brought events.
+	WatchPause fleet.Duration `yaml:"watch_pause"`
 	// MemberTTL is the lease of a router's own entry.
 	MemberTTL fleet.Duration `yaml:"member_ttl"`
 }
@@ -115,10 +117,12 @@
 			// A call takes some milliseconds; a store that is slow by a factor
 			// of 80 still answers within the bound.
 			Timeout: fleet.Duration(1500 * time.Millisecond),
-			// A connection that went silent is noticed after this and the
-			// timeout; a leaving upstream must be known within seconds.
-			WatchWait: fleet.Duration(2 * time.Second),
-			MemberTTL: fleet.Duration(6 * time.Second),
+			// Keep-alive probes notice a connection that went silent within
+			// three seconds, so a call need not be short for that.
+			WatchWait: fleet.Duration(10 * time.Second),
+			// Small beside the two seconds in which changes must be in force.
+			WatchPause: fleet.Duration(150 * time.Millisecond),
+			MemberTTL:  fleet.Duration(6 * time.Second),
 		},
 		Budgets: GatewayBudgets{
 			Pages: 16,
@@ -187,6 +191,7 @@
 	}{
 		{"store.timeout", s.Store.Timeout},
 		{"store.watch_wait", s.Store.WatchWait},
+		{"store.watch_pause", s.Store.WatchPause},
 		{"store.member_ttl", s.Store.MemberTTL},
 		{"budgets.horizon", s.Budgets.Horizon},
 		{"budgets.demand_window", s.Budgets.DemandWindow},
