Refuse at once what this VM cannot carry; JSON log lines; lots for one request each

Ruled out so far: the outbound link and the processor, by the new estimates (none refused); the inbound link is next.

--- a/contract/answer.go
+++ b/contract/answer.go
@@ -28,7 +28,11 @@
 	a := r.Kind.Answer()
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	if a.RetryAfter > 0 {
+	switch {
+	case r.RetryAfter > 0:
+		// Fractions are allowed: a whole second is long for callers who have one.
+		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+	case a.RetryAfter > 0:
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
 	}
 	w.WriteHeader(a.Status)
--- a/contract/kind.go
+++ b/contract/kind.go
@@ -103,6 +103,9 @@
 type Refusal struct {
 	Kind    Kind
 	Message string
+	// RetryAfter goes before that of the kind's row, if it is not 0: whoever
+	// refuses may know better when a retry helps.
+	RetryAfter time.Duration
 }
 
 // Refuse returns a refusal.
@@ -110,5 +113,11 @@
 	return &Refusal{Kind: k, Message: fmt.Sprintf(format, args...)}
 }
 
+// After sets when a retry may help.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
+
 // Error implements error.
 func (r *Refusal) Error() string { return string(r.Kind) + ": " + r.Message }
--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -173,6 +173,24 @@
 	b.lastUse = now
 }
 
+// spendLent adds a lot's use to the demand average. Lean holders counted the whole lot
+// when they lent it; what comes back unused was no demand.
+func (b *book) spendLent(now time.Time, lean bool, tokens, used int64) {
+	if lean {
+		used -= tokens
+	}
+	b.spend(now, used)
+	b.demand = max(0, b.demand)
+}
+
+// tokensOf returns the amount of an open reservation, 0 for any other.
+func (b *book) tokensOf(seq int64) int64 {
+	if i := b.find(seq); i >= 0 {
+		return b.queue[i].tokens
+	}
+	return 0
+}
+
 // decayed is the average as if nothing had been used before the first use.
 func (b *book) decayed(now time.Time) float64 {
 	if b.demandAt.IsZero() {
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -37,6 +37,9 @@
 	// decided elsewhere, before the holder plans on it; it reports whether it
 	// changed the page. It must be idempotent.
 	Prepare func(key string, p *account.Page) bool
+	// Moved, if set, is told of tokens that were taken or given back, once that is
+	// durable, and of what decided it.
+	Moved func(d Decision, v View)
 	// KeepPages is how long a page that was read or written is used again without
 	// reading it; 0 reads each time. It suits pages that one process writes: a write
 	// on a page that others changed meanwhile only fails and is tried again on a
@@ -187,6 +190,13 @@
 	for _, c := range commits {
 		lacking = lacking || c.lacking
 	}
+	if write && g.Moved != nil {
+		for _, c := range commits {
+			if c.decision != (Decision{}) {
+				g.Moved(c.decision, c.view)
+			}
+		}
+	}
 	// What a kept page seems to lack is no verdict: the caller reads it afresh.
 	if known.Revision == 0 || !lacking || write {
 		g.Holder.commit(g.Now(), g.Timing, item.Revision, commits, write)
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -22,9 +22,6 @@
 	Home func(budget string) bool
 	// Slack is the deviation from the target that is left alone (0..1).
 	Slack float64
-	// Lot is the demand that a borrowed lot covers beyond the request at hand. It
-	// spares messages; what a lot holds is missing for others until it is back.
-	Lot time.Duration
 }
 
 // Decide implements Policy.
@@ -57,7 +54,6 @@
 	return int64(demand*p.Horizon.Seconds()*(1-p.Slack)) + worst
 }
 
-// Spare implements Policy.
-func (p HorizonPolicy) Spare(demand float64, _ int64) int64 {
-	return int64(demand * p.Lot.Seconds())
-}
+// Spare implements Policy: a lot is for one request. A larger one would stay open as long
+// as the longest of its requests, and what it holds is missing for all others.
+func (HorizonPolicy) Spare(float64, int64) int64 { return 0 }
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -26,7 +26,7 @@
 		return Lot{}, Error.Wrap(ErrShort)
 	}
 	if h.lean {
-		b.spend(now, min(need, n))
+		b.spend(now, n)
 	}
 	return h.lendLocked(b, id, borrower, n), nil
 }
@@ -74,8 +74,9 @@
 	if b == nil {
 		return
 	}
-	if b.settle(r.Seq, r.Used) && !h.lean {
-		b.spend(now, r.Used)
+	lentTokens := b.tokensOf(r.Seq)
+	if b.settle(r.Seq, r.Used) {
+		b.spendLent(now, h.lean, lentTokens, r.Used)
 	}
 	for id, l := range b.lent {
 		if l.part.Seq == r.Seq {
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -42,6 +42,9 @@
 	folded  bool
 	empty   bool
 	took    bool
+	// view and decision are what the policy saw and wanted.
+	view     View
+	decision Decision
 	// lacking says that requests wait for more than there is.
 	lacking bool
 }
@@ -128,7 +131,8 @@
 	}
 	// A write whose answer was lost shows here: the row has more than the book.
 	b.granted = max(b.granted, row.Granted)
-	d := h.policy.Decide(h.view(now, a, b))
+	v := h.view(now, a, b)
+	d := h.policy.Decide(v)
 	b.returned += d.Give
 	report := h.reportLocked(now, b)
 	returned := report.Returned != row.Returned
@@ -138,7 +142,8 @@
 		return commit{}, err
 	}
 	took := a.Grant(h.id, d.Take)
-	c := commit{book: b, granted: row.Granted, row: report, took: took > 0}
+	d.Take = took
+	c := commit{book: b, granted: row.Granted, row: report, took: took > 0, view: v, decision: d}
 	c.lacking = b.waiting() > b.available()+took
 	c.empty = took == 0 && len(b.waits) > 0 && a.Unspent() < b.smallest()
 	unused := now.Sub(b.lastUse) > t.Fold && !b.lastUse.IsZero()
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -28,8 +28,6 @@
 	heldWorsts = 2
 	// heldSlack spares writes for small deviations.
 	heldSlack = 0.25
-	// heldLot is the demand that a borrowed lot covers beyond the request at hand.
-	heldLot = time.Second
 	// syncPause is the pause between two looks for pages that are due.
 	syncPause = 100 * time.Millisecond
 	// lowPause is the shortest time between two looks at a page that runs low.
@@ -38,9 +36,12 @@
 	foldAfter = 5 * time.Minute
 	// emptyFor is the time for which an exhausted budget is not asked for again.
 	emptyFor = 300 * time.Millisecond
-	// downFor is the time after a failed call in which requests do not wait for
-	// the store, or for a peer: it has just been tried.
+	// downFor is the time after a failed call in which nobody waits for a peer: it
+	// has just been tried.
 	downFor = time.Second
+	// probePause is the pause between two tries of a store that failed. Requests
+	// do not wait for it meanwhile: those that lack tokens are refused at once.
+	probePause = 500 * time.Millisecond
 	// keepPages is how long a home plans on a page without reading it again.
 	keepPages = 10 * time.Second
 	// askedHomes is how many routers a request asks for tokens: the home and the
@@ -94,13 +95,13 @@
 		log:     log,
 	}
 	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
-		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Slack: heldSlack, Lot: heldLot, Home: b.isHome,
+		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Slack: heldSlack, Home: b.isHome,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean()
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: st, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
-		KeepPages: keepPages,
+		KeepPages: keepPages, Moved: b.moved,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
 	}
@@ -161,7 +162,7 @@
 // Lend implements grant.Lender: a peer that just failed is not asked again at once.
 func (b *budgets) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
 	o := b.peers.of(peer)
-	if o.lately() {
+	if o.within(downFor) {
 		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
 	}
 	lot, err := b.desk.Lend(ctx, peer, budget, id, need, want)
@@ -192,7 +193,7 @@
 
 // Obtain implements grant.Granter: the store, unless it just failed.
 func (b *budgets) Obtain(ctx context.Context, budget string, lack int64) error {
-	if b.store.lately() {
+	if b.store.lasts() {
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
 	err := b.pages.Obtain(ctx, budget, lack)
@@ -200,6 +201,13 @@
 	return err
 }
 
+// moved logs tokens that this router took or gave back.
+func (b *budgets) moved(d grant.Decision, v grant.View) {
+	b.log.Info().Str("budget", v.Budget).Bool("home", b.isHome(v.Budget)).Int64("took", d.Take).Int64("gave", d.Give).
+		Int64("free", v.Free).Int64("unspent", v.Unspent).Int64("available", v.Available).Int64("reserved", v.Reserved).
+		Int64("waiting", v.Waiting).Int64("largest", v.Worst).Int64("demand_per_s", int64(v.Demand)).Msg("tokens_moved")
+}
+
 // noteOutage keeps whether the store or a peer answers, and logs when that changes.
 func (b *budgets) noteOutage(o *outage, what, name string, err, sign error) {
 	failed := errors.Is(err, sign)
@@ -222,14 +230,26 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		}
+		if !b.store.lasts() {
 			b.sync(ctx, b.holder.Due(time.Now()))
+		} else if !b.store.within(probePause) {
+			b.probe(ctx)
 		}
 	}
 }
 
+// probe asks a store that failed whether it answers again, by a cheap read.
+func (b *budgets) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	_, err := b.pages.Store.Peek(ctx, pagePrefix+"none")
+	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
+}
+
 func (b *budgets) sync(ctx context.Context, keys []string) {
 	for _, key := range keys {
-		if b.store.lately() {
+		if b.store.lasts() {
 			return // calls are paid for, also those that fail
 		}
 		ctx, cancel := context.WithTimeout(ctx, b.timeout)
@@ -248,7 +268,7 @@
 // settleGone counts the lots of routers that are gone as used: what a dead router had
 // not returned it may have spent.
 func (b *budgets) settleGone(context.Context) {
-	if b.store.lately() {
+	if b.store.lasts() {
 		return // members cannot be told from missing ones now
 	}
 	now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/admission"
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
@@ -33,6 +34,14 @@
 const memberPrefix = "arbutusmill/router/"
 
 const (
+	// bytesPerMbit turns Mbit/s into bytes a second.
+	bytesPerMbit = 1e6 / 8
+	// lagPeriod is that of the timer by which the wait for the processor is seen.
+	lagPeriod = 50 * time.Millisecond
+	// collectorPercent is how much the heap may grow between two collections. The
+	// live heap is a few megabytes, and the default would collect many times a
+	// second: 18 % of the processor time of a streamed answer in the benchmark.
+	collectorPercent = 300
 	// memoryShare is the part of the process's memory that the collector may fill;
 	// the rest is for stacks, buffers of the kernel and a burst between two
 	// collections.
@@ -97,6 +106,8 @@
 	logDropped func() uint64
 	life       string
 	network    Network
+	uplink     *admission.Link
+	lag        *admission.Lag
 	store      *platform.Store
 
 	catalog   catalog.Current
@@ -116,10 +127,14 @@
 
 // New makes a gateway; it makes no call.
 func New(s *settings.Gateway, network Network, log io.Writer, dropped func() uint64) *Gateway {
+	uplink := &admission.Link{BytesPerSecond: s.Limits.LinkMbps * bytesPerMbit}
+	network = network.metered(uplink)
 	g := &Gateway{
+		uplink:     uplink,
+		lag:        &admission.Lag{Period: lagPeriod},
 		settings:   s,
 		network:    network,
-		log:        observe.NewLogger(log, s.Log.Level, s.VM),
+		log:        observe.NewJSONLogger(log, s.Log.Level, s.VM),
 		logDropped: dropped,
 		life:       s.VM + "/" + rand.Text()[:8],
 		admin:      &observe.Admin{},
@@ -206,6 +221,7 @@
 // Run serves until stop is done, then stops in order: not ready for the balancer, new
 // work still served for a while, open requests finish, unused tokens go back.
 func (g *Gateway) Run(stop context.Context) error {
+	debug.SetGCPercent(collectorPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(g.settings.Limits.MemoryMB<<20)))
 	listeners, err := g.listen()
 	if err != nil {
@@ -273,6 +289,7 @@
 	d.Go(upstreams.Run)
 	d.Go(g.members.Keep)
 	d.Go(g.budgets.run)
+	d.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
 	d.Every(expirePause, func(context.Context) { g.directory.Expire() })
 	d.Every(forgetPause, func(context.Context) { g.pool.Forget() })
 	d.Every(lotPause, g.budgets.returnLots)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -8,8 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/admission"
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/hop"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/serving"
@@ -33,6 +35,9 @@
 	}
 	defer g.leave()
 	refusal := v.understand(req)
+	if refusal == nil {
+		refusal = v.admit(req)
+	}
 	if refusal == nil {
 		refusal = v.read(w, req)
 	}
@@ -94,6 +99,19 @@
 	return nil
 }
 
+// admit turns a request away while work waits too long at this VM, for its link or its
+// processor. It does so before the body is read; the caller's retry comes in through
+// another router.
+func (v *visit) admit(req *http.Request) *contract.Refusal {
+	link, cpu := v.gateway.uplink.Delay(v.arrived), v.gateway.lag.Delay(v.arrived)
+	delay := max(link, cpu)
+	if admission.Admit(delay, v.request.Rank, req.ContentLength) {
+		return nil
+	}
+	return contract.Refuse(contract.Overloaded, "this router is behind: link %d ms, processor %d ms",
+		link.Milliseconds(), cpu.Milliseconds()).After(backoff.Jitter(delay))
+}
+
 func hostOf(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -11,11 +11,18 @@
 	failed time.Time // the last failure; zero while it answers
 }
 
-// lately reports whether it failed so recently that it is not worth another try.
-func (o *outage) lately() bool {
+// lasts reports whether the last call failed.
+func (o *outage) lasts() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.failed.IsZero() && time.Since(o.failed) < downFor
+	return !o.failed.IsZero()
+}
+
+// within reports whether a call failed so recently.
+func (o *outage) within(d time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.failed.IsZero() && time.Since(o.failed) < d
 }
 
 // note keeps the outcome of a call and reports whether that changed the belief.
--- /dev/null
+++ b/gateway/path_bench_test.go
@@ -0,0 +1,93 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/gateway"
+	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/stretchr/testify/require"
+)
+
+// tcpFleet is a gateway with stand-ins on loopback, for measurements.
+func tcpFleet(b *testing.B, log io.Writer) (callers, upstream string) {
+	store := platformtest.NewStore()
+	address := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
+	}
+	serve := func(h http.Handler) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		s := &http.Server{Handler: h}
+		go func() { _ = s.Serve(l) }() // ends with Close
+		b.Cleanup(func() { _ = s.Close() })
+		return l.Addr().String()
+	}
+	require.NoError(b, store.PutConfig(fmt.Sprintf(configForm, 1, `"k1"`, 1<<50)))
+	engine := serve(&platformtest.Upstream{ID: "i-1", Events: 40})
+	require.NoError(b, store.Register("i-1", "model", engine, "bergen", "ready", 64))
+	plain := serve(&platformtest.Upstream{ID: "i-2"})
+	require.NoError(b, store.Register("i-2", "plain", plain, "bergen", "ready", 64))
+	s := settings.DefaultGateway()
+	s.VM, s.Datacentre = "router-1", "bergen"
+	s.Listen = settings.GatewayListen{Callers: address(), Ready: address(), Admin: address(), Link: address()}
+	s.Store.Address = serve(store.Handler())
+	g := gateway.New(&s, gateway.TCP(), log, func() uint64 { return 0 })
+	go func() { _ = g.Run(b.Context()) }()
+	require.Eventually(b, func() bool {
+		resp, err := http.Get("http://" + s.Listen.Ready + "/arbutusmill/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, 5*time.Second, 10*time.Millisecond)
+	return s.Listen.Callers, engine
+}
+
+// BenchmarkStream is a streamed answer of 40 events through a gateway, and, for
+// comparison, from the upstream itself.
+func BenchmarkStream(b *testing.B) {
+	callers, upstream := tcpFleet(b, io.Discard)
+	for name, address := range map[string]string{"gateway": callers, "direct": upstream} {
+		b.Run(name, func(b *testing.B) { benchmarkCalls(b, address, "/chat/x", strings.Repeat("x", 9000)) })
+	}
+}
+
+// BenchmarkPlain is a plain answer through a gateway.
+func BenchmarkPlain(b *testing.B) {
+	callers, _ := tcpFleet(b, io.Discard)
+	benchmarkCalls(b, callers, "/alert/x", "surge")
+}
+
+func benchmarkCalls(b *testing.B, address, path, body string) {
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	n := 0
+	for b.Loop() {
+		n++
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+		require.NoError(b, err)
+		req.Host = "a.example"
+		req.Header.Set("Api-Key", "k1")
+		req.Header.Set("Arbutusmill-Attempt-Id", fmt.Sprint("r", n))
+		req.Header.Set("Arbutusmill-Deadline-Ms", "6000")
+		req.Header.Set("Arbutusmill-Token-Usage", "1000,120")
+		req.Header.Set("Arbutusmill-Prefix-Hash", "aa:600,bb:400")
+		resp, err := c.Do(req)
+		require.NoError(b, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(b, err)
+		_ = resp.Body.Close()
+		require.Equal(b, 200, resp.StatusCode)
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -98,6 +98,8 @@
 	WriteTimeout fleet.Duration `yaml:"write_timeout"`
 	// MemoryMB is the memory (MiB) that the process may use.
 	MemoryMB int `yaml:"memory_mb"`
+	// LinkMbps is the rate (Mbit/s) of the VM's network link; 0 is no limit.
+	LinkMbps float64 `yaml:"link_mbps"`
 }
 
 // Stop is how a planned stop goes.
@@ -183,6 +185,7 @@
 	c.require(s.Repeats.Extra >= 0, "repeats.extra", "must not be negative")
 	c.require(s.Upstreams.PrefillPerMs > 0, "upstreams.prefill_tokens_per_ms", "must be positive")
 	c.require(s.Limits.Concurrent > 0, "limits.concurrent_requests", "must be positive")
+	c.require(s.Limits.LinkMbps >= 0, "limits.link_mbps", "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
 	c.require(s.Stop.Notice < s.Stop.Grace, "stop.notice", "must be shorter than stop.grace")
 	for _, p := range []struct {
