Try: hold at most a quarter of a budget's rest; 402 only when the whole budget was seen to be too small

A home that lost power at 4 s had held 40 % of a budget, on a demand estimated from its first half second. Change: exhausted is said only after a look at the whole budget; a home holds at most a share of the unspent rest; nothing is taken that serves no waiting request.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -330,13 +330,15 @@
 	return verdict
 }
 
-// obtain asks along the chain. A budget counts as exhausted when each way
-// answered that it has too little, and as out of reach when any way was closed.
+// obtain asks along the chain. A budget counts as exhausted only when a way has looked at
+// the whole of it and found too little left anywhere. What others hold at this moment may
+// come back unused, and a caller told that its budget is used up would not return.
 func (q *Acquirer) obtain(ctx context.Context, budget string, n int64) (Reservation, error) {
-	verdict := Error.Wrap(ErrExhausted)
+	verdict := Error.Wrap(ErrUnreachable)
 	for _, g := range q.Chain {
 		s := q.Holder.shortage(q.Now(), budget, n)
 		if s.empty {
+			verdict = Error.Wrap(ErrExhausted)
 			break
 		}
 		err := g.Obtain(ctx, budget, s.lack)
@@ -346,8 +348,9 @@
 		if r, err := q.Holder.Reserve(q.Now(), budget, n); err == nil {
 			return r, nil
 		}
-		if err != nil && !errors.Is(err, ErrExhausted) && !errors.Is(err, ErrShort) {
-			verdict = Error.Wrap(ErrUnreachable)
+		if errors.Is(err, ErrExhausted) {
+			verdict = err
+			break
 		}
 	}
 	q.Holder.syncSoon(budget)
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -20,6 +20,10 @@
 	// Home says whether this holder is a budget's home; nil stands for always. Any
 	// other holder takes what waits and gives the rest back at once.
 	Home func(budget string) bool
+	// Share is the most of the unspent tokens that is held beyond what is set aside
+	// (0..1): what one death can cost. It also bounds what a few large requests in
+	// a holder's first second make of the demand.
+	Share float64
 	// Slack is the deviation from the target that is left alone (0..1).
 	Slack float64
 }
@@ -30,9 +34,13 @@
 		return exact(v)
 	}
 	need := v.Waiting - v.Available
-	target := int64(v.Demand*p.Horizon.Seconds() + p.Worsts*float64(v.Worst))
+	target := p.target(v)
 	slack := int64(p.Slack * float64(target))
 	switch {
+	case v.Waiting > 0 && v.Free+v.Available < v.Smallest:
+		// What does not suffice for any waiting request would be missing when a
+		// smaller one comes elsewhere.
+		return Decision{}
 	case need > 0 || v.Available < target-slack:
 		return Decision{Take: max(0, min(v.Free, max(need, target-v.Available)))}
 	case v.Available > target+slack:
@@ -41,6 +49,12 @@
 	return Decision{}
 }
 
+// target is what a home should have available.
+func (p HorizonPolicy) target(v View) int64 {
+	wanted := v.Demand*p.Horizon.Seconds() + p.Worsts*float64(v.Worst)
+	return int64(min(wanted, p.Share*float64(v.Unspent)))
+}
+
 func (p HorizonPolicy) home(budget string) bool { return p.Home == nil || p.Home(budget) }
 
 // Adopt implements Policy: a holder takes part in a budget once a request asks for it.
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -26,6 +26,9 @@
 const (
 	// heldWorsts is how many of the largest recent requests a home keeps room for.
 	heldWorsts = 2
+	// heldShare is the most of a budget's rest that a home holds: two cuts of eight
+	// seconds in three quarters of a minute need about this much.
+	heldShare = 0.25
 	// heldSlack spares writes for small deviations.
 	heldSlack = 0.25
 	// syncPause is the pause between two looks for pages that are due.
@@ -95,7 +98,7 @@
 		log:     log,
 	}
 	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
-		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Slack: heldSlack, Home: b.isHome,
+		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack, Home: b.isHome,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean()
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -119,9 +119,11 @@
 			// A call takes some milliseconds; a store that is slow by a factor
 			// of 80 still answers within the bound.
 			Timeout: fleet.Duration(1500 * time.Millisecond),
-			// Keep-alive probes notice a connection that went silent within
-			// three seconds, so a call need not be short for that.
-			WatchWait: fleet.Duration(10 * time.Second),
+			// A store that loses its history may leave a waiting call without
+			// the changes of that time; only the next call tells. So a call is
+			// shorter than the three seconds after which routers must be up to
+			// date again.
+			WatchWait: fleet.Duration(2400 * time.Millisecond),
 			// Small beside the two seconds in which changes must be in force.
 			WatchPause: fleet.Duration(150 * time.Millisecond),
 			MemberTTL:  fleet.Duration(6 * time.Second),
