A router never borrows from itself; rows of dead lives count as spent

Ruled out: lost answers, audits of lots, folding, outputs of broken runs (now charged with their maximum, which is safe and changed nothing here). Change: Holder refuses such lots both ways; a home is found by VM, not by life. Test: TestNobodyBorrowsFromItself failed first. 402 now when what is left outside rows of lives known dead does not suffice; before, such callers were sent away to return in vain.

--- a/coord/grant/fleet_test.go
+++ b/coord/grant/fleet_test.go
@@ -339,3 +339,31 @@
 		require.Equal(t, 1, served)
 	})
 }
+
+// A router restarts and still finds its earlier life among the peers to ask for tokens, at
+// the same address: it asks itself. A lot of its own would be settled with the first of
+// the requests that share it, and all that the others use would be spent twice.
+func TestNobodyBorrowsFromItself(t *testing.T) {
+	now := time.Unix(1000, 0)
+	layout := account.Layout{Prefix: "b/", Pages: 1}
+	st := memstore.New()
+	book := account.Book{Store: st, Layout: layout}
+	require.NoError(t, book.Create(t.Context(), "b", "pilots"))
+	require.NoError(t, book.TopUp(t.Context(), "b", "one", 1000))
+	h := grant.NewHolder("router-1/b", layout, grant.RequestPolicy{})
+	g := &grant.StoreGranter{Holder: h, Store: st, Layout: layout, Timing: grant.DefaultTiming(),
+		Timeout: time.Second, Now: func() time.Time { return now }}
+	a := &grant.Acquirer{Holder: h, Chain: []grant.Granter{g}, Now: func() time.Time { return now }}
+	r, err := a.Acquire(t.Context(), "b", 600)
+	require.NoError(t, err)
+	h.Settle(now, r, 0)
+
+	_, err = h.Lend(now, "b", "id", "router-1/b", 500, 0)
+	require.ErrorIs(t, err, grant.ErrShort)
+	h.Borrow(now, "b", grant.Lot{Part: grant.Part{Holder: "router-1/b", Seq: 9, Tokens: 500}})
+	one, err := h.Reserve(now, "b", 600)
+	require.NoError(t, err)
+	_, err = h.Reserve(now, "b", 1)
+	require.ErrorIs(t, err, grant.ErrShort, "more than was granted")
+	h.Settle(now, one, 600)
+}
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -35,6 +35,7 @@
 	window time.Duration
 	// lean holders have rows only for what they were granted; see Lean.
 	lean bool
+	dead func(holder string) bool
 	// stopping folds every row as soon as nothing is open on it.
 	stopping bool
 	byPage   func(budget string) string
@@ -98,11 +99,12 @@
 // before. Reports count every settled reservation, also those numbered after one that is
 // still open; that keeps small what a dead life leaves unreported, but such a row does
 // not say which reservations it covers. Demand is counted when tokens are set aside: a
-// cut may come before the first long streams have ended.
-func (h *Holder) Lean() {
+// cut may come before the first long streams have ended. What rows of dead holders have
+// left counts as spent; dead reports whether a holder is known to be so.
+func (h *Holder) Lean(dead func(holder string) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lean = true
+	h.lean, h.dead = true, dead
 }
 
 // Revision returns the newest store revision that the holder has seen.
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -13,7 +13,9 @@
 		return Lot{}, Error.Wrap(ErrFenced)
 	}
 	b := h.books[budget]
-	if _, dead := h.shutOut[borrower]; dead || b == nil {
+	// Guard against a holder that asks itself, at the address of an earlier life: a
+	// lot of its own row would be settled whole with the first request on it.
+	if _, dead := h.shutOut[borrower]; dead || b == nil || borrower == h.id {
 		return Lot{}, Error.Wrap(ErrShort)
 	}
 	b.worst = max(need, b.worst-b.worst/worstDecay)
@@ -46,7 +48,7 @@
 func (h *Holder) Borrow(now time.Time, budget string, l Lot) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, closed := h.returns[l.Part]; closed {
+	if _, closed := h.returns[l.Part]; closed || l.Part.Holder == h.id {
 		return
 	}
 	// An answer that comes after the lender was told that this lot is not
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -123,7 +123,7 @@
 	join := row == nil
 	if join && h.lean && h.policy.Decide(h.view(now, a, b)).Take <= 0 {
 		lacks := len(b.waits) > 0
-		return commit{book: b, lacking: lacks, empty: lacks && a.Unspent() < b.smallest()}, nil
+		return commit{book: b, lacking: lacks, empty: lacks && h.unspentLocked(a) < b.smallest()}, nil
 	}
 	if join {
 		a.Join(h.id)
@@ -145,7 +145,7 @@
 	d.Take = took
 	c := commit{book: b, granted: row.Granted, row: report, took: took > 0, view: v, decision: d}
 	c.lacking = b.waiting() > b.available()+took
-	c.empty = took == 0 && len(b.waits) > 0 && a.Unspent() < b.smallest()
+	c.empty = took == 0 && len(b.waits) > 0 && h.unspentLocked(a) < b.smallest()
 	unused := now.Sub(b.lastUse) > t.Fold && !b.lastUse.IsZero()
 	if b.idle() && (unused || h.stopping) {
 		c.folded = h.foldLocked(a, b)
@@ -163,6 +163,20 @@
 	return row
 }
 
+// unspentLocked is what is left of a budget and may still be spent.
+func (h *Holder) unspentLocked(a *account.Account) int64 {
+	n := a.Unspent()
+	if h.dead == nil {
+		return n
+	}
+	for id, r := range a.Rows {
+		if id != h.id && h.dead(id) {
+			n -= r.Balance()
+		}
+	}
+	return n
+}
+
 // demandMoved reports whether a row's demand is worth a write.
 func demandMoved(old, now float64) bool {
 	const ratio, least = 0.5, 1.0
@@ -181,7 +195,7 @@
 
 func (h *Holder) view(now time.Time, a *account.Account, b *book) View {
 	v := View{
-		Now: now, Budget: b.budget, Credit: a.Credit(), Free: a.Free(), Unspent: a.Unspent(),
+		Now: now, Budget: b.budget, Credit: a.Credit(), Free: a.Free(), Unspent: h.unspentLocked(a),
 		Granted: b.granted, Available: b.available(), Reserved: b.reserved,
 		Waiting: b.waiting(), Smallest: b.smallest(), Worst: b.worst, Demand: b.demandNow(now), Holders: max(len(a.Rows), h.expected),
 	}
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -160,6 +160,22 @@
 	return m, ok
 }
 
+// Replaced reports whether the VM of a life that is not a member has a newer life: then
+// the old one is certainly gone.
+func (g *Group) Replaced(id, vm string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, listed := g.members[g.Prefix+id]; listed {
+		return false
+	}
+	for _, m := range g.members {
+		if m.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
 // Rank returns the members in the order of preference for key, one for each VM: the
 // newest of its lives. All members with the same view have the same order.
 func (g *Group) Rank(key string) []Member {
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
@@ -28,7 +29,7 @@
 	heldWorsts = 2
 	// heldShare is the most of a budget's rest that a home holds: two cuts of eight
 	// seconds in three quarters of a minute need about this much.
-	heldShare = 0.25
+	heldShare = 0.5
 	// heldSlack spares writes for small deviations.
 	heldSlack = 0.25
 	// syncPause is the pause between two looks for pages that are due.
@@ -101,7 +102,7 @@
 		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack, Home: b.isHome,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
-	b.holder.Lean()
+	b.holder.Lean(b.isDead)
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: st, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
 		KeepPages: keepPages, Moved: b.moved,
@@ -122,6 +123,16 @@
 	return m.Address, ok
 }
 
+// isDead reports whether a life is known to be over.
+func (b *budgets) isDead(life string) bool {
+	vm, _, _ := strings.Cut(life, "/")
+	if b.members.Replaced(life, vm) {
+		return true
+	}
+	_, listed := b.members.Get(life)
+	return b.gone.since(time.Now(), life, !listed && !b.store.lasts()) >= goneFor
+}
+
 // isHome reports whether this router is the home of a budget, or stands in for it: others
 // ask it because they do not reach the home. Before the members are known it is none: if
 // every router of a new fleet took itself for the home, each would hold room for large
@@ -132,7 +143,7 @@
 		return true
 	}
 	ranked := b.members.Rank(page)
-	return len(ranked) > 0 && ranked[0].ID == b.holder.ID()
+	return len(ranked) > 0 && ranked[0].VM == b.members.Self.VM
 }
 
 // methods answers the messages of other routers.
@@ -154,8 +165,8 @@
 	ranked := b.members.Rank(b.layout.Key(budget))
 	var out []string
 	for _, m := range ranked[:min(askedHomes, len(ranked))] {
-		if m.ID == b.holder.ID() {
-			break
+		if m.VM == b.members.Self.VM {
+			break // this router, or an earlier life of it that is still listed
 		}
 		out = append(out, m.ID)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -21,10 +21,6 @@
 // maxAnswerBytes bounds an answer that is held until it is whole.
 const maxAnswerBytes = 8 << 20
 
-// cancelEvents is how many events an upstream may have made beyond those that arrived
-// when a run is broken off: they are charged, since the team may have consumed them.
-const cancelEvents = 8
-
 // upstreams implements serving.Upstreams in the platform's dialect.
 type upstreams struct {
 	*pool.Pool
@@ -111,20 +107,17 @@
 	return a
 }
 
-// output is the most tokens that the run may have made.
+// output is the most tokens that the run may have made. One that did not end here may have
+// gone on: the upstream learns of a closed connection late, or not at all behind a cut.
 func (x *exchange) output(result serving.Result) int64 {
 	r := x.request
 	if r.Service.Engine == nil {
 		return 0
 	}
-	perEvent := r.Service.Engine.TokensPerEvent
-	switch {
-	case result == serving.Whole:
-		return min(r.MaxOutput, x.events*perEvent)
-	case x.events == 0 && result == serving.Unknown:
+	if result != serving.Whole {
 		return r.MaxOutput
 	}
-	return min(r.MaxOutput, (x.events+cancelEvents)*perEvent)
+	return min(r.MaxOutput, x.events*r.Service.Engine.TokensPerEvent)
 }
 
 // noAnswer is a send without a valid answer.
