Leases of members outlast cuts; stand-ins hold little; replaced lives are known dead at once

Ruled out: configuration and upstreams (read in 60 ms after the restart). Change: leases of 30 s renewed every 2 s; a router that others ask in place of a home holds 2 s of demand; a life counts as dead as soon as its VM has a newer one, listed or not.

--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -17,9 +17,11 @@
 	// Worsts is how many of the largest recent requests a holder keeps room for
 	// beside that: a single request may need more than many seconds of demand.
 	Worsts float64
-	// Home says whether this holder is a budget's home; nil stands for always. Any
-	// other holder takes what waits and gives the rest back at once.
-	Home func(budget string) bool
+	// Role says what this holder is to a budget; nil stands for HomeOf.
+	Role func(budget string) Role
+	// StandIn is the horizon of a holder that stands in for a home: it is asked for
+	// some seconds only, and what it holds is held twice.
+	StandIn time.Duration
 	// Share is the most of the unspent tokens that is held beyond what is set aside
 	// (0..1): what one death can cost. It also bounds what a few large requests in
 	// a holder's first second make of the demand.
@@ -28,9 +30,22 @@
 	Slack float64
 }
 
+// Role is what a holder is to a budget.
+type Role int
+
+// The roles.
+const (
+	// HomeOf a budget lends to all others.
+	HomeOf Role = iota
+	// StandInFor a home lends to those who do not reach it.
+	StandInFor
+	// BorrowerOf a budget takes what waits, and gives the rest back at once.
+	BorrowerOf
+)
+
 // Decide implements Policy.
 func (p HorizonPolicy) Decide(v View) Decision {
-	if !p.home(v.Budget) {
+	if p.role(v.Budget) == BorrowerOf {
 		return exact(v)
 	}
 	need := v.Waiting - v.Available
@@ -49,20 +64,28 @@
 	return Decision{}
 }
 
-// target is what a home should have available.
+// target is what a home or its stand-in should have available.
 func (p HorizonPolicy) target(v View) int64 {
+	if p.role(v.Budget) == StandInFor {
+		return int64(v.Demand * p.StandIn.Seconds())
+	}
 	wanted := v.Demand*p.Horizon.Seconds() + p.Worsts*float64(v.Worst)
 	return int64(min(wanted, p.Share*float64(v.Unspent)))
 }
 
-func (p HorizonPolicy) home(budget string) bool { return p.Home == nil || p.Home(budget) }
+func (p HorizonPolicy) role(budget string) Role {
+	if p.Role == nil {
+		return HomeOf
+	}
+	return p.Role(budget)
+}
 
 // Adopt implements Policy: a holder takes part in a budget once a request asks for it.
 func (HorizonPolicy) Adopt(float64, int) bool { return false }
 
 // LowWater implements Policy.
 func (p HorizonPolicy) LowWater(budget string, demand float64, worst int64) int64 {
-	if !p.home(budget) {
+	if p.role(budget) != HomeOf {
 		return 0
 	}
 	return int64(demand*p.Horizon.Seconds()*(1-p.Slack)) + worst
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -38,8 +38,11 @@
 	Prefix string
 	// Self is this process.
 	Self Member
-	// TTL is the lease's time; it is renewed three times as often.
-	TTL time.Duration
+	// TTL is the lease's time, and Interval the pause between two renewals and reads.
+	// The lease should outlast usual cuts from the store: a process that starts just
+	// after one would otherwise find nobody listed and take itself for the only one.
+	TTL      time.Duration
+	Interval time.Duration
 	// Report is told of failures and of changes of the number of members.
 	Report Reporter
 
@@ -60,9 +63,6 @@
 	MembersLost(err error)
 }
 
-// renewals is how many renewals fit into a lease: two may be lost.
-const renewals = 3
-
 // Keep registers this process, renews its lease and reads the members until the context
 // ends. Members are read, not watched: in a fleet of n, each one that comes or goes would
 // end n waiting calls, and a view that is two seconds old does no harm.
@@ -80,11 +80,11 @@
 			return
 		case <-t.C:
 		}
-		pause = min(2*pause, g.TTL/renewals)
+		pause = min(2*pause, g.Interval)
 	}
 }
 
-// firstPause is the pause between the first two reads; it doubles up to the renewal's.
+// firstPause is the pause between the first two reads; it doubles up to the interval.
 // The members of a fleet that starts find each other within a second that way.
 const firstPause = 250 * time.Millisecond
 
@@ -160,16 +160,14 @@
 	return m, ok
 }
 
-// Replaced reports whether the VM of a life that is not a member has a newer life: then
-// the old one is certainly gone.
+// Replaced reports whether the VM of a life has a newer one: then the old one is certainly
+// gone, although its lease may go on for a while.
 func (g *Group) Replaced(id, vm string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, listed := g.members[g.Prefix+id]; listed {
-		return false
-	}
+	old := g.members[g.Prefix+id] // has revision 0 if it is not listed
 	for _, m := range g.members {
-		if m.VM == vm {
+		if m.VM == vm && m.revision > old.revision {
 			return true
 		}
 	}
@@ -207,9 +205,13 @@
 	return out
 }
 
-// read replaces the view. For one lease's time after an outage, members that are missing
-// are kept: their leases may have ended although they live, and a view that empties and
-// fills again would move every home of a budget twice.
+// returnGrace is how long members that are missing after an outage are kept: living ones
+// register again with their next renewal.
+const returnGrace = 10 * time.Second
+
+// read replaces the view. For a while after an outage, members that are missing are kept:
+// their leases may have ended although they live, and a view that empties and fills again
+// would move every home of a budget twice.
 func (g *Group) read(ctx context.Context) error {
 	items, err := g.Store.Peek(ctx, g.Prefix)
 	if err != nil {
@@ -230,7 +232,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.lost {
-		g.lost, g.doubtUntil = false, now.Add(g.TTL)
+		g.lost, g.doubtUntil = false, now.Add(returnGrace)
 	}
 	for key, m := range g.members {
 		if _, listed := members[key]; !listed && now.Before(g.doubtUntil) {
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -26,7 +26,7 @@
 // How tokens are held; see grant.HorizonPolicy.
 const (
 	// heldWorsts is how many of the largest recent requests a home keeps room for.
-	heldWorsts = 2
+	heldWorsts = 1
 	// heldShare is the most of a budget's rest that a home holds: two cuts of eight
 	// seconds in three quarters of a minute need about this much.
 	heldShare = 0.5
@@ -61,10 +61,12 @@
 	// standInFor is how long a router that was asked for tokens of a page acts as
 	// its home.
 	standInFor = 3 * time.Second
+	// standInHorizon is how long its tokens should last then.
+	standInHorizon = 2 * time.Second
 	// goneFor is the time after which the lots of a router that is not listed
 	// count as used. It is longer than a lease and what living routers need to
 	// register again after an outage of the store.
-	goneFor = 15 * time.Second
+	goneFor = 45 * time.Second
 )
 
 // budgets implements serving.Budgets over the accounts in the store.
@@ -99,7 +101,7 @@
 		log:     log,
 	}
 	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
-		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack, Home: b.isHome,
+		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack, Role: b.role, StandIn: standInHorizon,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean(b.isDead)
@@ -133,17 +135,19 @@
 	return b.gone.since(time.Now(), life, !listed && !b.store.lasts()) >= goneFor
 }
 
-// isHome reports whether this router is the home of a budget, or stands in for it: others
-// ask it because they do not reach the home. Before the members are known it is none: if
-// every router of a new fleet took itself for the home, each would hold room for large
+// role is what this router is to a budget. Before the members are known it is no home:
+// if every router of a new fleet took itself for the home, each would hold room for large
 // requests.
-func (b *budgets) isHome(budget string) bool {
+func (b *budgets) role(budget string) grant.Role {
 	page := b.layout.Key(budget)
-	if b.asked.within(page, standInFor) {
-		return true
-	}
 	ranked := b.members.Rank(page)
-	return len(ranked) > 0 && ranked[0].VM == b.members.Self.VM
+	switch {
+	case len(ranked) > 0 && ranked[0].VM == b.members.Self.VM:
+		return grant.HomeOf
+	case b.asked.within(page, standInFor):
+		return grant.StandInFor
+	}
+	return grant.BorrowerOf
 }
 
 // methods answers the messages of other routers.
@@ -217,7 +221,7 @@
 
 // moved logs tokens that this router took or gave back.
 func (b *budgets) moved(d grant.Decision, v grant.View) {
-	b.log.Info().Str("budget", v.Budget).Bool("home", b.isHome(v.Budget)).Int64("took", d.Take).Int64("gave", d.Give).
+	b.log.Info().Str("budget", v.Budget).Bool("home", b.role(v.Budget) == grant.HomeOf).Int64("took", d.Take).Int64("gave", d.Give).
 		Int64("free", v.Free).Int64("unspent", v.Unspent).Int64("available", v.Available).Int64("reserved", v.Reserved).
 		Int64("waiting", v.Waiting).Int64("largest", v.Worst).Int64("demand_per_s", int64(v.Demand)).Msg("tokens_moved")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,8 @@
 	}
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.members = &member.Group{
-		Store: g.store, Prefix: memberPrefix, TTL: time.Duration(s.Store.MemberTTL), Report: g,
+		Store: g.store, Prefix: memberPrefix, TTL: time.Duration(s.Store.MemberTTL),
+		Interval: time.Duration(s.Store.MemberInterval), Report: g,
 		Self: member.Member{ID: g.life, VM: s.VM, Datacentre: s.Datacentre, Address: s.Listen.Link},
 	}
 	g.pool = &pool.Pool{
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -48,8 +48,10 @@
 	WatchWait fleet.Duration `yaml:"watch_wait"`
 	// WatchPause follows each call of a watch that brought events.
 	WatchPause fleet.Duration `yaml:"watch_pause"`
-	// MemberTTL is the lease of a router's own entry.
-	MemberTTL fleet.Duration `yaml:"member_ttl"`
+	// MemberTTL is the lease of a router's own entry, and MemberInterval the pause
+	// between two renewals.
+	MemberTTL      fleet.Duration `yaml:"member_ttl"`
+	MemberInterval fleet.Duration `yaml:"member_interval"`
 }
 
 // GatewayBudgets is how prepaid budgets are held.
@@ -126,7 +128,10 @@
 			WatchWait: fleet.Duration(2400 * time.Millisecond),
 			// Small beside the two seconds in which changes must be in force.
 			WatchPause: fleet.Duration(150 * time.Millisecond),
-			MemberTTL:  fleet.Duration(6 * time.Second),
+			// Three times the cuts from the store that are usual.
+			MemberTTL: fleet.Duration(30 * time.Second),
+			// A renewal and a stale read cost a tenth of a call each.
+			MemberInterval: fleet.Duration(2 * time.Second),
 		},
 		Budgets: GatewayBudgets{
 			Pages: 16,
@@ -198,6 +203,7 @@
 		{"store.watch_wait", s.Store.WatchWait},
 		{"store.watch_pause", s.Store.WatchPause},
 		{"store.member_ttl", s.Store.MemberTTL},
+		{"store.member_interval", s.Store.MemberInterval},
 		{"budgets.horizon", s.Budgets.Horizon},
 		{"budgets.demand_window", s.Budgets.DemandWindow},
 		{"budgets.report", s.Budgets.Report},
