--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -29,7 +29,7 @@
 	heldWorsts = 1
 	// heldShare is the most of a budget's rest that a home holds: two cuts of eight
 	// seconds in three quarters of a minute need about this much.
-	heldShare = 0.5
+	heldShare = 0.35
 	// heldSlack spares writes for small deviations.
 	heldSlack = 0.25
 	// syncPause is the pause between two looks for pages that are due.
