One path of requests, two dialects: the router with agents uses package serving too

Cause: the gateway's path stood beside the older router's own loop, with the same decisions on repeats and 'not run' written twice. Change: router/dispatch.go speaks the dialect of agents behind serving.Upstreams and serving.Budgets; the loop, the bounds and the final answer are serving's.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -167,14 +167,14 @@
 // serve takes the request through the path.
 func (v *visit) serve(w http.ResponseWriter, req *http.Request) {
 	g := v.gateway
-	out := newCaller(w, time.Duration(g.current.Load().Limits.WriteTimeout), v.request.Route.Kind == catalog.Streaming)
+	out := serving.NewHTTPCaller(w, time.Duration(g.current.Load().Limits.WriteTimeout), v.request.Route.Kind == catalog.Streaming)
 	end := g.path.Serve(req.Context(), v.request, out)
 	if end.Refusal != nil {
 		v.logEnd(end, end.Refusal.Kind.Answer().Status)
 		v.answer(w, end.Refusal)
 		return
 	}
-	v.logEnd(end, out.status)
+	v.logEnd(end, out.Status())
 	if end.Cut {
 		// Ending the handler normally would end the body as if that were all;
 		// aborting breaks the connection, so that the caller sees the cut.
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -8,149 +8,175 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/agent"
+	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/hop"
+	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/upstream"
 	"github.com/arbutusmill/arbutusmill/vm"
 )
 
 // maxTries bounds the upstreams that one request is sent to. Another one is tried
 // only while nothing was passed to the caller. A second run of one request is not
-// billed twice, and what may run only once is claimed before it runs.
+// billed twice, and what may run only once is claimed before it runs, so to the path of
+// requests all work of agents is idempotent.
 const maxTries = 3
 
-// maxUnreached bounds the upstreams that could not even be reached: a list that lags
-// names some that are gone, and trying them costs little.
-const maxUnreached = 8
+// agentRoute is the route of all requests that go through agents.
+var agentRoute = &catalog.Route{Kind: catalog.Safe, MaxRuns: maxTries}
 
-// attempt is what one upstream made of a request.
-type attempt struct {
-	started bool // the caller has got something
-	reached bool // the agent may have got the request
-	known   bool // the outcome is the agent's own word
+// agents is the dialect of agents for one request: it implements serving.Upstreams,
+// serving.Budgets and serving.Repeats.
+type agents struct {
+	*Router
+	job *job
+	req *http.Request
+	// outcome is what the last agent that answered said of the request.
 	outcome contract.Outcome
-	refusal *contract.Refusal
+	// last is the agent that was tried last, unsure the last one that did not say
+	// what became of the request.
+	last, unsure vm.VM
+	// served says that the last agent's word is final, whatever became of earlier runs.
+	served bool
+	byID   map[string]vm.VM
 }
 
 // dispatch sends the request to an upstream and its answer to the caller.
 func (r *Router) dispatch(w http.ResponseWriter, req *http.Request, j *job) {
+	a := &agents{Router: r, job: j, req: req, byID: map[string]vm.VM{}}
+	path := serving.Path{Upstreams: a, Budgets: a, Repeats: a, Now: time.Now}
+	out := serving.NewHTTPCaller(w, time.Duration(r.base.Settings.Limits.WriteTimeout), true)
+	end := path.Serve(req.Context(), &serving.Request{
+		ID: j.key, Team: j.team.Name, Route: agentRoute, Service: catalog.Service{Name: j.service.Name},
+		Arrived: j.arrived, Until: j.arrived.Add(time.Duration(j.service.Timeout)),
+	}, out)
+	switch {
+	case end.Cut:
+		// Guard against a cut answer that looks whole: ending the handler normally
+		// would end the body as if that were all. Aborting breaks the connection,
+		// so that the caller's client reports the cut.
+		r.metrics.cut.Inc()
+		r.log.Warn().Str("id", j.key).Str("agent", a.last.ID).Msg("answer_cut")
+		panic(http.ErrAbortHandler)
+	case end.Refusal != nil:
+		r.refuse(w, j, end.Refusal)
+	}
+}
+
+// Pick implements serving.Upstreams.
+func (a *agents) Pick(_ *serving.Request, attempts []serving.Attempt) (serving.Target, bool) {
 	tried := map[string]bool{}
-	var last, unsure vm.VM
-	at := attempt{known: true, refusal: contract.Refuse(contract.NoUpstream, "no upstream of %s is live", j.service.Name)}
-	reached := 0
-	for reached < maxTries && len(tried) < maxTries+maxUnreached && j.body.again() {
-		chosen, done, ok := r.chooser.Pick(r.base.View.Agents(j.service.Name), j.prefixKey, tried)
-		if !ok {
-			break
-		}
-		tried[chosen.ID] = true
-		last = chosen
-		at = r.try(w, req, j, chosen)
-		done(at.answered())
-		if at.reached {
-			reached++
-		}
-		if !at.known {
-			unsure = chosen
-		}
-		if !at.tryOther(req.Context()) {
-			break
-		}
-		r.metrics.retries.Inc()
+	for _, at := range attempts {
+		tried[at.Upstream] = true
+	}
+	if !a.job.body.again() {
+		return serving.Target{}, false
 	}
-	// Guard against a false "not run": an earlier upstream may have run the
-	// request although the last one refused it.
-	if unsure.ID != "" && at.known && at.refusal != nil && !at.started {
-		last = unsure
-		at = attempt{refusal: contract.Refuse(contract.OutcomeUnknown, "%s did not answer", unsure.ID)}
+	chosen, done, ok := a.chooser.Pick(a.base.View.Agents(a.job.service.Name), a.job.prefixKey, tried)
+	if !ok {
+		return serving.Target{}, false
 	}
-	r.conclude(w, j, last, at)
+	if len(attempts) > 0 {
+		a.metrics.retries.Inc()
+	}
+	a.byID[chosen.ID] = chosen
+	return serving.Target{ID: chosen.ID, Address: chosen.Work, Read: func() {},
+		Done: func(at serving.Attempt) { done(answered(at.Result)) }}, true
 }
 
-// answered reports whether the upstream is in working order.
-func (a attempt) answered() bool {
-	return a.reached && a.known && a.outcome.Kind != contract.UpstreamFailed
+// answered reports whether a result shows the upstream in working order.
+func answered(r serving.Result) bool {
+	return r == serving.Whole || r == serving.Declined || r == serving.Refused
 }
 
-// tryOther reports whether another upstream may help.
-func (a attempt) tryOther(ctx context.Context) bool {
-	if a.started || a.refusal == nil || ctx.Err() != nil {
-		return false
+// Send implements serving.Upstreams.
+func (a *agents) Send(ctx context.Context, _ *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
+	a.last = a.byID[t.ID]
+	a.served = false
+	at := a.send(ctx, out)
+	at.Upstream = t.ID
+	if !at.Result.NotRun() && !a.served {
+		a.unsure = a.last
 	}
-	k := a.refusal.Kind
-	return !a.known || k.Answer().TryOther || k == contract.NoUpstream || k == contract.UpstreamFailed
-}
-
-// conclude settles the books and ends the answer.
-func (r *Router) conclude(w http.ResponseWriter, j *job, last vm.VM, at attempt) {
-	if at.known {
-		r.settle(j, at.outcome)
-	} else {
-		r.limbo.add(j, last)
-	}
-	if at.refusal == nil {
-		return
-	}
-	if !at.started {
-		r.refuse(w, j, at.refusal)
-		return
-	}
-	// Guard against a cut answer that looks whole: ending the handler normally
-	// would end the body as if that were all. Aborting breaks the connection,
-	// so that the caller's client reports the cut.
-	r.metrics.cut.Inc()
-	r.log.Warn().Str("id", j.key).Str("kind", string(at.refusal.Kind)).Msg("answer_cut")
-	panic(http.ErrAbortHandler)
+	return at
 }
 
-// try sends the request to one upstream.
-func (r *Router) try(w http.ResponseWriter, req *http.Request, j *job, chosen vm.VM) attempt {
-	ctx, cancel := context.WithTimeout(req.Context(), j.left())
-	defer cancel()
-	out, err := r.workRequest(ctx, req, j, chosen)
+func (a *agents) send(ctx context.Context, out serving.Caller) serving.Attempt {
+	req, err := a.workRequest(ctx, a.req, a.job, a.last)
 	if err != nil {
-		return attempt{known: true, refusal: contract.Refuse(contract.Internal, "%v", err)}
+		return serving.Attempt{Result: serving.Refused, Refusal: contract.Refuse(contract.Internal, "%v", err)}
 	}
 	sent := &hop.Sent{}
-	resp, err := r.work.Do(out.WithContext(sent.Trace(ctx)))
+	resp, err := a.work.Do(req.WithContext(sent.Trace(ctx)))
 	switch {
 	case err != nil && !sent.Connected():
-		return attempt{known: true, refusal: contract.Refuse(contract.NoUpstream, "%s could not be reached", chosen.ID)}
+		return serving.Attempt{Result: serving.Unreached, Why: err.Error()}
 	case err != nil:
-		return r.failed(ctx, err)
+		return lost(ctx, err, serving.Unknown)
 	}
 	defer resp.Body.Close()
 	if load, ok := upstream.ParseLoad(resp.Header.Get(upstream.LoadHeader)); ok {
-		r.chooser.Report(chosen.ID, load)
+		a.chooser.Report(a.last.ID, load)
 	}
 	if k := contract.Kind(resp.Header.Get(contract.RefusalHeader)); k != "" {
-		return r.refusedBy(chosen, k, resp.Header.Get(contract.FencedHeader))
+		return a.refusedBy(k, resp.Header.Get(contract.FencedHeader))
 	}
-	return r.pass(ctx, w, resp, j)
+	return a.pass(ctx, out, resp)
 }
 
-// failed is a request whose agent did not answer. Whether it ran is not known: the
-// connection may have broken after the agent got it.
-func (r *Router) failed(ctx context.Context, err error) attempt {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return attempt{reached: true, refusal: contract.Refuse(contract.TimedOut, "no answer in time")}
+// lost is a request whose agent did not say what became of it: the connection may have
+// broken after the agent got it.
+func lost(ctx context.Context, err error, result serving.Result) serving.Attempt {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		result = serving.OutOfTime
+	case ctx.Err() != nil:
+		result = serving.CallerGone
 	}
-	return attempt{reached: true, refusal: contract.Refuse(contract.OutcomeUnknown, "the upstream's agent did not answer: %v", err)}
+	return serving.Attempt{Result: result, Why: err.Error()}
 }
 
 // refusedBy is a request that an agent refused, on the agent's own word.
-func (r *Router) refusedBy(chosen vm.VM, k contract.Kind, fenced string) attempt {
+func (a *agents) refusedBy(k contract.Kind, fenced string) serving.Attempt {
 	switch {
 	case k == contract.Stopping:
-		r.base.View.MarkLeaving(chosen.ID)
-	case k == contract.Fenced && fenced == r.holder.ID():
-		r.holder.Fence()
+		a.base.View.MarkLeaving(a.last.ID)
+	case k == contract.Fenced && fenced == a.holder.ID():
+		a.holder.Fence()
 	case k == contract.Fenced:
-		r.holder.ShutOut(fenced)
+		a.holder.ShutOut(fenced)
+	}
+	a.outcome = contract.Outcome{}
+	at := serving.Attempt{Result: serving.Refused, Why: string(k), Refusal: contract.Refuse(k, "refused by %s", a.last.ID)}
+	switch {
+	case k == contract.UpstreamFailed:
+		at.Result, a.served = serving.Failed, true
+	case k.Answer().TryOther || k == contract.NoUpstream:
+		at.Result = serving.Declined
 	}
-	return attempt{reached: true, known: true, refusal: contract.Refuse(k, "refused by %s", chosen.ID)}
+	return at
+}
+
+// Reserve implements serving.Budgets. The tokens were set aside before; what is settled
+// is the agent's own outcome, or, while that is not known, nothing yet.
+func (a *agents) Reserve(context.Context, *serving.Request) (func(int64), *contract.Refusal) {
+	return func(int64) {
+		// Guard against a false "not run": an earlier upstream may have run the
+		// request although the last one refused it.
+		if a.unsure.ID != "" && !a.served {
+			a.limbo.add(a.job, a.unsure)
+			return
+		}
+		a.settle(a.job, a.outcome)
+	}, nil
 }
 
+// Request implements serving.Repeats: the number of tries is the only bound here.
+func (a *agents) Request(string) {}
+
+// Allow implements serving.Repeats.
+func (a *agents) Allow(string) bool { return true }
+
 func (r *Router) workRequest(ctx context.Context, req *http.Request, j *job, chosen vm.VM) (*http.Request, error) {
 	url := r.scheme + "://" + chosen.Work + agent.WorkPath + j.path
 	out, err := http.NewRequestWithContext(ctx, req.Method, url, nil)
@@ -182,41 +208,36 @@
 
 // pass sends an answer to the caller. It is whole only when the agent's trailer says
 // so: a connection that ends early can look like the end of the body.
-func (r *Router) pass(ctx context.Context, w http.ResponseWriter, resp *http.Response, j *job) attempt {
-	h := w.Header()
-	hop.CopyHeaders(h, resp.Header)
+func (a *agents) pass(ctx context.Context, out serving.Caller, resp *http.Response) serving.Attempt {
+	h := resp.Header
 	h.Del(upstream.LoadHeader)
-	h.Set(idempotencyHeader, j.key)
-	h.Set(contract.RequestIDHeader, j.key)
-	w.WriteHeader(resp.StatusCode)
-	err := r.copy(w, resp.Body)
+	h.Set(idempotencyHeader, a.job.key)
+	h.Set(contract.RequestIDHeader, a.job.key)
+	if err := out.Begin(resp.StatusCode, h); err != nil {
+		return serving.Attempt{Result: serving.CallerGone, Why: err.Error()}
+	}
+	err := copyPieces(out, resp.Body)
 	o, ok := contract.OutcomeOf(resp.Trailer)
 	if err != nil || !ok {
-		at := r.failed(ctx, errors.Join(err, errors.New("the answer has no end")))
-		at.started = true
-		return at
+		return lost(ctx, errors.Join(err, errors.New("the answer has no end")), serving.Broken)
 	}
-	at := attempt{started: true, reached: true, known: true, outcome: o}
+	a.outcome, a.served = o, true
 	if !o.Whole {
-		at.refusal = contract.Refuse(o.Kind, "the upstream's answer was cut")
+		return serving.Attempt{Result: serving.Refused, Why: string(o.Kind)}
 	}
-	return at
+	return serving.Attempt{Result: serving.Whole}
 }
 
-// copy passes the body on piece by piece. A caller that takes no piece within the
-// write timeout is cut off, so that slow callers hold bounded memory.
-func (r *Router) copy(w http.ResponseWriter, body io.Reader) error {
-	rc := http.NewResponseController(w)
-	timeout := time.Duration(r.base.Settings.Limits.WriteTimeout)
+// copyPieces passes the body on piece by piece.
+func copyPieces(out serving.Caller, body io.Reader) error {
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			_ = rc.SetWriteDeadline(time.Now().Add(timeout))
-			if _, werr := w.Write(buf[:n]); werr != nil {
+			if werr := out.Piece(buf[:n]); werr != nil {
 				return werr
 			}
-			if ferr := rc.Flush(); ferr != nil {
+			if ferr := out.Flush(); ferr != nil {
 				return ferr
 			}
 		}
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -27,18 +27,28 @@
 	Broken
 	// CallerGone says that the caller left or took nothing more.
 	CallerGone
+	// Refused says that the upstream refused the request for good: no other one
+	// would take it. Attempt.Refusal has its reason.
+	Refused
 	// OutOfTime says that the request's time ended while the upstream had it.
 	OutOfTime
 )
 
 var resultNames = [...]string{"whole", "unreached", "declined", "misdirected", "failed",
-	"unknown", "broken", "caller_gone", "out_of_time"}
+	"unknown", "broken", "caller_gone", "refused", "out_of_time"}
 
 // String is the result's name in logs.
 func (r Result) String() string { return resultNames[r] }
 
 // NotRun reports whether the result proves that the upstream did not run the request.
-func (r Result) NotRun() bool { return r == Unreached || r == Declined || r == Misdirected }
+func (r Result) NotRun() bool {
+	return r == Unreached || r == Declined || r == Misdirected || r == Refused
+}
+
+// final reports whether no other upstream may be tried after the result.
+func (r Result) final() bool {
+	return r == Whole || r == CallerGone || r == OutOfTime || r == Refused
+}
 
 // Sent reports whether the upstream may have got the request.
 func (r Result) Sent() bool { return r != Unreached }
@@ -52,6 +62,9 @@
 	// Answer is the upstream's failure, for Failed; it is passed on unless the
 	// request is sent again.
 	Answer *Answer
+	// Refusal is the reason that the upstream gave, for Declined, Refused and Failed;
+	// nil leaves it to the path.
+	Refusal *contract.Refusal
 	// Output is the most tokens that the run may have produced.
 	Output int64
 	// Began says that the run read the prompt, or may have.
--- a/serving/decide.go
+++ b/serving/decide.go
@@ -12,7 +12,7 @@
 
 // maxUnreached bounds the upstreams that a request could not even be sent to. Trying
 // them costs the service nothing, but the caller time.
-const maxUnreached = 6
+const maxUnreached = 8
 
 // verdict is what follows an attempt.
 type verdict struct {
@@ -27,7 +27,7 @@
 // not run may always be sent again.
 func decide(r *Request, attempts []Attempt, now time.Time) verdict {
 	last := attempts[len(attempts)-1]
-	if last.Result == Whole || last.Result == CallerGone || last.Result == OutOfTime || !now.Before(r.Until) {
+	if last.Result.final() || !now.Before(r.Until) {
 		return verdict{}
 	}
 	var sends, runs, unreached int
@@ -61,6 +61,9 @@
 		declined = declined || a.Result == Declined
 	}
 	late := !now.Before(r.Until)
+	if n := len(attempts); n > 0 && attempts[n-1].Refusal != nil && (!ran || attempts[n-1].Result == Failed) {
+		return attempts[n-1].Refusal
+	}
 	switch {
 	case ran && late:
 		return contract.Refuse(contract.TimedOut, "no whole answer in time")
--- /dev/null
+++ b/serving/httpcaller.go
@@ -0,0 +1,70 @@
+package serving
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/hop"
+)
+
+// HTTPCaller is a Caller over an HTTP server.
+type HTTPCaller struct {
+	w            http.ResponseWriter
+	rc           *http.ResponseController
+	writeTimeout time.Duration
+	// stream answers have no length: the router may add to them from another run.
+	stream    bool
+	began     bool
+	status    int
+	lastEvent string
+}
+
+// NewHTTPCaller returns the caller's side of one answer. A stream's length is not known
+// when it begins.
+func NewHTTPCaller(w http.ResponseWriter, writeTimeout time.Duration, stream bool) *HTTPCaller {
+	return &HTTPCaller{w: w, rc: http.NewResponseController(w), writeTimeout: writeTimeout, stream: stream}
+}
+
+// Begin implements Caller.
+func (c *HTTPCaller) Begin(status int, header map[string][]string) error {
+	c.began, c.status = true, status
+	h := c.w.Header()
+	hop.CopyHeaders(h, header)
+	if c.stream {
+		h.Del("Content-Length")
+	}
+	// Without these nil entries the server would add headers that the upstream
+	// did not send.
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil
+		}
+	}
+	c.w.WriteHeader(status)
+	return nil
+}
+
+// Piece implements Caller. A caller that takes nothing within the write timeout
+// is cut off, so that slow ones hold bounded memory.
+func (c *HTTPCaller) Piece(b []byte) error {
+	if err := c.rc.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return err
+	}
+	_, err := c.w.Write(b)
+	return err
+}
+
+// Flush implements Caller.
+func (c *HTTPCaller) Flush() error { return c.rc.Flush() }
+
+// Status is the status that was sent, or 0.
+func (c *HTTPCaller) Status() int { return c.status }
+
+// Began implements Caller.
+func (c *HTTPCaller) Began() bool { return c.began }
+
+// LastEvent implements Caller.
+func (c *HTTPCaller) LastEvent() string { return c.lastEvent }
+
+// SetLastEvent implements Caller.
+func (c *HTTPCaller) SetLastEvent(id string) { c.lastEvent = id }
