--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -19,15 +20,19 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Addresses of a test fleet.
+// storeAddress is where the store of a test fleet answers.
+const storeAddress = "10.9.0.1:80"
+
+// Ports of a router.
 const (
-	storeAddress   = "10.9.0.1:80"
-	callersAddress = "10.1.0.1:80"
-	readyAddress   = "10.1.0.1:81"
-	adminAddress   = "10.1.0.1:82"
-	linkAddress    = "10.1.0.1:83"
+	callersPort = iota + 80
+	readyPort
+	adminPort
+	linkPort
 )
 
+func address(vm, port int) string { return fmt.Sprintf("10.1.0.%d:%d", vm, port) }
+
 // The configuration of a test fleet, in the platform's form. The verbs are version,
 // prepaid tokens, and keys of the team.
 const configForm = `{"version":%d,"routes":[
@@ -54,8 +59,11 @@
 	network memnet.Network
 	store   *platformtest.Store
 	log     *syncBuffer
-	life    *life
+	// lives are the running gateways, by the number of their VM.
+	lives   map[int]*life
 	version int
+	// cut VMs do not reach the store.
+	cut sync.Map
 }
 
 // life is one process of the gateway.
@@ -92,7 +100,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: platformtest.NewStore(), log: &syncBuffer{}}
+	f := &fleet{t: t, store: platformtest.NewStore(), log: &syncBuffer{}, lives: map[int]*life{}}
 	f.serve(storeAddress, f.store.Handler())
 	return f
 }
@@ -126,22 +134,43 @@
 	require.NoError(f.t, f.store.Register(id, service, addressOf(id), "bergen", state, 6))
 }
 
-func (f *fleet) settings() *settings.Gateway {
+func (f *fleet) settings(vm int) *settings.Gateway {
 	s := settings.DefaultGateway()
-	s.VM, s.Datacentre = "router-1", "bergen"
-	s.Listen = settings.GatewayListen{Callers: callersAddress, Ready: readyAddress, Admin: adminAddress, Link: linkAddress}
+	s.VM, s.Datacentre = fmt.Sprint("router-", vm), "bergen"
+	s.Listen = settings.GatewayListen{Callers: address(vm, callersPort), Ready: address(vm, readyPort),
+		Admin: address(vm, adminPort), Link: address(vm, linkPort)}
 	s.Store.Address = storeAddress
 	return &s
 }
 
-// start starts the gateway and waits until it has settled.
+// start starts the gateway of VM 1 and waits until it has settled.
 func (f *fleet) start() {
+	f.startVM(1)
+	f.settle()
+}
+
+// startVM starts the gateway of a VM.
+func (f *fleet) startVM(vm int) {
 	ctx, stop := context.WithCancel(context.Background())
-	g := gateway.New(f.settings(), gateway.Network{Listen: f.network.Listen, Dial: f.network.Dial}, f.log,
+	dial := func(ctx context.Context, network, to string) (net.Conn, error) {
+		if _, cut := f.cut.Load(vm); cut && to == storeAddress {
+			return nil, memnet.ErrRefused
+		}
+		return f.network.Dial(ctx, network, to)
+	}
+	g := gateway.New(f.settings(vm), gateway.Network{Listen: f.network.Listen, Dial: dial}, f.log,
 		func() uint64 { return 0 })
-	f.life = &life{gateway: g, stop: stop, done: make(chan error, 1)}
-	go func() { f.life.done <- g.Run(ctx) }()
-	f.settle()
+	l := &life{gateway: g, stop: stop, done: make(chan error, 1)}
+	f.lives[vm] = l
+	go func() { l.done <- g.Run(ctx) }()
+}
+
+// stopVM makes a planned stop and waits for its end.
+func (f *fleet) stopVM(vm int) {
+	l := f.lives[vm]
+	delete(f.lives, vm)
+	l.stop()
+	require.NoError(f.t, <-l.done)
 }
 
 // settle lets half a second pass, enough for what a change needs to be in force.
@@ -149,9 +178,8 @@
 
 // close ends everything that the test started.
 func (f *fleet) close() {
-	if f.life != nil {
-		f.life.stop()
-		require.NoError(f.t, <-f.life.done)
+	for vm := range f.lives {
+		f.stopVM(vm)
 	}
 	f.store.SetSilent(false)
 	f.store.Compact() // ends waiting calls
@@ -164,6 +192,7 @@
 	usage, parts                string
 	header                      map[string]string
 	ctx                         context.Context
+	vm                          int // 0 stands for 1
 }
 
 // answer is what a caller got.
@@ -194,7 +223,7 @@
 	if q.method == "" {
 		q.method = http.MethodPost
 	}
-	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+callersAddress+q.path, strings.NewReader(q.body))
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+address(max(1, q.vm), callersPort)+q.path, strings.NewReader(q.body))
 	require.NoError(f.t, err)
 	req.Host = "a.example"
 	for name, value := range map[string]string{"Arbutusmill-Attempt-Id": q.id, "Api-Key": q.key,
@@ -251,7 +280,7 @@
 
 // ready asks as the balancer does.
 func (f *fleet) ready() int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+readyAddress+"/arbutusmill/readyz", nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+address(1, readyPort)+"/arbutusmill/readyz", nil)
 	require.NoError(f.t, err)
 	resp, err := f.client().Do(req)
 	if err != nil {
