--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -1,6 +1,9 @@
 package grant
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // HorizonPolicy holds what recent demand needs for the longest cut to be outlasted, and
 // no more. It is for fleets whose VMs keep nothing and may all lose power at once: what
@@ -22,10 +25,18 @@
 	// StandIn is the horizon of a holder that stands in for a home: it is asked for
 	// some seconds only, and what it holds is held twice.
 	StandIn time.Duration
-	// Share is the most of the unspent tokens that is held beyond what is set aside
-	// (0..1): what one death can cost. It also bounds what a few large requests in
-	// a holder's first second make of the demand.
+	// Share is the most of a full budget that is held beyond what is set aside (0..1):
+	// what one death can cost. The share of the rest shrinks as the budget is used
+	// up: a power loss late in a budget must leave enough to serve those who come
+	// after it. The bound also limits what a few large requests in a holder's first
+	// second make of the demand.
 	Share float64
+	// Refill is the demand that one take may add while Recovering reports a cut that
+	// ended lately; 0 takes all at once. After a cut the holder so gets back to its
+	// target over some seconds: a second cut is then less likely than a power loss
+	// that came with the same trouble, which costs most when the holder is full.
+	Refill     time.Duration
+	Recovering func() bool
 	// Slack is the deviation from the target that is left alone (0..1).
 	Slack float64
 }
@@ -57,20 +68,31 @@
 		// smaller one comes elsewhere.
 		return Decision{}
 	case need > 0 || v.Available < target-slack:
-		return Decision{Take: max(0, min(v.Free, max(need, target-v.Available)))}
+		return Decision{Take: max(0, min(v.Free, max(need, p.refill(v, target))))}
 	case v.Available > target+slack:
 		return Decision{Give: max(0, min(v.Available-v.Waiting, v.Available-target))}
 	}
 	return Decision{}
 }
 
+// refill is how much a holder may take towards its target at once.
+func (p HorizonPolicy) refill(v View, target int64) int64 {
+	lack := target - v.Available
+	if p.Refill == 0 || !p.Recovering() {
+		return lack
+	}
+	return min(lack, int64(v.Demand*p.Refill.Seconds()))
+}
+
 // target is what a home or its stand-in should have available.
 func (p HorizonPolicy) target(v View) int64 {
 	if p.role(v.Budget) == StandInFor {
 		return int64(v.Demand * p.StandIn.Seconds())
 	}
 	wanted := v.Demand*p.Horizon.Seconds() + p.Worsts*float64(v.Worst)
-	return int64(min(wanted, p.Share*float64(v.Unspent)))
+	rest := float64(v.Unspent)
+	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit)))
+	return int64(min(wanted, bound))
 }
 
 func (p HorizonPolicy) role(budget string) Role {
--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -27,9 +27,13 @@
 const (
 	// heldWorsts is how many of the largest recent requests a home keeps room for.
 	heldWorsts = 1
-	// heldShare is the most of a budget's rest that a home holds: two cuts of eight
-	// seconds in three quarters of a minute need about this much.
-	heldShare = 0.35
+	// heldShare is the most of a full budget that a home holds; the figures of the
+	// sweep are in docs/MEASUREMENTS.md.
+	heldShare = 0.55
+	// refillStep is the demand that one take adds in the time recoveryTime after an
+	// outage of the store; takes come at most each lowPause.
+	refillStep   = 500 * time.Millisecond
+	recoveryTime = 8 * time.Second
 	// heldSlack spares writes for small deviations.
 	heldSlack = 0.25
 	// syncPause is the pause between two looks for pages that are due.
@@ -101,7 +105,7 @@
 		log:     log,
 	}
 	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
-		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack, Role: b.role, StandIn: standInHorizon,
+		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Refill: refillStep, Recovering: b.recovering, Slack: heldSlack, Role: b.role, StandIn: standInHorizon,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean(b.isDead)
@@ -150,6 +154,9 @@
 	return grant.BorrowerOf
 }
 
+// recovering reports whether the store came back lately.
+func (b *budgets) recovering() bool { return b.store.endedWithin(recoveryTime) }
+
 // methods answers the messages of other routers.
 func (b *budgets) methods() map[string]link.Handler {
 	m := b.desk.Methods()
--- a/gateway/outage.go
+++ b/gateway/outage.go
@@ -9,6 +9,14 @@
 type outage struct {
 	mu     sync.Mutex
 	failed time.Time // the last failure; zero while it answers
+	ended  time.Time // when it last answered again
+}
+
+// endedWithin reports whether an outage ended so recently.
+func (o *outage) endedWithin(d time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.ended.IsZero() && time.Since(o.ended) < d
 }
 
 // lasts reports whether the last call failed.
@@ -31,8 +39,11 @@
 	defer o.mu.Unlock()
 	was := !o.failed.IsZero()
 	o.failed = time.Time{}
-	if failed {
+	switch {
+	case failed:
 		o.failed = time.Now()
+	case was:
+		o.ended = time.Now()
 	}
 	return was != failed
 }
