--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -29,7 +29,7 @@
 	heldWorsts = 1
 	// heldShare is the most of a full budget that a home holds; the figures of the
 	// sweep are in docs/MEASUREMENTS.md.
-	heldShare = 0.55
+	heldShare = 0.9
 	// refillStep is the demand that one take adds in the time recoveryTime after an
 	// outage of the store; takes come at most each lowPause.
 	refillStep   = 500 * time.Millisecond
