--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -127,7 +127,7 @@
 			// date again.
 			WatchWait: fleet.Duration(2400 * time.Millisecond),
 			// Small beside the two seconds in which changes must be in force.
-			WatchPause: fleet.Duration(150 * time.Millisecond),
+			WatchPause: fleet.Duration(300 * time.Millisecond),
 			// Three times the cuts from the store that are usual.
 			MemberTTL: fleet.Duration(30 * time.Second),
 			// A renewal and a stale read cost a tenth of a call each.
