--- a/serving/decide.go
+++ b/serving/decide.go
@@ -45,9 +45,6 @@
 	if sends >= maxSends || unreached >= maxUnreached || runs >= r.runs() {
 		return verdict{}
 	}
-	if runs > 0 && !r.Route.Idempotent() {
-		return verdict{}
-	}
 	return verdict{again: true, counted: sends > 0}
 }
 
