--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -59,8 +59,10 @@
 type Reporter interface {
 	// MembersChanged is called with the number of members after each change.
 	MembersChanged(count int)
-	// MembersLost is called when the store did not answer.
+	// MembersLost is called each time that the store did not answer, MembersRead each
+	// time that it did.
 	MembersLost(err error)
+	MembersRead()
 }
 
 // Keep registers this process, renews its lease and reads the members until the context
@@ -70,7 +72,10 @@
 	pause := firstPause
 	for {
 		err := errors.Join(g.renew(ctx), g.read(ctx))
-		if err != nil && ctx.Err() == nil {
+		switch {
+		case err == nil:
+			g.Report.MembersRead()
+		case ctx.Err() == nil:
 			g.lose(err)
 		}
 		t := time.NewTimer(pause)
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -193,7 +193,7 @@
 				continue
 			}
 			lines++
-			for _, part := range []string{`"attempts":"i-1 unknown (`, `"kind":"outcome_unknown"`, `"version":1`,
+			for _, part := range []string{`"attempts":"i-1 [`, `] unknown (`, `"kind":"outcome_unknown"`, `"version":1`,
 				`"status":502`, `"team":"pilots"`, `"reserved":1060`, `"used":1060`} {
 				require.Contains(t, line, part)
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,6 +121,9 @@
 	metrics   *gatewayMetrics
 	admin     *observe.Admin
 
+	// What is followed in the store.
+	configuration, upstreamEntries, routerEntries dependency
+
 	active   atomic.Int64
 	stopping atomic.Bool
 	// wasCrowded is what crowded last reported.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -170,11 +171,11 @@
 	out := serving.NewHTTPCaller(w, time.Duration(g.current.Load().Limits.WriteTimeout), v.request.Route.Kind == catalog.Streaming)
 	end := g.path.Serve(req.Context(), v.request, out)
 	if end.Refusal != nil {
-		v.logEnd(end, end.Refusal.Kind.Answer().Status)
+		v.logEnd(end, end.Refusal.Kind.Answer().Status, 0)
 		v.answer(w, end.Refusal)
 		return
 	}
-	v.logEnd(end, out.Status())
+	v.logEnd(end, out.Status(), out.FirstAfter(v.arrived))
 	if end.Cut {
 		// Ending the handler normally would end the body as if that were all;
 		// aborting breaks the connection, so that the caller sees the cut.
@@ -197,13 +198,13 @@
 }
 
 // logEnd writes the one line that tells what became of a request, and why.
-func (v *visit) logEnd(end serving.End, status int) {
+func (v *visit) logEnd(end serving.End, status int, first time.Duration) {
 	g, r := v.gateway, v.request
 	took := time.Since(r.Arrived)
 	g.metrics.ended(r, end, took)
 	line := g.log.Info().Str("id", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
 		Str("service", r.Service.Name).Int64("version", r.Version).Int("status", status).
-		Int64("took_ms", took.Milliseconds()).Int64("left_ms", time.Until(r.Until).Milliseconds()).
+		Int64("first_ms", first.Milliseconds()).Int64("took_ms", took.Milliseconds()).Int64("left_ms", time.Until(r.Until).Milliseconds()).
 		Int64("reserved", r.Worst()).Int64("used", end.Used).Bool("cut", end.Cut)
 	line = line.Str("attempts", history(end.Attempts))
 	if end.Refusal != nil {
@@ -212,14 +213,15 @@
 	line.Msg("request")
 }
 
-// history tells the attempts of a request in order: upstream, result, and why.
+// history tells the attempts of a request in order: upstream, what was expected of it
+// (time to the first event, prompt tokens to read), result, and why.
 func history(attempts []serving.Attempt) string {
 	var b strings.Builder
 	for i, a := range attempts {
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		b.WriteString(a.Upstream + " " + a.Result.String())
+		fmt.Fprintf(&b, "%s [%d ms, %d tokens] %s", a.Upstream, a.Cost.Milliseconds(), a.Unread, a.Result)
 		if a.Why != "" {
 			b.WriteString(" (" + a.Why + ")")
 		}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
@@ -20,11 +21,32 @@
 	g.log.Info().Str("upstream", u.ID).Str("service", u.Service).Str("why", why).Msg("upstream_gone")
 }
 
+// dependency is something outside that is followed. Its loss and its return are one log
+// line each, however often it is tried in between.
+type dependency struct{ lost atomic.Bool }
+
+// fails logs the loss.
+func (d *dependency) fails(g *Gateway, what string, err error) {
+	if !d.lost.Swap(true) {
+		g.log.Warn().Err(err).Str("of", what).Msg("lost")
+	}
+}
+
+// answers logs the return.
+func (d *dependency) answers(g *Gateway, what string) {
+	if d.lost.Swap(false) {
+		g.log.Info().Str("of", what).Msg("regained")
+	}
+}
+
 // DirectoryLost implements directory.Reporter.
-func (g *Gateway) DirectoryLost(err error) { g.log.Warn().Err(err).Msg("upstreams_lost") }
+func (g *Gateway) DirectoryLost(err error) { g.upstreamEntries.fails(g, "upstreams", err) }
 
 // DirectoryRead implements directory.Reporter.
-func (g *Gateway) DirectoryRead(count int) { g.log.Info().Int("count", count).Msg("upstreams_read") }
+func (g *Gateway) DirectoryRead(count int) {
+	g.upstreamEntries.answers(g, "upstreams")
+	g.log.Info().Int("count", count).Msg("upstreams_read")
+}
 
 // UpstreamUnreadable implements directory.Reporter.
 func (g *Gateway) UpstreamUnreadable(err error) {
@@ -37,13 +59,17 @@
 }
 
 // MembersLost implements member.Reporter.
-func (g *Gateway) MembersLost(err error) { g.log.Warn().Err(err).Msg("routers_lost") }
+func (g *Gateway) MembersLost(err error) { g.routerEntries.fails(g, "routers", err) }
+
+// MembersRead implements member.Reporter.
+func (g *Gateway) MembersRead() { g.routerEntries.answers(g, "routers") }
 
 // configReader puts configurations in force as they are read.
 type configReader struct{ g *Gateway }
 
 // Reset implements mirror.Reader.
 func (c configReader) Reset(items []store.Item) {
+	c.g.configuration.answers(c.g, "configuration")
 	for _, it := range items {
 		c.take(it)
 	}
@@ -57,7 +83,7 @@
 }
 
 // Lost implements mirror.Reader.
-func (c configReader) Lost(err error) { c.g.log.Warn().Err(err).Msg("configuration_lost") }
+func (c configReader) Lost(err error) { c.g.configuration.fails(c.g, "configuration", err) }
 
 func (c configReader) take(it store.Item) {
 	if it.Key != platform.ConfigKey {
--- a/operator/command.go
+++ b/operator/command.go
@@ -37,6 +37,7 @@
 	for _, cmd := range []*command{dumpCommand(), versionCommand()} {
 		c.Register(cmd, "processes")
 	}
+	c.Register(&explainCmd{}, "processes")
 }
 
 // command is one subcommand: its texts, its flags, and what it does.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -146,7 +146,7 @@
 	if e := r.Service.Engine; e != nil {
 		s.cache.add(r.Parts, e.CacheTokens)
 	}
-	t := serving.Target{ID: u.ID, Address: u.Address, Until: r.Until}
+	t := serving.Target{ID: u.ID, Address: u.Address, Until: r.Until, Cost: c.Cost, Unread: c.Unread}
 	if c.FetchFrom >= 0 {
 		t.FetchFrom = ups[c.FetchFrom].Address
 	}
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
 )
@@ -59,6 +60,9 @@
 	Result   Result
 	// Why says more, for the log.
 	Why string
+	// Cost and Unread are what the choice of the upstream expected.
+	Cost   time.Duration
+	Unread int64
 	// Answer is the upstream's failure, for Failed; it is passed on unless the
 	// request is sent again.
 	Answer *Answer
--- a/serving/httpcaller.go
+++ b/serving/httpcaller.go
@@ -16,6 +16,7 @@
 	stream    bool
 	began     bool
 	status    int
+	first     time.Time
 	lastEvent string
 }
 
@@ -27,7 +28,7 @@
 
 // Begin implements Caller.
 func (c *HTTPCaller) Begin(status int, header map[string][]string) error {
-	c.began, c.status = true, status
+	c.began, c.status, c.first = true, status, time.Now()
 	h := c.w.Header()
 	hop.CopyHeaders(h, header)
 	if c.stream {
@@ -57,6 +58,14 @@
 // Flush implements Caller.
 func (c *HTTPCaller) Flush() error { return c.rc.Flush() }
 
+// FirstAfter is the time from a moment to the first piece, or 0 if there was none.
+func (c *HTTPCaller) FirstAfter(start time.Time) time.Duration {
+	if !c.began {
+		return 0
+	}
+	return c.first.Sub(start)
+}
+
 // Status is the status that was sent, or 0.
 func (c *HTTPCaller) Status() int { return c.status }
 
--- a/serving/path.go
+++ b/serving/path.go
@@ -25,6 +25,10 @@
 	// FetchFrom is the address of an upstream that probably has more of the
 	// prompt cached, or "".
 	FetchFrom string
+	// Cost is the time to the first event, and Unread the prompt tokens to read, that
+	// the choice expected; they are for the log.
+	Cost   time.Duration
+	Unread int64
 	// Until bounds this attempt; it is before the request's own bound when
 	// another upstream may still be tried after it.
 	Until time.Time
@@ -99,6 +103,7 @@
 		}
 		a := p.Upstreams.Send(ctx, r, target, out)
 		target.Done(a)
+		a.Cost, a.Unread = target.Cost, target.Unread
 		attempts = append(attempts, a)
 		v := decide(r, attempts, p.Now())
 		if !v.again || v.counted && !p.Repeats.Allow(r.Service.Name) {
