--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -80,9 +80,8 @@
 			require.Equal(t, 200, ask(2))
 			time.Sleep(200 * time.Millisecond)
 		}
-		f.cut.Store(1, true)
-		f.cut.Store(2, true)
-		f.store.Compact() // ends the calls that wait
+		f.cutOff(1)
+		f.cutOff(2)
 		for range 14 {
 			require.Equal(t, 200, ask(1))
 			require.Equal(t, 200, ask(2))
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -62,8 +62,20 @@
 	// lives are the running gateways, by the number of their VM.
 	lives   map[int]*life
 	version int
-	// cut VMs do not reach the store.
-	cut sync.Map
+	// cut VMs do not reach the store; storeConns are the connections that they have.
+	cut        sync.Map
+	storeConns sync.Map // net.Conn to VM
+}
+
+// cutOff parts a VM from the store, with the connections that it has.
+func (f *fleet) cutOff(vm int) {
+	f.cut.Store(vm, true)
+	f.storeConns.Range(func(conn, of any) bool {
+		if of == vm {
+			_ = conn.(net.Conn).Close() // the other end may have closed it
+		}
+		return true
+	})
 }
 
 // life is one process of the gateway.
@@ -156,7 +168,11 @@
 		if _, cut := f.cut.Load(vm); cut && to == storeAddress {
 			return nil, memnet.ErrRefused
 		}
-		return f.network.Dial(ctx, network, to)
+		conn, err := f.network.Dial(ctx, network, to)
+		if err == nil && to == storeAddress {
+			f.storeConns.Store(conn, vm)
+		}
+		return conn, err
 	}
 	g := gateway.New(f.settings(vm), gateway.Network{Listen: f.network.Listen, Dial: dial}, f.log,
 		func() uint64 { return 0 })
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -137,7 +137,7 @@
 			Pages: 16,
 			// Cuts of seven to nine seconds are usual.
 			Horizon:      fleet.Duration(10 * time.Second),
-			DemandWindow: fleet.Duration(5 * time.Second),
+			DemandWindow: fleet.Duration(10 * time.Second),
 			Report:       fleet.Duration(time.Second),
 			StoreWait:    fleet.Duration(400 * time.Millisecond),
 			// The home may have to ask the store in this time.
