--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -64,6 +64,7 @@
 	waits []int64          // tokens that each waiting request wants
 	worst int64            // the largest recent reservation
 
+	lean     bool          // as the holder
 	window   time.Duration // the time constant of demand
 	demand   float64       // tokens a second, as of demandAt
 	demandAt time.Time
@@ -175,8 +176,8 @@
 
 // spendLent adds a lot's use to the demand average. Lean holders counted the whole lot
 // when they lent it; what comes back unused was no demand.
-func (b *book) spendLent(now time.Time, lean bool, tokens, used int64) {
-	if lean {
+func (b *book) spendLent(now time.Time, tokens, used int64) {
+	if b.lean {
 		used -= tokens
 	}
 	b.spend(now, used)
@@ -203,10 +204,14 @@
 // leastSpan bounds how much the average of a book's first moments is scaled up.
 const leastSpan = time.Second
 
-// demandNow is the average over the time since the first use, where that is shorter than
-// the window: a cut in a process's first seconds would otherwise find it holding far too
-// little.
+// demandNow is the average. For lean holders it is taken over the time since the first use
+// where that is shorter than the window: a cut in a process's first seconds would otherwise
+// find it holding far too little. Others share a budget by demand, and must not count more
+// for having begun later.
 func (b *book) demandNow(now time.Time) float64 {
+	if !b.lean {
+		return b.decayed(now)
+	}
 	span := max(leastSpan, now.Sub(b.demandSince)).Seconds()
 	return b.decayed(now) / (1 - math.Exp(-span/b.window.Seconds()))
 }
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -221,7 +221,7 @@
 func (h *Holder) bookLocked(budget string) *book {
 	b := h.books[budget]
 	if b == nil {
-		b = &book{budget: budget, through: h.seq, durableThrough: h.seq, window: h.window}
+		b = &book{budget: budget, through: h.seq, durableThrough: h.seq, window: h.window, lean: h.lean}
 		h.books[budget] = b
 		page := h.byPage(budget)
 		if h.pages[page] == nil {
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -78,7 +78,7 @@
 	}
 	lentTokens := b.tokensOf(r.Seq)
 	if b.settle(r.Seq, r.Used) {
-		b.spendLent(now, h.lean, lentTokens, r.Used)
+		b.spendLent(now, lentTokens, r.Used)
 	}
 	for id, l := range b.lent {
 		if l.part.Seq == r.Seq {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -75,7 +75,10 @@
 // 200,000 tokens; the chosen way must read less than half of what the others do.
 func TestTokensReadByPolicy(t *testing.T) {
 	ways := map[string]func(r *serving.Request, ups []Upstream, n int) int{
-		"placement":   func(r *serving.Request, ups []Upstream, _ int) int { c, _ := Choose(r, ups, rates, first); return c.Index },
+		"placement": func(r *serving.Request, ups []Upstream, _ int) int {
+			c, _ := Choose(r, ups, rates, first)
+			return c.Index
+		},
 		"round robin": func(_ *serving.Request, ups []Upstream, n int) int { return n % len(ups) },
 	}
 	read := map[string]int64{}
