--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -246,21 +246,13 @@
 	b.log.Info().Str("of", what).Str("name", name).Msg("tokens_regained")
 }
 
-// run keeps the pages in step until the context ends.
-func (b *budgets) run(ctx context.Context) {
-	t := time.NewTicker(syncPause)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		if !b.store.lasts() {
-			b.sync(ctx, b.holder.Due(time.Now()))
-		} else if !b.store.within(probePause) {
-			b.probe(ctx)
-		}
+// step keeps the pages in step, or looks whether a store that failed is back.
+func (b *budgets) step(ctx context.Context) {
+	switch {
+	case !b.store.lasts():
+		b.sync(ctx, b.holder.Due(time.Now()))
+	case !b.store.within(probePause):
+		b.probe(ctx)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -305,7 +305,7 @@
 	d.Go(config.Run)
 	d.Go(upstreams.Run)
 	d.Go(g.members.Keep)
-	d.Go(g.budgets.run)
+	d.Every(syncPause, g.budgets.step)
 	d.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
 	d.Every(expirePause, func(context.Context) { g.directory.Expire() })
 	d.Every(forgetPause, func(context.Context) { g.pool.Forget() })
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -59,13 +59,6 @@
 	return at.answer(resp)
 }
 
-// oneShot is a body that the HTTP client cannot send a second time by itself: it would
-// repeat requests when a kept connection breaks, those that must not run twice too.
-type oneShot struct{ io.Reader }
-
-// Close implements io.Closer.
-func (oneShot) Close() error { return nil }
-
 func (u *upstreams) upstreamRequest(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) *http.Request {
 	if out.Began() {
 		resumed := *r
@@ -77,7 +70,7 @@
 		URL:           requestURL(t.Address, r.URI),
 		Host:          r.Host,
 		Header:        platform.UpstreamHeader(r, t, u.Now()),
-		Body:          oneShot{bytes.NewReader(r.Body)},
+		Body:          hop.OneShot{Reader: bytes.NewReader(r.Body)},
 		ContentLength: int64(len(r.Body)),
 		ProtoMajor:    1,
 		ProtoMinor:    1,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -205,9 +205,9 @@
 	return best
 }
 
-// homeOf is the upstream that all routers prefer for the request's shared parts. It is
-// found among all candidates, so that one upstream's failures at one router do not
-// move the homes of others' requests.
+// homeOf is the upstream that routers prefer for the request's shared parts, -1 if it has
+// none. All routers that can use the same upstreams find the same one; where one of them
+// avoids an upstream, only the prompts at home there move.
 func homeOf(r *serving.Request, ups []Upstream, usable []int) int {
 	key := Key(r.Parts)
 	if key == "" {
--- a/router/job.go
+++ b/router/job.go
@@ -15,6 +15,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/fleet"
+	"github.com/arbutusmill/arbutusmill/hop"
 	"github.com/arbutusmill/arbutusmill/openai"
 	"github.com/arbutusmill/arbutusmill/team"
 )
@@ -205,20 +206,12 @@
 // again reports whether the body can be sent (again).
 func (b *replayable) again() bool { return b.rest == nil || !b.sent }
 
-// oneShot hides from net/http that a body could be read twice: with a repeatable
-// body it would send requests that carry an idempotency key a second time by itself
-// when a kept connection breaks.
-type oneShot struct{ io.Reader }
-
-// Close implements io.Closer.
-func (oneShot) Close() error { return nil }
-
 func (b *replayable) reader() io.ReadCloser {
 	b.sent = true
 	if b.rest == nil {
-		return oneShot{bytes.NewReader(b.head)}
+		return hop.OneShot{Reader: bytes.NewReader(b.head)}
 	}
-	return oneShot{io.MultiReader(bytes.NewReader(b.head), b.rest)}
+	return hop.OneShot{Reader: io.MultiReader(bytes.NewReader(b.head), b.rest)}
 }
 
 // length is the body's size, or -1 when it is not known.
