--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,101 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/catalog"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/serving"
+	"github.com/stretchr/testify/require"
+)
+
+// quiet hears reports and does nothing.
+type quiet struct{}
+
+func (quiet) UpstreamChanged(directory.Upstream)      {}
+func (quiet) UpstreamGone(directory.Upstream, string) {}
+func (quiet) DirectoryLost(error)                     {}
+func (quiet) DirectoryRead(int)                       {}
+func (quiet) UpstreamUnreadable(error)                {}
+
+// poolOf has upstreams a and b of the service s.
+func poolOf(now *time.Time) *Pool {
+	clock := func() time.Time { return *now }
+	d := &directory.Directory{Report: quiet{}, Now: clock, Decode: func(it store.Item) (directory.Upstream, error) {
+		return directory.Upstream{ID: it.Key, Service: "s", Slots: 6}, nil
+	}}
+	d.Reset([]store.Item{{Key: "a"}, {Key: "b"}})
+	return &Pool{Directory: d, PrefillPerMs: 50, Routers: func() int { return 1 }, Now: clock}
+}
+
+func plain(now time.Time) *serving.Request {
+	return &serving.Request{Route: &catalog.Route{Kind: catalog.Safe, MaxRuns: 2}, Service: catalog.Service{Name: "s"},
+		Until: now.Add(time.Second)}
+}
+
+// pickUntil picks until the upstream comes, ending all other requests well; it reports
+// whether it came within some tries.
+func pickUntil(t *testing.T, p *Pool, now time.Time, id string) (serving.Target, bool) {
+	const tries = 100
+	for range tries {
+		target, ok := p.Pick(plain(now), nil)
+		require.True(t, ok)
+		if target.ID == id {
+			return target, true
+		}
+		target.Done(serving.Attempt{Result: serving.Whole})
+	}
+	return serving.Target{}, false
+}
+
+// An upstream cannot be reached. It is left alone for a moment, longer after the next
+// failure, and tried again when that is over.
+func TestUnreachedUpstreamIsLeftAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	for _, pause := range []time.Duration{avoidFirst, 2 * avoidFirst} {
+		target, ok := pickUntil(t, p, now, "a")
+		require.True(t, ok)
+		target.Done(serving.Attempt{Result: serving.Unreached})
+		require.Equal(t, now.Add(pause), p.states["a"].avoid)
+		_, ok = pickUntil(t, p, now, "a")
+		require.False(t, ok)
+		now = now.Add(pause + 20*failureHalfLife) // its share of failures is forgotten too
+	}
+}
+
+// The first attempt of a request that may be tried elsewhere leaves half of the time.
+func TestAttemptLeavesTimeForAnother(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	r := plain(now)
+	target, _ := p.Pick(r, nil)
+	require.Equal(t, now.Add(500*time.Millisecond), target.Until)
+	r.Route = &catalog.Route{Kind: catalog.Unsafe, MaxRuns: 1}
+	target, _ = p.Pick(r, nil)
+	require.Equal(t, r.Until, target.Until)
+	other, ok := p.Pick(r, []serving.Attempt{{Upstream: target.ID}})
+	require.True(t, ok)
+	require.NotEqual(t, target.ID, other.ID)
+}
+
+func TestCacheKeepsWhatWasUsedLast(t *testing.T) {
+	var c cache
+	parts := func(ids ...string) (out []serving.Part) {
+		for _, id := range ids {
+			out = append(out, serving.Part{ID: id, Tokens: 100})
+		}
+		return out
+	}
+	const capacity = 800 // half of it is believed ours: four parts
+	c.add(parts("a", "b"), capacity)
+	c.add(parts("c", "d"), capacity)
+	require.EqualValues(t, 200, c.match(parts("a", "b", "x")))
+	c.add(parts("a"), capacity)
+	c.add(parts("e"), capacity)
+	require.EqualValues(t, 100, c.match(parts("a", "b")), "b was used longest ago")
+	require.EqualValues(t, 0, c.match(parts("x", "a")), "a part counts only after those before it")
+	require.EqualValues(t, 400, c.tokens)
+}
