A share of failures that is nearly none counts as none

Cause: TestUnreachedUpstreamIsLeftAlone failed at times: between two idle upstreams a share of one in ten million kept one of them unused for ever.

--- a/gateway/budgets.go
+++ b/gateway/budgets.go
@@ -105,7 +105,8 @@
 		log:     log,
 	}
 	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
-		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Refill: refillStep, Recovering: b.recovering, Slack: heldSlack, Role: b.role, StandIn: standInHorizon,
+		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack,
+		Refill: refillStep, Recovering: b.recovering, Role: b.role, StandIn: standInHorizon,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean(b.isDead)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -27,6 +27,9 @@
 	// failureHalfLife is the time in which the share of failures halves without
 	// further answers, so that an avoided upstream is tried again.
 	failureHalfLife = 2 * time.Second
+	// failureForgotten is the share below which it counts as none: between idle
+	// upstreams the smallest difference would decide for ever.
+	failureForgotten = 0.01
 )
 
 // Pool chooses upstreams by this router's own experience.
@@ -202,8 +205,11 @@
 	if s.failShare == 0 {
 		return 0
 	}
-	age := now.Sub(s.failAt)
-	return s.failShare * halved(age)
+	share := s.failShare * halved(now.Sub(s.failAt))
+	if share < failureForgotten {
+		return 0
+	}
+	return share
 }
 
 // halved is 1 at age 0 and halves each half-life.
