Undeclared tokens are refused where a budget pays; a body that stops is no bad request

Two holes found in reading: a request to an engine without its tokens was served and charged nothing; a body that stopped got 400, which callers take as final. Both tests failed first.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -92,9 +93,12 @@
 			r.Rank = *team.Rank
 		}
 	}
-	if r.Service.Engine != nil {
+	if route.Generative || r.Service.Engine != nil {
 		r.Prompt, r.MaxOutput = v.call.Prompt, v.call.MaxOutput
 		r.Parts, r.LastEvent = v.call.Parts, v.call.LastEvent
+		if r.Prepaid > 0 && r.Worst() == 0 {
+			return contract.Refuse(contract.BadRequest, "the request does not say how many tokens it may take")
+		}
 	}
 	v.request = r
 	return nil
@@ -155,6 +159,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return contract.Refuse(contract.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return contract.Refuse(contract.DeadlineTooShort, "the body did not come in time")
 	case err != nil:
 		return contract.Refuse(contract.BadRequest, "the body could not be read: %v", err)
 	}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -257,3 +260,39 @@
 		}
 	})
 }
+
+// A team with a prepaid budget sends a request to an engine and does not say how many
+// tokens it may take. Served, it would be spent from nothing.
+func TestUndeclaredTokens(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1_000_000, "k1")
+		u := f.upstream("i-1", "model", 5)
+		f.start()
+		q := chat("r")
+		q.usage = ""
+		require.Equal(t, 400, f.ask(q).status)
+		require.Empty(t, u.Seen())
+	})
+}
+
+// A caller stops in the middle of its body. When its time is over it is told that the
+// request did not run, and not that the request was wrong.
+func TestBodyThatStops(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		u := f.upstream("i-1", "plain", 0)
+		f.start()
+		conn, err := f.network.Dial(context.Background(), "tcp", address(1, callersPort))
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		go func() {
+			_, _ = io.WriteString(conn, "POST /alert/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: k1\r\n"+
+				"Arbutusmill-Attempt-Id: r\r\nContent-Length: 100\r\n\r\nhalf")
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		require.Equal(t, 429, resp.StatusCode)
+		require.Empty(t, u.Seen())
+	})
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -104,10 +104,7 @@
 // gone on: the upstream learns of a closed connection late, or not at all behind a cut.
 func (x *exchange) output(result serving.Result) int64 {
 	r := x.request
-	if r.Service.Engine == nil {
-		return 0
-	}
-	if result != serving.Whole {
+	if result != serving.Whole || r.Service.Engine == nil {
 		return r.MaxOutput
 	}
 	return min(r.MaxOutput, x.events*r.Service.Engine.TokensPerEvent)
