--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -36,7 +36,7 @@
 	return `gateway [-config FILE]
 Runs the router of this VM on the operators' platform. SIGTERM makes a planned stop: no
 request is cut off. Without -config the file is the one that ` + settingsVariable + ` names.
-Example: arbutusmilld gateway -config examples/platform/gateway.yaml
+Example: arbutusmilld gateway -config examples/hosted/gateway.yaml
 `
 }
 
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -39,3 +39,19 @@
 		}
 	}
 }
+
+func TestGatewayExample(t *testing.T) {
+	s, err := settings.LoadGateway(filepath.Join("hosted", "gateway.yaml"))
+	require.NoError(t, err)
+	require.Equal(t, "bergen-entry-1", s.VM)
+}
+
+// A wrong file names each field that is wrong, and an unknown one with its place.
+func TestWrongGatewaySettings(t *testing.T) {
+	_, err := settings.ParseGateway([]byte("vm: a\ndatacentre: b\nlisten: {callers: \"nowhere\"}\nrepeats: {ratio: -1}\nstop: {notice: 9s}\n"))
+	for _, field := range []string{"listen.callers", "listen.link", "store.address", "repeats.ratio", "stop.notice"} {
+		require.ErrorContains(t, err, field)
+	}
+	_, err = settings.ParseGateway([]byte("vm: a\ndata_center: b\n"))
+	require.ErrorContains(t, err, "data_center")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,8 +34,8 @@
 const memberPrefix = "arbutusmill/router/"
 
 const (
-	// bytesPerMbit turns Mbit/s into bytes a second.
-	bytesPerMbit = 1e6 / 8
+	// lifeLetters is the length of the random part of a life's name: 40 bits.
+	lifeLetters = 8
 	// lagPeriod is that of the timer by which the wait for the processor is seen.
 	lagPeriod = 50 * time.Millisecond
 	// collectorPercent is how much the heap may grow between two collections. The
@@ -132,43 +132,35 @@
 
 // New makes a gateway; it makes no call.
 func New(s *settings.Gateway, network Network, log io.Writer, dropped func() uint64) *Gateway {
-	rate := s.Limits.LinkMbps * bytesPerMbit
-	meter := linkMeter{out: &admission.Link{BytesPerSecond: rate}, usage: &admission.Usage{BytesPerSecond: rate}}
-	network = network.metered(meter)
+	meter := newMeter(s.Limits.LinkMbps)
 	g := &Gateway{
-		meter:      meter,
-		lag:        &admission.Lag{Period: lagPeriod},
 		settings:   s,
-		network:    network,
 		log:        observe.NewJSONLogger(log, s.Log.Level, s.VM),
 		logDropped: dropped,
-		life:       s.VM + "/" + rand.Text()[:8],
+		life:       s.VM + "/" + rand.Text()[:lifeLetters],
+		network:    network.metered(meter),
+		meter:      meter,
+		lag:        &admission.Lag{Period: lagPeriod},
 		admin:      &observe.Admin{},
 	}
 	g.current.Store(s)
 	g.log = g.log.With().Str("life", g.life).Logger()
-	g.store = &platform.Store{
-		Address:   s.Store.Address,
-		Client:    &http.Client{Transport: storeTransport(network)},
-		Timeout:   time.Duration(s.Store.Timeout),
-		WatchWait: time.Duration(s.Store.WatchWait), WatchPause: time.Duration(s.Store.WatchPause),
-	}
+	g.store = newStore(s.Store, g.network)
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
-	g.members = &member.Group{
-		Store: g.store, Prefix: memberPrefix, TTL: time.Duration(s.Store.MemberTTL),
-		Interval: time.Duration(s.Store.MemberInterval), Report: g,
-		Self: member.Member{ID: g.life, VM: s.VM, Datacentre: s.Datacentre, Address: s.Listen.Link},
-	}
-	g.pool = &pool.Pool{
-		Directory: g.directory, PrefillPerMs: s.Upstreams.PrefillPerMs, Routers: g.routers,
-		Here: s.Datacentre, Now: time.Now,
-	}
+	g.members = g.newMembers()
 	g.links = &link.Pool{From: g.life, Security: private, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
-		Dial: network.Dial}
+		Dial: g.network.Dial}
 	g.budgets = newBudgets(g.life, s.Budgets, g.store, g.members, g.links, &g.catalog, g.log)
 	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers}
+	g.pool = &pool.Pool{
+		Directory:    g.directory,
+		PrefillPerMs: s.Upstreams.PrefillPerMs,
+		Routers:      g.routers,
+		Here:         s.Datacentre,
+		Now:          time.Now,
+	}
 	g.path = &serving.Path{
-		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(network, s.Upstreams)},
+		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(g.network, s.Upstreams)},
 		Budgets:   g.budgets,
 		Repeats:   g.repeats,
 		Now:       time.Now,
@@ -178,6 +170,28 @@
 	return g
 }
 
+func newStore(s settings.GatewayStore, n Network) *platform.Store {
+	return &platform.Store{
+		Address:    s.Address,
+		Client:     &http.Client{Transport: storeTransport(n)},
+		Timeout:    time.Duration(s.Timeout),
+		WatchWait:  time.Duration(s.WatchWait),
+		WatchPause: time.Duration(s.WatchPause),
+	}
+}
+
+func (g *Gateway) newMembers() *member.Group {
+	s := g.settings
+	return &member.Group{
+		Store:    g.store,
+		Prefix:   memberPrefix,
+		TTL:      time.Duration(s.Store.MemberTTL),
+		Interval: time.Duration(s.Store.MemberInterval),
+		Report:   g,
+		Self:     member.Member{ID: g.life, VM: s.VM, Datacentre: s.Datacentre, Address: s.Listen.Link},
+	}
+}
+
 func storeTransport(n Network) *http.Transport {
 	return &http.Transport{DialContext: n.within(time.Second), MaxIdleConnsPerHost: storeIdleConns}
 }
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -20,6 +20,14 @@
 	usage *admission.Usage
 }
 
+// bytesPerMbit turns Mbit/s into bytes a second.
+const bytesPerMbit = 1e6 / 8
+
+func newMeter(linkMbps float64) linkMeter {
+	rate := linkMbps * bytesPerMbit
+	return linkMeter{out: &admission.Link{BytesPerSecond: rate}, usage: &admission.Usage{BytesPerSecond: rate}}
+}
+
 // onLink is what n bytes of payload take on the link.
 func onLink(n int) int { return n + (n/packetBytes+1)*frameBytes }
 
