--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -99,3 +100,24 @@
 	require.EqualValues(t, 0, c.match(parts("x", "a")), "a part counts only after those before it")
 	require.EqualValues(t, 400, c.tokens)
 }
+
+// BenchmarkPick is the choice for one prompt among all upstreams of a large service.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{12, 186, 1300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			p := poolOf(&now)
+			var items []store.Item
+			for i := range n {
+				items = append(items, store.Item{Key: fmt.Sprint("i-", i)})
+			}
+			p.Directory.Reset(items)
+			r := plain(now)
+			r.Prompt, r.Parts = 17_000, []serving.Part{{ID: "subject", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}
+			for b.Loop() {
+				target, _ := p.Pick(r, nil)
+				target.Done(serving.Attempt{Result: serving.Whole})
+			}
+		})
+	}
+}
