--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -207,7 +207,7 @@
 		f.serve(addressOf("i-2"), other)
 		f.register("i-2", "plain", "ready")
 		f.start()
-		for range 5 {
+		for range 60 {
 			require.Equal(t, 200, f.ask(alert("r")).status)
 		}
 		require.Empty(t, other.IDs())
