--- a/coord/backoff/backoff.go
+++ b/coord/backoff/backoff.go
@@ -30,8 +30,11 @@
 func (b *Backoff) Reset() { b.next = b.min }
 
 // Wait sleeps for the next pause; it returns early with the context's error.
-func (b *Backoff) Wait(ctx context.Context) error {
-	t := time.NewTimer(b.Next())
+func (b *Backoff) Wait(ctx context.Context) error { return Sleep(ctx, b.Next()) }
+
+// Sleep waits for d; it returns early with the context's error.
+func Sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/coord/mirror/mirror.go
+++ b/coord/mirror/mirror.go
@@ -9,8 +9,12 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/zeebo/errs"
 )
 
+// ErrCut says that a watch ended; the keys are read again.
+var ErrCut = errs.New("watch was cut")
+
 // Reader takes what a Mirror reads. Its methods are called from one goroutine.
 type Reader interface {
 	// Reset replaces everything that is known by a fresh, linearizable read.
--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
@@ -115,14 +116,7 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return backoff.Sleep(ctx, d)
 }
 
 // loseLocked reports whether the answer of the write just made is lost.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -212,16 +212,6 @@
 	return d.read
 }
 
-// Has reports whether the incarnation is still listed and takes new work.
-func (d *Directory) Has(service, id string) bool {
-	for _, u := range d.Of(service) {
-		if u.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
 // All lists everything that is known, for dumps.
 func (d *Directory) All() []Upstream {
 	d.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/arbutusmill/arbutusmill/admission"
 	"github.com/arbutusmill/arbutusmill/catalog"
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
@@ -293,7 +294,7 @@
 	return l, nil
 }
 
-// serve starts the three servers.
+// serve starts the process's servers.
 func (g *Gateway) serve(d *process.Duties, l listeners, callers *http.Server) {
 	d.Serve(callers, l.callers, nil)
 	ready := http.NewServeMux()
@@ -336,7 +337,7 @@
 	g.log.Info().Int64("active", g.active.Load()).Msg("stopping")
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Grace)-stopMargin)
 	defer cancel()
-	pause(ctx, time.Duration(s.Notice))
+	_ = backoff.Sleep(ctx, time.Duration(s.Notice)) // a shorter notice when the time to stop ends
 	if err := callers.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		g.log.Error().Err(err).Msg("shutdown_failed")
 	}
@@ -350,12 +351,3 @@
 	}
 	g.log.Info().Int64("active", g.active.Load()).Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -199,22 +199,13 @@
 		return x.noAnswer(true, err)
 	}
 	x.target.Read()
-	if err := pass(x.out, resp, body); err != nil {
+	answer := serving.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if err := answer.Pass(x.out); err != nil {
 		return x.attempt(serving.CallerGone, "%v", err)
 	}
 	return x.attempt(serving.Whole, "")
 }
 
-func pass(out serving.Caller, resp *http.Response, body []byte) error {
-	if err := out.Begin(resp.StatusCode, resp.Header); err != nil {
-		return err
-	}
-	if err := out.Piece(body); err != nil {
-		return err
-	}
-	return out.Flush()
-}
-
 // stream passes events on as they arrive.
 func (x *exchange) stream(resp *http.Response) serving.Attempt {
 	events := newEventReader(resp.Body)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -130,11 +130,12 @@
 
 // choosePlain takes the upstream with the most room.
 func choosePlain(ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
+	m := mean(ups, usable)
 	best := Choice{Index: -1, FetchFrom: -1}
 	start := tie(len(usable))
 	for k := range usable {
 		i := usable[(start+k)%len(usable)]
-		c := common(ups[i], mean(ups, usable), rates)
+		c := common(ups[i], m, rates)
 		if best.Index < 0 || c < best.Cost {
 			best.Index, best.Cost = i, c
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -58,7 +58,6 @@
 	failShare float64
 	failAt    time.Time
 	cache     cache
-	lastUse   time.Time
 }
 
 // shareOfTime is the part of the time left that one attempt gets when the request may
@@ -145,7 +144,6 @@
 	s := p.stateLocked(u.ID)
 	s.running++
 	s.unread += c.Unread
-	s.lastUse = now
 	if e := r.Service.Engine; e != nil {
 		s.cache.add(r.Parts, e.CacheTokens)
 	}
@@ -153,7 +151,7 @@
 	if c.FetchFrom >= 0 {
 		t.FetchFrom = ups[c.FetchFrom].Address
 	}
-	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && !(r.Prompt > 0) {
+	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
 	}
 	var read sync.Once
--- a/router/budgets.go
+++ b/router/budgets.go
@@ -171,7 +171,7 @@
 			continue
 		}
 		r.syncPage(ctx, key)
-		r.pause(ctx, backoff.Jitter(dutyInterval))
+		_ = backoff.Sleep(ctx, backoff.Jitter(dutyInterval)) // the next page's calls see a context that ended
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -258,7 +258,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.StopTimeout))
 	defer cancel()
 	r.base.Admin.SetReady(false)
-	r.pause(ctx, time.Duration(s.StopNotice))
+	_ = backoff.Sleep(ctx, time.Duration(s.StopNotice)) // a shorter notice when the time to stop ends
 	r.mu.Lock()
 	r.leaving = true
 	if r.active == 0 {
@@ -276,15 +276,6 @@
 	r.log.Info().Int("charges_left", r.outbox.Waiting()).Int("limbo_left", r.limbo.size()).Msg("stopped")
 }
 
-func (r *Router) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // handedOver flushes charges, resolves lost requests and gives grants back; it
 // reports whether nothing is left. A life that left nothing ends clean.
 func (r *Router) handedOver(ctx context.Context) bool {
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -51,9 +51,6 @@
 	return r == Whole || r == CallerGone || r == OutOfTime || r == Refused
 }
 
-// Sent reports whether the upstream may have got the request.
-func (r Result) Sent() bool { return r != Unreached }
-
 // Attempt is one send and what came of it.
 type Attempt struct {
 	Upstream string
@@ -82,6 +79,17 @@
 	Body   []byte
 }
 
+// Pass gives the whole answer to a caller who has had nothing of one yet.
+func (a *Answer) Pass(out Caller) error {
+	if err := out.Begin(a.Status, a.Header); err != nil {
+		return err
+	}
+	if err := out.Piece(a.Body); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
 // End is how a request ended.
 type End struct {
 	Attempts []Attempt
--- a/serving/path.go
+++ b/serving/path.go
@@ -126,7 +126,7 @@
 		return e
 	}
 	if a := failure(attempts); a != nil {
-		e.Cut = pass(a, out) != nil
+		e.Cut = a.Pass(out) != nil
 		return e
 	}
 	e.Refusal = refusal(r, attempts, p.Now())
@@ -147,13 +147,3 @@
 	}
 	return nil
 }
-
-func pass(a *Answer, out Caller) error {
-	if err := out.Begin(a.Status, a.Header); err != nil {
-		return err
-	}
-	if err := out.Piece(a.Body); err != nil {
-		return err
-	}
-	return out.Flush()
-}
