Operators' limits on callers' connections hold; a caller's leaving shows behind further requests

Cause: http.Server's bounds for headers and idle connections are fixed at its start, so those of the configuration were read and not kept. And the server stops watching a connection when one byte of a further request comes: a caller that left then kept its upstream working to the end. Ruled out: http.Server's own fields (a change would race with its goroutines); asking the kernel for the connection's state (not to be had in memory, and a poll a request). Change: callerConn keeps both limits by the configuration in force and reads ahead, bounded, once a further request began; headers beyond the limit get 431.

--- a/contract/kind.go
+++ b/contract/kind.go
@@ -16,6 +16,7 @@
 const (
 	BadRequest        Kind = "bad_request"
 	BodyTooLarge      Kind = "body_too_large"
+	HeadersTooLarge   Kind = "headers_too_large"
 	Unauthorized      Kind = "unauthorized"
 	NotAllowed        Kind = "not_allowed"
 	UnknownModel      Kind = "unknown_model"
@@ -57,6 +58,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:        {Status: http.StatusBadRequest, NotRun: true},
 	BodyTooLarge:      {Status: http.StatusRequestEntityTooLarge, NotRun: true},
+	HeadersTooLarge:   {Status: http.StatusRequestHeaderFieldsTooLarge, NotRun: true},
 	Unauthorized:      {Status: http.StatusUnauthorized, NotRun: true},
 	NotAllowed:        {Status: http.StatusForbidden, NotRun: true},
 	UnknownModel:      {Status: http.StatusNotFound, NotRun: true},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,15 +50,17 @@
 	// assumedRouters is the number of routers assumed until the store told it:
 	// too many rather than too few, for shares of the retry budget.
 	assumedRouters = 8
-	// headerTimeout bounds the wait for a request's headers, beyond what the
-	// operators' limits allow callers.
+	// headerTimeout bounds the wait for a request's headers where the operators set
+	// no limit, and on the listeners that are not for callers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout bounds a caller's unused connection. Callers use connections
-	// again that were idle for many seconds, and a close that crosses a request
-	// costs it.
+	// idleTimeout bounds a caller's unused connection where the operators set no
+	// limit. Callers use connections again that were idle for many seconds, and a
+	// close that crosses a request costs it.
 	idleTimeout = 75 * time.Second
-	// headerBytes bounds a request's headers.
-	headerBytes = 64 << 10
+	// mostHeaderBytes and mostBodyBytes bound a request whatever the operators
+	// allow: a thousand callers at once must fit the memory of a small VM.
+	mostHeaderBytes = 64 << 10
+	mostBodyBytes   = 8 << 20
 	// expirePause is the pause between two looks for entries that did not return.
 	expirePause = 200 * time.Millisecond
 	// forgetPause is the pause between two looks for upstreams that are gone.
@@ -263,7 +265,7 @@
 	defer cancel()
 	duties := process.NewDuties(ctx)
 	g.log.Info().Str("datacentre", g.settings.Datacentre).Str("callers", g.settings.Listen.Callers).Msg("started")
-	callers := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes}
+	callers := g.callerServer()
 	g.serve(duties, listeners, callers)
 	g.start(duties)
 	<-stop.Done()
@@ -296,7 +298,7 @@
 
 // serve starts the process's servers.
 func (g *Gateway) serve(d *process.Duties, l listeners, callers *http.Server) {
-	d.Serve(callers, l.callers, nil)
+	d.Serve(callers, callerListener{l.callers, g.callerLimits}, nil)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	d.Serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, l.ready, nil)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -64,6 +64,9 @@
 	if table == nil {
 		return contract.Refuse(contract.NotReady, "no configuration yet")
 	}
+	if size, limit := sizeOfHeaders(req), v.gateway.callerLimits().HeaderBytes; size > limit {
+		return contract.Refuse(contract.HeadersTooLarge, "the headers take %d bytes of %d", size, limit)
+	}
 	path, _, _ := strings.Cut(req.RequestURI, "?")
 	route := table.Route(hostOf(req.Host), path)
 	if route == nil {
@@ -149,7 +152,7 @@
 	if req.ContentLength == 0 {
 		return nil
 	}
-	limits := v.gateway.catalog.Load().Limits
+	limits := v.gateway.callerLimits()
 	rc := http.NewResponseController(w)
 	if err := rc.SetReadDeadline(v.request.Until); err != nil {
 		return contract.Refuse(contract.Internal, "%v", err)
--- a/gateway/path_bench_test.go
+++ b/gateway/path_bench_test.go
@@ -1,10 +1,12 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -91,3 +93,34 @@
 		require.Equal(b, 200, resp.StatusCode)
 	}
 }
+
+// BenchmarkOpenConnections is the memory of kept connections of callers, each of which
+// made one request. Both ends are in this process, so it is an upper bound.
+func BenchmarkOpenConnections(b *testing.B) {
+	const open = 2000
+	callers, _ := tcpFleet(b, io.Discard)
+	inUse := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapInuse + m.StackInuse)
+	}
+	for b.Loop() {
+		before := inUse()
+		conns := make([]net.Conn, open)
+		for i := range conns {
+			conn, err := net.Dial("tcp", callers)
+			require.NoError(b, err)
+			_, err = io.WriteString(conn, rawAlert(fmt.Sprint("r", i), "surge"))
+			require.NoError(b, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(b, err)
+			require.Equal(b, 200, resp.StatusCode)
+			conns[i] = conn
+		}
+		b.ReportMetric((inUse()-before)/open/1024, "KiB/connection")
+		for _, conn := range conns {
+			require.NoError(b, conn.Close())
+		}
+	}
+}
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -5,13 +5,18 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // ErrRefused is what a dial gets where nobody listens.
 var ErrRefused = errors.New("connection refused")
 
+// ErrReset is what a read gets after the other end was reset.
+var ErrReset = errors.New("connection reset")
+
 // Network connects listeners and dials by address. The zero value is empty.
 type Network struct {
 	mu        sync.Mutex
@@ -47,7 +52,7 @@
 	if l == nil {
 		return nil, ErrRefused
 	}
-	near, far := net.Pipe()
+	near, far := pipe()
 	select {
 	case l.conns <- far:
 		return near, nil
@@ -100,6 +105,36 @@
 // Addr implements net.Listener.
 func (l *listener) Addr() net.Addr { return l.address }
 
+// Conn is one end of a connection.
+type Conn struct {
+	net.Conn
+	// broken is shared by both ends.
+	broken *atomic.Bool
+}
+
+// pipe returns the two ends of a connection.
+func pipe() (near, far *Conn) {
+	a, b := net.Pipe()
+	broken := &atomic.Bool{}
+	return &Conn{a, broken}, &Conn{b, broken}
+}
+
+// Reset ends the connection so that the other end's reads fail, where Close would let
+// them end as if all had been sent.
+func (c *Conn) Reset() {
+	c.broken.Store(true)
+	_ = c.Close() // a pipe's never fails
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.broken.Load() {
+		err = ErrReset
+	}
+	return n, err
+}
+
 // addr is an address as net.Addr.
 type addr string
 
