Lenders beside upstreams hold the prepaid budgets; what both processes have in common is one package

Cause: homes of budgets were routers. A router that dies loses what it held, and routers are cut off from the store for 7 to 9 s at a time, so each home held ten seconds of demand for that: 402 after every power loss, 503 in every cut. Ruled out: evidence by time for what a dead home had not touched (clocks jump, leases pause while the store is down); a witness among routers (all lose power together, and each request would cost a message). Change: a lender runs on the VM of each upstream, is home of budgets, and holds four seconds of demand, since it reaches the store while routers are cut off. Limits come to it with the requests for tokens, so it follows no configuration. Without lenders routers are homes as before. Network, store, members and budgets of both processes are package hosted; budgets are package prepaid; comparing settings and following their file have one copy each.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -115,11 +115,12 @@
 	// hosts maps host and prefix to a route.
 	hosts map[string]map[string]*Route
 	keys  map[string]*Team
+	names map[string]*Team
 }
 
 // NewTable prepares a configuration.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, hosts: map[string]map[string]*Route{}, keys: map[string]*Team{}}
+	t := &Table{Config: c, hosts: map[string]map[string]*Route{}, keys: map[string]*Team{}, names: map[string]*Team{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if t.hosts[r.Host] == nil {
@@ -128,6 +129,7 @@
 		t.hosts[r.Host][r.Prefix] = r
 	}
 	for i := range c.Teams {
+		t.names[c.Teams[i].Name] = &c.Teams[i]
 		for _, k := range c.Teams[i].Keys {
 			t.keys[k] = &c.Teams[i]
 		}
@@ -152,6 +154,9 @@
 // Team returns the team that holds the key.
 func (t *Table) Team(key string) *Team { return t.keys[key] }
 
+// TeamNamed returns the team of that name, nil if there is none.
+func (t *Table) TeamNamed(name string) *Team { return t.names[name] }
+
 // KeysNeeded reports whether requests on routes that are not public need a key.
 func (t *Table) KeysNeeded() bool { return len(t.Teams) > 0 }
 
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -1,4 +1,4 @@
-// Package member tells the processes of one kind which others there are: each keeps a
+// Package member tells the processes of a fleet which others there are: each keeps a
 // key with a lease in the store, and follows the keys of all.
 package member
 
@@ -18,6 +18,8 @@
 type Member struct {
 	// ID names the process's life; it is the last part of its key.
 	ID string `json:"id"`
+	// Role is what it does. Members of all roles know of each other.
+	Role string `json:"role"`
 	// VM names where it runs.
 	VM string `json:"vm"`
 	// Datacentre is where that is.
@@ -149,12 +151,17 @@
 	return g.Store.EndLease(ctx, id)
 }
 
-// Count returns the number of members known, at least 1; known is false as long as
-// the store was never read.
-func (g *Group) Count() (n int, known bool) {
+// Count returns the number of members of a role that are known, at least 1; known is
+// false as long as the store was never read.
+func (g *Group) Count(role string) (n int, known bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(1, len(g.members)), g.members != nil
+	for _, m := range g.members {
+		if m.Role == role {
+			n++
+		}
+	}
+	return max(1, n), g.members != nil
 }
 
 // Get returns a member by its id.
@@ -179,11 +186,14 @@
 	return false
 }
 
-// Rank returns the members in the order of preference for key, one for each VM: the
-// newest of its lives. All members with the same view have the same order.
-func (g *Group) Rank(key string) []Member {
+// Rank returns the members of a role in the order of preference for key, one for each
+// VM: the newest of its lives. All members with the same view have the same order.
+func (g *Group) Rank(key, role string) []Member {
 	newest := map[string]Member{}
 	for _, m := range g.Members() {
+		if m.Role != role {
+			continue
+		}
 		if have, ok := newest[m.VM]; !ok || have.revision < m.revision {
 			newest[m.VM] = m
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	c.Register(&runCmd{role: settings.RoleRouter, example: "examples/brekke/bergen-router-1.yaml"}, "processes")
 	c.Register(&runCmd{role: settings.RoleAgent, example: "examples/brekke/bergen-engine-1.yaml"}, "processes")
 	c.Register(&gatewayCmd{}, "processes")
+	c.Register(&lenderCmd{}, "processes")
 	c.Register(&checkCmd{}, "settings")
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -1,16 +1,14 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/arbutusmill/arbutusmill/gateway"
+	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/observe"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/google/subcommands"
@@ -57,10 +55,21 @@
 		return subcommands.ExitUsageError
 	}
 	out, dropped := observe.Stdout()
-	g := gateway.New(s, gateway.TCP(), out, dropped)
-	go c.reload(ctx, g)
-	err = g.Run(ctx)
-	if closeErr := out.Close(); closeErr != nil {
+	g := gateway.New(s, hosted.TCP(), out, dropped)
+	go followFile(ctx, c.config, func() {
+		s, err := settings.LoadGateway(c.config)
+		if err != nil {
+			g.ReloadRefused(err)
+			return
+		}
+		g.Reload(s)
+	})
+	return exit(g.Run(ctx), out)
+}
+
+// exit closes the log and says what ended the process.
+func exit(err error, log io.Closer) subcommands.ExitStatus {
+	if closeErr := log.Close(); closeErr != nil {
 		fmt.Fprintln(os.Stderr, closeErr)
 	}
 	if err != nil {
@@ -69,39 +78,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-// reloadInterval is the pause between two looks at the settings file, which may also
-// change without a signal.
-const reloadInterval = 2 * time.Second
-
-// reload takes new settings on SIGHUP, or when the file's content has changed. A file
-// that is wrong or cannot be read leaves the settings in force.
-func (c *gatewayCmd) reload(ctx context.Context, g *gateway.Gateway) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	tick := time.NewTicker(reloadInterval)
-	defer tick.Stop()
-	last, _ := os.ReadFile(c.config) // it was read just before; if not, any content is new
-	for {
-		signalled := false
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
-			signalled = true
-		case <-tick.C:
-		}
-		content, err := os.ReadFile(c.config)
-		if err == nil && !signalled && bytes.Equal(content, last) {
-			continue
-		}
-		last = content
-		s, err := settings.LoadGateway(c.config)
-		if err != nil {
-			g.ReloadRefused(err)
-			continue
-		}
-		g.Reload(s)
-	}
-}
--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -209,7 +209,7 @@
 		return
 	}
 	if err := conn.(*callerConn).enter(phase); err != nil {
-		g.log.Debug().Err(err).Msg("caller_connection_ended") // the next read ends it
+		g.Log.Debug().Err(err).Msg("caller_connection_ended") // the next read ends it
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"github.com/arbutusmill/arbutusmill/hosted"
 	"io"
 	"net"
 	"net/http"
@@ -174,7 +175,7 @@
 		}
 		return conn, err
 	}
-	g := gateway.New(f.settings(vm), gateway.Network{Listen: f.network.Listen, Dial: dial}, f.log,
+	g := gateway.New(f.settings(vm), hosted.Network{Listen: f.network.Listen, Dial: dial}, f.log,
 		func() uint64 { return 0 })
 	l := &life{gateway: g, stop: stop, done: make(chan error, 1)}
 	f.lives[vm] = l
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -196,7 +196,7 @@
 func (v *visit) refuse(w http.ResponseWriter, refusal *contract.Refusal) {
 	a := refusal.Kind.Answer()
 	v.gateway.metrics.refused(refusal.Kind)
-	v.gateway.log.Info().Str("id", v.call.ID).Str("kind", string(refusal.Kind)).Int("status", a.Status).
+	v.gateway.Log.Info().Str("id", v.call.ID).Str("kind", string(refusal.Kind)).Int("status", a.Status).
 		Str("why", refusal.Message).Int64("version", v.gateway.version()).Msg("refused")
 	v.answer(w, refusal)
 }
@@ -211,7 +211,7 @@
 	g, r := v.gateway, v.request
 	took := time.Since(r.Arrived)
 	g.metrics.ended(r, end, took)
-	line := g.log.Info().Str("id", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
+	line := g.Log.Info().Str("id", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
 		Str("service", r.Service.Name).Int64("version", r.Version).Int("status", status).
 		Int64("first_ms", first.Milliseconds()).Int64("took_ms", took.Milliseconds()).Int64("left_ms", time.Until(r.Until).Milliseconds()).
 		Int64("reserved", r.Worst()).Int64("used", end.Used).Bool("cut", end.Cut)
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/admission"
+	"github.com/arbutusmill/arbutusmill/hosted"
 )
 
 // frameBytes is what the headers of one packet take on the link.
@@ -31,14 +32,14 @@
 // onLink is what n bytes of payload take on the link.
 func onLink(n int) int { return n + (n/packetBytes+1)*frameBytes }
 
-// metered counts what a connection sends and receives.
-type metered struct {
+// meteredConn counts what a connection sends and receives.
+type meteredConn struct {
 	net.Conn
 	meter linkMeter
 }
 
 // Write implements net.Conn.
-func (m metered) Write(b []byte) (int, error) {
+func (m meteredConn) Write(b []byte) (int, error) {
 	n, err := m.Conn.Write(b)
 	now := time.Now()
 	m.meter.out.Sent(now, onLink(n))
@@ -47,7 +48,7 @@
 }
 
 // Read implements net.Conn.
-func (m metered) Read(b []byte) (int, error) {
+func (m meteredConn) Read(b []byte) (int, error) {
 	n, err := m.Conn.Read(b)
 	m.meter.usage.Received(time.Now(), onLink(n))
 	return n, err
@@ -65,12 +66,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return metered{c, l.meter}, nil
+	return meteredConn{c, l.meter}, nil
 }
 
 // metered returns the network with everything that it sends counted.
-func (n Network) metered(meter linkMeter) Network {
-	return Network{
+func metered(n hosted.Network, meter linkMeter) hosted.Network {
+	return hosted.Network{
 		Listen: func(network, address string) (net.Listener, error) {
 			l, err := n.Listen(network, address)
 			if err != nil {
@@ -83,7 +84,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return metered{c, meter}, nil
+			return meteredConn{c, meter}, nil
 		},
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/prepaid"
 	"github.com/arbutusmill/arbutusmill/serving"
 )
 
@@ -17,7 +18,7 @@
 	m.set.NewGauge("arbutusmill_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
 	m.set.NewGauge("arbutusmill_gateway_configuration_version", func() float64 { return float64(g.version()) })
 	m.set.NewGauge("arbutusmill_gateway_routers", func() float64 {
-		n, _ := g.members.Count()
+		n, _ := g.Members.Count(prepaid.RoleRouter)
 		return float64(n)
 	})
 	m.set.NewGauge("arbutusmill_gateway_dropped_log_lines_total", func() float64 { return float64(g.logDropped()) })
--- a/gateway/path_bench_test.go
+++ b/gateway/path_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"github.com/arbutusmill/arbutusmill/hosted"
 	"io"
 	"net"
 	"net/http"
@@ -43,7 +44,7 @@
 	s.VM, s.Datacentre = "router-1", "bergen"
 	s.Listen = settings.GatewayListen{Callers: address(), Ready: address(), Admin: address(), Link: address()}
 	s.Store.Address = serve(store.Handler())
-	g := gateway.New(&s, gateway.TCP(), log, func() uint64 { return 0 })
+	g := gateway.New(&s, hosted.TCP(), log, func() uint64 { return 0 })
 	go func() { _ = g.Run(b.Context()) }()
 	require.Eventually(b, func() bool {
 		resp, err := http.Get("http://" + s.Listen.Ready + "/arbutusmill/readyz")
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -6,12 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/hop"
+	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/pool"
 	"github.com/arbutusmill/arbutusmill/serving"
@@ -27,13 +28,9 @@
 	transport http.RoundTripper
 }
 
-// Keep-alive probes find an upstream that went dark while a request waits for its
-// answer: without them the caller would wait for its whole deadline.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
-
-func newTransport(n Network, s settings.Upstreams) *http.Transport {
+func newTransport(n hosted.Network, s settings.Upstreams) *http.Transport {
 	return &http.Transport{
-		DialContext:         n.within(time.Duration(s.DialTimeout)),
+		DialContext:         n.Within(time.Duration(s.DialTimeout)),
 		DisableCompression:  true, // callers get the upstream's own bytes
 		MaxIdleConnsPerHost: idleConnsPerUpstream,
 		IdleConnTimeout:     time.Duration(s.IdleTimeout),
@@ -253,3 +250,9 @@
 	}
 	return a
 }
+
+// requestURL keeps path and query byte for byte as the caller sent them: the opaque part
+// of a URL is written as it is.
+func requestURL(address, uri string) *url.URL {
+	return &url.URL{Scheme: "http", Host: address, Opaque: uri}
+}
--- /dev/null
+++ b/hosted/base.go
@@ -0,0 +1,142 @@
+// Package hosted is what the processes on the operators' platform have in common: a name
+// for each life, a network, the store, the other members, and prepaid budgets.
+package hosted
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/observe"
+	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/prepaid"
+	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/rs/zerolog"
+)
+
+// memberPrefix begins the keys by which members know of each other.
+const memberPrefix = "arbutusmill/member/"
+
+const (
+	// lifeLetters is the length of the random part of a life's name: 40 bits.
+	lifeLetters = 8
+	// linkHeartbeat and linkDialTimeout watch the connections between members.
+	linkHeartbeat   = time.Second
+	linkDialTimeout = 400 * time.Millisecond
+	// adminHeaderTimeout bounds the wait for the headers of an operator's request.
+	adminHeaderTimeout = 10 * time.Second
+	// storeDialTimeout bounds the start of a connection to the store.
+	storeDialTimeout = time.Second
+	// storeIdleConns bounds the kept connections to the store: two watches, the
+	// lease and a few calls at once.
+	storeIdleConns = 8
+)
+
+// private is the security of control messages: the platform's internal ports are
+// reached by the system's own VMs only.
+var private = link.Security{Private: true}
+
+// Parts is what a process is put together from.
+type Parts struct {
+	// Role is prepaid.RoleRouter or prepaid.RoleLender.
+	Role       string
+	VM         string
+	Datacentre string
+	// Link is the address (host:port) for control messages of other members.
+	Link    string
+	Store   settings.GatewayStore
+	Budgets settings.GatewayBudgets
+	Limits  prepaid.Limits
+	Network Network
+	Log     zerolog.Logger
+}
+
+// Base is the common part of a process.
+type Base struct {
+	// Life names this life of the process.
+	Life    string
+	Log     zerolog.Logger
+	Network Network
+	Store   *platform.Store
+	Members *member.Group
+	Links   *link.Pool
+	Budgets *prepaid.Budgets
+	Admin   *observe.Admin
+
+	memberEntries Dependency
+}
+
+// New makes the common part; it makes no call.
+func New(p Parts) *Base {
+	b := &Base{
+		Life:    p.VM + "/" + rand.Text()[:lifeLetters],
+		Network: p.Network,
+		Admin:   &observe.Admin{},
+	}
+	b.Log = p.Log.With().Str("life", b.Life).Logger()
+	b.Store = newStore(p.Store, p.Network)
+	b.Members = &member.Group{
+		Store:    b.Store,
+		Prefix:   memberPrefix,
+		TTL:      time.Duration(p.Store.MemberTTL),
+		Interval: time.Duration(p.Store.MemberInterval),
+		Report:   b,
+		Self:     member.Member{ID: b.Life, Role: p.Role, VM: p.VM, Datacentre: p.Datacentre, Address: p.Link},
+	}
+	b.Links = &link.Pool{From: b.Life, Security: private, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
+		Dial: p.Network.Dial}
+	b.Budgets = prepaid.New(prepaid.Parts{Life: b.Life, Settings: p.Budgets, Store: b.Store, Members: b.Members,
+		Links: b.Links, Limits: p.Limits, Log: b.Log})
+	return b
+}
+
+func newStore(s settings.GatewayStore, n Network) *platform.Store {
+	return &platform.Store{
+		Address: s.Address,
+		Client: &http.Client{Transport: &http.Transport{
+			DialContext: n.Within(storeDialTimeout), MaxIdleConnsPerHost: storeIdleConns}},
+		Timeout:    time.Duration(s.Timeout),
+		WatchWait:  time.Duration(s.WatchWait),
+		WatchPause: time.Duration(s.WatchPause),
+	}
+}
+
+// Serve starts the servers for operators (health, metrics, dumps) and for control messages
+// of other members.
+func (b *Base) Serve(d *process.Duties, admin, links net.Listener) {
+	d.Serve(&http.Server{Handler: b.Admin.Handler(), ReadHeaderTimeout: adminHeaderTimeout}, admin, nil)
+	s := &link.Server{Security: private, Log: b.Log.Printf, Methods: b.Budgets.Methods()}
+	d.Go(func(ctx context.Context) { s.Serve(ctx, links) })
+}
+
+// Start starts a goroutine for each duty of the common part.
+func (b *Base) Start(d *process.Duties) {
+	d.Go(b.Members.Keep)
+	b.Budgets.Start(d)
+}
+
+// Leave gives unused tokens back and ends the membership; it is the end of a planned stop.
+func (b *Base) Leave(ctx context.Context) {
+	if err := b.Budgets.GiveBack(ctx); err != nil {
+		b.Log.Warn().Err(err).Msg("tokens_not_given_back")
+	}
+	if err := b.Members.Leave(ctx); err != nil {
+		b.Log.Warn().Err(err).Msg("lease_not_ended")
+	}
+}
+
+// MembersChanged implements member.Reporter.
+func (b *Base) MembersChanged(count int) {
+	b.Log.Info().Int("members", count).Msg("members_changed")
+}
+
+// MembersLost implements member.Reporter.
+func (b *Base) MembersLost(err error) { b.memberEntries.Fails(b.Log, "members", err) }
+
+// MembersRead implements member.Reporter.
+func (b *Base) MembersRead() { b.memberEntries.Answers(b.Log, "members") }
--- a/gateway/socket.go
+++ b/hosted/socket.go
@@ -1,9 +1,6 @@
-package gateway
+package hosted
 
-import (
-	"net/url"
-	"syscall"
-)
+import "syscall"
 
 // unacknowledgedMillis is how long (ms) sent bytes may stay without acknowledgement
 // before a connection counts as broken. A VM without power or behind a cut answers
@@ -25,9 +22,3 @@
 	}
 	return failed
 }
-
-// requestURL keeps path and query byte for byte as the caller sent them: the opaque part
-// of a URL is written as it is.
-func requestURL(address, uri string) *url.URL {
-	return &url.URL{Scheme: "http", Host: address, Opaque: uri}
-}
--- /dev/null
+++ b/lender/lender.go
@@ -0,0 +1,114 @@
+// Package lender is the process that holds prepaid budgets on the VMs of upstreams: it is
+// home to budgets, takes their tokens from the store and lends them to routers.
+//
+// Routers could be the homes themselves, and are where there is no lender. But routers are
+// cut off from the store, restarted and replaced far more often: each death of a home
+// loses the tokens that it held, and a home that is cut off runs out of them.
+package lender
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/arbutusmill/arbutusmill/hosted"
+	"github.com/arbutusmill/arbutusmill/observe"
+	"github.com/arbutusmill/arbutusmill/prepaid"
+	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/settings"
+)
+
+// liveFields are the settings that a reload changes in a running process.
+var liveFields = map[string]bool{"stop": true}
+
+// Lender is one such process.
+type Lender struct {
+	*hosted.Base
+	// settings are those of the start, current those of the last reload.
+	settings *settings.Lender
+	current  atomic.Pointer[settings.Lender]
+}
+
+// New makes a lender; it makes no call. dropped returns the lines that the log's writer
+// could not keep.
+func New(s *settings.Lender, network hosted.Network, log io.Writer, dropped func() uint64) *Lender {
+	l := &Lender{
+		settings: s,
+		Base: hosted.New(hosted.Parts{
+			Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
+			Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.Told{},
+			Network: network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM),
+		}),
+	}
+	l.current.Store(s)
+	l.Admin.Metrics, l.Admin.Dump = newMetrics(dropped), l.dump
+	return l
+}
+
+func newMetrics(dropped func() uint64) *metrics.Set {
+	m := metrics.NewSet()
+	m.NewGauge("arbutusmill_lender_dropped_log_lines_total", func() float64 { return float64(dropped()) })
+	return m
+}
+
+// state is a lender as dumps show it.
+type state struct {
+	Life    string `json:"life"`
+	Budgets any    `json:"budgets"`
+	Members any    `json:"members"`
+}
+
+func (l *Lender) dump() any {
+	return state{Life: l.Life, Budgets: l.Budgets.State(), Members: l.Members.Members()}
+}
+
+// Run serves until stop is done, then gives unused tokens back.
+func (l *Lender) Run(stop context.Context) error {
+	hosted.LimitMemory(l.settings.Limits.MemoryMB)
+	var admin, links net.Listener
+	err := l.Network.ListenAll([]hosted.Listening{
+		{Field: "listen.admin", Address: l.settings.Listen.Admin, Into: &admin},
+		{Field: "listen.link", Address: l.settings.Listen.Link, Into: &links},
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	defer cancel()
+	duties := process.NewDuties(ctx)
+	l.Log.Info().Str("datacentre", l.settings.Datacentre).Str("link", l.settings.Listen.Link).Msg("started")
+	l.Serve(duties, admin, links)
+	l.Start(duties)
+	l.Admin.SetReady(true)
+	<-stop.Done()
+	l.stop(ctx)
+	cancel()
+	l.Links.Close()
+	duties.Wait()
+	return nil
+}
+
+// stop is a planned stop. What routers hold at this moment is settled by the row of this
+// life, which counts it as used.
+func (l *Lender) stop(ctx context.Context) {
+	began := time.Now()
+	l.Log.Info().Msg("stopping")
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.current.Load().Stop.Grace)/2)
+	defer cancel()
+	l.Leave(ctx)
+	l.Log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
+}
+
+// Reload puts checked settings in force, as far as a running process can change.
+func (l *Lender) Reload(s *settings.Lender) {
+	changed, restart := settings.Differences(l.current.Load(), s, liveFields)
+	l.current.Store(s)
+	l.Log.Info().Str("changed", strings.Join(changed, ",")).Str("needs_restart", strings.Join(restart, ",")).Msg("reloaded")
+}
+
+// ReloadRefused notes settings that are wrong; those in force stay.
+func (l *Lender) ReloadRefused(err error) { l.Log.Error().Err(err).Msg("reload_refused") }
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -26,6 +26,10 @@
 	// Fill brings tokens of a budget for a peer that asks for more than there are
 	// at hand. It may be nil: then a peer gets what there is.
 	Fill *grant.Acquirer
+	// Limit returns the operators' limit on a budget and the version of the
+	// configuration that says so, to go along with each request for tokens. It may
+	// be nil, for lenders that read the configuration themselves.
+	Limit func(budget string) (version, tokens int64)
 	// Timeout bounds one message.
 	Timeout time.Duration
 	// Now is the clock.
@@ -77,6 +81,9 @@
 		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
 	}
 	in := link.LendRequest{Borrower: d.Holder.ID(), Budget: budget, ID: id, Need: need, Want: want}
+	if d.Limit != nil {
+		in.Version, in.Limit = d.Limit(budget)
+	}
 	var out grant.Lot
 	err := d.Links.Call(ctx, addr, link.MethodLend, in, &out)
 	return out, err
--- a/link/messages.go
+++ b/link/messages.go
@@ -50,6 +50,10 @@
 	// Need is what the request at hand lacks, Want what would be useful.
 	Need int64 `json:"need"`
 	Want int64 `json:"want"`
+	// Limit is the budget's tokens by the configuration, and Version the
+	// configuration's; both are 0 where the lender reads it itself.
+	Limit   int64 `json:"limit,omitempty"`
+	Version int64 `json:"version,omitempty"`
 }
 
 // ReturnRequest settles lots of one lender.
--- a/gateway/budgets.go
+++ b/prepaid/budgets.go
@@ -1,4 +1,6 @@
-package gateway
+// Package prepaid keeps the tokens of prepaid budgets in one process on the operators'
+// platform: taken from the store, lent to other processes, borrowed from them.
+package prepaid
 
 import (
 	"context"
@@ -7,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
@@ -15,6 +16,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/lending"
 	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/rs/zerolog"
@@ -73,20 +75,40 @@
 	goneFor = 45 * time.Second
 )
 
-// budgets implements serving.Budgets over the accounts in the store.
+// Limits are the operators' limits on budgets, as far as a process knows them.
+type Limits interface {
+	// Each calls f with each budget that has a limit, its tokens, and the version of
+	// the configuration that says so.
+	Each(f func(budget string, version, tokens int64))
+	// Of returns the limit of one budget; version is 0 if it is not known.
+	Of(budget string) (version, tokens int64)
+	// Note takes a limit that came with another process's request for tokens.
+	Note(budget string, version, tokens int64)
+}
+
+// Roles of members.
+const (
+	// RoleRouter is that of processes which serve callers.
+	RoleRouter = "router"
+	// RoleLender is that of processes which are there to be homes of budgets.
+	RoleLender = "lender"
+)
+
+// Budgets implements serving.Budgets over the accounts in the store.
 //
-// Each page of accounts has a home: the router that ranks first for it among the members.
-// The home takes grants from the store and reports use; all others borrow from it for
-// each request. So a budget's tokens lie in one place whatever the number of routers, a
-// page has one writer, and while the store is cut off routers still reach each other.
-type budgets struct {
+// Each page of accounts has a home: the process that ranks first for it among the
+// lenders, or among the routers where there are no lenders. The home takes grants from
+// the store and reports use; all others borrow from it for each request. So a budget's
+// tokens lie in one place whatever the number of routers, a page has one writer, and
+// while the store is cut off routers still reach the home.
+type Budgets struct {
 	holder   *grant.Holder
 	pages    *grant.StoreGranter
 	acquirer *grant.Acquirer
 	desk     *lending.Desk
 	members  *member.Group
 	layout   account.Layout
-	catalog  *catalog.Current
+	limits   Limits
 	timeout  time.Duration
 	log      zerolog.Logger
 	store    outage
@@ -95,43 +117,68 @@
 	asked    lastAsked
 }
 
-func newBudgets(life string, s settings.GatewayBudgets, st store.Store, members *member.Group, links lending.Caller,
-	c *catalog.Current, log zerolog.Logger) *budgets {
-	b := &budgets{
+// Parts is what budgets are put together from.
+type Parts struct {
+	// Life names this life of the process.
+	Life     string
+	Settings settings.GatewayBudgets
+	Store    store.Store
+	Members  *member.Group
+	Links    lending.Caller
+	Limits   Limits
+	Log      zerolog.Logger
+}
+
+// New makes the budgets of a process; it makes no call.
+func New(p Parts) *Budgets {
+	s := p.Settings
+	b := &Budgets{
 		layout:  account.Layout{Prefix: pagePrefix, Pages: s.Pages},
-		members: members,
-		catalog: c,
+		members: p.Members,
+		limits:  p.Limits,
 		timeout: time.Duration(s.StoreWait),
-		log:     log,
+		log:     p.Log,
 	}
-	b.holder = grant.NewHolder(life, b.layout, grant.HorizonPolicy{
+	b.holder = grant.NewHolder(p.Life, b.layout, grant.HorizonPolicy{
 		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack,
 		Refill: refillStep, Recovering: b.recovering, Role: b.role, StandIn: standInHorizon,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean(b.isDead)
 	b.pages = &grant.StoreGranter{
-		Holder: b.holder, Store: st, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
+		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
 		KeepPages: keepPages, Moved: b.moved,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
 	}
 	b.desk = &lending.Desk{
-		Holder: b.holder, Links: links, Address: b.addressOf, Timeout: time.Duration(s.PeerWait), Now: time.Now,
-		Fill: &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}},
+		Holder: b.holder, Links: p.Links, Address: b.addressOf, Timeout: time.Duration(s.PeerWait), Now: time.Now,
+		Limit: p.Limits.Of,
+		Fill:  &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}},
 	}
 	peers := &grant.PeerGranter{Holder: b.holder, Lender: b, Peers: b.homes, Timeout: time.Duration(s.PeerWait), Now: time.Now}
 	b.acquirer = &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{peers, b}}
 	return b
 }
 
-func (b *budgets) addressOf(life string) (string, bool) {
+// Start starts a goroutine for each duty.
+func (b *Budgets) Start(d *process.Duties) {
+	d.Every(syncPause, b.step)
+	d.Every(lotPause, b.returnLots)
+	d.Every(auditPause, b.desk.AuditLots)
+	d.Every(auditPause, b.settleGone)
+}
+
+// State is what the process holds, for dumps.
+func (b *Budgets) State() any { return b.holder.State(time.Now()) }
+
+func (b *Budgets) addressOf(life string) (string, bool) {
 	m, ok := b.members.Get(life)
 	return m.Address, ok
 }
 
 // isDead reports whether a life is known to be over.
-func (b *budgets) isDead(life string) bool {
+func (b *Budgets) isDead(life string) bool {
 	vm, _, _ := strings.Cut(life, "/")
 	if b.members.Replaced(life, vm) {
 		return true
@@ -143,9 +190,9 @@
 // role is what this router is to a budget. Before the members are known it is no home:
 // if every router of a new fleet took itself for the home, each would hold room for large
 // requests.
-func (b *budgets) role(budget string) grant.Role {
+func (b *Budgets) role(budget string) grant.Role {
 	page := b.layout.Key(budget)
-	ranked := b.members.Rank(page)
+	ranked := b.ranked(page)
 	switch {
 	case len(ranked) > 0 && ranked[0].VM == b.members.Self.VM:
 		return grant.HomeOf
@@ -155,26 +202,35 @@
 	return grant.BorrowerOf
 }
 
+// ranked lists who should be the home of a page, best first.
+func (b *Budgets) ranked(page string) []member.Member {
+	if lenders := b.members.Rank(page, RoleLender); len(lenders) > 0 {
+		return lenders
+	}
+	return b.members.Rank(page, RoleRouter)
+}
+
 // recovering reports whether the store came back lately.
-func (b *budgets) recovering() bool { return b.store.endedWithin(recoveryTime) }
+func (b *Budgets) recovering() bool { return b.store.endedWithin(recoveryTime) }
 
-// methods answers the messages of other routers.
-func (b *budgets) methods() map[string]link.Handler {
+// Methods answers the messages of other routers.
+func (b *Budgets) Methods() map[string]link.Handler {
 	m := b.desk.Methods()
 	lend := m[link.MethodLend]
 	m[link.MethodLend] = func(ctx context.Context, params json.RawMessage) (any, error) {
 		var in link.LendRequest
 		if json.Unmarshal(params, &in) == nil { // if not, lend says what is wrong
 			b.asked.note(b.layout.Key(in.Budget))
+			b.limits.Note(in.Budget, in.Version, in.Limit)
 		}
 		return lend(ctx, params)
 	}
 	return m
 }
 
-// homes lists the routers to ask for tokens of a budget; a home asks the store itself.
-func (b *budgets) homes(budget string) []string {
-	ranked := b.members.Rank(b.layout.Key(budget))
+// homes lists the processes to ask for tokens of a budget; a home asks the store itself.
+func (b *Budgets) homes(budget string) []string {
+	ranked := b.ranked(b.layout.Key(budget))
 	var out []string
 	for _, m := range ranked[:min(askedHomes, len(ranked))] {
 		if m.VM == b.members.Self.VM {
@@ -186,7 +242,7 @@
 }
 
 // Lend implements grant.Lender: a peer that just failed is not asked again at once.
-func (b *budgets) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
+func (b *Budgets) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
 	o := b.peers.of(peer)
 	if o.within(downFor) {
 		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
@@ -196,29 +252,25 @@
 	return lot, err
 }
 
-// prepare brings the accounts of a page up to the configuration.
-func (b *budgets) prepare(key string, p *account.Page) bool {
-	t := b.catalog.Load()
-	if t == nil {
-		return false
-	}
+// prepare brings the accounts of a page up to the operators' limits.
+func (b *Budgets) prepare(key string, p *account.Page) bool {
 	changed := false
-	for _, team := range t.Teams {
-		if team.Prepaid == 0 || b.layout.Key(team.Name) != key {
-			continue
+	b.limits.Each(func(budget string, version, tokens int64) {
+		if b.layout.Key(budget) != key {
+			return
 		}
-		a := p.Accounts[team.Name]
+		a := p.Accounts[budget]
 		if a == nil {
-			a = &account.Account{Team: team.Name}
-			p.Accounts[team.Name] = a
+			a = &account.Account{Team: budget}
+			p.Accounts[budget] = a
 		}
-		changed = a.SetPrepaid(t.Version, team.Prepaid) || changed
-	}
+		changed = a.SetPrepaid(version, tokens) || changed
+	})
 	return changed
 }
 
 // Obtain implements grant.Granter: the store, unless it just failed.
-func (b *budgets) Obtain(ctx context.Context, budget string, lack int64) error {
+func (b *Budgets) Obtain(ctx context.Context, budget string, lack int64) error {
 	if b.store.lasts() {
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
@@ -228,14 +280,14 @@
 }
 
 // moved logs tokens that this router took or gave back.
-func (b *budgets) moved(d grant.Decision, v grant.View) {
+func (b *Budgets) moved(d grant.Decision, v grant.View) {
 	b.log.Info().Str("budget", v.Budget).Bool("home", b.role(v.Budget) == grant.HomeOf).Int64("took", d.Take).Int64("gave", d.Give).
 		Int64("free", v.Free).Int64("unspent", v.Unspent).Int64("available", v.Available).Int64("reserved", v.Reserved).
 		Int64("waiting", v.Waiting).Int64("largest", v.Worst).Int64("demand_per_s", int64(v.Demand)).Msg("tokens_moved")
 }
 
 // noteOutage keeps whether the store or a peer answers, and logs when that changes.
-func (b *budgets) noteOutage(o *outage, what, name string, err, sign error) {
+func (b *Budgets) noteOutage(o *outage, what, name string, err, sign error) {
 	failed := errors.Is(err, sign)
 	if !o.note(failed) {
 		return
@@ -248,7 +300,7 @@
 }
 
 // step keeps the pages in step, or looks whether a store that failed is back.
-func (b *budgets) step(ctx context.Context) {
+func (b *Budgets) step(ctx context.Context) {
 	switch {
 	case !b.store.lasts():
 		b.sync(ctx, b.holder.Due(time.Now()))
@@ -258,14 +310,14 @@
 }
 
 // probe asks a store that failed whether it answers again, by a cheap read.
-func (b *budgets) probe(ctx context.Context) {
+func (b *Budgets) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, b.timeout)
 	defer cancel()
 	_, err := b.pages.Store.Peek(ctx, pagePrefix+"none")
 	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
 }
 
-func (b *budgets) sync(ctx context.Context, keys []string) {
+func (b *Budgets) sync(ctx context.Context, keys []string) {
 	for _, key := range keys {
 		if b.store.lasts() {
 			return // calls are paid for, also those that fail
@@ -281,11 +333,11 @@
 }
 
 // returnLots gives unused lots back.
-func (b *budgets) returnLots(ctx context.Context) { b.desk.ReturnLots(ctx, lotIdle) }
+func (b *Budgets) returnLots(ctx context.Context) { b.desk.ReturnLots(ctx, lotIdle) }
 
 // settleGone counts the lots of routers that are gone as used: what a dead router had
 // not returned it may have spent.
-func (b *budgets) settleGone(context.Context) {
+func (b *Budgets) settleGone(context.Context) {
 	if b.store.lasts() {
 		return // members cannot be told from missing ones now
 	}
@@ -304,8 +356,8 @@
 	}
 }
 
-// giveBack returns everything that is not reserved; it is the end of a planned stop.
-func (b *budgets) giveBack(ctx context.Context) error {
+// GiveBack returns everything that is not reserved; it is the end of a planned stop.
+func (b *Budgets) GiveBack(ctx context.Context) error {
 	b.desk.ReturnLots(ctx, 0)
 	b.holder.ReturnAll()
 	for _, key := range b.holder.Pages() {
@@ -317,7 +369,7 @@
 }
 
 // Reserve implements serving.Budgets.
-func (b *budgets) Reserve(ctx context.Context, r *serving.Request) (func(int64), *contract.Refusal) {
+func (b *Budgets) Reserve(ctx context.Context, r *serving.Request) (func(int64), *contract.Refusal) {
 	worst := r.Worst()
 	if worst == 0 || r.Prepaid == 0 {
 		return func(int64) {}, nil
--- a/gateway/outage.go
+++ b/prepaid/outage.go
@@ -1,4 +1,4 @@
-package gateway
+package prepaid
 
 import (
 	"sync"
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -7,7 +7,6 @@
 
 	"github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/goccy/go-yaml"
-	"github.com/rs/zerolog"
 )
 
 // Gateway are the settings of a router on the operators' platform. The platform fills
@@ -186,8 +185,7 @@
 	c.address("listen.ready", s.Listen.Ready)
 	c.address("listen.admin", s.Listen.Admin)
 	c.address("listen.link", s.Listen.Link)
-	c.address("store.address", s.Store.Address)
-	c.require(s.Budgets.Pages > 0, "budgets.pages", "must be positive")
+	c.hosted(s.Store, s.Budgets, s.Log)
 	c.require(s.Repeats.Ratio >= 0, "repeats.ratio", "must not be negative")
 	c.require(s.Repeats.Extra >= 0, "repeats.extra", "must not be negative")
 	c.require(s.Upstreams.PrefillPerMs > 0, "upstreams.prefill_tokens_per_ms", "must be positive")
@@ -195,30 +193,10 @@
 	c.require(s.Limits.LinkMbps >= 0, "limits.link_mbps", "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
 	c.require(s.Stop.Notice < s.Stop.Grace, "stop.notice", "must be shorter than stop.grace")
-	for _, p := range []struct {
-		field string
-		value fleet.Duration
-	}{
-		{"store.timeout", s.Store.Timeout},
-		{"store.watch_wait", s.Store.WatchWait},
-		{"store.watch_pause", s.Store.WatchPause},
-		{"store.member_ttl", s.Store.MemberTTL},
-		{"store.member_interval", s.Store.MemberInterval},
-		{"budgets.horizon", s.Budgets.Horizon},
-		{"budgets.demand_window", s.Budgets.DemandWindow},
-		{"budgets.report", s.Budgets.Report},
-		{"budgets.store_wait", s.Budgets.StoreWait},
-		{"budgets.peer_wait", s.Budgets.PeerWait},
-		{"repeats.window", s.Repeats.Window},
-		{"upstreams.dial_timeout", s.Upstreams.DialTimeout},
-		{"upstreams.idle_timeout", s.Upstreams.IdleTimeout},
-		{"limits.write_timeout", s.Limits.WriteTimeout},
-		{"stop.notice", s.Stop.Notice},
-	} {
-		c.require(p.value > 0, p.field, "must be positive, with a unit")
-	}
-	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
-		c.Add("log.level", "%q is not a level", s.Log.Level)
-	}
+	c.positive("repeats.window", s.Repeats.Window)
+	c.positive("upstreams.dial_timeout", s.Upstreams.DialTimeout)
+	c.positive("upstreams.idle_timeout", s.Upstreams.IdleTimeout)
+	c.positive("limits.write_timeout", s.Limits.WriteTimeout)
+	c.positive("stop.notice", s.Stop.Notice)
 	return Error.Wrap(c.Err())
 }
--- /dev/null
+++ b/settings/lender.go
@@ -0,0 +1,123 @@
+package settings
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/fleet"
+	"github.com/goccy/go-yaml"
+	"github.com/rs/zerolog"
+)
+
+// Lender are the settings of a process that holds budgets beside an upstream. The platform
+// fills them in from the template in deploy/.
+type Lender struct {
+	VM         string         `yaml:"vm"`
+	Datacentre string         `yaml:"datacentre"`
+	Listen     LenderListen   `yaml:"listen"`
+	Store      GatewayStore   `yaml:"store"`
+	Log        Log            `yaml:"log"`
+	Budgets    GatewayBudgets `yaml:"budgets"`
+	Limits     LenderLimits   `yaml:"limits"`
+	Stop       LenderStop     `yaml:"stop"`
+}
+
+// LenderListen are the addresses (host:port) that a lender listens on.
+type LenderListen struct {
+	// Admin is for health, metrics and dumps.
+	Admin string `yaml:"admin"`
+	// Link is for routers that borrow tokens. Only the system's own VMs may reach it.
+	Link string `yaml:"link"`
+}
+
+// LenderLimits bound what a lender takes of its VM.
+type LenderLimits struct {
+	// MemoryMB is the memory (MiB) that the process may use.
+	MemoryMB int `yaml:"memory_mb"`
+}
+
+// LenderStop is how a planned stop goes.
+type LenderStop struct {
+	// Grace is the time from the signal to the end of the process.
+	Grace fleet.Duration `yaml:"grace"`
+}
+
+// DefaultLender returns the default values. A file overrides them field by field.
+func DefaultLender() Lender {
+	g := DefaultGateway()
+	s := Lender{
+		Log:     g.Log,
+		Store:   g.Store,
+		Budgets: g.Budgets,
+		Limits:  LenderLimits{MemoryMB: 128},
+		Stop:    LenderStop{Grace: g.Stop.Grace},
+	}
+	// A lender learns of a new one that replaces it as the home of some budgets, and
+	// of borrowers that are gone. Neither is urgent, and there are more lenders than
+	// routers.
+	s.Store.MemberInterval = fleet.Duration(5 * time.Second)
+	// Lenders reach the store while routers are cut off from it, so what they hold has
+	// to outlast outages of the store itself only.
+	s.Budgets.Horizon = fleet.Duration(4 * time.Second)
+	return s
+}
+
+// LoadLender reads and checks a lender's settings file.
+func LoadLender(path string) (*Lender, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return ParseLender(b)
+}
+
+// ParseLender reads and checks a lender's settings. An unknown field is an error with its
+// line and column.
+func ParseLender(b []byte) (*Lender, error) {
+	s := DefaultLender()
+	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(&s); err != nil {
+		return nil, Error.New("%s", yaml.FormatError(err, false, true))
+	}
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+// Check verifies all settings and names each wrong field.
+func (s *Lender) Check() error {
+	c := &checker{}
+	c.require(s.VM != "", "vm", "is missing")
+	c.require(s.Datacentre != "", "datacentre", "is missing")
+	c.address("listen.admin", s.Listen.Admin)
+	c.address("listen.link", s.Listen.Link)
+	c.hosted(s.Store, s.Budgets, s.Log)
+	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
+	c.positive("stop.grace", s.Stop.Grace)
+	return Error.Wrap(c.Err())
+}
+
+// hosted checks what the processes on the operators' platform have in common.
+func (c *checker) hosted(s GatewayStore, b GatewayBudgets, l Log) {
+	c.address("store.address", s.Address)
+	c.positive("store.timeout", s.Timeout)
+	c.positive("store.watch_wait", s.WatchWait)
+	c.positive("store.watch_pause", s.WatchPause)
+	c.positive("store.member_ttl", s.MemberTTL)
+	c.positive("store.member_interval", s.MemberInterval)
+	c.require(b.Pages > 0, "budgets.pages", "must be positive")
+	c.positive("budgets.horizon", b.Horizon)
+	c.positive("budgets.demand_window", b.DemandWindow)
+	c.positive("budgets.report", b.Report)
+	c.positive("budgets.store_wait", b.StoreWait)
+	c.positive("budgets.peer_wait", b.PeerWait)
+	if _, err := zerolog.ParseLevel(l.Level); err != nil || l.Level == "" {
+		c.Add("log.level", "%q is not a level", l.Level)
+	}
+}
+
+// positive checks a duration.
+func (c *checker) positive(field string, d fleet.Duration) {
+	c.require(d > 0, field, "must be positive, with a unit")
+}
