Lenders step aside when their upstream leaves; peers that failed are probed; calls of the store have their own time

Ruled out: the store (its answers took 5 ms all the while). Change: a lender asks the upstream on its VM how it is and is home to budgets only while that serves. Peers that failed get no request before they answered a probe. A call of the store has its own time whoever waits for it, and only its own end says whether the store answers; a request's wait is bounded as a whole (1 s).

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -28,8 +28,8 @@
 	Store  store.Store
 	Layout account.Layout
 	Timing Timing
-	// Timeout bounds what one request waits for the store. It must leave time
-	// for peers: a store that is cut off is tried until the bound, and a request
+	// Timeout bounds what one request waits for the store, and one call of it. It
+	// must leave time for peers: a store that is cut off is tried until the bound, and a request
 	// that had spent all its time there would be refused although a peer has
 	// tokens.
 	Timeout time.Duration
@@ -40,6 +40,8 @@
 	// Moved, if set, is told of tokens that were taken or given back, once that is
 	// durable, and of what decided it.
 	Moved func(d Decision, v View)
+	// Ended, if set, is told how each call of the store ended, whoever waited for it.
+	Ended func(err error)
 	// KeepPages is how long a page that was read or written is used again without
 	// reading it; 0 reads each time. It suits pages that one process writes: a write
 	// on a page that others changed meanwhile only fails and is tried again on a
@@ -48,6 +50,7 @@
 	// Now is the clock.
 	Now func() time.Time
 
+	flying  sync.WaitGroup
 	mu      sync.Mutex
 	flights map[string]*flight
 	kept    map[string]keptPage
@@ -102,22 +105,23 @@
 			return f.wait(ctx)
 		}
 	}
-	// Others wait for this flight too: it must not end because the request that
-	// began it was given up by its caller.
-	own, cancel := detached(ctx)
-	defer cancel()
-	f.err = g.sync(own, key)
-	g.leave(key, f)
-	return f.err
+	g.flying.Go(func() { g.fly(ctx, key, f) })
+	return f.wait(ctx)
 }
 
-// detached keeps a context's deadline but not its cancellation.
-func detached(ctx context.Context) (context.Context, context.CancelFunc) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return context.WithCancel(context.WithoutCancel(ctx))
+// Wait waits for the calls that are on their way; call it when no more are begun.
+func (g *StoreGranter) Wait() { g.flying.Wait() }
+
+// fly makes the call. Others wait for it too, so it must not end because the request that
+// began it was given up by its caller, or had little time left: its own time is Timeout.
+func (g *StoreGranter) fly(ctx context.Context, key string, f *flight) {
+	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.Timeout)
+	defer cancel()
+	f.err = g.sync(own, key)
+	if g.Ended != nil {
+		g.Ended(f.err)
 	}
-	return context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	g.leave(key, f)
 }
 
 func (f *flight) wait(ctx context.Context) error {
@@ -125,7 +129,7 @@
 	case <-f.done:
 		return f.err
 	case <-ctx.Done():
-		return store.Error.Wrap(store.ErrUnknown)
+		return Error.Wrap(ErrUnreachable)
 	}
 }
 
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -48,9 +48,13 @@
 	// Report is told of failures and of changes of the number of members.
 	Report Reporter
 
+	once    sync.Once
+	woken   chan struct{} // wakes Keep
 	mu      sync.Mutex
 	members map[string]Member
 	lease   store.LeaseID
+	// aside says that this process is not to be listed.
+	aside bool
 	// lost says that the last read failed; doubtUntil is the end of the time in
 	// which missing members may have lapsed only because the store was away.
 	lost       bool
@@ -85,12 +89,34 @@
 		case <-ctx.Done():
 			t.Stop()
 			return
+		case <-g.wake():
 		case <-t.C:
 		}
 		pause = min(2*pause, g.Interval)
 	}
 }
 
+// StepAside takes this process off the list, or puts it back, and keeps it so. A process
+// that is about to lose its VM steps aside while it can still hand over what it has.
+func (g *Group) StepAside(aside bool) {
+	g.mu.Lock()
+	changed := g.aside != aside
+	g.aside = aside
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case g.wake() <- struct{}{}:
+	default: // Keep has yet to take the last wake, and will see this too
+	}
+}
+
+func (g *Group) wake() chan struct{} {
+	g.once.Do(func() { g.woken = make(chan struct{}, 1) })
+	return g.woken
+}
+
 // firstPause is the pause between the first two reads; it doubles up to the interval.
 // The members of a fleet that starts find each other within a second that way.
 const firstPause = 250 * time.Millisecond
@@ -104,6 +130,9 @@
 
 // renew renews the lease, or registers anew when it has ended.
 func (g *Group) renew(ctx context.Context) error {
+	if g.isAside() {
+		return g.withdraw(ctx)
+	}
 	if id := g.current(); id != 0 {
 		err := g.Store.KeepAlive(ctx, id)
 		if !errors.Is(err, store.ErrNoLease) {
@@ -142,6 +171,23 @@
 	return g.lease
 }
 
+func (g *Group) isAside() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.aside
+}
+
+// withdraw ends the lease if there is one.
+func (g *Group) withdraw(ctx context.Context) error {
+	if err := g.Leave(ctx); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lease = 0
+	return nil
+}
+
 // Leave ends the lease, so that others count this process out at once.
 func (g *Group) Leave(ctx context.Context) error {
 	id := g.current()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -184,6 +184,7 @@
 	cancel()
 	g.Links.Close()
 	duties.Wait()
+	g.Budgets.Wait()
 	return nil
 }
 
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,7 @@
 	// settings are those of the start, current those of the last reload.
 	settings *settings.Lender
 	current  atomic.Pointer[settings.Lender]
+	upstream neighbour
 }
 
 // New makes a lender; it makes no call. dropped returns the lines that the log's writer
@@ -45,6 +47,11 @@
 		}),
 	}
 	l.current.Store(s)
+	l.upstream = neighbour{
+		address: s.Upstream.Address,
+		timeout: time.Duration(s.Upstream.Timeout),
+		client:  &http.Client{Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1}},
+	}
 	l.Admin.Metrics, l.Admin.Dump = newMetrics(dropped), l.dump
 	return l
 }
@@ -82,6 +89,10 @@
 	duties := process.NewDuties(ctx)
 	l.Log.Info().Str("datacentre", l.settings.Datacentre).Str("link", l.settings.Listen.Link).Msg("started")
 	l.Serve(duties, admin, links)
+	if l.upstream.address != "" {
+		l.Members.StepAside(true) // until the upstream has answered
+		duties.Every(time.Duration(l.settings.Upstream.Interval), l.followUpstream)
+	}
 	l.Start(duties)
 	l.Admin.SetReady(true)
 	<-stop.Done()
@@ -89,6 +100,7 @@
 	cancel()
 	l.Links.Close()
 	duties.Wait()
+	l.Budgets.Wait()
 	return nil
 }
 
--- /dev/null
+++ b/lender/upstream.go
@@ -0,0 +1,56 @@
+package lender
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/platform"
+)
+
+// mostSilent is the number of questions in a row that the upstream may leave unanswered
+// before it counts as gone: one may be lost to a moment of load.
+const mostSilent = 2
+
+// neighbour follows the upstream on the lender's VM. A VM is taken away with its upstream,
+// often without a signal to the other processes on it, and what a lender holds at that
+// moment is lost. So a lender is home to budgets only while its upstream serves: it steps
+// aside when the upstream says that it leaves, or says nothing, and gives its tokens back.
+type neighbour struct {
+	address string
+	timeout time.Duration
+	client  *http.Client
+	silent  int
+	fit     bool
+}
+
+// ask asks once, and reports whether the lender should be a home, whether that changed,
+// and why.
+func (n *neighbour) ask(ctx context.Context) (fit, changed bool, why string) {
+	ctx, cancel := context.WithTimeout(ctx, n.timeout)
+	defer cancel()
+	r, err := platform.ReadReport(ctx, n.client, n.address)
+	fit, why = n.judge(r, err)
+	changed = fit != n.fit
+	n.fit = fit
+	return fit, changed, why
+}
+
+// judge decides by the newest answer.
+func (n *neighbour) judge(r platform.Report, err error) (fit bool, why string) {
+	if err != nil {
+		n.silent++
+		return n.fit && n.silent < mostSilent, err.Error()
+	}
+	n.silent = 0
+	return !r.Leaving, "state " + r.State
+}
+
+// followUpstream asks once and steps aside or comes back.
+func (l *Lender) followUpstream(ctx context.Context) {
+	fit, changed, why := l.upstream.ask(ctx)
+	if changed {
+		l.Log.Info().Bool("home", fit).Str("why", why).Msg("upstream_beside")
+	}
+	l.Members.StepAside(!fit)
+}
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -89,6 +89,12 @@
 	return out, err
 }
 
+// Probe asks whether a peer answers, by a question about no lots.
+func (d *Desk) Probe(ctx context.Context, peer string) error {
+	var out link.DisownReply
+	return d.call(ctx, peer, link.MethodDisown, link.DisownRequest{Borrower: peer}, &out)
+}
+
 // ReturnLots settles the lots that were not used for the idle time with their lenders,
 // one message for each lender.
 func (d *Desk) ReturnLots(ctx context.Context, idle time.Duration) {
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
@@ -46,11 +47,8 @@
 	foldAfter = 5 * time.Minute
 	// emptyFor is the time for which an exhausted budget is not asked for again.
 	emptyFor = 300 * time.Millisecond
-	// downFor is the time after a failed call in which nobody waits for a peer: it
-	// has just been tried.
-	downFor = time.Second
-	// probePause is the pause between two tries of a store that failed. Requests
-	// do not wait for it meanwhile: those that lack tokens are refused at once.
+	// probePause is the pause between two tries of a store or peer that failed.
+	// Requests do not wait for it meanwhile.
 	probePause = 500 * time.Millisecond
 	// keepPages is how long a home plans on a page without reading it again.
 	keepPages = 10 * time.Second
@@ -109,12 +107,13 @@
 	members  *member.Group
 	layout   account.Layout
 	limits   Limits
-	timeout  time.Duration
-	log      zerolog.Logger
-	store    outage
-	peers    outages
-	gone     absences
-	asked    lastAsked
+	// timeout bounds one call of the store, wait all that a request waits.
+	timeout, wait time.Duration
+	log           zerolog.Logger
+	store         outage
+	peers         outages
+	gone          absences
+	asked         lastAsked
 }
 
 // Parts is what budgets are put together from.
@@ -137,6 +136,7 @@
 		members: p.Members,
 		limits:  p.Limits,
 		timeout: time.Duration(s.StoreWait),
+		wait:    time.Duration(s.Wait),
 		log:     p.Log,
 	}
 	b.holder = grant.NewHolder(p.Life, b.layout, grant.HorizonPolicy{
@@ -147,7 +147,7 @@
 	b.holder.Lean(b.isDead)
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
-		KeepPages: keepPages, Moved: b.moved,
+		KeepPages: keepPages, Moved: b.moved, Ended: b.callEnded,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
 	}
@@ -167,8 +167,12 @@
 	d.Every(lotPause, b.returnLots)
 	d.Every(auditPause, b.desk.AuditLots)
 	d.Every(auditPause, b.settleGone)
+	d.Every(probePause, b.probePeers)
 }
 
+// Wait waits for calls that are on their way, after the duties have ended.
+func (b *Budgets) Wait() { b.pages.Wait() }
+
 // State is what the process holds, for dumps.
 func (b *Budgets) State() any { return b.holder.State(time.Now()) }
 
@@ -241,17 +245,32 @@
 	return out
 }
 
-// Lend implements grant.Lender: a peer that just failed is not asked again at once.
+// Lend implements grant.Lender. A peer that failed is not asked again before it has
+// answered a probe: each request that tried it would lose the time that it takes.
 func (b *Budgets) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
 	o := b.peers.of(peer)
-	if o.within(downFor) {
+	if o.lasts() {
 		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
 	}
 	lot, err := b.desk.Lend(ctx, peer, budget, id, need, want)
-	b.noteOutage(o, "router", peer, err, link.ErrDown)
+	b.noteOutage(o, "member", peer, err, link.ErrDown)
 	return lot, err
 }
 
+// probePeers asks the peers that failed whether they answer again. One that is no longer
+// listed is forgotten.
+func (b *Budgets) probePeers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, peer := range b.peers.lasting() {
+		if _, listed := b.members.Get(peer); !listed {
+			b.peers.forget(peer)
+			continue
+		}
+		wg.Go(func() { b.noteOutage(b.peers.of(peer), "member", peer, b.desk.Probe(ctx, peer), link.ErrDown) })
+	}
+	wg.Wait()
+}
+
 // prepare brings the accounts of a page up to the operators' limits.
 func (b *Budgets) prepare(key string, p *account.Page) bool {
 	changed := false
@@ -274,9 +293,12 @@
 	if b.store.lasts() {
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
-	err := b.pages.Obtain(ctx, budget, lack)
+	return b.pages.Obtain(ctx, budget, lack)
+}
+
+// callEnded hears how a call of the store ended.
+func (b *Budgets) callEnded(err error) {
 	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
-	return err
 }
 
 // moved logs tokens that this router took or gave back.
@@ -325,7 +347,6 @@
 		ctx, cancel := context.WithTimeout(ctx, b.timeout)
 		err := b.pages.Sync(ctx, key)
 		cancel()
-		b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
 		if err != nil {
 			b.holder.Postpone(time.Now(), key)
 		}
@@ -374,7 +395,7 @@
 	if worst == 0 || r.Prepaid == 0 {
 		return func(int64) {}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	ctx, cancel := context.WithTimeout(ctx, b.wait)
 	defer cancel()
 	res, err := b.acquirer.Acquire(ctx, r.Team, worst)
 	if err != nil {
--- a/prepaid/outage.go
+++ b/prepaid/outage.go
@@ -66,6 +66,25 @@
 	return o.by[name]
 }
 
+// lasting lists those that failed last.
+func (o *outages) lasting() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for name, one := range o.by {
+		if one.lasts() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (o *outages) forget(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.by, name)
+}
+
 // absences is since when others have been missing.
 type absences struct {
 	mu sync.Mutex
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -66,9 +66,10 @@
 	// Report is the longest time that use stays unreported.
 	Report fleet.Duration `yaml:"report"`
 	// StoreWait bounds what one request waits for the store's tokens, PeerWait
-	// what it waits for those of one other router.
+	// what it waits for those of one other process, and Wait all of it.
 	StoreWait fleet.Duration `yaml:"store_wait"`
 	PeerWait  fleet.Duration `yaml:"peer_wait"`
+	Wait      fleet.Duration `yaml:"wait"`
 }
 
 // Repeats bounds the sends beyond the first of each request, for the whole fleet.
@@ -139,8 +140,11 @@
 			DemandWindow: fleet.Duration(10 * time.Second),
 			Report:       fleet.Duration(time.Second),
 			StoreWait:    fleet.Duration(400 * time.Millisecond),
-			// The home may have to ask the store in this time.
-			PeerWait: fleet.Duration(500 * time.Millisecond),
+			// The home may have to ask the store in this time; a store that is
+			// slow by a factor of 60 answers within it.
+			PeerWait: fleet.Duration(300 * time.Millisecond),
+			// Two peers and the store, one after the other.
+			Wait: fleet.Duration(time.Second),
 		},
 		Repeats: Repeats{Ratio: 0.2, Extra: 50, Window: fleet.Duration(10 * time.Second)},
 		Upstreams: Upstreams{
--- a/settings/lender.go
+++ b/settings/lender.go
@@ -19,6 +19,7 @@
 	Store      GatewayStore   `yaml:"store"`
 	Log        Log            `yaml:"log"`
 	Budgets    GatewayBudgets `yaml:"budgets"`
+	Upstream   BesideUpstream `yaml:"upstream"`
 	Limits     LenderLimits   `yaml:"limits"`
 	Stop       LenderStop     `yaml:"stop"`
 }
@@ -31,6 +32,16 @@
 	Link string `yaml:"link"`
 }
 
+// BesideUpstream is the upstream on the lender's VM.
+type BesideUpstream struct {
+	// Address is its host:port; "" is none.
+	Address string `yaml:"address"`
+	// Interval is the pause between two questions how it is, Timeout the bound on
+	// each.
+	Interval fleet.Duration `yaml:"interval"`
+	Timeout  fleet.Duration `yaml:"timeout"`
+}
+
 // LenderLimits bound what a lender takes of its VM.
 type LenderLimits struct {
 	// MemoryMB is the memory (MiB) that the process may use.
@@ -50,8 +61,14 @@
 		Log:     g.Log,
 		Store:   g.Store,
 		Budgets: g.Budgets,
-		Limits:  LenderLimits{MemoryMB: 128},
-		Stop:    LenderStop{Grace: g.Stop.Grace},
+		// Upstreams that leave go on for two seconds and more after they said so.
+		// Their answers cost nothing on the own VM.
+		Upstream: BesideUpstream{
+			Interval: fleet.Duration(500 * time.Millisecond),
+			Timeout:  fleet.Duration(300 * time.Millisecond),
+		},
+		Limits: LenderLimits{MemoryMB: 128},
+		Stop:   LenderStop{Grace: g.Stop.Grace},
 	}
 	// A lender learns of a new one that replaces it as the home of some budgets, and
 	// of borrowers that are gone. Neither is urgent, and there are more lenders than
@@ -93,6 +110,11 @@
 	c.address("listen.admin", s.Listen.Admin)
 	c.address("listen.link", s.Listen.Link)
 	c.hosted(s.Store, s.Budgets, s.Log)
+	if s.Upstream.Address != "" {
+		c.address("upstream.address", s.Upstream.Address)
+	}
+	c.positive("upstream.interval", s.Upstream.Interval)
+	c.positive("upstream.timeout", s.Upstream.Timeout)
 	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
 	c.positive("stop.grace", s.Stop.Grace)
 	return Error.Wrap(c.Err())
@@ -112,6 +134,7 @@
 	c.positive("budgets.report", b.Report)
 	c.positive("budgets.store_wait", b.StoreWait)
 	c.positive("budgets.peer_wait", b.PeerWait)
+	c.positive("budgets.wait", b.Wait)
 	if _, err := zerolog.ParseLevel(l.Level); err != nil || l.Level == "" {
 		c.Add("log.level", "%q is not a level", l.Level)
 	}
