Borrowers leave the store alone while homes answer; a page read half a second ago tells what lacks

Ruled out: watches (2,500 calls, needed for changes during lost history); the list of members (read stale, a tenth of a call). Change: a page at most half a second old says what lacks; a home that found too little says that the rest is set aside, and nobody asks elsewhere; a borrower takes from the store only for a request that turned to it, and gives up its row else; a new life registers without reading first.

--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -236,3 +236,6 @@
 func (b *book) idle() bool {
 	return b.reserved == 0 && len(b.queue) == 0 && len(b.lots) == 0 && len(b.waits) == 0
 }
+
+// rowIdle reports whether nothing is set aside of the own row.
+func (b *book) rowIdle() bool { return b.reserved == 0 && len(b.queue) == 0 }
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -47,6 +47,9 @@
 	// on a page that others changed meanwhile only fails and is tried again on a
 	// fresh read.
 	KeepPages time.Duration
+	// Fresh is how old a kept page may be to tell that tokens lack. It bounds the
+	// reads of a budget near its end, of which each request would make one else.
+	Fresh time.Duration
 	// Now is the clock.
 	Now func() time.Time
 
@@ -157,19 +160,20 @@
 // sync plans on a kept page first. A page that others changed since may have free tokens
 // that it does not show, so nothing is called lacking without a fresh read.
 func (g *StoreGranter) sync(ctx context.Context, key string) error {
-	if kept, ok := g.keptPage(key); ok {
-		lacking, err := g.apply(ctx, key, kept)
-		if err == nil && !lacking || errors.Is(err, ErrFenced) {
+	if kept, fresh := g.keptPage(key); kept.Revision != 0 {
+		lacking, err := g.apply(ctx, key, kept, fresh)
+		if err == nil && (!lacking || fresh) || errors.Is(err, ErrFenced) {
 			return err
 		}
 		g.forget(key)
 	}
-	_, err := g.apply(ctx, key, store.Item{})
+	_, err := g.apply(ctx, key, store.Item{}, true)
 	return err
 }
 
 // apply plans on a page, and writes it if needed; a known item stands for the first read.
-func (g *StoreGranter) apply(ctx context.Context, key string, known store.Item) (lacking bool, err error) {
+// What a page that is not fresh seems to lack is no verdict: the caller reads it again.
+func (g *StoreGranter) apply(ctx context.Context, key string, known store.Item, fresh bool) (lacking bool, err error) {
 	var commits []commit
 	var write bool
 	item, err := store.UpdateFrom(ctx, g.Store, key, known, func(old store.Item) ([]byte, error) {
@@ -196,23 +200,28 @@
 	}
 	if write && g.Moved != nil {
 		for _, c := range commits {
-			if c.decision != (Decision{}) {
+			if c.decision.Take != 0 || c.decision.Give != 0 {
 				g.Moved(c.decision, c.view)
 			}
 		}
 	}
-	// What a kept page seems to lack is no verdict: the caller reads it afresh.
-	if known.Revision == 0 || !lacking || write {
+	if fresh || !lacking || write {
 		g.Holder.commit(g.Now(), g.Timing, item.Revision, commits, write)
 	}
 	return lacking, nil
 }
 
-func (g *StoreGranter) keptPage(key string) (store.Item, bool) {
+// keptPage returns a page that may be planned on, revision 0 if there is none, and whether
+// it is fresh.
+func (g *StoreGranter) keptPage(key string) (item store.Item, fresh bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	k, ok := g.kept[key]
-	return k.item, ok && k.item.Revision != 0 && g.Now().Sub(k.at) < g.KeepPages
+	k := g.kept[key]
+	age := g.Now().Sub(k.at)
+	if age >= g.KeepPages {
+		return store.Item{}, false
+	}
+	return k.item, age < g.Fresh
 }
 
 // keep notes a page; one that was neither read nor written goes on ageing.
@@ -259,7 +268,7 @@
 	verdict := Error.Wrap(ErrShort)
 	for _, peer := range g.Peers(budget) {
 		l, err := g.ask(ctx, peer, budget, lack, want)
-		if errors.Is(err, ErrExhausted) || errors.Is(err, ErrNoBudget) {
+		if errors.Is(err, ErrExhausted) || errors.Is(err, ErrNoBudget) || errors.Is(err, ErrHeld) {
 			return err // a peer has just looked at the whole budget
 		}
 		if err != nil {
@@ -356,6 +365,9 @@
 			verdict = err
 			break
 		}
+		if errors.Is(err, ErrHeld) {
+			break
+		}
 	}
 	q.Holder.syncSoon(budget)
 	return Reservation{}, verdict
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -22,6 +22,10 @@
 	Worsts float64
 	// Role says what this holder is to a budget; nil stands for HomeOf.
 	Role func(budget string) Role
+	// Asking reports whether a request of this holder has turned to the store
+	// itself, its peers being out of reach; nil stands for always. A borrower takes
+	// nothing from the store otherwise: its requests wait for what peers lend.
+	Asking func(budget string) bool
 	// StandIn is the horizon of a holder that stands in for a home: it is asked for
 	// some seconds only, and what it holds is held twice.
 	StandIn time.Duration
@@ -57,7 +61,7 @@
 // Decide implements Policy.
 func (p HorizonPolicy) Decide(v View) Decision {
 	if p.role(v.Budget) == BorrowerOf {
-		return exact(v)
+		return p.borrower(v)
 	}
 	need := v.Waiting - v.Available
 	target := p.target(v)
@@ -75,6 +79,15 @@
 	return Decision{}
 }
 
+// borrower takes what waits for the store, and else gives its row up: each row of a page
+// is looked after with reads and writes.
+func (p HorizonPolicy) borrower(v View) Decision {
+	if p.Asking == nil || p.Asking(v.Budget) {
+		return exact(v)
+	}
+	return Decision{Give: v.Available, Fold: true}
+}
+
 // refill is how much a holder may take towards its target at once.
 func (p HorizonPolicy) refill(v View, target int64) int64 {
 	lack := target - v.Available
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -147,7 +147,7 @@
 	c.lacking = b.waiting() > b.available()+took
 	c.empty = took == 0 && len(b.waits) > 0 && h.unspentLocked(a) < b.smallest()
 	unused := now.Sub(b.lastUse) > t.Fold && !b.lastUse.IsZero()
-	if b.idle() && (unused || h.stopping) {
+	if b.idle() && (unused || h.stopping) || d.Fold && b.rowIdle() {
 		c.folded = h.foldLocked(a, b)
 	}
 	c.wrote = join || took > 0 || returned || due || c.folded
--- a/coord/grant/policy.go
+++ b/coord/grant/policy.go
@@ -27,7 +27,11 @@
 
 // Decision is what a policy wants changed: tokens to take from the free pool,
 // or to give back to it. At most one of them is positive.
-type Decision struct{ Take, Give int64 }
+type Decision struct {
+	Take, Give int64
+	// Fold says that the row is of no more use once nothing of it is set aside.
+	Fold bool
+}
 
 // Policy decides the sizes of grants. It changes sizes and order only; the
 // account bounds what it may take, so no policy can break the invariant.
--- a/coord/grant/reservation.go
+++ b/coord/grant/reservation.go
@@ -22,6 +22,9 @@
 	// ErrExhausted says that the whole budget has too few tokens left,
 	// wherever they lie.
 	ErrExhausted = errs.New("budget exhausted")
+	// ErrHeld says that what is left of the budget is set aside for requests in
+	// progress. Some of it may come back, and nobody else has any.
+	ErrHeld = errs.New("all tokens left are set aside")
 	// ErrUnreachable says that the budget may have tokens left, but none that
 	// can be reached now.
 	ErrUnreachable = errs.New("no tokens within reach")
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -151,12 +151,7 @@
 	if err != nil {
 		return err
 	}
-	key := g.Prefix + g.Self.ID
-	old, err := g.Store.Get(ctx, key)
-	if err != nil {
-		return err
-	}
-	if _, err := g.Store.CompareAndSwap(ctx, key, old.Revision, value, id); err != nil {
+	if err := g.put(ctx, value, id); err != nil {
 		return err
 	}
 	g.mu.Lock()
@@ -165,6 +160,22 @@
 	return nil
 }
 
+// put writes the own key. It is there already only if an earlier lease of this life has yet
+// to end, or a write was done and its answer lost.
+func (g *Group) put(ctx context.Context, value []byte, lease store.LeaseID) error {
+	key := g.Prefix + g.Self.ID
+	_, err := g.Store.CompareAndSwap(ctx, key, 0, value, lease)
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	old, err := g.Store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	_, err = g.Store.CompareAndSwap(ctx, key, old.Revision, value, lease)
+	return err
+}
+
 func (g *Group) current() store.LeaseID {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/link/link.go
+++ b/link/link.go
@@ -39,6 +39,7 @@
 	{1004, grant.ErrExhausted},
 	{1005, grant.ErrNoBudget},
 	{1006, grant.ErrUnreachable},
+	{1007, grant.ErrHeld},
 }
 
 // Method names.
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -52,6 +52,9 @@
 	probePause = 500 * time.Millisecond
 	// keepPages is how long a home plans on a page without reading it again.
 	keepPages = 10 * time.Second
+	// freshPages is how old a page may be to say that tokens lack. What others give
+	// back is then seen that much later.
+	freshPages = 500 * time.Millisecond
 	// askedHomes is how many routers a request asks for tokens: the home and the
 	// one that would be it next, for a home that is gone but still listed.
 	askedHomes = 2
@@ -114,6 +117,8 @@
 	peers         outages
 	gone          absences
 	asked         lastAsked
+	// asking counts the requests that turned to the store, by budget.
+	asking counts
 }
 
 // Parts is what budgets are put together from.
@@ -141,13 +146,13 @@
 	}
 	b.holder = grant.NewHolder(p.Life, b.layout, grant.HorizonPolicy{
 		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack,
-		Refill: refillStep, Recovering: b.recovering, Role: b.role, StandIn: standInHorizon,
+		Refill: refillStep, Recovering: b.recovering, Role: b.role, StandIn: standInHorizon, Asking: b.asking.has,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean(b.isDead)
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
-		KeepPages: keepPages, Moved: b.moved, Ended: b.callEnded,
+		KeepPages: keepPages, Fresh: freshPages, Moved: b.moved, Ended: b.callEnded,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
 	}
@@ -293,7 +298,13 @@
 	if b.store.lasts() {
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
-	return b.pages.Obtain(ctx, budget, lack)
+	defer b.asking.begin(budget)()
+	err := b.pages.Obtain(ctx, budget, lack)
+	if errors.Is(err, grant.ErrShort) {
+		// This was the last place where there could be some.
+		return grant.Error.Wrap(grant.ErrHeld)
+	}
+	return err
 }
 
 // callEnded hears how a call of the store ended.
--- a/prepaid/outage.go
+++ b/prepaid/outage.go
@@ -129,3 +129,32 @@
 	t, ok := l.at[name]
 	return ok && time.Since(t) < d
 }
+
+// counts is how many of something are in progress, by name.
+type counts struct {
+	mu sync.Mutex
+	by map[string]int
+}
+
+// begin counts one in; the returned func counts it out.
+func (c *counts) begin(name string) (end func()) {
+	c.add(name, 1)
+	return func() { c.add(name, -1) }
+}
+
+func (c *counts) add(name string, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.by == nil {
+		c.by = map[string]int{}
+	}
+	if c.by[name] += n; c.by[name] == 0 {
+		delete(c.by, name)
+	}
+}
+
+func (c *counts) has(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.by[name] > 0
+}
