A peer's late answer is not yet an outage

Change: only a failed connection or an unanswered probe of 1.5 s makes a peer lost; a request waits 500 ms for one peer and 1.2 s for all.

--- a/lending/lending.go
+++ b/lending/lending.go
@@ -89,10 +89,14 @@
 	return out, err
 }
 
-// Probe asks whether a peer answers, by a question about no lots.
+// Probe asks whether a peer answers within the context's time, by a question about no lots.
 func (d *Desk) Probe(ctx context.Context, peer string) error {
+	addr, ok := d.Address(peer)
+	if !ok {
+		return link.Error.Wrap(link.ErrDown)
+	}
 	var out link.DisownReply
-	return d.call(ctx, peer, link.MethodDisown, link.DisownRequest{Borrower: peer}, &out)
+	return d.Links.Call(ctx, addr, link.MethodDisown, link.DisownRequest{Borrower: peer}, &out)
 }
 
 // ReturnLots settles the lots that were not used for the idle time with their lenders,
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -47,6 +48,9 @@
 	foldAfter = 5 * time.Minute
 	// emptyFor is the time for which an exhausted budget is not asked for again.
 	emptyFor = 300 * time.Millisecond
+	// probeTimeout bounds a probe. It is longer than what a request waits, for links
+	// that are full are slow for seconds.
+	probeTimeout = 1500 * time.Millisecond
 	// probePause is the pause between two tries of a store or peer that failed.
 	// Requests do not wait for it meanwhile.
 	probePause = 500 * time.Millisecond
@@ -119,6 +123,8 @@
 	asked         lastAsked
 	// asking counts the requests that turned to the store, by budget.
 	asking counts
+	// late are the peers whose answers came too late, since the last probes.
+	late counts
 }
 
 // Parts is what budgets are put together from.
@@ -251,31 +257,42 @@
 }
 
 // Lend implements grant.Lender. A peer that failed is not asked again before it has
-// answered a probe: each request that tried it would lose the time that it takes.
+// answered a probe: each request that tried it would lose the time that it takes. An answer
+// that only came too late says less: where the own link is full, all of them do.
 func (b *Budgets) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
 	o := b.peers.of(peer)
 	if o.lasts() {
 		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
 	}
 	lot, err := b.desk.Lend(ctx, peer, budget, id, need, want)
+	if errors.Is(err, context.DeadlineExceeded) {
+		b.late.begin(peer)
+		return lot, err
+	}
 	b.noteOutage(o, "member", peer, err, link.ErrDown)
 	return lot, err
 }
 
-// probePeers asks the peers that failed whether they answer again. One that is no longer
-// listed is forgotten.
+// probePeers asks the peers that failed or were late whether they answer. One that is no
+// longer listed is forgotten.
 func (b *Budgets) probePeers(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, peer := range b.peers.lasting() {
+	for _, peer := range slices.Compact(slices.Sorted(slices.Values(append(b.peers.lasting(), b.late.take()...)))) {
 		if _, listed := b.members.Get(peer); !listed {
 			b.peers.forget(peer)
 			continue
 		}
-		wg.Go(func() { b.noteOutage(b.peers.of(peer), "member", peer, b.desk.Probe(ctx, peer), link.ErrDown) })
+		wg.Go(func() { b.probePeer(ctx, peer) })
 	}
 	wg.Wait()
 }
 
+func (b *Budgets) probePeer(ctx context.Context, peer string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	b.noteOutage(b.peers.of(peer), "member", peer, b.desk.Probe(ctx, peer), link.ErrDown)
+}
+
 // prepare brings the accounts of a page up to the operators' limits.
 func (b *Budgets) prepare(key string, p *account.Page) bool {
 	changed := false
--- a/prepaid/outage.go
+++ b/prepaid/outage.go
@@ -1,6 +1,8 @@
 package prepaid
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -158,3 +160,12 @@
 	defer c.mu.Unlock()
 	return c.by[name] > 0
 }
+
+// take returns the names that were counted, and begins anew.
+func (c *counts) take() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := slices.Collect(maps.Keys(c.by))
+	c.by = nil
+	return names
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -141,10 +141,10 @@
 			Report:       fleet.Duration(time.Second),
 			StoreWait:    fleet.Duration(400 * time.Millisecond),
 			// The home may have to ask the store in this time; a store that is
-			// slow by a factor of 60 answers within it.
-			PeerWait: fleet.Duration(300 * time.Millisecond),
+			// slow by a factor of 100 answers within it.
+			PeerWait: fleet.Duration(500 * time.Millisecond),
 			// Two peers and the store, one after the other.
-			Wait: fleet.Duration(time.Second),
+			Wait: fleet.Duration(1200 * time.Millisecond),
 		},
 		Repeats: Repeats{Ratio: 0.2, Extra: 50, Window: fleet.Duration(10 * time.Second)},
 		Upstreams: Upstreams{
