Tests of lenders, roles, late peers, bounded reads; a lender that steps aside is nobody's stand-in; libraries log through ours

Cause of the change: the test of a leaving upstream showed that a lender which had stepped aside kept two seconds of demand for three seconds, as a stand-in, for as long as routers with an older list asked it; it then died with them. Change: who steps aside is a borrower only. What net/http logs by itself (answers that nobody asked for) goes to the structured log. Connections between processes log through ours too. The check that a stopped router is no longer listed looked at the old prefix of members' keys; it looks at the new one.

--- /dev/null
+++ b/coord/grant/pages_test.go
@@ -0,0 +1,125 @@
+package grant_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/stretchr/testify/require"
+)
+
+// home is a holder that takes grants of one budget from a store.
+type home struct {
+	store *memstore.Store
+	pages *grant.StoreGranter
+	// asking is what HorizonPolicy.Asking reports, borrows makes it a borrower.
+	asking, borrows bool
+}
+
+func newHome(t *testing.T, credit int64) *home {
+	h := &home{store: memstore.New()}
+	layout := account.Layout{Prefix: "p/", Pages: 1}
+	role := func(string) grant.Role {
+		if h.borrows {
+			return grant.BorrowerOf
+		}
+		return grant.HomeOf
+	}
+	holder := grant.NewHolder("home/1", layout, grant.HorizonPolicy{Horizon: time.Second, Worsts: 1, Share: 1, Slack: 0.25,
+		Role: role, Asking: func(string) bool { return h.asking }})
+	holder.Lean(func(string) bool { return false })
+	h.pages = &grant.StoreGranter{Holder: holder, Store: h.store, Layout: layout, Timeout: 400 * time.Millisecond,
+		KeepPages: 10 * time.Second, Fresh: 500 * time.Millisecond, Now: time.Now,
+		Timing: grant.Timing{Rebalance: time.Second, Report: time.Second, Fold: time.Hour, Empty: time.Millisecond, LowPause: time.Second},
+		Prepare: func(_ string, p *account.Page) bool {
+			if p.Accounts["team"] != nil {
+				return false
+			}
+			p.Accounts["team"] = &account.Account{Team: "team"}
+			return p.Accounts["team"].SetPrepaid(1, credit)
+		}}
+	return h
+}
+
+func (h *home) acquirer() *grant.Acquirer {
+	return &grant.Acquirer{Holder: h.pages.Holder, Now: time.Now, Chain: []grant.Granter{h.pages}}
+}
+
+// Callers of a team go on asking when its budget is nearly used up. Each request that lacks
+// tokens made a read of the page; the store's rate and its price are shared by the fleet.
+func TestReadsNearTheEndOfABudgetAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHome(t, 100)
+		a := h.acquirer()
+		_, err := a.Acquire(t.Context(), "team", 90)
+		require.NoError(t, err)
+		before := h.store.Calls().Reads
+		for range 100 {
+			_, err := a.Acquire(t.Context(), "team", 50)
+			require.Error(t, err)
+			time.Sleep(20 * time.Millisecond)
+		}
+		reads := h.store.Calls().Reads - before
+		require.LessOrEqual(t, reads, int64(5), "in two seconds")
+		require.GreaterOrEqual(t, reads, int64(3), "what others give back must be seen")
+	})
+}
+
+// A request with little time left begins a call of a slow store, and others wait for the
+// same call. It must not end with the first one's time: all would be refused, and the store
+// would count as lost.
+func TestCallHasItsOwnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHome(t, 100)
+		var ended []error
+		h.pages.Ended = func(err error) { ended = append(ended, err) }
+		h.store.SetFaults(memstore.Faults{Delay: 50 * time.Millisecond})
+		a := h.acquirer()
+		go func() {
+			hurried, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			_, err := a.Acquire(hurried, "team", 10)
+			require.ErrorIs(t, err, grant.ErrUnreachable)
+		}()
+		time.Sleep(5 * time.Millisecond)
+		_, err := a.Acquire(t.Context(), "team", 20)
+		require.NoError(t, err)
+		h.pages.Wait()
+		for _, err := range ended {
+			require.NoError(t, err)
+		}
+	})
+}
+
+// A router took tokens from the store while it reached no lender. When it does again it
+// takes no more for requests that its lender serves, and gives its row up.
+func TestBorrowerGivesItsRowUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHome(t, 100)
+		h.borrows, h.asking = true, true
+		r, err := h.acquirer().Acquire(t.Context(), "team", 10)
+		require.NoError(t, err)
+		h.asking = false
+		row := func() *account.Row {
+			item, err := h.store.Get(t.Context(), "p/00000")
+			require.NoError(t, err)
+			p, err := account.Decode(item.Value)
+			require.NoError(t, err)
+			return p.Accounts["team"].Rows["home/1"]
+		}
+		require.NotNil(t, row())
+		h.pages.Holder.Settle(time.Now(), r, 7)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, h.pages.Sync(t.Context(), "p/00000"))
+		require.Nil(t, row())
+		_, err = h.acquirer().Acquire(t.Context(), "team", 10)
+		require.Error(t, err, "its requests wait for what lenders have")
+		h.asking = true
+		_, err = h.acquirer().Acquire(t.Context(), "team", 93)
+		require.NoError(t, err, "only seven were used")
+	})
+}
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -130,7 +130,7 @@
 
 // renew renews the lease, or registers anew when it has ended.
 func (g *Group) renew(ctx context.Context) error {
-	if g.isAside() {
+	if g.Aside() {
 		return g.withdraw(ctx)
 	}
 	if id := g.current(); id != 0 {
@@ -182,7 +182,8 @@
 	return g.lease
 }
 
-func (g *Group) isAside() bool {
+// Aside reports whether this process has stepped aside.
+func (g *Group) Aside() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.aside
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log"
 	"os"
 
 	"github.com/arbutusmill/arbutusmill/gateway"
@@ -12,6 +13,7 @@
 	"github.com/arbutusmill/arbutusmill/observe"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
 )
 
 // settingsVariable holds the path of the settings file where the platform starts a
@@ -56,6 +58,7 @@
 	}
 	out, dropped := observe.Stdout()
 	g := gateway.New(s, hosted.TCP(), out, dropped)
+	captureLibraryLog(g.Log)
 	go followFile(ctx, c.config, func() {
 		s, err := settings.LoadGateway(c.config)
 		if err != nil {
@@ -67,9 +70,16 @@
 	return exit(g.Run(ctx), out)
 }
 
+// captureLibraryLog makes what libraries log part of the process's own log. net/http tells
+// there of answers that nobody asked for, and of panics.
+func captureLibraryLog(to zerolog.Logger) {
+	log.SetFlags(0)
+	log.SetOutput(to.With().Str("from", "library").Logger())
+}
+
 // exit closes the log and says what ended the process.
-func exit(err error, log io.Closer) subcommands.ExitStatus {
-	if closeErr := log.Close(); closeErr != nil {
+func exit(err error, lines io.Closer) subcommands.ExitStatus {
+	if closeErr := lines.Close(); closeErr != nil {
 		fmt.Fprintln(os.Stderr, closeErr)
 	}
 	if err != nil {
--- a/daemon/lender.go
+++ b/daemon/lender.go
@@ -52,6 +52,7 @@
 	}
 	out, dropped := observe.Stdout()
 	l := lender.New(s, hosted.TCP(), out, dropped)
+	captureLibraryLog(l.Log)
 	go followFile(ctx, c.config, func() {
 		s, err := settings.LoadLender(c.config)
 		if err != nil {
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -175,7 +175,7 @@
 		require.Equal(t, 200, f.ask(level("new connection")).status)
 		wg.Wait()
 		require.Contains(t, f.log.String(), `"event":"stopped"`)
-		require.Empty(t, f.store.Keys("arbutusmill/router/"), "it is no longer listed")
+		require.Empty(t, f.store.Keys("arbutusmill/member/"), "it is no longer listed")
 	})
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -61,16 +61,28 @@
 	store   *platformtest.Store
 	log     *syncBuffer
 	// lives are the running gateways, by the number of their VM.
-	lives   map[int]*life
+	lives map[int]*life
+	// stops end other processes of the test.
+	stops   []func()
 	version int
-	// cut VMs do not reach the store; storeConns are the connections that they have.
+	// cut VMs do not reach the store, those with true nobody else either; storeConns are the connections that they have.
 	cut        sync.Map
 	storeConns sync.Map // net.Conn to VM
 }
 
 // cutOff parts a VM from the store, with the connections that it has.
 func (f *fleet) cutOff(vm int) {
+	f.cut.Store(vm, false)
+	f.closeStoreConns(vm)
+}
+
+// cutOffAll parts a VM from everything: for all others it has died.
+func (f *fleet) cutOffAll(vm int) {
 	f.cut.Store(vm, true)
+	f.closeStoreConns(vm)
+}
+
+func (f *fleet) closeStoreConns(vm int) {
 	f.storeConns.Range(func(conn, of any) bool {
 		if of == vm {
 			_ = conn.(net.Conn).Close() // the other end may have closed it
@@ -166,7 +178,7 @@
 func (f *fleet) startVM(vm int) {
 	ctx, stop := context.WithCancel(context.Background())
 	dial := func(ctx context.Context, network, to string) (net.Conn, error) {
-		if _, cut := f.cut.Load(vm); cut && to == storeAddress {
+		if all, cut := f.cut.Load(vm); cut && (to == storeAddress || all == true) {
 			return nil, memnet.ErrRefused
 		}
 		conn, err := f.network.Dial(ctx, network, to)
@@ -198,6 +210,9 @@
 	for vm := range f.lives {
 		f.stopVM(vm)
 	}
+	for _, stop := range f.stops {
+		stop()
+	}
 	f.store.SetSilent(false)
 	f.store.Compact() // ends waiting calls
 }
--- /dev/null
+++ b/gateway/lender_test.go
@@ -0,0 +1,245 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/hosted"
+	"github.com/arbutusmill/arbutusmill/lender"
+	"github.com/arbutusmill/arbutusmill/memnet"
+	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/stretchr/testify/require"
+)
+
+// firstLender is the number of the first VM with a lender; its upstream is the stand-in at
+// addressOf("i-" + number).
+const firstLender = 20
+
+// lenderLife is one process of a lender.
+type lenderLife struct {
+	stop context.CancelFunc
+	done chan error
+	cut  bool // it reaches nobody any more
+	// conns are those that it accepted.
+	conns sync.Map
+}
+
+// startLender starts a lender beside an upstream. It returns how to stop it as planned, and
+// how to cut it off for good, which is its sudden death for all others.
+func (f *fleet) startLender(vm int, beside string) (stop, kill func()) {
+	s := settings.DefaultLender()
+	s.VM, s.Datacentre = fmt.Sprint("engine-", vm), "bergen"
+	s.Listen = settings.LenderListen{Admin: address(vm, adminPort), Link: address(vm, linkPort)}
+	s.Store.Address = storeAddress
+	if beside != "" {
+		s.Upstream.Address = addressOf(beside)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	life := &lenderLife{stop: cancel, done: make(chan error, 1)}
+	dial := func(ctx context.Context, network, to string) (net.Conn, error) {
+		if life.cut {
+			return nil, memnet.ErrRefused
+		}
+		conn, err := f.network.Dial(ctx, network, to)
+		if err == nil && to == storeAddress {
+			f.storeConns.Store(conn, vm)
+		}
+		return conn, err
+	}
+	listen := func(network, address string) (net.Listener, error) {
+		l, err := f.network.Listen(network, address)
+		return &rememberingListener{Listener: l, conns: &life.conns}, err
+	}
+	l := lender.New(&s, hosted.Network{Listen: listen, Dial: dial}, f.log, func() uint64 { return 0 })
+	go func() { life.done <- l.Run(ctx) }()
+	ended := false
+	stop = func() {
+		if !ended {
+			ended = true
+			life.stop()
+			require.NoError(f.t, <-life.done)
+		}
+	}
+	f.stops = append(f.stops, stop)
+	kill = func() {
+		life.cut = true
+		f.network.SetDark(s.Listen.Link, true)
+		life.conns.Range(func(conn, _ any) bool {
+			_ = conn.(net.Conn).Close() // the other end may have closed it
+			return true
+		})
+		f.cutOff(vm)
+	}
+	return stop, kill
+}
+
+// rememberingListener keeps the connections that it accepted.
+type rememberingListener struct {
+	net.Listener
+	conns *sync.Map
+}
+
+// Accept implements net.Listener.
+func (l *rememberingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.conns.Store(c, true)
+	}
+	return c, err
+}
+
+// A team's callers come while all routers are cut off from the store, for longer than any
+// router's own tokens would last. A lender beside an upstream still reaches the store and
+// is reached by the routers, so all callers are served.
+func TestLenderServesRoutersInACut(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1_000_000, "k1")
+		f.upstream("i-1", "model", 5)
+		f.startLender(firstLender, "")
+		f.startVM(1)
+		f.startVM(2)
+		time.Sleep(6 * time.Second) // they find each other
+		ask := func(vm int) int {
+			q := chat("c")
+			q.vm = vm
+			return f.ask(q).status
+		}
+		require.Equal(t, 200, ask(1))
+		require.Equal(t, 200, ask(2))
+		f.cutOff(1)
+		f.cutOff(2)
+		for n := range 60 {
+			require.Equal(t, 200, ask(1+n%2))
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+}
+
+// All routers die at once, and others take their place. What the lender held is not lost with
+// them: nearly all of the budget is still served. Held by a router, ten seconds of demand
+// would be gone.
+func TestTokensOutliveTheRouters(t *testing.T) {
+	play(t, func(f *fleet) {
+		const prepaid, each = 60_000, 1060
+		f.config(prepaid, "k1")
+		u := f.upstream("i-1", "model", 5)
+		f.startLender(firstLender, "")
+		f.startVM(1)
+		time.Sleep(6 * time.Second)
+		for range 10 {
+			require.Equal(t, 200, f.ask(chat("before")).status)
+		}
+		f.cutOffAll(1)
+		f.startVM(2)
+		time.Sleep(3 * time.Second)
+		for range 60 {
+			q := chat("after")
+			q.vm = 2
+			f.ask(q)
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.LessOrEqual(t, len(u.Seen())*1015, prepaid)
+		require.Greater(t, (len(u.Seen())+5)*each, prepaid, "at most a few requests' tokens are missing")
+	})
+}
+
+// The operators raise a budget that is used up. The lender follows no configuration; it
+// learns the new limit from the next request and serves it.
+func TestLenderLearnsARaisedLimit(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1500, "k1")
+		f.upstream("i-1", "model", 5)
+		f.startLender(firstLender, "")
+		f.startVM(1)
+		time.Sleep(6 * time.Second)
+		require.Equal(t, 200, f.ask(chat("a")).status)
+		time.Sleep(time.Second) // what was set aside for it and not used comes back
+		require.Equal(t, 402, f.ask(chat("b")).status)
+		f.config(5000, "k1")
+		time.Sleep(time.Second)
+		require.Equal(t, 200, f.ask(chat("c")).status)
+	})
+}
+
+// An upstream says that it leaves; a moment later its VM is gone without a signal to the
+// lender there. The lender has stepped aside by then, and all that is left of the budget
+// can still be spent through another lender.
+func TestLenderStepsAsideBeforeItsUpstreamLeaves(t *testing.T) {
+	play(t, func(f *fleet) {
+		const prepaid = 60_000
+		f.config(prepaid, "k1")
+		u := f.upstream("i-1", "model", 5)
+		kills := map[string]func(){}
+		beside := map[string]*platformtest.Upstream{}
+		for n := range 2 {
+			vm := firstLender + n
+			id := fmt.Sprint("i-", vm)
+			beside[id] = f.upstream(id, "other", 0)
+			_, kills[id] = f.startLender(vm, id)
+		}
+		f.startVM(1)
+		time.Sleep(8 * time.Second)
+		for range 20 {
+			require.Equal(t, 200, f.ask(chat("before")).status)
+		}
+		home := fmt.Sprint("i-", firstLender)
+		if !strings.Contains(f.log.String(), `"vm":"engine-20"`) || !f.tookTokens("engine-20") {
+			home = fmt.Sprint("i-", firstLender+1)
+		}
+		beside[home].SetState("draining")
+		time.Sleep(3 * time.Second)
+		kills[home]()
+		for range 60 {
+			f.ask(chat("after"))
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.LessOrEqual(t, len(u.Seen())*1015, prepaid)
+		require.Greater(t, (len(u.Seen())+3)*1060, prepaid)
+	})
+}
+
+// tookTokens reports whether a VM has taken tokens from the store.
+func (f *fleet) tookTokens(vm string) bool {
+	for line := range strings.Lines(f.log.String()) {
+		if strings.Contains(line, `"event":"tokens_moved"`) && strings.Contains(line, `"vm":"`+vm+`"`) {
+			return true
+		}
+	}
+	return false
+}
+
+// The home of a budget goes dark. Requests do not wait for it again and again: the first
+// ones are late, and from then on another lender stands in.
+func TestDarkLenderIsLeftAlone(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1_000_000, "k1")
+		f.upstream("i-1", "model", 5)
+		kills := map[string]func(){}
+		for n := range 2 {
+			vm := firstLender + n
+			_, kills[fmt.Sprint("engine-", vm)] = f.startLender(vm, "")
+		}
+		f.startVM(1)
+		time.Sleep(8 * time.Second)
+		require.Equal(t, 200, f.ask(chat("before")).status)
+		for vm, kill := range kills {
+			if f.tookTokens(vm) {
+				kill()
+				break
+			}
+		}
+		require.Equal(t, 200, f.ask(chat("first")).status)
+		time.Sleep(3 * time.Second)
+		for range 10 {
+			a := f.ask(chat("later"))
+			require.Equal(t, 200, a.status)
+			require.Less(t, a.took, 300*time.Millisecond)
+		}
+	})
+}
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -89,7 +89,7 @@
 		Self:     member.Member{ID: b.Life, Role: p.Role, VM: p.VM, Datacentre: p.Datacentre, Address: p.Link},
 	}
 	b.Links = &link.Pool{From: b.Life, Security: private, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
-		Dial: p.Network.Dial}
+		Log: b.Log.Printf, Dial: p.Network.Dial}
 	b.Budgets = prepaid.New(prepaid.Parts{Life: b.Life, Settings: p.Budgets, Store: b.Store, Members: b.Members,
 		Links: b.Links, Limits: p.Limits, Log: b.Log})
 	return b
--- a/link/link.go
+++ b/link/link.go
@@ -225,6 +225,8 @@
 	Heartbeat time.Duration
 	// DialTimeout bounds a connection's start.
 	DialTimeout time.Duration
+	// Log is told of connections that end in the middle of a message; nil drops it.
+	Log func(format string, args ...any)
 	// Dial connects; nil stands for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -293,7 +295,8 @@
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrDown, err))
 	}
-	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(noMethods{}))
+	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(noMethods{}),
+		jsonrpc2.SetLogger(printer(p.Log)))
 	if err := conn.Call(ctx, methodHello, hello{From: p.From, Secret: p.Security.Secret}, nil); err != nil {
 		_ = conn.Close()
 		return nil, localError(err)
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -209,6 +209,8 @@
 	page := b.layout.Key(budget)
 	ranked := b.ranked(page)
 	switch {
+	case b.members.Aside():
+		return grant.BorrowerOf
 	case len(ranked) > 0 && ranked[0].VM == b.members.Self.VM:
 		return grant.HomeOf
 	case b.asked.within(page, standInFor):
