--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -5,6 +5,9 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -296,3 +299,45 @@
 		require.Empty(t, u.Seen())
 	})
 }
+
+// A first send fails after a while and the request goes to another upstream. What that gets
+// as its deadline is what is left for the caller, not the caller's whole time once more.
+func TestRepeatGetsTheTimeThatIsLeft(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		ups := []*platformtest.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
+		f.start()
+		for _, u := range ups {
+			u.SetMode(platformtest.Hang)
+		}
+		f.ask(level("r"))
+		seen := append(ups[0].Seen(), ups[1].Seen()...)
+		require.Len(t, seen, 2)
+		var deadlines []int
+		for _, s := range seen {
+			ms, err := strconv.Atoi(s.Header.Get("Arbutusmill-Deadline-Ms"))
+			require.NoError(t, err)
+			deadlines = append(deadlines, ms)
+		}
+		slices.Sort(deadlines)
+		require.InDelta(t, 500, deadlines[0], 20)
+		require.InDelta(t, 1000, deadlines[1], 20)
+	})
+}
+
+// A body is larger than operators allow. The caller is told so before anything is sent, and
+// the largest body that is allowed passes whole.
+func TestOperatorsBoundBodies(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		u := f.upstream("i-1", "plain", 0)
+		f.start()
+		q := alert("r1")
+		q.body = strings.Repeat("x", 65_537)
+		require.Equal(t, 413, f.ask(q).status)
+		require.Empty(t, u.Seen())
+		q.body = q.body[1:]
+		require.Equal(t, 200, f.ask(q).status)
+		require.Equal(t, q.body, u.Seen()[0].Body)
+	})
+}
