--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -46,6 +46,13 @@
 	require.Equal(t, "bergen-entry-1", s.VM)
 }
 
+func TestLenderExample(t *testing.T) {
+	s, err := settings.LoadLender(filepath.Join("hosted", "lender.yaml"))
+	require.NoError(t, err)
+	require.Equal(t, "bergen-engine-1", s.VM)
+	require.Less(t, s.Budgets.Horizon, settings.DefaultGateway().Budgets.Horizon)
+}
+
 // A wrong file names each field that is wrong, and an unknown one with its place.
 func TestWrongGatewaySettings(t *testing.T) {
 	_, err := settings.ParseGateway([]byte("vm: a\ndatacentre: b\nlisten: {callers: \"nowhere\"}\nrepeats: {ratio: -1}\nstop: {notice: 9s}\n"))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,10 +59,8 @@
 	// settings are those of the start, current those of the last reload.
 	settings *settings.Gateway
 	current  atomic.Pointer[settings.Gateway]
-	// logDropped returns the lines that the log's writer could not keep.
-	logDropped func() uint64
-	meter      linkMeter
-	lag        *admission.Lag
+	meter    linkMeter
+	lag      *admission.Lag
 
 	catalog   catalog.Current
 	directory *directory.Directory
@@ -84,16 +82,15 @@
 func New(s *settings.Gateway, network hosted.Network, log io.Writer, dropped func() uint64) *Gateway {
 	meter := newMeter(s.Limits.LinkMbps)
 	g := &Gateway{
-		settings:   s,
-		logDropped: dropped,
-		meter:      meter,
-		lag:        &admission.Lag{Period: lagPeriod},
+		settings: s,
+		meter:    meter,
+		lag:      &admission.Lag{Period: lagPeriod},
 	}
 	g.current.Store(s)
 	g.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.Configured{Catalog: &g.catalog},
-		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM),
+		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers}
@@ -114,7 +111,7 @@
 		Now:       time.Now,
 	}
 	g.metrics = newMetrics(g)
-	g.Admin.Metrics, g.Admin.Dump = g.metrics.set, g.dump
+	g.Admin.Dump = g.dump
 	return g
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,22 +14,16 @@
 type gatewayMetrics struct{ set *metrics.Set }
 
 func newMetrics(g *Gateway) *gatewayMetrics {
-	m := &gatewayMetrics{set: metrics.NewSet()}
+	m := &gatewayMetrics{set: g.Metrics}
 	m.set.NewGauge("arbutusmill_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
 	m.set.NewGauge("arbutusmill_gateway_configuration_version", func() float64 { return float64(g.version()) })
 	m.set.NewGauge("arbutusmill_gateway_routers", func() float64 {
 		n, _ := g.Members.Count(prepaid.RoleRouter)
 		return float64(n)
 	})
-	m.set.NewGauge("arbutusmill_gateway_dropped_log_lines_total", func() float64 { return float64(g.logDropped()) })
 	return m
 }
 
-// reloaded counts a reload of the settings file.
-func (m *gatewayMetrics) reloaded(result string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_reloads_total{result=%q}", result)).Inc()
-}
-
 // refused counts a refusal.
 func (m *gatewayMetrics) refused(k contract.Kind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_refused_requests_total{kind=%q}", k)).Inc()
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -14,13 +14,13 @@
 func (g *Gateway) Reload(s *settings.Gateway) {
 	changed, restart := settings.Differences(g.current.Load(), s, liveFields)
 	g.current.Store(s)
-	g.metrics.reloaded("taken")
+	g.Reloaded("taken")
 	g.Log.Info().Str("changed", strings.Join(changed, ",")).
 		Str("needs_restart", strings.Join(restart, ",")).Msg("reloaded")
 }
 
 // ReloadRefused notes settings that are wrong; those in force stay.
 func (g *Gateway) ReloadRefused(err error) {
-	g.metrics.reloaded("refused")
+	g.Reloaded("refused")
 	g.Log.Error().Err(err).Msg("reload_refused")
 }
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
@@ -60,6 +61,8 @@
 	Limits  prepaid.Limits
 	Network Network
 	Log     zerolog.Logger
+	// LogDropped returns the lines that the log's writer could not keep.
+	LogDropped func() uint64
 }
 
 // Base is the common part of a process.
@@ -73,6 +76,7 @@
 	Links   *link.Pool
 	Budgets *prepaid.Budgets
 	Admin   *observe.Admin
+	Metrics *metrics.Set
 
 	methods       map[string]link.Handler
 	memberEntries Dependency
@@ -86,8 +90,11 @@
 		Admin:   &observe.Admin{},
 		methods: p.Methods,
 	}
+	b.Metrics = b.newMetrics(p.LogDropped)
+	b.Admin.Metrics = b.Metrics
 	b.Log = p.Log.With().Str("life", b.Life).Logger()
 	b.Store = newStore(p.Store, p.Network)
+	b.Store.Ended = b.storeCallEnded
 	b.Members = &member.Group{
 		Store:    b.Store,
 		Prefix:   memberPrefix,
@@ -120,6 +127,9 @@
 	d.Serve(&http.Server{Handler: b.Admin.Handler(), ReadHeaderTimeout: adminHeaderTimeout}, admin, nil)
 	methods := b.Budgets.Methods()
 	maps.Copy(methods, b.methods)
+	for name, h := range methods {
+		methods[name] = b.measured(name, h)
+	}
 	s := &link.Server{Security: private, Log: b.Log.Printf, Methods: methods}
 	d.Go(func(ctx context.Context) { s.Serve(ctx, links) })
 }
--- /dev/null
+++ b/hosted/metrics.go
@@ -0,0 +1,61 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/link"
+)
+
+// storeCallEnded counts a call of the store and its time. A waiting call of a watch counts
+// with its wait.
+func (b *Base) storeCallEnded(call string, took time.Duration, err error) {
+	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_store_calls_total{call=%q,result=%q}", call, storeResult(err))).Inc()
+	b.Metrics.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_store_call_duration_seconds{call=%q}", call)).Update(took.Seconds())
+}
+
+// storeResult names how a call ended.
+func storeResult(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case errors.Is(err, store.ErrUnavailable):
+		return "refused"
+	case errors.Is(err, store.ErrUnknown):
+		return "unknown"
+	}
+	return "failed"
+}
+
+// measured counts the messages of other members that a method answers, and their time.
+func (b *Base) measured(method string, h link.Handler) link.Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		began := time.Now()
+		out, err := h(ctx, params)
+		result := "answered"
+		if err != nil {
+			result = "refused"
+		}
+		b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_link_messages_total{method=%q,result=%q}", method, result)).Inc()
+		b.Metrics.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_link_message_duration_seconds{method=%q}", method)).Update(time.Since(began).Seconds())
+		return out, err
+	}
+}
+
+// Reloaded counts a reload of the settings file.
+func (b *Base) Reloaded(result string) {
+	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_reloads_total{result=%q}", result)).Inc()
+}
+
+// newMetrics are the metrics that both processes have.
+func (b *Base) newMetrics(dropped func() uint64) *metrics.Set {
+	m := metrics.NewSet()
+	m.NewGauge("arbutusmill_dropped_log_lines_total", func() float64 { return float64(dropped()) })
+	m.NewGauge("arbutusmill_members", func() float64 { return float64(len(b.Members.Members())) })
+	return m
+}
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -15,7 +15,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
@@ -50,7 +49,7 @@
 			link.MethodWithdraw: link.Handle(l.withdraw),
 		},
 		Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.Told{},
-		Network: network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM),
+		Network: network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
 	l.current.Store(s)
 	l.upstream = neighbour{
@@ -58,25 +57,21 @@
 		timeout: time.Duration(s.Upstream.Timeout),
 		client:  &http.Client{Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1}},
 	}
-	l.Admin.Metrics, l.Admin.Dump = newMetrics(dropped), l.dump
+	l.Admin.Dump = l.dump
 	return l
 }
 
-func newMetrics(dropped func() uint64) *metrics.Set {
-	m := metrics.NewSet()
-	m.NewGauge("arbutusmill_lender_dropped_log_lines_total", func() float64 { return float64(dropped()) })
-	return m
-}
-
 // state is a lender as dumps show it.
 type state struct {
 	Life    string `json:"life"`
+	Aside   bool   `json:"aside"`
 	Budgets any    `json:"budgets"`
+	Engine  any    `json:"engine"`
 	Members any    `json:"members"`
 }
 
 func (l *Lender) dump() any {
-	return state{Life: l.Life, Budgets: l.Budgets.State(), Members: l.Members.Members()}
+	return state{Life: l.Life, Aside: l.Members.Aside(), Engine: l.engine.State(time.Now()), Budgets: l.Budgets.State(), Members: l.Members.Members()}
 }
 
 // Run serves until stop is done, then gives unused tokens back.
@@ -136,8 +131,12 @@
 func (l *Lender) Reload(s *settings.Lender) {
 	changed, restart := settings.Differences(l.current.Load(), s, liveFields)
 	l.current.Store(s)
+	l.Reloaded("taken")
 	l.Log.Info().Str("changed", strings.Join(changed, ",")).Str("needs_restart", strings.Join(restart, ",")).Msg("reloaded")
 }
 
 // ReloadRefused notes settings that are wrong; those in force stay.
-func (l *Lender) ReloadRefused(err error) { l.Log.Error().Err(err).Msg("reload_refused") }
+func (l *Lender) ReloadRefused(err error) {
+	l.Reloaded("refused")
+	l.Log.Error().Err(err).Msg("reload_refused")
+}
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -79,3 +79,17 @@
 	}
 	return nil
 }
+
+// State is what is known of an engine, for dumps; all are tokens.
+type State struct {
+	Backlog int64 `json:"backlog"`
+	Cached  int64 `json:"cached"`
+	Room    int64 `json:"room"`
+}
+
+// State returns what is known now.
+func (e *Engine) State(now time.Time) State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return State{Backlog: e.queue.Add(now, 0), Cached: e.cache.Tokens(), Room: e.room}
+}
