--- /dev/null
+++ b/prepaid/pages.go
@@ -0,0 +1,117 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+)
+
+// Wait waits for calls that are on their way, after the duties have ended.
+func (b *Budgets) Wait() { b.pages.Wait() }
+
+// recovering reports whether the store came back lately.
+func (b *Budgets) recovering() bool { return b.store.endedWithin(recoveryTime) }
+
+// prepare brings the accounts of a page up to the operators' limits.
+func (b *Budgets) prepare(key string, p *account.Page) bool {
+	changed := false
+	b.limits.Each(func(budget string, version, tokens int64) {
+		if b.layout.Key(budget) != key {
+			return
+		}
+		a := p.Accounts[budget]
+		if a == nil {
+			a = &account.Account{Team: budget}
+			p.Accounts[budget] = a
+		}
+		changed = a.SetPrepaid(version, tokens) || changed
+	})
+	return changed
+}
+
+// Obtain implements grant.Granter: the store, unless it just failed.
+func (b *Budgets) Obtain(ctx context.Context, budget string, lack int64) error {
+	if b.store.lasts() {
+		return grant.Error.Wrap(grant.ErrUnreachable)
+	}
+	defer b.asking.begin(budget)()
+	err := b.pages.Obtain(ctx, budget, lack)
+	if errors.Is(err, grant.ErrShort) {
+		// This was the last place where there could be some.
+		return grant.Error.Wrap(grant.ErrHeld)
+	}
+	return err
+}
+
+// callEnded hears how a call of the store ended.
+func (b *Budgets) callEnded(err error) {
+	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
+}
+
+// moved logs tokens that this router took or gave back.
+func (b *Budgets) moved(d grant.Decision, v grant.View) {
+	b.log.Info().Str("budget", v.Budget).Bool("home", b.role(v.Budget) == grant.HomeOf).Int64("took", d.Take).Int64("gave", d.Give).
+		Int64("free", v.Free).Int64("unspent", v.Unspent).Int64("available", v.Available).Int64("reserved", v.Reserved).
+		Int64("waiting", v.Waiting).Int64("largest", v.Worst).Int64("demand_per_s", int64(v.Demand)).Msg("tokens_moved")
+}
+
+// noteOutage keeps whether the store or a peer answers, and logs when that changes.
+func (b *Budgets) noteOutage(o *outage, what, name string, err, sign error) {
+	failed := errors.Is(err, sign)
+	if !o.note(failed) {
+		return
+	}
+	if failed {
+		b.log.Warn().Err(err).Str("of", what).Str("name", name).Msg("tokens_lost")
+		return
+	}
+	b.log.Info().Str("of", what).Str("name", name).Msg("tokens_regained")
+}
+
+// step keeps the pages in step, or looks whether a store that failed is back.
+func (b *Budgets) step(ctx context.Context) {
+	switch {
+	case !b.store.lasts():
+		b.sync(ctx, b.holder.Due(time.Now()))
+	case !b.store.within(probePause):
+		b.probe(ctx)
+	}
+}
+
+// probe asks a store that failed whether it answers again, by a cheap read.
+func (b *Budgets) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	_, err := b.pages.Store.Peek(ctx, pagePrefix+"none")
+	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
+}
+
+func (b *Budgets) sync(ctx context.Context, keys []string) {
+	for _, key := range keys {
+		if b.store.lasts() {
+			return // calls are paid for, also those that fail
+		}
+		ctx, cancel := context.WithTimeout(ctx, b.timeout)
+		err := b.pages.Sync(ctx, key)
+		cancel()
+		if err != nil {
+			b.holder.Postpone(time.Now(), key)
+		}
+	}
+}
+
+// GiveBack returns everything that is not reserved; it is the end of a planned stop.
+func (b *Budgets) GiveBack(ctx context.Context) error {
+	b.desk.ReturnLots(ctx, 0)
+	b.holder.ReturnAll()
+	for _, key := range b.holder.Pages() {
+		if err := b.pages.Sync(ctx, key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
