Lenders read once what the engine beside has cached

Cause: after a loss of power of all processes engines keep what they had read, and new lenders told routers that nothing was cached. Change: when a lender begins to hear of prompts it asks its engine for the list, once. Conclusion: kept for what routers are told being true; the reads have another cause.

--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -269,3 +270,29 @@
 		require.Len(t, ups[1].Seen(), 1)
 	})
 }
+
+// The process beside an engine starts anew, as all do after a loss of power. The engine still
+// has what it read before, and the process knows so from the start: taken for unread, prompts
+// would be read again elsewhere.
+func TestNewLenderKnowsWhatIsCached(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		f.upstream("i-1", "model", 5)
+		f.startVM(1)
+		f.settle()
+		require.Equal(t, 200, f.ask(chat("r1")).status)
+		f.startLender(firstLender, "i-1")
+		time.Sleep(3 * time.Second)
+		require.Contains(t, f.dump(firstLender), `"cached": 1000`)
+	})
+}
+
+// dump is what a process shows of its state.
+func (f *fleet) dump(vm int) string {
+	resp, err := f.client().Get("http://" + address(vm, adminPort) + "/debug/dump")
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+	return string(body)
+}
--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/prefill"
 )
 
 // mostSilent is the number of questions in a row that the upstream may leave unanswered
@@ -49,12 +50,29 @@
 // followUpstream asks once and steps aside or comes back.
 func (l *Lender) followUpstream(ctx context.Context) {
 	r, fit, changed, why := l.upstream.ask(ctx)
-	if changed {
-		l.engine.Restarted() // it may have been away
-		l.Log.Info().Bool("home", fit).Str("why", why).Msg("upstream_beside")
-	}
 	if room := r.MemoryTokens - r.HeldTokens; room > 0 {
 		l.engine.SetRoom(room)
 	}
+	if changed {
+		l.engine.Restarted(l.cachedBeside(ctx, fit))
+		l.Log.Info().Bool("home", fit).Str("why", why).Msg("upstream_beside")
+	}
 	l.Members.StepAside(!fit)
 }
+
+// cachedBeside is what the upstream has cached when this process begins to hear of prompts:
+// after all processes were lost at once, upstreams still keep what they had read. It is asked
+// once, since the answer delays the upstream.
+func (l *Lender) cachedBeside(ctx context.Context, fit bool) []prefill.Part {
+	if !fit {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.upstream.timeout)
+	defer cancel()
+	parts, err := platform.ReadCache(ctx, l.upstream.client, l.upstream.address)
+	if err != nil {
+		l.Log.Warn().Err(err).Msg("cache_not_read") // prompts are taken for unread
+		return nil
+	}
+	return parts
+}
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -44,11 +44,13 @@
 	e.room = tokens
 }
 
-// Restarted forgets everything: a new engine has nothing cached.
-func (e *Engine) Restarted() {
+// Restarted begins anew with what the engine has cached: nothing if it is new, much if only
+// the process that keeps this model was away.
+func (e *Engine) Restarted(cached []Part) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cache = Cache{}
+	e.cache.Add(cached, e.room)
 }
 
 // Announce notes a prompt, and tells what was known before.
--- a/prefill/queue_test.go
+++ b/prefill/queue_test.go
@@ -39,7 +39,9 @@
 	require.Equal(t, Told{Cached: 13_300, Unread: 3_700}, told)
 	e.Withdraw(now, second, told)
 	require.Equal(t, Told{Cached: 13_300, Unread: 3_700}, e.Announce(now, second))
-	e.Restarted()
+	e.Restarted([]Part{subject})
+	require.EqualValues(t, 13_300, e.Announce(now.Add(time.Second), first).Cached)
+	e.Restarted(nil)
 	require.Zero(t, e.Announce(now.Add(time.Second), first).Cached)
 }
 
