--- a/lender/lender.go
+++ b/lender/lender.go
@@ -1,7 +1,9 @@
-// Package lender is the process that holds prepaid budgets on the VMs of upstreams: it is
-// home to budgets, takes their tokens from the store and lends them to routers.
+// Package lender is the process on the VMs of upstreams. It holds prepaid budgets: it is home
+// to some, takes their tokens from the store and lends them to routers. And it tells routers
+// what the engine beside it has cached and has yet to read, since all of them announce to it
+// what they send there. No request passes through it.
 //
-// Routers could be the homes themselves, and are where there is no lender. But routers are
+// Routers could be the homes of budgets, and are where there is no lender. But they are
 // cut off from the store, restarted and replaced far more often: each death of a home
 // loses the tokens that it held, and a home that is cut off runs out of them.
 package lender
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -54,7 +54,7 @@
 	// freshPages is how old a page may be to say that tokens lack. What others give
 	// back is then seen that much later.
 	freshPages = 500 * time.Millisecond
-	// askedHomes is how many routers a request asks for tokens: the home and the
+	// askedHomes is how many processes a request asks for tokens: the home and the
 	// one that would be it next, for a home that is gone but still listed.
 	askedHomes = 2
 	// lotPause is the pause between two rounds of returning lots, lotIdle the
@@ -64,7 +64,7 @@
 	lotIdle  = time.Second
 	// auditPause is the pause between two rounds of questions about lent lots.
 	auditPause = 3 * time.Second
-	// standInFor is how long a router that was asked for tokens of a page acts as
+	// standInFor is how long a process that was asked for tokens of a page acts as
 	// its home.
 	standInFor = 3 * time.Second
 	// standInHorizon is how long its tokens should last then.
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -52,7 +52,7 @@
 	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
 }
 
-// moved logs tokens that this router took or gave back.
+// moved logs tokens that this process took or gave back.
 func (b *Budgets) moved(d grant.Decision, v grant.View) {
 	b.log.Info().Str("budget", v.Budget).Bool("home", b.role(v.Budget) == grant.HomeOf).Int64("took", d.Take).Int64("gave", d.Give).
 		Int64("free", v.Free).Int64("unspent", v.Unspent).Int64("available", v.Available).Int64("reserved", v.Reserved).
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -30,9 +30,10 @@
 	return b.gone.since(time.Now(), life, !listed && !b.store.lasts()) >= goneFor
 }
 
-// role is what this router is to a budget. Before the members are known it is no home:
-// if every router of a new fleet took itself for the home, each would hold room for large
-// requests.
+// role is what this process is to a budget. Before the members are known it is no home:
+// if every one of a new fleet took itself for the home, each would hold room for large
+// requests. One that stepped aside is none either, nor a stand-in for routers that have
+// an older list: it is about to end.
 func (b *Budgets) role(budget string) grant.Role {
 	page := b.layout.Key(budget)
 	ranked := b.ranked(page)
@@ -55,7 +56,7 @@
 	return b.members.Rank(page, RoleRouter)
 }
 
-// Methods answers the messages of other routers.
+// Methods answers the messages of other processes.
 func (b *Budgets) Methods() map[string]link.Handler {
 	m := b.desk.Methods()
 	lend := m[link.MethodLend]
