A lender beside a service without reports is a home all the same

Unseen deployments may have plain services beside lenders, which answer 404 to the question for a report.

--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -39,6 +40,10 @@
 
 // judge decides by the newest answer.
 func (n *neighbour) judge(r platform.Report, err error) (fit bool, why string) {
+	if errors.Is(err, platform.ErrNoReport) {
+		n.silent = 0
+		return true, err.Error() // it answers, which is all that can be known
+	}
 	if err != nil {
 		n.silent++
 		return n.fit && n.silent < mostSilent, err.Error()
