--- a/hosted/base.go
+++ b/hosted/base.go
@@ -56,8 +56,8 @@
 	// Methods answers messages of other members beside those of the budgets; it may
 	// be nil.
 	Methods map[string]link.Handler
-	Store   settings.GatewayStore
-	Budgets settings.GatewayBudgets
+	Store   settings.HostedStore
+	Budgets settings.HostedBudgets
 	Limits  prepaid.Limits
 	Network Network
 	Log     zerolog.Logger
@@ -110,7 +110,7 @@
 	return b
 }
 
-func newStore(s settings.GatewayStore, n Network) *platform.Store {
+func newStore(s settings.HostedStore, n Network) *platform.Store {
 	return &platform.Store{
 		Address: s.Address,
 		Client: &http.Client{Transport: &http.Transport{
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -126,7 +126,7 @@
 type Parts struct {
 	// Life names this life of the process.
 	Life     string
-	Settings settings.GatewayBudgets
+	Settings settings.HostedBudgets
 	Store    store.Store
 	Members  *member.Group
 	Links    lending.Caller
--- a/prepaid/limits.go
+++ b/prepaid/limits.go
@@ -48,8 +48,8 @@
 
 type limit struct{ version, tokens int64 }
 
-// Note implements Limits: it keeps a limit unless a newer one is known: a router that is late would undo what
-// operators decided since.
+// Note implements Limits. It keeps a limit unless a newer one is known: a router that is
+// late would undo what operators decided since.
 func (t *Told) Note(budget string, version, tokens int64) {
 	if version <= 0 || tokens <= 0 {
 		return
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -141,6 +141,6 @@
 			l.Used = account.MaxTokens // cut to what was lent
 			b.holder.TakeBack(now, l)
 		}
-		b.log.Warn().Str("borrower", borrower).Int("lots", len(lots)).Msg("lots_of_gone_router_counted_as_used")
+		b.log.Warn().Str("borrower", borrower).Int("lots", len(lots)).Msg("lots_of_gone_member_counted_as_used")
 	}
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -12,16 +12,16 @@
 // Gateway are the settings of a router on the operators' platform. The platform fills
 // them in from the template in deploy/.
 type Gateway struct {
-	VM         string         `yaml:"vm"`
-	Datacentre string         `yaml:"datacentre"`
-	Listen     GatewayListen  `yaml:"listen"`
-	Store      GatewayStore   `yaml:"store"`
-	Log        Log            `yaml:"log"`
-	Budgets    GatewayBudgets `yaml:"budgets"`
-	Repeats    Repeats        `yaml:"repeats"`
-	Upstreams  Upstreams      `yaml:"upstreams"`
-	Limits     GatewayLimits  `yaml:"limits"`
-	Stop       Stop           `yaml:"stop"`
+	VM         string        `yaml:"vm"`
+	Datacentre string        `yaml:"datacentre"`
+	Listen     GatewayListen `yaml:"listen"`
+	Store      HostedStore   `yaml:"store"`
+	Log        Log           `yaml:"log"`
+	Budgets    HostedBudgets `yaml:"budgets"`
+	Repeats    Repeats       `yaml:"repeats"`
+	Upstreams  Upstreams     `yaml:"upstreams"`
+	Limits     GatewayLimits `yaml:"limits"`
+	Stop       Stop          `yaml:"stop"`
 }
 
 // GatewayListen are the addresses (host:port) that a gateway listens on.
@@ -37,8 +37,8 @@
 	Link string `yaml:"link"`
 }
 
-// GatewayStore is how the platform's store is reached.
-type GatewayStore struct {
+// HostedStore is how a process on the operators' platform reaches its store.
+type HostedStore struct {
 	// Address is host:port.
 	Address string `yaml:"address"`
 	// Timeout bounds one call.
@@ -47,14 +47,14 @@
 	WatchWait fleet.Duration `yaml:"watch_wait"`
 	// WatchPause follows each call of a watch that brought events.
 	WatchPause fleet.Duration `yaml:"watch_pause"`
-	// MemberTTL is the lease of a router's own entry, and MemberInterval the pause
+	// MemberTTL is the lease of a process's own entry, and MemberInterval the pause
 	// between two renewals.
 	MemberTTL      fleet.Duration `yaml:"member_ttl"`
 	MemberInterval fleet.Duration `yaml:"member_interval"`
 }
 
-// GatewayBudgets is how prepaid budgets are held.
-type GatewayBudgets struct {
+// HostedBudgets is how a process on the operators' platform holds prepaid budgets.
+type HostedBudgets struct {
 	// Pages is the number of values that the accounts are spread over; the same
 	// for the whole fleet, for its life.
 	Pages int `yaml:"pages"`
@@ -119,7 +119,7 @@
 func DefaultGateway() Gateway {
 	return Gateway{
 		Log: Log{Level: "info"},
-		Store: GatewayStore{
+		Store: HostedStore{
 			// A call takes some milliseconds; a store that is slow by a factor
 			// of 80 still answers within the bound.
 			Timeout: fleet.Duration(1500 * time.Millisecond),
@@ -135,7 +135,7 @@
 			// A renewal and a stale read cost a tenth of a call each.
 			MemberInterval: fleet.Duration(2 * time.Second),
 		},
-		Budgets: GatewayBudgets{
+		Budgets: HostedBudgets{
 			Pages: 16,
 			// Cuts of seven to nine seconds are usual.
 			Horizon:      fleet.Duration(10 * time.Second),
--- a/settings/lender.go
+++ b/settings/lender.go
@@ -16,9 +16,9 @@
 	VM         string         `yaml:"vm"`
 	Datacentre string         `yaml:"datacentre"`
 	Listen     LenderListen   `yaml:"listen"`
-	Store      GatewayStore   `yaml:"store"`
+	Store      HostedStore    `yaml:"store"`
 	Log        Log            `yaml:"log"`
-	Budgets    GatewayBudgets `yaml:"budgets"`
+	Budgets    HostedBudgets  `yaml:"budgets"`
 	Upstream   BesideUpstream `yaml:"upstream"`
 	Limits     LenderLimits   `yaml:"limits"`
 	Stop       LenderStop     `yaml:"stop"`
@@ -126,7 +126,7 @@
 }
 
 // hosted checks what the processes on the operators' platform have in common.
-func (c *checker) hosted(s GatewayStore, b GatewayBudgets, l Log) {
+func (c *checker) hosted(s HostedStore, b HostedBudgets, l Log) {
 	c.address("store.address", s.Address)
 	c.positive("store.timeout", s.Timeout)
 	c.positive("store.watch_wait", s.WatchWait)
