Tokens that others took meanwhile are fetched again

Cause: the benchmark of open connections got 503 for some of 64 requests that came at once, with a budget nearly unused. What a look at the page had fetched for a request that waited was taken by one that came later and did not wait; the first was refused. Ruled out: the store (all its calls succeeded), the policy (it took for all who waited). Change: a request fetches again, at most four times, as long as the page had enough for all who waited; a lender lends what was asked for or looks again, in one step.

--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -77,6 +77,7 @@
 	lowPause    time.Duration // before the next look while it runs low
 	emptyUntil  time.Time
 	absent      bool // the page has no such budget
+	lacking     bool // the page had too little for all who waited
 	folding     bool // the removal of the row was sent
 }
 
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -74,25 +74,31 @@
 func (g *StoreGranter) Obtain(ctx context.Context, budget string, lack int64) error {
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
 	defer cancel()
-	if err := g.Sync(ctx, g.Layout.Key(budget)); err != nil {
-		return err
+	for try := 1; ; try++ {
+		if err := g.Sync(ctx, g.Layout.Key(budget)); err != nil {
+			return err
+		}
+		again, err := g.verdict(budget, lack)
+		if !again || try == mostFills {
+			return err
+		}
 	}
-	return g.verdict(budget, lack)
 }
 
-// verdict reads what the last sync found out about the budget.
-func (g *StoreGranter) verdict(budget string, lack int64) error {
+// verdict reads what the last sync found out about the budget. It says that another one may
+// help if the page had enough for all who waited: then requests that came later took it.
+func (g *StoreGranter) verdict(budget string, lack int64) (again bool, err error) {
 	s := g.Holder.shortage(g.Now(), budget, 0)
 	have := -s.lack
 	switch {
 	case s.absent:
-		return Error.Wrap(ErrNoBudget)
+		return false, Error.Wrap(ErrNoBudget)
 	case have >= lack:
-		return nil
+		return false, nil
 	case s.empty:
-		return Error.Wrap(ErrExhausted)
+		return false, Error.Wrap(ErrExhausted)
 	}
-	return Error.Wrap(ErrShort)
+	return !s.lacking, Error.Wrap(ErrShort)
 }
 
 // Sync reports to the page, takes and gives back. A caller that comes while a
@@ -317,17 +323,43 @@
 // It lends need or nothing: a peer that got a part would have to ask on, and the part
 // would be missing here meanwhile.
 func (q *Acquirer) Lend(ctx context.Context, budget, id, borrower string, need, want int64) (Lot, error) {
-	if q.Holder.ownShortage(budget, need) > 0 {
+	for try := 1; ; try++ {
+		l, err := q.Holder.lend(q.Now(), budget, id, borrower, need, need, want)
+		if !errors.Is(err, ErrShort) || try > mostFills {
+			return l, err
+		}
 		done := q.Holder.wait(budget, need)
-		err := q.fill(ctx, budget, need)
+		err = q.fill(ctx, budget, need)
 		done()
 		if err != nil {
 			return Lot{}, err
 		}
 	}
-	return q.Holder.Lend(q.Now(), budget, id, borrower, need, want)
 }
 
+// reserveAfter obtains what lacks and reserves, and does so again if the tokens came and
+// another request took them.
+func (q *Acquirer) reserveAfter(ctx context.Context, g Granter, budget string, n, lack int64) (Reservation, error) {
+	for try := 1; ; try++ {
+		obtained := g.Obtain(ctx, budget, lack)
+		r, err := q.Holder.Reserve(q.Now(), budget, n)
+		if err == nil || !errors.Is(err, ErrShort) {
+			return r, err
+		}
+		if obtained != nil {
+			return Reservation{}, obtained
+		}
+		if try == mostFills {
+			return Reservation{}, err
+		}
+		lack = q.Holder.shortage(q.Now(), budget, n).lack
+	}
+}
+
+// mostFills bounds how often tokens are fetched for one request: others that come meanwhile
+// may take what was fetched for it.
+const mostFills = 4
+
 // fill asks along the chain until the own row has need tokens.
 func (q *Acquirer) fill(ctx context.Context, budget string, need int64) error {
 	verdict := Error.Wrap(ErrShort)
@@ -354,11 +386,11 @@
 			verdict = Error.Wrap(ErrExhausted)
 			break
 		}
-		err := g.Obtain(ctx, budget, s.lack)
+		r, err := q.reserveAfter(ctx, g, budget, n, s.lack)
 		if errors.Is(err, ErrNoBudget) || errors.Is(err, ErrFenced) {
 			return Reservation{}, err
 		}
-		if r, err := q.Holder.Reserve(q.Now(), budget, n); err == nil {
+		if err == nil {
 			return r, nil
 		}
 		if errors.Is(err, ErrExhausted) {
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -7,6 +7,11 @@
 // the peer's request; a repeated id gets the same lot, so an answer that was lost
 // strands nothing.
 func (h *Holder) Lend(now time.Time, budget, id, borrower string, need, want int64) (Lot, error) {
+	return h.lend(now, budget, id, borrower, 1, need, want)
+}
+
+// lend is Lend, but lends nothing if there are fewer tokens than least.
+func (h *Holder) lend(now time.Time, budget, id, borrower string, least, need, want int64) (Lot, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.fenced {
@@ -24,7 +29,7 @@
 		return Lot{Part: have.part, Through: b.durableThrough}, nil
 	}
 	n := min(b.available(), max(need, min(want, b.available()/2)))
-	if n <= 0 {
+	if n < least {
 		return Lot{}, Error.Wrap(ErrShort)
 	}
 	if h.lean {
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -217,7 +217,7 @@
 	h.revision = max(h.revision, int64(rev))
 	for _, c := range commits {
 		b := c.book
-		b.lastSync = now
+		b.lastSync, b.lacking = now, c.lacking
 		b.lowPause = min(max(t.LowPause, 2*b.lowPause), t.Rebalance)
 		if c.took {
 			b.lowPause = t.LowPause
@@ -315,13 +315,15 @@
 	lack   int64 // tokens that a reservation still lacks
 	empty  bool  // the budget was just found exhausted
 	absent bool  // the budget's page has no such budget
+	// lacking says that the page, as last seen, had too little for all who waited.
+	lacking bool
 }
 
 func (h *Holder) shortage(now time.Time, budget string, n int64) shortage {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.bookLocked(budget)
-	return shortage{lack: n - b.atHand(), empty: now.Before(b.emptyUntil), absent: b.absent}
+	return shortage{lack: n - b.atHand(), empty: now.Before(b.emptyUntil), absent: b.absent, lacking: b.lacking}
 }
 
 // ownShortage returns how many tokens the own row lacks for n more.
--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -297,3 +297,34 @@
 	require.NoError(f.t, err)
 	return string(body)
 }
+
+// Many callers of a team come in the same moment, to a fleet that holds nothing of its budget
+// yet. The budget is nearly unused, so none of them may be refused: tokens that were fetched
+// for one request and taken by another that came later must be fetched again.
+func TestManyAtOnceAreAllServed(t *testing.T) {
+	for _, withLender := range []bool{false, true} {
+		t.Run(fmt.Sprint("lender ", withLender), func(t *testing.T) {
+			play(t, func(f *fleet) {
+				f.config(100_000_000, "k1")
+				f.upstream("i-1", "model", 5)
+				if withLender {
+					f.startLender(firstLender, "")
+				}
+				f.startVM(1)
+				time.Sleep(6 * time.Second)
+				var refused atomic.Int64
+				var wg sync.WaitGroup
+				for n := range 200 {
+					wg.Go(func() {
+						time.Sleep(time.Duration(n/10) * time.Millisecond)
+						if f.ask(chat(fmt.Sprint("r", n))).status != 200 {
+							refused.Add(1)
+						}
+					})
+				}
+				wg.Wait()
+				require.Zero(t, refused.Load())
+			})
+		})
+	}
+}
--- a/gateway/path_bench_test.go
+++ b/gateway/path_bench_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,50 +81,80 @@
 	n := 0
 	for b.Loop() {
 		n++
-		req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
-		require.NoError(b, err)
-		req.Host = "a.example"
-		req.Header.Set("Api-Key", "k1")
-		req.Header.Set("Arbutusmill-Attempt-Id", fmt.Sprint("r", n))
-		req.Header.Set("Arbutusmill-Deadline-Ms", "6000")
-		req.Header.Set("Arbutusmill-Token-Usage", "1000,120")
-		req.Header.Set("Arbutusmill-Prefix-Hash", "aa:600,bb:400")
-		resp, err := c.Do(req)
-		require.NoError(b, err)
-		_, err = io.Copy(io.Discard, resp.Body)
-		require.NoError(b, err)
-		_ = resp.Body.Close()
-		require.Equal(b, 200, resp.StatusCode)
+		callOnce(b, c, address, path, body, fmt.Sprint("r", n))
 	}
 }
 
+func callOnce(b *testing.B, c *http.Client, address, path, body, id string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	require.NoError(b, err)
+	req.Host = "a.example"
+	req.Header.Set("Api-Key", "k1")
+	req.Header.Set("Arbutusmill-Attempt-Id", id)
+	req.Header.Set("Arbutusmill-Deadline-Ms", "6000")
+	req.Header.Set("Arbutusmill-Token-Usage", "1000,120")
+	req.Header.Set("Arbutusmill-Prefix-Hash", "aa:600,bb:400")
+	resp, err := c.Do(req)
+	require.NoError(b, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(b, err)
+	_ = resp.Body.Close()
+	require.Equal(b, 200, resp.StatusCode)
+}
+
 // BenchmarkOpenConnections is the memory of kept connections of callers, each of which
-// made one request. Both ends are in this process, so it is an upper bound.
+// made one request, and the most memory and descriptors while streams run beside them. All
+// ends are in this process, so it is an upper bound.
 func BenchmarkOpenConnections(b *testing.B) {
-	const open = 2000
+	const open, streams = 2000, 64
 	callers, _ := tcpFleet(b, io.Discard)
-	inUse := func() float64 {
-		runtime.GC()
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		return float64(m.HeapInuse + m.StackInuse)
-	}
 	for b.Loop() {
 		before := inUse()
-		conns := make([]net.Conn, open)
-		for i := range conns {
-			conn, err := net.Dial("tcp", callers)
-			require.NoError(b, err)
-			_, err = io.WriteString(conn, rawAlert(fmt.Sprint("r", i), "surge"))
-			require.NoError(b, err)
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			require.NoError(b, err)
-			require.Equal(b, 200, resp.StatusCode)
-			conns[i] = conn
-		}
+		conns := openConnections(b, callers, open)
 		b.ReportMetric((inUse()-before)/open/1024, "KiB/connection")
+		var wg sync.WaitGroup
+		for range streams {
+			wg.Go(func() { benchmarkCall(b, callers, "/chat/x", strings.Repeat("x", 9000)) })
+		}
+		peak := inUse()
+		files, err := os.ReadDir("/proc/self/fd")
+		require.NoError(b, err)
+		wg.Wait()
+		b.ReportMetric(peak/(1<<20), "MiB-peak")
+		b.ReportMetric(float64(len(files)), "descriptors-peak")
 		for _, conn := range conns {
 			require.NoError(b, conn.Close())
 		}
 	}
 }
+
+// inUse is the memory in use, in bytes.
+func inUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+// openConnections opens connections that have each made one request.
+func openConnections(b *testing.B, address string, n int) []net.Conn {
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		conn, err := net.Dial("tcp", address)
+		require.NoError(b, err)
+		_, err = io.WriteString(conn, rawAlert(fmt.Sprint("r", i), "surge"))
+		require.NoError(b, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(b, err)
+		require.Equal(b, 200, resp.StatusCode)
+		conns[i] = conn
+	}
+	return conns
+}
+
+// benchmarkCall makes one call on a connection of its own.
+func benchmarkCall(b *testing.B, address, path, body string) {
+	c := &http.Client{Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	callOnce(b, c, address, path, body, rand.Text())
+}
