A lender fetches tokens again that others took meanwhile; a test that shows it each time

The new one takes the tokens away on purpose: it failed for lending, where a fill that brought tokens which were gone again counted as too few. It fails without the bound on fetching again.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -360,17 +360,15 @@
 // may take what was fetched for it.
 const mostFills = 4
 
-// fill asks along the chain until the own row has need tokens.
+// fill asks along the chain until one way brought what the own row lacks for need.
 func (q *Acquirer) fill(ctx context.Context, budget string, need int64) error {
 	verdict := Error.Wrap(ErrShort)
 	for _, g := range q.Chain {
 		err := g.Obtain(ctx, budget, q.Holder.ownShortage(budget, need))
-		if q.Holder.ownShortage(budget, need) <= 0 {
+		if err == nil || q.Holder.ownShortage(budget, need) <= 0 {
 			return nil
 		}
-		if err != nil {
-			verdict = err
-		}
+		verdict = err
 	}
 	return verdict
 }
--- a/coord/grant/pages_test.go
+++ b/coord/grant/pages_test.go
@@ -123,3 +123,40 @@
 		require.NoError(t, err, "only seven were used")
 	})
 }
+
+// thief is a Granter after which other requests take all that came, a few times.
+type thief struct {
+	*home
+	times int
+}
+
+// Obtain implements grant.Granter.
+func (f *thief) Obtain(ctx context.Context, budget string, lack int64) error {
+	err := f.pages.Obtain(ctx, budget, lack)
+	if f.times--; f.times < 0 {
+		return err
+	}
+	for {
+		if _, short := f.pages.Holder.Reserve(time.Now(), budget, 1); short != nil {
+			return err
+		}
+	}
+}
+
+// A request waits for tokens. They come, and requests that came later take them first. The
+// budget is nearly unused, so the first one must not be refused: its tokens are fetched again.
+func TestTokensTakenMeanwhileAreFetchedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, lend := range []bool{false, true} {
+			h := newHome(t, 100_000)
+			a := &grant.Acquirer{Holder: h.pages.Holder, Now: time.Now, Chain: []grant.Granter{&thief{home: h, times: 2}}}
+			var err error
+			if lend {
+				_, err = a.Lend(t.Context(), "team", "id", "router/1", 50, 50)
+			} else {
+				_, err = a.Acquire(t.Context(), "team", 50)
+			}
+			require.NoError(t, err, "lend %v", lend)
+		}
+	})
+}
