--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -67,6 +67,9 @@
 	if size, limit := sizeOfHeaders(req), v.gateway.callerLimits().HeaderBytes; size > limit {
 		return contract.Refuse(contract.HeadersTooLarge, "the headers take %d bytes of %d", size, limit)
 	}
+	if err := platform.CheckCall(req.Header); err != nil {
+		return contract.Refuse(contract.BadRequest, "%v", err)
+	}
 	path, _, _ := strings.Cut(req.RequestURI, "?")
 	route := table.Route(hostOf(req.Host), path)
 	if route == nil {
