Long prompts leave engines where their reading holds streams up too long

The log now tells each stream's longest pause: on the four slow engines (1.3 times the time for a token) 39 to 61 in 100 streams had one over 300 ms, on the others 0 to 26. Each event waits for three pieces of prompts there, 264 ms at usual speed, 343 at 1.3.

Change: routers learn from events while streams run how slow an engine is and how long pauses get as a share of their goal. Engines at which that passes the goal are no homes of long prompts, which pay for the streams they would hold up; short ones pay for going where long ones are, and for the time that their answer takes.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -226,7 +226,8 @@
 }
 
 // history tells the attempts of a request in order: upstream, what was expected of it
-// (time to the first event, prompt tokens to read), result, and why.
+// (time to the first event, prompt tokens to read), result, the longest pause of a stream
+// with what else this router had there then, and why.
 func history(attempts []serving.Attempt) string {
 	var b strings.Builder
 	for i, a := range attempts {
@@ -234,6 +235,10 @@
 			b.WriteString("; ")
 		}
 		fmt.Fprintf(&b, "%s [%d ms, %d tokens] %s", a.Upstream, a.Cost.Milliseconds(), a.Unread, a.Result)
+		if p := a.Pause; p.For > 0 {
+			fmt.Fprintf(&b, ", longest pause %d ms beside %d requests with %d unread tokens",
+				p.For.Milliseconds(), p.Beside.Running, p.Beside.Unread)
+		}
 		if a.Why != "" {
 			b.WriteString(" (" + a.Why + ")")
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,9 @@
 	}
 	for _, a := range e.Attempts {
 		m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_attempts_total{service=%q,result=%q}", service, a.Result)).Inc()
+		if a.Pause.For > 0 {
+			m.set.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_gateway_longest_pause_seconds{service=%q}", service)).Update(a.Pause.For.Seconds())
+		}
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_used_tokens_total{team=%q}", r.Team)).Add(int(e.Used))
 	m.set.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_gateway_request_duration_seconds{service=%q}", service)).Update(took.Seconds())
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -341,3 +341,15 @@
 		require.Equal(t, q.body, u.Seen()[0].Body)
 	})
 }
+
+// A caller's stream comes late although it began in time. The log tells the longest pause
+// between its events, and what this router had at the engine then.
+func TestLogTellsTheLongestPause(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1_000_000, "k1")
+		f.upstream("i-1", "model", 5)
+		f.start()
+		require.Equal(t, 200, f.ask(chat("r-1")).status)
+		require.Contains(t, f.log.String(), "whole, longest pause 10 ms beside 1 requests with 0 unread tokens")
+	})
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -43,7 +43,7 @@
 
 // Send implements serving.Upstreams.
 func (u *upstreams) Send(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
-	at := exchange{request: r, target: t, out: out, caller: ctx}
+	at := exchange{request: r, target: t, out: out, caller: ctx, now: u.Now}
 	ctx, cancel := context.WithDeadline(ctx, t.Until)
 	defer cancel()
 	sent := &hop.Sent{}
@@ -85,6 +85,7 @@
 	out     serving.Caller
 	// caller ends when the caller leaves or the request's time is over.
 	caller context.Context
+	now    func() time.Time
 	events int64
 }
 
@@ -195,7 +196,7 @@
 	if err != nil {
 		return x.noAnswer(true, err)
 	}
-	x.target.Read()
+	x.target.Event(x.now())
 	answer := serving.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	if err := answer.Pass(x.out); err != nil {
 		return x.attempt(serving.CallerGone, "%v", err)
@@ -215,7 +216,7 @@
 			return x.broken(err)
 		}
 		x.events++
-		x.target.Read()
+		x.target.Event(x.now())
 		if err := x.event(resp, event, id, events.more()); err != nil {
 			return x.attempt(serving.CallerGone, "%v", err)
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,6 +36,11 @@
 	Avoid bool
 	// FailureShare is the share of its recent answers that failed, 0 to 1.
 	FailureShare float64
+	// Slowness is how many times as long as others of its service it takes for a token;
+	// up to 1 it is one of the usual ones.
+	Slowness float64
+	// EventTime is the time between two events of its streams lately; 0 is not known.
+	EventTime time.Duration
 }
 
 // Rates are what the choice assumes of upstreams.
@@ -45,6 +50,9 @@
 	// FetchPerMs is the tokens of cached prompt that engines pass on in a
 	// millisecond.
 	FetchPerMs float64
+	// PauseOfGoal is the longest pause of a stream at an engine of usual speed, as a share
+	// of its route's goal: what all but a few streams stay below. 0 is not known yet.
+	PauseOfGoal float64
 	// Routers is how many routers send to the same upstreams.
 	Routers int
 	// Here is the router's data centre.
@@ -174,9 +182,14 @@
 // what the others have there at this moment.
 func (r Rates) others() float64 { return float64(max(0, r.Routers-1)) }
 
+// streams is how many requests of all routers are believed to run at an upstream.
+func (m load) streams(u Upstream, rates Rates) float64 {
+	return float64(u.Running) + m.running*rates.others()
+}
+
 // common is the part of the cost that plain services and engines share.
 func common(u Upstream, m load, rates Rates) time.Duration {
-	taken := (float64(u.Running) + m.running*rates.others()) / float64(max(1, u.Slots))
+	taken := m.streams(u, rates) / float64(max(1, u.Slots))
 	c := time.Duration(float64(crowdedCost) * taken * taken)
 	c += time.Duration(float64(failureCost) * u.FailureShare)
 	if u.Datacentre != rates.Here {
@@ -195,7 +208,8 @@
 
 func choosePrompt(r *serving.Request, ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
 	m := mean(ups, usable)
-	home := homeOf(r, ups, usable)
+	apart := separate(r, ups, usable, rates)
+	home := homeOf(r, ups, apart.homes)
 	source, most := sourceOf(r, ups, usable, home)
 	best := Choice{Index: -1}
 	start := tie(len(usable))
@@ -217,6 +231,7 @@
 		}
 		waitTokens += u.before(m, rates)
 		c := common(u, m, rates) + time.Duration(waitTokens/rates.PrefillPerMs*float64(time.Millisecond))
+		c += apart.cost(r, u, rates, m.streams(u, rates))
 		if best.Index < 0 || c < best.Cost {
 			best = Choice{Index: i, FetchFrom: from, Fetched: fetched, Unread: unread, Cost: c}
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/serving"
@@ -22,7 +23,7 @@
 }
 
 func prompt(subject string) *serving.Request {
-	return &serving.Request{Prompt: 17_000, Parts: []prefill.Part{{ID: subject, Tokens: 13_300}, {ID: "own", Tokens: 3_700}}}
+	return &serving.Request{Route: &catalog.Route{}, Prompt: 17_000, Parts: []prefill.Part{{ID: subject, Tokens: 13_300}, {ID: "own", Tokens: 3_700}}}
 }
 
 func first(int) int { return 0 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,8 +4,10 @@
 package pool
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +60,9 @@
 
 	mu     sync.Mutex
 	states map[string]*state // by incarnation
+
+	// pauses are those of streams, by service.
+	pauses sync.Map // string to *pauses
 }
 
 // state is what is known of one incarnation.
@@ -69,6 +74,9 @@
 	failShare float64
 	failAt    time.Time
 	cache     prefill.Cache
+	// pace is the time for an event of a stream that nothing holds up, eventTime that for
+	// any; 0 if not known.
+	pace, eventTime time.Duration
 }
 
 // shareOfTime is the part of the time left that one attempt gets when the request may
@@ -93,7 +101,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.takeLocked(p.Now(), r, ups, choice), true
+	return p.takeLocked(p.Now(), r, ups, choice, views[choice.Index].Slowness), true
 }
 
 // ask announces the prompt at the chosen engine, and chooses again by what that has cached
@@ -137,9 +145,33 @@
 	for i, u := range ups {
 		views[i] = p.viewLocked(now, r, u)
 	}
+	p.addSlownessLocked(views)
 	return views
 }
 
+func (p *Pool) addSlownessLocked(views []placement.Upstream) {
+	paces := make([]time.Duration, len(views))
+	eventTimes := make([]time.Duration, len(views))
+	for i, v := range views {
+		s := p.stateLocked(v.ID)
+		paces[i], eventTimes[i] = s.pace, s.eventTime
+	}
+	usual, usualEvent := usualPace(slices.Clone(paces)), usualPace(slices.Clone(eventTimes))
+	for i := range views {
+		views[i].Slowness = slowness(paces[i], usual)
+		views[i].EventTime = cmp.Or(eventTimes[i], usualEvent)
+	}
+}
+
+// pausesOf are those of a service's streams.
+func (p *Pool) pausesOf(service string) *pauses {
+	if known, ok := p.pauses.Load(service); ok {
+		return known.(*pauses)
+	}
+	made, _ := p.pauses.LoadOrStore(service, &pauses{})
+	return made.(*pauses)
+}
+
 // untried leaves out the upstreams that the request was sent to.
 func untried(ups []directory.Upstream, attempts []serving.Attempt) []directory.Upstream {
 	if len(attempts) == 0 {
@@ -162,6 +194,7 @@
 	rates := placement.Rates{
 		PrefillPerMs: p.PrefillPerMs,
 		FetchPerMs:   p.PrefillPerMs,
+		PauseOfGoal:  p.pausesOf(r.Service.Name).share(),
 		Routers:      p.Routers(),
 		Here:         p.Here,
 	}
@@ -198,7 +231,7 @@
 	return s
 }
 
-func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice) serving.Target {
+func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice, slowness float64) serving.Target {
 	u := ups[c.Index]
 	s := p.stateLocked(u.ID)
 	s.running++
@@ -206,19 +239,15 @@
 	if e := r.Service.Engine; e != nil {
 		s.cache.Add(r.Parts, int64(cacheShare*float64(e.CacheTokens)))
 	}
-	t := serving.Target{ID: u.ID, Address: u.Address, Until: r.Until, Cost: c.Cost, Unread: c.Unread}
+	t := serving.Target{ID: u.ID, Address: u.Address, Until: r.Until}
 	if c.FetchFrom >= 0 {
 		t.FetchFrom = ups[c.FetchFrom].Address
 	}
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
 	}
-	var read sync.Once
-	t.Read = func() { read.Do(func() { p.read(u.ID, c.Unread) }) }
-	t.Done = func(a serving.Attempt) {
-		t.Read()
-		p.done(u.ID, a)
-	}
+	one := &run{pool: p, upstream: u.ID, choice: c, goal: r.Route.GapGoal, slowness: slowness, pauses: p.pausesOf(r.Service.Name)}
+	t.Event, t.Done = one.event, one.done
 	return t
 }
 
@@ -229,6 +258,23 @@
 	p.stateLocked(id).unread -= tokens
 }
 
+// load is what this router has at an upstream.
+func (p *Pool) load(id string) serving.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateLocked(id)
+	return serving.Load{Running: s.running, Unread: s.unread}
+}
+
+// paced notes the pace of an engine's stream.
+func (p *Pool) paced(id string, of pace) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateLocked(id)
+	s.pace = moved(s.pace, of.least)
+	s.eventTime = moved(s.eventTime, of.mean)
+}
+
 // done notes how an attempt ended.
 func (p *Pool) done(id string, a serving.Attempt) {
 	if a.Result == serving.Misdirected {
--- /dev/null
+++ b/pool/speed_test.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/catalog"
+	"github.com/arbutusmill/arbutusmill/serving"
+	"github.com/stretchr/testify/require"
+)
+
+// stream takes one request to the upstream and lets it make events, the time between two
+// given by pause.
+func stream(t *testing.T, p *Pool, now *time.Time, id string, events int, pause func(n int) time.Duration) serving.Attempt {
+	target, ok := pickUntil(t, p, *now, id)
+	require.True(t, ok)
+	for n := range events {
+		target.Event(*now)
+		*now = now.Add(pause(n))
+	}
+	return target.Done(serving.Attempt{Result: serving.Whole})
+}
+
+func steady(d time.Duration) func(int) time.Duration {
+	return func(int) time.Duration { return d }
+}
+
+// One engine takes a third longer for each token, and holds its streams up now and then like
+// all others. It is known for slow after a dozen events, long before its first stream ends.
+func TestSlowEngineIsKnownSoon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	held := func(pace time.Duration) func(int) time.Duration {
+		return func(n int) time.Duration {
+			if n%6 == 0 {
+				return 250 * time.Millisecond
+			}
+			return pace
+		}
+	}
+	stream(t, p, &now, "a", 13, held(20*time.Millisecond))
+	stream(t, p, &now, "b", 13, held(26*time.Millisecond))
+	views := p.views(plain(now), p.Directory.Of("s"))
+	got := map[string]float64{}
+	for _, v := range views {
+		got[v.ID] = v.Slowness
+		require.Positive(t, v.EventTime)
+	}
+	require.InDelta(t, 1, got["a"], 0.01)
+	require.InDelta(t, 1.3, got["b"], 0.01)
+}
+
+// Streams are held up for nine tenths of what their route allows. That is known after a
+// second, does not depend on streams that run smoothly, and is forgotten with time.
+func TestPausesOfAService(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	r := plain(now)
+	r.Route = &catalog.Route{Kind: catalog.Streaming, GapGoal: 300 * time.Millisecond}
+	r.Until = now.Add(time.Hour)
+	target, _ := p.Pick(r, nil)
+	for range 30 {
+		for range 15 {
+			target.Event(now)
+			now = now.Add(20 * time.Millisecond)
+		}
+		target.Event(now)
+		now = now.Add(270 * time.Millisecond)
+	}
+	require.InDelta(t, 0.9, p.pausesOf("s").share(), 0.02)
+	done := target.Done(serving.Attempt{Result: serving.Whole})
+	require.Equal(t, 270*time.Millisecond, done.Pause.For)
+	require.Equal(t, 1, done.Pause.Beside.Running)
+	now = now.Add(2 * pauseWindows * pauseWindow)
+	for range pauseLeast + 1 {
+		p.pausesOf("s").note(now, 0.4)
+		now = now.Add(pauseRefresh)
+	}
+	require.InDelta(t, 0.4, p.pausesOf("s").share(), 0.02)
+}
+
+// A route without a goal for pauses says nothing about them.
+func TestNoGoalForPauses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	a := stream(t, p, &now, "a", 40, steady(time.Second))
+	require.Equal(t, time.Second, a.Pause.For)
+	require.Zero(t, p.pausesOf("s").share())
+}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -80,8 +80,11 @@
 		a.metrics.retries.Inc()
 	}
 	a.byID[chosen.ID] = chosen
-	return serving.Target{ID: chosen.ID, Address: chosen.Work, Read: func() {},
-		Done: func(at serving.Attempt) { done(answered(at.Result)) }}, true
+	return serving.Target{ID: chosen.ID, Address: chosen.Work, Event: func(time.Time) {},
+		Done: func(at serving.Attempt) serving.Attempt {
+			done(answered(at.Result))
+			return at
+		}}, true
 }
 
 // answered reports whether a result shows the upstream in working order.
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -60,6 +60,8 @@
 	// Cost and Unread are what the choice of the upstream expected.
 	Cost   time.Duration
 	Unread int64
+	// Pause is the longest one between two events.
+	Pause Pause
 	// Answer is the upstream's failure, for Failed; it is passed on unless the
 	// request is sent again.
 	Answer *Answer
@@ -72,6 +74,22 @@
 	Began bool
 }
 
+// Pause is one between two events of a stream.
+type Pause struct {
+	For time.Duration
+	// Beside is what else this router had at the upstream when the pause ended, for the
+	// log: an engine that reads a long prompt pauses the streams that run beside.
+	Beside Load
+}
+
+// Load is what a router has at an upstream.
+type Load struct {
+	// Running is requests that have not ended.
+	Running int
+	// Unread is the prompt tokens of those whose first event has not come.
+	Unread int64
+}
+
 // Answer is a complete answer that is not yet passed on.
 type Answer struct {
 	Status int
--- a/serving/path.go
+++ b/serving/path.go
@@ -25,17 +25,14 @@
 	// FetchFrom is the address of an upstream that probably has more of the
 	// prompt cached, or "".
 	FetchFrom string
-	// Cost is the time to the first event, and Unread the prompt tokens to read, that
-	// the choice expected; they are for the log.
-	Cost   time.Duration
-	Unread int64
 	// Until bounds this attempt; it is before the request's own bound when
 	// another upstream may still be tried after it.
 	Until time.Time
-	// Read is called when the upstream has read the prompt: its first event came.
-	Read func()
-	// Done is called once with the attempt.
-	Done func(Attempt)
+	// Event is called as each event of the answer arrives, or once with all of it.
+	Event func(now time.Time)
+	// Done is called once with the attempt, and returns it with what the chooser knows
+	// of it: what it expected, and how the stream paused.
+	Done func(Attempt) Attempt
 }
 
 // Caller is the caller's side of an answer.
@@ -101,10 +98,7 @@
 		if !ok {
 			return p.end(r, attempts, out)
 		}
-		a := p.Upstreams.Send(ctx, r, target, out)
-		target.Done(a)
-		a.Cost, a.Unread = target.Cost, target.Unread
-		attempts = append(attempts, a)
+		attempts = append(attempts, target.Done(p.Upstreams.Send(ctx, r, target, out)))
 		v := decide(r, attempts, p.Now())
 		if !v.again || v.counted && !p.Repeats.Allow(r.Service.Name) {
 			return p.end(r, attempts, out)
