A stopped lender waits for what it lent; one that stepped aside lends no more

Borrowers could not have returned them either: whoever has left the list of members had no address any more. And a lender that had stepped aside went on lending to routers that were cut off and had an older list, one write of the store for each request.

Change: at a planned stop a lender leaves the list, lends nothing more, and gives back what returns until all is in or a second of the grace is left. Members that left are remembered for a minute. A lender that stepped aside says that it has none; requests ask up to four in the order.

The test loses a third of a budget without it.

--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -17,6 +17,9 @@
 	if h.fenced {
 		return Lot{}, Error.Wrap(ErrFenced)
 	}
+	if h.stopping {
+		return Lot{}, Error.Wrap(ErrShort)
+	}
 	b := h.books[budget]
 	// Guard against a holder that asks itself, at the address of an earlier life: a
 	// lot of its own row would be settled whole with the first request on it.
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,7 @@
 	mu      sync.Mutex
 	members map[string]Member
 	beside  map[string]Member // by the upstream's address
+	former  map[string]formerMember
 	lease   store.LeaseID
 	// aside says that this process is not to be listed.
 	aside bool
@@ -64,6 +66,16 @@
 	doubtUntil time.Time
 }
 
+// formerMember is one that is no longer listed.
+type formerMember struct {
+	Member
+	left time.Time
+}
+
+// rememberFor is how long a member's address is remembered after it left the list. What
+// others hold of it has to find its way back until then; it is longer than a planned stop.
+const rememberFor = time.Minute
+
 // Reporter hears what a group goes through.
 type Reporter interface {
 	// MembersChanged is called with the number of members after each change.
@@ -233,6 +245,18 @@
 	return m, ok
 }
 
+// Address returns where a member takes messages, also one that left the list lately: a
+// process that stops still takes back what it lent.
+func (g *Group) Address(id string) (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m, ok := g.members[g.Prefix+id]; ok {
+		return m.Address, true
+	}
+	m, ok := g.former[g.Prefix+id]
+	return m.Address, ok
+}
+
 // Beside returns the member on the VM of the upstream with that address.
 func (g *Group) Beside(upstream string) (Member, bool) {
 	g.mu.Lock()
@@ -323,11 +347,28 @@
 			members[key] = m
 		}
 	}
+	g.noteFormerLocked(now, members)
 	before = len(g.members)
 	g.members, g.beside = members, besides(members)
 	return before, len(members)
 }
 
+// noteFormerLocked remembers those that are not in the next view.
+func (g *Group) noteFormerLocked(now time.Time, next map[string]Member) {
+	if g.former == nil {
+		g.former = map[string]formerMember{}
+	}
+	for key, m := range g.members {
+		if _, listed := next[key]; !listed {
+			g.former[key] = formerMember{Member: m, left: now}
+		}
+	}
+	maps.DeleteFunc(g.former, func(key string, m formerMember) bool {
+		_, listed := next[key]
+		return listed || now.Sub(m.left) > rememberFor
+	})
+}
+
 func besides(members map[string]Member) map[string]Member {
 	out := map[string]Member{}
 	for _, m := range members {
--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -206,6 +206,55 @@
 	})
 }
 
+// A lender is stopped as planned while the streams of a dozen callers run on tokens that it
+// lent. Each sets 4,000 tokens aside and uses 1,900 in three seconds. What the streams do not
+// use comes back to the lender before it ends, and the budget can be spent to its end
+// through another one; otherwise a third of it would be lost with each such stop.
+func TestStoppedLenderWaitsForWhatItLent(t *testing.T) {
+	play(t, func(f *fleet) {
+		const prepaid = 80_000
+		f.config(prepaid, "k1")
+		u := f.upstream("i-1", "model", 300)
+		stops := map[string]func(){}
+		for n := range 2 {
+			vm := firstLender + n
+			stops[fmt.Sprint("engine-", vm)], _ = f.startLender(vm, "")
+		}
+		f.startVM(1)
+		time.Sleep(8 * time.Second)
+		stream := func(id string) question {
+			q := chat(id)
+			q.usage = "1000,3000"
+			return q
+		}
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Go(func() { f.ask(stream(fmt.Sprint("before-", n))) })
+		}
+		time.Sleep(time.Second)
+		for vm, stop := range stops {
+			if f.tookTokens(vm) {
+				began := time.Now()
+				stop()
+				require.Less(t, time.Since(began), 8*time.Second, "it ends within the grace")
+				break
+			}
+		}
+		wg.Wait()
+		for n := range 60 {
+			f.ask(stream(fmt.Sprint("after-", n)))
+		}
+		used := 0
+		for _, s := range u.Seen() {
+			if s.Ran {
+				used += 1900
+			}
+		}
+		require.LessOrEqual(t, used, prepaid)
+		require.Greater(t, used+2*4000, prepaid)
+	})
+}
+
 // tookTokens reports whether a VM has taken tokens from the store.
 func (f *fleet) tookTokens(vm string) bool {
 	for line := range strings.Lines(f.log.String()) {
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -38,6 +38,8 @@
 	upstream neighbour
 	// engine is what the upstream has read and has yet to read.
 	engine *prefill.Engine
+	// stopping says that a planned stop has begun.
+	stopping atomic.Bool
 }
 
 // New makes a lender; it makes no call. dropped returns the lines that the log's writer
@@ -118,13 +120,18 @@
 	return link.Empty{}, nil
 }
 
-// stop is a planned stop. What routers hold at this moment is settled by the row of this
-// life, which counts it as used.
+// stopMargin is the part of the grace that is kept for the end of the process.
+const stopMargin = time.Second
+
+// stop is a planned stop: others become homes in this process's place, and what it lent
+// comes back as the borrowers' requests end. What is still out then counts as used.
 func (l *Lender) stop(ctx context.Context) {
 	began := time.Now()
+	l.stopping.Store(true)
 	l.Log.Info().Msg("stopping")
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.current.Load().Stop.Grace)/2)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.current.Load().Stop.Grace)-stopMargin)
 	defer cancel()
+	l.Members.StepAside(true)
 	l.Leave(ctx)
 	l.Log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -62,7 +62,7 @@
 		l.engine.Restarted(l.cachedBeside(ctx, fit))
 		l.Log.Info().Bool("home", fit).Str("why", why).Msg("upstream_beside")
 	}
-	l.Members.StepAside(!fit)
+	l.Members.StepAside(!fit || l.stopping.Load())
 }
 
 // cachedBeside is what the upstream has cached when this process begins to hear of prompts:
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -56,7 +56,7 @@
 	freshPages = 500 * time.Millisecond
 	// askedHomes is how many processes a request asks for tokens: the home and the
 	// one that would be it next, for a home that is gone but still listed.
-	askedHomes = 2
+	askedHomes = 4
 	// lotPause is the pause between two rounds of returning lots, lotIdle the
 	// time after which an unused lot goes back. Both keep short what is missing
 	// at the home.
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
@@ -104,8 +105,28 @@
 	}
 }
 
-// GiveBack returns everything that is not reserved; it is the end of a planned stop.
+// drainPause is the pause between two rounds of giving back at a planned stop; each is a
+// write for each page.
+const drainPause = 500 * time.Millisecond
+
+// GiveBack returns everything that is not reserved, and the rest as it becomes free, until
+// nothing is left or the context ends. It is the end of a planned stop: what others have
+// borrowed at its end counts as used, so it waits for their requests to end.
 func (b *Budgets) GiveBack(ctx context.Context) error {
+	for {
+		if err := b.giveBackOnce(ctx); err != nil {
+			return err
+		}
+		if b.holder.Empty() {
+			return nil
+		}
+		if err := backoff.Sleep(ctx, drainPause); err != nil {
+			return err
+		}
+	}
+}
+
+func (b *Budgets) giveBackOnce(ctx context.Context) error {
 	b.desk.ReturnLots(ctx, 0)
 	b.holder.ReturnAll()
 	for _, key := range b.holder.Pages() {
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -15,10 +15,7 @@
 	"github.com/arbutusmill/arbutusmill/link"
 )
 
-func (b *Budgets) addressOf(life string) (string, bool) {
-	m, ok := b.members.Get(life)
-	return m.Address, ok
-}
+func (b *Budgets) addressOf(life string) (string, bool) { return b.members.Address(life) }
 
 // isDead reports whether a life is known to be over.
 func (b *Budgets) isDead(life string) bool {
@@ -61,6 +58,11 @@
 	m := b.desk.Methods()
 	lend := m[link.MethodLend]
 	m[link.MethodLend] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		if b.members.Aside() {
+			// Whoever asks has an older list. What is lent now would have to come
+			// back before this process ends; the next one in the order lends.
+			return nil, grant.Error.Wrap(grant.ErrShort)
+		}
 		var in link.LendRequest
 		if json.Unmarshal(params, &in) == nil { // if not, lend says what is wrong
 			b.asked.note(b.layout.Key(in.Budget))
