Lenders hold little while the store answers well; a slow store is not a lost one

Change: a lender has at most two in a hundred of a budget available (or the largest recent request) while the store answers; after a slow or failed sync it holds its full horizon for ten seconds. One call may take 0.7 s and one sync 2 s, whoever waits; requests wait 0.4 s as before, and not at all for a sync that others have waited for in vain.

What binds then is an outage that comes without a warning.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,11 +29,16 @@
 	Store  store.Store
 	Layout account.Layout
 	Timing Timing
-	// Timeout bounds what one request waits for the store, and one call of it. It
+	// Timeout bounds what one request waits for the store. It
 	// must leave time for peers: a store that is cut off is tried until the bound, and a request
 	// that had spent all its time there would be refused although a peer has
 	// tokens.
 	Timeout time.Duration
+	// CallTimeout bounds one call of the store; after it the page is read again, since
+	// the answer may be lost. SyncTimeout bounds all calls of one sync, whoever waits. A
+	// store that is slow answers within them although requests no longer wait. 0 stands
+	// for Timeout.
+	CallTimeout, SyncTimeout time.Duration
 	// Prepare, if set, brings a page's accounts up to date with what operators
 	// decided elsewhere, before the holder plans on it; it reports whether it
 	// changed the page. It must be idempotent.
@@ -40,8 +46,8 @@
 	// Moved, if set, is told of tokens that were taken or given back, once that is
 	// durable, and of what decided it.
 	Moved func(d Decision, v View)
-	// Ended, if set, is told how each call of the store ended, whoever waited for it.
-	Ended func(err error)
+	// Ended, if set, is told how each sync ended and how long it took, whoever waited for it.
+	Ended func(took time.Duration, err error)
 	// KeepPages is how long a page that was read or written is used again without
 	// reading it; 0 reads each time. It suits pages that one process writes: a write
 	// on a page that others changed meanwhile only fails and is tried again on a
@@ -66,12 +72,16 @@
 }
 
 type flight struct {
-	done chan struct{}
-	err  error
+	done  chan struct{}
+	began time.Time
+	err   error
 }
 
 // Obtain implements Granter.
 func (g *StoreGranter) Obtain(ctx context.Context, budget string, lack int64) error {
+	if g.isLate(g.Layout.Key(budget)) {
+		return Error.Wrap(ErrUnreachable)
+	}
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
 	defer cancel()
 	for try := 1; ; try++ {
@@ -121,18 +131,27 @@
 // Wait waits for the calls that are on their way; call it when no more are begun.
 func (g *StoreGranter) Wait() { g.flying.Wait() }
 
-// fly makes the call. Others wait for it too, so it must not end because the request that
-// began it was given up by its caller, or had little time left: its own time is Timeout.
+// fly makes the calls. Others wait for them too, so they must not end because the request
+// that began them was given up by its caller, or had little time left.
 func (g *StoreGranter) fly(ctx context.Context, key string, f *flight) {
-	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), g.Timeout)
+	own, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(g.SyncTimeout, g.Timeout))
 	defer cancel()
 	f.err = g.sync(own, key)
 	if g.Ended != nil {
-		g.Ended(f.err)
+		g.Ended(g.Now().Sub(f.began), f.err)
 	}
 	g.leave(key, f)
 }
 
+// isLate reports whether calls for a page are on their way that others have waited for in
+// vain: to wait for them as well would cost the request the time that it has for peers.
+func (g *StoreGranter) isLate(key string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := g.flights[key]
+	return f != nil && g.Now().Sub(f.began) >= g.Timeout
+}
+
 func (f *flight) wait(ctx context.Context) error {
 	select {
 	case <-f.done:
@@ -151,7 +170,7 @@
 	if f := g.flights[key]; f != nil {
 		return f, false
 	}
-	f = &flight{done: make(chan struct{})}
+	f = &flight{done: make(chan struct{}), began: g.Now()}
 	g.flights[key] = f
 	return f, true
 }
@@ -182,7 +201,7 @@
 func (g *StoreGranter) apply(ctx context.Context, key string, known store.Item, fresh bool) (lacking bool, err error) {
 	var commits []commit
 	var write bool
-	item, err := store.UpdateFrom(ctx, g.Store, key, known, func(old store.Item) ([]byte, error) {
+	item, err := store.UpdateFrom(ctx, boundedStore{g.Store, cmp.Or(g.CallTimeout, g.Timeout)}, key, known, func(old store.Item) ([]byte, error) {
 		page, err := account.Decode(old.Value)
 		if err != nil {
 			return nil, err
@@ -249,6 +268,26 @@
 	delete(g.kept, key)
 }
 
+// boundedStore bounds each call that syncs make.
+type boundedStore struct {
+	store.Store
+	each time.Duration
+}
+
+// Get implements store.Store.
+func (s boundedStore) Get(ctx context.Context, key string) (store.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.each)
+	defer cancel()
+	return s.Store.Get(ctx, key)
+}
+
+// CompareAndSwap implements store.Store.
+func (s boundedStore) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.each)
+	defer cancel()
+	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
 // Lender is the way to one peer's holder.
 type Lender interface {
 	// Lend asks the peer for a lot; the id makes a repeat harmless.
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -35,6 +35,13 @@
 	// after it. The bound also limits what a few large requests in a holder's first
 	// second make of the demand.
 	Share float64
+	// MostLost is the most that a holder has available while the store answers well, as a
+	// share of the credit (0..1), and Wary reports that it was slow or silent lately. What
+	// is available is lost with a dead life, and of a budget that lasts for minutes a few
+	// seconds' demand are a tenth. While the store answers, a take is milliseconds away;
+	// a store that begins to fail is mostly slow first. 0 is no such bound.
+	MostLost float64
+	Wary     func() bool
 	// Refill is the demand that one take may add while Recovering reports a cut that
 	// ended lately; 0 takes all at once. After a cut the holder so gets back to its
 	// target over some seconds: a second cut is then less likely than a power loss
@@ -105,6 +112,9 @@
 	wanted := v.Demand*p.Horizon.Seconds() + p.Worsts*float64(v.Worst)
 	rest := float64(v.Unspent)
 	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit)))
+	if p.MostLost > 0 && !p.Wary() {
+		bound = min(bound, max(p.MostLost*float64(v.Credit), float64(v.Worst)))
+	}
 	return int64(min(wanted, bound))
 }
 
--- a/coord/grant/pages_test.go
+++ b/coord/grant/pages_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	"github.com/stretchr/testify/require"
 )
@@ -76,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHome(t, 100)
 		var ended []error
-		h.pages.Ended = func(err error) { ended = append(ended, err) }
+		h.pages.Ended = func(_ time.Duration, err error) { ended = append(ended, err) }
 		h.store.SetFaults(memstore.Faults{Delay: 50 * time.Millisecond})
 		a := h.acquirer()
 		go func() {
@@ -160,3 +161,76 @@
 		}
 	})
 }
+
+// A store is slow by a factor of a hundred: each call takes 450 ms, more than a request waits.
+// Its calls were ended at 400 ms, the store counted as lost, and everything was refused until
+// it was quick again. The first request is refused in time, those that come meanwhile at once
+// since waiting is in vain, and a moment later there are tokens.
+func TestSlowStoreStillBringsTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHome(t, 100_000)
+		h.pages.CallTimeout, h.pages.SyncTimeout = 700*time.Millisecond, 2*time.Second
+		var ended []error
+		h.pages.Ended = func(_ time.Duration, err error) { ended = append(ended, err) }
+		h.store.SetFaults(memstore.Faults{Delay: 450 * time.Millisecond})
+		a := h.acquirer()
+		began := time.Now()
+		_, err := a.Acquire(t.Context(), "team", 50)
+		require.ErrorIs(t, err, grant.ErrUnreachable)
+		require.Equal(t, 400*time.Millisecond, time.Since(began))
+		began = time.Now()
+		_, err = a.Acquire(t.Context(), "team", 50)
+		require.ErrorIs(t, err, grant.ErrUnreachable)
+		require.Zero(t, time.Since(began))
+		h.pages.Wait()
+		require.Equal(t, []error{nil}, ended)
+		h.pages.Holder.Reserve(time.Now(), "team", 50) // a demand to hold tokens for
+		require.NoError(t, h.pages.Sync(t.Context(), "p/00000"))
+		_, err = a.Acquire(t.Context(), "team", 50)
+		require.NoError(t, err)
+	})
+}
+
+// The store does a write and its answer is lost, so that the connection is silent. After the
+// time for one call the page is read again, and shows that the tokens came.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHome(t, 100_000)
+		h.pages.Store = &silentWrites{Store: h.store, silent: 1}
+		h.pages.Timeout, h.pages.CallTimeout, h.pages.SyncTimeout = time.Second, 700*time.Millisecond, 2*time.Second
+		began := time.Now()
+		_, err := h.acquirer().Acquire(t.Context(), "team", 50)
+		require.NoError(t, err)
+		require.InDelta(t, 700, time.Since(began).Milliseconds(), 5)
+	})
+}
+
+// silentWrites does writes and leaves the first ones without an answer.
+type silentWrites struct {
+	*memstore.Store
+	silent int
+}
+
+// CompareAndSwap implements store.Store.
+func (s *silentWrites) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+	rev, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	if s.silent--; s.silent < 0 {
+		return rev, err
+	}
+	<-ctx.Done()
+	return 0, store.Error.Wrap(store.ErrUnknown)
+}
+
+// A home that holds four seconds of a team's demand loses a tenth of what the team paid for a
+// minute when it dies. While the store answers, it holds two in a hundred, or room for the
+// largest request; when the store is slow, as before an outage, it holds all four seconds.
+func TestLittleIsHeldWhileTheStoreAnswers(t *testing.T) {
+	wary := false
+	p := grant.HorizonPolicy{Horizon: 4 * time.Second, Worsts: 1, Share: 0.9, MostLost: 0.02, Wary: func() bool { return wary }}
+	v := grant.View{Credit: 2_000_000, Free: 2_000_000, Unspent: 2_000_000, Demand: 50_000, Worst: 10_000}
+	require.EqualValues(t, 40_000, p.Decide(v).Take)
+	v.Worst = 60_000
+	require.EqualValues(t, 60_000, p.Decide(v).Take)
+	wary = true
+	require.EqualValues(t, 260_000, p.Decide(v).Take)
+}
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -22,6 +22,9 @@
 // pagePrefix begins the keys of the budget pages in the store.
 const pagePrefix = "arbutusmill/budget/"
 
+// storeName is the store in records of what failed.
+const storeName = "store"
+
 // How tokens are held; see grant.HorizonPolicy.
 const (
 	// heldWorsts is how many of the largest recent requests a home keeps room for.
@@ -29,6 +32,15 @@
 	// heldShare is the most of a full budget that a home holds; the figures of the
 	// sweep are in docs/MEASUREMENTS.md.
 	heldShare = 0.9
+	// slowSync is the time from which a sync was slow: the store answers in
+	// milliseconds. waryFor is for how long a home then holds as much as for an outage.
+	slowSync = 100 * time.Millisecond
+	waryFor  = 10 * time.Second
+	// callTimeout and syncTimeout bound one call of the store and all of one sync: a
+	// store that is slow by a factor of 100 still answers, and after an answer that was
+	// lost there is time to read the page again.
+	callTimeout = 700 * time.Millisecond
+	syncTimeout = 2 * time.Second
 	// refillStep is the demand that one take adds in the time recoveryTime after an
 	// outage of the store; takes come at most each lowPause.
 	refillStep   = 500 * time.Millisecond
@@ -113,9 +125,11 @@
 	timeout, wait time.Duration
 	log           zerolog.Logger
 	store         outage
-	peers         outages
-	gone          absences
-	asked         lastAsked
+	// slow is when the store was slow.
+	slow  lastAsked
+	peers outages
+	gone  absences
+	asked lastAsked
 	// asking counts the requests that turned to the store, by budget.
 	asking counts
 	// late are the peers whose answers came too late, since the last probes.
@@ -147,12 +161,13 @@
 	}
 	b.holder = grant.NewHolder(p.Life, b.layout, grant.HorizonPolicy{
 		Horizon: time.Duration(s.Horizon), Worsts: heldWorsts, Share: heldShare, Slack: heldSlack,
-		Refill: refillStep, Recovering: b.recovering, Role: b.role, StandIn: standInHorizon, Asking: b.asking.has,
+		MostLost: s.MostLost, Wary: b.wary, Refill: refillStep, Recovering: b.recovering, Role: b.role, StandIn: standInHorizon, Asking: b.asking.has,
 	})
 	b.holder.AverageDemand(time.Duration(s.DemandWindow))
 	b.holder.Lean(b.isDead)
 	b.pages = &grant.StoreGranter{
-		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout, Now: time.Now, Prepare: b.prepare,
+		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout,
+		CallTimeout: callTimeout, SyncTimeout: syncTimeout, Now: time.Now, Prepare: b.prepare,
 		KeepPages: keepPages, Fresh: freshPages, Moved: b.moved, Ended: b.callEnded,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -17,6 +17,11 @@
 // recovering reports whether the store came back lately.
 func (b *Budgets) recovering() bool { return b.store.endedWithin(recoveryTime) }
 
+// wary reports whether the store was slow or silent lately.
+func (b *Budgets) wary() bool {
+	return b.slow.within(storeName, waryFor) || b.store.endedWithin(waryFor)
+}
+
 // prepare brings the accounts of a page up to the operators' limits.
 func (b *Budgets) prepare(key string, p *account.Page) bool {
 	changed := false
@@ -48,8 +53,11 @@
 	return err
 }
 
-// callEnded hears how a call of the store ended.
-func (b *Budgets) callEnded(err error) {
+// callEnded hears how the calls of a sync ended.
+func (b *Budgets) callEnded(took time.Duration, err error) {
+	if took >= slowSync {
+		b.slow.note(storeName)
+	}
 	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
 }
 
@@ -85,7 +93,7 @@
 
 // probe asks a store that failed whether it answers again, by a cheap read.
 func (b *Budgets) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_, err := b.pages.Store.Peek(ctx, pagePrefix+"none")
 	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -61,6 +61,10 @@
 	// Horizon is the longest cut from the store that a router's tokens should
 	// outlast at recent demand.
 	Horizon fleet.Duration `yaml:"horizon"`
+	// MostLost is the share of a budget that is kept available while the store answers
+	// well (0..1): what is available is lost when the process dies. 0 is no such bound,
+	// for processes that are cut off from the store without a warning.
+	MostLost float64 `yaml:"most_lost"`
 	// DemandWindow is the time constant of the average of recent demand.
 	DemandWindow fleet.Duration `yaml:"demand_window"`
 	// Report is the longest time that use stays unreported.
--- a/settings/lender.go
+++ b/settings/lender.go
@@ -81,6 +81,9 @@
 	// Lenders reach the store while routers are cut off from it, so what they hold has
 	// to outlast outages of the store itself only.
 	s.Budgets.Horizon = fleet.Duration(4 * time.Second)
+	// The operators count three in a hundred of a budget as slack, and the death of all
+	// processes also loses what running streams had set aside and did not use.
+	s.Budgets.MostLost = 0.02
 	return s
 }
 
@@ -135,6 +138,7 @@
 	c.positive("store.member_interval", s.MemberInterval)
 	c.require(b.Pages > 0, "budgets.pages", "must be positive")
 	c.positive("budgets.horizon", b.Horizon)
+	c.require(b.MostLost >= 0 && b.MostLost <= 1, "budgets.most_lost", "must be between 0 and 1")
 	c.positive("budgets.demand_window", b.DemandWindow)
 	c.positive("budgets.report", b.Report)
 	c.positive("budgets.store_wait", b.StoreWait)
