A dead lender is settled by the word of its borrowers

Change: package coord/settlement. A lender writes the names of its borrowers before it lends to them; when its life is over, the page's next home seals that list, asks each borrower, who takes nothing more of it from then on, and frees the rest. One word that is missing for good, as when all processes die, leaves it as before. Routers' calls to lenders that are gone end with the pool, and a sync gives up after three failed calls: calls are paid for also when they fail.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -128,6 +128,9 @@
 	return f.wait(ctx)
 }
 
+// Changed makes the next sync of a page read it: somebody else wrote it.
+func (g *StoreGranter) Changed(key string) { g.forget(key) }
+
 // Wait waits for the calls that are on their way; call it when no more are begun.
 func (g *StoreGranter) Wait() { g.flying.Wait() }
 
@@ -143,6 +146,18 @@
 	g.leave(key, f)
 }
 
+// Lagging reports whether a sync that has not ended began so long ago.
+func (g *StoreGranter) Lagging(d time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, f := range g.flights {
+		if g.Now().Sub(f.began) >= d {
+			return true
+		}
+	}
+	return false
+}
+
 // isLate reports whether calls for a page are on their way that others have waited for in
 // vain: to wait for them as well would cost the request the time that it has for peers.
 func (g *StoreGranter) isLate(key string) bool {
@@ -201,7 +216,10 @@
 func (g *StoreGranter) apply(ctx context.Context, key string, known store.Item, fresh bool) (lacking bool, err error) {
 	var commits []commit
 	var write bool
-	item, err := store.UpdateFrom(ctx, boundedStore{g.Store, cmp.Or(g.CallTimeout, g.Timeout)}, key, known, func(old store.Item) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	bounded := &boundedStore{Store: g.Store, each: cmp.Or(g.CallTimeout, g.Timeout), end: cancel}
+	item, err := store.UpdateFrom(ctx, bounded, key, known, func(old store.Item) ([]byte, error) {
 		page, err := account.Decode(old.Value)
 		if err != nil {
 			return nil, err
@@ -268,24 +286,44 @@
 	delete(g.kept, key)
 }
 
-// boundedStore bounds each call that syncs make.
+// mostFailures bounds the calls of one sync that fail. A store that refuses connections
+// fails within a millisecond, and calls are paid for also when they fail.
+const mostFailures = 3
+
+// boundedStore bounds the calls of one sync: the time of each, and how many may fail.
 type boundedStore struct {
 	store.Store
 	each time.Duration
+	// end ends the sync.
+	end      context.CancelFunc
+	failures int
 }
 
 // Get implements store.Store.
-func (s boundedStore) Get(ctx context.Context, key string) (store.Item, error) {
+func (s *boundedStore) Get(ctx context.Context, key string) (store.Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.each)
 	defer cancel()
-	return s.Store.Get(ctx, key)
+	item, err := s.Store.Get(ctx, key)
+	s.note(err)
+	return item, err
 }
 
 // CompareAndSwap implements store.Store.
-func (s boundedStore) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
+func (s *boundedStore) CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.each)
 	defer cancel()
-	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	rev, err := s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+	s.note(err)
+	return rev, err
+}
+
+func (s *boundedStore) note(err error) {
+	if !errors.Is(err, store.ErrUnknown) {
+		return
+	}
+	if s.failures++; s.failures == mostFailures {
+		s.end()
+	}
 }
 
 // Lender is the way to one peer's holder.
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -27,6 +27,9 @@
 	disowned map[Part]struct{}
 	// shutOut are holders that were found dead.
 	shutOut map[string]struct{}
+	// lenders is what was used of each lender; forgotLenders says that it lacks some.
+	lenders       map[string]*lenderUse
+	forgotLenders bool
 	// others are the holders with rows on the pages seen.
 	others map[string]struct{}
 	// expected is how many holders the fleet has, whether they have rows or not.
@@ -67,6 +70,7 @@
 		returns:  map[Part]LotReturn{},
 		disowned: map[Part]struct{}{},
 		shutOut:  map[string]struct{}{},
+		lenders:  map[string]*lenderUse{},
 		others:   map[string]struct{}{},
 		window:   defaultDemandWindow,
 		byPage:   layout.Key,
--- a/coord/grant/lean_property_test.go
+++ b/coord/grant/lean_property_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	"github.com/stretchr/testify/require"
@@ -36,6 +38,9 @@
 	used int64
 	// loseAnswers makes messages between lives take effect without an answer.
 	loseAnswers bool
+	// settles makes lenders that are dead, or taken for dead, be settled by their borrowers.
+	settles bool
+	freed   int64
 }
 
 // leanLife is one run of a process.
@@ -48,6 +53,7 @@
 	// cut lives reach nobody, aside ones are no homes, asking ones turn to the store.
 	cut, aside, asking bool
 	open               []leanRequest
+	register           settlement.Register
 }
 
 type leanRequest struct {
@@ -96,6 +102,7 @@
 	f.lives++
 	l := &leanLife{fleet: f, id: fmt.Sprint(kind, "/", f.lives)}
 	f.all = append(f.all, l)
+	l.register = settlement.Register{Store: cutStore{f.store, l}, Key: listPrefix + l.id}
 	role := func(string) grant.Role {
 		if kind == "router" || l.aside {
 			return grant.BorrowerOf
@@ -140,6 +147,9 @@
 		if lender.id != peer || lender == l || lender.cut || l.cut {
 			continue
 		}
+		if l.fleet.settles && lender.register.Admit(ctx, l.id) != nil {
+			return grant.Lot{}, errLost
+		}
 		own := &grant.Acquirer{Holder: lender.holder, Now: time.Now, Chain: []grant.Granter{lender}}
 		lot, err := own.Lend(ctx, budget, id, l.id, need, want)
 		if l.fleet.loseAnswers {
@@ -160,7 +170,11 @@
 func (f *leanFleet) lender() *leanLife { return rapid.SampledFrom(f.lenders[:]).Draw(f.t, "lender") }
 
 func (f *leanFleet) step(ctx context.Context) {
-	switch rapid.IntRange(0, 19).Draw(f.t, "op") {
+	ops := 19
+	if f.settles {
+		ops += 2
+	}
+	switch rapid.IntRange(0, ops).Draw(f.t, "op") {
 	case 0, 1, 2, 3, 4:
 		f.serve(ctx)
 	case 5, 6:
@@ -188,6 +202,8 @@
 		if rapid.Bool().Draw(f.t, "raise") {
 			f.raise()
 		}
+	case 20, 21:
+		f.settle(ctx)
 	}
 	time.Sleep(time.Duration(rapid.IntRange(0, 1500).Draw(f.t, "ms")) * time.Millisecond)
 }
@@ -253,6 +269,41 @@
 	}
 }
 
+// listPrefix begins the keys of lenders' lists of borrowers.
+const listPrefix = "lends/"
+
+// settle settles a lender, which may be alive: then it was only taken for dead.
+func (f *leanFleet) settle(ctx context.Context) {
+	var lenders []string
+	for _, l := range f.all {
+		if strings.HasPrefix(l.id, "lender") && (f.dead[l.id] || rapid.IntRange(0, 9).Draw(f.t, "mistaken") == 0) {
+			lenders = append(lenders, l.id)
+		}
+	}
+	if len(lenders) == 0 {
+		return
+	}
+	s := settlement.Settler{Store: f.store, Prefix: listPrefix,
+		Over: func(borrower string) bool { return f.dead[borrower] },
+		Ask: func(_ context.Context, borrower, lender string) (grant.Borrowed, error) {
+			for _, r := range f.routers {
+				if r.id == borrower && !r.cut {
+					word := r.holder.BorrowedFrom(lender)
+					if f.loseAnswers {
+						return grant.Borrowed{}, errLost
+					}
+					return word, nil
+				}
+			}
+			return grant.Borrowed{}, errLost
+		}}
+	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	lender := rapid.SampledFrom(lenders).Draw(f.t, "settled")
+	done, _ := s.Settle(ctx, lender, f.layout.KeyOf(0), rapid.Bool().Draw(f.t, "patient")) // failures are part of the world
+	f.freed += done.Freed[budget]
+}
+
 // kill ends a life and starts the next one in its place.
 func (f *leanFleet) kill() {
 	i := rapid.IntRange(0, 1).Draw(f.t, "which")
@@ -282,3 +333,25 @@
 		})
 	})
 }
+
+// As above, and lenders that died are settled by the word of their borrowers; some of them
+// only seemed dead and go on lending, to routers that know and to new ones. What is freed is
+// granted again, and never are more tokens delivered than the limit.
+func TestNoOverspendWithSettlement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		freed := int64(0)
+		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
+			f := newLeanFleet(rt)
+			f.settles = true
+			for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+				f.step(t.Context())
+				for _, l := range f.all {
+					l.pages.Wait() // nothing of a step goes on in the next one
+				}
+				require.LessOrEqual(rt, f.used, f.limit, "overspend")
+			}
+			freed += f.freed
+		})
+		require.Positive(t, freed, "some settlement freed tokens")
+	})
+}
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -156,6 +156,7 @@
 			kept = append(kept, l)
 			continue
 		}
+		h.noteClosedLocked(b.budget, l)
 		h.returns[l.Part] = LotReturn{Lender: l.Holder, Budget: b.budget, Seq: l.Seq, Used: l.used}
 	}
 	return kept
--- a/coord/grant/pages_test.go
+++ b/coord/grant/pages_test.go
@@ -205,6 +205,33 @@
 	})
 }
 
+// A store refuses every connection at once. A sync that tries for two seconds would make
+// fifteen calls for each page, all of them paid for; three tell as much.
+func TestFailingCallsOfASyncAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHome(t, 100_000)
+		h.pages.SyncTimeout = 2 * time.Second
+		refused := &refusing{Store: h.store}
+		h.pages.Store = refused
+		_, err := h.acquirer().Acquire(t.Context(), "team", 50)
+		require.Error(t, err)
+		h.pages.Wait()
+		require.Equal(t, 3, refused.calls)
+	})
+}
+
+// refusing fails each read at once.
+type refusing struct {
+	*memstore.Store
+	calls int
+}
+
+// Get implements store.Store.
+func (s *refusing) Get(context.Context, string) (store.Item, error) {
+	s.calls++
+	return store.Item{}, store.Error.Wrap(store.ErrUnknown)
+}
+
 // silentWrites does writes and leaves the first ones without an answer.
 type silentWrites struct {
 	*memstore.Store
--- /dev/null
+++ b/coord/settlement/settler.go
@@ -0,0 +1,120 @@
+package settlement
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+)
+
+// Settler settles dead lenders.
+type Settler struct {
+	Store store.Store
+	// Prefix begins the keys of lists; a lender's life follows.
+	Prefix string
+	// Ask asks a borrower for its final word on a lender. An error means that it did not
+	// answer.
+	Ask func(ctx context.Context, borrower, lender string) (grant.Borrowed, error)
+	// Over reports whether a borrower's life has certainly ended.
+	Over func(borrower string) bool
+}
+
+// Settlement is what became of one lender's rows on one page, by budget in tokens.
+type Settlement struct {
+	// Used is what borrowers used of it, Freed what may be granted again.
+	Used, Freed map[string]int64
+}
+
+// Settle ends the dead lender's rows on a page. With patient set it waits for requests that
+// still run on the lender's lots, so that what they do not use is freed as well; else what
+// they set aside counts as used. Its errors are ErrUnsettled, ErrNotYet and the store's; after
+// each of them the rows are as they were.
+func (s *Settler) Settle(ctx context.Context, lender, page string, patient bool) (Settlement, error) {
+	borrowers, err := s.seal(ctx, lender)
+	if err != nil {
+		return Settlement{}, err
+	}
+	used := map[string]int64{}
+	for _, borrower := range borrowers {
+		word, err := s.Ask(ctx, borrower, lender)
+		switch {
+		case err != nil && s.Over(borrower), err == nil && !word.Known:
+			return Settlement{}, Error.Wrap(ErrUnsettled)
+		case err != nil, word.Open && patient:
+			return Settlement{}, Error.Wrap(ErrNotYet)
+		}
+		for budget, n := range word.Used {
+			used[budget] += n
+		}
+	}
+	return s.end(ctx, lender, page, used)
+}
+
+// seal closes the list and returns it. A lender without one is not known to have listed
+// anybody, so it cannot be settled: its list may have been removed.
+func (s *Settler) seal(ctx context.Context, lender string) ([]string, error) {
+	var borrowers []string
+	_, err := store.Update(ctx, s.Store, s.Prefix+lender, func(old store.Item) ([]byte, error) {
+		if old.Revision == 0 {
+			return nil, Error.Wrap(ErrUnsettled)
+		}
+		l, err := decodeList(old.Value)
+		if err != nil {
+			return nil, err
+		}
+		borrowers, l.Sealed = l.Borrowers, true
+		return json.Marshal(l)
+	})
+	return borrowers, err
+}
+
+// end writes the page. The lender's own reports are a part of what was used: it heard of
+// some lots before it died.
+func (s *Settler) end(ctx context.Context, lender, page string, used map[string]int64) (Settlement, error) {
+	var out Settlement
+	_, err := store.Update(ctx, s.Store, page, func(old store.Item) ([]byte, error) {
+		p, err := account.Decode(old.Value)
+		if err != nil {
+			return nil, err
+		}
+		out = Settlement{Used: map[string]int64{}, Freed: map[string]int64{}}
+		for budget, a := range p.Accounts {
+			row := a.Rows[lender]
+			if row == nil {
+				continue
+			}
+			out.Used[budget] = max(used[budget], row.Settled)
+			if out.Freed[budget], err = a.Recover(lender, out.Used[budget]-row.Settled, 0); err != nil {
+				return nil, err
+			}
+		}
+		if len(out.Used) == 0 {
+			return old.Value, nil
+		}
+		return p.Encode()
+	})
+	return out, err
+}
+
+// Forget deletes the list of a settled lender once no page under the prefix has a row of it.
+func (s *Settler) Forget(ctx context.Context, lender, pagePrefix string) error {
+	pages, _, err := s.Store.Snapshot(ctx, pagePrefix)
+	if err != nil {
+		return err
+	}
+	for _, item := range pages {
+		p, err := account.Decode(item.Value)
+		if err != nil {
+			return err
+		}
+		for _, a := range p.Accounts {
+			if a.Rows[lender] != nil {
+				return nil
+			}
+		}
+	}
+	register := Register{Store: s.Store, Key: s.Prefix + lender}
+	return register.Remove(ctx)
+}
--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -35,8 +35,13 @@
 // startLender starts a lender beside an upstream. It returns how to stop it as planned, and
 // how to cut it off for good, which is its sudden death for all others.
 func (f *fleet) startLender(vm int, beside string) (stop, kill func()) {
+	return f.startLenderAs(fmt.Sprint("engine-", vm), vm, beside)
+}
+
+// startLenderAs starts a lender on the VM of that name, at the addresses of the number vm.
+func (f *fleet) startLenderAs(name string, vm int, beside string) (stop, kill func()) {
 	s := settings.DefaultLender()
-	s.VM, s.Datacentre = fmt.Sprint("engine-", vm), "bergen"
+	s.VM, s.Datacentre = name, "bergen"
 	s.Listen = settings.LenderListen{Admin: address(vm, adminPort), Link: address(vm, linkPort)}
 	s.Store.Address = storeAddress
 	if beside != "" {
@@ -255,6 +260,63 @@
 	})
 }
 
+// The VM of a lender goes dark while the streams of a dozen callers run on tokens that it lent,
+// and starts anew seconds later. Each stream sets 4,000 tokens aside and uses 1,900. The
+// routers tell what they used, and the rest of the budget can be spent; before, all that the
+// lender had granted counted as used, and callers were refused with a third of it left.
+func TestDeadLenderIsSettledByItsBorrowers(t *testing.T) {
+	play(t, func(f *fleet) {
+		const prepaid = 80_000
+		f.config(prepaid, "k1")
+		u := f.upstream("i-1", "model", 300)
+		kills := map[string]func(){}
+		for n := range 2 {
+			vm := firstLender + n
+			_, kills[fmt.Sprint("engine-", vm)] = f.startLender(vm, "")
+		}
+		f.startVM(1)
+		time.Sleep(8 * time.Second)
+		stream := func(id string) question {
+			q := chat(id)
+			q.usage = "1000,3000"
+			return q
+		}
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Go(func() { f.ask(stream(fmt.Sprint("before-", n))) })
+		}
+		time.Sleep(time.Second)
+		home := firstLender
+		if !f.tookTokens(fmt.Sprint("engine-", home)) {
+			home++
+		}
+		name := fmt.Sprint("engine-", home)
+		kills[name]()
+		time.Sleep(time.Second)
+		f.startLenderAs(name, home+10, "")
+		wg.Wait()
+		for range 20 {
+			f.ask(chat("now and then"))
+			time.Sleep(time.Second)
+		}
+		require.Contains(t, f.log.String(), `"event":"lender_settled"`)
+		for n := range 60 {
+			f.ask(stream(fmt.Sprint("after-", n)))
+		}
+		used := 0
+		for _, s := range u.Seen() {
+			switch {
+			case s.Ran && s.ID == "now and then":
+				used += 1060
+			case s.Ran:
+				used += 1900
+			}
+		}
+		require.LessOrEqual(t, used, prepaid)
+		require.Greater(t, used+2*4000, prepaid)
+	})
+}
+
 // tookTokens reports whether a VM has taken tokens from the store.
 func (f *fleet) tookTokens(vm string) bool {
 	for line := range strings.Lines(f.log.String()) {
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -106,7 +106,7 @@
 	b.Links = &link.Pool{From: b.Life, Security: private, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
 		Log: b.Log.Printf, Dial: p.Network.Dial}
 	b.Budgets = prepaid.New(prepaid.Parts{Life: b.Life, Settings: p.Budgets, Store: b.Store, Members: b.Members,
-		Links: b.Links, Limits: p.Limits, Log: b.Log})
+		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Log: b.Log})
 	return b
 }
 
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -39,9 +39,10 @@
 // Methods answers the messages of other routers.
 func (d *Desk) Methods() map[string]link.Handler {
 	return map[string]link.Handler{
-		link.MethodLend:   link.Handle(d.lend),
-		link.MethodReturn: link.Handle(d.takeBack),
-		link.MethodDisown: link.Handle(d.disown),
+		link.MethodLend:     link.Handle(d.lend),
+		link.MethodReturn:   link.Handle(d.takeBack),
+		link.MethodDisown:   link.Handle(d.disown),
+		link.MethodBorrowed: link.Handle(d.borrowed),
 	}
 }
 
@@ -74,6 +75,21 @@
 	return link.DisownReply{Parts: d.Holder.Disown(in.Parts)}, nil
 }
 
+// borrowed answers only for this life: what an earlier one used is not known.
+func (d *Desk) borrowed(_ context.Context, in link.BorrowedRequest) (grant.Borrowed, error) {
+	if in.Borrower != d.Holder.ID() {
+		return grant.Borrowed{}, nil
+	}
+	return d.Holder.BorrowedFrom(in.Lender), nil
+}
+
+// AskBorrowed asks a borrower for its final word on a dead lender.
+func (d *Desk) AskBorrowed(ctx context.Context, borrower, lender string) (grant.Borrowed, error) {
+	var out grant.Borrowed
+	err := d.call(ctx, borrower, link.MethodBorrowed, link.BorrowedRequest{Borrower: borrower, Lender: lender}, &out)
+	return out, err
+}
+
 // Lend implements grant.Lender: it asks a peer for a lot.
 func (d *Desk) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
 	addr, ok := d.Address(peer)
--- a/link/link.go
+++ b/link/link.go
@@ -230,12 +230,15 @@
 	// Dial connects; nil stands for TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	conns map[string]*dialled
+	mu     sync.Mutex
+	conns  map[string]*dialled
+	closed bool
 }
 
 // dialled is a connection that is there or being made.
 type dialled struct {
+	// end gives up making it.
+	end   context.CancelFunc
 	ready chan struct{}
 	conn  *jsonrpc2.Conn
 	err   error
@@ -259,11 +262,16 @@
 	if p.conns == nil {
 		p.conns = map[string]*dialled{}
 	}
+	if p.closed {
+		p.mu.Unlock()
+		return nil, Error.Wrap(ErrDown)
+	}
 	d := p.conns[addr]
 	if d == nil {
-		d = &dialled{ready: make(chan struct{})}
+		dialing, end := context.WithTimeout(context.Background(), p.DialTimeout)
+		d = &dialled{ready: make(chan struct{}), end: end}
 		p.conns[addr] = d
-		go p.dial(addr, d)
+		go p.dial(dialing, addr, d)
 	}
 	p.mu.Unlock()
 	select {
@@ -274,11 +282,15 @@
 	}
 }
 
-// dial makes the connection, and forgets it when it ends.
-func (p *Pool) dial(addr string, d *dialled) {
-	d.conn, d.err = p.connect(addr)
+// dial makes the connection, and forgets it when it ends. One that was made while the pool
+// closed is closed here.
+func (p *Pool) dial(ctx context.Context, addr string, d *dialled) {
+	d.conn, d.err = p.connect(ctx, addr)
+	d.end()
 	close(d.ready)
-	if d.err == nil {
+	if d.err == nil && p.isClosed() {
+		_ = d.conn.Close()
+	} else if d.err == nil {
 		p.tend(d.conn)
 	}
 	p.mu.Lock()
@@ -288,9 +300,7 @@
 	}
 }
 
-func (p *Pool) connect(addr string) (*jsonrpc2.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
-	defer cancel()
+func (p *Pool) connect(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
 	nc, err := p.netConn(ctx, addr)
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrDown, err))
@@ -343,6 +353,7 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, d := range p.conns {
 		select {
 		case <-d.ready:
@@ -350,10 +361,17 @@
 				_ = d.conn.Close()
 			}
 		default:
+			d.end()
 		}
 	}
 }
 
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 // Peers lists the addresses that are connected or being connected.
 func (p *Pool) Peers() []string {
 	p.mu.Lock()
--- a/link/messages.go
+++ b/link/messages.go
@@ -14,6 +14,9 @@
 	MethodReturn = "budget.return"
 	// MethodDisown asks which lots are not there: DisownRequest, DisownReply.
 	MethodDisown = "budget.disown"
+	// MethodBorrowed asks a borrower for its final word on a dead lender:
+	// BorrowedRequest, grant.Borrowed.
+	MethodBorrowed = "budget.borrowed"
 	// MethodWatermarks asks how far rows are reported durably:
 	// WatermarkRequest, WatermarkReply.
 	MethodWatermarks = "budget.watermarks"
@@ -89,6 +92,13 @@
 	Parts []grant.Part `json:"parts"`
 }
 
+// BorrowedRequest asks what a borrower used of a lender that is gone.
+type BorrowedRequest struct {
+	// Borrower is the life that is asked.
+	Borrower string `json:"borrower"`
+	Lender   string `json:"lender"`
+}
+
 // AppendRequest brings charges of one shard.
 type AppendRequest struct {
 	Shard   int             `json:"shard"`
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -11,12 +11,14 @@
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/lending"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 )
 
 // pagePrefix begins the keys of the budget pages in the store.
@@ -132,6 +134,13 @@
 	asked lastAsked
 	// asking counts the requests that turned to the store, by budget.
 	asking counts
+	// register lists the borrowers of a process that only lends; nil for others.
+	register  *settlement.Register
+	admitting singleflight.Group // by borrower
+	// settling is since when dead lenders have been waiting for their settlement, and
+	// unsettled names those that cannot be settled.
+	settling  absences
+	unsettled counts
 	// late are the peers whose answers came too late, since the last probes.
 	late counts
 }
@@ -145,7 +154,10 @@
 	Members  *member.Group
 	Links    lending.Caller
 	Limits   Limits
-	Log      zerolog.Logger
+	// LendsOnly says that the process spends nothing itself, so that its borrowers can
+	// settle it when it dies.
+	LendsOnly bool
+	Log       zerolog.Logger
 }
 
 // New makes the budgets of a process; it makes no call.
@@ -172,6 +184,9 @@
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
 	}
+	if p.LendsOnly {
+		b.register = &settlement.Register{Store: p.Store, Key: lendsPrefix + p.Life}
+	}
 	b.desk = &lending.Desk{
 		Holder: b.holder, Links: p.Links, Address: b.addressOf, Timeout: time.Duration(s.PeerWait), Now: time.Now,
 		Limit: p.Limits.Of,
@@ -189,6 +204,7 @@
 	d.Every(auditPause, b.desk.AuditLots)
 	d.Every(auditPause, b.settleGone)
 	d.Every(probePause, b.probePeers)
+	d.Every(settlePause, b.settleDead)
 }
 
 // State is what the process holds, for dumps.
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -17,9 +17,9 @@
 // recovering reports whether the store came back lately.
 func (b *Budgets) recovering() bool { return b.store.endedWithin(recoveryTime) }
 
-// wary reports whether the store was slow or silent lately.
+// wary reports whether the store was slow or silent lately, or is so now.
 func (b *Budgets) wary() bool {
-	return b.slow.within(storeName, waryFor) || b.store.endedWithin(waryFor)
+	return b.pages.Lagging(slowSync) || b.slow.within(storeName, waryFor) || b.store.endedWithin(waryFor)
 }
 
 // prepare brings the accounts of a page up to the operators' limits.
@@ -126,7 +126,7 @@
 			return err
 		}
 		if b.holder.Empty() {
-			return nil
+			return b.forgetBorrowers(ctx)
 		}
 		if err := backoff.Sleep(ctx, drainPause); err != nil {
 			return err
@@ -134,6 +134,14 @@
 	}
 }
 
+// forgetBorrowers removes the list of those that this process lent to: it has no rows left.
+func (b *Budgets) forgetBorrowers(ctx context.Context) error {
+	if b.register == nil {
+		return nil
+	}
+	return b.register.Remove(ctx)
+}
+
 func (b *Budgets) giveBackOnce(ctx context.Context) error {
 	b.desk.ReturnLots(ctx, 0)
 	b.holder.ReturnAll()
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -31,8 +31,9 @@
 // if every one of a new fleet took itself for the home, each would hold room for large
 // requests. One that stepped aside is none either, nor a stand-in for routers that have
 // an older list: it is about to end.
-func (b *Budgets) role(budget string) grant.Role {
-	page := b.layout.Key(budget)
+func (b *Budgets) role(budget string) grant.Role { return b.pageRole(b.layout.Key(budget)) }
+
+func (b *Budgets) pageRole(page string) grant.Role {
 	ranked := b.ranked(page)
 	switch {
 	case b.members.Aside():
@@ -67,6 +68,9 @@
 		if json.Unmarshal(params, &in) == nil { // if not, lend says what is wrong
 			b.asked.note(b.layout.Key(in.Budget))
 			b.limits.Note(in.Budget, in.Version, in.Limit)
+			if err := b.admit(ctx, in.Borrower); err != nil {
+				return nil, err
+			}
 		}
 		return lend(ctx, params)
 	}
--- /dev/null
+++ b/prepaid/settle.go
@@ -0,0 +1,126 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/settlement"
+)
+
+// lendsPrefix begins the keys of the lenders' lists of borrowers.
+const lendsPrefix = "arbutusmill/lends/"
+
+const (
+	// settlePause is the pause between two looks for dead lenders.
+	settlePause = time.Second
+	// settlePatience is for how long a settlement waits for requests that run on the dead
+	// lender's tokens. Most streams end within it; what later ones set aside counts as used.
+	settlePatience = 8 * time.Second
+)
+
+// admit makes sure that the store names a borrower before anything is lent to it. All
+// routers that are listed are named with the first one: one write instead of one for each.
+// The request waits for its own time only; the write goes on, for those that come next.
+func (b *Budgets) admit(ctx context.Context, borrower string) error {
+	if b.register == nil || b.register.Has(borrower) {
+		return nil
+	}
+	if b.store.lasts() {
+		return grant.Error.Wrap(grant.ErrUnreachable)
+	}
+	ctx, cancel := context.WithTimeout(ctx, b.timeout)
+	defer cancel()
+	select {
+	case done := <-b.admitting.DoChan(borrower, func() (any, error) { return nil, b.admitListed(borrower) }):
+		return done.Err
+	case <-ctx.Done():
+		return grant.Error.Wrap(grant.ErrUnreachable)
+	}
+}
+
+// admitListed names the borrower and all routers that are listed.
+func (b *Budgets) admitListed(borrower string) error {
+	names := []string{borrower}
+	for _, m := range b.members.Members() {
+		if m.Role == RoleRouter && !b.isDead(m.ID) {
+			names = append(names, m.ID)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+	defer cancel()
+	err := b.register.Admit(ctx, names...)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, settlement.ErrSealed):
+		// Others took this life for dead and freed its rest: it may spend nothing more.
+		b.holder.Fence()
+		b.log.Error().Err(err).Msg("taken_for_dead")
+		return grant.Error.Wrap(grant.ErrFenced)
+	}
+	b.log.Warn().Err(err).Str("borrower", borrower).Msg("borrower_not_admitted")
+	return grant.Error.Wrap(grant.ErrUnreachable)
+}
+
+// newSettler is this process's side of settling others.
+func (b *Budgets) newSettler() *settlement.Settler {
+	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Over: b.isDead, Ask: b.desk.AskBorrowed}
+}
+
+// settleDead settles the rows of dead lenders on the pages of which this process is the home.
+func (b *Budgets) settleDead(ctx context.Context) {
+	if b.store.lasts() {
+		return // members cannot be told from missing ones now
+	}
+	for _, life := range b.holder.Others() {
+		if b.isDead(life) && !b.unsettled.has(life) {
+			b.settleLife(ctx, life)
+		}
+	}
+}
+
+func (b *Budgets) settleLife(ctx context.Context, life string) {
+	patient := b.settling.since(time.Now(), life, true) < settlePatience
+	whole := true
+	for _, page := range b.holder.Pages() {
+		if b.pageRole(page) == grant.HomeOf {
+			whole = b.settlePage(ctx, life, page, patient) && whole
+		}
+	}
+	if !whole {
+		return
+	}
+	b.holder.Recovered(life)
+	b.settling.since(time.Now(), life, false)
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if err := b.newSettler().Forget(ctx, life, pagePrefix); err != nil {
+		b.log.Warn().Err(err).Str("lender", life).Msg("list_of_borrowers_not_removed") // it does no harm
+	}
+}
+
+// settlePage settles one page and reports whether nothing is left to do there.
+func (b *Budgets) settlePage(ctx context.Context, life, page string, patient bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	done, err := b.newSettler().Settle(ctx, life, page, patient)
+	switch {
+	case errors.Is(err, settlement.ErrNotYet):
+		return false
+	case errors.Is(err, settlement.ErrUnsettled):
+		b.unsettled.add(life, 1)
+		b.log.Warn().Err(err).Str("lender", life).Msg("lender_not_settled")
+		return false
+	case err != nil:
+		b.log.Warn().Err(err).Str("lender", life).Str("page", page).Msg("settlement_failed")
+		return false
+	}
+	b.pages.Changed(page)
+	for budget, freed := range done.Freed {
+		b.log.Info().Str("lender", life).Str("budget", budget).Int64("used", done.Used[budget]).Int64("freed", freed).
+			Bool("patient", patient).Msg("lender_settled")
+	}
+	return true
+}
