Engines left to short prompts are remembered and logged; a busy engine is not a slow one

Cause: each router judged engines anew at each choice.

Change: the verdict has two bounds and is kept; each change is a line in the log with what decided it. A report that an engine is slower counts a twentieth, one that it is quicker a half.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,6 +102,7 @@
 		Here:         s.Datacentre,
 		Ask:          beside.ask,
 		Withdraw:     beside.withdraw,
+		Exposed:      g.engineExposed,
 		Now:          time.Now,
 	}
 	g.path = &serving.Path{
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -87,3 +87,9 @@
 		Pool: g.pool.States(), Members: g.Members.Members(),
 	}
 }
+
+// engineExposed logs that an engine is left to short prompts, or not any more.
+func (g *Gateway) engineExposed(id string, exposed bool, heldUp, slowness float64) {
+	g.Log.Info().Str("upstream", id).Bool("exposed", exposed).Float64("pause_of_goal", heldUp).Float64("slowness", slowness).
+		Msg("engine_left_to_short_prompts")
+}
--- a/placement/pause.go
+++ b/placement/pause.go
@@ -18,8 +18,11 @@
 // its own are so busy that this costs less.
 const (
 	// exposedFrom is the expected pause, as a share of its goal, from which an engine is
-	// left to short prompts. Below, few of its streams are late.
-	exposedFrom = 1.12
+	// left to short prompts; below it, few of its streams are late. exposedUntil is the
+	// share below which it gets long ones again: each change moves homes, and what is
+	// cached at the old ones is read or moved again.
+	exposedFrom  = 1.12
+	exposedUntil = 0.95
 	// heldUpCost is the cost of one stream that a long prompt holds up too long, in time
 	// to the first event of that prompt.
 	heldUpCost = 25 * time.Millisecond
@@ -34,11 +37,16 @@
 	longShare = 0.2
 )
 
-// slowness is how many times as long as usual the engine takes.
-func (u Upstream) slowness() float64 { return max(1, u.Slowness) }
-
-// exposed reports whether streams at the engine are held up too long while it reads.
-func (u Upstream) exposed(rates Rates) bool { return rates.PauseOfGoal*u.slowness() >= exposedFrom }
+// Exposed reports whether streams at an engine are held up too long while it reads prompts.
+// Was is the verdict before; pauseOfGoal is how long streams of the service are held up at an
+// engine of usual speed, as a share of their routes' goals, and slowness is how many times as
+// long as others this one takes.
+func Exposed(was bool, pauseOfGoal, slowness float64) bool {
+	if was {
+		return pauseOfGoal*slowness >= exposedUntil
+	}
+	return pauseOfGoal*slowness >= exposedFrom
+}
 
 // separation is how long and short prompts are kept apart in one choice.
 type separation struct {
@@ -60,7 +68,7 @@
 	}
 	var forLong []int
 	for _, i := range usable {
-		if !ups[i].exposed(rates) {
+		if !ups[i].Exposed {
 			forLong = append(forLong, i)
 		}
 	}
@@ -74,8 +82,8 @@
 }
 
 // cost is what it costs to read the prompt at an engine with that many streams.
-func (s separation) cost(r *serving.Request, u Upstream, rates Rates, streams float64) time.Duration {
-	exposed := s.active && u.exposed(rates)
+func (s separation) cost(r *serving.Request, u Upstream, streams float64) time.Duration {
+	exposed := s.active && u.Exposed
 	switch {
 	case s.long && exposed:
 		return time.Duration(streams * float64(heldUpCost))
--- a/placement/pause_test.go
+++ b/placement/pause_test.go
@@ -17,18 +17,21 @@
 	rnd   *rand.Rand
 	ups   []Upstream
 	rates Rates
+	slow  []float64         // slowness of each engine
 	ends  [][]time.Duration // of the streams at each engine
 	now   time.Duration
 }
 
 func newMixed(pauseOfGoal float64) *mixed {
 	m := &mixed{rnd: rand.New(rand.NewPCG(5, 6)), ups: engines(12), ends: make([][]time.Duration, 12)}
-	m.rates = Rates{PrefillPerMs: 32, FetchPerMs: 500, Routers: 1, Here: "bergen", PauseOfGoal: pauseOfGoal}
+	m.rates = Rates{PrefillPerMs: 32, FetchPerMs: 500, Routers: 1, Here: "bergen"}
 	for i := range m.ups {
-		m.ups[i].Slots, m.ups[i].Slowness = 128, 1
+		slowness := 1.0
 		if i%3 == 2 {
-			m.ups[i].Slowness = 1.3
+			slowness = 1.3
 		}
+		m.slow = append(m.slow, slowness)
+		m.ups[i].Slots, m.ups[i].Exposed = 128, Exposed(false, pauseOfGoal, slowness)
 	}
 	return m
 }
@@ -61,7 +64,7 @@
 		}
 		m.ends[i] = kept
 		u.Running = len(kept)
-		u.EventTime = time.Duration((20 + 0.4*float64(len(kept))) * u.Slowness * float64(time.Millisecond))
+		u.EventTime = time.Duration((20 + 0.4*float64(len(kept))) * m.slow[i] * float64(time.Millisecond))
 	}
 	r := m.request(long)
 	c, _ := Choose(r, m.ups, m.rates, m.rnd.IntN)
@@ -77,7 +80,7 @@
 	for n := range steps {
 		long := n%4 == 0
 		i := m.step(long)
-		if long && m.ups[i].Slowness > 1 {
+		if long && m.slow[i] > 1 {
 			heldUp += m.ups[i].Running
 		}
 		most = max(most, m.ups[i].Running)
@@ -120,12 +123,21 @@
 func TestBurstOfShortPromptsSpills(t *testing.T) {
 	m := newMixed(0.95)
 	for i := range m.ups {
-		if m.ups[i].Slowness > 1 {
+		if m.slow[i] > 1 {
 			m.ups[i].Running, m.ups[i].EventTime = 50, 90*time.Millisecond
 		} else {
 			m.ups[i].EventTime = 20 * time.Millisecond
 		}
 	}
 	c, _ := Choose(m.request(false), m.ups, m.rates, first)
-	require.Equal(t, 1.0, m.ups[c.Index].Slowness)
+	require.Equal(t, 1.0, m.slow[c.Index])
+}
+
+// How long streams are held up varies around what is too long. An engine that is left to short
+// prompts stays so until it is clearly below: each change moves homes of prompts.
+func TestExposureDoesNotFlap(t *testing.T) {
+	require.False(t, Exposed(false, 1.1, 1))
+	require.True(t, Exposed(false, 0.95, 1.3))
+	require.True(t, Exposed(true, 0.8, 1.3))
+	require.False(t, Exposed(true, 0.7, 1.3))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,9 +36,8 @@
 	Avoid bool
 	// FailureShare is the share of its recent answers that failed, 0 to 1.
 	FailureShare float64
-	// Slowness is how many times as long as others of its service it takes for a token;
-	// up to 1 it is one of the usual ones.
-	Slowness float64
+	// Exposed says that its streams are held up too long while it reads prompts.
+	Exposed bool
 	// EventTime is the time between two events of its streams lately; 0 is not known.
 	EventTime time.Duration
 }
@@ -50,9 +49,6 @@
 	// FetchPerMs is the tokens of cached prompt that engines pass on in a
 	// millisecond.
 	FetchPerMs float64
-	// PauseOfGoal is the longest pause of a stream at an engine of usual speed, as a share
-	// of its route's goal: what all but a few streams stay below. 0 is not known yet.
-	PauseOfGoal float64
 	// Routers is how many routers send to the same upstreams.
 	Routers int
 	// Here is the router's data centre.
@@ -231,7 +227,7 @@
 		}
 		waitTokens += u.before(m, rates)
 		c := common(u, m, rates) + time.Duration(waitTokens/rates.PrefillPerMs*float64(time.Millisecond))
-		c += apart.cost(r, u, rates, m.streams(u, rates))
+		c += apart.cost(r, u, m.streams(u, rates))
 		if best.Index < 0 || c < best.Cost {
 			best = Choice{Index: i, FetchFrom: from, Fetched: fetched, Unread: unread, Cost: c}
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -55,6 +55,10 @@
 	// Withdraw takes that back. Both may be nil.
 	Ask      func(address string, a prefill.Announcement) (prefill.Told, bool)
 	Withdraw func(address string, a prefill.Announcement, told prefill.Told)
+	// Exposed, if set, is told when an engine is to be left to short prompts and when not
+	// any more, and what decided it: how long streams of its service are held up, as a share
+	// of their goal, and how many times as long as others it takes. It must not block.
+	Exposed func(id string, exposed bool, heldUp, slowness float64)
 	// Now is the clock.
 	Now func() time.Time
 
@@ -77,6 +81,10 @@
 	// pace is the time for an event of a stream that nothing holds up, eventTime that for
 	// any; 0 if not known.
 	pace, eventTime time.Duration
+	// slowness is how many times as long as usual it takes, as of the last choice; exposed
+	// says that its streams are held up too long while it reads prompts.
+	slowness float64
+	exposed  bool
 }
 
 // shareOfTime is the part of the time left that one attempt gets when the request may
@@ -101,7 +109,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.takeLocked(p.Now(), r, ups, choice, views[choice.Index].Slowness), true
+	return p.takeLocked(p.Now(), r, ups, choice), true
 }
 
 // ask announces the prompt at the chosen engine, and chooses again by what that has cached
@@ -145,11 +153,12 @@
 	for i, u := range ups {
 		views[i] = p.viewLocked(now, r, u)
 	}
-	p.addSlownessLocked(views)
+	p.addSpeedLocked(r.Service.Name, views)
 	return views
 }
 
-func (p *Pool) addSlownessLocked(views []placement.Upstream) {
+// addSpeedLocked adds what is known of how fast the upstreams of a service are.
+func (p *Pool) addSpeedLocked(service string, views []placement.Upstream) {
 	paces := make([]time.Duration, len(views))
 	eventTimes := make([]time.Duration, len(views))
 	for i, v := range views {
@@ -157,12 +166,28 @@
 		paces[i], eventTimes[i] = s.pace, s.eventTime
 	}
 	usual, usualEvent := usualPace(slices.Clone(paces)), usualPace(slices.Clone(eventTimes))
+	held := p.pausesOf(service).share()
 	for i := range views {
-		views[i].Slowness = slowness(paces[i], usual)
+		s := p.stateLocked(views[i].ID)
+		s.slowness = slowness(paces[i], usual)
+		p.judgeLocked(views[i].ID, s, held)
+		views[i].Exposed = s.exposed
 		views[i].EventTime = cmp.Or(eventTimes[i], usualEvent)
 	}
 }
 
+// judgeLocked decides whether an engine's streams are held up too long.
+func (p *Pool) judgeLocked(id string, s *state, held float64) {
+	exposed := placement.Exposed(s.exposed, held, s.slowness)
+	if exposed == s.exposed {
+		return
+	}
+	s.exposed = exposed
+	if p.Exposed != nil {
+		p.Exposed(id, exposed, held, s.slowness)
+	}
+}
+
 // pausesOf are those of a service's streams.
 func (p *Pool) pausesOf(service string) *pauses {
 	if known, ok := p.pauses.Load(service); ok {
@@ -194,7 +219,6 @@
 	rates := placement.Rates{
 		PrefillPerMs: p.PrefillPerMs,
 		FetchPerMs:   p.PrefillPerMs,
-		PauseOfGoal:  p.pausesOf(r.Service.Name).share(),
 		Routers:      p.Routers(),
 		Here:         p.Here,
 	}
@@ -231,7 +255,7 @@
 	return s
 }
 
-func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice, slowness float64) serving.Target {
+func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice) serving.Target {
 	u := ups[c.Index]
 	s := p.stateLocked(u.ID)
 	s.running++
@@ -246,7 +270,7 @@
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
 	}
-	one := &run{pool: p, upstream: u.ID, choice: c, goal: r.Route.GapGoal, slowness: slowness, pauses: p.pausesOf(r.Service.Name)}
+	one := &run{pool: p, upstream: u.ID, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name)}
 	t.Event, t.Done = one.event, one.done
 	return t
 }
@@ -270,9 +294,7 @@
 func (p *Pool) paced(id string, of pace) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.stateLocked(id)
-	s.pace = moved(s.pace, of.least)
-	s.eventTime = moved(s.eventTime, of.mean)
+	p.stateLocked(id).paced(of)
 }
 
 // done notes how an attempt ended.
@@ -344,6 +366,8 @@
 	Cached       int64   `json:"cached_tokens"`
 	Fails        int     `json:"fails_in_a_row"`
 	FailureShare float64 `json:"failure_share"`
+	Slowness     float64 `json:"slowness"`
+	Exposed      bool    `json:"left_to_short_prompts"`
 }
 
 // States lists what is known of all upstreams.
@@ -354,7 +378,8 @@
 	out := make([]State, 0, len(p.states))
 	for id, s := range p.states {
 		out = append(out, State{Upstream: id, Running: s.running, Unread: s.unread,
-			Cached: s.cache.Tokens(), Fails: s.fails, FailureShare: s.failureShare(now)})
+			Cached: s.cache.Tokens(), Fails: s.fails, FailureShare: s.failureShare(now),
+			Slowness: s.slowness, Exposed: s.exposed})
 	}
 	return out
 }
--- a/pool/speed.go
+++ b/pool/speed.go
@@ -9,9 +9,13 @@
 )
 
 const (
-	// paceWeight is the weight of one stream in an engine's pace: some five decide, so
-	// that an engine that turns slow is known after a second or two of its streams.
-	paceWeight = 0.2
+	// eventWeight is the weight of one report of a stream in the time for an event.
+	eventWeight = 0.2
+	// quickerWeight and slowerWeight are those in an engine's pace. A stream that was held
+	// up all the while tells a pace that is too slow, so a slower one counts for little; an
+	// engine that turns slow is known after some twenty reports, which is seconds.
+	quickerWeight = 0.5
+	slowerWeight  = 0.05
 	// usualRank is the rank, among the paces of a service from the fastest on, that
 	// counts as usual: one odd engine does not make all others slow.
 	usualRank = 0.25
@@ -19,12 +23,22 @@
 	mostSlowness = 4.0
 )
 
-// moved is an average after one more value.
-func moved(average, value time.Duration) time.Duration {
+// moved is an average after one more value of that weight.
+func moved(average, value time.Duration, weight float64) time.Duration {
 	if average == 0 {
 		return value
 	}
-	return average + time.Duration(paceWeight*float64(value-average))
+	return average + time.Duration(weight*float64(value-average))
+}
+
+// paced takes one report of a stream.
+func (s *state) paced(of pace) {
+	weight := quickerWeight
+	if of.least > s.pace {
+		weight = slowerWeight
+	}
+	s.pace = moved(s.pace, of.least, weight)
+	s.eventTime = moved(s.eventTime, of.mean, eventWeight)
 }
 
 // usualPace is the pace that others are compared with, 0 if none is known. It sorts them.
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -40,14 +40,31 @@
 	}
 	stream(t, p, &now, "a", 13, held(20*time.Millisecond))
 	stream(t, p, &now, "b", 13, held(26*time.Millisecond))
-	views := p.views(plain(now), p.Directory.Of("s"))
-	got := map[string]float64{}
-	for _, v := range views {
-		got[v.ID] = v.Slowness
+	for _, v := range p.views(plain(now), p.Directory.Of("s")) {
 		require.Positive(t, v.EventTime)
 	}
-	require.InDelta(t, 1, got["a"], 0.01)
-	require.InDelta(t, 1.3, got["b"], 0.01)
+	require.InDelta(t, 1, p.states["a"].slowness, 0.01)
+	require.InDelta(t, 1.3, p.states["b"].slowness, 0.01)
+}
+
+// An engine of usual speed reads one prompt after the other for a second, so that its streams
+// have no quick event. It must not count as slow: its homes would move and come back.
+func TestBusyEngineIsNotSlow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	for _, id := range []string{"a", "b"} {
+		stream(t, p, &now, id, 25, steady(20*time.Millisecond))
+	}
+	for range 3 {
+		stream(t, p, &now, "b", 13, steady(60*time.Millisecond))
+	}
+	p.views(plain(now), p.Directory.Of("s"))
+	require.Less(t, p.states["b"].slowness, 1.3)
+	for range 30 {
+		stream(t, p, &now, "b", 13, steady(60*time.Millisecond))
+	}
+	p.views(plain(now), p.Directory.Of("s"))
+	require.Greater(t, p.states["b"].slowness, 2.0, "it has turned slow")
 }
 
 // Streams are held up for nine tenths of what their route allows. That is known after a
