Requests do not wait at one lender after the other while the store is silent

Lenders that had not lent to a router before waited for the store to name it, each request anew at each of them.

Change: after a wait in vain a router is refused at once there; the naming goes on beside.

--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -343,6 +343,39 @@
 	})
 }
 
+// The store falls silent and the lenders run out of tokens. Callers are refused, and after the
+// first ones at once: each request used to wait 0.4 s at one lender after the other, for a
+// store that was silent for all of them.
+func TestRefusedAtOnceInASilentOutage(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1_000_000, "k1")
+		f.upstream("i-1", "model", 5)
+		for n := range 4 {
+			f.startLender(firstLender+n, "")
+		}
+		f.startVM(1)
+		time.Sleep(8 * time.Second)
+		require.Equal(t, 200, f.ask(chat("before")).status)
+		time.Sleep(11 * time.Second) // no longer wary, and no demand to hold for
+		f.store.SetSilent(true)
+		hungry := func(id string) answer {
+			q := chat(id)
+			q.usage = "1000,90000"
+			return f.ask(q)
+		}
+		for n := range 3 {
+			require.Equal(t, 503, hungry(fmt.Sprint("first-", n)).status)
+		}
+		for n := range 20 {
+			a := hungry(fmt.Sprint("r", n))
+			require.Equal(t, 503, a.status)
+			require.Less(t, a.took, 50*time.Millisecond)
+			time.Sleep(30 * time.Millisecond)
+		}
+		f.store.SetSilent(false)
+	})
+}
+
 // tookTokens reports whether a VM has taken tokens from the store.
 func (f *fleet) tookTokens(vm string) bool {
 	for line := range strings.Lines(f.log.String()) {
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -137,6 +137,8 @@
 	// register lists the borrowers of a process that only lends; nil for others.
 	register  *settlement.Register
 	admitting singleflight.Group // by borrower
+	// notAdmitted is when the store took too long to name a borrower.
+	notAdmitted lastAsked
 	// settling is since when dead lenders have been waiting for their settlement, and
 	// unsettled names those that cannot be settled.
 	settling  absences
--- a/prepaid/outage.go
+++ b/prepaid/outage.go
@@ -110,19 +110,31 @@
 	return now.Sub(a.at[name])
 }
 
-// lastAsked is when others last asked for something, by name.
+// lastAsked is when others last asked for something, by name. It forgets what is older than
+// rememberAsked.
 type lastAsked struct {
 	mu sync.Mutex
 	at map[string]time.Time
 }
 
+// rememberAsked is longer than any time that is asked about, and mostAsked bounds the names
+// that are kept without looking for older ones.
+const (
+	rememberAsked = time.Minute
+	mostAsked     = 64
+)
+
 func (l *lastAsked) note(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.at == nil {
 		l.at = map[string]time.Time{}
 	}
-	l.at[name] = time.Now()
+	now := time.Now()
+	if len(l.at) >= mostAsked {
+		maps.DeleteFunc(l.at, func(_ string, at time.Time) bool { return now.Sub(at) > rememberAsked })
+	}
+	l.at[name] = now
 }
 
 func (l *lastAsked) within(name string, d time.Duration) bool {
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/settlement"
+	"golang.org/x/sync/singleflight"
 )
 
 // lendsPrefix begins the keys of the lenders' lists of borrowers.
@@ -18,6 +19,9 @@
 	// settlePatience is for how long a settlement waits for requests that run on the dead
 	// lender's tokens. Most streams end within it; what later ones set aside counts as used.
 	settlePatience = 8 * time.Second
+	// admitPause is the pause between two tries to name a router for which the store took
+	// too long. Its requests do not wait for them: each would wait at each lender.
+	admitPause = time.Second
 )
 
 // admit makes sure that the store names a borrower before anything is lent to it. All
@@ -30,16 +34,34 @@
 	if b.store.lasts() {
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
+	if b.notAdmitted.within(borrower, rememberAsked) {
+		b.admitLater(borrower)
+		return grant.Error.Wrap(grant.ErrUnreachable)
+	}
 	ctx, cancel := context.WithTimeout(ctx, b.timeout)
 	defer cancel()
 	select {
-	case done := <-b.admitting.DoChan(borrower, func() (any, error) { return nil, b.admitListed(borrower) }):
+	case done := <-b.startAdmitting(borrower):
 		return done.Err
 	case <-ctx.Done():
+		b.notAdmitted.note(borrower)
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
 }
 
+func (b *Budgets) startAdmitting(borrower string) <-chan singleflight.Result {
+	return b.admitting.DoChan(borrower, func() (any, error) { return nil, b.admitListed(borrower) })
+}
+
+// admitLater tries again, now and then, for the requests that come next; nobody waits for it.
+func (b *Budgets) admitLater(borrower string) {
+	if b.notAdmitted.within(borrower, admitPause) {
+		return
+	}
+	b.notAdmitted.note(borrower)
+	b.startAdmitting(borrower)
+}
+
 // admitListed names the borrower and all routers that are listed.
 func (b *Budgets) admitListed(borrower string) error {
 	names := []string{borrower}
