A process that stops leaves the list also while tokens cannot go back

Cause, by reading: the end of the membership shared its time with tokens that wait for a lender that is gone, and never came; the router stayed listed for its lease of 30 s. Change: the last 0.15 s are kept for it. The test fails without.

--- a/gateway/lenderends_test.go
+++ b/gateway/lenderends_test.go
@@ -106,3 +106,17 @@
 		e.spendAll()
 	})
 }
+
+// A router is stopped as planned after a lender has died, so that a lot can never go back. It
+// leaves the list of members all the same; listed until its lease ends, it would be counted
+// among those that share the bound on repeats, and lenders would wait for its word.
+func TestRouterLeavesThoughALenderIsGone(t *testing.T) {
+	play(t, func(f *fleet) {
+		e := startLenderEnds(f)
+		e.kill()
+		e.streams.Wait()
+		require.NotEmpty(t, f.store.Keys("arbutusmill/member/router-1/"))
+		f.stopVM(1)
+		require.Empty(t, f.store.Keys("arbutusmill/member/router-1/"))
+	})
+}
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -140,9 +140,18 @@
 	b.Budgets.Start(d)
 }
 
+// leaveTime is the part of the time for leaving that is kept for the end of the membership:
+// tokens that cannot go back, since their lender is gone, are waited for until the end.
+const leaveTime = 150 * time.Millisecond
+
 // Leave gives unused tokens back and ends the membership; it is the end of a planned stop.
 func (b *Base) Leave(ctx context.Context) {
-	if err := b.Budgets.GiveBack(ctx); err != nil {
+	giving, cancel := ctx, context.CancelFunc(func() {})
+	if deadline, ok := ctx.Deadline(); ok {
+		giving, cancel = context.WithDeadline(ctx, deadline.Add(-leaveTime))
+	}
+	defer cancel()
+	if err := b.Budgets.GiveBack(giving); err != nil {
 		b.Log.Warn().Err(err).Msg("tokens_not_given_back")
 	}
 	if err := b.Members.Leave(ctx); err != nil {
