--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -201,6 +201,8 @@
 		}
 		beside[home].SetState("draining")
 		time.Sleep(3 * time.Second)
+		vm := "engine-" + strings.TrimPrefix(home, "i-")
+		require.Empty(t, f.store.Keys("arbutusmill/member/"+vm+"/"), "it is no longer listed")
 		kills[home]()
 		for range 60 {
 			f.ask(chat("after"))
