The choice among all engines is measured with their speeds known

Found in the last reading: each choice sorts the paces of all engines twice and looks each one up three times.

--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -121,6 +121,9 @@
 				items = append(items, store.Item{Key: fmt.Sprint("i-", i)})
 			}
 			p.Directory.Reset(items)
+			for i, it := range items { // streams have told how fast each engine is
+				p.paced(it.Key, pace{least: time.Duration(20+i%7) * time.Millisecond, mean: time.Duration(30+i%11) * time.Millisecond})
+			}
 			r := plain(now)
 			r.Prompt, r.Parts = 17_000, []prefill.Part{{ID: "subject", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}
 			for b.Loop() {
