Upstreams are known by their lives; entries of other writers name nothing to use

Cause: what a router knows of an upstream hung on its id, which a new life may have again: a restarted engine stayed shut out, kept failures, pace and a cache that was gone.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -11,10 +12,9 @@
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
-// Upstream is one incarnation of an upstream process.
+// Upstream is one life of an upstream process, by its entry.
 type Upstream struct {
-	// ID is the incarnation; it appears nowhere but in the entry's key.
-	ID         string
+	Life
 	Service    string
 	Address    string
 	Datacentre string
@@ -39,7 +39,8 @@
 	// that they were read afresh.
 	DirectoryLost(err error)
 	DirectoryRead(count int)
-	// UpstreamUnreadable is called for an entry that cannot be decoded.
+	// UpstreamUnreadable is called for an entry that cannot be decoded, once for each
+	// revision of it.
 	UpstreamUnreadable(err error)
 }
 
@@ -53,6 +54,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry // by key
+	// unreadable are the revisions of the entries that could not be decoded, by key.
+	unreadable map[string]store.Revision
 	// services holds the upstreams that take new work; it is made anew on each
 	// change and never written after that.
 	services map[string][]Upstream
@@ -65,6 +68,7 @@
 
 type entry struct {
 	Upstream
+	revision store.Revision
 	// missingUntil is when a vanished entry is dropped; zero for present ones.
 	missingUntil time.Time
 	// rejected says that another process answered at the address.
@@ -84,14 +88,17 @@
 	d.outage, d.read = false, true
 	old := d.entries
 	d.entries = map[string]*entry{}
+	listed := map[string]bool{}
 	for _, it := range items {
+		listed[it.Key] = true
 		d.putLocked(it, old[it.Key])
 	}
 	for key, e := range old {
-		if d.entries[key] == nil {
+		if !listed[key] {
 			d.missLocked(now, key, e)
 		}
 	}
+	maps.DeleteFunc(d.unreadable, func(key string, _ store.Revision) bool { return !listed[key] })
 	d.indexLocked(now)
 	d.Report.DirectoryRead(len(items))
 }
@@ -102,12 +109,17 @@
 	defer d.mu.Unlock()
 	now := d.Now()
 	have := d.entries[ev.Key]
+	if have != nil && ev.Revision != 0 && ev.Revision < have.revision {
+		return // told late: what is known is newer
+	}
 	switch {
 	case !ev.Deleted:
 		d.putLocked(ev.Item, have)
 	case have != nil:
 		delete(d.entries, ev.Key)
 		d.missLocked(now, ev.Key, have)
+	default:
+		delete(d.unreadable, ev.Key)
 	}
 	d.indexLocked(now)
 }
@@ -123,15 +135,23 @@
 	d.Report.DirectoryLost(err)
 }
 
+// putLocked takes an entry that was written. One of another life replaces the life before it
+// with all that was noted of that: an upstream whose address another process had used would
+// otherwise stay shut out after its restart.
 func (d *Directory) putLocked(it store.Item, have *entry) {
 	u, err := d.Decode(it)
 	if err != nil {
-		d.Report.UpstreamUnreadable(err)
+		d.spoiledLocked(it, have, err)
 		return
 	}
-	e := &entry{Upstream: u}
-	if have != nil {
+	delete(d.unreadable, it.Key)
+	e := &entry{Upstream: u, revision: it.Revision}
+	switch {
+	case have == nil:
+	case have.Life == u.Life:
 		e.rejected = have.rejected
+	default:
+		d.Report.UpstreamGone(have.Upstream, "it started again under its id")
 	}
 	d.entries[it.Key] = e
 	if have == nil || have.Upstream != u {
@@ -139,6 +159,23 @@
 	}
 }
 
+// spoiledLocked takes an entry that cannot be decoded. It may come from another writer, over
+// that of a living upstream, so it names nothing to use: what stood there before may be gone.
+// The next entry that can be decoded is used at once.
+func (d *Directory) spoiledLocked(it store.Item, have *entry, err error) {
+	delete(d.entries, it.Key)
+	if have != nil {
+		d.Report.UpstreamGone(have.Upstream, "its entry cannot be read any more")
+	}
+	if d.unreadable == nil {
+		d.unreadable = map[string]store.Revision{}
+	}
+	if known, ok := d.unreadable[it.Key]; !ok || known != it.Revision {
+		d.unreadable[it.Key] = it.Revision
+		d.Report.UpstreamUnreadable(err)
+	}
+}
+
 // missLocked drops an entry, or keeps it for a while when it may have lapsed only
 // because the store was away.
 func (d *Directory) missLocked(now time.Time, key string, e *entry) {
@@ -157,19 +194,33 @@
 // indexLocked makes the lists by service anew.
 func (d *Directory) indexLocked(now time.Time) {
 	services := map[string][]Upstream{}
+	bornTold := d.bornIsToldLocked()
 	for key, e := range d.entries {
 		if !e.missingUntil.IsZero() && !now.Before(e.missingUntil) {
 			delete(d.entries, key)
 			d.Report.UpstreamGone(e.Upstream, "entry did not return after an outage of the store")
 			continue
 		}
-		if !e.Leaving && !e.rejected {
+		if !e.Leaving && !e.rejected && !(bornTold && e.Born == 0) {
 			services[e.Service] = append(services[e.Service], e.Upstream)
 		}
 	}
 	d.services = services
 }
 
+// bornIsToldLocked reports whether the upstreams here tell when they started. On one platform
+// all do or none does, so the few entries that differ are those of another writer: where most
+// tell it, one that does not names nothing to use.
+func (d *Directory) bornIsToldLocked() bool {
+	told := 0
+	for _, e := range d.entries {
+		if e.Born != 0 {
+			told++
+		}
+	}
+	return 2*told > len(d.entries)
+}
+
 // Expire drops entries that did not return; call it a few times a second.
 func (d *Directory) Expire() {
 	d.mu.Lock()
@@ -183,13 +234,13 @@
 	}
 }
 
-// Reject notes that another process answered at the upstream's address: this
-// incarnation is gone, however long its entry stays.
-func (d *Directory) Reject(id string) {
+// Reject notes that another process answered at the upstream's address: this life is over,
+// however long its entry stays.
+func (d *Directory) Reject(life Life) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range d.entries {
-		if e.ID == id && !e.rejected {
+		if e.Life == life && !e.rejected {
 			e.rejected = true
 			d.Report.UpstreamGone(e.Upstream, "another process answers at its address")
 		}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,9 @@
 package directory
 
 import (
+	"errors"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,7 +27,13 @@
 func directoryAt(now *time.Time) *Directory {
 	return &Directory{Report: quiet{}, Now: func() time.Time { return *now },
 		Decode: func(it store.Item) (Upstream, error) {
-			return Upstream{ID: it.Key[2:], Service: "s", Leaving: string(it.Value) != "ready"}, nil
+			if string(it.Value) == "spoiled" {
+				return Upstream{}, errors.New("cannot be read")
+			}
+			u := Upstream{Life: Life{ID: it.Key[2:]}, Service: "s", Leaving: strings.HasPrefix(string(it.Value), "draining")}
+			_, born, _ := strings.Cut(string(it.Value), "@")
+			u.Born, _ = strconv.ParseInt(born, 10, 64) // 0 is none
+			return u, nil
 		}}
 }
 
@@ -70,7 +79,7 @@
 	d.Reset([]store.Item{entryOf("a", "ready"), entryOf("b", "ready"), entryOf("c", "ready"), entryOf("d", "ready")})
 	d.Changed(store.Event{Item: entryOf("a", "draining")})
 	d.Changed(store.Event{Item: store.Item{Key: "u/b"}, Deleted: true})
-	d.Reject("c")
+	d.Reject(Life{ID: "c"})
 	require.Equal(t, []string{"d"}, ids(d))
 	d.Changed(store.Event{Item: entryOf("c", "ready")})
 	require.Equal(t, []string{"d"}, ids(d), "an incarnation whose address another one has does not return")
@@ -86,3 +95,79 @@
 	require.Empty(t, ids(d))
 	require.Empty(t, d.All())
 }
+
+// An upstream crashes and starts again under its id before its entry lapsed. Another process
+// had answered at its address meanwhile, so its first life was shut out; the second one takes
+// requests at once. What is told late of the first life changes nothing.
+func TestRestartUnderTheSameID(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := directoryAt(&now)
+	written := func(state string, revision store.Revision) store.Item {
+		return store.Item{Key: "u/a", Value: []byte(state), Revision: revision}
+	}
+	d.Reset([]store.Item{written("ready@1", 5)})
+	d.Reject(Life{ID: "a", Born: 1})
+	require.Empty(t, ids(d))
+	d.Changed(store.Event{Item: written("ready@1", 6)})
+	require.Empty(t, ids(d), "the same life writes again")
+	d.Changed(store.Event{Item: written("ready@2", 8)})
+	require.Equal(t, []string{"a"}, ids(d))
+	require.EqualValues(t, 2, d.Of("s")[0].Born)
+	d.Changed(store.Event{Item: written("draining@1", 7)})
+	d.Changed(store.Event{Item: store.Item{Key: "u/a", Revision: 7}, Deleted: true})
+	d.Reject(Life{ID: "a", Born: 1})
+	require.EqualValues(t, 2, d.Of("s")[0].Born, "what is late or about the first life changes nothing")
+}
+
+// An upstream's life ends while the store is away, and its entry is one of a new life at the
+// return. The old life, which was leaving, does not keep the new one from getting requests.
+func TestRestartDuringAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := directoryAt(&now)
+	d.Reset([]store.Item{entryOf("a", "draining@1")})
+	d.Lost(store.ErrUnknown)
+	d.Reset([]store.Item{entryOf("a", "ready@2")})
+	require.Equal(t, []string{"a"}, ids(d))
+}
+
+// counting counts the entries that were said to be unreadable.
+type counting struct {
+	quiet
+	unreadable int
+}
+
+func (c *counting) UpstreamUnreadable(error) { c.unreadable++ }
+
+// Another writer spoils one entry. It names nothing to use from then on, also while the store
+// is away; the others hold. The fault is said once, and a good entry is used at once.
+func TestSpoiledEntry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := directoryAt(&now)
+	said := &counting{}
+	d.Report = said
+	both := func(a string) []store.Item { return []store.Item{entryOf("a", a), entryOf("b", "ready")} }
+	d.Reset(both("ready"))
+	d.Changed(store.Event{Item: entryOf("a", "spoiled")})
+	require.Equal(t, []string{"b"}, ids(d))
+	d.Lost(store.ErrUnknown)
+	d.Reset(both("spoiled"))
+	d.Reset(both("spoiled"))
+	require.Equal(t, []string{"b"}, ids(d))
+	require.Equal(t, 1, said.unreadable)
+	d.Changed(store.Event{Item: store.Item{Key: "u/a", Value: []byte("ready"), Revision: 9}})
+	require.ElementsMatch(t, []string{"a", "b"}, ids(d))
+	d.Changed(store.Event{Item: store.Item{Key: "u/a", Value: []byte("spoiled"), Revision: 10}})
+	require.Equal(t, 2, said.unreadable)
+}
+
+// All upstreams of this platform tell when they started, and one entry does not: another
+// writer made it up. Where none tells it, as on other platforms, all are used; one entry that
+// does changes nothing there.
+func TestEntriesThatTellNoStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := directoryAt(&now)
+	d.Reset([]store.Item{entryOf("a", "ready@1"), entryOf("b", "ready@1"), entryOf("made-up", "ready")})
+	require.ElementsMatch(t, []string{"a", "b"}, ids(d))
+	d.Reset([]store.Item{entryOf("a", "ready"), entryOf("b", "ready"), entryOf("made-up", "ready@1")})
+	require.ElementsMatch(t, []string{"a", "b", "made-up"}, ids(d))
+}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -9,13 +9,13 @@
 
 // UpstreamChanged implements directory.Reporter.
 func (g *Gateway) UpstreamChanged(u directory.Upstream) {
-	g.Log.Info().Str("upstream", u.ID).Str("service", u.Service).Str("address", u.Address).
+	g.Log.Info().Stringer("upstream", u.Life).Str("service", u.Service).Str("address", u.Address).
 		Str("datacentre", u.Datacentre).Bool("leaving", u.Leaving).Msg("upstream_changed")
 }
 
 // UpstreamGone implements directory.Reporter.
 func (g *Gateway) UpstreamGone(u directory.Upstream, why string) {
-	g.Log.Info().Str("upstream", u.ID).Str("service", u.Service).Str("why", why).Msg("upstream_gone")
+	g.Log.Info().Stringer("upstream", u.Life).Str("service", u.Service).Str("why", why).Msg("upstream_gone")
 }
 
 // DirectoryLost implements directory.Reporter.
@@ -29,6 +29,7 @@
 
 // UpstreamUnreadable implements directory.Reporter.
 func (g *Gateway) UpstreamUnreadable(err error) {
+	g.Metrics.GetOrCreateCounter("arbutusmill_unreadable_entries_total").Inc()
 	g.Log.Error().Err(err).Msg("upstream_unreadable")
 }
 
@@ -89,7 +90,7 @@
 }
 
 // engineExposed logs that an engine is left to short prompts, or not any more.
-func (g *Gateway) engineExposed(id string, exposed bool, heldUp, slowness float64) {
-	g.Log.Info().Str("upstream", id).Bool("exposed", exposed).Float64("pause_of_goal", heldUp).Float64("slowness", slowness).
+func (g *Gateway) engineExposed(life directory.Life, exposed bool, heldUp, slowness float64) {
+	g.Log.Info().Stringer("upstream", life).Bool("exposed", exposed).Float64("pause_of_goal", heldUp).Float64("slowness", slowness).
 		Msg("engine_left_to_short_prompts")
 }
--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -14,6 +14,9 @@
 // before it counts as gone: one may be lost to a moment of load.
 const mostSilent = 2
 
+// errRestarted says that the upstream started again between its report and its list.
+var errRestarted = errors.New("the upstream has started again meanwhile")
+
 // neighbour follows the upstream on the lender's VM. A VM is taken away with its upstream,
 // often without a signal to the other processes on it, and what a lender holds at that
 // moment is lost. So a lender is home to budgets only while its upstream serves: it steps
@@ -24,18 +27,40 @@
 	client  *http.Client
 	silent  int
 	fit     bool
+	// born is when the upstream started, by its last answer; answered says that there was one.
+	born     int64
+	answered bool
+}
+
+// news is what one question to the upstream brought.
+type news struct {
+	report platform.Report
+	// fit says that the lender should be a home; changed, that this has changed, and why.
+	fit, changed bool
+	why          string
+	// restarted says that the upstream is a new one under the address.
+	restarted bool
 }
 
-// ask asks once, and reports whether the lender should be a home, whether that changed,
-// and why.
-func (n *neighbour) ask(ctx context.Context) (r platform.Report, fit, changed bool, why string) {
+// ask asks once.
+func (n *neighbour) ask(ctx context.Context) news {
 	ctx, cancel := context.WithTimeout(ctx, n.timeout)
 	defer cancel()
 	r, err := platform.ReadReport(ctx, n.client, n.address)
-	fit, why = n.judge(r, err)
-	changed = fit != n.fit
+	return n.take(r, err)
+}
+
+// take notes an answer. An upstream may crash and start again between two questions, so that
+// none of them stays without an answer; its start then tells.
+func (n *neighbour) take(r platform.Report, err error) news {
+	fit, why := n.judge(r, err)
+	out := news{report: r, fit: fit, changed: fit != n.fit, why: why}
 	n.fit = fit
-	return r, fit, changed, why
+	if err == nil {
+		out.restarted = n.answered && r.Born != n.born
+		n.answered, n.born = true, r.Born
+	}
+	return out
 }
 
 // judge decides by the newest answer.
@@ -54,30 +79,34 @@
 
 // followUpstream asks once and steps aside or comes back.
 func (l *Lender) followUpstream(ctx context.Context) {
-	r, fit, changed, why := l.upstream.ask(ctx)
-	if room := r.MemoryTokens - r.HeldTokens; room > 0 {
+	n := l.upstream.ask(ctx)
+	if room := n.report.MemoryTokens - n.report.HeldTokens; room > 0 {
 		l.engine.SetRoom(room)
 	}
-	if changed {
-		l.engine.Restarted(l.cachedBeside(ctx, fit))
-		l.Log.Info().Bool("home", fit).Str("why", why).Msg("upstream_beside")
+	if n.changed || n.restarted {
+		l.engine.Restarted(l.upstream.born, l.cachedBeside(ctx, n))
+		l.Log.Info().Bool("home", n.fit).Str("why", n.why).Int64("born", l.upstream.born).Bool("restarted", n.restarted).
+			Msg("upstream_beside")
 	}
-	l.Members.StepAside(!fit || l.stopping.Load())
+	l.Members.StepAside(!n.fit || l.stopping.Load())
 }
 
 // cachedBeside is what the upstream has cached when this process begins to hear of prompts:
 // after all processes were lost at once, upstreams still keep what they had read. It is asked
-// once, since the answer delays the upstream.
-func (l *Lender) cachedBeside(ctx context.Context, fit bool) []prefill.Part {
-	if !fit {
+// once, since the answer delays the upstream, and not at all of one that has just started.
+func (l *Lender) cachedBeside(ctx context.Context, n news) []prefill.Part {
+	if !n.fit || n.restarted {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.upstream.timeout)
 	defer cancel()
-	parts, err := platform.ReadCache(ctx, l.upstream.client, l.upstream.address)
+	list, err := platform.ReadCache(ctx, l.upstream.client, l.upstream.address)
+	if err == nil && list.Born != l.upstream.born {
+		err = errRestarted
+	}
 	if err != nil {
 		l.Log.Warn().Err(err).Msg("cache_not_read") // prompts are taken for unread
 		return nil
 	}
-	return parts
+	return list.Parts
 }
--- a/lender/upstream_test.go
+++ b/lender/upstream_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// An upstream crashes and is back before it was asked twice in vain, or even once. What the
+// lender knew of its cache and queue is then of an earlier life, and only its start tells so.
+func TestRestartBetweenTwoQuestions(t *testing.T) {
+	n := &neighbour{}
+	serves := func(born int64) news { return n.take(platform.Report{State: "ready", Born: born}, nil) }
+	require.Equal(t, news{report: platform.Report{State: "ready", Born: 1}, fit: true, changed: true, why: "state ready"}, serves(1))
+	require.False(t, serves(1).restarted)
+	again := serves(2)
+	require.True(t, again.restarted)
+	require.False(t, again.changed)
+	n.take(platform.Report{}, errors.New("no answer"))
+	require.False(t, serves(2).restarted, "it was late once")
+	require.EqualValues(t, 2, n.born)
+}
+
 // The platform knows no upstream beside this process, and leaves the field empty.
 func TestNoUpstreamBeside(t *testing.T) {
 	s, err := settings.ParseLender([]byte("vm: a\ndatacentre: b\nlisten: {admin: \"127.0.0.1:1\", link: \"127.0.0.1:2\"}\n" +
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,13 +11,14 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
+	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/serving"
 )
 
 // Upstream is one candidate as the router believes it to be.
 type Upstream struct {
-	ID         string
+	Life       directory.Life
 	Datacentre string
 	// Slots is how many requests it runs at once.
 	Slots int
@@ -274,11 +275,11 @@
 	}
 	ids := make([]string, len(usable))
 	for k, i := range usable {
-		ids[k] = ups[i].ID
+		ids[k] = ups[i].Life.ID
 	}
 	id := rendezvous.Pick(key, ids)
 	for _, i := range usable {
-		if ups[i].ID == id {
+		if ups[i].Life.ID == id {
 			return i
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
+	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/stretchr/testify/require"
@@ -17,7 +18,7 @@
 func engines(n int) []Upstream {
 	out := make([]Upstream, n)
 	for i := range out {
-		out[i] = Upstream{ID: fmt.Sprint("e", i), Datacentre: "bergen", Slots: 64}
+		out[i] = Upstream{Life: directory.Life{ID: fmt.Sprint("e", i)}, Datacentre: "bergen", Slots: 64}
 	}
 	return out
 }
@@ -35,14 +36,14 @@
 	ups := engines(12)
 	ids := make([]string, len(ups))
 	for i, u := range ups {
-		ids[i] = u.ID
+		ids[i] = u.Life.ID
 	}
 	tie := seeded()
 	for s := range 50 {
 		subject := fmt.Sprint("s", s)
 		c, ok := Choose(prompt(subject), ups, rates, tie)
 		require.True(t, ok)
-		require.Equal(t, rendezvous.Pick(subject, ids), ups[c.Index].ID)
+		require.Equal(t, rendezvous.Pick(subject, ids), ups[c.Index].Life.ID)
 		require.Equal(t, -1, c.FetchFrom)
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -58,18 +58,18 @@
 	// Exposed, if set, is told when an engine is to be left to short prompts and when not
 	// any more, and what decided it: how long streams of its service are held up, as a share
 	// of their goal, and how many times as long as others it takes. It must not block.
-	Exposed func(id string, exposed bool, heldUp, slowness float64)
+	Exposed func(life directory.Life, exposed bool, heldUp, slowness float64)
 	// Now is the clock.
 	Now func() time.Time
 
 	mu     sync.Mutex
-	states map[string]*state // by incarnation
+	states map[directory.Life]*state
 
 	// pauses are those of streams, by service.
 	pauses sync.Map // string to *pauses
 }
 
-// state is what is known of one incarnation.
+// state is what is known of one life of an upstream.
 type state struct {
 	running   int
 	unread    int64
@@ -138,8 +138,12 @@
 	return choice
 }
 
+// announce tells the process beside an engine of a prompt. An answer about another life of the
+// engine is none: either the entry is late or that process is, and a cache that is gone would
+// draw prompts there.
 func (p *Pool) announce(r *serving.Request, u directory.Upstream, c placement.Choice) (prefill.Told, bool) {
-	return p.Ask(u.Address, announcement(r, c))
+	told, ok := p.Ask(u.Address, announcement(r, c))
+	return told, ok && told.Born == u.Born
 }
 
 func announcement(r *serving.Request, c placement.Choice) prefill.Announcement {
@@ -164,29 +168,29 @@
 	paces := make([]time.Duration, len(views))
 	eventTimes := make([]time.Duration, len(views))
 	for i, v := range views {
-		s := p.stateLocked(v.ID)
+		s := p.stateLocked(v.Life)
 		paces[i], eventTimes[i] = s.pace, s.eventTime
 	}
 	usual, usualEvent := usualPace(slices.Clone(paces)), usualPace(slices.Clone(eventTimes))
 	held := p.pausesOf(service).share()
 	for i := range views {
-		s := p.stateLocked(views[i].ID)
+		s := p.stateLocked(views[i].Life)
 		s.slowness = slowness(paces[i], usual)
-		p.judgeLocked(views[i].ID, s, held)
+		p.judgeLocked(views[i].Life, s, held)
 		views[i].Exposed = s.exposed
 		views[i].EventTime = cmp.Or(eventTimes[i], usualEvent)
 	}
 }
 
 // judgeLocked decides whether an engine's streams are held up too long.
-func (p *Pool) judgeLocked(id string, s *state, held float64) {
+func (p *Pool) judgeLocked(life directory.Life, s *state, held float64) {
 	exposed := s.reports >= leastReports && placement.Exposed(s.exposed, held, s.slowness)
 	if exposed == s.exposed {
 		return
 	}
 	s.exposed = exposed
 	if p.Exposed != nil {
-		p.Exposed(id, exposed, held, s.slowness)
+		p.Exposed(life, exposed, held, s.slowness)
 	}
 }
 
@@ -204,13 +208,13 @@
 	if len(attempts) == 0 {
 		return ups
 	}
-	tried := map[string]bool{}
+	tried := map[directory.Life]bool{}
 	for _, a := range attempts {
 		tried[a.Upstream] = true
 	}
 	var out []directory.Upstream
 	for _, u := range ups {
-		if !tried[u.ID] {
+		if !tried[u.Life] {
 			out = append(out, u)
 		}
 	}
@@ -232,9 +236,9 @@
 }
 
 func (p *Pool) viewLocked(now time.Time, r *serving.Request, u directory.Upstream) placement.Upstream {
-	s := p.stateLocked(u.ID)
+	s := p.stateLocked(u.Life)
 	return placement.Upstream{
-		ID:           u.ID,
+		Life:         u.Life,
 		Datacentre:   u.Datacentre,
 		Slots:        u.Slots,
 		Running:      s.running,
@@ -245,68 +249,68 @@
 	}
 }
 
-func (p *Pool) stateLocked(id string) *state {
+func (p *Pool) stateLocked(life directory.Life) *state {
 	if p.states == nil {
-		p.states = map[string]*state{}
+		p.states = map[directory.Life]*state{}
 	}
-	s := p.states[id]
+	s := p.states[life]
 	if s == nil {
 		s = &state{}
-		p.states[id] = s
+		p.states[life] = s
 	}
 	return s
 }
 
 func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice) serving.Target {
 	u := ups[c.Index]
-	s := p.stateLocked(u.ID)
+	s := p.stateLocked(u.Life)
 	s.running++
 	s.unread += c.Unread
 	if e := r.Service.Engine; e != nil {
 		s.cache.Add(r.Parts, int64(cacheShare*float64(e.CacheTokens)))
 	}
-	t := serving.Target{ID: u.ID, Address: u.Address, Until: r.Until}
+	t := serving.Target{Life: u.Life, Address: u.Address, Until: r.Until}
 	if c.FetchFrom >= 0 {
 		t.FetchFrom = ups[c.FetchFrom].Address
 	}
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
 	}
-	one := &run{pool: p, upstream: u.ID, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name)}
+	one := &run{pool: p, upstream: u.Life, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name)}
 	t.Event, t.Done = one.event, one.done
 	return t
 }
 
 // read notes that a request's prompt was read: its first event came, or it ended.
-func (p *Pool) read(id string, tokens int64) {
+func (p *Pool) read(life directory.Life, tokens int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stateLocked(id).unread -= tokens
+	p.stateLocked(life).unread -= tokens
 }
 
 // load is what this router has at an upstream.
-func (p *Pool) load(id string) serving.Load {
+func (p *Pool) load(life directory.Life) serving.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.stateLocked(id)
+	s := p.stateLocked(life)
 	return serving.Load{Running: s.running, Unread: s.unread}
 }
 
 // paced notes the pace of an engine's stream.
-func (p *Pool) paced(id string, of pace) {
+func (p *Pool) paced(life directory.Life, of pace) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.stateLocked(id).paced(of)
+	p.stateLocked(life).paced(of)
 }
 
 // done notes how an attempt ended.
-func (p *Pool) done(id string, a serving.Attempt) {
+func (p *Pool) done(life directory.Life, a serving.Attempt) {
 	if a.Result == serving.Misdirected {
-		p.Directory.Reject(id)
+		p.Directory.Reject(life)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.stateLocked(id)
+	s := p.stateLocked(life)
 	s.running--
 	now := p.Now()
 	switch a.Result {
@@ -344,18 +348,18 @@
 	return math.Exp2(-float64(age) / float64(failureHalfLife))
 }
 
-// Forget drops what is known of incarnations that are no longer listed and have
+// Forget drops what is known of lives that are no longer listed and have
 // nothing running; call it now and then.
 func (p *Pool) Forget() {
-	listed := map[string]bool{}
+	listed := map[directory.Life]bool{}
 	for _, u := range p.Directory.All() {
-		listed[u.ID] = true
+		listed[u.Life] = true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for id, s := range p.states {
-		if !listed[id] && s.running == 0 {
-			delete(p.states, id)
+	for life, s := range p.states {
+		if !listed[life] && s.running == 0 {
+			delete(p.states, life)
 		}
 	}
 }
@@ -378,8 +382,8 @@
 	defer p.mu.Unlock()
 	now := p.Now()
 	out := make([]State, 0, len(p.states))
-	for id, s := range p.states {
-		out = append(out, State{Upstream: id, Running: s.running, Unread: s.unread,
+	for life, s := range p.states {
+		out = append(out, State{Upstream: life.String(), Running: s.running, Unread: s.unread,
 			Cached: s.cache.Tokens(), Fails: s.fails, FailureShare: s.failureShare(now),
 			Slowness: s.slowness, Exposed: s.exposed})
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -8,6 +8,7 @@
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/placement"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/stretchr/testify/require"
@@ -26,7 +27,7 @@
 func poolOf(now *time.Time) *Pool {
 	clock := func() time.Time { return *now }
 	d := &directory.Directory{Report: quiet{}, Now: clock, Decode: func(it store.Item) (directory.Upstream, error) {
-		return directory.Upstream{ID: it.Key, Address: it.Key, Service: "s", Slots: 6}, nil
+		return directory.Upstream{Life: directory.Life{ID: it.Key}, Address: it.Key, Service: "s", Slots: 6}, nil
 	}}
 	d.Reset([]store.Item{{Key: "a"}, {Key: "b"}})
 	return &Pool{Directory: d, PrefillPerMs: 50, Routers: func() int { return 1 }, Now: clock}
@@ -44,7 +45,7 @@
 	for range tries {
 		target, ok := p.Pick(plain(now), nil)
 		require.True(t, ok)
-		if target.ID == id {
+		if target.Life.ID == id {
 			return target, true
 		}
 		target.Done(serving.Attempt{Result: serving.Whole})
@@ -61,7 +62,7 @@
 		target, ok := pickUntil(t, p, now, "a")
 		require.True(t, ok)
 		target.Done(serving.Attempt{Result: serving.Unreached})
-		require.Equal(t, now.Add(pause), p.states["a"].avoid)
+		require.Equal(t, now.Add(pause), p.states[directory.Life{ID: "a"}].avoid)
 		_, ok = pickUntil(t, p, now, "a")
 		require.False(t, ok)
 		now = now.Add(pause + 20*failureHalfLife) // its share of failures is forgotten too
@@ -78,9 +79,9 @@
 	r.Route = &catalog.Route{Kind: catalog.Unsafe, MaxRuns: 1}
 	target, _ = p.Pick(r, nil)
 	require.Equal(t, r.Until, target.Until)
-	other, ok := p.Pick(r, []serving.Attempt{{Upstream: target.ID}})
+	other, ok := p.Pick(r, []serving.Attempt{{Upstream: target.Life}})
 	require.True(t, ok)
-	require.NotEqual(t, target.ID, other.ID)
+	require.NotEqual(t, target.Life, other.Life)
 }
 
 // The process beside the preferred engine tells of a long queue. The request goes to another
@@ -110,6 +111,66 @@
 	require.Equal(t, map[string]int{home.Address: 2, other.Address: 1}, announced)
 }
 
+// restart gives the upstream a new life, at the same address.
+func restart(p *Pool, id string, born int64) {
+	p.Directory.Decode = func(it store.Item) (directory.Upstream, error) {
+		return directory.Upstream{Life: directory.Life{ID: it.Key, Born: born}, Address: it.Key, Service: "s", Slots: 6}, nil
+	}
+	p.Directory.Changed(store.Event{Item: store.Item{Key: id, Revision: store.Revision(born)}})
+}
+
+// An engine that failed, and had much to read and much in its cache, starts again under its
+// id. Nothing of that is held for or against the new life: it gets requests at once, and no
+// prompt is sent there for a cache that is gone. A request that failed in the life before may
+// be sent to the new one, and its late end does not count there.
+func TestNothingIsKnownOfANewLife(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	r := plain(now)
+	r.Service.Engine = &catalog.Engine{CacheTokens: 400_000}
+	r.Prompt, r.Parts = 17_000, []prefill.Part{{ID: "subject", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}
+	before, ok := p.Pick(r, nil)
+	require.True(t, ok)
+	id := before.Life.ID
+	for range 3 {
+		p.done(before.Life, serving.Attempt{Result: serving.Unknown})
+	}
+	restart(p, id, 2)
+	life := directory.Life{ID: id, Born: 2}
+	view := func() placement.Upstream {
+		ups := untried(p.Directory.Of("s"), []serving.Attempt{{Upstream: before.Life}})
+		for _, v := range p.views(r, ups) {
+			if v.Life == life {
+				return v
+			}
+		}
+		t.Fatal("the new life is not tried")
+		return placement.Upstream{}
+	}
+	require.Equal(t, placement.Upstream{Life: life, Slots: 6}, view())
+	before.Done(serving.Attempt{Result: serving.Unknown})
+	require.Equal(t, placement.Upstream{Life: life, Slots: 6}, view())
+}
+
+// The process beside an engine tells of its cache, but has not noticed yet that the engine has
+// started again; or the router has not. What it tells is left alone.
+func TestToldOfAnotherLife(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	p.Ask = func(string, prefill.Announcement) (prefill.Told, bool) {
+		return prefill.Told{Cached: 13_300, Born: 7}, true
+	}
+	r := plain(now)
+	r.Prompt, r.Parts = 17_000, []prefill.Part{{ID: "subject", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}
+	_, ok := p.announce(r, p.Directory.Of("s")[0], placement.Choice{})
+	require.False(t, ok)
+	restart(p, "a", 7)
+	for _, u := range p.Directory.Of("s") {
+		_, ok := p.announce(r, u, placement.Choice{})
+		require.Equal(t, u.ID == "a", ok)
+	}
+}
+
 // BenchmarkPick is the choice for one prompt among all upstreams of a large service.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{12, 186, 1300} {
@@ -122,7 +183,7 @@
 			}
 			p.Directory.Reset(items)
 			for i, it := range items { // streams have told how fast each engine is
-				p.paced(it.Key, pace{least: time.Duration(20+i%7) * time.Millisecond, mean: time.Duration(30+i%11) * time.Millisecond})
+				p.paced(directory.Life{ID: it.Key}, pace{least: time.Duration(20+i%7) * time.Millisecond, mean: time.Duration(30+i%11) * time.Millisecond})
 			}
 			r := plain(now)
 			r.Prompt, r.Parts = 17_000, []prefill.Part{{ID: "subject", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}
--- a/pool/run.go
+++ b/pool/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/placement"
 	"github.com/arbutusmill/arbutusmill/serving"
 )
@@ -10,7 +11,7 @@
 // run follows one attempt, from the choice of its upstream to its end. One goroutine uses it.
 type run struct {
 	pool     *Pool
-	upstream string
+	upstream directory.Life
 	choice   placement.Choice
 	// goal is that of the route for pauses; slowness is the engine's at the choice.
 	goal     time.Duration
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
+	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/stretchr/testify/require"
 )
@@ -43,8 +44,8 @@
 	for _, v := range p.views(plain(now), p.Directory.Of("s")) {
 		require.Positive(t, v.EventTime)
 	}
-	require.InDelta(t, 1, p.states["a"].slowness, 0.01)
-	require.InDelta(t, 1.3, p.states["b"].slowness, 0.01)
+	require.InDelta(t, 1, p.states[directory.Life{ID: "a"}].slowness, 0.01)
+	require.InDelta(t, 1.3, p.states[directory.Life{ID: "b"}].slowness, 0.01)
 }
 
 // An engine of usual speed reads one prompt after the other for a second, so that its streams
@@ -59,12 +60,12 @@
 		stream(t, p, &now, "b", 13, steady(60*time.Millisecond))
 	}
 	p.views(plain(now), p.Directory.Of("s"))
-	require.Less(t, p.states["b"].slowness, 1.3)
+	require.Less(t, p.states[directory.Life{ID: "b"}].slowness, 1.3)
 	for range 30 {
 		stream(t, p, &now, "b", 13, steady(60*time.Millisecond))
 	}
 	p.views(plain(now), p.Directory.Of("s"))
-	require.Greater(t, p.states["b"].slowness, 2.0, "it has turned slow")
+	require.Greater(t, p.states[directory.Life{ID: "b"}].slowness, 2.0, "it has turned slow")
 }
 
 // A router has seen one stream of an engine, which happened to be slow. Homes of prompts do not
@@ -77,7 +78,7 @@
 		now = now.Add(pauseRefresh)
 	}
 	changes := 0
-	p.Exposed = func(string, bool, float64, float64) { changes++ }
+	p.Exposed = func(directory.Life, bool, float64, float64) { changes++ }
 	stream(t, p, &now, "a", 40, steady(20*time.Millisecond))
 	stream(t, p, &now, "b", 13, steady(30*time.Millisecond))
 	p.views(plain(now), p.Directory.Of("s"))
@@ -85,7 +86,7 @@
 	stream(t, p, &now, "b", 25, steady(30*time.Millisecond))
 	p.views(plain(now), p.Directory.Of("s"))
 	require.Equal(t, 1, changes)
-	require.True(t, p.states["b"].exposed)
+	require.True(t, p.states[directory.Life{ID: "b"}].exposed)
 }
 
 // Streams are held up for nine tenths of what their route allows. That is known after a
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -22,6 +22,9 @@
 	Cached int64 `json:"cached"`
 	// Unread is the tokens of the prompt that it has to read.
 	Unread int64 `json:"unread"`
+	// Born is the start of the engine that this is about, as far as is known beside it; see
+	// directory.Life.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Engine is one engine as seen by a process that hears of every prompt sent there. It is
@@ -32,6 +35,7 @@
 	mu    sync.Mutex
 	cache Cache
 	room  int64
+	born  int64
 }
 
 // NewEngine makes the model of an engine that has read nothing.
@@ -44,11 +48,13 @@
 	e.room = tokens
 }
 
-// Restarted begins anew with what the engine has cached: nothing if it is new, much if only
-// the process that keeps this model was away.
-func (e *Engine) Restarted(cached []Part) {
+// Restarted begins anew with an engine that started at born: it has nothing to read, and has
+// cached nothing if it is new, much if only the process that keeps this model was away.
+func (e *Engine) Restarted(born int64, cached []Part) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.born = born
+	e.queue.Clear()
 	e.cache = Cache{}
 	e.cache.Add(cached, e.room)
 }
@@ -56,18 +62,22 @@
 // Announce notes a prompt, and tells what was known before.
 func (e *Engine) Announce(now time.Time, a Announcement) Told {
 	e.mu.Lock()
-	cached := e.cache.Match(a.Parts)
+	cached, born := e.cache.Match(a.Parts), e.born
 	e.cache.Add(a.Parts, e.room)
 	e.mu.Unlock()
 	unread := max(0, a.Prompt-max(cached, a.Fetched))
-	return Told{Backlog: e.queue.Add(now, unread), Cached: cached, Unread: unread}
+	return Told{Backlog: e.queue.Add(now, unread), Cached: cached, Unread: unread, Born: born}
 }
 
-// Withdraw takes an announcement back: the prompt went elsewhere.
+// Withdraw takes an announcement back: the prompt went elsewhere. One that was made before the
+// engine's restart is gone already; to take it back would remove what others announced since.
 func (e *Engine) Withdraw(now time.Time, a Announcement, told Told) {
-	e.queue.Add(now, -told.Unread)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if told.Born != e.born {
+		return
+	}
+	e.queue.Add(now, -told.Unread)
 	e.cache.Forget(beyond(a.Parts, told.Cached))
 }
 
@@ -87,11 +97,12 @@
 	Backlog int64 `json:"backlog"`
 	Cached  int64 `json:"cached"`
 	Room    int64 `json:"room"`
+	Born    int64 `json:"born_unix_ms,omitempty"`
 }
 
 // State returns what is known now.
 func (e *Engine) State(now time.Time) State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return State{Backlog: e.queue.Add(now, 0), Cached: e.cache.Tokens(), Room: e.room}
+	return State{Backlog: e.queue.Add(now, 0), Cached: e.cache.Tokens(), Room: e.room, Born: e.born}
 }
--- a/prefill/queue.go
+++ b/prefill/queue.go
@@ -33,3 +33,10 @@
 	q.tokens, q.at = max(0, left+float64(tokens)), now
 	return int64(left)
 }
+
+// Clear empties the queue.
+func (q *Queue) Clear() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tokens = 0
+}
--- a/prefill/queue_test.go
+++ b/prefill/queue_test.go
@@ -39,9 +39,9 @@
 	require.Equal(t, Told{Cached: 13_300, Unread: 3_700}, told)
 	e.Withdraw(now, second, told)
 	require.Equal(t, Told{Cached: 13_300, Unread: 3_700}, e.Announce(now, second))
-	e.Restarted([]Part{subject})
+	e.Restarted(0, []Part{subject})
 	require.EqualValues(t, 13_300, e.Announce(now.Add(time.Second), first).Cached)
-	e.Restarted(nil)
+	e.Restarted(0, nil)
 	require.Zero(t, e.Announce(now.Add(time.Second), first).Cached)
 }
 
@@ -52,3 +52,19 @@
 	a := Announcement{Prompt: 17_000, Fetched: 13_300, Parts: []Part{{ID: "s", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}}
 	require.EqualValues(t, 3_700, e.Announce(time.Unix(0, 0), a).Unread)
 }
+
+// An engine starts again between an announcement and its withdrawal. Its queue and cache are
+// those of its new life, which another router has announced to by then: nothing of that goes.
+func TestWithdrawalOfAnEarlierLife(t *testing.T) {
+	now := time.Unix(0, 0)
+	e := NewEngine(50)
+	e.SetRoom(100_000)
+	prompt := Announcement{Prompt: 17_000, Parts: []Part{{ID: "subject", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}}
+	e.Restarted(1, nil)
+	told := e.Announce(now, prompt)
+	require.EqualValues(t, 1, told.Born)
+	e.Restarted(2, nil)
+	require.Equal(t, Told{Unread: 17_000, Born: 2}, e.Announce(now, prompt), "nothing is queued or cached in the new life")
+	e.Withdraw(now, prompt, told)
+	require.Equal(t, State{Backlog: 17_000, Cached: 17_000, Room: 100_000, Born: 2}, e.State(now))
+}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/arbutusmill/arbutusmill/agent"
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/hop"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/upstream"
@@ -67,7 +68,7 @@
 func (a *agents) Pick(_ *serving.Request, attempts []serving.Attempt) (serving.Target, bool) {
 	tried := map[string]bool{}
 	for _, at := range attempts {
-		tried[at.Upstream] = true
+		tried[at.Upstream.ID] = true
 	}
 	if !a.job.body.again() {
 		return serving.Target{}, false
@@ -80,7 +81,7 @@
 		a.metrics.retries.Inc()
 	}
 	a.byID[chosen.ID] = chosen
-	return serving.Target{ID: chosen.ID, Address: chosen.Work, Event: func(time.Time) {},
+	return serving.Target{Life: directory.Life{ID: chosen.ID}, Address: chosen.Work, Event: func(time.Time) {},
 		Done: func(at serving.Attempt) serving.Attempt {
 			done(answered(at.Result))
 			return at
@@ -94,10 +95,10 @@
 
 // Send implements serving.Upstreams.
 func (a *agents) Send(ctx context.Context, _ *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
-	a.last = a.byID[t.ID]
+	a.last = a.byID[t.Life.ID]
 	a.served = false
 	at := a.send(ctx, out)
-	at.Upstream = t.ID
+	at.Upstream = t.Life
 	if !at.Result.NotRun() && !a.served {
 		a.unsure = a.last
 	}
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/directory"
 )
 
 // Result is what one send came to.
@@ -53,7 +54,7 @@
 
 // Attempt is one send and what came of it.
 type Attempt struct {
-	Upstream string
+	Upstream directory.Life
 	Result   Result
 	// Why says more, for the log.
 	Why string
--- a/serving/path.go
+++ b/serving/path.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/directory"
 )
 
 // Upstreams chooses upstreams and speaks their dialect.
@@ -18,8 +19,8 @@
 
 // Target is the upstream that was chosen.
 type Target struct {
-	// ID is the upstream's incarnation.
-	ID string
+	// Life is the upstream and its start.
+	Life directory.Life
 	// Address is host:port.
 	Address string
 	// FetchFrom is the address of an upstream that probably has more of the
