--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -6,13 +6,18 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
+	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/zeebo/errs"
 )
 
 // Member is one process.
@@ -29,43 +34,55 @@
 	Address string `json:"address"`
 	// Beside is the address of the upstream on its VM, "" if there is none.
 	Beside string `json:"beside,omitempty"`
+	// Relays says that its VM is strong enough to relay the store's changes to many others.
+	Relays bool `json:"relays,omitempty"`
 	// revision is that of the key; of two lives of one VM the newer has the higher.
 	revision store.Revision
 }
 
-// Group is a process's view of all members, itself included while its lease holds.
-// While the store is away the view stays as it was: members that the process cannot
-// hear of are more likely alive than gone, and what is shared by their number (retry
-// budget, connections) is then divided by too many rather than too few.
+// Group is a process's view of all members, itself included while its lease holds. It
+// implements mirror.Reader: whoever follows the members' keys passes them on to it.
+//
+// While they are not followed the view stays as it was: members that the process cannot hear
+// of are more likely alive than gone, and what is shared by their number (retry budget,
+// connections) is then divided by too many rather than too few.
 type Group struct {
 	// Store and Prefix say where the keys are.
 	Store  store.Store
 	Prefix string
 	// Self is this process.
 	Self Member
-	// TTL is the lease's time, and Interval the pause between two renewals and reads.
-	// The lease should outlast usual cuts from the store: a process that starts just
-	// after one would otherwise find nobody listed and take itself for the only one.
+	// TTL is the lease's time, and Interval the pause between two renewals. The lease should
+	// outlast usual cuts from the store: a process that starts just after one would otherwise
+	// find nobody listed and take itself for the only one.
 	TTL      time.Duration
 	Interval time.Duration
 	// Report is told of failures and of changes of the number of members.
 	Report Reporter
 
-	once    sync.Once
-	woken   chan struct{} // wakes Keep
+	once  sync.Once
+	woken chan struct{} // wakes Keep
+
 	mu      sync.Mutex
-	members map[string]Member
-	beside  map[string]Member // by the upstream's address
+	members map[string]Member // nil before the first read
+	beside  map[string]Member // by the upstream's address; nil while it is not known
 	former  map[string]formerMember
+	// told is the number of members that was reported last.
+	told int
+	// missing are members of the view that are not listed, after an outage of the store, and
+	// when they were missed.
+	missing map[string]time.Time
 	lease   store.LeaseID
 	// aside says that this process is not to be listed.
 	aside bool
-	// lost says that the last read failed; doubtUntil is the end of the time in
+	// lost says that the members are not followed; doubtUntil is the end of the time in
 	// which missing members may have lapsed only because the store was away.
 	lost       bool
 	doubtUntil time.Time
 }
 
+var _ mirror.Reader = (*Group)(nil)
+
 // formerMember is one that is no longer listed.
 type formerMember struct {
 	Member
@@ -78,69 +95,117 @@
 
 // Reporter hears what a group goes through.
 type Reporter interface {
-	// MembersChanged is called with the number of members after each change.
+	// MembersChanged is called with the number of members when it has changed, at most once
+	// a second.
 	MembersChanged(count int)
-	// MembersLost is called each time that the store did not answer, MembersRead each
-	// time that it did.
+	// MembersLost is called when the members are not followed any more, MembersRead when
+	// they were read.
 	MembersLost(err error)
 	MembersRead()
+	// NotRegistered is called each time that the store did not take this process's own
+	// entry, Registered each time that it did.
+	NotRegistered(err error)
+	Registered()
+	// MemberUnreadable is called for an entry that cannot be decoded.
+	MemberUnreadable(err error)
 }
 
-// Keep registers this process, renews its lease and reads the members until the context
-// ends. Members are read, not watched: in a fleet of n, each one that comes or goes would
-// end n waiting calls, and a view that is two seconds old does no harm.
+const (
+	// retryMin and retryMax bound the pause before the own entry is tried again. A process
+	// that is not listed gets no work of others, but a whole fleet may be trying.
+	retryMin = 250 * time.Millisecond
+	retryMax = 2 * time.Second
+	// findTries is how often the list is read at the start until there is somebody else in
+	// it, and findPause the pause between. A fleet that starts at once is listed within it.
+	findTries = 3
+	findPause = 150 * time.Millisecond
+	// findTimeout bounds one such read: a store that is slow by a factor of 100 answers in it.
+	findTimeout = 500 * time.Millisecond
+	// tidyPause is the pause between two looks for members that did not return.
+	tidyPause = time.Second
+)
+
+// Keep registers this process and renews its lease until the context ends.
 func (g *Group) Keep(ctx context.Context) {
-	pause := firstPause
+	g.init()
+	tidy := time.NewTicker(tidyPause)
+	defer tidy.Stop()
+	retry := backoff.New(retryMin, retryMax)
+	next := time.NewTimer(0)
+	defer next.Stop()
 	for {
-		err := errors.Join(g.renew(ctx), g.read(ctx))
-		switch {
-		case err == nil:
-			g.Report.MembersRead()
-		case ctx.Err() == nil:
-			g.lose(err)
-		}
-		t := time.NewTimer(pause)
 		select {
 		case <-ctx.Done():
-			t.Stop()
 			return
-		case <-g.wake():
-		case <-t.C:
+		case <-tidy.C:
+			g.tidy(time.Now())
+		case <-g.woken:
+			next.Reset(0)
+		case <-next.C:
+			next.Reset(g.renewed(ctx, retry))
 		}
-		pause = min(2*pause, g.Interval)
 	}
 }
 
-// StepAside takes this process off the list, or puts it back, and keeps it so. A process
-// that is about to lose its VM steps aside while it can still hand over what it has.
-func (g *Group) StepAside(aside bool) {
-	g.mu.Lock()
-	changed := g.aside != aside
-	g.aside = aside
-	g.mu.Unlock()
-	if !changed {
-		return
+// renewed renews once and returns the pause until the next time.
+func (g *Group) renewed(ctx context.Context, retry *backoff.Backoff) time.Duration {
+	err := g.renew(ctx)
+	switch {
+	case err == nil:
+		g.Report.Registered()
+		retry.Reset()
+		return g.Interval
+	case ctx.Err() == nil:
+		g.Report.NotRegistered(err)
 	}
-	select {
-	case g.wake() <- struct{}{}:
-	default: // Keep has yet to take the last wake, and will see this too
+	return retry.Next()
+}
+
+// Find reads the list at the start until there is somebody else in it, or for a third of a second: whom
+// to follow is not known before, and if each process of a fleet that starts followed the store
+// meanwhile, they would ask for more than it takes.
+func (g *Group) Find(ctx context.Context) {
+	for try := range findTries {
+		if try > 0 && backoff.Sleep(ctx, findPause) != nil {
+			return
+		}
+		reading, cancel := context.WithTimeout(ctx, findTimeout)
+		items, err := g.Store.Peek(reading, g.Prefix)
+		cancel()
+		if err == nil {
+			g.Reset(items)
+			if len(g.Members()) > 1 {
+				return
+			}
+		}
 	}
 }
 
-func (g *Group) wake() chan struct{} {
-	g.once.Do(func() { g.woken = make(chan struct{}, 1) })
-	return g.woken
+func (g *Group) init() {
+	g.once.Do(func() {
+		g.woken = make(chan struct{}, 1)
+	})
 }
 
-// firstPause is the pause between the first two reads; it doubles up to the interval.
-// The members of a fleet that starts find each other within a second that way.
-const firstPause = 250 * time.Millisecond
+// wake makes Keep look at once.
+func (g *Group) wake() {
+	g.init()
+	select {
+	case g.woken <- struct{}{}:
+	default: // Keep has yet to take the last wake, and will see this too
+	}
+}
 
-func (g *Group) lose(err error) {
+// StepAside takes this process off the list, or puts it back, and keeps it so. A process
+// that is about to lose its VM steps aside while it can still hand over what it has.
+func (g *Group) StepAside(aside bool) {
 	g.mu.Lock()
-	g.lost = true
+	changed := g.aside != aside
+	g.aside = aside
 	g.mu.Unlock()
-	g.Report.MembersLost(err)
+	if changed {
+		g.wake()
+	}
 }
 
 // renew renews the lease, or registers anew when it has ended.
@@ -261,6 +326,9 @@
 func (g *Group) Beside(upstream string) (Member, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.beside == nil {
+		g.beside = besides(g.members)
+	}
 	m, ok := g.beside[upstream]
 	return m, ok
 }
@@ -279,9 +347,8 @@
 	return false
 }
 
-// Rank returns the members of a role in the order of preference for key, one for each
-// VM: the newest of its lives. All members with the same view have the same order.
-func (g *Group) Rank(key, role string) []Member {
+// Newest returns the members of a role by their VMs: for each the newest of its lives.
+func (g *Group) Newest(role string) map[string]Member {
 	newest := map[string]Member{}
 	for _, m := range g.Members() {
 		if m.Role != role {
@@ -291,10 +358,14 @@
 			newest[m.VM] = m
 		}
 	}
-	vms := make([]string, 0, len(newest))
-	for vm := range newest {
-		vms = append(vms, vm)
-	}
+	return newest
+}
+
+// Rank returns the newest members of a role in the order of preference for key. All members
+// with the same view have the same order.
+func (g *Group) Rank(key, role string) []Member {
+	newest := g.Newest(role)
+	vms := slices.Collect(maps.Keys(newest))
 	out := make([]Member, 0, len(vms))
 	for _, vm := range rendezvous.Rank(key, vms) {
 		out = append(out, newest[vm])
@@ -314,77 +385,152 @@
 }
 
 // returnGrace is how long members that are missing after an outage are kept: living ones
-// register again with their next renewal.
+// register again with their next renewal. A view that empties and fills again would move
+// every home of a budget twice.
 const returnGrace = 10 * time.Second
 
-// read replaces the view. For a while after an outage, members that are missing are kept:
-// their leases may have ended although they live, and a view that empties and fills again
-// would move every home of a budget twice.
-func (g *Group) read(ctx context.Context) error {
-	items, err := g.Store.Peek(ctx, g.Prefix)
-	if err != nil {
-		return err
-	}
-	members := map[string]Member{}
+// Reset implements mirror.Reader.
+func (g *Group) Reset(items []store.Item) {
+	listed := map[string]Member{}
 	for _, it := range items {
-		members[it.Key] = g.decode(it)
+		if m, ok := g.decode(it); ok {
+			listed[it.Key] = m
+		}
 	}
-	if before, after := g.replace(time.Now(), members); before != after {
-		g.Report.MembersChanged(after)
+	g.Report.MembersRead()
+	g.update(time.Now(), func(now time.Time) {
+		if g.members == nil {
+			g.members, g.former, g.missing = map[string]Member{}, map[string]formerMember{}, map[string]time.Time{}
+		}
+		if g.lost {
+			g.lost, g.doubtUntil = false, now.Add(returnGrace)
+		}
+		for key := range g.members {
+			if _, ok := listed[key]; !ok {
+				g.missLocked(now, key)
+			}
+		}
+		for key, m := range listed {
+			g.putLocked(key, m)
+		}
+	})
+}
+
+// Changed implements mirror.Reader.
+func (g *Group) Changed(e store.Event) {
+	if e.Deleted {
+		g.update(time.Now(), func(now time.Time) { g.missLocked(now, e.Key) })
+		return
+	}
+	if m, ok := g.decode(e.Item); ok {
+		g.update(time.Now(), func(time.Time) { g.putLocked(e.Key, m) })
 	}
-	return nil
 }
 
-// replace takes a new view and returns the numbers of members before and after.
-func (g *Group) replace(now time.Time, members map[string]Member) (before, after int) {
+// Lost implements mirror.Reader.
+func (g *Group) Lost(err error) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.lost {
-		g.lost, g.doubtUntil = false, now.Add(returnGrace)
+	g.lost = true
+	g.mu.Unlock()
+	g.Report.MembersLost(err)
+}
+
+// tidy drops the members that did not return after an outage, and forgets former ones.
+func (g *Group) tidy(now time.Time) {
+	if _, known := g.Count(""); !known {
+		return
 	}
-	for key, m := range g.members {
-		if _, listed := members[key]; !listed && now.Before(g.doubtUntil) {
-			members[key] = m
+	g.update(now, func(now time.Time) {
+		for key := range g.missing {
+			g.missLocked(now, key)
 		}
+		maps.DeleteFunc(g.former, func(_ string, m formerMember) bool { return now.Sub(m.left) > rememberFor })
+	})
+	if n, changed := g.newCount(); changed {
+		g.Report.MembersChanged(n)
 	}
-	g.noteFormerLocked(now, members)
-	before = len(g.members)
-	g.members, g.beside = members, besides(members)
-	return before, len(members)
 }
 
-// noteFormerLocked remembers those that are not in the next view.
-func (g *Group) noteFormerLocked(now time.Time, next map[string]Member) {
-	if g.former == nil {
-		g.former = map[string]formerMember{}
+// newCount returns the number of members, and whether it is not the one reported last.
+func (g *Group) newCount() (n int, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n = len(g.members)
+	changed = n != g.told
+	g.told = n
+	return n, changed
+}
+
+// update changes the view. When this process is not listed although it should be, its lease
+// ended: it registers again at once.
+func (g *Group) update(now time.Time, change func(now time.Time)) {
+	g.mu.Lock()
+	change(now)
+	g.beside = nil
+	_, missed := g.missing[g.Prefix+g.Self.ID]
+	unlisted := g.lease != 0 && !g.aside && (missed || g.droppedLocked())
+	g.mu.Unlock()
+	if unlisted {
+		g.wake()
 	}
-	for key, m := range g.members {
-		if _, listed := next[key]; !listed {
-			g.former[key] = formerMember{Member: m, left: now}
-		}
+}
+
+// droppedLocked reports whether this process was listed and is not any more.
+func (g *Group) droppedLocked() bool {
+	_, former := g.former[g.Prefix+g.Self.ID]
+	return former
+}
+
+func (g *Group) putLocked(key string, m Member) {
+	if g.members[key].revision > m.revision {
+		return // told late
 	}
-	maps.DeleteFunc(g.former, func(key string, m formerMember) bool {
-		_, listed := next[key]
-		return listed || now.Sub(m.left) > rememberFor
-	})
+	g.members[key] = m
+	delete(g.missing, key)
+	delete(g.former, key)
+}
+
+// missLocked takes a member out of the view, or keeps it while it may have lapsed only because
+// the store was away.
+func (g *Group) missLocked(now time.Time, key string) {
+	m, known := g.members[key]
+	if !known {
+		return
+	}
+	if now.Before(g.doubtUntil) {
+		g.missing[key] = now
+		return
+	}
+	delete(g.members, key)
+	delete(g.missing, key)
+	g.former[key] = formerMember{Member: m, left: now}
 }
 
 func besides(members map[string]Member) map[string]Member {
 	out := map[string]Member{}
 	for _, m := range members {
-		if m.Beside != "" {
+		if have, ok := out[m.Beside]; m.Beside != "" && (!ok || have.revision < m.revision) {
 			out[m.Beside] = m
 		}
 	}
 	return out
 }
 
-// decode reads a member; one whose value cannot be read still counts, by its key.
-func (g *Group) decode(it store.Item) Member {
-	m := Member{ID: strings.TrimPrefix(it.Key, g.Prefix)}
-	if err := json.Unmarshal(it.Value, &m); err != nil {
-		g.Report.MembersLost(err)
+// ErrUnreadable says that a member's entry cannot be decoded or lacks something; it is left
+// alone. Counted as a member without a role or VM, it would stand in for one that exists.
+var ErrUnreadable = errs.New("member's entry cannot be read")
+
+// decode reads a member.
+func (g *Group) decode(it store.Item) (Member, bool) {
+	m := Member{}
+	err := json.Unmarshal(it.Value, &m)
+	if err == nil && (m.ID != strings.TrimPrefix(it.Key, g.Prefix) || m.Role == "" || m.VM == "" || m.Address == "") {
+		err = errors.New("id, role, vm or address is missing or wrong")
+	}
+	if err != nil {
+		g.Report.MemberUnreadable(fmt.Errorf("%s: %w: %w", it.Key, ErrUnreadable, err))
+		return Member{}, false
 	}
 	m.revision = it.Revision
-	return m
+	return m, true
 }
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -6,19 +6,30 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/mirror"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	"github.com/stretchr/testify/require"
 )
 
 type quiet struct{}
 
-func (quiet) MembersChanged(int) {}
-func (quiet) MembersLost(error)  {}
-func (quiet) MembersRead()       {}
+func (quiet) MembersChanged(int)     {}
+func (quiet) MembersLost(error)      {}
+func (quiet) MembersRead()           {}
+func (quiet) NotRegistered(error)    {}
+func (quiet) Registered()            {}
+func (quiet) MemberUnreadable(error) {}
 
 func join(s *memstore.Store, id, role string) *Group {
 	return &Group{Store: s, Prefix: "m/", TTL: time.Minute, Interval: 2 * time.Second, Report: quiet{},
-		Self: Member{ID: id + "/1", Role: role, VM: id}}
+		Self: Member{ID: id + "/1", Role: role, VM: id, Address: id + ":1"}}
+}
+
+// run keeps a group, and follows the members in the store.
+func run(ctx context.Context, s *memstore.Store, g *Group) {
+	go g.Keep(ctx)
+	go (&mirror.Mirror{Store: s, Prefix: g.Prefix, Reader: g}).Run(ctx)
 }
 
 // Members of one role are ranked and counted without those of others: a router that were
@@ -31,7 +42,7 @@
 		s := memstore.New()
 		groups := []*Group{join(s, "r1", "router"), join(s, "r2", "router"), join(s, "l1", "lender")}
 		for _, g := range groups {
-			go g.Keep(ctx)
+			run(ctx, s, g)
 		}
 		time.Sleep(5 * time.Second)
 		n, known := groups[2].Count("router")
@@ -53,7 +64,7 @@
 		s := memstore.New()
 		g := join(s, "l1", "lender")
 		g.Interval = time.Minute
-		go g.Keep(ctx)
+		run(ctx, s, g)
 		time.Sleep(2 * time.Minute)
 		listed := func() int {
 			items, err := s.Peek(ctx, "m/")
@@ -70,3 +81,94 @@
 		require.Equal(t, 1, listed())
 	})
 }
+
+// The store is away for so long that all leases end, and its list is empty at its return. Each
+// process keeps the members that it knew, sees that it is not listed itself, and registers again
+// at once, long before its next renewal is due.
+func TestLapsedMembersRegisterAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		s := memstore.New()
+		groups := []*Group{join(s, "r1", "router"), join(s, "r2", "router")}
+		for _, g := range groups {
+			g.Interval = 20 * time.Second
+			run(ctx, s, g)
+		}
+		time.Sleep(21 * time.Second)
+		items, _, err := s.Snapshot(ctx, "m/")
+		require.NoError(t, err)
+		require.Len(t, items, 2)
+		for _, it := range items {
+			require.NoError(t, s.Delete(ctx, it.Key, it.Revision))
+		}
+		for _, g := range groups {
+			g.Lost(store.ErrUnknown)
+			g.Reset(nil)
+			require.Len(t, g.Members(), 2, "they may live")
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, g := range groups {
+			require.NoError(t, g.Store.EndLease(ctx, g.current()))
+		}
+		time.Sleep(2 * time.Second)
+		items, _, err = s.Snapshot(ctx, "m/")
+		require.NoError(t, err)
+		require.Len(t, items, 2)
+		time.Sleep(returnGrace + 2*tidyPause)
+		for _, g := range groups {
+			require.Len(t, g.Members(), 2)
+		}
+	})
+}
+
+// Members that do not return after an outage leave the view when their time is over, and their
+// addresses are remembered for a while.
+func TestMissingMembersGoInTheEnd(t *testing.T) {
+	now := time.Now()
+	g := join(memstore.New(), "r1", "router")
+	value := []byte(`{"id":"r2/1","role":"router","vm":"r2","address":"r2:1"}`)
+	g.Reset([]store.Item{{Key: "m/r2/1", Value: value, Revision: 3}})
+	g.Lost(store.ErrUnknown)
+	g.Reset(nil)
+	require.Len(t, g.Members(), 1)
+	g.tidy(now.Add(returnGrace / 2))
+	require.Len(t, g.Members(), 1)
+	g.tidy(now.Add(returnGrace + time.Second))
+	require.Empty(t, g.Members())
+	address, ok := g.Address("r2/1")
+	require.True(t, ok)
+	require.Equal(t, "r2:1", address)
+	g.tidy(now.Add(returnGrace + rememberFor + 2*time.Second))
+	_, ok = g.Address("r2/1")
+	require.False(t, ok)
+}
+
+// counting counts entries that cannot be read.
+type counting struct {
+	quiet
+	unreadable int
+}
+
+func (c *counting) MemberUnreadable(error) { c.unreadable++ }
+
+// Another writer puts something under the members' keys. It is left alone and said; taken for a
+// member without a VM, it could be ranked as the home of a budget.
+func TestUnreadableMembersAreLeftAlone(t *testing.T) {
+	g := join(memstore.New(), "r1", "router")
+	said := &counting{}
+	g.Report = said
+	good := `{"id":"r2/1","role":"router","vm":"r2","address":"r2:1"}`
+	g.Reset([]store.Item{
+		{Key: "m/r2/1", Value: []byte(good), Revision: 1},
+		{Key: "m/a", Value: []byte("\xff"), Revision: 2},
+		{Key: "m/b", Value: []byte(`{"id":"b","role":7}`), Revision: 3},
+		{Key: "m/c", Value: []byte(`{"id":"c","role":"router","address":"c:1"}`), Revision: 4},
+		{Key: "m/d", Value: []byte(good), Revision: 5},
+	})
+	require.Len(t, g.Members(), 1)
+	require.Equal(t, 4, said.unreadable)
+	g.Changed(store.Event{Item: store.Item{Key: "m/r2/1", Value: []byte("x"), Revision: 6}})
+	require.Len(t, g.Members(), 1, "what is known of it holds")
+}
--- a/coord/mirror/mirror.go
+++ b/coord/mirror/mirror.go
@@ -40,6 +40,9 @@
 	Store  store.Store
 	Prefix string
 	Reader Reader
+	// Complete, if set, is called after each answer of the store with the revision up to
+	// which the Reader has all changes.
+	Complete func(at store.Revision)
 }
 
 // Run follows the prefix until the context ends.
@@ -62,6 +65,7 @@
 		return err
 	}
 	m.Reader.Reset(items)
+	m.complete(revision)
 	answered()
 	events, err := m.Store.Watch(ctx, m.Prefix, revision)
 	if err != nil {
@@ -71,9 +75,17 @@
 		switch {
 		case e.Err != nil:
 			return e.Err
-		case !e.Progress:
+		case e.Progress:
+			m.complete(e.Revision)
+		default:
 			m.Reader.Changed(e)
 		}
 	}
 	return store.Error.Wrap(ErrCut)
 }
+
+func (m *Mirror) complete(at store.Revision) {
+	if m.Complete != nil {
+		m.Complete(at)
+	}
+}
--- /dev/null
+++ b/coord/relay/relay_test.go
@@ -0,0 +1,525 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/mirror"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// copyReader is a copy as a process would keep it. It notes when it is taken back.
+type copyReader struct {
+	mu      sync.Mutex
+	items   map[string]store.Item
+	highest map[string]store.Revision // of each key, removals included
+	back    string
+	lost    bool
+	losses  int
+	resets  int
+}
+
+func newCopy() *copyReader {
+	return &copyReader{items: map[string]store.Item{}, highest: map[string]store.Revision{}}
+}
+
+func (c *copyReader) Reset(items []store.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = false
+	c.resets++
+	c.items = map[string]store.Item{}
+	for _, it := range items {
+		c.noteLocked(it.Key, it.Revision)
+		c.items[it.Key] = it
+	}
+}
+
+func (c *copyReader) Changed(e store.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noteLocked(e.Key, e.Revision)
+	if e.Deleted {
+		delete(c.items, e.Key)
+		return
+	}
+	c.items[e.Key] = e.Item
+}
+
+func (c *copyReader) noteLocked(key string, r store.Revision) {
+	if r < c.highest[key] {
+		c.back = fmt.Sprintf("%s from %d to %d", key, c.highest[key], r)
+	}
+	c.highest[key] = max(c.highest[key], r)
+}
+
+func (c *copyReader) Lost(error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = true
+	c.losses++
+}
+
+func (c *copyReader) values() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[string]string{}
+	for k, it := range c.items {
+		out[k] = string(it.Value)
+	}
+	return out
+}
+
+// quiet hears reports and does nothing.
+type quiet struct{}
+
+func (quiet) SourceChanged(string, error) {}
+func (quiet) SourceRefused(string, error) {}
+
+// callTimeout bounds a call of the store that is not answered, and watchDelay is how much later
+// than a change the store's next answer may be.
+const (
+	callTimeout = 1500 * time.Millisecond
+	watchDelay  = 1100 * time.Millisecond
+)
+
+// wayTo is the way to a store or relay, which can be cut.
+type wayTo struct {
+	store.Store
+	cut, silent atomic.Bool
+}
+
+func (w *wayTo) check(ctx context.Context) error {
+	if w.silent.Load() {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return store.Error.Wrap(store.ErrUnknown)
+	}
+	if w.cut.Load() {
+		return store.Error.Wrap(store.ErrUnknown)
+	}
+	return nil
+}
+
+func (w *wayTo) Snapshot(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
+	if err := w.check(ctx); err != nil {
+		return nil, 0, err
+	}
+	return w.Store.Snapshot(ctx, prefix)
+}
+
+// Watch ends with the way to the store; a silent one brings nothing from then on.
+func (w *wayTo) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
+	in, err := w.Store.Watch(ctx, prefix, after)
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan store.Event)
+	go func() {
+		defer close(out)
+		for e := range in {
+			if err := w.check(ctx); err != nil {
+				return
+			}
+			select {
+			case out <- e:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out, nil
+}
+
+// world is a store with two relays and followers, each way of which can be cut.
+type world struct {
+	t      *testing.T
+	ctx    context.Context
+	store  *memstore.Store
+	hubs   []*Hub
+	toHub  [][]*wayTo // by follower and hub
+	ways   []*wayTo   // of the hubs, then of the followers, to the store
+	copies []*copyReader
+	wg     *sync.WaitGroup
+}
+
+const keys = "k/"
+
+func newWorld(ctx context.Context, t *testing.T, relays, followers int) *world {
+	w := &world{t: t, ctx: ctx, store: memstore.New(), wg: &sync.WaitGroup{}}
+	for range relays {
+		w.hubs = append(w.hubs, w.hub())
+	}
+	for n := range followers {
+		local := w.hub()
+		ways := make([]*wayTo, relays)
+		sources := []Source{}
+		for i := range ways {
+			ways[i] = &wayTo{}
+			sources = append(sources, Source{Name: fmt.Sprint("relay-", i), Follow: w.through(ways[i], w.hubs[i])})
+		}
+		w.toHub = append(w.toHub, ways)
+		way := w.ways[len(w.ways)-1]
+		sources = append(sources, Source{Name: "own", Follow: local.Follow, Usable: func(ctx context.Context) bool {
+			ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+			defer cancel()
+			return way.check(ctx) == nil
+		}})
+		c := newCopy()
+		w.copies = append(w.copies, c)
+		f := &Follower{Store: "s", Readers: map[string]mirror.Reader{keys: c}, Report: quiet{}, Now: time.Now,
+			Sources: func() []Source {
+				return append(sources[n%relays:relays:relays], append(sources[:n%relays:n%relays], sources[relays])...)
+			}}
+		w.wg.Go(func() { f.Run(ctx) })
+	}
+	return w
+}
+
+func (w *world) hub() *Hub {
+	way := &wayTo{Store: w.store}
+	w.ways = append(w.ways, way)
+	h := &Hub{Store: "s", Prefixes: []Prefix{{Name: keys, Store: way, StaleAfter: 1600 * time.Millisecond}}, MostFollowers: 10, Now: time.Now}
+	w.wg.Go(func() { h.Run(w.ctx) })
+	return h
+}
+
+func (w *world) through(way *wayTo, h *Hub) func(context.Context, Request) (Reply, error) {
+	return func(ctx context.Context, r Request) (Reply, error) {
+		if err := way.check(ctx); err != nil {
+			return Reply{}, err
+		}
+		reply, err := h.Follow(ctx, r)
+		if err := way.check(ctx); err != nil {
+			return Reply{}, err
+		}
+		return reply, err
+	}
+}
+
+func (w *world) put(key, value string) {
+	old, err := w.store.Get(w.ctx, keys+key)
+	require.NoError(w.t, err)
+	_, err = w.store.CompareAndSwap(w.ctx, keys+key, old.Revision, []byte(value), 0)
+	require.NoError(w.t, err)
+}
+
+func (w *world) remove(key string) {
+	old, err := w.store.Get(w.ctx, keys+key)
+	require.NoError(w.t, err)
+	if old.Revision != 0 {
+		require.NoError(w.t, w.store.Delete(w.ctx, keys+key, old.Revision))
+	}
+}
+
+func (w *world) values() map[string]string {
+	items, _, err := w.store.Snapshot(w.ctx, keys)
+	require.NoError(w.t, err)
+	out := map[string]string{}
+	for _, it := range items {
+		out[it.Key] = string(it.Value)
+	}
+	return out
+}
+
+// play runs a test with a world in virtual time.
+func play(t *testing.T, relays, followers int, test func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(ctx, t, relays, followers)
+		defer w.wg.Wait()
+		defer cancel()
+		test(w)
+	})
+}
+
+// all requires that each copy is the store's.
+func (w *world) all() {
+	for i, c := range w.copies {
+		require.Equal(w.t, w.values(), c.values(), "follower %d", i)
+		require.Empty(w.t, c.back, "follower %d", i)
+	}
+}
+
+// Nine processes follow what changes, and the store has the waiting calls of one or two.
+func TestFollowersAskTheirRelaysOnly(t *testing.T) {
+	play(t, 2, 9, func(w *world) {
+		time.Sleep(5 * time.Second)
+		for n := range 20 {
+			w.put(fmt.Sprint(n%3), fmt.Sprint("value ", n))
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.remove("1")
+		time.Sleep(watchDelay)
+		w.all()
+		require.EqualValues(t, 2, w.store.Calls().Watches, "one of each relay")
+		for _, h := range w.hubs {
+			require.NotZero(t, h.State().Waiting)
+		}
+	})
+}
+
+// A relay falls silent: no answer, no reset. What changes then is known to its followers within
+// a second and a half, from the other relay, and they are not told that the store is lost.
+func TestSilentRelayIsLeft(t *testing.T) {
+	play(t, 2, 2, func(w *world) {
+		time.Sleep(5 * time.Second)
+		w.put("a", "1")
+		for _, ways := range w.toHub {
+			ways[0].silent.Store(true)
+		}
+		w.put("a", "2")
+		time.Sleep(1500 * time.Millisecond)
+		w.all()
+		for _, c := range w.copies {
+			require.Zero(t, c.losses)
+		}
+	})
+}
+
+// A relay loses the store by a call that is never answered. It says so before its own call times
+// out, so that its followers, which the store would answer, learn of changes within two seconds.
+func TestRelayThatLostTheStoreSilently(t *testing.T) {
+	play(t, 2, 2, func(w *world) {
+		time.Sleep(5 * time.Second)
+		w.ways[0].silent.Store(true)
+		w.put("a", "1")
+		time.Sleep(2 * time.Second)
+		w.all()
+	})
+}
+
+// A router is turned away by the store while the relays are not. It goes on hearing of what
+// changes.
+func TestFollowerWithoutTheStore(t *testing.T) {
+	play(t, 1, 1, func(w *world) {
+		time.Sleep(5 * time.Second)
+		w.ways[1].cut.Store(true)
+		w.put("a", "1")
+		time.Sleep(watchDelay)
+		w.all()
+	})
+}
+
+// Both relays are turned away by the store and a router is not: it follows the store itself,
+// and comes back to its relay later.
+func TestRelaysWithoutTheStore(t *testing.T) {
+	play(t, 2, 1, func(w *world) {
+		time.Sleep(5 * time.Second)
+		w.ways[0].cut.Store(true)
+		w.ways[1].cut.Store(true)
+		w.put("a", "1")
+		time.Sleep(2 * time.Second)
+		w.all()
+		w.ways[0].cut.Store(false)
+		w.ways[1].cut.Store(false)
+		time.Sleep(20 * time.Second)
+		before := w.store.Calls().Watches
+		time.Sleep(20 * time.Second)
+		w.put("a", "2")
+		time.Sleep(watchDelay)
+		w.all()
+		require.Equal(t, before, w.store.Calls().Watches, "nobody begins to follow the store again")
+	})
+}
+
+// The store is away for all for eight seconds, and keys change at its return. Each copy is told
+// of the outage once and has everything within a second and a half of the return. Nine followers
+// do not ask the store for that: the two relays do.
+func TestOutageOfTheStore(t *testing.T) {
+	play(t, 2, 9, func(w *world) {
+		time.Sleep(5 * time.Second)
+		w.put("a", "1")
+		time.Sleep(watchDelay)
+		for _, way := range w.ways {
+			way.cut.Store(true)
+		}
+		time.Sleep(8 * time.Second)
+		for i, c := range w.copies {
+			require.True(t, c.lost, "follower %d", i)
+			require.Equal(t, 1, c.losses)
+		}
+		w.put("a", "2")
+		before := w.store.Calls().Watches
+		for _, way := range w.ways[:2] {
+			way.cut.Store(false)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		w.all()
+		for _, c := range w.copies {
+			require.False(t, c.lost)
+			require.Equal(t, 1, c.losses)
+		}
+		require.EqualValues(t, 2, w.store.Calls().Watches-before)
+	})
+}
+
+// Keys lapse while the store is away for the relay; a follower that did not notice, since it was
+// between two questions, is told of the outage with the copy that lacks them.
+func TestCopyAfterAnOutageSaysSo(t *testing.T) {
+	f := &Follower{copies: map[string]*progress{keys: {at: 5}}, alone: map[string]*solitude{}, Report: quiet{}, Now: time.Now}
+	c := newCopy()
+	f.Readers = map[string]mirror.Reader{keys: c}
+	require.NoError(t, f.take(Reply{Updates: []Update{{Prefix: keys, At: 9, Whole: true, AfterOutage: true}}}))
+	require.Equal(t, 1, c.losses)
+	require.NoError(t, f.take(Reply{Updates: []Update{{Prefix: keys, At: 12, Whole: true}}}))
+	require.Equal(t, 1, c.losses, "history that is gone is no outage")
+}
+
+// The store forgets its history, and keys changed unseen. Followers have them with the next
+// answer to their relay, and are not told of an outage: what is missing has gone.
+func TestHistoryIsGone(t *testing.T) {
+	play(t, 1, 2, func(w *world) {
+		w.put("a", "1")
+		time.Sleep(5 * time.Second)
+		w.put("b", "1")
+		w.remove("a")
+		w.store.Compact()
+		time.Sleep(time.Second)
+		w.all()
+		for _, c := range w.copies {
+			require.LessOrEqual(t, c.losses, 1) // a cut watch counts as an outage
+		}
+	})
+}
+
+// A peer answers with what a relay never sends: keys of others, changes out of order, an older
+// copy, nothing for what was asked. Nothing of such an answer is taken.
+func TestNonsenseIsNotTaken(t *testing.T) {
+	change := func(key string, r store.Revision) Change { return Change{Key: key, Revision: r} }
+	for name, u := range map[string]Update{
+		"foreign key":    {Prefix: keys, At: 9, Changes: []Change{change("other/a", 8)}},
+		"out of order":   {Prefix: keys, At: 9, Changes: []Change{change("k/a", 9), change("k/a", 8)}},
+		"known already":  {Prefix: keys, At: 9, Changes: []Change{change("k/a", 5)}},
+		"no revision":    {Prefix: keys, At: 9, Whole: true, Changes: []Change{change("k/a", 0)}},
+		"older copy":     {Prefix: keys, At: 4, Whole: true},
+		"removed in all": {Prefix: keys, At: 9, Whole: true, Changes: []Change{{Key: "k/a", Revision: 8, Removed: true}}},
+		"foreign prefix": {Prefix: "other/", At: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCopy()
+			f := &Follower{copies: map[string]*progress{keys: {at: 5}}, Readers: map[string]mirror.Reader{keys: c}}
+			good := Update{Prefix: keys, At: 8, Changes: []Change{change("k/good", 8)}}
+			require.Error(t, f.take(Reply{Updates: []Update{good, u}}))
+			require.Empty(t, c.values())
+		})
+	}
+	f := &Follower{copies: map[string]*progress{keys: {}}}
+	require.ErrorIs(t, f.take(Reply{}), ErrLeftOut)
+}
+
+// A hub refuses what it cannot serve, with the reason.
+func TestHubRefuses(t *testing.T) {
+	h := &Hub{Store: "s", Prefixes: []Prefix{{Name: keys, Store: memstore.New(), StaleAfter: time.Second}}, MostFollowers: 1, Now: time.Now}
+	ask := func(store, prefix string) error {
+		_, err := h.Follow(t.Context(), Request{Store: store, Positions: []Position{{Prefix: prefix}}})
+		return err
+	}
+	require.ErrorIs(t, ask("another fleet's", keys), ErrOtherStore)
+	require.ErrorIs(t, ask("s", "not/followed/"), ErrUnknownPrefix)
+	h.waiting = 1
+	require.ErrorIs(t, ask("s", keys), ErrFull)
+	h.waiting = 0
+	h.Stop()
+	require.ErrorIs(t, ask("s", keys), ErrStopping)
+}
+
+// A relay that nobody asks any more stops following the store.
+func TestIdleRelayStopsFollowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := memstore.New()
+		h := &Hub{Store: "s", Prefixes: []Prefix{{Name: keys, Store: s, StaleAfter: time.Second}}, MostFollowers: 1, Now: time.Now}
+		done := make(chan struct{})
+		go func() { defer close(done); h.Run(ctx) }()
+		_, err := h.Follow(ctx, Request{Store: "s", Positions: []Position{{Prefix: keys}}, Wait: time.Second})
+		require.NoError(t, err)
+		require.Len(t, h.State().Feeds, 1)
+		time.Sleep(idleAfter + 2*idlePause)
+		require.Empty(t, h.State().Feeds)
+		cancel()
+		<-done
+	})
+}
+
+// A fleet of hundreds uses a relay for each hundred processes, all processes the same ones, and
+// the followers are spread over them.
+func TestOrder(t *testing.T) {
+	var candidates []string
+	for n := range 160 {
+		candidates = append(candidates, fmt.Sprint("vm-", n))
+	}
+	first := map[string]int{}
+	for n := range 263 {
+		name := fmt.Sprint("process-", n)
+		order := Order(name, candidates, 263, 100, 3)
+		require.Len(t, order, 3)
+		first[order[0]]++
+	}
+	require.Len(t, first, 3)
+	for _, n := range first {
+		require.Greater(t, n, 50)
+	}
+	require.Len(t, Order("a", candidates[:1], 16, 100, 2), 1)
+	require.Empty(t, Order("a", nil, 16, 100, 2))
+	require.Equal(t, Order("a", candidates, 16, 100, 2), Order("b", candidates, 16, 100, 2), "a small fleet has one relay")
+}
+
+// The store, the ways to it and the relays fail and return in any order while keys change and
+// the store forgets its history. No copy ever goes back, and when all is well again each has
+// what the store has.
+func TestNoFollowerGoesBackOrStaysBehind(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const relays, followers = 2, 3
+		var steps []func(w *world)
+		for n := range rapid.IntRange(5, 40).Draw(rt, "steps") {
+			i := rapid.IntRange(0, 99).Draw(rt, "which")
+			on := rapid.Bool().Draw(rt, "on")
+			pause := time.Duration(rapid.IntRange(0, 2500).Draw(rt, "pause ms")) * time.Millisecond
+			var step func(w *world)
+			switch rapid.SampledFrom([]string{"put", "put", "put", "remove", "compact", "store", "silence", "relay", "silent relay"}).Draw(rt, "what") {
+			case "put":
+				step = func(w *world) { w.put(fmt.Sprint(i%4), fmt.Sprint("value ", n)) }
+			case "remove":
+				step = func(w *world) { w.remove(fmt.Sprint(i % 4)) }
+			case "compact":
+				step = func(w *world) { w.store.Compact() }
+			case "store":
+				step = func(w *world) { w.ways[i%len(w.ways)].cut.Store(on) }
+			case "silence":
+				step = func(w *world) { w.ways[i%len(w.ways)].silent.Store(on) }
+			case "relay":
+				step = func(w *world) { w.toHub[i%followers][i%relays].cut.Store(on) }
+			case "silent relay":
+				step = func(w *world) { w.toHub[i%followers][i%relays].silent.Store(on) }
+			}
+			steps = append(steps, step, func(*world) { time.Sleep(pause) })
+		}
+		play(t, relays, followers, func(w *world) {
+			for _, step := range steps {
+				step(w)
+			}
+			for _, way := range w.ways {
+				way.cut.Store(false)
+				way.silent.Store(false)
+			}
+			for _, ways := range w.toHub {
+				for _, way := range ways {
+					way.cut.Store(false)
+					way.silent.Store(false)
+				}
+			}
+			time.Sleep(15 * time.Second)
+			w.all()
+		})
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,9 @@
 	expirePause = 200 * time.Millisecond
 	// forgetPause is the pause between two looks for upstreams that are gone.
 	forgetPause = 10 * time.Second
+	// relayMbps is the rate of a VM's link (Mbit/s) from which it may relay the store's
+	// changes: the copies that a hundred followers ask for at once go through it in a second.
+	relayMbps = 100
 	// stopMargin is the part of the grace that is kept for the last writes.
 	stopMargin = 700 * time.Millisecond
 )
@@ -88,12 +91,14 @@
 		lag:      &admission.Lag{Period: lagPeriod},
 	}
 	g.current.Store(s)
+	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.Configured{Catalog: &g.catalog},
+		Readers: map[string]mirror.Reader{platform.ConfigKey: configReader{g}, platform.UpstreamPrefix: g.directory},
+		Relays:  s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= relayMbps,
 		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
-	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers}
 	g.beside = newAnnouncer(g.Members, g.Links, time.Duration(s.Upstreams.AnnounceTimeout))
 	g.pool = &pool.Pool{
@@ -222,10 +227,6 @@
 
 // start starts a goroutine for each duty.
 func (g *Gateway) start(d *process.Duties) {
-	config := &mirror.Mirror{Store: g.Store, Prefix: platform.ConfigKey, Reader: configReader{g}}
-	upstreams := &mirror.Mirror{Store: g.Store, Prefix: platform.UpstreamPrefix, Reader: g.directory}
-	d.Go(config.Run)
-	d.Go(upstreams.Run)
 	d.Go(g.beside.run)
 	g.Start(d)
 	d.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -29,7 +29,7 @@
 
 // UpstreamUnreadable implements directory.Reporter.
 func (g *Gateway) UpstreamUnreadable(err error) {
-	g.Metrics.GetOrCreateCounter("arbutusmill_unreadable_entries_total").Inc()
+	g.Unreadable("upstreams")
 	g.Log.Error().Err(err).Msg("upstream_unreadable")
 }
 
@@ -79,13 +79,15 @@
 	Upstreams any    `json:"upstreams"`
 	Pool      any    `json:"pool"`
 	Members   any    `json:"members"`
+	Followed  any    `json:"followed"`
+	Relay     any    `json:"relay"`
 }
 
 func (g *Gateway) dump() any {
 	return state{
 		Life: g.Life, Ready: g.ready(), Stopping: g.stopping.Load(), Active: g.active.Load(),
 		Version: g.version(), Budgets: g.Budgets.State(), Upstreams: g.directory.All(),
-		Pool: g.pool.States(), Members: g.Members.Members(),
+		Pool: g.pool.States(), Members: g.Members.Members(), Followed: g.Follower.State(), Relay: g.Hub.State(),
 	}
 }
 
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -11,7 +11,9 @@
 )
 
 // replaceable is an address where one upstream process follows another.
-type replaceable struct{ now atomic.Pointer[platformtest.Upstream] }
+type replaceable struct {
+	now atomic.Pointer[platformtest.Upstream]
+}
 
 func replaceableBy(u *platformtest.Upstream) *replaceable {
 	r := &replaceable{}
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/mirror"
+	"github.com/arbutusmill/arbutusmill/coord/relay"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
 	"github.com/arbutusmill/arbutusmill/platform"
@@ -56,6 +59,10 @@
 	// Methods answers messages of other members beside those of the budgets; it may
 	// be nil.
 	Methods map[string]link.Handler
+	// Readers are told of the store's keys under their prefixes.
+	Readers map[string]mirror.Reader
+	// Relays says that the VM is strong enough to relay the store's changes.
+	Relays  bool
 	Store   settings.HostedStore
 	Budgets settings.HostedBudgets
 	Limits  prepaid.Limits
@@ -75,11 +82,15 @@
 	Members *member.Group
 	Links   *link.Pool
 	Budgets *prepaid.Budgets
-	Admin   *observe.Admin
-	Metrics *metrics.Set
-
-	methods       map[string]link.Handler
-	memberEntries Dependency
+	// Hub relays the store's changes to other processes; Follower follows relays.
+	Hub      *relay.Hub
+	Follower *relay.Follower
+	Admin    *observe.Admin
+	Metrics  *metrics.Set
+
+	methods map[string]link.Handler
+	// What of the store the process depends on: the other members, and its own entry.
+	memberEntries, ownEntry Dependency
 }
 
 // New makes the common part; it makes no call.
@@ -101,8 +112,10 @@
 		TTL:      time.Duration(p.Store.MemberTTL),
 		Interval: time.Duration(p.Store.MemberInterval),
 		Report:   b,
-		Self:     member.Member{ID: b.Life, Role: p.Role, VM: p.VM, Datacentre: p.Datacentre, Address: p.Link, Beside: p.Beside},
+		Self:     member.Member{ID: b.Life, Role: p.Role, VM: p.VM, Datacentre: p.Datacentre, Address: p.Link, Beside: p.Beside, Relays: p.Relays},
 	}
+	b.Hub = b.newHub(p.Store)
+	b.Follower = b.newFollower(p.Store.Address, p.Readers)
 	b.Links = &link.Pool{From: b.Life, Security: private, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
 		Log: b.Log.Printf, Dial: p.Network.Dial}
 	b.Budgets = prepaid.New(prepaid.Parts{Life: b.Life, Settings: p.Budgets, Store: b.Store, Members: b.Members,
@@ -127,6 +140,7 @@
 	d.Serve(&http.Server{Handler: b.Admin.Handler(), ReadHeaderTimeout: adminHeaderTimeout}, admin, nil)
 	methods := b.Budgets.Methods()
 	maps.Copy(methods, b.methods)
+	methods[link.MethodFollow] = link.Handle(b.Hub.Follow)
 	for name, h := range methods {
 		methods[name] = b.measured(name, h)
 	}
@@ -137,6 +151,8 @@
 // Start starts a goroutine for each duty of the common part.
 func (b *Base) Start(d *process.Duties) {
 	d.Go(b.Members.Keep)
+	d.Go(b.Hub.Run)
+	d.Go(b.follow)
 	b.Budgets.Start(d)
 }
 
@@ -146,6 +162,7 @@
 
 // Leave gives unused tokens back and ends the membership; it is the end of a planned stop.
 func (b *Base) Leave(ctx context.Context) {
+	b.Hub.Stop()
 	giving, cancel := ctx, context.CancelFunc(func() {})
 	if deadline, ok := ctx.Deadline(); ok {
 		giving, cancel = context.WithDeadline(ctx, deadline.Add(-leaveTime))
@@ -169,3 +186,20 @@
 
 // MembersRead implements member.Reporter.
 func (b *Base) MembersRead() { b.memberEntries.Answers(b.Log, "members") }
+
+// NotRegistered implements member.Reporter.
+func (b *Base) NotRegistered(err error) { b.ownEntry.Fails(b.Log, "own_entry", err) }
+
+// Registered implements member.Reporter.
+func (b *Base) Registered() { b.ownEntry.Answers(b.Log, "own_entry") }
+
+// MemberUnreadable implements member.Reporter.
+func (b *Base) MemberUnreadable(err error) {
+	b.Unreadable("members")
+	b.Log.Error().Err(err).Msg("member_unreadable")
+}
+
+// Unreadable counts an entry of the store that cannot be decoded.
+func (b *Base) Unreadable(of string) {
+	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_unreadable_entries_total{of=%q}", of)).Inc()
+}
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -57,5 +57,16 @@
 	m := metrics.NewSet()
 	m.NewGauge("arbutusmill_dropped_log_lines_total", func() float64 { return float64(dropped()) })
 	m.NewGauge("arbutusmill_members", func() float64 { return float64(len(b.Members.Members())) })
+	m.NewGauge("arbutusmill_relay_followers", func() float64 { return float64(b.Hub.State().Waiting) })
+	m.NewGauge("arbutusmill_followed_age_seconds", b.followedAge)
 	return m
 }
+
+// followedAge is how old what this process knows of the store's keys is, 0 before the start.
+func (b *Base) followedAge() float64 {
+	s := b.Follower.State()
+	if s.Heard.IsZero() {
+		return 0
+	}
+	return (time.Since(s.Heard) + s.Age).Seconds()
+}
--- /dev/null
+++ b/hosted/relays.go
@@ -0,0 +1,143 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/mirror"
+	"github.com/arbutusmill/arbutusmill/coord/relay"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/prepaid"
+	"github.com/arbutusmill/arbutusmill/settings"
+)
+
+const (
+	// memberPause gathers the changes of members: a view of them that is a second old does
+	// no harm, and when a fleet starts each of them would end a waiting call.
+	memberPause = time.Second
+	// staleSlack is what a waiting call of the store may take beyond its wait before a relay
+	// says that it has lost the store: a store that is slow by a factor of 100 answers in it.
+	staleSlack = 500 * time.Millisecond
+	// processesPerRelay is how many processes one relay is for. On the VM of an upstream, with
+	// a third of a core, their questions take a hundredth of it.
+	processesPerRelay = 100
+	// mostFollowers is how many a relay takes: those of two relays, when one of them ends.
+	mostFollowers = 2*processesPerRelay + processesPerRelay/2
+	// mostRelays is how many relays a process turns to before it asks the store itself. Each
+	// one that is silent takes half a second of the time in which changes are to be in force.
+	mostRelays = 2
+	// probeTimeout bounds the question whether the store answers this process.
+	probeTimeout = 300 * time.Millisecond
+	// ownHub is the name of this process's own hub among the sources.
+	ownHub = "store"
+)
+
+// newHub makes the process a relay for whoever asks it.
+func (b *Base) newHub(s settings.HostedStore) *relay.Hub {
+	return &relay.Hub{
+		Store: s.Address,
+		Prefixes: []relay.Prefix{
+			followed(platform.ConfigKey, b.Store),
+			followed(platform.UpstreamPrefix, b.Store),
+			followed(memberPrefix, pausing(b.Store, memberPause)),
+		},
+		MostFollowers: mostFollowers,
+		Now:           time.Now,
+	}
+}
+
+func followed(prefix string, s *platform.Store) relay.Prefix {
+	return relay.Prefix{Name: prefix, Store: s, StaleAfter: s.WatchWait + s.WatchPause + staleSlack}
+}
+
+// pausing is a store whose watches gather changes for longer.
+func pausing(s *platform.Store, pause time.Duration) *platform.Store {
+	other := *s
+	other.WatchPause = pause
+	return &other
+}
+
+// newFollower follows the members and what else the process reads.
+func (b *Base) newFollower(address string, readers map[string]mirror.Reader) *relay.Follower {
+	all := map[string]mirror.Reader{memberPrefix: b.Members}
+	for prefix, r := range readers {
+		all[prefix] = r
+	}
+	return &relay.Follower{Store: address, Readers: all, Sources: b.sources, Report: b, Now: time.Now}
+}
+
+// sources are the relays for this process, and its own hub at last, or in its place if it is
+// one of those relays.
+func (b *Base) sources() []relay.Source {
+	candidates := b.relayCandidates()
+	vms := make([]string, 0, len(candidates))
+	for vm := range candidates {
+		vms = append(vms, vm)
+	}
+	var out []relay.Source
+	for _, vm := range relay.Order(b.Members.Self.VM, vms, len(b.Members.Members()), processesPerRelay, mostRelays) {
+		if vm == b.Members.Self.VM {
+			return append(out, relay.Source{Name: ownHub, Follow: b.Hub.Follow})
+		}
+		out = append(out, b.remote(candidates[vm]))
+	}
+	own := relay.Source{Name: ownHub, Follow: b.Hub.Follow}
+	if len(out) > 0 {
+		own.Usable = b.storeAnswers
+	}
+	return append(out, own)
+}
+
+// relayCandidates are the processes beside upstreams, whose VMs reach the store while routers
+// are cut off and have the stronger links; without those, the routers on strong VMs.
+func (b *Base) relayCandidates() map[string]member.Member {
+	if lenders := b.Members.Newest(prepaid.RoleLender); len(lenders) > 0 {
+		return lenders
+	}
+	routers := b.Members.Newest(prepaid.RoleRouter)
+	strong := map[string]member.Member{}
+	for vm, m := range routers {
+		if m.Relays {
+			strong[vm] = m
+		}
+	}
+	if len(strong) > 0 {
+		return strong
+	}
+	return routers
+}
+
+func (b *Base) remote(m member.Member) relay.Source {
+	return relay.Source{Name: m.VM, Follow: func(ctx context.Context, r relay.Request) (out relay.Reply, err error) {
+		err = b.Links.Call(ctx, m.Address, link.MethodFollow, r, &out)
+		return out, err
+	}}
+}
+
+// storeAnswers asks the store for something that costs it little. A process that no relay can
+// serve turns to the store only if that answers: while it is away for all, hundreds of
+// processes would ask it for all keys again and again.
+func (b *Base) storeAnswers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := b.Store.Peek(ctx, platform.ConfigKey)
+	return err == nil
+}
+
+// follow finds the other members and follows what changes until the context ends.
+func (b *Base) follow(ctx context.Context) {
+	b.Members.Find(ctx)
+	b.Follower.Run(ctx)
+}
+
+// SourceChanged implements relay.Reporter.
+func (b *Base) SourceChanged(source string, why error) {
+	b.Log.Info().Str("source", source).AnErr("left", why).Msg("changes_followed_at")
+}
+
+// SourceRefused implements relay.Reporter.
+func (b *Base) SourceRefused(source string, why error) {
+	b.Log.Warn().Err(why).Str("source", source).Msg("answer_of_relay_refused")
+}
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -47,7 +47,7 @@
 func New(s *settings.Lender, network hosted.Network, log io.Writer, dropped func() uint64) *Lender {
 	l := &Lender{settings: s, engine: prefill.NewEngine(s.Upstream.PrefillPerMs)}
 	l.Base = hosted.New(hosted.Parts{
-		Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link, Beside: s.Upstream.Address,
+		Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link, Beside: s.Upstream.Address, Relays: true,
 		Methods: map[string]link.Handler{
 			link.MethodAnnounce: link.Handle(l.announce),
 			link.MethodWithdraw: link.Handle(l.withdraw),
@@ -72,10 +72,14 @@
 	Budgets any    `json:"budgets"`
 	Engine  any    `json:"engine"`
 	Members any    `json:"members"`
+	// Followed is whom the process follows, Relay what it relays to others.
+	Followed any `json:"followed"`
+	Relay    any `json:"relay"`
 }
 
 func (l *Lender) dump() any {
-	return state{Life: l.Life, Aside: l.Members.Aside(), Engine: l.engine.State(time.Now()), Budgets: l.Budgets.State(), Members: l.Members.Members()}
+	return state{Life: l.Life, Aside: l.Members.Aside(), Engine: l.engine.State(time.Now()), Budgets: l.Budgets.State(), Members: l.Members.Members(),
+		Followed: l.Follower.State(), Relay: l.Hub.State()}
 }
 
 // Run serves until stop is done, then gives unused tokens back.
@@ -132,6 +136,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.current.Load().Stop.Grace)-stopMargin)
 	defer cancel()
 	l.Members.StepAside(true)
+	l.Hub.Stop()
 	l.Leave(ctx)
 	l.Log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
--- a/link/messages.go
+++ b/link/messages.go
@@ -33,6 +33,9 @@
 	MethodWithdraw = "upstream.withdraw"
 )
 
+// MethodFollow asks a relay for the store's changes: relay.Request, relay.Reply.
+const MethodFollow = "store.follow"
+
 // Withdrawal takes back an announcement.
 type Withdrawal struct {
 	Announcement prefill.Announcement `json:"announcement"`
--- a/prepaid/budgets_test.go
+++ b/prepaid/budgets_test.go
@@ -48,6 +48,10 @@
 func (quiet) MembersLost(error)  {}
 func (quiet) MembersRead()       {}
 
+func (quiet) NotRegistered(error)    {}
+func (quiet) Registered()            {}
+func (quiet) MemberUnreadable(error) {}
+
 // borrower is the budgets of a router that knows one lender.
 func borrower(t *testing.T, n *network) *Budgets {
 	s := memstore.New()
@@ -56,6 +60,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go members.Keep(ctx)
 	time.Sleep(2 * time.Second)
+	members.Find(ctx)
 	cancel()
 	synctest.Wait()
 	return New(Parts{Life: "router/1", Settings: settings.DefaultGateway().Budgets, Store: s, Members: members,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -48,7 +48,7 @@
 	// WatchPause follows each call of a watch that brought events.
 	WatchPause fleet.Duration `yaml:"watch_pause"`
 	// MemberTTL is the lease of a process's own entry, and MemberInterval the pause
-	// between two renewals.
+	// between two renewals of it.
 	MemberTTL      fleet.Duration `yaml:"member_ttl"`
 	MemberInterval fleet.Duration `yaml:"member_interval"`
 }
@@ -128,16 +128,18 @@
 			// of 80 still answers within the bound.
 			Timeout: fleet.Duration(1500 * time.Millisecond),
 			// A store that loses its history may leave a waiting call without
-			// the changes of that time; only the next call tells. So a call is
-			// shorter than the three seconds after which routers must be up to
-			// date again.
-			WatchWait: fleet.Duration(2400 * time.Millisecond),
+			// the changes of that time, and one that is lost silently leaves it
+			// without an answer; only its end tells. Changes must be in force
+			// within two seconds all the same, and a few processes only wait.
+			WatchWait: fleet.Duration(time.Second),
 			// Small beside the two seconds in which changes must be in force.
 			WatchPause: fleet.Duration(300 * time.Millisecond),
 			// Three times the cuts from the store that are usual.
 			MemberTTL: fleet.Duration(30 * time.Second),
-			// A renewal and a stale read cost a tenth of a call each.
-			MemberInterval: fleet.Duration(2 * time.Second),
+			// Three renewals may be lost before an entry ends. An entry that
+			// ended sooner is seen by its process among the others', and
+			// written again at once.
+			MemberInterval: fleet.Duration(7500 * time.Millisecond),
 		},
 		Budgets: HostedBudgets{
 			// Each page is a writer that reports once a second: with 16 of them a fleet
