Lenders ask the upstream beside them at once

Cause: after a loss of all power lenders stayed aside for half a second, until their first question to the upstream. Ruled out: routers do not know the lenders (their leases outlast the loss).

--- a/lender/lender.go
+++ b/lender/lender.go
@@ -100,7 +100,7 @@
 	l.Serve(duties, admin, links)
 	if l.upstream.address != "" {
 		l.Members.StepAside(true) // until the upstream has answered
-		duties.Every(time.Duration(l.settings.Upstream.Interval), l.followUpstream)
+		duties.Go(l.followUpstream)
 	}
 	l.Start(duties)
 	l.Admin.SetReady(true)
--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/prefill"
 )
@@ -77,8 +78,20 @@
 	return !r.Leaving, "state " + r.State
 }
 
-// followUpstream asks once and steps aside or comes back.
+// followUpstream asks the upstream again and again until the context ends, at once for the first
+// time: when all processes come back together, routers ask for tokens within milliseconds, and
+// each one that finds no lender takes tokens from the store and keeps a row there. Of 103 routers
+// 98 did so while the first question came half a second late, and made a third of all the calls
+// of the store that day.
 func (l *Lender) followUpstream(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.askUpstream(ctx)
+		_ = backoff.Sleep(ctx, time.Duration(l.settings.Upstream.Interval)) // ends early only with the context
+	}
+}
+
+// askUpstream asks once and steps aside or comes back.
+func (l *Lender) askUpstream(ctx context.Context) {
 	n := l.upstream.ask(ctx)
 	if room := n.report.MemoryTokens - n.report.HeldTokens; room > 0 {
 		l.engine.SetRoom(room)
