--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -26,10 +26,10 @@
 	lostPause = time.Second
 	// nobodyPause is the pause before the next look where there is nobody to ask.
 	nobodyPause = 100 * time.Millisecond
-	// aloneMin and aloneMax bound how long a source is left alone that did not answer; it
+	// cooldownMin and cooldownMax bound how long a source is left alone that did not answer; it
 	// doubles with each failure. Each try costs followers up to the slack.
-	aloneMin = time.Second
-	aloneMax = 8 * time.Second
+	cooldownMin = time.Second
+	cooldownMax = 8 * time.Second
 )
 
 // Source answers followers: a relay, or this process's own Hub.
@@ -63,8 +63,8 @@
 	// Now is the clock.
 	Now func() time.Time
 
-	copies map[string]*progress
-	alone  map[string]*solitude
+	copies    map[string]*progress
+	cooldowns map[string]*cooldown // by the names of sources
 	// current is the source that answered last, why the reason for leaving the one before.
 	current string
 	why     error
@@ -113,8 +113,8 @@
 	lost bool
 }
 
-// solitude is how a source that failed is left alone.
-type solitude struct {
+// cooldown is how a source that failed is left alone for a while.
+type cooldown struct {
 	until time.Time
 	fails int
 	// lost says that it answered, but has lost the store.
@@ -123,7 +123,7 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.copies, f.alone = map[string]*progress{}, map[string]*solitude{}
+	f.copies, f.cooldowns = map[string]*progress{}, map[string]*cooldown{}
 	for prefix := range f.Readers {
 		f.copies[prefix] = &progress{}
 	}
@@ -143,7 +143,7 @@
 // all the same goes on.
 func (f *Follower) awaitReturn(ctx context.Context, sources []Source) {
 	for _, s := range sources {
-		if a := f.alone[s.Name]; a != nil && a.lost {
+		if a := f.cooldowns[s.Name]; a != nil && a.lost {
 			f.lose(func(c *progress) bool { return c.warned })
 			f.ask(ctx, s, true)
 			return
@@ -156,22 +156,22 @@
 // next is the first source that is not left alone.
 func (f *Follower) next(ctx context.Context, sources []Source) (Source, bool) {
 	for _, s := range sources {
-		if a := f.alone[s.Name]; a != nil && f.Now().Before(a.until) {
+		if a := f.cooldowns[s.Name]; a != nil && f.Now().Before(a.until) {
 			continue
 		}
 		if s.Usable == nil || s.Usable(ctx) {
 			return s, true
 		}
-		f.leaveAlone(s.Name, aloneMin).lost = false
+		f.coolDown(s.Name, cooldownMin).lost = false
 	}
 	return Source{}, false
 }
 
 // forget drops what is known of sources that are no longer there.
 func (f *Follower) forget(sources []Source) {
-	for name := range f.alone {
+	for name := range f.cooldowns {
 		if !slices.ContainsFunc(sources, func(s Source) bool { return s.Name == name }) {
-			delete(f.alone, name)
+			delete(f.cooldowns, name)
 		}
 	}
 }
@@ -181,7 +181,7 @@
 // store answers when it has it again, or after the wait.
 func (f *Follower) ask(ctx context.Context, s Source, knownLost bool) {
 	wait := pollWait
-	if a := f.alone[s.Name]; a != nil && a.fails > 0 {
+	if a := f.cooldowns[s.Name]; a != nil && a.fails > 0 {
 		wait = 0
 	}
 	asking, cancel := context.WithTimeout(ctx, wait+answerSlack)
@@ -197,7 +197,7 @@
 		f.note(reply.age())
 	case errors.Is(err, ErrStoreLost):
 		f.why = err
-		a := f.leaveAlone(s.Name, lostPause)
+		a := f.coolDown(s.Name, lostPause)
 		a.lost, a.fails = true, 0 // it did answer
 	default:
 		f.failed(s.Name, err)
@@ -205,7 +205,7 @@
 }
 
 func (f *Follower) answered(source string) {
-	delete(f.alone, source)
+	delete(f.cooldowns, source)
 	if source != f.current {
 		f.Report.SourceChanged(source, f.why)
 	}
@@ -214,19 +214,19 @@
 
 func (f *Follower) failed(source string, err error) {
 	f.why = err
-	a := f.leaveAlone(source, 0)
-	a.until = f.Now().Add(backoff.Jitter(min(aloneMax, aloneMin<<min(a.fails, 8))))
+	a := f.coolDown(source, 0)
+	a.until = f.Now().Add(backoff.Jitter(min(cooldownMax, cooldownMin<<min(a.fails, 8))))
 	a.fails, a.lost = a.fails+1, false
 	if errors.Is(err, ErrNonsense) || errors.Is(err, ErrLeftOut) || errors.Is(err, ErrOtherStore) {
 		f.Report.SourceRefused(source, err)
 	}
 }
 
-func (f *Follower) leaveAlone(source string, pause time.Duration) *solitude {
-	a := f.alone[source]
+func (f *Follower) coolDown(source string, pause time.Duration) *cooldown {
+	a := f.cooldowns[source]
 	if a == nil {
-		a = &solitude{}
-		f.alone[source] = a
+		a = &cooldown{}
+		f.cooldowns[source] = a
 	}
 	a.until = f.Now().Add(pause)
 	return a
@@ -263,7 +263,6 @@
 // take checks a reply and passes it to the readers. Nothing of a reply that breaks the rules
 // is passed on.
 func (f *Follower) take(r Reply) error {
-
 	for prefix := range f.copies {
 		if !slices.ContainsFunc(r.Updates, func(u Update) bool { return u.Prefix == prefix }) {
 			return Error.Wrap(ErrLeftOut)
--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -366,7 +366,7 @@
 // Keys lapse while the store is away for the relay; a follower that did not notice, since it was
 // between two questions, is told of the outage with the copy that lacks them.
 func TestCopyAfterAnOutageSaysSo(t *testing.T) {
-	f := &Follower{copies: map[string]*progress{keys: {at: 5}}, alone: map[string]*solitude{}, Report: quiet{}, Now: time.Now}
+	f := &Follower{copies: map[string]*progress{keys: {at: 5}}, cooldowns: map[string]*cooldown{}, Report: quiet{}, Now: time.Now}
 	c := newCopy()
 	f.Readers = map[string]mirror.Reader{keys: c}
 	require.NoError(t, f.take(Reply{Updates: []Update{{Prefix: keys, At: 9, Whole: true, AfterOutage: true}}}))
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// memberPause gathers the changes of members: a view of them that is a second old does
-	// no harm, and when a fleet starts each of them would end a waiting call.
+	// memberWait and memberPause are those of the watches of members. A view of them that is
+	// seconds old does no harm, and when a fleet starts each of them would end a waiting call.
+	memberWait  = 3 * time.Second
 	memberPause = time.Second
 	// staleSlack is what a waiting call of the store may take beyond its wait before a relay
 	// says that it has lost the store: a store that is slow by a factor of 100 answers in it.
@@ -41,7 +42,7 @@
 		Prefixes: []relay.Prefix{
 			followed(platform.ConfigKey, b.Store),
 			followed(platform.UpstreamPrefix, b.Store),
-			followed(memberPrefix, pausing(b.Store, memberPause)),
+			followed(memberPrefix, patient(b.Store)),
 		},
 		MostFollowers: mostFollowers,
 		Now:           time.Now,
@@ -52,10 +53,10 @@
 	return relay.Prefix{Name: prefix, Store: s, StaleAfter: s.WatchWait + s.WatchPause + staleSlack}
 }
 
-// pausing is a store whose watches gather changes for longer.
-func pausing(s *platform.Store, pause time.Duration) *platform.Store {
+// patient is a store whose watches make fewer calls, for what need not be known at once.
+func patient(s *platform.Store) *platform.Store {
 	other := *s
-	other.WatchPause = pause
+	other.WatchWait, other.WatchPause = memberWait, memberPause
 	return &other
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/relay"
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/zeebo/errs"
 )
@@ -40,6 +41,10 @@
 	{1005, grant.ErrNoBudget},
 	{1006, grant.ErrUnreachable},
 	{1007, grant.ErrHeld},
+	{1008, relay.ErrOtherStore},
+	{1009, relay.ErrUnknownPrefix},
+	{1010, relay.ErrFull},
+	{1011, relay.ErrStopping},
 }
 
 // Method names.
