--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -95,6 +95,7 @@
 type wayTo struct {
 	store.Store
 	cut, silent atomic.Bool
+	reads       atomic.Int64 // of all keys, also those that failed
 }
 
 func (w *wayTo) check(ctx context.Context) error {
@@ -111,6 +112,7 @@
 }
 
 func (w *wayTo) Snapshot(ctx context.Context, prefix string) ([]store.Item, store.Revision, error) {
+	w.reads.Add(1)
 	if err := w.check(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -347,6 +349,7 @@
 		for i, c := range w.copies {
 			require.True(t, c.lost, "follower %d", i)
 			require.Equal(t, 1, c.losses)
+			require.Zero(t, w.ways[2+i].reads.Load(), "follower %d", i)
 		}
 		w.put("a", "2")
 		before := w.store.Calls().Watches
