--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -394,3 +394,34 @@
 		})
 	}
 }
+
+// All processes lost power and are back within milliseconds of each other; the entries of their
+// lives before still stand. Callers come at once. The lender beside a serving upstream lends to
+// them from the start, so that no router takes tokens from the store, where it would keep a row
+// and write to the page for the rest of the day.
+func TestLenderIsHomeAtOnce(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1_000_000, "k1")
+		f.upstream("i-1", "model", 5)
+		f.upstream("i-20", "other", 0)
+		for _, m := range []string{
+			fmt.Sprintf(`{"id":"engine-20/before","role":"lender","vm":"engine-20","address":%q}`, address(firstLender, linkPort)),
+			fmt.Sprintf(`{"id":"router-1/before","role":"router","vm":"router-1","address":%q}`, address(1, linkPort)),
+		} {
+			key := "arbutusmill/member/" + strings.Split(m, `"`)[3]
+			_, err := f.store.CompareAndSwap(context.Background(), key, 0, []byte(m), 0)
+			require.NoError(f.t, err)
+		}
+		f.startLender(firstLender, "i-20")
+		f.startVM(1)
+		served := 0
+		for n := range 40 {
+			if f.ask(chat(fmt.Sprint("r", n))).status == 200 {
+				served++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Greater(t, served, 30)
+		require.False(t, f.tookTokens("router-1"))
+	})
+}
