Revert "A link counts as full from 0.6 of its rate"

TestFullLinkSendsCallersElsewhere failed with it and is right: a burst of 0.6 s, spread over two spans, must not send callers away. A better sign than the share of the rate is needed (what waits inbound cannot be counted on the VM); listed as open.

--- a/admission/usage.go
+++ b/admission/usage.go
@@ -25,10 +25,8 @@
 	// usageSpan is the span over which usage is taken.
 	usageSpan = 500 * time.Millisecond
 	// usageFull is the share of the rate from which a link counts as full: queues
-	// grow long before all of it is used, as bytes come in bursts. A link of 20 Mbit/s that a
-	// large caller had filled was used by 0.61 to 1 a span: with 0.75 it counted as full one to
-	// four seconds late, while a quarter of its requests missed their time.
-	usageFull = 0.6
+	// grow long before all of it is used, as bytes come in bursts.
+	usageFull = 0.75
 	// fullFor is how long a link must be full before callers are sent elsewhere; a
 	// burst of a moment is over before the balancer has noticed.
 	fullFor = time.Second
