--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,21 +146,18 @@
 
 // ready reports whether callers should be sent here. A router that lost the store goes
 // on with what it knows; one that never knew anything cannot serve, and one whose link is
-// full or whose processor is busy serves those who are here better if no others come.
+// full serves those who are here better if no others come.
 func (g *Gateway) ready() bool {
 	return !g.stopping.Load() && !g.crowded() && g.catalog.Load() != nil && g.directory.Read()
 }
 
-// crowded reports whether this VM's link has been full, or its processor busy, for a while.
+// crowded reports whether this VM's link has been full for a while.
 func (g *Gateway) crowded() bool {
-	now := time.Now()
-	link, processor := g.meter.usage.Overloaded(now), g.lag.Overloaded(now)
-	crowded := link || processor
-	if g.wasCrowded.Swap(crowded) != crowded {
-		g.Log.Info().Bool("crowded", crowded).Bool("link", link).Bool("processor", processor).
-			Int64("lag_ms", g.lag.Delay(now).Milliseconds()).Int64("active", g.active.Load()).Msg("vm_usage")
+	now := g.meter.usage.Overloaded(time.Now())
+	if g.wasCrowded.Swap(now) != now {
+		g.Log.Info().Bool("crowded", now).Int64("active", g.active.Load()).Msg("link_usage")
 	}
-	return crowded
+	return now
 }
 
 // enter counts a request in.
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -80,7 +80,7 @@
 var dependencyEvents = map[string]bool{
 	"configuration": true, "lost": true, "regained": true, "upstreams_read": true,
 	"upstream_changed": true, "upstream_gone": true, "tokens_lost": true, "tokens_regained": true,
-	"tokens_moved": true, "routers_changed": true, "vm_usage": true,
+	"tokens_moved": true, "routers_changed": true, "link_usage": true,
 	"started": true, "stopping": true, "stopped": true, "reloaded": true,
 }
 
