--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -82,12 +82,8 @@
 // it is one of those relays.
 func (b *Base) findRelays() []relay.Source {
 	candidates := b.relayCandidates()
-	vms := make([]string, 0, len(candidates))
-	for vm := range candidates {
-		vms = append(vms, vm)
-	}
 	var out []relay.Source
-	for _, vm := range relay.Order(b.Members.Self.VM, vms, len(b.Members.Members()), processesPerRelay, mostRelays) {
+	for _, vm := range b.orderRelays(candidates) {
 		if vm == b.Members.Self.VM {
 			return append(out, relay.Source{Name: ownHub, Follow: b.Hub.Follow})
 		}
@@ -100,6 +96,30 @@
 	return append(out, own)
 }
 
+// orderRelays lists the VMs of the relays for this process, best first: those of its own data
+// centre before others. Each follower of a relay gets the whole configuration with each change of
+// it, and bytes between data centres are paid for: with relays anywhere 0.16 GB passed between
+// four data centres on a day of 50 s whose configuration was large, 0.06 GB without relays.
+func (b *Base) orderRelays(candidates map[string]member.Member) []string {
+	var near, far []string
+	for vm, m := range candidates {
+		if m.Datacentre == b.Members.Self.Datacentre {
+			near = append(near, vm)
+		} else {
+			far = append(far, vm)
+		}
+	}
+	here := 0
+	for _, m := range b.Members.Members() {
+		if m.Datacentre == b.Members.Self.Datacentre {
+			here++
+		}
+	}
+	order := relay.Order(b.Members.Self.VM, near, here, processesPerRelay, mostRelays)
+	rest := relay.Order(b.Members.Self.VM, far, len(b.Members.Members()), processesPerRelay, mostRelays-len(order))
+	return append(order, rest...)
+}
+
 // relayCandidates are the processes beside upstreams, whose VMs reach the store while routers
 // are cut off and have the stronger links; without those, the routers on strong VMs.
 func (b *Base) relayCandidates() map[string]member.Member {
