--- a/hosted/relays_test.go
+++ b/hosted/relays_test.go
@@ -38,12 +38,14 @@
 // A large configuration changes often. Relays of the own data centre are asked, so that it does
 // not pass between data centres for each follower; one without two of them asks others too.
 func TestRelaysOfTheOwnDatacentreComeFirst(t *testing.T) {
-	b := baseIn("bergen", "a bergen", "b bergen", "c bergen", "d oslo", "e oslo")
+	for datacentre, near := range map[string][]string{"bergen": {"a", "b", "c"}, "oslo": {"d", "e"}} {
+		b := baseIn(datacentre, "a bergen", "b bergen", "c bergen", "d oslo", "e oslo")
+		order := b.orderRelays(b.relayCandidates())
+		require.Len(t, order, mostRelays)
+		require.Subset(t, near, order)
+	}
+	b := baseIn("bergen", "a bergen", "d oslo", "e oslo")
 	order := b.orderRelays(b.relayCandidates())
-	require.Len(t, order, mostRelays)
-	require.Subset(t, []string{"a", "b", "c"}, order)
-	b = baseIn("bergen", "a bergen", "d oslo", "e oslo")
-	order = b.orderRelays(b.relayCandidates())
 	require.Equal(t, "a", order[0])
 	require.Len(t, order, mostRelays)
 	b = baseIn("bergen", "d oslo")
