--- a/hosted/base.go
+++ b/hosted/base.go
@@ -89,6 +89,8 @@
 	Metrics  *metrics.Set
 
 	methods map[string]link.Handler
+	// config follows the configuration, nil in processes that do not read it.
+	config *mirror.Mirror
 	// relays is whom the follower asks, as of the version relaysOf of the members.
 	relays   []relay.Source
 	relaysOf uint64
@@ -119,6 +121,9 @@
 	}
 	b.Hub = b.newHub(p.Store)
 	b.Follower = b.newFollower(p.Store.Address, p.Readers)
+	if r := p.Readers[platform.ConfigKey]; r != nil {
+		b.config = b.configuration(r)
+	}
 	b.Links = &link.Pool{From: b.Life, Security: private, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
 		Log: b.Log.Printf, Dial: p.Network.Dial}
 	b.Budgets = prepaid.New(prepaid.Parts{Life: b.Life, Settings: p.Budgets, Store: b.Store, Members: b.Members,
@@ -156,6 +161,9 @@
 	d.Go(b.Members.Keep)
 	d.Go(b.Hub.Run)
 	d.Go(b.follow)
+	if b.config != nil {
+		d.Go(b.config.Run)
+	}
 	b.Budgets.Start(d)
 }
 
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -18,6 +18,10 @@
 	// seconds old does no harm, and when a fleet starts each of them would end a waiting call.
 	memberWait  = 3 * time.Second
 	memberPause = time.Second
+	// configWait is how long one waiting call for the configuration waits: all routers make it.
+	// A store that loses its history may leave a call without the changes of that time, so it is
+	// shorter than the three seconds after which routers must be up to date again.
+	configWait = 2400 * time.Millisecond
 	// staleSlack is what a waiting call of the store may take beyond its wait before a relay
 	// says that it has lost the store: a store that is slow by a factor of 100 answers in it.
 	staleSlack = 500 * time.Millisecond
@@ -40,7 +44,6 @@
 	return &relay.Hub{
 		Store: s.Address,
 		Prefixes: []relay.Prefix{
-			followed(platform.ConfigKey, b.Store),
 			followed(platform.UpstreamPrefix, b.Store),
 			followed(memberPrefix, patient(b.Store)),
 		},
@@ -49,6 +52,15 @@
 	}
 }
 
+// configuration follows the configuration in the store itself. It is one value, which may be large:
+// half a megabyte takes longer over a link of 10 Mbit/s than a relay's answer may, and while it was
+// relayed such a router knew neither it nor what upstreams were leaving until 3.4 s later.
+func (b *Base) configuration(r mirror.Reader) *mirror.Mirror {
+	direct := *b.Store
+	direct.WatchWait = configWait
+	return &mirror.Mirror{Store: &direct, Prefix: platform.ConfigKey, Reader: r}
+}
+
 func followed(prefix string, s *platform.Store) relay.Prefix {
 	return relay.Prefix{Name: prefix, Store: s, StaleAfter: s.WatchWait + s.WatchPause + staleSlack}
 }
@@ -64,7 +76,9 @@
 func (b *Base) newFollower(address string, readers map[string]mirror.Reader) *relay.Follower {
 	all := map[string]mirror.Reader{memberPrefix: b.Members}
 	for prefix, r := range readers {
-		all[prefix] = r
+		if prefix != platform.ConfigKey {
+			all[prefix] = r
+		}
 	}
 	return &relay.Follower{Store: address, Readers: all, Sources: b.sources, Report: b, Now: time.Now}
 }
