A missing upstream that is believed is a log line

Cause: the logs said when an upstream was believed no longer, not that its entry was missing and believed meanwhile. No change of what is believed.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -33,6 +33,9 @@
 type Reporter interface {
 	// UpstreamChanged is called for each entry that is new or changed.
 	UpstreamChanged(u Upstream)
+	// UpstreamMissing is called when an entry is not there any more and is believed for some
+	// time all the same.
+	UpstreamMissing(u Upstream, believedFor time.Duration)
 	// UpstreamGone is called when an entry is believed no longer.
 	UpstreamGone(u Upstream, why string)
 	// DirectoryLost and DirectoryRead say that the entries are not followed, and
@@ -186,6 +189,7 @@
 	if e.missingUntil.IsZero() && now.Before(d.doubtUntil) && !e.Leaving {
 		e.missingUntil = d.doubtUntil
 		d.entries[key] = e
+		d.Report.UpstreamMissing(e.Upstream, d.doubtUntil.Sub(now))
 		return
 	}
 	d.Report.UpstreamGone(e.Upstream, "entry removed")
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -14,11 +14,12 @@
 // quiet hears reports and does nothing.
 type quiet struct{}
 
-func (quiet) UpstreamChanged(Upstream)      {}
-func (quiet) UpstreamGone(Upstream, string) {}
-func (quiet) DirectoryLost(error)           {}
-func (quiet) DirectoryRead(int)             {}
-func (quiet) UpstreamUnreadable(error)      {}
+func (quiet) UpstreamChanged(Upstream)                {}
+func (quiet) UpstreamGone(Upstream, string)           {}
+func (quiet) UpstreamMissing(Upstream, time.Duration) {}
+func (quiet) DirectoryLost(error)                     {}
+func (quiet) DirectoryRead(int)                       {}
+func (quiet) UpstreamUnreadable(error)                {}
 
 func entryOf(id, state string) store.Item {
 	return store.Item{Key: "u/" + id, Value: []byte(state), Revision: 1}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/directory"
@@ -13,6 +15,11 @@
 		Str("datacentre", u.Datacentre).Bool("leaving", u.Leaving).Msg("upstream_changed")
 }
 
+// UpstreamMissing implements directory.Reporter.
+func (g *Gateway) UpstreamMissing(u directory.Upstream, believedFor time.Duration) {
+	g.Log.Warn().Stringer("upstream", u.Life).Str("service", u.Service).Dur("believed_for_ms", believedFor).Msg("upstream_missing")
+}
+
 // UpstreamGone implements directory.Reporter.
 func (g *Gateway) UpstreamGone(u directory.Upstream, why string) {
 	g.Log.Info().Stringer("upstream", u.Life).Str("service", u.Service).Str("why", why).Msg("upstream_gone")
