--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -172,3 +172,22 @@
 	d.Reset([]store.Item{entryOf("a", "ready"), entryOf("b", "ready"), entryOf("made-up", "ready@1")})
 	require.ElementsMatch(t, []string{"a", "b", "made-up"}, ids(d))
 }
+
+// One router is cut off from the store for 12 s while the store serves all others. An upstream
+// says that it leaves, and its entry is removed, all in that time. The router's log after the
+// cut: "upstream_missing" "believed_for_ms":2200, and requests went to the upstream until
+// "upstream_gone" "why":"entry did not return after an outage of the store", 3.1 s after the
+// cut. The router took its own cut for an outage of the store, in which leases run out; but the
+// entries of all other upstreams stood there unchanged, so no lease had run out.
+func TestUpstreamThatLeftDuringACut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := directoryAt(&now)
+	d.Reset([]store.Item{entryOf("a", "ready"), entryOf("b", "ready"), entryOf("c", "ready"), entryOf("d", "ready")})
+	d.Lost(store.ErrUnknown)
+	now = now.Add(12 * time.Second)
+	d.Reset([]store.Item{entryOf("b", "ready"), entryOf("c", "ready"), entryOf("d", "ready")})
+	require.ElementsMatch(t, []string{"b", "c", "d"}, ids(d))
+	now = now.Add(time.Second)
+	d.Changed(store.Event{Item: store.Item{Key: "u/b", Revision: 2}, Deleted: true})
+	require.ElementsMatch(t, []string{"c", "d"}, ids(d), "nor was there an outage for those that leave after the cut")
+}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -217,3 +217,32 @@
 		require.True(t, u.Seen()[0].Left)
 	})
 }
+
+// A router loses all its connections for 12 s. One of five upstreams says that it leaves
+// meanwhile, and its entry is removed; it goes on serving for some seconds. Back in touch, the
+// router must send it nothing: at the first read after the cut it saw that the entry was missing
+// ("upstream_missing"), yet went on sending there for another 2.2 s, since it took the loss of
+// its own connections for an outage of the store.
+func TestUpstreamThatLeavesWhileARouterIsCutOff(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		left := f.upstream("i-1", "plain", 0)
+		for _, id := range []string{"i-2", "i-3", "i-4", "i-5"} {
+			f.upstream(id, "plain", 0)
+		}
+		f.start()
+		f.cutOffAll(1)
+		time.Sleep(3 * time.Second)
+		f.register("i-1", "plain", "draining")
+		time.Sleep(2 * time.Second)
+		require.NoError(t, f.store.Unregister("i-1"))
+		time.Sleep(7 * time.Second)
+		f.reconnect(1)
+		time.Sleep(1500 * time.Millisecond) // more than the longest pause between two tries of the store
+		before := len(left.Seen())
+		for range 40 {
+			require.Equal(t, 200, f.ask(level("r")).status)
+		}
+		require.Len(t, left.Seen(), before)
+	})
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -82,6 +82,9 @@
 	f.closeStoreConns(vm)
 }
 
+// reconnect ends the cut of a VM.
+func (f *fleet) reconnect(vm int) { f.cut.Delete(vm) }
+
 func (f *fleet) closeStoreConns(vm int) {
 	f.storeConns.Range(func(conn, of any) bool {
 		if of == vm {
