Members and upstreams are judged alike when they are missing after a loss of the store

The same cause elsewhere: members that left during a cut of this process were kept for ten seconds, and requests asked those lenders for tokens. The judgement is a package of its own (coord/lapse); entries that were created again count as evidence of an outage as well, also where a second loss follows within the grace.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
+	"github.com/arbutusmill/arbutusmill/coord/lapse"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -38,6 +39,8 @@
 	Relays bool `json:"relays,omitempty"`
 	// revision is that of the key; of two lives of one VM the newer has the higher.
 	revision store.Revision
+	// created is the revision at which the key was created; see store.Item.
+	created store.Revision
 }
 
 // Group is a process's view of all members, itself included while its lease holds. It
@@ -73,16 +76,17 @@
 	ranks map[rankOf][]Member
 	// version counts the views.
 	version uint64
-	// missing are members of the view that are not listed, after an outage of the store, and
-	// when they were missed.
-	missing map[string]time.Time
-	lease   store.LeaseID
+	// missing are members that are not listed any more after a loss of the store. They are in
+	// the view as long as they count as lapsed.
+	missing map[string]Member
+	// kept are the keys of members that outlived the last loss of the store.
+	kept   map[string]bool
+	lapses lapse.Judge
+	lease  store.LeaseID
 	// aside says that this process is not to be listed.
 	aside bool
-	// lost says that the members are not followed; doubtUntil is the end of the time in
-	// which missing members may have lapsed only because the store was away.
-	lost       bool
-	doubtUntil time.Time
+	// lost says that the members are not followed.
+	lost bool
 }
 
 var _ mirror.Reader = (*Group)(nil)
@@ -439,11 +443,13 @@
 	g.Report.MembersRead()
 	g.update(time.Now(), func(now time.Time) {
 		if g.members == nil {
-			g.members, g.former, g.missing = map[string]Member{}, map[string]formerMember{}, map[string]time.Time{}
+			g.members, g.former, g.missing = map[string]Member{}, map[string]formerMember{}, map[string]Member{}
 		}
 		if g.lost {
-			g.lost, g.doubtUntil = false, now.Add(returnGrace)
+			g.lost = false
+			g.lapses.StoreIsBack(now, returnGrace)
 		}
+		g.judgeReadLocked(listed)
 		for key := range g.members {
 			if _, ok := listed[key]; !ok {
 				g.missLocked(now, key)
@@ -477,11 +483,7 @@
 // tidy drops the members that did not return after an outage, and forgets former ones.
 func (g *Group) tidy(now time.Time) {
 	if g.hasMissing() {
-		g.update(now, func(now time.Time) {
-			for key := range g.missing {
-				g.missLocked(now, key)
-			}
-		})
+		g.update(now, func(time.Time) {})
 	}
 	g.mu.Lock()
 	maps.DeleteFunc(g.former, func(_ string, m formerMember) bool { return now.Sub(m.left) > rememberFor })
@@ -512,6 +514,7 @@
 func (g *Group) update(now time.Time, change func(now time.Time)) {
 	g.mu.Lock()
 	change(now)
+	g.judgeMissingLocked(now)
 	g.beside, g.ranks = nil, nil
 	g.version++
 	_, missed := g.missing[g.Prefix+g.Self.ID]
@@ -537,19 +540,61 @@
 	delete(g.former, key)
 }
 
-// missLocked takes a member out of the view, or keeps it while it may have lapsed only because
-// the store was away.
+// judgeReadLocked notes the members whose leases outlasted the time since the last read: a lease
+// that runs out takes the entry with it, and its owner creates another one.
+func (g *Group) judgeReadLocked(listed map[string]Member) {
+	g.kept = map[string]bool{}
+	again := 0
+	for key, m := range listed {
+		have, ok := g.members[key]
+		_, missing := g.missing[key]
+		switch {
+		case !ok || missing:
+		case have.created == m.created:
+			g.kept[key] = true
+		default:
+			again++
+		}
+	}
+	g.lapses.Read(len(g.kept), again)
+}
+
+// missLocked notes that a member is listed no longer. It leaves the view at once, unless it may
+// have lapsed only because the store was away.
 func (g *Group) missLocked(now time.Time, key string) {
 	m, known := g.members[key]
-	if !known {
-		return
-	}
-	if now.Before(g.doubtUntil) {
-		g.missing[key] = now
-		return
+	_, missing := g.missing[key]
+	switch {
+	case !known || missing:
+	case g.lapses.Possible(now):
+		g.lapses.Miss(g.kept[key])
+		delete(g.kept, key)
+		g.missing[key] = m
+	default:
+		g.dropLocked(now, key, m)
+	}
+}
+
+// judgeMissingLocked puts missing members into the view, or takes them out of it.
+func (g *Group) judgeMissingLocked(now time.Time) {
+	lapsed, over := g.lapses.Lapsed(now), !g.lapses.Possible(now)
+	for key, m := range g.missing {
+		if lapsed {
+			g.members[key] = m
+			delete(g.former, key)
+			continue
+		}
+		if _, dropped := g.former[key]; !dropped {
+			g.dropLocked(now, key, m)
+		}
+		if over {
+			delete(g.missing, key)
+		}
 	}
+}
+
+func (g *Group) dropLocked(now time.Time, key string, m Member) {
 	delete(g.members, key)
-	delete(g.missing, key)
 	g.former[key] = formerMember{Member: m, left: now}
 }
 
@@ -578,6 +623,6 @@
 		g.Report.MemberUnreadable(fmt.Errorf("%s: %w: %w", it.Key, ErrUnreadable, err))
 		return Member{}, false
 	}
-	m.revision = it.Revision
+	m.revision, m.created = it.Revision, it.Created
 	return m, true
 }
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -146,6 +146,44 @@
 	require.False(t, ok)
 }
 
+// listedMember is the entry of a member on a VM, created and written at a revision.
+func listedMember(vm string, at store.Revision) store.Item {
+	value := fmt.Sprintf(`{"id":"%s/1","role":"lender","vm":%q,"address":"%s:1"}`, vm, vm, vm)
+	return store.Item{Key: "m/" + vm + "/1", Value: []byte(value), Revision: at, Created: at}
+}
+
+// A router is cut off from the store and the others for some seconds, and a lender's VM is taken
+// away meanwhile. Back in touch, the router does not ask that lender for tokens: the entries of
+// the other lenders are the same as before, so leases did not run out. For ten seconds it did,
+// since it took its own cut for an outage of the store, and requests waited for the lender.
+func TestMemberThatLeftDuringACut(t *testing.T) {
+	g := join(memstore.New(), "r1", "router")
+	g.Reset([]store.Item{listedMember("l1", 3), listedMember("l2", 4), listedMember("l3", 5)})
+	g.Lost(store.ErrUnknown)
+	g.Reset([]store.Item{listedMember("l2", 4), listedMember("l3", 5)})
+	require.Len(t, g.Rank("page", "lender"), 2)
+	address, ok := g.Address("l1/1")
+	require.True(t, ok, "what it lent has to find its way back")
+	require.Equal(t, "l1:1", address)
+}
+
+// The leases of all members ran out while the store was away, and the store removes their entries
+// one after the other after the first read. They are in the view all the same.
+func TestMembersThatLapseAfterTheFirstRead(t *testing.T) {
+	g := join(memstore.New(), "r1", "router")
+	all := []store.Item{listedMember("l1", 3), listedMember("l2", 4), listedMember("l3", 5), listedMember("l4", 6)}
+	g.Reset(all)
+	g.Lost(store.ErrUnknown)
+	g.Reset(all)
+	for _, it := range all {
+		g.Changed(store.Event{Item: store.Item{Key: it.Key, Revision: 9}, Deleted: true})
+	}
+	require.Len(t, g.Rank("page", "lender"), 4)
+	g.Changed(store.Event{Item: listedMember("l1", 10)})
+	g.tidy(time.Now().Add(returnGrace + time.Second))
+	require.Len(t, g.Rank("page", "lender"), 1)
+}
+
 // counting counts entries that cannot be read.
 type counting struct {
 	quiet
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/lapse"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
@@ -23,6 +24,12 @@
 	Leaving bool
 }
 
+// lapseGrace is how long entries that vanished around an outage of the store are
+// believed. Entries lapse while their owners cannot renew them, and the platform
+// promises that living ones are back about two seconds after the store's return; to
+// drop them at once would turn away everything until then.
+const lapseGrace = 2200 * time.Millisecond
+
 // Reporter hears what a directory learns.
 type Reporter interface {
 	// UpstreamChanged is called for each entry that is new or changed.
@@ -59,7 +66,7 @@
 	services map[string][]Upstream
 	// outage says that the store failed since the last Reset.
 	outage bool
-	lapses lapses
+	lapses lapse.Judge
 	read   bool
 }
 
@@ -82,7 +89,7 @@
 	defer d.mu.Unlock()
 	now := d.Now()
 	if d.outage {
-		d.lapses = after(now)
+		d.lapses.StoreIsBack(now, lapseGrace)
 	}
 	d.outage, d.read = false, true
 	old := d.entries
@@ -92,7 +99,7 @@
 		listed[it.Key] = true
 		d.putLocked(it, old[it.Key])
 	}
-	d.countKeptLocked(old)
+	d.judgeReadLocked(old)
 	for key, e := range old {
 		if !listed[key] {
 			d.missLocked(now, key, e)
@@ -179,16 +186,22 @@
 	}
 }
 
-// countKeptLocked counts the entries whose leases outlasted the time since the old ones were
-// known: a lease that runs out takes its entry with it, and the owner creates another one.
-func (d *Directory) countKeptLocked(old map[string]*entry) {
-	d.lapses.kept = 0
+// judgeReadLocked counts the entries whose leases outlasted the time since the old ones were
+// known, and those whose did not: a lease that runs out takes its entry with it, and the owner creates another one.
+func (d *Directory) judgeReadLocked(old map[string]*entry) {
+	kept, again := 0, 0
 	for key, e := range d.entries {
 		was := old[key]
-		if e.kept = was != nil && was.missingUntil.IsZero() && was.created == e.created; e.kept {
-			d.lapses.kept++
+		if was == nil || !was.missingUntil.IsZero() {
+			continue
+		}
+		if e.kept = was.created == e.created; e.kept {
+			kept++
+		} else {
+			again++
 		}
 	}
+	d.lapses.Read(kept, again)
 }
 
 // missLocked drops an entry, or keeps it for a while when it may have lapsed only
@@ -197,12 +210,13 @@
 	switch {
 	case now.Before(e.missingUntil):
 		d.entries[key] = e
-	case e.missingUntil.IsZero() && d.lapses.possible(now) && !e.Leaving:
-		e.missingUntil = d.lapses.until
+	case e.missingUntil.IsZero() && d.lapses.Possible(now) && !e.Leaving:
+		e.missingUntil = d.lapses.Until()
 		d.entries[key] = e
-		d.lapses.miss(e.kept)
+		d.lapses.Miss(e.kept)
 		e.kept = false
-		d.Report.UpstreamMissing(e.Upstream, d.lapses.believed(now), d.lapses.missing, d.lapses.kept)
+		missing, kept := d.lapses.Counts()
+		d.Report.UpstreamMissing(e.Upstream, d.lapses.Lapsed(now), missing, kept)
 	default:
 		d.Report.UpstreamGone(e.Upstream, "entry removed")
 	}
@@ -211,7 +225,7 @@
 // indexLocked makes the lists by service anew.
 func (d *Directory) indexLocked(now time.Time) {
 	services := map[string][]Upstream{}
-	bornTold, missingLive := d.bornIsToldLocked(), d.lapses.believed(now)
+	bornTold, lapsed := d.bornIsToldLocked(), d.lapses.Lapsed(now)
 	for key, e := range d.entries {
 		missing := !e.missingUntil.IsZero()
 		switch {
@@ -219,7 +233,7 @@
 			delete(d.entries, key)
 			d.Report.UpstreamGone(e.Upstream, "entry did not return after the store could not be reached")
 			continue
-		case missing && !missingLive:
+		case missing && !lapsed:
 			continue
 		}
 		if !e.Leaving && !e.rejected && !(bornTold && e.Born == 0) {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -246,3 +246,20 @@
 	}
 	require.ElementsMatch(t, []string{"a", "b", "c", "d"}, ids(d))
 }
+
+// The store is lost again a second after its return, when one of three upstreams that lapsed has
+// registered again. The other two live as well, and get requests until their time is over.
+func TestTwoOutagesInARow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := directoryAt(&now)
+	d.Reset([]store.Item{created("a", "ready", 1, 1), created("b", "ready", 2, 2), created("c", "ready", 3, 3)})
+	d.Lost(store.ErrUnknown)
+	d.Reset([]store.Item{created("a", "ready", 7, 7)})
+	d.Lost(store.ErrUnknown)
+	now = now.Add(time.Second)
+	d.Reset([]store.Item{created("a", "ready", 7, 7)})
+	require.ElementsMatch(t, []string{"a", "b", "c"}, ids(d))
+	now = now.Add(lapseGrace)
+	d.Expire()
+	require.Equal(t, []string{"a"}, ids(d))
+}
