--- a/agent/run.go
+++ b/agent/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -121,8 +120,12 @@
 	a.witness.End(t.work.ID, o.Billed())
 	t.charge(o)
 	a.metrics.ended(t.work, o)
+	why := ""
+	if refusal != nil {
+		why = refusal.Message
+	}
 	a.log.Info().Str("id", t.work.ID).Str("service", t.work.Service).Int64("tokens", o.Used).
-		Bool("whole", o.Whole).Str("kind", string(o.Kind)).Msg("ended")
+		Bool("whole", o.Whole).Str("kind", string(o.Kind)).Str("why", why).Msg("ended")
 	if refusal != nil && !t.started {
 		return refusal
 	}
@@ -145,10 +148,7 @@
 // pass sends the request to the upstream and its answer to the sink.
 func (t *run) pass(ctx context.Context, to sink) (contract.Outcome, *contract.Refusal) {
 	path := strings.TrimPrefix(t.r.URL.RequestURI(), WorkPath)
-	// The body is wrapped so that net/http cannot send it a second time by
-	// itself, as it does for repeatable bodies when a kept connection breaks.
-	body := io.NopCloser(io.LimitReader(t.r.Body, maxAnswer))
-	resp, err := t.agent.upstream.call(ctx, t.r, path, body)
+	resp, err := t.agent.upstream.call(ctx, t.r, path)
 	if err != nil {
 		return t.failed(ctx, err, 0)
 	}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -17,6 +17,8 @@
 const (
 	// maxLine bounds one line of a stream of events.
 	maxLine = 1 << 20
+	// maxBody bounds a request's body.
+	maxBody = 8 << 20
 	// maxAnswer bounds an answer that is not streamed.
 	maxAnswer = 8 << 20
 	// copyBuffer is the piece in which plain answers are passed on.
@@ -33,7 +35,10 @@
 var errNotSent = errors.New("upstream not reached")
 
 // call sends a request. An error that wraps errNotSent had no effect there.
-func (u *upstreamCaller) call(ctx context.Context, r *http.Request, path string, body io.Reader) (*http.Response, error) {
+func (u *upstreamCaller) call(ctx context.Context, r *http.Request, path string) (*http.Response, error) {
+	// The body is wrapped so that net/http cannot send it a second time by
+	// itself, as it does for repeatable bodies when a kept connection breaks.
+	body := io.NopCloser(io.LimitReader(r.Body, maxBody))
 	req, err := http.NewRequestWithContext(ctx, r.Method, u.url+path, body)
 	if err != nil {
 		return nil, errors.Join(errNotSent, err)
