--- a/fleet/check.go
+++ b/fleet/check.go
@@ -8,7 +8,7 @@
 	"slices"
 
 	"github.com/arbutusmill/arbutusmill/contract"
-	"github.com/arbutusmill/arbutusmill/mistake"
+	"github.com/arbutusmill/arbutusmill/fielderrors"
 	"github.com/arbutusmill/arbutusmill/team"
 )
 
@@ -20,7 +20,7 @@
 func ValidName(name string) bool { return nameForm.MatchString(name) }
 
 // checker collects mistakes by field.
-type checker struct{ mistake.List }
+type checker struct{ fielderrors.List }
 
 func (c *checker) name(field, name string) {
 	if !ValidName(name) {
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -168,7 +168,7 @@
 		// Guard against a false "not run": an earlier upstream may have run the
 		// request although the last one refused it.
 		if a.unsure.ID != "" && !a.served {
-			a.limbo.add(a.job, a.unsure)
+			a.lost.add(a.job, a.unsure)
 			return
 		}
 		a.settle(a.job, a.outcome)
--- a/router/limbo.go
+++ b/router/lost.go
@@ -9,9 +9,9 @@
 	"github.com/arbutusmill/arbutusmill/vm"
 )
 
-// limbo holds the requests whose outcome only their agent knows: the connection
+// lostRequests holds the requests whose outcome only their agent knows: the connection
 // broke, or the caller went away. Their reservations stay open until it is known.
-type limbo struct {
+type lostRequests struct {
 	mu   sync.Mutex
 	jobs map[string]lostJob
 }
@@ -21,7 +21,7 @@
 	agent vm.VM
 }
 
-func (l *limbo) add(j *job, agent vm.VM) {
+func (l *lostRequests) add(j *job, agent vm.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.jobs == nil {
@@ -30,7 +30,7 @@
 	l.jobs[j.id()+"@"+agent.ID] = lostJob{job: j, agent: agent}
 }
 
-func (l *limbo) list() map[string]lostJob {
+func (l *lostRequests) list() map[string]lostJob {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]lostJob, len(l.jobs))
@@ -40,30 +40,30 @@
 	return out
 }
 
-func (l *limbo) remove(key string) {
+func (l *lostRequests) remove(key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.jobs, key)
 }
 
-func (l *limbo) size() int {
+func (l *lostRequests) size() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.jobs)
 }
 
-// resolveLimbo asks the agents what became of lost requests. An agent that does not
+// resolveLost asks the agents what became of lost requests. An agent that does not
 // answer is asked once a round, or a silent one would hold up all the others.
-func (r *Router) resolveLimbo(ctx context.Context) {
+func (r *Router) resolveLost(ctx context.Context) {
 	silent := map[string]bool{}
-	for key, lost := range r.limbo.list() {
+	for key, lost := range r.lost.list() {
 		if silent[lost.agent.ID] {
 			continue
 		}
 		done, answered := r.resolve(ctx, lost)
 		silent[lost.agent.ID] = !answered
 		if done {
-			r.limbo.remove(key)
+			r.lost.remove(key)
 		}
 	}
 }
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -28,7 +28,7 @@
 		defer r.mu.Unlock()
 		return float64(r.active)
 	})
-	set.NewGauge("arbutusmill_router_lost_requests", func() float64 { return float64(r.limbo.size()) })
+	set.NewGauge("arbutusmill_router_lost_requests", func() float64 { return float64(r.lost.size()) })
 	set.NewGauge("arbutusmill_router_waiting_charges", func() float64 {
 		if !r.begun.Load() {
 			return 0
--- a/router/router.go
+++ b/router/router.go
@@ -43,7 +43,7 @@
 	outbox   *ledger.Outbox
 	shards   *shards
 	chooser  *upstream.Chooser
-	limbo    limbo
+	lost     lostRequests
 	watch    watch
 	metrics  *routerMetrics
 	work     *http.Client
@@ -72,9 +72,9 @@
 	idleConns = 64
 	// dutyInterval is the pause between two rounds of the budget duties.
 	dutyInterval = 200 * time.Millisecond
-	// limboInterval is the pause between two rounds of questions about lost
+	// lostInterval is the pause between two rounds of questions about lost
 	// requests.
-	limboInterval = time.Second
+	lostInterval = time.Second
 )
 
 // New makes a router; it makes no call.
@@ -219,7 +219,7 @@
 	d.Every(dutyInterval, r.syncDue)
 	d.Every(min(time.Second, time.Duration(b.LotIdle)/2), r.returnLots)
 	d.Every(time.Duration(b.LotIdle)*auditRounds, r.desk.AuditLots)
-	d.Every(limboInterval, r.resolveLimbo)
+	d.Every(lostInterval, r.resolveLost)
 	d.Every(time.Duration(b.RecoverInterval), r.recoverDead)
 	d.Go(r.placeTokens)
 	d.Every(time.Duration(b.Place), r.placeTokens)
@@ -275,16 +275,16 @@
 	for ctx.Err() == nil && !r.holder.Fenced() && !r.handedOver(ctx) {
 		_ = pause.Wait(ctx)
 	}
-	r.log.Info().Int("charges_left", r.outbox.Waiting()).Int("limbo_left", r.limbo.size()).Msg("stopped")
+	r.log.Info().Int("charges_left", r.outbox.Waiting()).Int("lost_requests_left", r.lost.size()).Msg("stopped")
 }
 
 // handedOver flushes charges, resolves lost requests and gives grants back; it
 // reports whether nothing is left. A life that left nothing ends clean.
 func (r *Router) handedOver(ctx context.Context) bool {
-	r.resolveLimbo(ctx)
+	r.resolveLost(ctx)
 	_ = r.outbox.Flush(ctx)
 	clean := r.giveBack(ctx)
-	if !clean || r.outbox.Waiting() > 0 || r.limbo.size() > 0 {
+	if !clean || r.outbox.Waiting() > 0 || r.lost.size() > 0 {
 		return false
 	}
 	return r.base.Lives.EndClean(ctx, r.base.Incarnation) == nil
@@ -300,7 +300,7 @@
 	Generation  int64               `json:"configuration_generation"`
 	Preset      string              `json:"preset"`
 	Charges     int                 `json:"waiting_charges"`
-	Limbo       int                 `json:"lost_requests"`
+	Lost        int                 `json:"lost_requests"`
 	Budgets     []grant.BudgetState `json:"budgets"`
 	Shards      []ledger.ShardState `json:"ledger_shards"`
 	Upstreams   []upstream.State    `json:"upstreams"`
@@ -315,7 +315,7 @@
 	r.mu.Unlock()
 	s := State{Ready: r.base.Admin.Ready(), Leaving: leaving, Active: active,
 		Upstreams: r.chooser.States(), VMs: r.base.View.State(), Links: r.base.Links.Peers(),
-		Limbo: r.limbo.size(), Suspects: r.watch.state()}
+		Lost: r.lost.size(), Suspects: r.watch.state()}
 	if snap := r.current.Load(); snap != nil {
 		s.Generation, s.Preset = snap.Generation, snap.Document.Preset
 	}
--- a/settings/check.go
+++ b/settings/check.go
@@ -5,13 +5,13 @@
 	"net/url"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/fielderrors"
 	"github.com/arbutusmill/arbutusmill/fleet"
-	"github.com/arbutusmill/arbutusmill/mistake"
 	"github.com/rs/zerolog"
 )
 
 // checker collects mistakes by field.
-type checker struct{ mistake.List }
+type checker struct{ fielderrors.List }
 
 func (c *checker) require(ok bool, field, format string, args ...any) {
 	if !ok {
