--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -302,6 +302,24 @@
 	})
 }
 
+// Both relays of a data centre lose power at once, and a key is taken away in that moment. Routers
+// learn of it from the store itself, within the two seconds in which changes are to be in force:
+// only the first relay may cost the whole time of a waiting question.
+func TestTwoSilentRelays(t *testing.T) {
+	play(t, 2, 2, func(w *world) {
+		time.Sleep(5 * time.Second)
+		w.put("a", "1")
+		time.Sleep(watchDelay)
+		for _, ways := range w.toHub {
+			ways[0].silent.Store(true)
+			ways[1].silent.Store(true)
+		}
+		w.put("a", "2")
+		time.Sleep(1900 * time.Millisecond)
+		w.all()
+	})
+}
+
 // A relay loses the store by a call that is never answered. It says so before its own call times
 // out, so that its followers, which the store would answer, learn of changes within two seconds.
 func TestRelayThatLostTheStoreSilently(t *testing.T) {
