After a silent relay the next source is only asked what it has

Cause: each source asked for the first time was waited for in full, 1.1 s; two relays that lost power together took 2.2 s, and changes were in force later than the two seconds that small deployments allow. With the configuration relayed again, that holds for it too. Ruled out: a shorter wait for all, which costs messages at rest. Change: a question that follows a silent source does not wait.

--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -68,6 +68,8 @@
 	// current is the source that answered last, why the reason for leaving the one before.
 	current string
 	why     error
+	// failing says that the source asked last did not answer.
+	failing bool
 
 	mu sync.Mutex
 	// told is what State returns.
@@ -176,12 +178,13 @@
 	}
 }
 
-// ask asks a source once. One that failed before is only asked what it has: if it is silent
-// again, changes are held up for no longer than that. A source that is known to have lost the
-// store answers when it has it again, or after the wait.
+// ask asks a source once. One that failed before, or that comes after one that did not answer, is
+// only asked what it has: if it is silent too, changes are held up for no longer than that. Relays
+// that lose power together would else take up the seconds in which changes are to be in force.
+// A source that is known to have lost the store answers when it has it again, or after the wait.
 func (f *Follower) ask(ctx context.Context, s Source, knownLost bool) {
 	wait := pollWait
-	if a := f.cooldowns[s.Name]; a != nil && a.fails > 0 {
+	if a := f.cooldowns[s.Name]; a != nil && a.fails > 0 || f.failing && !knownLost {
 		wait = 0
 	}
 	asking, cancel := context.WithTimeout(ctx, wait+answerSlack)
@@ -209,11 +212,11 @@
 	if source != f.current {
 		f.Report.SourceChanged(source, f.why)
 	}
-	f.current, f.why = source, nil
+	f.current, f.why, f.failing = source, nil, false
 }
 
 func (f *Follower) failed(source string, err error) {
-	f.why = err
+	f.why, f.failing = err, true
 	a := f.coolDown(source, 0)
 	a.until = f.Now().Add(backoff.Jitter(min(cooldownMax, cooldownMin<<min(a.fails, 8))))
 	a.fails, a.lost = a.fails+1, false
