--- a/directory/directory.go
+++ b/directory/directory.go
@@ -66,12 +66,14 @@
 	services map[string][]Upstream
 	// outage says that the store failed since the last Reset.
 	outage bool
+	// lapses judges entries that are missing after that.
 	lapses lapse.Judge
 	read   bool
 }
 
 type entry struct {
 	Upstream
+	// revision is that of the entry's last change, created that of its creation; see store.Item.
 	revision, created store.Revision
 	// kept says that the entry was there before the last loss of the store and after it.
 	kept bool
@@ -187,7 +189,8 @@
 }
 
 // judgeReadLocked counts the entries whose leases outlasted the time since the old ones were
-// known, and those whose did not: a lease that runs out takes its entry with it, and the owner creates another one.
+// known, and those whose leases did not: a lease that runs out takes its entry with it, and the
+// owner creates another one.
 func (d *Directory) judgeReadLocked(old map[string]*entry) {
 	kept, again := 0, 0
 	for key, e := range d.entries {
