--- a/gateway/callerconn_test.go
+++ b/gateway/callerconn_test.go
@@ -27,7 +27,7 @@
 
 // rawAlert is an alert as it stands on the wire.
 func rawAlert(id, body string) string {
-	return fmt.Sprintf("POST /alert/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: k1\r\nArbutusmill-Attempt-Id: %s\r\n"+
+	return fmt.Sprintf("POST /alert/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: k1\r\n"+platformtest.HeaderID+": %s\r\n"+
 		"Content-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -33,7 +33,7 @@
 		q.key = "k1"
 		for range 5 {
 			a := f.ask(q)
-			require.Equal(t, "signature-of-i-2", a.header.Get("Arbutusmill-Response-Signature"))
+			require.Equal(t, "signature-of-i-2", a.header.Get(platformtest.HeaderSignature))
 		}
 	})
 }
@@ -267,7 +267,7 @@
 			q.key = "k2"
 			require.Equal(t, 401, f.ask(q).status, "the key was taken away")
 			for range 5 {
-				require.Equal(t, "signature-of-i-2", f.ask(level("r")).header.Get("Arbutusmill-Response-Signature"))
+				require.Equal(t, "signature-of-i-2", f.ask(level("r")).header.Get(platformtest.HeaderSignature))
 			}
 		})
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -334,14 +334,14 @@
 	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+address(max(1, q.vm), callersPort)+q.path, strings.NewReader(q.body))
 	require.NoError(f.t, err)
 	req.Host = "a.example"
-	for name, value := range map[string]string{"Arbutusmill-Attempt-Id": q.id, "Api-Key": q.key,
-		"Arbutusmill-Token-Usage": q.usage, "Arbutusmill-Prefix-Hash": q.parts} {
+	for name, value := range map[string]string{platformtest.HeaderID: q.id, "Api-Key": q.key,
+		platformtest.HeaderUsage: q.usage, platformtest.HeaderParts: q.parts} {
 		if value != "" {
 			req.Header.Set(name, value)
 		}
 	}
 	if q.deadline > 0 {
-		req.Header.Set("Arbutusmill-Deadline-Ms", fmt.Sprint(q.deadline.Milliseconds()))
+		req.Header.Set(platformtest.HeaderDeadline, fmt.Sprint(q.deadline.Milliseconds()))
 	}
 	for name, value := range q.header {
 		req.Header.Set(name, value)
--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -464,7 +464,7 @@
 		f.register("i-20", "plain", "draining")
 		time.Sleep(500 * time.Millisecond)
 		for range 10 {
-			require.Equal(t, "signature-of-i-21", f.ask(level("r")).header.Get("Arbutusmill-Response-Signature"))
+			require.Equal(t, "signature-of-i-21", f.ask(level("r")).header.Get(platformtest.HeaderSignature))
 		}
 		time.Sleep(1500 * time.Millisecond)
 		q := level("r")
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -23,22 +23,22 @@
 		u := f.upstream("i-1", "plain", 0)
 		f.start()
 		q := alert("r1")
-		q.header = map[string]string{"Arbutusmill-Tenant": "somebody-else", "X-Own": "kept", "Kv-From": "10.0.0.1:80/1"}
+		q.header = map[string]string{platformtest.HeaderTeam: "somebody-else", "X-Own": "kept", "Kv-From": "10.0.0.1:80/1"}
 		a := f.ask(q)
 		require.Equal(t, 200, a.status)
 		require.Equal(t, platformtest.PlainAnswer("r1"), a.body)
-		require.Equal(t, "signature-of-i-1", a.header.Get("Arbutusmill-Response-Signature"))
-		require.Equal(t, "r1", a.header.Get("Arbutusmill-Attempt-Id"))
+		require.Equal(t, "signature-of-i-1", a.header.Get(platformtest.HeaderSignature))
+		require.Equal(t, "r1", a.header.Get(platformtest.HeaderID))
 		seen := u.Seen()
 		require.Len(t, seen, 1)
 		require.Equal(t, "POST", seen[0].Method)
 		require.Equal(t, "/alert/x?y=1", seen[0].URI)
 		require.Equal(t, "surge", seen[0].Body)
 		h := seen[0].Header
-		require.Equal(t, "pilots", h.Get("Arbutusmill-Tenant"))
-		require.Equal(t, "i-1", h.Get("Arbutusmill-Expected-Instance"))
+		require.Equal(t, "pilots", h.Get(platformtest.HeaderTeam))
+		require.Equal(t, "i-1", h.Get(platformtest.HeaderInstance))
 		require.Equal(t, "kept", h.Get("X-Own"))
-		require.Equal(t, "1", h.Get("Arbutusmill-Request-Priority"))
+		require.Equal(t, "1", h.Get(platformtest.HeaderRank))
 		for _, name := range []string{"Api-Key", "Kv-From", "Accept-Encoding"} {
 			require.Empty(t, h.Values(name), name)
 		}
@@ -90,7 +90,7 @@
 		require.Equal(t, 200, a.status)
 		require.False(t, a.cut)
 		require.Equal(t, events(10), a.body)
-		require.Equal(t, "6000", u.Seen()[0].Header.Get("Arbutusmill-Deadline-Ms"))
+		require.Equal(t, "6000", u.Seen()[0].Header.Get(platformtest.HeaderDeadline))
 	})
 }
 
@@ -112,7 +112,7 @@
 		require.Equal(t, 200, a.status)
 		require.False(t, a.cut)
 		require.Equal(t, events(10), a.body)
-		require.Equal(t, "signature-of-"+ups[home].ID, a.header.Get("Arbutusmill-Response-Signature"))
+		require.Equal(t, "signature-of-"+ups[home].ID, a.header.Get(platformtest.HeaderSignature))
 		require.Equal(t, "4", ups[1-home].Seen()[0].LastEvent)
 	})
 }
@@ -290,7 +290,7 @@
 		defer func() { _ = conn.Close() }()
 		go func() {
 			_, _ = io.WriteString(conn, "POST /alert/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: k1\r\n"+
-				"Arbutusmill-Attempt-Id: r\r\nContent-Length: 100\r\n\r\nhalf")
+				platformtest.HeaderID+": r\r\nContent-Length: 100\r\n\r\nhalf")
 		}()
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		require.NoError(t, err)
@@ -315,7 +315,7 @@
 		require.Len(t, seen, 2)
 		var deadlines []int
 		for _, s := range seen {
-			ms, err := strconv.Atoi(s.Header.Get("Arbutusmill-Deadline-Ms"))
+			ms, err := strconv.Atoi(s.Header.Get(platformtest.HeaderDeadline))
 			require.NoError(t, err)
 			deadlines = append(deadlines, ms)
 		}
