Explain prints all that a process learned around a request

Cause: the events that it printed were a list, which lacked what had come since: missing upstreams, members, relays, settlements; one name on it no line ever had. Change: all events that are not of single requests.

--- a/operator/explain.go
+++ b/operator/explain.go
@@ -75,14 +75,9 @@
 	text  string
 }
 
-// dependencyEvents are the events that may explain a request: what a process lost,
-// regained or began to believe.
-var dependencyEvents = map[string]bool{
-	"configuration": true, "lost": true, "regained": true, "upstreams_read": true,
-	"upstream_changed": true, "upstream_gone": true, "tokens_lost": true, "tokens_regained": true,
-	"tokens_moved": true, "routers_changed": true, "link_usage": true,
-	"started": true, "stopping": true, "stopped": true, "reloaded": true,
-}
+// ofRequests are the events of single requests. All others may explain a request: what a process
+// lost, regained or began to believe. (A list of those would have to follow each new event.)
+var ofRequests = map[string]bool{"request": true, "refused": true, "caller_connection_ended": true}
 
 // readLog reads the lines that are JSON objects; others, such as a runtime's last words,
 // are passed over.
@@ -136,7 +131,7 @@
 			continue
 		}
 		near := slices.ContainsFunc(at, func(t time.Time) bool { return l.Time.Sub(t).Abs() <= around })
-		if l.ID == id || near && dependencyEvents[l.Event] {
+		if l.ID == id || near && l.ID == "" && !ofRequests[l.Event] {
 			out = append(out, l)
 		}
 	}
