--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -17,7 +17,7 @@
 const (
 	// maxLine bounds one line of a stream of events.
 	maxLine = 1 << 20
-	// maxBody bounds a request's body.
+	// maxBody bounds a request's body: ten times the text of a prompt of 200,000 tokens.
 	maxBody = 8 << 20
 	// maxAnswer bounds an answer that is not streamed.
 	maxAnswer = 8 << 20
