--- a/coord/lapse/lapse.go
+++ b/coord/lapse/lapse.go
@@ -16,7 +16,10 @@
 // Judge judges the entries under one prefix. The zero value knows of no loss. It is not safe
 // for concurrent use.
 type Judge struct {
-	until         time.Time
+	// until is the end of the grace that followed the last loss.
+	until time.Time
+	// kept counts the entries that outlived that loss, missing those known before it that did
+	// not, whether or not their owners created them again.
 	kept, missing int
 }
 
