Emptied data centres, cold upstreams and regions are obeyed

Cause: orders to empty a data centre (op/evacuate/ZONE) were read by nobody, so requests went on to its upstreams until they were taken back; cold_remaining_ms was checked and dropped; allowed_regions were not decoded. Ruled out: late relays (changes are known within 0.3 s and a way), a rule about running streams. Change: the operators' prefix is followed whole, so orders and configuration are of one moment; the directory leaves emptied data centres out; a choice is made anew if its data centre was emptied while others were asked; what nobody would take is refused before tokens are set aside. Cold upstreams get what they bear from all routers together: leave comes with the answer to an announcement that is sent anyway, without such a process three routers share the bound. Regions of route and team both bind; a data centre of unknown region is not allowed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -57,6 +57,8 @@
 	Generative bool
 	// Resumable streams may go on at another upstream after their last event.
 	Resumable bool
+	// Regions are those in which requests may be served.
+	Regions Regions
 }
 
 // Target is one service of a route.
@@ -75,6 +77,15 @@
 	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
+	Cold   Cold
+}
+
+// Cold is what upstreams bear that have just started.
+type Cold struct {
+	// For is how long an upstream is cold after its start.
+	For time.Duration
+	// PerSecond is the requests a second that a cold one bears; 0 is no bound.
+	PerSecond float64
 }
 
 // Engine is what the upstreams of a model service have in common.
@@ -99,6 +110,8 @@
 	Rank *int
 	// Prepaid is the total of tokens that the team may use; 0 is no limit.
 	Prepaid int64
+	// Regions are those in which its requests may be served.
+	Regions Regions
 }
 
 // Limits bound what callers may send.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -22,6 +22,14 @@
 	Slots      int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Cold is how much longer the upstream was cold when it wrote its entry, ColdUntil when that
+	// ends by the clock here; the directory fills it in. A cold upstream has just started, is
+	// slow, and ends if it is sent much.
+	Cold      time.Duration
+	ColdUntil time.Time
+	// Returned is when its data centre was last taken back from being emptied, zero if it was
+	// not; the directory fills it in. An upstream there may be cold without having said so.
+	Returned time.Time
 }
 
 // lapseGrace is how long entries that vanished around an outage of the store are
@@ -64,6 +72,9 @@
 	// services holds the upstreams that take new work; it is made anew on each
 	// change and never written after that.
 	services map[string][]Upstream
+	// emptied are the data centres that get nothing, returned when others got work again.
+	emptied  map[string]bool
+	returned map[string]time.Time
 	// outage says that the store failed since the last Reset.
 	outage bool
 	// lapses judges entries that are missing after that.
@@ -155,6 +166,7 @@
 	}
 	delete(d.unreadable, it.Key)
 	e := &entry{Upstream: u, revision: it.Revision, created: it.Created}
+	e.ColdUntil = d.coldUntil(u, it, have)
 	if have != nil {
 		e.kept = have.kept
 	}
@@ -166,11 +178,31 @@
 		d.Report.UpstreamGone(have.Upstream, "it started again under its id")
 	}
 	d.entries[it.Key] = e
-	if have == nil || have.Upstream != u {
+	if have == nil || have.Life != u.Life || have.differs(u) {
 		d.Report.UpstreamChanged(u)
 	}
 }
 
+// coldUntil is the end of the time for which an entry says that its upstream is cold. An entry
+// that is read once more says nothing new.
+func (d *Directory) coldUntil(u Upstream, it store.Item, have *entry) time.Time {
+	switch {
+	case u.Cold <= 0:
+		return time.Time{}
+	case have != nil && have.Life == u.Life && have.revision == it.Revision && it.Revision != 0:
+		return have.ColdUntil
+	}
+	return d.Now().Add(u.Cold)
+}
+
+// differs reports whether another entry of the same life says something that is worth a line:
+// that a cold upstream has become a little warmer is not.
+func (u Upstream) differs(other Upstream) bool {
+	cold := (u.Cold > 0) != (other.Cold > 0)
+	return cold || u.Service != other.Service || u.Address != other.Address || u.Datacentre != other.Datacentre ||
+		u.Slots != other.Slots || u.Leaving != other.Leaving
+}
+
 // spoiledLocked takes an entry that cannot be decoded. It may come from another writer, over
 // that of a living upstream, so it names nothing to use: what stood there before may be gone.
 // The next entry that can be decoded is used at once.
@@ -239,9 +271,11 @@
 		case missing && !lapsed:
 			continue
 		}
-		if !e.Leaving && !e.rejected && !(bornTold && e.Born == 0) {
-			services[e.Service] = append(services[e.Service], e.Upstream)
+		if e.Leaving || e.rejected || d.emptied[e.Datacentre] || bornTold && e.Born == 0 {
+			continue
 		}
+		e.Returned = d.returned[e.Datacentre]
+		services[e.Service] = append(services[e.Service], e.Upstream)
 	}
 	d.services = services
 }
--- /dev/null
+++ b/directory/emptied.go
@@ -0,0 +1,55 @@
+package directory
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// SetEmptied says which data centres are to get nothing new, by the operators' newest orders:
+// their upstreams leave the lists at once. Those of a data centre that is no longer among them
+// are listed again, with the time of its return.
+func (d *Directory) SetEmptied(datacentres []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Now()
+	if d.returned == nil {
+		d.returned = map[string]time.Time{}
+	}
+	for datacentre := range d.emptied {
+		if !slices.Contains(datacentres, datacentre) {
+			d.returned[datacentre] = now
+		}
+	}
+	d.emptied = map[string]bool{}
+	for _, datacentre := range datacentres {
+		d.emptied[datacentre] = true
+	}
+	d.indexLocked(now)
+}
+
+// Emptied lists the data centres that get nothing new, in order.
+func (d *Directory) Emptied() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.emptied))
+}
+
+// CountIn is how many upstreams are known in a data centre, whether or not they get work.
+func (d *Directory) CountIn(datacentre string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, e := range d.entries {
+		if e.Datacentre == datacentre {
+			n++
+		}
+	}
+	return n
+}
+
+// Takes reports whether an upstream takes new work now. Between a choice and the send that
+// follows it, the process beside the upstream is asked, which may take a while.
+func (d *Directory) Takes(u Upstream) bool {
+	return slices.ContainsFunc(d.Of(u.Service), func(other Upstream) bool { return other.Life == u.Life })
+}
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -68,6 +68,12 @@
 	}
 }
 
+// known reports whether there is a process beside the upstream at an address.
+func (a *announcer) known(address string) bool {
+	_, known := a.members.Beside(address)
+	return known
+}
+
 // call sends a message to the process beside an upstream and reports whether it was
 // answered. Without an answer the choice goes by what this router knows itself.
 func (a *announcer) call(address, method string, in, out any) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,8 +7,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +28,7 @@
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/arbutusmill/arbutusmill/warmup"
 )
 
 const (
@@ -66,6 +69,7 @@
 	lag      *admission.Lag
 
 	catalog   catalog.Current
+	operators *operatorReader
 	directory *directory.Directory
 	pool      *pool.Pool
 	beside    *announcer
@@ -91,11 +95,12 @@
 		lag:      &admission.Lag{Period: lagPeriod},
 	}
 	g.current.Store(s)
+	g.operators = &operatorReader{g: g}
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.Configured{Catalog: &g.catalog},
-		Readers: map[string]mirror.Reader{platform.ConfigKey: configReader{g}, platform.UpstreamPrefix: g.directory},
+		Readers: map[string]mirror.Reader{platform.OperatorPrefix: g.operators, platform.UpstreamPrefix: g.directory},
 		Relays:  s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= relayMbps,
 		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
@@ -109,6 +114,10 @@
 		Ask:          g.beside.ask,
 		Withdraw:     g.beside.withdraw,
 		Exposed:      g.engineExposed,
+		Region:       func(datacentre string) string { return s.Regions[datacentre] },
+		Cold:         warmup.Bound{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
+		Beside:       g.beside.known,
+		Share:        g.shareOfCold,
 		Now:          time.Now,
 	}
 	g.path = &serving.Path{
@@ -130,6 +139,13 @@
 	return assumedRouters
 }
 
+// shareOfCold is how many of the requests in a second that a cold upstream bears are this
+// router's.
+func (g *Gateway) shareOfCold(upstream string, most int) int {
+	routers := slices.Collect(maps.Keys(g.Members.Newest(prepaid.RoleRouter)))
+	return warmup.Share(g.settings.VM, routers, upstream, most)
+}
+
 // repeatRule is the bound on repeats by the settings in force.
 func (g *Gateway) repeatRule() retrybudget.Rule {
 	s := g.current.Load().Repeats
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -65,6 +66,10 @@
 	// stops end other processes of the test.
 	stops   []func()
 	version int
+	// form is the configuration's, configForm unless a test has another.
+	form string
+	// flooded counts the requests of flood.
+	flooded int
 	// cut VMs do not reach the store, those with true nobody else either; storeConns are the connections that they have.
 	cut sync.Map
 	// linkRate is what the routers' links carry (bytes/s); 0 is no limit.
@@ -147,7 +152,7 @@
 // config puts the next version in force.
 func (f *fleet) config(prepaid int, keys ...string) {
 	f.version++
-	require.NoError(f.t, f.store.PutConfig(fmt.Sprintf(configForm, f.version, `"`+strings.Join(keys, `","`)+`"`, prepaid)))
+	require.NoError(f.t, f.store.PutConfig(fmt.Sprintf(cmp.Or(f.form, configForm), f.version, `"`+strings.Join(keys, `","`)+`"`, prepaid)))
 }
 
 // largeConfig puts the next version in force, with many more routes.
@@ -165,12 +170,29 @@
 
 // upstream starts and registers a stand-in.
 func (f *fleet) upstream(id, service string, events int) *platformtest.Upstream {
+	return f.upstreamIn("bergen", id, service, events)
+}
+
+// upstreamIn starts and registers a stand-in in a data centre.
+func (f *fleet) upstreamIn(datacentre, id, service string, events int) *platformtest.Upstream {
 	u := &platformtest.Upstream{ID: id, Events: events, Pause: 10 * time.Millisecond}
 	f.serve(addressOf(id), u)
-	f.register(id, service, "ready")
+	require.NoError(f.t, f.store.Register(id, service, addressOf(id), datacentre, "ready", 6))
 	return u
 }
 
+// upstreamCold starts a stand-in that is cold for a while.
+func (f *fleet) upstreamCold(id, service string, events int, cold time.Duration) *platformtest.Upstream {
+	u := f.upstream(id, service, events)
+	f.registerCold(id, service, cold)
+	return u
+}
+
+// registerCold writes the entry of a stand-in that is cold for a while.
+func (f *fleet) registerCold(id, service string, cold time.Duration) {
+	require.NoError(f.t, f.store.RegisterCold(id, service, addressOf(id), "bergen", 6, cold))
+}
+
 func addressOf(id string) string { return "10.2.0." + strings.TrimPrefix(id, "i-") + ":80" }
 
 func (f *fleet) register(id, service, state string) {
@@ -180,9 +202,11 @@
 func (f *fleet) settings(vm int) *settings.Gateway {
 	s := settings.DefaultGateway()
 	s.VM, s.Datacentre = fmt.Sprint("router-", vm), "bergen"
+	s.Regions = map[string]string{"bergen": "west", "oslo": "east"}
 	s.Listen = settings.GatewayListen{Callers: address(vm, callersPort), Ready: address(vm, readyPort),
 		Admin: address(vm, adminPort), Link: address(vm, linkPort)}
 	s.Store.Address = storeAddress
+	s.Cold = settings.Cold{Overshoot: 1.5, Slack: 5}
 	return &s
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -85,6 +85,7 @@
 		Service: serviceOf(table, route, v.call.ID),
 		Version: table.Version,
 		Rank:    route.Rank,
+		Regions: route.Regions,
 		Method:  req.Method,
 		URI:     req.RequestURI,
 		Host:    req.Host,
@@ -95,6 +96,7 @@
 	hop.CopyHeaders(r.Header, req.Header)
 	if team != nil {
 		r.Team, r.Prepaid = team.Name, team.Prepaid
+		r.Regions = r.Regions.Both(team.Regions)
 		if team.Rank != nil {
 			r.Rank = *team.Rank
 		}
@@ -110,10 +112,14 @@
 	return nil
 }
 
-// admit turns a request away while work waits too long at this VM, for its link or its
-// processor. It does so before the body is read; the caller's retry comes in through
+// admit turns a request away that no upstream would take, and others while work waits too long
+// at this VM, for its link or its processor. It does so before the body is read; the caller's retry comes in through
 // another router.
 func (v *visit) admit(req *http.Request) *contract.Refusal {
+	if !v.gateway.pool.Serves(v.request) {
+		return contract.Refuse(contract.NoUpstream, "no upstream of %s takes requests now, where this one may be served; emptied data centres: %v",
+			v.request.Service.Name, v.gateway.directory.Emptied())
+	}
 	link, cpu := v.gateway.meter.out.Delay(v.arrived), v.gateway.lag.Delay(v.arrived)
 	delay := max(link, cpu)
 	if admission.Admit(delay, v.request.Rank, req.ContentLength) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,7 @@
 	m := &gatewayMetrics{set: g.Metrics}
 	m.set.NewGauge("arbutusmill_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
 	m.set.NewGauge("arbutusmill_gateway_configuration_version", func() float64 { return float64(g.version()) })
+	m.set.NewGauge("arbutusmill_gateway_emptied_datacentres", func() float64 { return float64(len(g.directory.Emptied())) })
 	m.set.NewGauge("arbutusmill_gateway_routers", func() float64 {
 		n, _ := g.Members.Count(prepaid.RoleRouter)
 		return float64(n)
--- /dev/null
+++ b/gateway/regions_test.go
@@ -0,0 +1,64 @@
+package gateway_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/stretchr/testify/require"
+)
+
+// A route and a team each name the regions in which their requests may be served. Requests were
+// sent to upstreams of all regions, second tries and transfers of cached parts too. Both bind;
+// a data centre whose region is not known is not allowed.
+func TestRequestsStayInTheirRegions(t *testing.T) {
+	for name, c := range map[string]struct {
+		route, team string
+		served      []string
+	}{
+		"route":           {route: `["west"]`, served: []string{"i-1"}},
+		"team":            {team: `["east"]`, served: []string{"i-2"}},
+		"both":            {route: `["west","east"]`, team: `["east","north"]`, served: []string{"i-2"}},
+		"nothing in both": {route: `["west"]`, team: `["east"]`},
+		"unknown region":  {route: `["north"]`},
+		"none named":      {route: `[]`, served: []string{"i-1", "i-2", "i-3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(f *fleet) {
+				f.form = configForm
+				if c.route != "" {
+					f.form = strings.Replace(f.form, `{"name":"level",`, `{"name":"level","allowed_regions":`+c.route+`,`, 1)
+				}
+				if c.team != "" {
+					f.form = strings.Replace(f.form, `"tenants":[{`, `"tenants":[{"allowed_regions":`+c.team+`,`, 1)
+				}
+				f.config(0, "k1")
+				upstreams := map[string]*platformtest.Upstream{
+					"i-1": f.upstreamIn("bergen", "i-1", "plain", 0),
+					"i-2": f.upstreamIn("oslo", "i-2", "plain", 0),
+					"i-3": f.upstreamIn("nowhere", "i-3", "plain", 0),
+				}
+				f.start()
+				for _, u := range upstreams {
+					u.SetMode(platformtest.LoseAnswer) // each request is sent twice
+				}
+				for range 30 {
+					a := f.ask(level("r"))
+					if len(c.served) == 0 {
+						require.Equal(t, 503, a.status)
+						require.NotEmpty(t, a.header.Get("Retry-After"))
+					}
+				}
+				var served []string
+				for id, u := range upstreams {
+					if len(u.Seen()) > 0 {
+						served = append(served, id)
+					}
+				}
+				require.ElementsMatch(t, c.served, served)
+				unknown := strings.Count(f.log.String(), `allowed_regions names the region \"north\"`)
+				require.Equal(t, strings.Count(c.route+c.team, "north"), unknown, "one line for each")
+			})
+		})
+	}
+}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,16 +1,13 @@
 package gateway
 
 import (
-	"github.com/arbutusmill/arbutusmill/catalog"
-	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/directory"
-	"github.com/arbutusmill/arbutusmill/platform"
 )
 
 // UpstreamChanged implements directory.Reporter.
 func (g *Gateway) UpstreamChanged(u directory.Upstream) {
 	g.Log.Info().Stringer("upstream", u.Life).Str("service", u.Service).Str("address", u.Address).
-		Str("datacentre", u.Datacentre).Bool("leaving", u.Leaving).Msg("upstream_changed")
+		Str("datacentre", u.Datacentre).Bool("leaving", u.Leaving).Dur("cold_ms", u.Cold).Msg("upstream_changed")
 }
 
 // UpstreamMissing implements directory.Reporter.
@@ -39,41 +36,6 @@
 	g.Log.Error().Err(err).Msg("upstream_unreadable")
 }
 
-// configReader puts configurations in force as they are read.
-type configReader struct{ g *Gateway }
-
-// Reset implements mirror.Reader.
-func (c configReader) Reset(items []store.Item) {
-	c.g.configuration.Answers(c.g.Log, "configuration")
-	for _, it := range items {
-		c.take(it)
-	}
-}
-
-// Changed implements mirror.Reader. The configuration is never removed.
-func (c configReader) Changed(e store.Event) {
-	if !e.Deleted {
-		c.take(e.Item)
-	}
-}
-
-// Lost implements mirror.Reader.
-func (c configReader) Lost(err error) { c.g.configuration.Fails(c.g.Log, "configuration", err) }
-
-func (c configReader) take(it store.Item) {
-	if it.Key != platform.ConfigKey {
-		return
-	}
-	config, err := platform.DecodeConfig(it.Value)
-	if err != nil {
-		c.g.Log.Error().Err(err).Msg("configuration_unreadable")
-		return
-	}
-	raised := c.g.catalog.Raise(catalog.NewTable(config))
-	c.g.Log.Info().Int64("version", config.Version).Int64("revision", int64(it.Revision)).Bool("taken", raised).
-		Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Msg("configuration")
-}
-
 // state is a gateway as dumps show it.
 type state struct {
 	Life      string `json:"life"`
@@ -83,16 +45,18 @@
 	Version   int64  `json:"configuration_version"`
 	Budgets   any    `json:"budgets"`
 	Upstreams any    `json:"upstreams"`
-	Pool      any    `json:"pool"`
-	Members   any    `json:"members"`
-	Followed  any    `json:"followed"`
-	Relay     any    `json:"relay"`
+	// Emptied are the data centres that get nothing new.
+	Emptied  []string `json:"emptied_datacentres"`
+	Pool     any      `json:"pool"`
+	Members  any      `json:"members"`
+	Followed any      `json:"followed"`
+	Relay    any      `json:"relay"`
 }
 
 func (g *Gateway) dump() any {
 	return state{
 		Life: g.Life, Ready: g.ready(), Stopping: g.stopping.Load(), Active: g.active.Load(),
-		Version: g.version(), Budgets: g.Budgets.State(), Upstreams: g.directory.All(),
+		Version: g.version(), Budgets: g.Budgets.State(), Upstreams: g.directory.All(), Emptied: g.directory.Emptied(),
 		Pool: g.pool.States(), Members: g.Members.Members(), Followed: g.Follower.State(), Relay: g.Hub.State(),
 	}
 }
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -40,7 +40,7 @@
 	return &relay.Hub{
 		Store: s.Address,
 		Prefixes: []relay.Prefix{
-			followed(platform.ConfigKey, b.Store),
+			followed(platform.OperatorPrefix, b.Store),
 			followed(platform.UpstreamPrefix, b.Store),
 			followed(memberPrefix, patient(b.Store)),
 		},
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -45,7 +45,7 @@
 // New makes a lender; it makes no call. dropped returns the lines that the log's writer
 // could not keep.
 func New(s *settings.Lender, network hosted.Network, log io.Writer, dropped func() uint64) *Lender {
-	l := &Lender{settings: s, engine: prefill.NewEngine(s.Upstream.PrefillPerMs)}
+	l := &Lender{settings: s, engine: prefill.NewEngine(time.Now(), s.Upstream.PrefillPerMs)}
 	l.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link, Beside: s.Upstream.Address, Relays: true,
 		Methods: map[string]link.Handler{
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -35,6 +35,8 @@
 	Cached int64
 	// Avoid says that it failed lately.
 	Avoid bool
+	// Closed says that it must not be sent the request now.
+	Closed bool
 	// FailureShare is the share of its recent answers that failed, 0 to 1.
 	FailureShare float64
 	// Exposed says that its streams are held up too long while it reads prompts.
@@ -116,7 +118,7 @@
 }
 
 // Choose returns the upstream with the least estimated cost, or false when there is
-// none. Upstreams to avoid are taken only when no other is left.
+// none. Upstreams to avoid are taken only when no other is left, closed ones never.
 func Choose(r *serving.Request, ups []Upstream, rates Rates, tie func(n int) int) (Choice, bool) {
 	usable := candidates(ups)
 	if len(usable) == 0 {
@@ -131,9 +133,11 @@
 func candidates(ups []Upstream) []int {
 	var good, avoided []int
 	for i, u := range ups {
-		if u.Avoid {
+		switch {
+		case u.Closed:
+		case u.Avoid:
 			avoided = append(avoided, i)
-		} else {
+		default:
 			good = append(good, i)
 		}
 	}
--- /dev/null
+++ b/pool/choose.go
@@ -0,0 +1,152 @@
+package pool
+
+import (
+	"math/rand/v2"
+
+	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/placement"
+	"github.com/arbutusmill/arbutusmill/prefill"
+	"github.com/arbutusmill/arbutusmill/serving"
+)
+
+const (
+	// mostChoices bounds the choices for one request, when the chosen upstream takes no new
+	// work any more by the time that the process beside it has answered.
+	mostChoices = 3
+	// mostMoves bounds how often a prompt goes elsewhere because an engine has more to read
+	// than was believed; each move is a message that the caller waits for.
+	mostMoves = 2
+	// mostDenied bounds the engines that may give no leave to one prompt, likewise.
+	mostDenied = 6
+)
+
+// Pick implements serving.Upstreams' choice.
+func (p *Pool) Pick(r *serving.Request, attempts []serving.Attempt) (serving.Target, bool) {
+	for range mostChoices {
+		c := p.candidates(r, attempts)
+		choice, ok := c.choose()
+		if !ok {
+			return serving.Target{}, false
+		}
+		// Its data centre may have been emptied while others were asked.
+		if u := c.ups[choice.Index]; p.Directory.Takes(u) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return p.takeLocked(p.Now(), r, c.ups, choice), true
+		}
+	}
+	return serving.Target{}, false
+}
+
+// Serves reports whether any upstream may take the request, now or soon.
+func (p *Pool) Serves(r *serving.Request) bool { return len(p.allowed(r, nil)) > 0 }
+
+// candidates is one choice: the upstreams that may be chosen, and what is known of them.
+type candidates struct {
+	pool  *Pool
+	r     *serving.Request
+	ups   []directory.Upstream
+	views []placement.Upstream
+	rates placement.Rates
+}
+
+func (p *Pool) candidates(r *serving.Request, attempts []serving.Attempt) *candidates {
+	ups := p.allowed(r, attempts)
+	return &candidates{pool: p, r: r, ups: ups, views: p.views(r, ups), rates: p.rates(r)}
+}
+
+// allowed are the upstreams of the request's service in the regions where it may be served,
+// without those that it was sent to.
+func (p *Pool) allowed(r *serving.Request, attempts []serving.Attempt) []directory.Upstream {
+	ups := p.Directory.Of(r.Service.Name)
+	if len(attempts) == 0 && r.Regions == nil {
+		return ups
+	}
+	tried := map[directory.Life]bool{}
+	for _, a := range attempts {
+		tried[a.Upstream] = true
+	}
+	var out []directory.Upstream
+	for _, u := range ups {
+		if !tried[u.Life] && r.Regions.Allow(p.Region(u.Datacentre)) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// choose finds the best by what is known here, and for prompts asks the process beside it.
+func (c *candidates) choose() (placement.Choice, bool) {
+	choice, ok := c.best()
+	if !ok || c.pool.Ask == nil || c.r.Prompt <= 0 {
+		return choice, ok
+	}
+	return c.ask(choice)
+}
+
+func (c *candidates) best() (placement.Choice, bool) {
+	return placement.Choose(c.r, c.views, c.rates, rand.IntN)
+}
+
+// ask announces the prompt at the chosen engine, and chooses again by what that has cached and
+// still has to read, or if it has had as many prompts in the last second as it bears when cold. An
+// announcement at an engine that is not taken is withdrawn.
+func (c *candidates) ask(choice placement.Choice) (placement.Choice, bool) {
+	moves := 0
+	var warm *placement.Choice // the first that has had so many, and is not known to be cold
+	for range mostMoves + mostDenied + 1 {
+		u, view := c.ups[choice.Index], &c.views[choice.Index]
+		told, answered := c.pool.announce(c.r, u, choice)
+		if told.Denied || !answered && c.pool.needsLeave(c.r, u) {
+			if warm == nil && !c.pool.cold(c.pool.Now(), c.r, u) {
+				first := choice
+				warm = &first
+			}
+			view.Closed = true
+			next, ok := c.best()
+			if !ok {
+				break
+			}
+			choice = next
+			continue
+		}
+		if !answered || moves == mostMoves {
+			return choice, true
+		}
+		view.Told = &told
+		next, _ := c.best() // the one that was just asked is there
+		if next.Index == choice.Index {
+			return next, true
+		}
+		c.pool.Withdraw(u.Address, c.pool.announcement(c.r, u, choice), told)
+		moves++
+		choice = next
+	}
+	return c.denied(warm)
+}
+
+// denied is the choice where all engines that were asked have had what they would bear when cold.
+// Those that are not known to be cold bear more: to refuse the request would be worse than the risk
+// that the chosen one has become cold unnoticed.
+func (c *candidates) denied(warm *placement.Choice) (placement.Choice, bool) {
+	if warm == nil {
+		return placement.Choice{}, false
+	}
+	insisting := c.pool.announcement(c.r, c.ups[warm.Index], *warm)
+	insisting.Most = 0
+	c.pool.Ask(c.ups[warm.Index].Address, insisting)
+	return *warm, true
+}
+
+// announce tells the process beside an engine of a prompt. An answer about another life of the
+// engine is none: either the entry is late or that process is, and a cache that is gone would
+// draw prompts there.
+func (p *Pool) announce(r *serving.Request, u directory.Upstream, c placement.Choice) (prefill.Told, bool) {
+	told, ok := p.Ask(u.Address, p.announcement(r, u, c))
+	return told, ok && told.Born == u.Born
+}
+
+func (p *Pool) announcement(r *serving.Request, u directory.Upstream, c placement.Choice) prefill.Announcement {
+	return prefill.Announcement{Prompt: r.Prompt, Parts: r.Parts, Fetched: c.Fetched,
+		Most: p.Cold.Most(r.Service.Cold.PerSecond), Cold: p.cold(p.Now(), r, u)}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/arbutusmill/arbutusmill/placement"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/serving"
+	"github.com/arbutusmill/arbutusmill/warmup"
 )
 
 // How failing upstreams are left alone.
@@ -59,6 +59,16 @@
 	// any more, and what decided it: how long streams of its service are held up, as a share
 	// of their goal, and how many times as long as others it takes. It must not block.
 	Exposed func(life directory.Life, exposed bool, heldUp, slowness float64)
+	// Region returns the region of a data centre, "" if it is not known.
+	Region func(datacentre string) string
+	// Cold bounds what cold upstreams are sent.
+	Cold warmup.Bound
+	// Beside reports whether a process beside the upstream at an address is known, which gives
+	// leave to send prompts there. It may be nil.
+	Beside func(address string) bool
+	// Share is how many of the requests in a second that a cold upstream bears are this
+	// router's, where there is nobody to give leave.
+	Share func(upstream string, most int) int
 	// Now is the clock.
 	Now func() time.Time
 
@@ -87,69 +97,14 @@
 	// says that its streams are held up too long while it reads prompts.
 	slowness float64
 	exposed  bool
+	// sent are the requests without leave while it is cold.
+	sent warmup.Window
 }
 
 // shareOfTime is the part of the time left that one attempt gets when the request may
 // be tried at another upstream after it.
 const shareOfTime = 0.5
 
-// mostAsked bounds the engines that are asked for one request: the preferred one, and the
-// next best if that has more to read than was believed.
-const mostAsked = 2
-
-// Pick implements serving.Upstreams' choice.
-func (p *Pool) Pick(r *serving.Request, attempts []serving.Attempt) (serving.Target, bool) {
-	ups := untried(p.Directory.Of(r.Service.Name), attempts)
-	rates := p.rates(r)
-	views := p.views(r, ups)
-	choice, ok := placement.Choose(r, views, rates, rand.IntN)
-	if !ok {
-		return serving.Target{}, false
-	}
-	if p.Ask != nil && r.Prompt > 0 {
-		choice = p.ask(r, ups, views, rates, choice)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.takeLocked(p.Now(), r, ups, choice), true
-}
-
-// ask announces the prompt at the chosen engine, and chooses again by what that has cached
-// and still has to read. An announcement at an engine that is not taken is withdrawn.
-func (p *Pool) ask(r *serving.Request, ups []directory.Upstream, views []placement.Upstream, rates placement.Rates, choice placement.Choice) placement.Choice {
-	for range mostAsked {
-		told, ok := p.announce(r, ups[choice.Index], choice)
-		if !ok {
-			return choice
-		}
-		views[choice.Index].Told = &told
-		next, _ := placement.Choose(r, views, rates, rand.IntN)
-		if next.Index == choice.Index {
-			return next
-		}
-		p.Withdraw(ups[choice.Index].Address, announcement(r, choice), told)
-		if views[next.Index].Told != nil {
-			p.announce(r, ups[next.Index], next) // it was asked before and is the best after all
-			return next
-		}
-		choice = next
-	}
-	p.announce(r, ups[choice.Index], choice)
-	return choice
-}
-
-// announce tells the process beside an engine of a prompt. An answer about another life of the
-// engine is none: either the entry is late or that process is, and a cache that is gone would
-// draw prompts there.
-func (p *Pool) announce(r *serving.Request, u directory.Upstream, c placement.Choice) (prefill.Told, bool) {
-	told, ok := p.Ask(u.Address, announcement(r, c))
-	return told, ok && told.Born == u.Born
-}
-
-func announcement(r *serving.Request, c placement.Choice) prefill.Announcement {
-	return prefill.Announcement{Prompt: r.Prompt, Parts: r.Parts, Fetched: c.Fetched}
-}
-
 // views is what is known of the upstreams.
 func (p *Pool) views(r *serving.Request, ups []directory.Upstream) []placement.Upstream {
 	p.mu.Lock()
@@ -203,24 +158,6 @@
 	return made.(*pauses)
 }
 
-// untried leaves out the upstreams that the request was sent to.
-func untried(ups []directory.Upstream, attempts []serving.Attempt) []directory.Upstream {
-	if len(attempts) == 0 {
-		return ups
-	}
-	tried := map[directory.Life]bool{}
-	for _, a := range attempts {
-		tried[a.Upstream] = true
-	}
-	var out []directory.Upstream
-	for _, u := range ups {
-		if !tried[u.Life] {
-			out = append(out, u)
-		}
-	}
-	return out
-}
-
 func (p *Pool) rates(r *serving.Request) placement.Rates {
 	rates := placement.Rates{
 		PrefillPerMs: p.PrefillPerMs,
@@ -246,6 +183,7 @@
 		Cached:       s.cache.Match(r.Parts),
 		Avoid:        now.Before(s.avoid),
 		FailureShare: s.failureShare(now),
+		Closed:       p.closedLocked(now, r, u, s),
 	}
 }
 
@@ -264,6 +202,9 @@
 func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice) serving.Target {
 	u := ups[c.Index]
 	s := p.stateLocked(u.Life)
+	if p.cold(now, r, u) && !p.asksLeave(r, u) {
+		s.sent.Count(now)
+	}
 	s.running++
 	s.unread += c.Unread
 	if e := r.Service.Engine; e != nil {
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -31,7 +31,7 @@
 		return directory.Upstream{Life: directory.Life{ID: it.Key}, Address: it.Key, Service: "s", Slots: 6}, nil
 	}}
 	d.Reset([]store.Item{{Key: "a"}, {Key: "b"}})
-	return &Pool{Directory: d, PrefillPerMs: 50, Routers: func() int { return 1 }, Now: clock}
+	return &Pool{Directory: d, PrefillPerMs: 50, Routers: func() int { return 1 }, Region: func(string) string { return "" }, Now: clock}
 }
 
 func plain(now time.Time) *serving.Request {
@@ -139,7 +139,7 @@
 	restart(p, id, 2)
 	life := directory.Life{ID: id, Born: 2}
 	view := func() placement.Upstream {
-		ups := untried(p.Directory.Of("s"), []serving.Attempt{{Upstream: before.Life}})
+		ups := p.allowed(r, []serving.Attempt{{Upstream: before.Life}})
 		for _, v := range p.views(r, ups) {
 			if v.Life == life {
 				return v
@@ -195,3 +195,28 @@
 		})
 	}
 }
+
+// An engine's data centre is emptied while the process beside the engine is asked, which takes
+// tens of milliseconds. The prompt goes to the other engine.
+func TestDatacentreIsEmptiedWhileAnEngineIsAsked(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	p.Directory.Decode = func(it store.Item) (directory.Upstream, error) {
+		return directory.Upstream{Life: directory.Life{ID: it.Key}, Address: it.Key, Datacentre: it.Key, Service: "s", Slots: 6}, nil
+	}
+	p.Directory.Reset([]store.Item{{Key: "a"}, {Key: "b"}})
+	first := ""
+	p.Withdraw = func(string, prefill.Announcement, prefill.Told) {}
+	p.Ask = func(address string, _ prefill.Announcement) (prefill.Told, bool) {
+		if first == "" {
+			first = address
+			p.Directory.SetEmptied([]string{address})
+		}
+		return prefill.Told{}, true
+	}
+	r := plain(now)
+	r.Prompt, r.Parts = 1000, []prefill.Part{{ID: "own", Tokens: 1000}}
+	target, ok := p.Pick(r, nil)
+	require.True(t, ok)
+	require.NotEqual(t, first, target.Address)
+}
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/arbutusmill/arbutusmill/warmup"
 )
 
 // Announcement is a prompt that a router is about to send to an engine.
@@ -12,6 +14,10 @@
 	Parts  []Part `json:"parts"`
 	// Fetched is the leading tokens that the engine will fetch from another one.
 	Fetched int64 `json:"fetched,omitempty"`
+	// Most is how many prompts in any second a cold engine bears, from all routers together; 0
+	// is no bound. Cold says that the router takes the engine for cold.
+	Most int  `json:"most,omitempty"`
+	Cold bool `json:"cold,omitempty"`
 }
 
 // Told is what is known at an engine of a prompt that is announced.
@@ -25,8 +31,16 @@
 	// Born is the start of the engine that this is about, as far as is known beside it; see
 	// directory.Life.
 	Born int64 `json:"born,omitempty"`
+	// Denied says that the prompt must not be sent: the engine has got as many in the last
+	// second as it bears.
+	Denied bool `json:"denied,omitempty"`
 }
 
+// leaveShare is the part of what a cold engine bears for which leave is given. A request arrives
+// some milliseconds after it got leave, so that those of a little more than a second may arrive
+// in one.
+const leaveShare = 0.85
+
 // Engine is one engine as seen by a process that hears of every prompt sent there. It is
 // safe for concurrent use.
 type Engine struct {
@@ -36,10 +50,15 @@
 	cache Cache
 	room  int64
 	born  int64
+	// leaves are the prompts that came in the last second, as far as is known since began.
+	leaves warmup.Window
+	began  time.Time
 }
 
 // NewEngine makes the model of an engine that has read nothing.
-func NewEngine(perMs float64) *Engine { return &Engine{queue: Queue{PerMs: perMs}} }
+func NewEngine(now time.Time, perMs float64) *Engine {
+	return &Engine{queue: Queue{PerMs: perMs}, began: now}
+}
 
 // SetRoom says how many tokens of cached parts the engine's memory has room for.
 func (e *Engine) SetRoom(tokens int64) {
@@ -62,6 +81,10 @@
 // Announce notes a prompt, and tells what was known before.
 func (e *Engine) Announce(now time.Time, a Announcement) Told {
 	e.mu.Lock()
+	if !e.leaveLocked(now, a) {
+		defer e.mu.Unlock()
+		return Told{Denied: true, Born: e.born}
+	}
 	cached, born := e.cache.Match(a.Parts), e.born
 	e.cache.Add(a.Parts, e.room)
 	e.mu.Unlock()
@@ -69,11 +92,26 @@
 	return Told{Backlog: e.queue.Add(now, unread), Cached: cached, Unread: unread, Born: born}
 }
 
+// leaveLocked counts a prompt and reports whether the engine bears it if it is cold. An engine may
+// turn cold unnoticed, so it always counts: few engines get that many prompts while they are warm.
+func (e *Engine) leaveLocked(now time.Time, a Announcement) bool {
+	if a.Most == 0 {
+		return true
+	}
+	if a.Cold && now.Sub(e.began) < time.Second {
+		return false // what came before this process began is not known
+	}
+	return e.leaves.Take(now, max(1, int(leaveShare*float64(a.Most))))
+}
+
 // Withdraw takes an announcement back: the prompt went elsewhere. One that was made before the
 // engine's restart is gone already; to take it back would remove what others announced since.
 func (e *Engine) Withdraw(now time.Time, a Announcement, told Told) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if a.Most > 0 {
+		e.leaves.Return()
+	}
 	if told.Born != e.born {
 		return
 	}
--- a/prefill/queue_test.go
+++ b/prefill/queue_test.go
@@ -28,7 +28,7 @@
 // queue nor the cache keeps anything of it; parts that were cached before stay.
 func TestWithdrawnAnnouncementLeavesNothing(t *testing.T) {
 	now := time.Unix(0, 0)
-	e := NewEngine(50)
+	e := NewEngine(time.Unix(0, 0), 50)
 	e.SetRoom(100_000)
 	subject := Part{ID: "subject", Tokens: 13_300}
 	first := Announcement{Prompt: 17_000, Parts: []Part{subject, {ID: "own-1", Tokens: 3_700}}}
@@ -47,7 +47,7 @@
 
 // What an engine fetches from another one it need not read.
 func TestFetchedTokensAreNotRead(t *testing.T) {
-	e := NewEngine(50)
+	e := NewEngine(time.Unix(0, 0), 50)
 	e.SetRoom(100_000)
 	a := Announcement{Prompt: 17_000, Fetched: 13_300, Parts: []Part{{ID: "s", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}}
 	require.EqualValues(t, 3_700, e.Announce(time.Unix(0, 0), a).Unread)
@@ -57,7 +57,7 @@
 // those of its new life, which another router has announced to by then: nothing of that goes.
 func TestWithdrawalOfAnEarlierLife(t *testing.T) {
 	now := time.Unix(0, 0)
-	e := NewEngine(50)
+	e := NewEngine(time.Unix(0, 0), 50)
 	e.SetRoom(100_000)
 	prompt := Announcement{Prompt: 17_000, Parts: []Part{{ID: "subject", Tokens: 13_300}, {ID: "own", Tokens: 3_700}}}
 	e.Restarted(1, nil)
--- a/serving/request.go
+++ b/serving/request.go
@@ -25,6 +25,8 @@
 	Version int64
 	// Rank is the priority; 0 goes first.
 	Rank int
+	// Regions are those in which it may be served.
+	Regions catalog.Regions
 
 	Method string
 	// URI is the path and query, as the caller sent them.
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -12,16 +12,19 @@
 // Gateway are the settings of a router on the operators' platform. The platform fills
 // them in from the template in deploy/.
 type Gateway struct {
-	VM         string        `yaml:"vm"`
-	Datacentre string        `yaml:"datacentre"`
-	Listen     GatewayListen `yaml:"listen"`
-	Store      HostedStore   `yaml:"store"`
-	Log        Log           `yaml:"log"`
-	Budgets    HostedBudgets `yaml:"budgets"`
-	Repeats    Repeats       `yaml:"repeats"`
-	Upstreams  Upstreams     `yaml:"upstreams"`
-	Limits     GatewayLimits `yaml:"limits"`
-	Stop       Stop          `yaml:"stop"`
+	VM         string `yaml:"vm"`
+	Datacentre string `yaml:"datacentre"`
+	// Regions maps each data centre to its region.
+	Regions   map[string]string `yaml:"regions"`
+	Listen    GatewayListen     `yaml:"listen"`
+	Store     HostedStore       `yaml:"store"`
+	Log       Log               `yaml:"log"`
+	Budgets   HostedBudgets     `yaml:"budgets"`
+	Repeats   Repeats           `yaml:"repeats"`
+	Upstreams Upstreams         `yaml:"upstreams"`
+	Cold      Cold              `yaml:"cold"`
+	Limits    GatewayLimits     `yaml:"limits"`
+	Stop      Stop              `yaml:"stop"`
 }
 
 // GatewayListen are the addresses (host:port) that a gateway listens on.
@@ -86,6 +89,13 @@
 	Window fleet.Duration `yaml:"window"`
 }
 
+// Cold bounds the requests in any second to an upstream that has just started, from all routers
+// together: Overshoot times the rate that its service names, and Slack.
+type Cold struct {
+	Overshoot float64 `yaml:"overshoot"`
+	Slack     float64 `yaml:"slack"`
+}
+
 // Upstreams is how upstreams are called.
 type Upstreams struct {
 	// DialTimeout bounds the start of a connection.
@@ -166,6 +176,7 @@
 			// way between data centres.
 			AnnounceTimeout: fleet.Duration(40 * time.Millisecond),
 		},
+		Cold:   Cold{Overshoot: 1},
 		Limits: GatewayLimits{Concurrent: 2000, WriteTimeout: fleet.Duration(10 * time.Second), MemoryMB: 128},
 		// The balancer asks once a second and needs two misses.
 		Stop: Stop{Notice: fleet.Duration(3 * time.Second), Grace: fleet.Duration(8 * time.Second)},
@@ -206,6 +217,8 @@
 	c.hosted(s.Store, s.Budgets, s.Log)
 	c.require(s.Repeats.Ratio >= 0, "repeats.ratio", "must not be negative")
 	c.require(s.Repeats.Extra >= 0, "repeats.extra", "must not be negative")
+	c.require(s.Cold.Overshoot >= 1, "cold.overshoot", "must be 1 or more")
+	c.require(s.Cold.Slack >= 0, "cold.slack", "must not be negative")
 	c.require(s.Upstreams.PrefillPerMs > 0, "upstreams.prefill_tokens_per_ms", "must be positive")
 	c.require(s.Limits.Concurrent > 0, "limits.concurrent_requests", "must be positive")
 	c.require(s.Limits.LinkMbps >= 0, "limits.link_mbps", "must not be negative")
--- /dev/null
+++ b/warmup/warmup_test.go
@@ -0,0 +1,76 @@
+package warmup
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestMost(t *testing.T) {
+	b := Bound{Overshoot: 1.5, Slack: 5}
+	require.Equal(t, 14, b.Most(6.6))
+	require.Zero(t, b.Most(0), "the service names no rate")
+	require.Zero(t, b.Most(-1))
+	require.Equal(t, 1, Bound{Overshoot: 1}.Most(0.2))
+}
+
+// Requests come at any moments. No second, wherever it begins, has more than the bound, and one
+// that could have had more is never denied.
+func TestNoSecondHasMoreThanTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 5
+		var w Window
+		now := time.Unix(0, 0)
+		var taken []time.Time
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			within := 0
+			for _, at := range taken {
+				if now.Sub(at) < time.Second {
+					within++
+				}
+			}
+			if w.Take(now, most) {
+				require.Less(t, within, most)
+				taken = append(taken, now)
+			} else {
+				require.Equal(t, most, within)
+			}
+		}
+	})
+}
+
+// A prompt that got leave goes elsewhere; another one gets its place.
+func TestReturnedLeave(t *testing.T) {
+	var w Window
+	now := time.Unix(0, 0)
+	require.True(t, w.Take(now, 1))
+	require.False(t, w.Take(now, 1))
+	w.Return()
+	require.True(t, w.Take(now, 1))
+	w.Return()
+	w.Return() // one too many does no harm
+	require.True(t, w.Room(now, 1))
+}
+
+// All routers find the same few for an upstream, and these pass the bound neither together nor
+// where two of them know one router more or fewer than the others.
+func TestSharesStayWithinTheBound(t *testing.T) {
+	var routers []string
+	for n := range 26 {
+		routers = append(routers, fmt.Sprint("router-", n))
+	}
+	for n := range 50 {
+		upstream, together := fmt.Sprint("i-", n), 0
+		for _, r := range routers {
+			together += Share(r, routers, upstream, 14)
+		}
+		require.LessOrEqual(t, together, 14)
+		require.Positive(t, together)
+	}
+	require.Equal(t, 1, Share("a", []string{"a", "b"}, "i", 1)+Share("b", []string{"a", "b"}, "i", 1))
+	require.Zero(t, Share("c", []string{"a", "b"}, "i", 14), "it is not a router itself")
+}
