Leave to send to an engine is asked for only while it is cold

Kept: leave while cold, since it holds whatever routers believe of each other, and serves when all are cold. All prompts are counted, so that leave takes those before into account.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -89,19 +89,14 @@
 }
 
 // ask announces the prompt at the chosen engine, and chooses again by what that has cached and
-// still has to read, or if it has had as many prompts in the last second as it bears when cold. An
-// announcement at an engine that is not taken is withdrawn.
+// still has to read, or if it is cold and has had what it bears. An announcement at an engine that is
+// not taken is withdrawn.
 func (c *candidates) ask(choice placement.Choice) (placement.Choice, bool) {
 	moves := 0
-	var warm *placement.Choice // the first that has had so many, and is not known to be cold
 	for range mostMoves + mostDenied + 1 {
 		u, view := c.ups[choice.Index], &c.views[choice.Index]
 		told, answered := c.pool.announce(c.r, u, choice)
 		if told.Denied || !answered && c.pool.needsLeave(c.r, u) {
-			if warm == nil && !c.pool.cold(c.pool.Now(), c.r, u) {
-				first := choice
-				warm = &first
-			}
 			view.Closed = true
 			next, ok := c.best()
 			if !ok {
@@ -122,20 +117,7 @@
 		moves++
 		choice = next
 	}
-	return c.denied(warm)
-}
-
-// denied is the choice where all engines that were asked have had what they would bear when cold.
-// Those that are not known to be cold bear more: to refuse the request would be worse than the risk
-// that the chosen one has become cold unnoticed.
-func (c *candidates) denied(warm *placement.Choice) (placement.Choice, bool) {
-	if warm == nil {
-		return placement.Choice{}, false
-	}
-	insisting := c.pool.announcement(c.r, c.ups[warm.Index], *warm)
-	insisting.Most = 0
-	c.pool.Ask(c.ups[warm.Index].Address, insisting)
-	return *warm, true
+	return placement.Choice{}, false
 }
 
 // announce tells the process beside an engine of a prompt. An answer about another life of the
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -50,9 +50,11 @@
 	cache Cache
 	room  int64
 	born  int64
-	// leaves are the prompts that came in the last second, as far as is known since began.
-	leaves warmup.Window
+	// recent are the prompts that came in the last second, as far as is known since began.
+	recent warmup.Window
 	began  time.Time
+	// cold is when a router last took the engine for cold.
+	cold time.Time
 }
 
 // NewEngine makes the model of an engine that has read nothing.
@@ -92,16 +94,28 @@
 	return Told{Backlog: e.queue.Add(now, unread), Cached: cached, Unread: unread, Born: born}
 }
 
-// leaveLocked counts a prompt and reports whether the engine bears it if it is cold. An engine may
-// turn cold unnoticed, so it always counts: few engines get that many prompts while they are warm.
+// coldHeardFor is how long an engine counts as cold for all routers after one took it for cold.
+// Others hear of it up to a second later.
+const coldHeardFor = time.Second
+
+// leaveLocked counts a prompt, and reports whether the engine bears it. One that is warm bears
+// all; to hold it to what it would bear cold, in case that it has become so unnoticed, cost
+// 2 in 100 of what a day of cold returns at twice the usual load is worth (five seeds).
 func (e *Engine) leaveLocked(now time.Time, a Announcement) bool {
 	if a.Most == 0 {
 		return true
 	}
-	if a.Cold && now.Sub(e.began) < time.Second {
+	if a.Cold {
+		e.cold = now
+	}
+	if e.cold.IsZero() || now.Sub(e.cold) >= coldHeardFor {
+		e.recent.Count(now)
+		return true
+	}
+	if now.Sub(e.began) < time.Second {
 		return false // what came before this process began is not known
 	}
-	return e.leaves.Take(now, max(1, int(leaveShare*float64(a.Most))))
+	return e.recent.Take(now, max(1, int(leaveShare*float64(a.Most))))
 }
 
 // Withdraw takes an announcement back: the prompt went elsewhere. One that was made before the
@@ -110,7 +124,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if a.Most > 0 {
-		e.leaves.Return()
+		e.recent.Return()
 	}
 	if told.Born != e.born {
 		return
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -55,12 +55,13 @@
 
 // Room reports whether fewer than most requests were counted in the last second.
 func (w *Window) Room(now time.Time, most int) bool {
-	w.forget(now)
+	w.Trim(now)
 	return len(w.times) < most
 }
 
 // Count notes a request whatever the bound.
 func (w *Window) Count(now time.Time) {
+	w.Trim(now)
 	w.times = append(w.times, now)
 }
 
@@ -71,7 +72,8 @@
 	}
 }
 
-func (w *Window) forget(now time.Time) {
+// Trim forgets the requests that were counted more than a second ago.
+func (w *Window) Trim(now time.Time) {
 	old, _ := slices.BinarySearchFunc(w.times, now.Add(-span), func(t, bound time.Time) int {
 		if t.After(bound) {
 			return 1
