Parts that another engine has read are fetched from there

Change: when a prompt goes elsewhere than it prefers, the process beside the preferred engine hears of it, and tells the next prompt. Told who has the part, a router sends the prompt there, or has the part fetched.

--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -19,37 +19,38 @@
 	members *member.Group
 	links   *link.Pool
 	timeout time.Duration
-	// withdrawals are to be sent; see run.
-	withdrawals chan withdrawal
+	// notes are to be sent; see run.
+	notes chan note
 
 	mu sync.Mutex
 	// silent are the addresses that did not answer, and until when they are left alone.
 	silent map[string]time.Time
 }
 
-// withdrawal is one message that nobody waits for.
-type withdrawal struct {
-	address string
-	message link.Withdrawal
+// note is one message that nobody waits for, to the process beside the upstream at an address.
+type note struct {
+	address, method string
+	message         any
 }
 
-// mostWithdrawals bounds those that wait to be sent. One that finds no room is dropped: the
-// process beside the engine then believes for a moment that it has a prompt more to read.
-const mostWithdrawals = 256
+// mostNotes bounds those that wait to be sent. One that finds no room is dropped: the process
+// beside the engine then believes for a moment that it has a prompt more to read, or a part that
+// another engine has read is read once more.
+const mostNotes = 256
 
 func newAnnouncer(members *member.Group, links *link.Pool, timeout time.Duration) *announcer {
-	return &announcer{members: members, links: links, timeout: timeout, withdrawals: make(chan withdrawal, mostWithdrawals),
+	return &announcer{members: members, links: links, timeout: timeout, notes: make(chan note, mostNotes),
 		silent: map[string]time.Time{}}
 }
 
-// run sends withdrawals until the context ends.
+// run sends notes until the context ends.
 func (a *announcer) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-a.withdrawals:
-			a.call(w.address, link.MethodWithdraw, w.message, nil)
+		case n := <-a.notes:
+			a.call(n.address, n.method, n.message, nil)
 		}
 	}
 }
@@ -62,9 +63,18 @@
 
 // withdraw implements pool.Pool's Withdraw. Nobody waits for it.
 func (a *announcer) withdraw(address string, what prefill.Announcement, told prefill.Told) {
+	a.send(note{address, link.MethodWithdraw, link.Withdrawal{Announcement: what, Told: told}})
+}
+
+// readElsewhere implements pool.Pool's ReadElsewhere. Nobody waits for it.
+func (a *announcer) readElsewhere(address string, what prefill.Elsewhere) {
+	a.send(note{address, link.MethodReadElsewhere, what})
+}
+
+func (a *announcer) send(n note) {
 	select {
-	case a.withdrawals <- withdrawal{address, link.Withdrawal{Announcement: what, Told: told}}:
-	default: // see mostWithdrawals
+	case a.notes <- n:
+	default: // see mostNotes
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,18 +107,19 @@
 	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers}
 	g.beside = newAnnouncer(g.Members, g.Links, time.Duration(s.Upstreams.AnnounceTimeout))
 	g.pool = &pool.Pool{
-		Directory:    g.directory,
-		PrefillPerMs: s.Upstreams.PrefillPerMs,
-		Routers:      g.routers,
-		Here:         s.Datacentre,
-		Ask:          g.beside.ask,
-		Withdraw:     g.beside.withdraw,
-		Exposed:      g.engineExposed,
-		Region:       func(datacentre string) string { return s.Regions[datacentre] },
-		Cold:         warmup.Bound{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
-		Beside:       g.beside.known,
-		Share:        g.shareOfCold,
-		Now:          time.Now,
+		Directory:     g.directory,
+		PrefillPerMs:  s.Upstreams.PrefillPerMs,
+		Routers:       g.routers,
+		Here:          s.Datacentre,
+		Ask:           g.beside.ask,
+		Withdraw:      g.beside.withdraw,
+		ReadElsewhere: g.beside.readElsewhere,
+		Exposed:       g.engineExposed,
+		Region:        func(datacentre string) string { return s.Regions[datacentre] },
+		Cold:          warmup.Bound{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
+		Beside:        g.beside.known,
+		Share:         g.shareOfCold,
+		Now:           time.Now,
 	}
 	g.path = &serving.Path{
 		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(g.Network, s.Upstreams)},
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -49,8 +49,9 @@
 	l.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link, Beside: s.Upstream.Address, Relays: true,
 		Methods: map[string]link.Handler{
-			link.MethodAnnounce: link.Handle(l.announce),
-			link.MethodWithdraw: link.Handle(l.withdraw),
+			link.MethodAnnounce:      link.Handle(l.announce),
+			link.MethodWithdraw:      link.Handle(l.withdraw),
+			link.MethodReadElsewhere: link.Handle(l.readElsewhere),
 		},
 		Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.Told{},
 		Network: network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
@@ -124,6 +125,12 @@
 	return link.Empty{}, nil
 }
 
+// readElsewhere takes that another engine reads parts of prompts which prefer the one beside.
+func (l *Lender) readElsewhere(_ context.Context, in prefill.Elsewhere) (link.Empty, error) {
+	l.engine.ReadElsewhere(time.Now(), in)
+	return link.Empty{}, nil
+}
+
 // stopMargin is the part of the grace that is kept for the end of the process.
 const stopMargin = time.Second
 
--- a/link/messages.go
+++ b/link/messages.go
@@ -31,6 +31,9 @@
 	MethodAnnounce = "upstream.announce"
 	// MethodWithdraw takes an announcement back: Withdrawal, Empty.
 	MethodWithdraw = "upstream.withdraw"
+	// MethodReadElsewhere tells the process beside the engine that prompts with a shared part
+	// prefer that another engine reads it: prefill.Elsewhere, Empty.
+	MethodReadElsewhere = "upstream.read_elsewhere"
 )
 
 // MethodFollow asks a relay for the store's changes: relay.Request, relay.Reply.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -69,9 +69,9 @@
 	farCost = 3 * time.Millisecond
 	// failureCost is what an upstream that fails every request costs.
 	failureCost = 2 * time.Second
-	// fetchLeast is the fewest tokens that are worth a transfer; below it the
+	// FetchLeast is the fewest tokens that are worth a transfer; below it the
 	// set-up of the transfer takes longer than reading them.
-	fetchLeast = 1000
+	FetchLeast = 1000
 	// scatterWeight is what it costs, in tokens, to read a shared token elsewhere than
 	// at the prompt's home: the home will read it again for the next request. With 0
 	// twice as many shared tokens were read again on calm days; 0.4 and 1 differ little.
@@ -94,6 +94,9 @@
 	Unread int64
 	// Cost is the estimated time to the first event.
 	Cost time.Duration
+	// Home is the index of the upstream that the prompt prefers for its shared parts, -1 if it
+	// has none.
+	Home int
 }
 
 // Key is the part of a prompt by which requests are brought together: the last one
@@ -108,11 +111,14 @@
 	return parts[len(parts)-2].ID
 }
 
-// shared is the tokens of all parts but the last.
+// Shared are the parts of a prompt that others may share: all but the last.
+func Shared(parts []prefill.Part) []prefill.Part { return parts[:max(0, len(parts)-1)] }
+
+// shared is their tokens.
 func shared(parts []prefill.Part) int64 {
 	var n int64
-	for i := 0; i+1 < len(parts); i++ {
-		n += parts[i].Tokens
+	for _, p := range Shared(parts) {
+		n += p.Tokens
 	}
 	return n
 }
@@ -150,7 +156,7 @@
 // choosePlain takes the upstream with the most room.
 func choosePlain(ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
 	m := mean(ups, usable)
-	best := Choice{Index: -1, FetchFrom: -1}
+	best := Choice{Index: -1, FetchFrom: -1, Home: -1}
 	start := tie(len(usable))
 	for k := range usable {
 		i := usable[(start+k)%len(usable)]
@@ -222,7 +228,7 @@
 		from := -1
 		waitTokens := float64(unread)
 		var fetched int64
-		if more := most - cached; i != source && more >= fetchLeast {
+		if more := most - cached; i != source && more >= FetchLeast {
 			from, fetched = source, most
 			waitTokens += float64(more) * (rates.PrefillPerMs/rates.FetchPerMs - 1)
 			unread -= more
@@ -234,7 +240,7 @@
 		c := common(u, m, rates) + time.Duration(waitTokens/rates.PrefillPerMs*float64(time.Millisecond))
 		c += apart.cost(r, u, m.streams(u, rates))
 		if best.Index < 0 || c < best.Cost {
-			best = Choice{Index: i, FetchFrom: from, Fetched: fetched, Unread: unread, Cost: c}
+			best = Choice{Index: i, FetchFrom: from, Fetched: fetched, Unread: unread, Cost: c, Home: home}
 		}
 	}
 	return best
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -30,6 +30,7 @@
 		}
 		// Its data centre may have been emptied while others were asked.
 		if u := c.ups[choice.Index]; p.Directory.Takes(u) {
+			c.tellHome(choice)
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			return p.takeLocked(p.Now(), r, c.ups, choice), true
@@ -109,6 +110,7 @@
 			return choice, true
 		}
 		view.Told = &told
+		c.learn(told)
 		next, _ := c.best() // the one that was just asked is there
 		if next.Index == choice.Index {
 			return next, true
@@ -120,6 +122,41 @@
 	return placement.Choice{}, false
 }
 
+// learn takes in which other engine keeps more of the prompt.
+func (c *candidates) learn(told prefill.Told) {
+	if told.ElsewhereTokens == 0 {
+		return
+	}
+	holder := directory.Life{ID: told.Elsewhere.ID, Born: told.Elsewhere.Born}
+	for i := range c.views {
+		if v := &c.views[i]; v.Life == holder {
+			v.Cached = max(v.Cached, told.ElsewhereTokens)
+		}
+	}
+}
+
+// tellHome tells the process beside the engine that the prompt prefers that another one reads its
+// shared parts, unless that engine is believed to keep them, or knows.
+func (c *candidates) tellHome(choice placement.Choice) {
+	p, shared := c.pool, placement.Shared(c.r.Parts)
+	if p.ReadElsewhere == nil || choice.Home < 0 || choice.Home == choice.Index {
+		return
+	}
+	tokens, home := int64(0), c.views[choice.Home]
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	known := home.Cached
+	if home.Told != nil {
+		known = max(home.Told.Cached, home.Told.ElsewhereTokens)
+	}
+	if tokens-known < placement.FetchLeast {
+		return
+	}
+	chosen := c.ups[choice.Index].Life
+	p.ReadElsewhere(c.ups[choice.Home].Address, prefill.Elsewhere{Parts: shared, Holder: prefill.Holder{ID: chosen.ID, Born: chosen.Born}})
+}
+
 // announce tells the process beside an engine of a prompt. An answer about another life of the
 // engine is none: either the entry is late or that process is, and a cache that is gone would
 // draw prompts there.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -55,6 +55,9 @@
 	// Withdraw takes that back. Both may be nil.
 	Ask      func(address string, a prefill.Announcement) (prefill.Told, bool)
 	Withdraw func(address string, a prefill.Announcement, told prefill.Told)
+	// ReadElsewhere tells the process beside an engine that another one reads parts of a prompt
+	// which prefers that engine. It may be nil.
+	ReadElsewhere func(address string, e prefill.Elsewhere)
 	// Exposed, if set, is told when an engine is to be left to short prompts and when not
 	// any more, and what decided it: how long streams of its service are held up, as a share
 	// of their goal, and how many times as long as others it takes. It must not block.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
+	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/placement"
@@ -220,3 +221,47 @@
 	require.True(t, ok)
 	require.NotEqual(t, first, target.Address)
 }
+
+// A prompt's shared part prefers an engine that is busy, so another one reads it; the process
+// beside the preferred engine hears of it. The next router's prompt goes to that other engine, or,
+// while that one is busy, to the preferred one, which fetches the part from it. It was read once
+// more, on busy days half of all shared tokens that were.
+func TestPartsReadElsewhereAreFetched(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := poolOf(&now)
+	engines := map[string]*prefill.Engine{"a": prefill.NewEngine(now, 50), "b": prefill.NewEngine(now, 50)}
+	for _, e := range engines {
+		e.SetRoom(400_000)
+	}
+	p.Withdraw = func(address string, a prefill.Announcement, told prefill.Told) {
+		engines[address].Withdraw(now, a, told)
+	}
+	p.Ask = func(address string, a prefill.Announcement) (prefill.Told, bool) {
+		return engines[address].Announce(now, a), true
+	}
+	p.ReadElsewhere = func(address string, e prefill.Elsewhere) { engines[address].ReadElsewhere(now, e) }
+	subject := prefill.Part{ID: "subject", Tokens: 13_300}
+	ask := func(own string) serving.Target {
+		r := plain(now)
+		r.Service.Engine = &catalog.Engine{CacheTokens: 400_000, BytesPerToken: 1, LinkMbps: 100_000}
+		r.Prompt, r.Parts = 17_000, []prefill.Part{subject, {ID: own, Tokens: 3_700}}
+		target, ok := p.Pick(r, nil)
+		require.True(t, ok)
+		return target
+	}
+	home := map[bool]string{true: "a", false: "b"}[rendezvous.Pick("subject", []string{"a", "b"}) == "a"]
+	engines[home].Announce(now, prefill.Announcement{Prompt: 100_000}) // two seconds of reading
+	other := ask("own-1")
+	require.NotEqual(t, home, other.Address)
+	other.Done(serving.Attempt{Result: serving.Whole})
+	now = now.Add(5 * time.Second)
+	p.states = nil // another router comes next, which knows nothing of the first one's prompts
+	next := ask("own-2")
+	require.Equal(t, other.Address, next.Address)
+	next.Done(serving.Attempt{Result: serving.Whole})
+	p.states = nil
+	engines[other.Address].Announce(now, prefill.Announcement{Prompt: 100_000})
+	back := ask("own-3")
+	require.Equal(t, home, back.Address)
+	require.Equal(t, other.Address, back.FetchFrom)
+}
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -34,6 +34,10 @@
 	// Denied says that the prompt must not be sent: the engine has got as many in the last
 	// second as it bears.
 	Denied bool `json:"denied,omitempty"`
+	// Elsewhere is another engine that keeps more of the prompt's leading tokens, as far as is
+	// known beside this one, and ElsewhereTokens how many; 0 is none.
+	Elsewhere       Holder `json:"elsewhere,omitzero"`
+	ElsewhereTokens int64  `json:"elsewhere_tokens,omitempty"`
 }
 
 // leaveShare is the part of what a cold engine bears for which leave is given. A request arrives
@@ -50,6 +54,8 @@
 	cache Cache
 	room  int64
 	born  int64
+	// places are the parts that other engines keep.
+	places places
 	// recent are the prompts that came in the last second, as far as is known since began.
 	recent warmup.Window
 	began  time.Time
@@ -87,11 +93,23 @@
 		defer e.mu.Unlock()
 		return Told{Denied: true, Born: e.born}
 	}
-	cached, born := e.cache.Match(a.Parts), e.born
+	told := Told{Cached: e.cache.Match(a.Parts), Born: e.born}
+	if holder, tokens := e.places.find(now, a.Parts); tokens > told.Cached {
+		told.Elsewhere, told.ElsewhereTokens = holder, tokens
+	}
 	e.cache.Add(a.Parts, e.room)
 	e.mu.Unlock()
-	unread := max(0, a.Prompt-max(cached, a.Fetched))
-	return Told{Backlog: e.queue.Add(now, unread), Cached: cached, Unread: unread, Born: born}
+	// Whoever is told of another engine has the parts fetched from there.
+	told.Unread = max(0, a.Prompt-max(told.Cached, a.Fetched, told.ElsewhereTokens))
+	told.Backlog = e.queue.Add(now, told.Unread)
+	return told
+}
+
+// ReadElsewhere notes that another engine reads parts for which prompts prefer this one.
+func (e *Engine) ReadElsewhere(now time.Time, other Elsewhere) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.places.note(now, other)
 }
 
 // coldHeardFor is how long an engine counts as cold for all routers after one took it for cold.
