A refusal for tokens tells who was asked for them, and whether lost ones would have sufficed

Cause: explain of a 402 or 503 for tokens printed the refusal and what else the process learned, but no lender that was asked, what it answered or how long it took; and nothing told a budget that is used up from one whose rest died with processes. Change: the line of the request has it (asked); the home of a budget logs budget_used_up with what dead lives held.

--- a/contract/kind.go
+++ b/contract/kind.go
@@ -108,6 +108,8 @@
 	// RetryAfter goes before that of the kind's row, if it is not 0: whoever
 	// refuses may know better when a retry helps.
 	RetryAfter time.Duration
+	// Detail is for the log: what the refusal rests on.
+	Detail string
 }
 
 // Refuse returns a refusal.
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -44,6 +44,8 @@
 	// Moved, if set, is told of tokens that were taken or given back, once that is
 	// durable, and of what decided it.
 	Moved func(d Decision, v View)
+	// UsedUp, if set, is told when a page has too little left for a request that waits.
+	UsedUp func(v View)
 	// Ended, if set, is told how each sync ended and how long it took, whoever waited for it.
 	Ended func(took time.Duration, err error)
 	// KeepPages is how long a page that was read or written is used again without
@@ -238,6 +240,9 @@
 	g.keep(key, item, known.Revision == item.Revision)
 	for _, c := range commits {
 		lacking = lacking || c.lacking
+		if c.empty && fresh && g.UsedUp != nil {
+			g.UsedUp(c.view)
+		}
 	}
 	if write && g.Moved != nil {
 		for _, c := range commits {
--- a/coord/grant/peergranter.go
+++ b/coord/grant/peergranter.go
@@ -32,7 +32,9 @@
 	want := g.Holder.lotWant(g.Now(), budget)
 	verdict := Error.Wrap(ErrShort)
 	for _, peer := range g.Peers(budget) {
+		began := g.Now()
 		l, err := g.ask(ctx, peer, budget, lack, want)
+		NoteAsked(ctx, peer, g.Now().Sub(began), err)
 		if errors.Is(err, ErrExhausted) || errors.Is(err, ErrNoBudget) || errors.Is(err, ErrHeld) {
 			return err // a peer has just looked at the whole budget
 		}
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -145,7 +145,7 @@
 	join := row == nil
 	if join && (written || h.lean && h.policy.Decide(h.view(now, a, b)).Take <= 0) {
 		lacks := len(b.waits) > 0
-		return commit{book: b, lacking: lacks, empty: lacks && h.unspentLocked(a) < b.smallest()}, nil
+		return commit{book: b, view: h.view(now, a, b), lacking: lacks, empty: lacks && h.unspentLocked(a) < b.smallest()}, nil
 	}
 	if join {
 		a.Join(h.id)
@@ -169,6 +169,9 @@
 	c := commit{book: b, granted: row.Granted, row: report, took: took > 0, view: v, decision: d}
 	c.lacking = b.waiting() > b.available()+took
 	c.empty = took == 0 && len(b.waits) > 0 && h.unspentLocked(a) < b.smallest()
+	if c.empty {
+		c.view.Unspent, c.view.Dead = h.leftLocked(a) // the report above counts
+	}
 	unused := now.Sub(b.lastUse) > t.Fold && !b.lastUse.IsZero()
 	if b.idle() && (unused || h.stopping) || d.Fold && b.rowIdle() {
 		c.folded = h.foldLocked(a, b)
@@ -188,16 +191,18 @@
 
 // unspentLocked is what is left of a budget and may still be spent.
 func (h *Holder) unspentLocked(a *account.Account) int64 {
-	n := a.Unspent()
-	if h.dead == nil {
-		return n
-	}
+	unspent, _ := h.leftLocked(a)
+	return unspent
+}
+
+// leftLocked is what is left of a budget and may still be spent, and what dead lives hold of it.
+func (h *Holder) leftLocked(a *account.Account) (unspent, dead int64) {
 	for id, r := range a.Rows {
-		if id != h.id && h.dead(id) {
-			n -= r.Balance()
+		if id != h.id && h.dead != nil && h.dead(id) {
+			dead += r.Balance()
 		}
 	}
-	return n
+	return a.Unspent() - dead, dead
 }
 
 // demandMoved reports whether a row's demand is worth a write.
@@ -218,10 +223,11 @@
 
 func (h *Holder) view(now time.Time, a *account.Account, b *book) View {
 	v := View{
-		Now: now, Budget: b.budget, Credit: a.Credit(), Free: a.Free(), Unspent: h.unspentLocked(a),
+		Now: now, Budget: b.budget, Credit: a.Credit(), Free: a.Free(),
 		Granted: b.granted, Available: b.available(), Reserved: b.reserved,
 		Waiting: b.waiting(), Smallest: b.smallest(), Worst: b.worst, Demand: b.demandNow(now), Holders: max(len(a.Rows), h.expected),
 	}
+	v.Unspent, v.Dead = h.leftLocked(a)
 	for id, r := range a.Rows {
 		if id != h.id {
 			v.Others += r.Demand
--- a/coord/grant/policy.go
+++ b/coord/grant/policy.go
@@ -11,6 +11,8 @@
 	// Credit is the sum of top-ups; Free may be granted; Unspent is left
 	// anywhere, in grants or free.
 	Credit, Free, Unspent int64
+	// Dead is what lives hold that have ended; it counts as spent and is not in Unspent.
+	Dead int64
 	// Granted, Available and Reserved are the holder's own.
 	Granted, Available, Reserved int64
 	// Waiting is what requests wait for at this moment, Smallest the least that
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -272,3 +272,24 @@
 		})
 	}
 }
+
+// A caller is told that the tokens cannot be reached. The line of the request tells who was asked
+// for them, how long that took, and what each answered; before, it told only the refusal.
+func TestLineOfARefusalTellsWhoWasAsked(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(1500, "k1")
+		f.upstream("i-1", "model", 5)
+		f.startLender(firstLender, "")
+		f.startVM(1)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 200, f.ask(chat("a")).status)
+		time.Sleep(time.Second) // the first request's tokens go back
+		require.Equal(t, 402, f.ask(chat("r-18")).status)
+		for line := range strings.Lines(f.log.String()) {
+			if strings.Contains(line, `"id":"r-18"`) {
+				require.Regexp(t, `"asked":"engine-20/[A-Z0-9]+ \[\d+ ms\] link: budget exhausted"`, line)
+			}
+		}
+		require.Regexp(t, `"budget":"pilots","unspent":\d+,"lost_with_dead":0,"credit":1500,.*"would_have_sufficed":false.*budget_used_up`, f.log.String())
+	})
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -226,7 +226,7 @@
 		Int64("reserved", r.Worst()).Int64("used", end.Used).Bool("cut", end.Cut)
 	line = line.Str("attempts", history(end.Attempts))
 	if end.Refusal != nil {
-		line = line.Str("kind", string(end.Refusal.Kind)).Str("refusal", end.Refusal.Message)
+		line = line.Str("kind", string(end.Refusal.Kind)).Str("refusal", end.Refusal.Message).Str("asked", end.Refusal.Detail)
 	}
 	line.Msg("request")
 }
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -127,6 +127,8 @@
 	timeout, wait time.Duration
 	log           zerolog.Logger
 	store         outage
+	// saidUsedUp is when a budget was last said to be used up.
+	saidUsedUp lastAsked
 	// slow is when the store was slow.
 	slow  lastAsked
 	peers outages
@@ -182,7 +184,7 @@
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout,
 		CallTimeout: callTimeout, SyncTimeout: syncTimeout, Now: time.Now, Prepare: b.prepare,
-		KeepPages: keepPages, Fresh: freshPages, Moved: b.moved, Ended: b.callEnded,
+		KeepPages: keepPages, Fresh: freshPages, Moved: b.moved, UsedUp: b.usedUp, Ended: b.callEnded,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			Fold: foldAfter, Empty: emptyFor, LowPause: lowPause},
 	}
@@ -221,9 +223,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.wait)
 	defer cancel()
-	res, err := b.acquirer.Acquire(ctx, r.Team, worst)
+	trace := &grant.Trace{}
+	res, err := b.acquirer.Acquire(grant.WithTrace(ctx, trace), r.Team, worst)
 	if err != nil {
-		return nil, budgetRefusal(r.Team, worst, err)
+		refusal := budgetRefusal(r.Team, worst, err)
+		refusal.Detail = trace.String()
+		return nil, refusal
 	}
 	return func(used int64) { b.holder.Settle(time.Now(), res, used) }, nil
 }
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -42,12 +42,14 @@
 // Obtain implements grant.Granter: the store, unless it just failed or is late for others. A
 // store that has fallen silent would else cost each request its whole wait, at one process
 // after the other, before it is refused.
-func (b *Budgets) Obtain(ctx context.Context, budget string, lack int64) error {
+func (b *Budgets) Obtain(ctx context.Context, budget string, lack int64) (err error) {
+	began := time.Now()
+	defer func() { grant.NoteAsked(ctx, storeName, time.Since(began), err) }()
 	if b.store.lasts() || b.pages.Lagging(b.timeout) {
 		return grant.Error.Wrap(grant.ErrUnreachable)
 	}
 	defer b.asking.begin(budget)()
-	err := b.pages.Obtain(ctx, budget, lack)
+	err = b.pages.Obtain(ctx, budget, lack)
 	if errors.Is(err, grant.ErrShort) {
 		// This was the last place where there could be some.
 		return grant.Error.Wrap(grant.ErrHeld)
@@ -70,6 +72,22 @@
 		Int64("waiting", v.Waiting).Int64("largest", v.Worst).Int64("demand_per_s", int64(v.Demand)).Msg("tokens_moved")
 }
 
+// usedUpPause is the pause between two lines about one budget that is used up: each request of its
+// team would else write one.
+const usedUpPause = 10 * time.Second
+
+// usedUp logs that a page has too little left of a budget for a request that waits. Tokens of lives
+// that died with them count as spent: where they would have sufficed, the refusal is the fleet's
+// fault and not the end of the budget.
+func (b *Budgets) usedUp(v grant.View) {
+	if b.saidUsedUp.within(v.Budget, usedUpPause) {
+		return
+	}
+	b.saidUsedUp.note(v.Budget)
+	b.log.Info().Str("budget", v.Budget).Int64("unspent", v.Unspent).Int64("lost_with_dead", v.Dead).Int64("credit", v.Credit).
+		Int64("wanted", v.Smallest).Bool("would_have_sufficed", v.Unspent+v.Dead >= v.Smallest).Msg("budget_used_up")
+}
+
 // noteOutage keeps whether the store or a peer answers, and logs when that changes.
 func (b *Budgets) noteOutage(o *outage, what, name string, err, sign error) {
 	failed := errors.Is(err, sign)
