Routers learn how fast engines read prompts

Believed too fast, busy engines look idle. Ruled out: a setting by the sheet, since the platform's template has no such field. Change: the line through times to the first event of prompts that found nothing before them; lenders hear of it with announcements. Where nothing is learned the settings hold.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -94,6 +94,9 @@
 	Unread int64
 	// Cost is the estimated time to the first event.
 	Cost time.Duration
+	// Before is the tokens that the process beside the chosen one told of before the prompt; -1
+	// if nobody told.
+	Before int64
 	// Home is the index of the upstream that the prompt prefers for its shared parts, -1 if it
 	// has none.
 	Home int
@@ -156,7 +159,7 @@
 // choosePlain takes the upstream with the most room.
 func choosePlain(ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
 	m := mean(ups, usable)
-	best := Choice{Index: -1, FetchFrom: -1, Home: -1}
+	best := Choice{Index: -1, FetchFrom: -1, Before: -1, Home: -1}
 	start := tie(len(usable))
 	for k := range usable {
 		i := usable[(start+k)%len(usable)]
@@ -213,6 +216,14 @@
 	return float64(u.Unread) + m.unread*rates.others()
 }
 
+// toldBefore is Choice.Before.
+func (u Upstream) toldBefore() int64 {
+	if u.Told == nil {
+		return -1
+	}
+	return u.Told.Backlog
+}
+
 func choosePrompt(r *serving.Request, ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
 	m := mean(ups, usable)
 	apart := separate(r, ups, usable, rates)
@@ -240,7 +251,7 @@
 		c := common(u, m, rates) + time.Duration(waitTokens/rates.PrefillPerMs*float64(time.Millisecond))
 		c += apart.cost(r, u, m.streams(u, rates))
 		if best.Index < 0 || c < best.Cost {
-			best = Choice{Index: i, FetchFrom: from, Fetched: fetched, Unread: unread, Cost: c, Home: home}
+			best = Choice{Index: i, FetchFrom: from, Fetched: fetched, Unread: unread, Cost: c, Before: u.toldBefore(), Home: home}
 		}
 	}
 	return best
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -166,6 +166,10 @@
 }
 
 func (p *Pool) announcement(r *serving.Request, u directory.Upstream, c placement.Choice) prefill.Announcement {
-	return prefill.Announcement{Prompt: r.Prompt, Parts: r.Parts, Fetched: c.Fetched,
+	a := prefill.Announcement{Prompt: r.Prompt, Parts: r.Parts, Fetched: c.Fetched,
 		Most: p.Cold.Most(r.Service.Cold.PerSecond), Cold: p.cold(p.Now(), r, u)}
+	if rate, known := p.readingOf(r.Service.Name).perMs(p.PrefillPerMs); known {
+		a.PerMs = rate
+	}
+	return a
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -78,8 +78,9 @@
 	mu     sync.Mutex
 	states map[directory.Life]*state
 
-	// pauses are those of streams, by service.
-	pauses sync.Map // string to *pauses
+	// pauses are those of streams, readings the rates of reading, by service.
+	pauses   sync.Map // string to *pauses
+	readings sync.Map // string to *reading
 }
 
 // state is what is known of one life of an upstream.
@@ -153,18 +154,25 @@
 }
 
 // pausesOf are those of a service's streams.
-func (p *Pool) pausesOf(service string) *pauses {
-	if known, ok := p.pauses.Load(service); ok {
-		return known.(*pauses)
+func (p *Pool) pausesOf(service string) *pauses { return of[pauses](&p.pauses, service) }
+
+// readingOf is how fast a service's engines read prompts.
+func (p *Pool) readingOf(service string) *reading { return of[reading](&p.readings, service) }
+
+// of returns a service's part of a map, made when it is first asked for.
+func of[T any](all *sync.Map, service string) *T {
+	if known, ok := all.Load(service); ok {
+		return known.(*T)
 	}
-	made, _ := p.pauses.LoadOrStore(service, &pauses{})
-	return made.(*pauses)
+	made, _ := all.LoadOrStore(service, new(T))
+	return made.(*T)
 }
 
 func (p *Pool) rates(r *serving.Request) placement.Rates {
+	perMs, _ := p.readingOf(r.Service.Name).perMs(p.PrefillPerMs)
 	rates := placement.Rates{
-		PrefillPerMs: p.PrefillPerMs,
-		FetchPerMs:   p.PrefillPerMs,
+		PrefillPerMs: perMs,
+		FetchPerMs:   perMs,
 		Routers:      p.Routers(),
 		Here:         p.Here,
 	}
@@ -220,7 +228,8 @@
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
 	}
-	one := &run{pool: p, upstream: u.Life, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name)}
+	one := &run{pool: p, upstream: u.Life, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name),
+		reading: p.readingOf(r.Service.Name), sent: now}
 	t.Event, t.Done = one.event, one.done
 	return t
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -17,6 +17,9 @@
 	goal     time.Duration
 	slowness float64
 	pauses   *pauses
+	reading  *reading
+	// sent is when the upstream was chosen.
+	sent time.Time
 
 	last  time.Time // of the last event
 	read  bool      // the prompt was read
@@ -26,6 +29,9 @@
 
 // event implements serving.Target's Event.
 func (r *run) event(now time.Time) {
+	if r.last.IsZero() && r.choice.Before == 0 && r.choice.FetchFrom < 0 && r.choice.Unread > 0 {
+		r.reading.note(r.choice.Unread, now.Sub(r.sent))
+	}
 	r.haveRead()
 	if !r.last.IsZero() {
 		r.paused(now, now.Sub(r.last))
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -18,6 +18,9 @@
 	// is no bound. Cold says that the router takes the engine for cold.
 	Most int  `json:"most,omitempty"`
 	Cold bool `json:"cold,omitempty"`
+	// PerMs is the tokens that the engine reads in a millisecond, as the router has learned; 0
+	// says nothing.
+	PerMs float64 `json:"per_ms,omitempty"`
 }
 
 // Told is what is known at an engine of a prompt that is announced.
@@ -99,6 +102,7 @@
 	}
 	e.cache.Add(a.Parts, e.room)
 	e.mu.Unlock()
+	e.queue.Learn(a.PerMs)
 	// Whoever is told of another engine has the parts fetched from there.
 	told.Unread = max(0, a.Prompt-max(told.Cached, a.Fetched, told.ElsewhereTokens))
 	told.Backlog = e.queue.Add(now, told.Unread)
--- a/prefill/queue.go
+++ b/prefill/queue.go
@@ -15,7 +15,7 @@
 // The engine reads at a known rate, so nobody has to tell that a prompt was read: a router
 // that dies leaves nothing behind. It is safe for concurrent use.
 type Queue struct {
-	// PerMs is the tokens that the engine reads in a millisecond.
+	// PerMs is the tokens that the engine reads in a millisecond, until others are learned.
 	PerMs float64
 
 	mu     sync.Mutex
@@ -34,6 +34,19 @@
 	return int64(left)
 }
 
+// learnWeight is the weight of one router's rate in the queue's: some twenty prompts decide.
+const learnWeight = 0.1
+
+// Learn takes the rate that a router has learned from its prompts; 0 says nothing.
+func (q *Queue) Learn(perMs float64) {
+	if perMs <= 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.PerMs += learnWeight * (perMs - q.PerMs)
+}
+
 // Clear empties the queue.
 func (q *Queue) Clear() {
 	q.mu.Lock()
