The last word of each borrower of a dead lender is kept

The settlement asked borrowers one after the other and began anew each time, so a word that was given before its borrower died was lost, and all that the lender held counted as used (lender_not_settled). Change: all borrowers are asked at once, and the last word of each is kept: from its first word on it takes nothing more, so that what it told with what was set aside then is the most that it can have used.

--- a/coord/grant/lean_property_test.go
+++ b/coord/grant/lean_property_test.go
@@ -24,6 +24,7 @@
 // leanFleet is two lenders and two routers on one page, whose dead are not recovered: what
 // they held counts as spent.
 type leanFleet struct {
+	words   settlement.Words
 	t       *rapid.T
 	store   *memstore.Store
 	layout  account.Layout
@@ -283,7 +284,7 @@
 	if len(lenders) == 0 {
 		return
 	}
-	s := settlement.Settler{Store: f.store, Prefix: listPrefix,
+	s := settlement.Settler{Store: f.store, Prefix: listPrefix, Words: &f.words,
 		Over: func(borrower string) bool { return f.dead[borrower] },
 		Ask: func(_ context.Context, borrower, lender string) (grant.Borrowed, error) {
 			for _, r := range f.routers {
--- a/coord/settlement/register.go
+++ b/coord/settlement/register.go
@@ -8,7 +8,8 @@
 // told what it used takes nothing more from that lender. Both hold also for a lender that was
 // only thought to be dead; its row is gone then, and it stops by itself.
 //
-// If one borrower cannot be asked, nothing is settled: what its lender held counts as used.
+// If one borrower was never heard and cannot be asked, nothing is settled: what its lender held
+// counts as used.
 package settlement
 
 import (
--- a/coord/settlement/settlement_test.go
+++ b/coord/settlement/settlement_test.go
@@ -45,7 +45,7 @@
 			return p.Accounts[budget].SetPrepaid(1, 100)
 		}}
 	w.register = &settlement.Register{Store: w.store, Key: prefix + "lender/1"}
-	w.settler = &settlement.Settler{Store: w.store, Prefix: prefix, Over: func(b string) bool { return w.over[b] },
+	w.settler = &settlement.Settler{Store: w.store, Prefix: prefix, Words: &settlement.Words{}, Over: func(b string) bool { return w.over[b] },
 		Ask: func(_ context.Context, borrower, lender string) (grant.Borrowed, error) {
 			if w.borrowers[borrower] == nil {
 				return grant.Borrowed{}, errors.New("no answer")
@@ -126,6 +126,29 @@
 	require.ErrorIs(t, w.pages.Sync(t.Context(), page), grant.ErrFenced)
 }
 
+// A lender dies. One of its two borrowers cannot be reached for some seconds; the other one tells
+// what it used, and dies before the first is back. Its word is kept: it had taken nothing more since
+// it gave it. Asked anew each time, all that the lender held counted as used, up to a tenth of what a
+// team had paid (lender_not_settled, "a borrower's word is missing for good").
+func TestWordOutlivesItsBorrower(t *testing.T) {
+	w := newWorld(t)
+	require.NoError(t, w.borrow("router/1", 40))
+	require.NoError(t, w.borrow("router/2", 30))
+	r, err := w.borrowers["router/2"].Reserve(time.Now(), budget, 20)
+	require.NoError(t, err)
+	first := w.borrowers["router/1"]
+	delete(w.borrowers, "router/1")
+	_, err = w.settler.Settle(t.Context(), "lender/1", page, true)
+	require.ErrorIs(t, err, settlement.ErrNotYet)
+	w.borrowers["router/2"].Settle(time.Now(), r, 5)
+	delete(w.borrowers, "router/2")
+	w.over["router/2"] = true
+	w.borrowers["router/1"] = first
+	done, err := w.settler.Settle(t.Context(), "lender/1", page, true)
+	require.NoError(t, err)
+	require.EqualValues(t, 20, done.Used[budget], "what it had set aside when it was heard last")
+}
+
 // One of two borrowers does not answer, then is known to be gone; or the lender has no list.
 // Nothing is freed: what nobody can tell counts as used.
 func TestMissingWord(t *testing.T) {
--- a/coord/settlement/settler.go
+++ b/coord/settlement/settler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
@@ -19,8 +20,13 @@
 	Ask func(ctx context.Context, borrower, lender string) (grant.Borrowed, error)
 	// Over reports whether a borrower's life has certainly ended.
 	Over func(borrower string) bool
+	// Words keeps what borrowers told, between tries.
+	Words *Words
 }
 
+// mostAsked bounds the borrowers that are asked at the same time.
+const mostAsked = 16
+
 // Settlement is what became of one lender's rows on one page, by budget in tokens.
 type Settlement struct {
 	// Used is what borrowers used of it, Freed what may be granted again.
@@ -36,13 +42,15 @@
 	if err != nil {
 		return Settlement{}, err
 	}
+	s.ask(ctx, lender, borrowers)
 	used := map[string]int64{}
 	for _, borrower := range borrowers {
-		word, err := s.Ask(ctx, borrower, lender)
+		word, heard := s.Words.of(lender, borrower)
+		over := s.Over(borrower)
 		switch {
-		case err != nil && s.Over(borrower), err == nil && !word.Known:
+		case heard && !word.Known, !heard && over:
 			return Settlement{}, Error.Wrap(ErrUnsettled)
-		case err != nil, word.Open && patient:
+		case !heard, word.Open && patient && !over:
 			return Settlement{}, Error.Wrap(ErrNotYet)
 		}
 		for budget, n := range word.Used {
@@ -52,6 +60,27 @@
 	return s.end(ctx, lender, page, used)
 }
 
+// ask asks those borrowers for their word whose last one may still change, or was never heard. All
+// are asked at once: one that does not answer would else keep the others, some of which may be
+// about to die, from being heard.
+func (s *Settler) ask(ctx context.Context, lender string, borrowers []string) {
+	var wg sync.WaitGroup
+	places := make(chan struct{}, mostAsked)
+	for _, borrower := range borrowers {
+		if word, heard := s.Words.of(lender, borrower); heard && !word.Open {
+			continue
+		}
+		places <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-places }()
+			if word, err := s.Ask(ctx, borrower, lender); err == nil {
+				s.Words.keep(lender, borrower, word)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // seal closes the list and returns it. A lender without one is not known to have listed
 // anybody, so it cannot be settled: its list may have been removed.
 func (s *Settler) seal(ctx context.Context, lender string) ([]string, error) {
--- /dev/null
+++ b/coord/settlement/words.go
@@ -0,0 +1,43 @@
+package settlement
+
+import (
+	"sync"
+
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+)
+
+// Words are what borrowers told of dead lenders. Each is kept although its borrower may die: from
+// its first word on a borrower takes nothing more of that lender, so that what it told last, with
+// all that its running requests had set aside, is the most that it can ever have used. The zero
+// value is empty; it is safe for concurrent use.
+type Words struct {
+	mu sync.Mutex
+	// byLender has the last words by lender and borrower.
+	byLender map[string]map[string]grant.Borrowed
+}
+
+func (w *Words) of(lender, borrower string) (word grant.Borrowed, heard bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	word, heard = w.byLender[lender][borrower]
+	return word, heard
+}
+
+func (w *Words) keep(lender, borrower string, word grant.Borrowed) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.byLender == nil {
+		w.byLender = map[string]map[string]grant.Borrowed{}
+	}
+	if w.byLender[lender] == nil {
+		w.byLender[lender] = map[string]grant.Borrowed{}
+	}
+	w.byLender[lender][borrower] = word
+}
+
+// Forget drops what was told of a lender: it is settled, or can never be.
+func (w *Words) Forget(lender string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.byLender, lender)
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -222,93 +222,6 @@
 	}
 }
 
-// judgeReadLocked counts the entries whose leases outlasted the time since the old ones were
-// known, and those whose leases did not: a lease that runs out takes its entry with it, and the
-// owner creates another one.
-func (d *Directory) judgeReadLocked(old map[string]*entry) {
-	kept, again := 0, 0
-	for key, e := range d.entries {
-		was := old[key]
-		if was == nil || !was.missingUntil.IsZero() {
-			continue
-		}
-		if e.kept = was.created == e.created; e.kept {
-			kept++
-		} else {
-			again++
-		}
-	}
-	d.lapses.Read(kept, again)
-}
-
-// missLocked drops an entry, or keeps it for a while when it may have lapsed only
-// because the store was away.
-func (d *Directory) missLocked(now time.Time, key string, e *entry) {
-	switch {
-	case now.Before(e.missingUntil):
-		d.entries[key] = e
-	case e.missingUntil.IsZero() && d.lapses.Possible(now) && !e.Leaving:
-		e.missingUntil = d.lapses.Until()
-		d.entries[key] = e
-		d.lapses.Miss(e.kept)
-		e.kept = false
-		missing, kept := d.lapses.Counts()
-		d.Report.UpstreamMissing(e.Upstream, d.lapses.Lapsed(now), missing, kept)
-	default:
-		d.Report.UpstreamGone(e.Upstream, "entry removed")
-	}
-}
-
-// indexLocked makes the lists by service anew.
-func (d *Directory) indexLocked(now time.Time) {
-	services := map[string][]Upstream{}
-	bornTold, lapsed := d.bornIsToldLocked(), d.lapses.Lapsed(now)
-	d.replaceLocked()
-	for key, e := range d.entries {
-		missing := !e.missingUntil.IsZero()
-		switch {
-		case missing && !now.Before(e.missingUntil):
-			delete(d.entries, key)
-			d.Report.UpstreamGone(e.Upstream, "entry did not return after the store could not be reached")
-			continue
-		case missing && !lapsed:
-			continue
-		}
-		if e.Leaving || e.rejected || e.replaced != (Life{}) || d.emptied[e.Datacentre] || bornTold && e.Born == 0 {
-			continue
-		}
-		e.Returned = d.returned[e.Datacentre]
-		services[e.Service] = append(services[e.Service], e.Upstream)
-	}
-	d.services = services
-}
-
-// bornIsToldLocked reports whether the upstreams here tell when they started. On one platform
-// all do or none does, so the few entries that differ are those of another writer: where most
-// tell it, one that does not names nothing to use.
-func (d *Directory) bornIsToldLocked() bool {
-	told := 0
-	for _, e := range d.entries {
-		if e.Born != 0 {
-			told++
-		}
-	}
-	return 2*told > len(d.entries)
-}
-
-// Expire drops entries that did not return; call it a few times a second.
-func (d *Directory) Expire() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Now()
-	for _, e := range d.entries {
-		if !e.missingUntil.IsZero() && !now.Before(e.missingUntil) {
-			d.indexLocked(now)
-			return
-		}
-	}
-}
-
 // Reject notes that another process answered at the upstream's address: this life is over,
 // however long its entry stays.
 func (d *Directory) Reject(life Life) {
@@ -326,35 +239,6 @@
 	d.indexLocked(d.Now())
 }
 
-// replaceLocked finds the entries whose address another one has registered at since. Upstreams that
-// lose power start again at their addresses, and the entries of their lives before stay until
-// their leases run out: requests sent there find another process, and a few in a row end the
-// request. An entry that was shown to be false replaces nothing.
-func (d *Directory) replaceLocked() {
-	newest := map[string]*entry{} // by address
-	for _, e := range d.entries {
-		if have := newest[e.Address]; !e.rejected && (have == nil || e.created > have.created) {
-			newest[e.Address] = e
-		}
-	}
-	for _, e := range d.entries {
-		by := newest[e.Address]
-		if by == nil || by.created <= e.created || e.replaced != (Life{}) || e.rejected {
-			continue
-		}
-		e.replaced = by.Life
-		d.Report.UpstreamGone(e.Upstream, "a later one has its address")
-	}
-}
-
-// Of lists the upstreams of a service that take new work. The caller must not change
-// the list.
-func (d *Directory) Of(service string) []Upstream {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.services[service]
-}
-
 // Read reports whether the entries were read at least once.
 func (d *Directory) Read() bool {
 	d.mu.Lock()
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -143,7 +143,9 @@
 	notAdmitted lastAsked
 	// settling is since when dead lenders have been waiting for their settlement, and
 	// unsettled names those that cannot be settled.
-	settling  absences
+	settling absences
+	// words are what borrowers told of these lenders.
+	words     settlement.Words
 	unsettled nameSet
 	// late are the peers whose answers came too late, since the last probes.
 	late nameSet
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -102,7 +102,7 @@
 
 // newSettler is this process's side of settling others.
 func (b *Budgets) newSettler() *settlement.Settler {
-	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Over: b.isDead, Ask: b.desk.AskBorrowed}
+	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Words: &b.words, Over: b.isDead, Ask: b.desk.AskBorrowed}
 }
 
 // settleDead settles the rows of dead lenders on the pages of which this process is the home.
@@ -131,6 +131,7 @@
 		return
 	}
 	b.holder.Recovered(life)
+	b.words.Forget(life)
 	b.settling.since(time.Now(), life, false)
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
@@ -149,6 +150,7 @@
 		return false
 	case errors.Is(err, settlement.ErrUnsettled):
 		b.unsettled.add(life)
+		b.words.Forget(life)
 		b.log.Warn().Err(err).Str("lender", life).Msg("lender_not_settled")
 		return false
 	case err != nil:
