A word that knows nothing does not replace one that did

Read in the diff: the next life on a dead borrower's VM, asked at the old address while a request of the life before was open, would have replaced its word with none, and the lender would never be settled. TestNextLifeOfABorrowerKnowsNothing fails without it.

--- a/coord/settlement/settlement_test.go
+++ b/coord/settlement/settlement_test.go
@@ -149,6 +149,22 @@
 	require.EqualValues(t, 20, done.Used[budget], "what it had set aside when it was heard last")
 }
 
+// A borrower tells what it used while a request of it still runs, and starts again before that ended.
+// The new life is asked at the old address and knows of nothing. The word of the life before stands.
+func TestNextLifeOfABorrowerKnowsNothing(t *testing.T) {
+	w := newWorld(t)
+	require.NoError(t, w.borrow("router/1", 40))
+	_, err := w.borrowers["router/1"].Reserve(time.Now(), budget, 40)
+	require.NoError(t, err)
+	_, err = w.settler.Settle(t.Context(), "lender/1", page, true)
+	require.ErrorIs(t, err, settlement.ErrNotYet)
+	w.settler.Ask = func(context.Context, string, string) (grant.Borrowed, error) { return grant.Borrowed{}, nil }
+	w.over["router/1"] = true
+	done, err := w.settler.Settle(t.Context(), "lender/1", page, true)
+	require.NoError(t, err)
+	require.EqualValues(t, 40, done.Used[budget])
+}
+
 // One of two borrowers does not answer, then is known to be gone; or the lender has no list.
 // Nothing is freed: what nobody can tell counts as used.
 func TestMissingWord(t *testing.T) {
--- a/coord/settlement/words.go
+++ b/coord/settlement/words.go
@@ -23,9 +23,14 @@
 	return word, heard
 }
 
+// keep notes a borrower's word. One that knows nothing does not replace one that did: the next life
+// on a borrower's VM answers so when it is asked at the address of the life before.
 func (w *Words) keep(lender, borrower string, word grant.Borrowed) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.byLender[lender][borrower].Known && !word.Known {
+		return
+	}
 	if w.byLender == nil {
 		w.byLender = map[string]map[string]grant.Borrowed{}
 	}
