--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -56,8 +56,7 @@
 	require.True(t, w.Room(now, 1))
 }
 
-// All routers find the same few for an upstream, and these pass the bound neither together nor
-// where two of them know one router more or fewer than the others.
+// All routers find the same few for an upstream, and together these do not pass the bound.
 func TestSharesStayWithinTheBound(t *testing.T) {
 	var routers []string
 	for n := range 26 {
