Leave is given at once beside an engine that was sent nothing

Cause: after a loss of all power every engine is cold, and a process beside one gave no leave in its first second, since it cannot know what came before it began: all prompts were refused for that second. Ruled out: the share without such processes (they are known); late entries. Change: an engine that keeps nothing of any prompt and has no request has read none since its start, by its own word; both are asked at the start anyway. TestLeaveOfAnUnusedEngine failed before.

--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -97,7 +97,11 @@
 		l.engine.SetRoom(room)
 	}
 	if n.changed || n.restarted {
-		l.engine.Restarted(l.upstream.born, l.cachedBeside(ctx, n))
+		parts, read := l.cachedBeside(ctx, n)
+		l.engine.Restarted(l.upstream.born, parts)
+		if read && len(parts) == 0 && n.report.Requests == 0 {
+			l.engine.Unused()
+		}
 		l.Log.Info().Bool("home", n.fit).Str("why", n.why).Int64("born", l.upstream.born).Bool("restarted", n.restarted).
 			Msg("upstream_beside")
 	}
@@ -107,9 +111,9 @@
 // cachedBeside is what the upstream has cached when this process begins to hear of prompts:
 // after all processes were lost at once, upstreams still keep what they had read. It is asked
 // once, since the answer delays the upstream, and not at all of one that has just started.
-func (l *Lender) cachedBeside(ctx context.Context, n news) []prefill.Part {
+func (l *Lender) cachedBeside(ctx context.Context, n news) (parts []prefill.Part, read bool) {
 	if !n.fit || n.restarted {
-		return nil
+		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.upstream.timeout)
 	defer cancel()
@@ -119,7 +123,7 @@
 	}
 	if err != nil {
 		l.Log.Warn().Err(err).Msg("cache_not_read") // prompts are taken for unread
-		return nil
+		return nil, false
 	}
-	return list.Parts
+	return list.Parts, true
 }
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -89,6 +89,16 @@
 	e.cache.Add(cached, e.room)
 }
 
+// Unused says that the engine keeps nothing of any prompt and has no request: it has read none since
+// its start. So nothing came before this process began that counts against what it bears when cold.
+// After a loss of all power every engine is cold and every such process new; without this all prompts
+// were refused for a second more (trouble of all processes at once: 2 in 100 of a day's worth).
+func (e *Engine) Unused() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.began = time.Time{}
+}
+
 // Announce notes a prompt, and tells what was known before.
 func (e *Engine) Announce(now time.Time, a Announcement) Told {
 	e.mu.Lock()
--- a/prefill/leave_test.go
+++ b/prefill/leave_test.go
@@ -48,6 +48,15 @@
 	require.Equal(t, 5, leaves(e, start.Add(time.Second), 5, true))
 }
 
+// All power was lost: the engine is cold, and new like the process beside it. It keeps nothing of any
+// prompt and has no request, so that nothing came before: leave is given at once.
+func TestLeaveOfAnUnusedEngine(t *testing.T) {
+	start := time.Unix(0, 0)
+	e := NewEngine(start, 50)
+	e.Unused()
+	require.Equal(t, int(leaveShare*coldMost), leaves(e, start, 30, true))
+}
+
 // A prompt that had leave goes elsewhere: another one gets its place. Services that name no rate
 // are not bounded.
 func TestLeaveThatIsNotUsed(t *testing.T) {
