Read as a newcomer: one type for the life of an engine, names of data centres stay out of refusals

prefill had a type of its own for what directory calls a life. A refusal told callers which data centres are emptied; the line of the request tells that now. A change before the first read would have met a map that was not made; nothing sends one.

--- a/directory/life.go
+++ b/directory/life.go
@@ -10,9 +10,9 @@
 // the store, never from a comparison of times, since clocks step.
 type Life struct {
 	// ID is what the upstream is registered under.
-	ID string
+	ID string `json:"id"`
 	// Born is when it started, in Unix milliseconds by its own clock; 0 if it does not say.
-	Born int64
+	Born int64 `json:"born,omitempty"`
 }
 
 // String is the life in logs.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/observe"
@@ -95,7 +96,7 @@
 		lag:      &admission.Lag{Period: lagPeriod},
 	}
 	g.current.Store(s)
-	g.operators = &operatorReader{g: g}
+	g.operators = &operatorReader{g: g, emptied: map[string]store.Revision{}}
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -113,12 +113,13 @@
 }
 
 // admit turns a request away that no upstream would take, and others while work waits too long
-// at this VM, for its link or its processor. It does so before the body is read; the caller's retry comes in through
-// another router.
+// at this VM, for its link or its processor. It does so before the body is read; the caller's
+// retry comes in through another router.
 func (v *visit) admit(req *http.Request) *contract.Refusal {
 	if !v.gateway.pool.Serves(v.request) {
-		return contract.Refuse(contract.NoUpstream, "no upstream of %s takes requests now, where this one may be served; emptied data centres: %v",
-			v.request.Service.Name, v.gateway.directory.Emptied())
+		refusal := contract.Refuse(contract.NoUpstream, "no upstream of %s takes requests now", v.request.Service.Name)
+		refusal.Detail = fmt.Sprintf("emptied data centres %v, allowed regions %v", v.gateway.directory.Emptied(), v.request.Regions)
+		return refusal
 	}
 	link, cpu := v.gateway.meter.out.Delay(v.arrived), v.gateway.lag.Delay(v.arrived)
 	delay := max(link, cpu)
@@ -206,7 +207,7 @@
 	a := refusal.Kind.Answer()
 	v.gateway.metrics.refused(refusal.Kind)
 	v.gateway.Log.Info().Str("id", v.call.ID).Str("kind", string(refusal.Kind)).Int("status", a.Status).
-		Str("why", refusal.Message).Int64("version", v.gateway.version()).Msg("refused")
+		Str("why", refusal.Message).Str("detail", refusal.Detail).Int64("version", v.gateway.version()).Msg("refused")
 	v.answer(w, refusal)
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -127,9 +127,8 @@
 	if told.ElsewhereTokens == 0 {
 		return
 	}
-	holder := directory.Life{ID: told.Elsewhere.ID, Born: told.Elsewhere.Born}
 	for i := range c.views {
-		if v := &c.views[i]; v.Life == holder {
+		if v := &c.views[i]; v.Life == told.Elsewhere {
 			v.Cached = max(v.Cached, told.ElsewhereTokens)
 		}
 	}
@@ -153,8 +152,7 @@
 	if tokens-known < placement.FetchLeast {
 		return
 	}
-	chosen := c.ups[choice.Index].Life
-	p.ReadElsewhere(c.ups[choice.Home].Address, prefill.Elsewhere{Parts: shared, Holder: prefill.Holder{ID: chosen.ID, Born: chosen.Born}})
+	p.ReadElsewhere(c.ups[choice.Home].Address, prefill.Elsewhere{Parts: shared, By: c.ups[choice.Index].Life})
 }
 
 // announce tells the process beside an engine of a prompt. An answer about another life of the
--- a/prefill/elsewhere.go
+++ b/prefill/elsewhere.go
@@ -1,6 +1,10 @@
 package prefill
 
-import "time"
+import (
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/directory"
+)
 
 const (
 	// elsewhereFor is how long an engine is believed to keep a part of prompts that it read. It
@@ -11,16 +15,10 @@
 	mostElsewhere = 4096
 )
 
-// Holder is one life of an engine; see directory.Life.
-type Holder struct {
-	ID   string `json:"id"`
-	Born int64  `json:"born,omitempty"`
-}
-
 // Elsewhere says that an engine reads the leading parts of a prompt that others share.
 type Elsewhere struct {
-	Parts  []Part `json:"parts"`
-	Holder Holder `json:"holder"`
+	Parts []Part         `json:"parts"`
+	By    directory.Life `json:"by"`
 }
 
 // places is who else keeps which parts of prompts. The load pattern that it answers: prompts that
@@ -32,12 +30,12 @@
 }
 
 type place struct {
-	holder Holder
+	by     directory.Life
 	tokens int64
 	at     time.Time
 }
 
-// note remembers the newest holder of the parts.
+// note remembers who read the parts last.
 func (p *places) note(now time.Time, e Elsewhere) {
 	if len(e.Parts) == 0 {
 		return
@@ -51,7 +49,7 @@
 	if len(p.by) >= mostElsewhere {
 		return
 	}
-	p.by[e.Parts[len(e.Parts)-1].ID] = place{holder: e.Holder, tokens: tokensOf(e.Parts), at: now}
+	p.by[e.Parts[len(e.Parts)-1].ID] = place{by: e.By, tokens: tokensOf(e.Parts), at: now}
 }
 
 func (p *places) forget(now time.Time) {
@@ -64,13 +62,13 @@
 
 // find returns who keeps most of a prompt's leading parts, and how many tokens these have; 0 if
 // nobody is known.
-func (p *places) find(now time.Time, parts []Part) (holder Holder, tokens int64) {
+func (p *places) find(now time.Time, parts []Part) (by directory.Life, tokens int64) {
 	for i := len(parts) - 1; i >= 0; i-- {
 		if known, ok := p.by[parts[i].ID]; ok && now.Sub(known.at) < elsewhereFor {
-			return known.holder, known.tokens
+			return known.by, known.tokens
 		}
 	}
-	return Holder{}, 0
+	return directory.Life{}, 0
 }
 
 func tokensOf(parts []Part) int64 {
--- a/prefill/elsewhere_test.go
+++ b/prefill/elsewhere_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/stretchr/testify/require"
 )
 
@@ -16,10 +17,10 @@
 	e := NewEngine(now, 50)
 	e.SetRoom(100_000)
 	system, subject := Part{ID: "system", Tokens: 2_000}, Part{ID: "subject", Tokens: 10_000}
-	e.ReadElsewhere(now, Elsewhere{Parts: []Part{system, subject}, Holder: Holder{ID: "i-2", Born: 7}})
+	e.ReadElsewhere(now, Elsewhere{Parts: []Part{system, subject}, By: directory.Life{ID: "i-2", Born: 7}})
 	prompt := Announcement{Prompt: 13_000, Parts: []Part{system, subject, {ID: "own", Tokens: 1_000}}}
 	told := e.Announce(now, prompt)
-	require.Equal(t, Told{Unread: 1_000, Elsewhere: Holder{ID: "i-2", Born: 7}, ElsewhereTokens: 12_000}, told)
+	require.Equal(t, Told{Unread: 1_000, Elsewhere: directory.Life{ID: "i-2", Born: 7}, ElsewhereTokens: 12_000}, told)
 	e.Withdraw(now, prompt, told)
 	require.Zero(t, e.State(now).Backlog, "what was not counted is not taken back")
 
@@ -37,7 +38,7 @@
 	e.SetRoom(100_000)
 	prompt := Announcement{Prompt: 11_000, Parts: []Part{{ID: "subject", Tokens: 10_000}, {ID: "own", Tokens: 1_000}}}
 	e.Announce(now, prompt)
-	e.ReadElsewhere(now, Elsewhere{Parts: prompt.Parts[:1], Holder: Holder{ID: "i-2"}})
+	e.ReadElsewhere(now, Elsewhere{Parts: prompt.Parts[:1], By: directory.Life{ID: "i-2"}})
 	require.Zero(t, e.Announce(now, prompt).ElsewhereTokens)
 }
 
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/warmup"
 )
 
@@ -39,8 +40,8 @@
 	Denied bool `json:"denied,omitempty"`
 	// Elsewhere is another engine that keeps more of the prompt's leading tokens, as far as is
 	// known beside this one, and ElsewhereTokens how many; 0 is none.
-	Elsewhere       Holder `json:"elsewhere,omitzero"`
-	ElsewhereTokens int64  `json:"elsewhere_tokens,omitempty"`
+	Elsewhere       directory.Life `json:"elsewhere,omitzero"`
+	ElsewhereTokens int64          `json:"elsewhere_tokens,omitempty"`
 }
 
 // leaveShare is the part of what a cold engine bears for which leave is given. A request arrives
@@ -107,8 +108,8 @@
 		return Told{Denied: true, Born: e.born}
 	}
 	told := Told{Cached: e.cache.Match(a.Parts), Born: e.born}
-	if holder, tokens := e.places.find(now, a.Parts); tokens > told.Cached {
-		told.Elsewhere, told.ElsewhereTokens = holder, tokens
+	if by, tokens := e.places.find(now, a.Parts); tokens > told.Cached {
+		told.Elsewhere, told.ElsewhereTokens = by, tokens
 	}
 	e.cache.Add(a.Parts, e.room)
 	e.mu.Unlock()
