One sum of parts, one decoding of an order's key; a test that could pass without its line

Read in the whole diff: the tokens of a prompt's parts were summed in three places (placement, pool, prefill); the key of an order to empty a data centre was cut in platform and once more in gateway; and TestLineOfARefusalTellsWhoWasAsked asserted nothing if its request had left no line, and now counts it.

--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -285,11 +285,14 @@
 		require.Equal(t, 200, f.ask(chat("a")).status)
 		time.Sleep(time.Second) // the first request's tokens go back
 		require.Equal(t, 402, f.ask(chat("r-18")).status)
+		lines := 0
 		for line := range strings.Lines(f.log.String()) {
 			if strings.Contains(line, `"id":"r-18"`) {
+				lines++
 				require.Regexp(t, `"asked":"engine-20/[A-Z0-9]+ \[\d+ ms\] link: budget exhausted"`, line)
 			}
 		}
+		require.Equal(t, 1, lines)
 		require.Regexp(t, `"budget":"pilots","unspent":\d+,"lost_with_dead":0,"credit":1500,.*"would_have_sufficed":false.*budget_used_up`, f.log.String())
 	})
 }
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -25,7 +24,7 @@
 	o.g.configuration.Answers(o.g.Log, "configuration")
 	emptied := map[string]store.Revision{}
 	for _, it := range items {
-		if platform.IsEmptying(it.Key) {
+		if _, ok := platform.EmptiedBy(it.Key); ok {
 			emptied[o.datacentreOf(it)] = it.Revision
 		}
 	}
@@ -37,10 +36,11 @@
 
 // Changed implements mirror.Reader. The configuration is never removed.
 func (o *operatorReader) Changed(e store.Event) {
-	switch {
-	case platform.IsEmptying(e.Key):
-		o.order(e)
-	case !e.Deleted:
+	if datacentre, ok := platform.EmptiedBy(e.Key); ok {
+		o.order(datacentre, e)
+		return
+	}
+	if !e.Deleted {
 		o.configure(e.Item)
 	}
 }
@@ -49,8 +49,7 @@
 func (o *operatorReader) Lost(err error) { o.g.configuration.Fails(o.g.Log, "configuration", err) }
 
 // order takes one order, or its end.
-func (o *operatorReader) order(e store.Event) {
-	datacentre := strings.TrimPrefix(e.Key, platform.EmptyingPrefix)
+func (o *operatorReader) order(datacentre string, e store.Event) {
 	have, emptied := o.emptied[datacentre]
 	if emptied && e.Revision < have {
 		return // told late: what is known is newer
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -118,13 +118,7 @@
 func Shared(parts []prefill.Part) []prefill.Part { return parts[:max(0, len(parts)-1)] }
 
 // shared is their tokens.
-func shared(parts []prefill.Part) int64 {
-	var n int64
-	for _, p := range Shared(parts) {
-		n += p.Tokens
-	}
-	return n
-}
+func shared(parts []prefill.Part) int64 { return prefill.TokensOf(Shared(parts)) }
 
 // Choose returns the upstream with the least estimated cost, or false when there is
 // none. Upstreams to avoid are taken only when no other is left, closed ones never.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -141,15 +141,12 @@
 	if p.ReadElsewhere == nil || choice.Home < 0 || choice.Home == choice.Index {
 		return
 	}
-	tokens, home := int64(0), c.views[choice.Home]
-	for _, part := range shared {
-		tokens += part.Tokens
-	}
+	home := c.views[choice.Home]
 	known := home.Cached
 	if home.Told != nil {
 		known = max(home.Told.Cached, home.Told.ElsewhereTokens)
 	}
-	if tokens-known < placement.FetchLeast {
+	if prefill.TokensOf(shared)-known < placement.FetchLeast {
 		return
 	}
 	p.ReadElsewhere(c.ups[choice.Home].Address, prefill.Elsewhere{Parts: shared, By: c.ups[choice.Index].Life})
--- a/prefill/cache.go
+++ b/prefill/cache.go
@@ -8,6 +8,15 @@
 	Tokens int64  `json:"tokens"`
 }
 
+// TokensOf is the sum of parts.
+func TokensOf(parts []Part) int64 {
+	var n int64
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
+}
+
 // Cache is a guess at the prompt parts that one engine keeps: those that were sent to
 // it last, as many as fit. The zero value is empty.
 type Cache struct {
--- a/prefill/elsewhere.go
+++ b/prefill/elsewhere.go
@@ -49,7 +49,7 @@
 	if len(p.by) >= mostElsewhere {
 		return
 	}
-	p.by[e.Parts[len(e.Parts)-1].ID] = place{by: e.By, tokens: tokensOf(e.Parts), at: now}
+	p.by[e.Parts[len(e.Parts)-1].ID] = place{by: e.By, tokens: TokensOf(e.Parts), at: now}
 }
 
 func (p *places) forget(now time.Time) {
@@ -70,11 +70,3 @@
 	}
 	return directory.Life{}, 0
 }
-
-func tokensOf(parts []Part) int64 {
-	var n int64
-	for _, p := range parts {
-		n += p.Tokens
-	}
-	return n
-}
