Each repeat that is allowed or refused is logged and counted, with what decided it

A record of repeats beyond the bound named none of them: no line or metric told what a router had counted, how old its life was, or among how many routers it shared the fixed part. The line 'repeat' and arbutusmill_gateway_repeats_total do; no decision changes.

--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -26,6 +26,15 @@
 	repeats  int
 }
 
+// Decision is whether one more send of a request was allowed, and what decided it.
+type Decision struct {
+	Allowed bool
+	// Requests and Repeats are those counted in the window before this one.
+	Requests, Repeats int
+	// Limit is the most repeats in the window.
+	Limit float64
+}
+
 // Budget is one process's share for one service. It is safe for concurrent use.
 type Budget struct {
 	mu    sync.Mutex
@@ -40,20 +49,21 @@
 	b.at(now, r).requests++
 }
 
-// Allow reports whether one more repeat fits, and counts it if so. Each process gets
+// Repeat decides whether one more repeat fits, and counts it if so. Each process gets
 // the part of Ratio that its own requests bring, and an equal share of Extra; peers is
 // the number of processes that share it. Shares need no message, and their sum stays
 // within the rule as long as peers is not too low.
-func (b *Budget) Allow(now time.Time, r Rule, peers int) bool {
+func (b *Budget) Repeat(now time.Time, r Rule, peers int) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	requests, repeats := b.sumLocked(now, r)
-	limit := r.Ratio*float64(requests) + r.Extra/float64(max(1, peers))
-	if float64(repeats+1) > limit {
-		return false
+	d := Decision{Requests: requests, Repeats: repeats}
+	d.Limit = r.Ratio*float64(requests) + r.Extra/float64(max(1, peers))
+	d.Allowed = float64(repeats+1) <= d.Limit
+	if d.Allowed {
+		b.at(now, r).repeats++
 	}
-	b.at(now, r).repeats++
-	return true
+	return d
 }
 
 func (b *Budget) sumLocked(now time.Time, r Rule) (requests, repeats int) {
--- a/coord/retrybudget/retrybudget_test.go
+++ b/coord/retrybudget/retrybudget_test.go
@@ -23,7 +23,7 @@
 			b := &budgets[rapid.IntRange(0, peers-1).Draw(t, "peer")]
 			b.Request(now, rule)
 			requests = append(requests, now)
-			if b.Allow(now, rule, peers) {
+			if b.Repeat(now, rule, peers).Allowed {
 				repeats = append(repeats, now)
 			}
 		}
@@ -47,8 +47,8 @@
 	now := time.Unix(1000, 0)
 	b.Request(now, rule)
 	for range 5 {
-		require.True(t, b.Allow(now, rule, 4))
+		require.True(t, b.Repeat(now, rule, 4).Allowed)
 	}
-	require.False(t, b.Allow(now, rule, 4))
-	require.True(t, b.Allow(now.Add(11*time.Second), rule, 4))
+	require.False(t, b.Repeat(now, rule, 4).Allowed)
+	require.True(t, b.Repeat(now.Add(11*time.Second), rule, 4).Allowed)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -68,6 +68,8 @@
 	current  atomic.Pointer[settings.Gateway]
 	meter    linkMeter
 	lag      *admission.Lag
+	// began is when this life of the process did.
+	began time.Time
 
 	catalog   catalog.Current
 	operators *operatorReader
@@ -94,6 +96,7 @@
 		settings: s,
 		meter:    meter,
 		lag:      &admission.Lag{Period: lagPeriod},
+		began:    time.Now(),
 	}
 	g.current.Store(s)
 	g.operators = &operatorReader{g: g, emptied: map[string]store.Revision{}}
@@ -105,7 +108,7 @@
 		Relays:  s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= relayMbps,
 		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
-	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers}
+	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers, decided: g.repeatDecided}
 	g.beside = newAnnouncer(g.Members, g.Links, time.Duration(s.Upstreams.AnnounceTimeout))
 	g.pool = &pool.Pool{
 		Directory:     g.directory,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -30,6 +30,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_refused_requests_total{kind=%q}", k)).Inc()
 }
 
+// repeat counts a decision on one more send of a request.
+func (m *gatewayMetrics) repeat(service string, allowed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_repeats_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
+}
+
 // ended counts the end of a request that came onto the path.
 func (m *gatewayMetrics) ended(r *serving.Request, e serving.End, took time.Duration) {
 	service := r.Service.Name
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -5,12 +5,17 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
+	"github.com/arbutusmill/arbutusmill/serving"
 )
 
 // repeats implements serving.Repeats with a budget for each service.
 type repeats struct {
-	rule    func() retrybudget.Rule
+	rule func() retrybudget.Rule
+	// routers is how many routers share the bound, as far as is known.
 	routers func() int
+	// decided is told of each decision on one more send, and of the number of routers that it
+	// was made with.
+	decided func(r *serving.Request, d retrybudget.Decision, routers int)
 
 	mu       sync.Mutex
 	services map[string]*retrybudget.Budget
@@ -20,8 +25,11 @@
 func (r *repeats) Request(service string) { r.of(service).Request(time.Now(), r.rule()) }
 
 // Allow implements serving.Repeats.
-func (r *repeats) Allow(service string) bool {
-	return r.of(service).Allow(time.Now(), r.rule(), r.routers())
+func (r *repeats) Allow(request *serving.Request) bool {
+	routers := r.routers()
+	d := r.of(request.Service.Name).Repeat(time.Now(), r.rule(), routers)
+	r.decided(request, d, routers)
+	return d.Allowed
 }
 
 func (r *repeats) of(service string) *retrybudget.Budget {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
 	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/serving"
 )
 
 // UpstreamChanged implements directory.Reporter.
@@ -66,3 +70,12 @@
 	g.Log.Info().Stringer("upstream", life).Bool("exposed", exposed).Float64("pause_of_goal", heldUp).Float64("slowness", slowness).
 		Msg("engine_left_to_short_prompts")
 }
+
+// repeatDecided logs and counts whether one more send of a request was allowed, with what the
+// bound was computed from: what this life counted, its age, and how many routers share the rest.
+func (g *Gateway) repeatDecided(r *serving.Request, d retrybudget.Decision, routers int) {
+	g.metrics.repeat(r.Service.Name, d.Allowed)
+	g.Log.Info().Str("id", r.ID).Str("service", r.Service.Name).Bool("allowed", d.Allowed).Int("repeats", d.Repeats).
+		Int("requests", d.Requests).Float64("limit", d.Limit).Int("routers", routers).
+		Int64("life_ms", time.Since(g.began).Milliseconds()).Msg("repeat")
+}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -179,7 +179,7 @@
 func (a *agents) Request(string) {}
 
 // Allow implements serving.Repeats.
-func (a *agents) Allow(string) bool { return true }
+func (a *agents) Allow(*serving.Request) bool { return true }
 
 func (r *Router) workRequest(ctx context.Context, req *http.Request, j *job, chosen vm.VM) (*http.Request, error) {
 	url := r.scheme + "://" + chosen.Work + agent.WorkPath + j.path
--- a/serving/path.go
+++ b/serving/path.go
@@ -62,8 +62,9 @@
 type Repeats interface {
 	// Request counts a request of a service.
 	Request(service string)
-	// Allow reports whether one more repeat is within the bound, and counts it.
-	Allow(service string) bool
+	// Allow reports whether one more send of the request is within the bound, and
+	// counts it.
+	Allow(r *Request) bool
 }
 
 // Path is the path of requests.
@@ -101,7 +102,7 @@
 		}
 		attempts = append(attempts, target.Done(p.Upstreams.Send(ctx, r, target, out)))
 		v := decide(r, attempts, p.Now())
-		if !v.again || v.counted && !p.Repeats.Allow(r.Service.Name) {
+		if !v.again || v.counted && !p.Repeats.Allow(r) {
 			return p.end(r, attempts, out)
 		}
 	}
