--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -26,6 +26,14 @@
 	repeats  int
 }
 
+// Share is how a process takes part in Extra.
+type Share struct {
+	// Among is the number of processes that share it, 0 if it is not known.
+	Among int
+	// Since is when this process became one of them.
+	Since time.Time
+}
+
 // Decision is whether one more send of a request was allowed, and what decided it.
 type Decision struct {
 	Allowed bool
@@ -50,15 +58,14 @@
 }
 
 // Repeat decides whether one more repeat fits, and counts it if so. Each process gets
-// the part of Ratio that its own requests bring, and an equal share of Extra; peers is
-// the number of processes that share it. Shares need no message, and their sum stays
-// within the rule as long as peers is not too low.
-func (b *Budget) Repeat(now time.Time, r Rule, peers int) Decision {
+// the part of Ratio that its own requests bring, and an equal share of Extra. Shares need
+// no message, and their sum stays within the rule as long as none divides by too few.
+func (b *Budget) Repeat(now time.Time, r Rule, share Share) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	requests, repeats := b.sumLocked(now, r)
 	d := Decision{Requests: requests, Repeats: repeats}
-	d.Limit = r.Ratio*float64(requests) + r.Extra/float64(max(1, peers))
+	d.Limit = r.Ratio*float64(requests) + r.Extra/float64(max(1, share.Among))
 	d.Allowed = float64(repeats+1) <= d.Limit
 	if d.Allowed {
 		b.at(now, r).repeats++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,7 +108,7 @@
 		Relays:  s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= relayMbps,
 		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
-	g.repeats = &repeats{rule: g.repeatRule, routers: g.routers, decided: g.repeatDecided}
+	g.repeats = &repeats{rule: g.repeatRule, share: g.shareOfRepeats, decided: g.repeatDecided}
 	g.beside = newAnnouncer(g.Members, g.Links, time.Duration(s.Upstreams.AnnounceTimeout))
 	g.pool = &pool.Pool{
 		Directory:     g.directory,
@@ -151,6 +151,11 @@
 	return warmup.Share(g.settings.VM, routers, upstream, most)
 }
 
+// shareOfRepeats is this router's part in the fixed part of the bound on repeats.
+func (g *Gateway) shareOfRepeats() retrybudget.Share {
+	return retrybudget.Share{Among: g.routers(), Since: g.began}
+}
+
 // repeatRule is the bound on repeats by the settings in force.
 func (g *Gateway) repeatRule() retrybudget.Rule {
 	s := g.current.Load().Repeats
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -11,11 +11,10 @@
 // repeats implements serving.Repeats with a budget for each service.
 type repeats struct {
 	rule func() retrybudget.Rule
-	// routers is how many routers share the bound, as far as is known.
-	routers func() int
-	// decided is told of each decision on one more send, and of the number of routers that it
-	// was made with.
-	decided func(r *serving.Request, d retrybudget.Decision, routers int)
+	// share is this router's part in what all routers share.
+	share func() retrybudget.Share
+	// decided is told of each decision on one more send, and of the share that it was made with.
+	decided func(r *serving.Request, d retrybudget.Decision, share retrybudget.Share)
 
 	mu       sync.Mutex
 	services map[string]*retrybudget.Budget
@@ -26,9 +25,9 @@
 
 // Allow implements serving.Repeats.
 func (r *repeats) Allow(request *serving.Request) bool {
-	routers := r.routers()
-	d := r.of(request.Service.Name).Repeat(time.Now(), r.rule(), routers)
-	r.decided(request, d, routers)
+	share := r.share()
+	d := r.of(request.Service.Name).Repeat(time.Now(), r.rule(), share)
+	r.decided(request, d, share)
 	return d.Allowed
 }
 
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -73,9 +73,9 @@
 
 // repeatDecided logs and counts whether one more send of a request was allowed, with what the
 // bound was computed from: what this life counted, its age, and how many routers share the rest.
-func (g *Gateway) repeatDecided(r *serving.Request, d retrybudget.Decision, routers int) {
+func (g *Gateway) repeatDecided(r *serving.Request, d retrybudget.Decision, share retrybudget.Share) {
 	g.metrics.repeat(r.Service.Name, d.Allowed)
 	g.Log.Info().Str("id", r.ID).Str("service", r.Service.Name).Bool("allowed", d.Allowed).Int("repeats", d.Repeats).
-		Int("requests", d.Requests).Float64("limit", d.Limit).Int("routers", routers).
-		Int64("life_ms", time.Since(g.began).Milliseconds()).Msg("repeat")
+		Int("requests", d.Requests).Float64("limit", d.Limit).Int("routers", share.Among).
+		Int64("life_ms", time.Since(share.Since).Milliseconds()).Msg("repeat")
 }
