Repeats keep their bound in every window: what they use was paid for in it or the one before

What callers saw: a service that failed nearly everything got more repeats in ten seconds than a fifth of its requests and the fixed extra. Cause: ten slices, the running one included, look back 9 to 10 s of the ten, so an allowance that was used at the end of a slice came back up to a second early; and a changed window renumbered the slices, so that what had been sent seemed old. The class: a sliding count in slices whose span is shorter than the window that it stands for.

Why this holds: a request pays for half of what the ratio allows, and the payment ends before a window does. What arrives in a window, after up to a second on its way, was then paid for in that window and the one before, half in each, whoever sent it; no sum over processes and no move of callers can pass the ratio of the larger. The fixed part is counted by the times of its uses, so no window's length makes any of them vanish.

--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -1,30 +1,33 @@
-// Package retrybudget bounds how often a process sends requests more than once. Without
-// a bound, a service that fails gets each request several times just when it can serve
-// least, and its failure feeds itself.
+// Package retrybudget bounds how often the processes of a fleet send requests more than
+// once. Without a bound, a service that fails gets each request several times just when it
+// can serve least, and its failure feeds itself.
 package retrybudget
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 )
 
-// Rule is the bound for a whole fleet: in any window, the sends beyond the first of
-// each request stay below Ratio x requests + Extra.
+// Rule is the bound for a whole fleet. The sends beyond the first of each request that
+// arrive in any window are at most Ratio x requests + Extra; the requests are those in that
+// window or in the one before it, whichever has more.
 type Rule struct {
 	Ratio  float64
 	Extra  float64
 	Window time.Duration
 }
 
-// slices is the number of parts of a window; older parts leave one by one.
-const slices = 10
-
-// part is what was counted in one slice of the window.
-type part struct {
-	number   int64
-	requests int
-	repeats  int
-}
+const (
+	// transit is how long a send may take to arrive. Sends of more than a window can
+	// arrive within one, so they count for this much longer.
+	transit = time.Second
+	// parts is the number of parts of a window in which what requests pay is kept.
+	parts = 40
+	// rounding is what a sum of fractions may lack of a whole number.
+	rounding = 1e-9
+)
 
 // Share is how a process takes part in Extra.
 type Share struct {
@@ -37,67 +40,104 @@
 // Decision is whether one more send of a request was allowed, and what decided it.
 type Decision struct {
 	Allowed bool
-	// Requests and Repeats are those counted in the window before this one.
-	Requests, Repeats int
-	// Limit is the most repeats in the window.
-	Limit float64
+	// Paid is how many repeats the process's own requests had paid for.
+	Paid float64
+	// Used is how many of its part of Extra it had used, of Part.
+	Used, Part int
+}
+
+// payment is what the requests of a part of a window paid for, in repeats.
+type payment struct {
+	began   time.Time
+	repeats float64
 }
 
-// Budget is one process's share for one service. It is safe for concurrent use.
+// Budget is one process's share of the bound for one service. It is safe for concurrent use.
 type Budget struct {
-	mu    sync.Mutex
-	start time.Time // of slice 0
-	parts [slices]part
+	mu sync.Mutex
+	// paid are the payments that have not been used, oldest first.
+	paid []payment
+	// used are the last repeats that took of Extra, oldest first.
+	used []time.Time
 }
 
-// Request counts one request of a caller.
+// Request counts one request of a caller. It pays for half of what Ratio allows, and the
+// payment ends before a window does: what arrives in a window was then paid for in that
+// window and in the one before it, half in each, and never exceeds Ratio of the larger. The sum
+// over all processes is bounded likewise, however callers move between them.
 func (b *Budget) Request(now time.Time, r Rule) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.at(now, r).requests++
+	b.expireLocked(now, r)
+	if n := len(b.paid); n == 0 || now.Sub(b.paid[n-1].began) >= r.Window/parts {
+		b.paid = append(b.paid, payment{began: now})
+	}
+	b.paid[len(b.paid)-1].repeats += r.Ratio / 2
 }
 
-// Repeat decides whether one more repeat fits, and counts it if so. Each process gets
-// the part of Ratio that its own requests bring, and an equal share of Extra. Shares need
-// no message, and their sum stays within the rule as long as none divides by too few.
+// Repeat decides whether one more repeat fits, and counts it if so. It is paid for by this
+// process's own requests or taken from its part of Extra, so that no message is needed.
 func (b *Budget) Repeat(now time.Time, r Rule, share Share) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	requests, repeats := b.sumLocked(now, r)
-	d := Decision{Requests: requests, Repeats: repeats}
-	d.Limit = r.Ratio*float64(requests) + r.Extra/float64(max(1, share.Among))
-	d.Allowed = float64(repeats+1) <= d.Limit
-	if d.Allowed {
-		b.at(now, r).repeats++
+	b.expireLocked(now, r)
+	d := Decision{Paid: b.sumLocked(), Used: b.usedSinceLocked(now.Add(-r.Window - transit)), Part: r.part(share)}
+	switch {
+	case d.Paid >= 1-rounding:
+		b.payLocked()
+		d.Allowed = true
+	case d.Used < d.Part:
+		b.takeLocked(now, r)
+		d.Allowed = true
 	}
 	return d
 }
 
-func (b *Budget) sumLocked(now time.Time, r Rule) (requests, repeats int) {
-	current := b.number(now, r)
-	for _, p := range b.parts {
-		if p.number > current-slices && p.number <= current {
-			requests += p.requests
-			repeats += p.repeats
-		}
+// part is how many repeats of Extra a process may use in a window.
+func (r Rule) part(share Share) int {
+	return int(r.Extra / float64(max(1, share.Among)))
+}
+
+// expireLocked drops payments whose time has passed.
+func (b *Budget) expireLocked(now time.Time, r Rule) {
+	valid := slices.IndexFunc(b.paid, func(p payment) bool { return now.Sub(p.began) < r.Window-transit })
+	if valid < 0 {
+		valid = len(b.paid)
+	}
+	b.paid = b.paid[valid:]
+}
+
+func (b *Budget) sumLocked() (repeats float64) {
+	for _, p := range b.paid {
+		repeats += p.repeats
 	}
-	return requests, repeats
+	return repeats
 }
 
-// at returns the slice of this moment, emptied if it was last used a window ago.
-func (b *Budget) at(now time.Time, r Rule) *part {
-	n := b.number(now, r)
-	p := &b.parts[n%slices]
-	if p.number != n {
-		*p = part{number: n}
+// payLocked takes one repeat from the oldest payments.
+func (b *Budget) payLocked() {
+	for due := 1.0; due > rounding && len(b.paid) > 0; {
+		oldest := &b.paid[0]
+		taken := math.Min(due, oldest.repeats)
+		due -= taken
+		if oldest.repeats -= taken; oldest.repeats < rounding {
+			b.paid = b.paid[1:]
+		}
 	}
-	return p
 }
 
-// number is that of the slice of this moment, counted from the first call.
-func (b *Budget) number(now time.Time, r Rule) int64 {
-	if b.start.IsZero() {
-		b.start = now.Add(-r.Window)
+func (b *Budget) usedSinceLocked(since time.Time) (n int) {
+	for _, at := range b.used {
+		if at.After(since) {
+			n++
+		}
 	}
-	return int64(now.Sub(b.start) / (r.Window / slices))
+	return n
+}
+
+// takeLocked notes a repeat that takes of Extra. No more than Extra are kept, by their times:
+// a window that operators make longer finds those that an earlier, shorter one was done with.
+func (b *Budget) takeLocked(now time.Time, r Rule) {
+	b.used = append(b.used, now)
+	b.used = b.used[max(0, len(b.used)-int(r.Extra)):]
 }
--- a/coord/retrybudget/retrybudget_test.go
+++ b/coord/retrybudget/retrybudget_test.go
@@ -24,14 +24,11 @@
 	requests, repeats []time.Time
 }
 
-// during counts moments in the window that begins at a moment, its beginning included.
-func during(moments []time.Time, begin time.Time, window time.Duration) (n float64) {
-	for _, at := range moments {
-		if !at.Before(begin) && at.Before(begin.Add(window)) {
-			n++
-		}
-	}
-	return n
+// during counts sorted moments in the window that begins at a moment, its beginning included.
+func during(moments []time.Time, begin time.Time, window time.Duration) float64 {
+	first, _ := slices.BinarySearchFunc(moments, begin, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(moments, begin.Add(window), time.Time.Compare)
+	return float64(end - first)
 }
 
 // requireWithinRule checks the bound as it is stated, in each window that begins with the
@@ -72,8 +69,8 @@
 			pause := rapid.IntRange(2, 80).Draw(t, "pause_ms")
 			busy := rapid.IntRange(0, processes-1).Draw(t, "busiest")
 			fails := rapid.IntRange(0, 3).Draw(t, "fails") > 0
-			if rapid.IntRange(0, 3).Draw(t, "killed") == 0 {
-				budgets[busy], share[busy].Since = retrybudget.Budget{}, now
+			for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, processes-1), 0, processes, rapid.ID).Draw(t, "killed") {
+				budgets[i], share[i].Since = retrybudget.Budget{}, now
 			}
 			luck := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "luck"), 0))
 			for end := now.Add(time.Duration(rapid.IntRange(500, 6000).Draw(t, "for_ms")) * time.Millisecond); now.Before(end); {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -72,10 +72,11 @@
 }
 
 // repeatDecided logs and counts whether one more send of a request was allowed, with what the
-// bound was computed from: what this life counted, its age, and how many routers share the rest.
+// bound was computed from: the repeats that requests here had paid for, what was used of this
+// router's part of the rest, among how many routers that is divided, and since when.
 func (g *Gateway) repeatDecided(r *serving.Request, d retrybudget.Decision, share retrybudget.Share) {
 	g.metrics.repeat(r.Service.Name, d.Allowed)
-	g.Log.Info().Str("id", r.ID).Str("service", r.Service.Name).Bool("allowed", d.Allowed).Int("repeats", d.Repeats).
-		Int("requests", d.Requests).Float64("limit", d.Limit).Int("routers", share.Among).
-		Int64("life_ms", time.Since(share.Since).Milliseconds()).Msg("repeat")
+	g.Log.Info().Str("id", r.ID).Str("service", r.Service.Name).Bool("allowed", d.Allowed).Float64("paid", d.Paid).
+		Int("used", d.Used).Int("part", d.Part).Int("routers", share.Among).
+		Int64("sharing_for_ms", time.Since(share.Since).Milliseconds()).Msg("repeat")
 }
