A router that has just started uses none of the fixed number of repeats

What callers saw: with routers killed in series, a service that failed got the fixed number of repeats once for each life: 112 repeats where 52 are allowed. Cause: each life began with its whole part, and what the life before it had sent in the window is known to nobody. The class: an allowance that a restart renews.

Why this holds: a life begins to use its part a window and a send's way after its start, so that no window has uses of two lives of one VM, in however many restarts. Until then it repeats what its own requests paid for; those payments die with the life, so nothing is given out twice there. Ruled out: what an entry in the store tells of the life before (a killed one can't write it). The cost: a lone request that fails in a router's first 11 s gets its upstream's failure; callers retry through another router. Tests of the gateway wait for that time at their start (virtual time); their checks are as they were.

--- a/coord/retrybudget/retrybudget.go
+++ b/coord/retrybudget/retrybudget.go
@@ -81,7 +81,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expireLocked(now, r)
-	d := Decision{Paid: b.sumLocked(), Used: b.usedSinceLocked(now.Add(-r.Window - transit)), Part: r.part(share)}
+	d := Decision{Paid: b.sumLocked(), Used: b.usedSinceLocked(now.Add(-r.Window - transit)), Part: r.part(now, share)}
 	switch {
 	case d.Paid >= 1-rounding:
 		b.payLocked()
@@ -94,8 +94,13 @@
 }
 
 // part is how many repeats of Extra a process may use in a window.
-func (r Rule) part(share Share) int {
-	return int(r.Extra / float64(max(1, share.Among)))
+func (r Rule) part(now time.Time, share Share) int {
+	if share.Among <= 0 || now.Sub(share.Since) < r.Window+transit {
+		// Nobody knows what an earlier life of this process used in the window, and
+		// whether the others divide by one more already.
+		return 0
+	}
+	return int(r.Extra / float64(share.Among))
 }
 
 // expireLocked drops payments whose time has passed.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -210,9 +210,11 @@
 	return &s
 }
 
-// start starts the gateway of VM 1 and waits until it has settled.
+// start starts the gateway of VM 1 and waits until it has settled, and until it may use its part of
+// the fixed number of repeats: a life that is younger than their window may not.
 func (f *fleet) start() {
 	f.startVM(1)
+	time.Sleep(time.Duration(f.settings(1).Repeats.Window) + time.Second)
 	f.settle()
 }
 
