The fixed number of repeats is divided among all that may use it

What callers saw: with a router cut off from the store for longer than its lease, a service that failed got the fixed number of repeats one and a half times: 97 repeats for 120 requests, 74 allowed. Cause: the others divided by the routers that were listed, and the one that was cut off went on with its part of the list that it had known. The class: a share by the number of peers, where peers differ in whom they count.

Why this holds: a router has no part while its own entry is not listed, or while what it knows of the list is older than a window; that ends its part before its lease, so before any other divides by one fewer. A VM that leaves the list counts for another minute, since it may just have used its part; one that is listed anew begins a window later, when all that have a part count it. Ruled out: the highest number ever seen (a router that starts inside the cut has not seen it). The cost: in an outage of the store that lasts longer than a window, only repeats that requests paid for are made.

--- a/coord/member/lease.go
+++ b/coord/member/lease.go
@@ -136,7 +136,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lease = id
+	g.lease, g.registered = id, time.Now()
 	return nil
 }
 
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -73,6 +73,8 @@
 	kept   map[string]bool
 	lapses lapse.Judge
 	lease  store.LeaseID
+	// registered is when that lease's entry was written.
+	registered time.Time
 	// aside says that this process is not to be listed.
 	aside bool
 	// lost says that the members are not followed.
@@ -111,6 +113,30 @@
 	return max(1, n), g.members != nil
 }
 
+// Sharers returns among how many VMs the members of this process's role divide what they share,
+// and since when this process has been one of them. A VM counts for a minute after it left the list, since
+// it may just have used its part. n is 0 while this process is not listed: the others
+// then do not count it.
+func (g *Group) Sharers() (n int, since time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, listed := g.members[g.Prefix+g.Self.ID]; !listed {
+		return 0, time.Time{}
+	}
+	vms := map[string]bool{}
+	for _, m := range g.members {
+		if m.Role == g.Self.Role {
+			vms[m.VM] = true
+		}
+	}
+	for _, m := range g.former {
+		if m.Role == g.Self.Role {
+			vms[m.VM] = true
+		}
+	}
+	return len(vms), g.registered
+}
+
 // Get returns a member by its id.
 func (g *Group) Get(id string) (Member, bool) {
 	g.mu.Lock()
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -241,3 +241,39 @@
 		})
 	}
 }
+
+// Three routers share something, and one of them is stopped as planned just after it used its part. The
+// others divide by three for another minute; the one that is not listed has no part, and begins
+// anew when it is listed again.
+func TestSharersCountThoseThatLeftLately(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		s := memstore.New()
+		groups := []*Group{join(s, "r1", "router"), join(s, "r2", "router"), join(s, "r3", "router"), join(s, "l1", "lender")}
+		for _, g := range groups {
+			n, _ := g.Sharers()
+			require.Zero(t, n, "not listed yet")
+			run(ctx, s, g)
+		}
+		sharers := func(g *Group) int {
+			n, _ := g.Sharers()
+			return n
+		}
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 3, sharers(groups[0]))
+		_, before := groups[2].Sharers()
+		groups[2].StepAside(true)
+		time.Sleep(rememberFor - time.Second)
+		require.Equal(t, 3, sharers(groups[0]))
+		require.Zero(t, sharers(groups[2]))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 2, sharers(groups[0]))
+		groups[2].StepAside(false)
+		time.Sleep(time.Second)
+		require.Equal(t, 3, sharers(groups[2]))
+		_, after := groups[2].Sharers()
+		require.Greater(t, after.Sub(before), rememberFor)
+	})
+}
--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -19,7 +19,8 @@
 }
 
 // rememberFor is how long a member's address is remembered after it left the list. What
-// others hold of it has to find its way back until then; it is longer than a planned stop.
+// others hold of it has to find its way back until then, and what it used of what all share counts;
+// it is longer than a planned stop, and than the window of what is shared.
 const rememberFor = time.Minute
 
 // returnGrace is how long members that are missing after an outage are kept: living ones
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,8 +35,7 @@
 const (
 	// lagPeriod is that of the timer by which the wait for the processor is seen.
 	lagPeriod = 50 * time.Millisecond
-	// assumedRouters is the number of routers assumed until the store told it:
-	// too many rather than too few, for shares of the retry budget.
+	// assumedRouters is the number of routers assumed until the store told it.
 	assumedRouters = 8
 	// headerTimeout bounds the wait for a request's headers where the operators set
 	// no limit, and on the listeners that are not for callers.
@@ -68,8 +67,6 @@
 	current  atomic.Pointer[settings.Gateway]
 	meter    linkMeter
 	lag      *admission.Lag
-	// began is when this life of the process did.
-	began time.Time
 
 	catalog   catalog.Current
 	operators *operatorReader
@@ -96,7 +93,6 @@
 		settings: s,
 		meter:    meter,
 		lag:      &admission.Lag{Period: lagPeriod},
-		began:    time.Now(),
 	}
 	g.current.Store(s)
 	g.operators = &operatorReader{g: g, emptied: map[string]store.Revision{}}
@@ -151,9 +147,16 @@
 	return warmup.Share(g.settings.VM, routers, upstream, most)
 }
 
-// shareOfRepeats is this router's part in the fixed part of the bound on repeats.
+// shareOfRepeats is this router's part in the fixed number of repeats. It has none while others may
+// not count it, or it may not count them: when it is not listed, and when what it knows of the list
+// is older than a window, in which others may have begun to use theirs. Its own entry outlives that by the
+// time of its lease, so that others divide by one fewer only after it has stopped.
 func (g *Gateway) shareOfRepeats() retrybudget.Share {
-	return retrybudget.Share{Among: g.routers(), Since: g.began}
+	if g.FollowedAge() > g.repeatRule().Window {
+		return retrybudget.Share{}
+	}
+	n, since := g.Members.Sharers()
+	return retrybudget.Share{Among: n, Since: since}
 }
 
 // repeatRule is the bound on repeats by the settings in force.
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -9,9 +9,14 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A router is cut off from the store for two minutes, so that its entry ends and the other router
-// counts itself alone. Then a service fails everything, and the two together send 97 repeats for 120
-// requests, where 74 are allowed: the fixed part of the bound was given out more than once.
+// A router is cut off from the store for two minutes, so that its entry ends and the other router counts
+// itself alone, while the one that is cut off goes on with its half. Then a service fails everything, and the two
+// together send 97 repeats for 120 requests, where 74 are allowed:
+//
+//	"vm":"router-1" "event":"repeat" "allowed":true "part":25 "routers":2
+//	"vm":"router-2" "event":"repeat" "allowed":true "part":50 "routers":1
+//
+// A router whose entry others may not see has no part in the fixed number.
 func TestFixedPartOfRepeatsIsGivenOutOnce(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -76,7 +76,11 @@
 // router's part of the rest, among how many routers that is divided, and since when.
 func (g *Gateway) repeatDecided(r *serving.Request, d retrybudget.Decision, share retrybudget.Share) {
 	g.metrics.repeat(r.Service.Name, d.Allowed)
+	var sharing time.Duration
+	if share.Among > 0 {
+		sharing = time.Since(share.Since)
+	}
 	g.Log.Info().Str("id", r.ID).Str("service", r.Service.Name).Bool("allowed", d.Allowed).Float64("paid", d.Paid).
 		Int("used", d.Used).Int("part", d.Part).Int("routers", share.Among).
-		Int64("sharing_for_ms", time.Since(share.Since).Milliseconds()).Msg("repeat")
+		Int64("sharing_for_ms", sharing.Milliseconds()).Msg("repeat")
 }
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -58,15 +58,15 @@
 	m.NewGauge("arbutusmill_dropped_log_lines_total", func() float64 { return float64(dropped()) })
 	m.NewGauge("arbutusmill_members", func() float64 { return float64(len(b.Members.Members())) })
 	m.NewGauge("arbutusmill_relay_followers", func() float64 { return float64(b.Hub.State().Waiting) })
-	m.NewGauge("arbutusmill_followed_age_seconds", b.followedAge)
+	m.NewGauge("arbutusmill_followed_age_seconds", func() float64 { return b.FollowedAge().Seconds() })
 	return m
 }
 
-// followedAge is how old what this process knows of the store's keys is, 0 before the start.
-func (b *Base) followedAge() float64 {
+// FollowedAge is how old what this process knows of the store's keys is, 0 before the start.
+func (b *Base) FollowedAge() time.Duration {
 	s := b.Follower.State()
 	if s.Heard.IsZero() {
 		return 0
 	}
-	return (time.Since(s.Heard) + s.Age).Seconds()
+	return time.Since(s.Heard) + s.Age
 }
