A router that has just started sends nothing to a cold upstream that nobody counts for

The same cause as that of the repeats, elsewhere: an allowance that a restart renews. Where no process beside a cold upstream gives leave, three routers share what is left; each life of a router began with its whole share, so that three routers killed and back within a second could send 20 in that second instead of 14.

Why this holds: a life has its share a second after it was listed, so no second has shares of two lives of one VM. The share follows the same rule as the fixed number of repeats: none while the router is not listed or does not know the list. Tests of warmup, pool and gateway pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 		Relays:  s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= relayMbps,
 		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
-	g.repeats = &repeats{rule: g.repeatRule, share: g.shareOfRepeats, decided: g.repeatDecided}
+	g.repeats = &repeats{rule: g.repeatRule, share: g.share, decided: g.repeatDecided}
 	g.beside = newAnnouncer(g.Members, g.Links, time.Duration(s.Upstreams.AnnounceTimeout))
 	g.pool = &pool.Pool{
 		Directory:     g.directory,
@@ -143,15 +143,20 @@
 // shareOfCold is how many of the requests in a second that a cold upstream bears are this
 // router's.
 func (g *Gateway) shareOfCold(upstream string, most int) int {
+	share := g.share()
+	if share.Among == 0 {
+		return 0
+	}
 	routers := slices.Collect(maps.Keys(g.Members.Newest(prepaid.RoleRouter)))
-	return warmup.Share(g.settings.VM, routers, upstream, most)
+	return warmup.Share(g.settings.VM, time.Since(share.Since), routers, upstream, most)
 }
 
-// shareOfRepeats is this router's part in the fixed number of repeats. It has none while others may
-// not count it, or it may not count them: when it is not listed, and when what it knows of the list
-// is older than a window, in which others may have begun to use theirs. Its own entry outlives that by the
-// time of its lease, so that others divide by one fewer only after it has stopped.
-func (g *Gateway) shareOfRepeats() retrybudget.Share {
+// share is this router's part in what all routers share without messages: the fixed number of repeats, and
+// what cold upstreams bear. It has none while others may not count it, or it may not count them:
+// when it is not listed, and when what it knows of the list is older than a window, in which
+// others may have begun to use theirs. Its own entry outlives that by the time of its lease, so that others
+// divide by one fewer only after it has stopped.
+func (g *Gateway) share() retrybudget.Share {
 	if g.FollowedAge() > g.repeatRule().Window {
 		return retrybudget.Share{}
 	}
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -99,8 +99,12 @@
 
 // Share is how many requests in any second a router may send to a cold upstream for which nobody
 // gives leave. All routers that know the same routers find the same few for it, without a
-// message.
-func Share(router string, routers []string, upstream string, most int) int {
+// message. One that has been listed among them for less than a second has no share yet: an earlier
+// life of it may just have used it.
+func Share(router string, listedFor time.Duration, routers []string, upstream string, most int) int {
+	if listedFor < span {
+		return 0
+	}
 	rest := max(1, most-ByLeave(most))
 	ranked := rendezvous.Rank(upstream, routers)
 	ranked = ranked[:min(len(ranked), sharers, rest)]
--- a/warmup/warmup_test.go
+++ b/warmup/warmup_test.go
@@ -65,11 +65,27 @@
 	for n := range 50 {
 		upstream, together := fmt.Sprint("i-", n), 0
 		for _, r := range routers {
-			together += Share(r, routers, upstream, 14)
+			together += Share(r, time.Minute, routers, upstream, 14)
 		}
 		require.LessOrEqual(t, together+ByLeave(14), 14, "with all that others have leave for")
 		require.Positive(t, together)
 	}
-	require.Equal(t, 1, Share("a", []string{"a", "b"}, "i", 1)+Share("b", []string{"a", "b"}, "i", 1))
-	require.Zero(t, Share("c", []string{"a", "b"}, "i", 14), "it is not a router itself")
+	require.Equal(t, 1, Share("a", time.Minute, []string{"a", "b"}, "i", 1)+Share("b", time.Minute, []string{"a", "b"}, "i", 1))
+	require.Zero(t, Share("c", time.Minute, []string{"a", "b"}, "i", 14), "it is not a router itself")
+}
+
+// A router is killed and starts anew within a second, while an upstream is cold that no process stands
+// beside. What its earlier life sent there is known to nobody, so the new one waits a second;
+// before, each life had the whole share, and three routers that were killed together passed what the
+// upstream bears: 20 requests in a second instead of 14.
+func TestRestartsGiveNoShareAgain(t *testing.T) {
+	const most = 14
+	routers := []string{"a", "b", "c"}
+	inOneSecond := ByLeave(most)
+	for _, r := range routers {
+		inOneSecond += Share(r, time.Minute, routers, "i", most)
+		inOneSecond += Share(r, 900*time.Millisecond, routers, "i", most)
+	}
+	require.LessOrEqual(t, inOneSecond, most)
+	require.Positive(t, Share("a", time.Second, routers, "i", most))
 }
