A connection that breaks under a request is logged with the prompt's identity and what became of the upstream

Nothing told an upstream that ended from a connection that broke, nor which requests brought the same prompt. The line upstream_broke_off does, and arbutusmill_gateway_broken_attempts_total; no decision changes. Tests of gateway, serving, pool and memnet pass.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	pool      *pool.Pool
 	beside    *announcer
 	repeats   *repeats
+	broken    chan brokenAttempt
 	path      *serving.Path
 	metrics   *gatewayMetrics
 
@@ -93,6 +94,7 @@
 		settings: s,
 		meter:    meter,
 		lag:      &admission.Lag{Period: lagPeriod},
+		broken:   make(chan brokenAttempt, mostBroken),
 	}
 	g.current.Store(s)
 	g.operators = &operatorReader{g: g, emptied: map[string]store.Revision{}}
@@ -125,6 +127,7 @@
 		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(g.Network, s.Upstreams)},
 		Budgets:   g.Budgets,
 		Repeats:   g.repeats,
+		Watcher:   g,
 		Now:       time.Now,
 	}
 	g.metrics = newMetrics(g)
@@ -262,6 +265,9 @@
 // start starts a goroutine for each duty.
 func (g *Gateway) start(d *process.Duties) {
 	d.Go(g.beside.run)
+	for range lookers {
+		d.Go(g.lookAtBroken)
+	}
 	g.Start(d)
 	d.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
 	d.Every(expirePause, func(context.Context) { g.directory.Expire() })
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_repeats_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
 }
 
+// broke counts an attempt whose connection broke, by what became of the upstream.
+func (m *gatewayMetrics) broke(service string, state upstreamState) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_broken_attempts_total{service=%q,upstream=%q}", service, state)).Inc()
+}
+
+// breakNotLookedAt counts one for which there was no room.
+func (m *gatewayMetrics) breakNotLookedAt() {
+	m.set.GetOrCreateCounter("arbutusmill_gateway_broken_attempts_not_looked_at_total").Inc()
+}
+
 // ended counts the end of a request that came onto the path.
 func (m *gatewayMetrics) ended(r *serving.Request, e serving.End, took time.Duration) {
 	service := r.Service.Name
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -148,7 +148,20 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return x.attempt(serving.OutOfTime, "%v", err)
 	}
-	return x.attempt(serving.Unknown, "%v", err)
+	a := x.attempt(serving.Unknown, "%v", err)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		a.Break = x.brk()
+	}
+	return a
+}
+
+// brk describes the break of the connection.
+func (x *exchange) brk() *serving.Break {
+	b := &serving.Break{Address: x.target.Address, Events: x.events}
+	if x.events > 0 {
+		b.Running = x.now().Sub(x.first)
+	}
+	return b
 }
 
 // answer passes an answer on, or says what is wrong with it.
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -5,14 +5,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // ErrRefused is what a dial gets where nobody listens.
-var ErrRefused = errors.New("connection refused")
+var ErrRefused = fmt.Errorf("memnet: %w", syscall.ECONNREFUSED)
 
 // ErrReset is what a read gets after the other end was reset.
 var ErrReset = errors.New("connection reset")
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -69,12 +69,24 @@
 	// Refusal is the reason that the upstream gave, for Declined, Refused and Failed;
 	// nil leaves it to the path.
 	Refusal *contract.Refusal
+	// Break is set if the connection broke while the upstream had the request.
+	Break *Break
 	// Output is the most tokens that the run may have produced.
 	Output int64
 	// Began says that the run read the prompt, or may have.
 	Began bool
 }
 
+// Break is the end of a connection to an upstream that had a request.
+type Break struct {
+	// Address is the upstream's.
+	Address string
+	// Events is how many events of its answer had come, and Running the time since the first
+	// of them.
+	Events  int64
+	Running time.Duration
+}
+
 // Pause is one between two events of a stream.
 type Pause struct {
 	For time.Duration
--- a/serving/path.go
+++ b/serving/path.go
@@ -67,11 +67,20 @@
 	Allow(r *Request) bool
 }
 
+// Watcher hears of attempts.
+type Watcher interface {
+	// Broke is called when the connection to an upstream broke under a request. It must not
+	// block.
+	Broke(r *Request, a Attempt)
+}
+
 // Path is the path of requests.
 type Path struct {
 	Upstreams Upstreams
 	Budgets   Budgets
 	Repeats   Repeats
+	// Watcher may be nil.
+	Watcher Watcher
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -100,7 +109,11 @@
 		if !ok {
 			return p.end(r, attempts, out)
 		}
-		attempts = append(attempts, target.Done(p.Upstreams.Send(ctx, r, target, out)))
+		attempt := target.Done(p.Upstreams.Send(ctx, r, target, out))
+		attempts = append(attempts, attempt)
+		if attempt.Break != nil && p.Watcher != nil {
+			p.Watcher.Broke(r, attempt)
+		}
 		v := decide(r, attempts, p.Now())
 		if !v.again || v.counted && !p.Repeats.Allow(r) {
 			return p.end(r, attempts, out)
