A prompt that ends the engines which run it is sent to three of them, and to no more

Cause: an engine that ended under a request was a reason to send the request to another one, and the caller's retry was a new request to every router. In 21 s one prompt, brought 77 times, ended 111 engines. The class: a retry that carries the cause of the failure with it.

Why this holds: a prompt has an identity that the retry shares, whoever sends it. A router whose connection breaks looks whether the engine ended, and tells the router that decides for that prompt (rendezvous hashing). After two ends that one tells all routers, and lets one request in two seconds try the prompt; after three nobody sends it for five minutes, and callers get a final error (422). The caller of a request that was cut keeps its second try: one end stops nobody. Any answer to the prompt clears it, so a good one that many callers send is not refused while engines crash for other reasons. A router that reaches nobody goes by what it saw; one that starts asks the others. Known prompts are bounded (4,096). Ruled out: the retry budget (the repeats are the callers'); refusing the team; a word in the store (a write for each, and too late for a retry).

TestLogLineOfARequest counts the line of a broken connection too, by its content.

--- a/contract/kind.go
+++ b/contract/kind.go
@@ -14,31 +14,33 @@
 
 // The kinds. What a caller sees for each is in the table below.
 const (
-	BadRequest        Kind = "bad_request"
-	BodyTooLarge      Kind = "body_too_large"
-	HeadersTooLarge   Kind = "headers_too_large"
-	Unauthorized      Kind = "unauthorized"
-	NotAllowed        Kind = "not_allowed"
-	UnknownModel      Kind = "unknown_model"
-	UnknownService    Kind = "unknown_service"
-	UnknownPath       Kind = "unknown_path"
-	KeyReused         Kind = "idempotency_key_reused"
-	BudgetExhausted   Kind = "budget_exhausted"
-	BudgetUnreachable Kind = "budget_unreachable"
-	BudgetMissing     Kind = "budget_missing"
-	Overloaded        Kind = "overloaded"
-	DeadlineTooShort  Kind = "deadline_too_short"
-	NoUpstream        Kind = "no_upstream"
-	Stopping          Kind = "stopping"
-	NotReady          Kind = "not_ready"
-	ChargeBacklog     Kind = "charge_backlog"
-	ClaimUnavailable  Kind = "claim_unavailable"
-	Fenced            Kind = "fenced"
-	InProgress        Kind = "in_progress"
-	UpstreamFailed    Kind = "upstream_failed"
-	OutcomeUnknown    Kind = "outcome_unknown"
-	TimedOut          Kind = "timed_out"
-	Internal          Kind = "internal"
+	BadRequest          Kind = "bad_request"
+	BodyTooLarge        Kind = "body_too_large"
+	HeadersTooLarge     Kind = "headers_too_large"
+	Unauthorized        Kind = "unauthorized"
+	NotAllowed          Kind = "not_allowed"
+	UnknownModel        Kind = "unknown_model"
+	UnknownService      Kind = "unknown_service"
+	UnknownPath         Kind = "unknown_path"
+	KeyReused           Kind = "idempotency_key_reused"
+	BudgetExhausted     Kind = "budget_exhausted"
+	BudgetUnreachable   Kind = "budget_unreachable"
+	BudgetMissing       Kind = "budget_missing"
+	Overloaded          Kind = "overloaded"
+	DeadlineTooShort    Kind = "deadline_too_short"
+	NoUpstream          Kind = "no_upstream"
+	Stopping            Kind = "stopping"
+	NotReady            Kind = "not_ready"
+	ChargeBacklog       Kind = "charge_backlog"
+	ClaimUnavailable    Kind = "claim_unavailable"
+	Fenced              Kind = "fenced"
+	InProgress          Kind = "in_progress"
+	UpstreamFailed      Kind = "upstream_failed"
+	OutcomeUnknown      Kind = "outcome_unknown"
+	PromptEndsUpstreams Kind = "prompt_ends_upstreams"
+	PromptOnTrial       Kind = "prompt_on_trial"
+	TimedOut            Kind = "timed_out"
+	Internal            Kind = "internal"
 )
 
 // Answer is what a caller gets for a kind.
@@ -56,31 +58,33 @@
 // answers is the one table from kind to answer. NotRun is true only where the
 // decision falls before the request left, or on the word of the agent that held it.
 var answers = map[Kind]Answer{
-	BadRequest:        {Status: http.StatusBadRequest, NotRun: true},
-	BodyTooLarge:      {Status: http.StatusRequestEntityTooLarge, NotRun: true},
-	HeadersTooLarge:   {Status: http.StatusRequestHeaderFieldsTooLarge, NotRun: true},
-	Unauthorized:      {Status: http.StatusUnauthorized, NotRun: true},
-	NotAllowed:        {Status: http.StatusForbidden, NotRun: true},
-	UnknownModel:      {Status: http.StatusNotFound, NotRun: true},
-	UnknownService:    {Status: http.StatusNotFound, NotRun: true},
-	UnknownPath:       {Status: http.StatusNotFound, NotRun: true},
-	KeyReused:         {Status: http.StatusUnprocessableEntity, NotRun: true},
-	BudgetExhausted:   {Status: http.StatusPaymentRequired, NotRun: true},
-	BudgetUnreachable: {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
-	BudgetMissing:     {Status: http.StatusPaymentRequired, NotRun: true},
-	Overloaded:        {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second, TryOther: true},
-	DeadlineTooShort:  {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second},
-	NoUpstream:        {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
-	Stopping:          {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second, TryOther: true},
-	NotReady:          {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second, TryOther: true},
-	ChargeBacklog:     {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 10 * time.Second, TryOther: true},
-	ClaimUnavailable:  {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 5 * time.Second},
-	Fenced:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second},
-	InProgress:        {Status: http.StatusConflict, RetryAfter: time.Second},
-	UpstreamFailed:    {Status: http.StatusBadGateway, RetryAfter: time.Second},
-	OutcomeUnknown:    {Status: http.StatusBadGateway, RetryAfter: time.Second},
-	TimedOut:          {Status: http.StatusGatewayTimeout},
-	Internal:          {Status: http.StatusInternalServerError},
+	BadRequest:          {Status: http.StatusBadRequest, NotRun: true},
+	BodyTooLarge:        {Status: http.StatusRequestEntityTooLarge, NotRun: true},
+	HeadersTooLarge:     {Status: http.StatusRequestHeaderFieldsTooLarge, NotRun: true},
+	Unauthorized:        {Status: http.StatusUnauthorized, NotRun: true},
+	NotAllowed:          {Status: http.StatusForbidden, NotRun: true},
+	UnknownModel:        {Status: http.StatusNotFound, NotRun: true},
+	UnknownService:      {Status: http.StatusNotFound, NotRun: true},
+	UnknownPath:         {Status: http.StatusNotFound, NotRun: true},
+	KeyReused:           {Status: http.StatusUnprocessableEntity, NotRun: true},
+	BudgetExhausted:     {Status: http.StatusPaymentRequired, NotRun: true},
+	BudgetUnreachable:   {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
+	BudgetMissing:       {Status: http.StatusPaymentRequired, NotRun: true},
+	Overloaded:          {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second, TryOther: true},
+	DeadlineTooShort:    {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second},
+	NoUpstream:          {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
+	Stopping:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second, TryOther: true},
+	NotReady:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second, TryOther: true},
+	ChargeBacklog:       {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 10 * time.Second, TryOther: true},
+	ClaimUnavailable:    {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 5 * time.Second},
+	Fenced:              {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second},
+	InProgress:          {Status: http.StatusConflict, RetryAfter: time.Second},
+	UpstreamFailed:      {Status: http.StatusBadGateway, RetryAfter: time.Second},
+	OutcomeUnknown:      {Status: http.StatusBadGateway, RetryAfter: time.Second},
+	PromptEndsUpstreams: {Status: http.StatusUnprocessableEntity},
+	PromptOnTrial:       {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
+	TimedOut:            {Status: http.StatusGatewayTimeout},
+	Internal:            {Status: http.StatusInternalServerError},
 }
 
 // Kinds lists all kinds.
--- a/gateway/broken.go
+++ b/gateway/broken.go
@@ -3,29 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
-	"time"
-
-	"github.com/arbutusmill/arbutusmill/poison"
-	"github.com/arbutusmill/arbutusmill/serving"
-)
-
-const (
-	// mostBroken bounds the broken attempts that wait to be looked at. What finds no room is
-	// counted, and lost as evidence.
-	mostBroken = 512
-	// lookers is how many upstreams are looked at at once: one that does not answer at all
-	// takes the time of a dial.
-	lookers = 4
 )
 
-// brokenAttempt is one whose connection to the upstream broke.
-type brokenAttempt struct {
-	request *serving.Request
-	attempt serving.Attempt
-	at      time.Time
-}
-
 // upstreamState is what a look at an upstream shows.
 type upstreamState string
 
@@ -39,9 +20,10 @@
 	upstreamUnknown upstreamState = "unknown"
 )
 
-// lookAt finds out whether the upstream at an address ended.
-func (g *Gateway) lookAt(ctx context.Context, address string) upstreamState {
-	dial := g.Network.Within(time.Duration(g.settings.Upstreams.DialTimeout))
+// lookAt finds out whether the upstream at an address ended, by the start of a connection. A
+// broken connection alone does not tell: connections are reset, and answers spoiled, by upstreams that
+// live.
+func lookAt(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) upstreamState {
 	conn, err := dial(ctx, "tcp", address)
 	switch {
 	case err == nil:
@@ -52,34 +34,3 @@
 	}
 	return upstreamUnknown
 }
-
-// Broke implements serving.Watcher: an attempt's connection broke.
-func (g *Gateway) Broke(r *serving.Request, a serving.Attempt) {
-	select {
-	case g.broken <- brokenAttempt{request: r, attempt: a, at: time.Now()}:
-	default:
-		g.metrics.breakNotLookedAt()
-	}
-}
-
-// lookAtBroken looks at the upstreams of broken attempts until the context ends.
-func (g *Gateway) lookAtBroken(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case b := <-g.broken:
-			g.judgeBroken(ctx, b)
-		}
-	}
-}
-
-// judgeBroken logs what became of the upstream under a request.
-func (g *Gateway) judgeBroken(ctx context.Context, b brokenAttempt) {
-	state := g.lookAt(ctx, b.attempt.Break.Address)
-	g.metrics.broke(b.request.Service.Name, state)
-	g.Log.Info().Str("id", b.request.ID).Str("prompt", string(poison.Identify(b.request))).Str("team", b.request.Team).
-		Str("service", b.request.Service.Name).Stringer("upstream", b.attempt.Upstream).Str("state", string(state)).
-		Int64("events", b.attempt.Break.Events).Int64("running_ms", b.attempt.Break.Running.Milliseconds()).
-		Int64("looked_after_ms", time.Since(b.at).Milliseconds()).Msg("upstream_broke_off")
-}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -179,18 +179,24 @@
 	})
 }
 
-// Every request leaves one line with what decided it.
+// Every request leaves one line with what decided its end, and one for each connection that broke under it.
 func TestLogLineOfARequest(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(1_000_000, "k1")
 		f.upstream("i-1", "model", 5).SetMode(platformtest.LoseAnswer)
 		f.start()
 		require.Equal(t, 502, f.ask(chat("r-17")).status)
-		lines := 0
+		f.settle()
+		lines, breaks := 0, 0
 		for line := range strings.Lines(f.log.String()) {
 			if !strings.Contains(line, `"id":"r-17"`) {
 				continue
 			}
+			if strings.Contains(line, `"event":"upstream_broke_off"`) {
+				require.Contains(t, line, `"upstream":"i-1","state":"listens"`)
+				breaks++
+				continue
+			}
 			lines++
 			for _, part := range []string{`"attempts":"i-1 [`, `] unknown (`, `"kind":"outcome_unknown"`, `"version":1`,
 				`"status":502`, `"team":"pilots"`, `"reserved":1060`, `"used":1060`} {
@@ -198,6 +204,7 @@
 			}
 		}
 		require.Equal(t, 1, lines)
+		require.Equal(t, 1, breaks)
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,7 @@
 	pool      *pool.Pool
 	beside    *announcer
 	repeats   *repeats
-	broken    chan brokenAttempt
+	prompts   *promptGuard
 	path      *serving.Path
 	metrics   *gatewayMetrics
 
@@ -94,18 +94,20 @@
 		settings: s,
 		meter:    meter,
 		lag:      &admission.Lag{Period: lagPeriod},
-		broken:   make(chan brokenAttempt, mostBroken),
 	}
 	g.current.Store(s)
 	g.operators = &operatorReader{g: g, emptied: map[string]store.Revision{}}
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.Base = hosted.New(hosted.Parts{
-		Role: prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
+		Methods: g.promptMethods(),
+		Role:    prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.Configured{Catalog: &g.catalog},
 		Readers: map[string]mirror.Reader{platform.OperatorPrefix: g.operators, platform.UpstreamPrefix: g.directory},
 		Relays:  s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= relayMbps,
 		Network: metered(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
+	g.metrics = newMetrics(g)
+	g.prompts = newPromptGuard(g)
 	g.repeats = &repeats{rule: g.repeatRule, share: g.share, decided: g.repeatDecided}
 	g.beside = newAnnouncer(g.Members, g.Links, time.Duration(s.Upstreams.AnnounceTimeout))
 	g.pool = &pool.Pool{
@@ -127,10 +129,9 @@
 		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(g.Network, s.Upstreams)},
 		Budgets:   g.Budgets,
 		Repeats:   g.repeats,
-		Watcher:   g,
+		Poison:    g.prompts,
 		Now:       time.Now,
 	}
-	g.metrics = newMetrics(g)
 	g.Admin.Dump = g.dump
 	return g
 }
@@ -265,9 +266,7 @@
 // start starts a goroutine for each duty.
 func (g *Gateway) start(d *process.Duties) {
 	d.Go(g.beside.run)
-	for range lookers {
-		d.Go(g.lookAtBroken)
-	}
+	g.prompts.start(d)
 	g.Start(d)
 	d.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
 	d.Every(expirePause, func(context.Context) { g.directory.Expire() })
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -45,6 +45,11 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_broken_attempts_not_looked_at_total").Inc()
 }
 
+// promptNewsDropped counts news of a prompt that found no room.
+func (m *gatewayMetrics) promptNewsDropped() {
+	m.set.GetOrCreateCounter("arbutusmill_gateway_prompt_news_dropped_total").Inc()
+}
+
 // ended counts the end of a request that came onto the path.
 func (m *gatewayMetrics) ended(r *serving.Request, e serving.End, took time.Duration) {
 	service := r.Service.Name
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -80,9 +81,14 @@
 	time.Sleep(15 * time.Second)
 }
 
-// A caller's prompt ends each engine that runs it, with all that runs there. The router sends it to a
-// second engine, and the caller asks again, each time through another router: each of its
-// attempts ended two engines, and nobody knew that it was the prompt.
+// A caller's prompt ends each engine that runs it, with all that runs there. The router sent it to a
+// second engine, and the caller asked again, each time through another router, which knew nothing: 77
+// requests with one prompt, to the letter, ended 111 engines in 20 s, and cut 1,745 other prompts.
+//
+//	"prompt":"8b3d5e72fc77133f96cf6791" "upstream":"i-1a7d613315" "state":"ended" "event":"upstream_broke_off"
+//	"prompt":"8b3d5e72fc77133f96cf6791" "upstream":"i-bca840be97" "state":"ended" "event":"upstream_broke_off"
+//
+// Now routers tell each other under which prompts engines ended, and after three nobody sends it.
 func TestPromptThatEndsEnginesIsSentToThree(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
@@ -132,3 +138,170 @@
 		require.GreaterOrEqual(t, int(served.Load()), innocents-1)
 	})
 }
+
+// prove lets three engines end under the deadly prompt.
+func (f *fleet) prove(routers int) {
+	for attempt := range 4 {
+		f.ask(deadly(fmt.Sprint("proof-", attempt), 1+attempt%routers))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// A router starts anew after a prompt was proven to end engines. It asks the others for what they
+// know before callers bring it the prompt; else it would send it out once more.
+func TestRestartedRouterLearnsOfPrompts(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		engines := f.fragile(8)
+		f.routers(3)
+		f.prove(3)
+		before := endedOf(engines)
+		f.stopVM(3)
+		f.startVM(3)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, http.StatusUnprocessableEntity, f.ask(deadly("late", 3)).status)
+		require.Equal(t, before, endedOf(engines))
+	})
+}
+
+// A router that reaches neither the store nor any other router gets the prompt again and again. It
+// goes by what it has seen end itself: three engines, and no more.
+func TestRouterThatIsCutOffLearnsByItself(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		engines := f.fragile(12)
+		f.startVM(1)
+		time.Sleep(15 * time.Second)
+		f.cutOff(1)
+		for n := range 8 {
+			require.NotEqual(t, 200, f.ask(deadly(fmt.Sprint("d-", n), 1)).status)
+			time.Sleep(3 * time.Second)
+		}
+		require.LessOrEqual(t, endedOf(engines), 3)
+	})
+}
+
+// Engines crash one after the other under prompts that are good: many callers' own, and one that all of
+// them send. Whoever was cut gets a second try, nobody is refused for its prompt, and what is known
+// against the common prompt is cleared by its next answer.
+func TestCrashesRefuseNoGoodPrompt(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		engines := f.fragile(20)
+		f.routers(4)
+		var wg sync.WaitGroup
+		for n := range 160 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(n) * 25 * time.Millisecond)
+				q := review(fmt.Sprint("good-", n))
+				q.parts, q.vm = fmt.Sprintf("aa:600,own-%d:400", n), 1+n%4
+				if n%4 == 0 {
+					q.parts = "aa:600,common:400"
+				}
+				require.Equal(t, 200, f.ask(q).status)
+			})
+		}
+		for _, e := range engines[:10] {
+			time.Sleep(400 * time.Millisecond)
+			e.end()
+		}
+		wg.Wait()
+		require.Contains(t, f.log.String(), `"event":"upstream_broke_off"`)
+		require.NotContains(t, f.log.String(), `"kind":"prompt_`)
+	})
+}
+
+// A prompt is on trial, since two engines crashed under it by chance. Its next request is let through, and
+// its answer clears it at all routers.
+func TestPromptOnTrialIsClearedByAnAnswer(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		engines := f.fragile(4)
+		f.routers(3)
+		unlucky := func(id string, vm int) question {
+			q := review(id)
+			q.vm, q.parts = vm, "aa:600,unlucky:400"
+			return q
+		}
+		cut := make(chan answer)
+		go func() { cut <- f.ask(unlucky("twice", 1)) }()
+		for range 2 {
+			time.Sleep(100 * time.Millisecond)
+			for _, e := range engines {
+				if slices.Contains(e.IDs(), "twice") {
+					e.end()
+				}
+			}
+		}
+		require.True(t, (<-cut).cut)
+		time.Sleep(100 * time.Millisecond)
+		require.Contains(t, f.log.String(), `"standing":"on_trial"`)
+		require.Equal(t, 200, f.ask(unlucky("tried", 2)).status)
+		time.Sleep(100 * time.Millisecond)
+		for vm := 1; vm <= 3; vm++ {
+			require.Equal(t, 200, f.ask(unlucky(fmt.Sprint("after-", vm), vm)).status)
+		}
+	})
+}
+
+// An engine breaks off the answers to a prompt, again and again, but lives. That is nothing against the
+// prompt: connections are reset, and answers spoiled, by engines that are faulty.
+func TestBrokenConnectionsAreNoEnds(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		engines := f.fragile(3)
+		f.start()
+		for _, e := range engines {
+			e.SetMode(platformtest.LoseAnswer)
+		}
+		for n := range 4 {
+			require.Equal(t, http.StatusBadGateway, f.ask(review(fmt.Sprint("r-", n))).status)
+		}
+		for _, e := range engines {
+			e.SetMode(platformtest.Serve)
+		}
+		require.Equal(t, 200, f.ask(review("after")).status)
+	})
+}
+
+// Three engines crash one after the other under a prompt that runs at a fourth one all the while. It
+// counts as proven then, until the fourth one's answer clears it at all routers.
+func TestProvenPromptIsClearedByAnAnswer(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		slow := f.upstream("i-9", "model", 100)
+		slow.Pause = 50 * time.Millisecond
+		f.routers(4)
+		common := func(id string, vm int) question {
+			q := chat(id)
+			q.vm, q.parts = vm, "common:1000"
+			return q
+		}
+		answered := make(chan answer)
+		go func() { answered <- f.ask(common("slow", 4)) }()
+		time.Sleep(100 * time.Millisecond)
+		f.register("i-9", "model", "draining")
+		engines := f.fragile(5)
+		time.Sleep(500 * time.Millisecond)
+		for vm := 1; vm <= 3; vm++ {
+			id := fmt.Sprint("crash-", vm)
+			cut := make(chan answer)
+			go func() { cut <- f.ask(common(id, vm)) }()
+			time.Sleep(200 * time.Millisecond)
+			for _, e := range engines {
+				if slices.Contains(e.IDs(), id) {
+					e.end()
+				}
+			}
+			require.True(t, (<-cut).cut)
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Equal(t, 3, endedOf(engines))
+		require.Equal(t, http.StatusUnprocessableEntity, f.ask(common("refused", 1)).status)
+		require.Equal(t, 200, (<-answered).status)
+		time.Sleep(200 * time.Millisecond)
+		for vm := 1; vm <= 4; vm++ {
+			require.Equal(t, 200, f.ask(common(fmt.Sprint("after-", vm), vm)).status)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/prompts.go
@@ -0,0 +1,417 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/poison"
+	"github.com/arbutusmill/arbutusmill/prepaid"
+	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/serving"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// mostBroken bounds the broken attempts that wait to be looked at. What finds no room is
+	// counted, and lost as evidence.
+	mostBroken = 512
+	// lookers is how many upstreams are looked at at once: one that does not answer at all
+	// takes the time of a dial.
+	lookers = 4
+	// mostNews bounds what waits to be told to others.
+	mostNews = 256
+	// tellers is how many routers are told at once.
+	tellers = 16
+	// tellTimeout bounds one message on a prompt: many times the way between two routers.
+	tellTimeout = 150 * time.Millisecond
+	// deciders is how many routers are asked to decide for a prompt, one after the other.
+	deciders = 2
+	// lapsePause is the pause between two looks for prompts whose time is over.
+	lapsePause = time.Second
+	// listTries is how often a router that starts asks others for what they know, and listPause
+	// the pause between.
+	listTries = 10
+	listPause = 500 * time.Millisecond
+)
+
+// promptGuard implements serving.Poison. The load that it answers: one prompt ends each engine that
+// runs it, its caller and others bring it again through all routers, and what runs beside it is cut
+// each time.
+//
+// An upstream that ended under a request is told to the router that decides for the prompt, found by
+// rendezvous hashing. From the second end on that router tells all others, and lets one request now and then
+// try the prompt; after the third one nobody sends it. A router that reaches no other goes by what
+// it has seen itself.
+type promptGuard struct {
+	vm       string
+	register poison.Register
+	members  *member.Group
+	links    *link.Pool
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	metrics  *gatewayMetrics
+	log      zerolog.Logger
+	broken   chan brokenAttempt
+	news     chan promptNews
+}
+
+// brokenAttempt is one whose connection to the upstream broke.
+type brokenAttempt struct {
+	request *serving.Request
+	attempt serving.Attempt
+}
+
+// promptNews is what others are to be told of a prompt.
+type promptNews struct {
+	prompt  poison.Prompt
+	method  string
+	message any
+	// toAll says that all routers are told, not only the one that decides for the prompt.
+	toAll bool
+}
+
+func newPromptGuard(g *Gateway) *promptGuard {
+	return &promptGuard{
+		vm:      g.settings.VM,
+		members: g.Members,
+		links:   g.Links,
+		dial:    g.Network.Within(time.Duration(g.settings.Upstreams.DialTimeout)),
+		metrics: g.metrics,
+		log:     g.Log,
+		broken:  make(chan brokenAttempt, mostBroken),
+		news:    make(chan promptNews, mostNews),
+	}
+}
+
+// start starts the guard's duties.
+func (p *promptGuard) start(d *process.Duties) {
+	for range lookers {
+		d.Go(p.look)
+	}
+	d.Go(p.tellNews)
+	d.Go(p.learnFromOthers)
+	d.Every(lapsePause, func(context.Context) { p.lapse(time.Now()) })
+}
+
+// Refuse implements serving.Poison.
+func (p *promptGuard) Refuse(ctx context.Context, r *serving.Request) *contract.Refusal {
+	if p.register.Empty() {
+		return nil
+	}
+	known := p.register.Known(time.Now(), poison.Identify(r))
+	switch known.Standing() {
+	case poison.Proven:
+		return provenRefusal(known)
+	case poison.OnTrial:
+		return p.try(ctx, r, known)
+	}
+	return nil
+}
+
+// Proven implements serving.Poison.
+func (p *promptGuard) Proven(r *serving.Request) *contract.Refusal {
+	if p.register.Empty() {
+		return nil
+	}
+	known := p.register.Known(time.Now(), poison.Identify(r))
+	if known.Standing() != poison.Proven {
+		return nil
+	}
+	return provenRefusal(known)
+}
+
+func provenRefusal(known poison.Evidence) *contract.Refusal {
+	refusal := contract.Refuse(contract.PromptEndsUpstreams,
+		"%d upstreams ended under this prompt, and nothing else was answered to it; it is not sent again", len(known.Ends))
+	refusal.Detail = describe(known)
+	return refusal
+}
+
+// describe tells a prompt's evidence for the log.
+func describe(known poison.Evidence) string {
+	parts := []string{"prompt " + string(known.Prompt)}
+	for _, e := range known.Ends {
+		parts = append(parts, e.Upstream+" ended "+e.Age.Round(time.Millisecond).String()+" ago")
+	}
+	return strings.Join(parts, ", ")
+}
+
+// try asks whether a request may try a prompt that is on trial.
+func (p *promptGuard) try(ctx context.Context, r *serving.Request, known poison.Evidence) *contract.Refusal {
+	ask := link.PromptTry{Prompt: known.Prompt, Request: r.ID}
+	reply, err := decide(ctx, p, known.Prompt, link.MethodPromptTry, ask, p.takeTry)
+	if err != nil {
+		reply, _ = p.takeTry(ctx, ask) // by what is known here; it does not fail
+	}
+	p.log.Info().Str("id", r.ID).Str("prompt", string(known.Prompt)).Bool("allowed", reply.Allowed).
+		Bool("asked_others", err == nil).Str("evidence", describe(reply.Known)).Msg("prompt_on_trial")
+	if reply.Allowed {
+		return nil
+	}
+	p.register.Add(time.Now(), reply.Known)
+	if reply.Known.Standing() == poison.Proven {
+		return provenRefusal(reply.Known)
+	}
+	refusal := contract.Refuse(contract.PromptOnTrial, "upstreams ended under this prompt, and another request is trying it")
+	refusal.Detail = describe(reply.Known)
+	return refusal
+}
+
+// Answered implements serving.Poison.
+func (p *promptGuard) Answered(r *serving.Request) {
+	if p.register.Empty() {
+		return
+	}
+	prompt := poison.Identify(r)
+	known := p.register.Clear(time.Now(), prompt)
+	if known.Standing() == poison.Clear {
+		return
+	}
+	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("was", known.Standing().String()).
+		Str("evidence", describe(known)).Msg("prompt_cleared")
+	p.tellLater(promptNews{prompt, link.MethodPromptCleared, link.PromptAnswered{Prompt: prompt}, known.Standing() >= poison.OnTrial})
+}
+
+// Broke implements serving.Poison. Nobody waits after the first break under a prompt: its second try
+// is let through whatever the look shows.
+func (p *promptGuard) Broke(ctx context.Context, r *serving.Request, attempts []serving.Attempt) {
+	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1]}
+	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
+	if earlier || p.suspected(r) {
+		p.judge(ctx, b)
+		return
+	}
+	select {
+	case p.broken <- b:
+	default:
+		p.metrics.breakNotLookedAt()
+	}
+}
+
+// suspected reports whether anything is known against a request's prompt.
+func (p *promptGuard) suspected(r *serving.Request) bool {
+	return !p.register.Empty() && p.register.Known(time.Now(), poison.Identify(r)).Standing() > poison.Clear
+}
+
+// look looks at the upstreams of broken attempts until the context ends.
+func (p *promptGuard) look(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case b := <-p.broken:
+			p.judge(ctx, b)
+		}
+	}
+}
+
+// judge finds out what became of the upstream under a request, and takes its end as evidence
+// against the prompt.
+func (p *promptGuard) judge(ctx context.Context, b brokenAttempt) {
+	state := lookAt(ctx, p.dial, b.attempt.Break.Address)
+	prompt := poison.Identify(b.request)
+	p.metrics.broke(b.request.Service.Name, state)
+	p.log.Info().Str("id", b.request.ID).Str("prompt", string(prompt)).Str("team", b.request.Team).
+		Str("service", b.request.Service.Name).Stringer("upstream", b.attempt.Upstream).Str("state", string(state)).
+		Int64("events", b.attempt.Break.Events).Int64("running_ms", b.attempt.Break.Running.Milliseconds()).Msg("upstream_broke_off")
+	if state != upstreamEnded {
+		return
+	}
+	mine, news := p.register.Add(time.Now(), poison.Evidence{Prompt: prompt, Ends: []poison.End{{Upstream: b.attempt.Upstream.String()}}})
+	all, err := decide(ctx, p, prompt, link.MethodPromptEnded, mine, p.takeEnded)
+	if err != nil {
+		p.log.Warn().Err(err).Str("prompt", string(prompt)).Msg("prompt_not_told")
+		p.spread(mine, news)
+		return
+	}
+	p.register.Add(time.Now(), all)
+}
+
+// spread tells all routers of a prompt that is on trial or proven.
+func (p *promptGuard) spread(known poison.Evidence, news bool) {
+	if !news || known.Standing() < poison.OnTrial {
+		return
+	}
+	p.log.Warn().Str("prompt", string(known.Prompt)).Str("standing", known.Standing().String()).
+		Str("evidence", describe(known)).Msg("prompt_ends_upstreams")
+	p.tellLater(promptNews{known.Prompt, link.MethodPromptKnown, known, true})
+}
+
+// errNobodyDecides says that none of the routers that decide for a prompt answered.
+var errNobodyDecides = errors.New("no router that decides for the prompt answered")
+
+// decide sends a message to the router that decides for a prompt, or to the next one if that does not
+// answer. Where it is this one, the message is taken here.
+func decide[In, Out any](ctx context.Context, p *promptGuard, prompt poison.Prompt, method string, in In,
+	here func(context.Context, In) (Out, error)) (out Out, err error) {
+	routers := p.members.Newest(prepaid.RoleRouter)
+	ranked := rendezvous.Rank(string(prompt), slices.Collect(maps.Keys(routers)))
+	for _, vm := range ranked[:min(deciders, len(ranked))] {
+		if vm == p.vm {
+			return here(ctx, in)
+		}
+		asking, cancel := context.WithTimeout(ctx, tellTimeout)
+		err = p.links.Call(asking, routers[vm].Address, method, in, &out)
+		cancel()
+		if err == nil {
+			return out, nil
+		}
+	}
+	return out, errors.Join(errNobodyDecides, err)
+}
+
+// takeEnded takes an end as the router that decides for the prompt.
+func (p *promptGuard) takeEnded(_ context.Context, e poison.Evidence) (poison.Evidence, error) {
+	all, news := p.register.Add(time.Now(), e)
+	p.spread(all, news)
+	return all, nil
+}
+
+// takeTry decides whether a prompt may be tried.
+func (p *promptGuard) takeTry(_ context.Context, in link.PromptTry) (link.PromptTryReply, error) {
+	now := time.Now()
+	allowed := p.register.Try(now, in.Prompt, in.Request)
+	return link.PromptTryReply{Allowed: allowed, Known: p.register.Known(now, in.Prompt)}, nil
+}
+
+// takeKnown takes what another router knows of a prompt.
+func (p *promptGuard) takeKnown(_ context.Context, e poison.Evidence) (link.Empty, error) {
+	if all, news := p.register.Add(time.Now(), e); news {
+		p.log.Info().Str("prompt", string(e.Prompt)).Str("standing", all.Standing().String()).
+			Str("evidence", describe(all)).Msg("prompt_known")
+	}
+	return link.Empty{}, nil
+}
+
+// takeCleared takes that a prompt was answered.
+func (p *promptGuard) takeCleared(_ context.Context, in link.PromptAnswered) (link.Empty, error) {
+	p.register.Clear(time.Now(), in.Prompt)
+	return link.Empty{}, nil
+}
+
+// list returns the prompts on trial and the proven ones.
+func (p *promptGuard) list(context.Context, link.Empty) ([]poison.Evidence, error) {
+	return p.register.All(time.Now()), nil
+}
+
+// tellLater queues news.
+func (p *promptGuard) tellLater(n promptNews) {
+	select {
+	case p.news <- n:
+	default:
+		p.metrics.promptNewsDropped()
+	}
+}
+
+// tellNews tells others what is queued until the context ends.
+func (p *promptGuard) tellNews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-p.news:
+			if n.toAll {
+				p.tellAll(ctx, n)
+			} else {
+				p.tellDecider(ctx, n)
+			}
+		}
+	}
+}
+
+// tellDecider tells the router that decides for the prompt.
+func (p *promptGuard) tellDecider(ctx context.Context, n promptNews) {
+	nothingToDo := func(context.Context, any) (link.Empty, error) { return link.Empty{}, nil }
+	if _, err := decide(ctx, p, n.prompt, n.method, n.message, nothingToDo); err != nil {
+		p.log.Warn().Err(err).Str("prompt", string(n.prompt)).Str("method", n.method).Msg("prompt_not_told")
+	}
+}
+
+// tellAll tells all other routers. One that does not hear of a prompt learns of it by its own loss.
+func (p *promptGuard) tellAll(ctx context.Context, n promptNews) {
+	var wg sync.WaitGroup
+	room := make(chan struct{}, tellers)
+	for vm, m := range p.members.Newest(prepaid.RoleRouter) {
+		if vm == p.vm {
+			continue
+		}
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			telling, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			if err := p.links.Call(telling, m.Address, n.method, n.message, nil); err != nil {
+				p.log.Warn().Err(err).Str("router", vm).Str("method", n.method).Msg("prompt_not_told")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// learnFromOthers asks other routers, one after the other, for the prompts that they know, until one has
+// answered: a router that has just started would else send each of them once more.
+func (p *promptGuard) learnFromOthers(ctx context.Context) {
+	for range listTries {
+		for vm, m := range p.members.Newest(prepaid.RoleRouter) {
+			if vm != p.vm && p.learnFrom(ctx, m) {
+				return
+			}
+		}
+		if backoff.Sleep(ctx, listPause) != nil {
+			return
+		}
+	}
+}
+
+// learnFrom asks one router, and reports whether it answered.
+func (p *promptGuard) learnFrom(ctx context.Context, m member.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var known []poison.Evidence
+	if p.links.Call(ctx, m.Address, link.MethodPromptList, link.Empty{}, &known) != nil {
+		return false
+	}
+	for _, e := range known {
+		_, _ = p.takeKnown(ctx, e) // it does not fail
+	}
+	return true
+}
+
+// lapse forgets prompts whose time is over.
+func (p *promptGuard) lapse(now time.Time) {
+	for _, e := range p.register.Lapse(now) {
+		p.log.Info().Str("prompt", string(e.Prompt)).Str("was", e.Standing().String()).
+			Str("evidence", describe(e)).Msg("prompt_lapsed")
+	}
+}
+
+// promptMethods answer other routers' messages on prompts.
+func (g *Gateway) promptMethods() map[string]link.Handler {
+	return map[string]link.Handler{
+		link.MethodPromptEnded: link.Handle(func(ctx context.Context, e poison.Evidence) (poison.Evidence, error) {
+			return g.prompts.takeEnded(ctx, e)
+		}),
+		link.MethodPromptTry: link.Handle(func(ctx context.Context, in link.PromptTry) (link.PromptTryReply, error) {
+			return g.prompts.takeTry(ctx, in)
+		}),
+		link.MethodPromptKnown: link.Handle(func(ctx context.Context, e poison.Evidence) (link.Empty, error) {
+			return g.prompts.takeKnown(ctx, e)
+		}),
+		link.MethodPromptCleared: link.Handle(func(ctx context.Context, in link.PromptAnswered) (link.Empty, error) {
+			return g.prompts.takeCleared(ctx, in)
+		}),
+		link.MethodPromptList: link.Handle(func(ctx context.Context, in link.Empty) ([]poison.Evidence, error) {
+			return g.prompts.list(ctx, in)
+		}),
+	}
+}
--- a/link/messages.go
+++ b/link/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
+	"github.com/arbutusmill/arbutusmill/poison"
 	"github.com/arbutusmill/arbutusmill/prefill"
 )
 
@@ -36,6 +37,40 @@
 	MethodReadElsewhere = "upstream.read_elsewhere"
 )
 
+// Methods of routers on prompts that end upstreams. One router decides for each prompt.
+const (
+	// MethodPromptEnded tells the router that decides of an upstream that ended:
+	// poison.Evidence, and all that is known of the prompt, poison.Evidence.
+	MethodPromptEnded = "prompt.ended"
+	// MethodPromptTry asks it whether the prompt may be sent: PromptTry, PromptTryReply.
+	MethodPromptTry = "prompt.try"
+	// MethodPromptKnown tells any router what is known of a prompt: poison.Evidence, Empty.
+	MethodPromptKnown = "prompt.known"
+	// MethodPromptCleared tells any router that nothing speaks against a prompt any more:
+	// PromptAnswered, Empty.
+	MethodPromptCleared = "prompt.cleared"
+	// MethodPromptList asks any router which prompts are on trial or proven: Empty,
+	// []poison.Evidence.
+	MethodPromptList = "prompt.list"
+)
+
+// PromptTry asks whether a request may send a prompt.
+type PromptTry struct {
+	Prompt  poison.Prompt `json:"prompt"`
+	Request string        `json:"request"`
+}
+
+// PromptTryReply says so.
+type PromptTryReply struct {
+	Allowed bool            `json:"allowed"`
+	Known   poison.Evidence `json:"known"`
+}
+
+// PromptAnswered names a prompt that was answered.
+type PromptAnswered struct {
+	Prompt poison.Prompt `json:"prompt"`
+}
+
 // MethodFollow asks a relay for the store's changes: relay.Request, relay.Reply.
 const MethodFollow = "store.follow"
 
--- /dev/null
+++ b/poison/register.go
@@ -0,0 +1,256 @@
+package poison
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// endsOnTrial is how many upstreams ended under a prompt when only one request now and then
+	// tries it. One may be chance, and whoever was cut keeps a second try.
+	endsOnTrial = 2
+	// endsProven is how many prove that the prompt ends upstreams.
+	endsProven = 3
+	// trialPause is the time between the starts of two requests that try a prompt on trial:
+	// longer than engines usually take to read a prompt and begin to answer.
+	trialPause = 2 * time.Second
+	// suspicionFor is how long ends count without another one: longer than any caller of a cut
+	// request goes on trying.
+	suspicionFor = time.Minute
+	// provenFor is how long a proven prompt is refused; then it may be tried again, since
+	// engines get new versions.
+	provenFor = 5 * time.Minute
+	// mostPrompts bounds the prompts that are known. A rack of engines that ends cuts some
+	// thousand requests.
+	mostPrompts = 4096
+	// mostEnds bounds the ends that are kept of one prompt.
+	mostEnds = 8
+)
+
+// Standing is what the ends of upstreams say of a prompt.
+type Standing int
+
+// The standings, from the best on.
+const (
+	// Clear says that nothing speaks against the prompt.
+	Clear Standing = iota
+	// Suspect says that an upstream ended under it.
+	Suspect
+	// OnTrial says that it may be sent for one request now and then.
+	OnTrial
+	// Proven says that it must not be sent.
+	Proven
+)
+
+var standingNames = [...]string{"clear", "suspect", "on_trial", "proven"}
+
+// String is the standing's name in logs.
+func (s Standing) String() string { return standingNames[s] }
+
+// Evidence is what is known of a prompt: which upstreams ended under it, and how long ago.
+type Evidence struct {
+	Prompt Prompt `json:"prompt"`
+	Ends   []End  `json:"ends"`
+}
+
+// End is that of one life of an upstream.
+type End struct {
+	Upstream string        `json:"upstream"`
+	Age      time.Duration `json:"age_ns"`
+}
+
+// Standing is what the evidence says.
+func (e Evidence) Standing() Standing { return standing(len(e.Ends)) }
+
+func standing(ends int) Standing {
+	switch {
+	case ends >= endsProven:
+		return Proven
+	case ends >= endsOnTrial:
+		return OnTrial
+	case ends > 0:
+		return Suspect
+	}
+	return Clear
+}
+
+// record is one prompt.
+type record struct {
+	// ends are when upstreams ended, by their lives.
+	ends map[string]time.Time
+	last time.Time
+	// tried is when the last request that tried the prompt was let through, and by its id.
+	tried time.Time
+	by    string
+}
+
+func (r *record) standing() Standing { return standing(len(r.ends)) }
+
+// lapses is when the record is forgotten.
+func (r *record) lapses() time.Time {
+	if r.standing() == Proven {
+		return r.last.Add(provenFor)
+	}
+	return r.last.Add(suspicionFor)
+}
+
+// Register is what one process knows of prompts under which upstreams ended. A prompt that was
+// ever answered is cleared: one that ends upstreams is never answered, while a good one that many callers
+// send loses an upstream now and then. The zero value knows of none. It is safe for concurrent use.
+type Register struct {
+	mu      sync.Mutex
+	records map[Prompt]*record
+}
+
+// Empty reports whether no prompt is known, so that requests need not be identified.
+func (r *Register) Empty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.records) == 0
+}
+
+// Add takes in evidence, and returns all that is known of the prompt and whether any of it was new.
+func (r *Register) Add(now time.Time, e Evidence) (all Evidence, news bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.recordLocked(now, e.Prompt)
+	for _, end := range e.Ends {
+		if _, told := known.ends[end.Upstream]; told || len(known.ends) >= mostEnds {
+			continue
+		}
+		at := now.Add(-end.Age)
+		known.ends[end.Upstream] = at
+		if at.After(known.last) {
+			known.last = at
+		}
+		news = true
+	}
+	return known.evidence(now, e.Prompt), news
+}
+
+// recordLocked is the record of a prompt, made if there is none.
+func (r *Register) recordLocked(now time.Time, p Prompt) *record {
+	r.lapseLocked(now, p)
+	if known := r.records[p]; known != nil {
+		return known
+	}
+	if r.records == nil {
+		r.records = map[Prompt]*record{}
+	}
+	if len(r.records) >= mostPrompts {
+		r.dropLocked()
+	}
+	known := &record{ends: map[string]time.Time{}}
+	r.records[p] = known
+	return known
+}
+
+// lapseLocked forgets a prompt whose time is over.
+func (r *Register) lapseLocked(now time.Time, p Prompt) {
+	if known := r.records[p]; known != nil && !now.Before(known.lapses()) {
+		delete(r.records, p)
+	}
+}
+
+// dropLocked makes room: the prompt goes against which least is known, and of these the one
+// whose last end is the oldest. A flood of requests that were cut by other causes must not make a
+// proven prompt forgotten.
+func (r *Register) dropLocked() {
+	var out Prompt
+	var least *record
+	for p, known := range r.records {
+		if least == nil || known.before(least) {
+			out, least = p, known
+		}
+	}
+	delete(r.records, out)
+}
+
+func (r *record) before(other *record) bool {
+	if len(r.ends) != len(other.ends) {
+		return len(r.ends) < len(other.ends)
+	}
+	return r.last.Before(other.last)
+}
+
+func (r *record) evidence(now time.Time, p Prompt) Evidence {
+	e := Evidence{Prompt: p}
+	for _, upstream := range slices.Sorted(maps.Keys(r.ends)) {
+		e.Ends = append(e.Ends, End{Upstream: upstream, Age: now.Sub(r.ends[upstream])})
+	}
+	return e
+}
+
+// Known returns what is known of a prompt.
+func (r *Register) Known(now time.Time, p Prompt) Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lapseLocked(now, p)
+	if known := r.records[p]; known != nil {
+		return known.evidence(now, p)
+	}
+	return Evidence{Prompt: p}
+}
+
+// Try reports whether a request, by its id, may send a prompt now, and notes it if the prompt is on
+// trial. Only the process that decides for the prompt is asked.
+func (r *Register) Try(now time.Time, p Prompt, request string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lapseLocked(now, p)
+	known := r.records[p]
+	switch {
+	case known == nil || known.standing() < OnTrial:
+		return true
+	case known.standing() == Proven:
+		return false
+	case known.by == request:
+		return true // it could not be sent to the upstream that was chosen first
+	case now.Sub(known.tried) < trialPause:
+		return false
+	}
+	known.tried, known.by = now, request
+	return true
+}
+
+// Clear forgets a prompt that was answered, and returns what was known of it.
+func (r *Register) Clear(now time.Time, p Prompt) Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.records[p]
+	if known == nil {
+		return Evidence{Prompt: p}
+	}
+	delete(r.records, p)
+	return known.evidence(now, p)
+}
+
+// Lapse forgets the prompts whose time is over, and returns those that were on trial or proven.
+func (r *Register) Lapse(now time.Time) (lapsed []Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p, known := range r.records {
+		if now.Before(known.lapses()) {
+			continue
+		}
+		delete(r.records, p)
+		if known.standing() >= OnTrial {
+			lapsed = append(lapsed, known.evidence(now, p))
+		}
+	}
+	return lapsed
+}
+
+// All returns the prompts on trial and the proven ones.
+func (r *Register) All(now time.Time) (all []Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p, known := range r.records {
+		if known.standing() >= OnTrial {
+			all = append(all, known.evidence(now, p))
+		}
+	}
+	return all
+}
--- a/serving/path.go
+++ b/serving/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
@@ -67,11 +68,17 @@
 	Allow(r *Request) bool
 }
 
-// Watcher hears of attempts.
-type Watcher interface {
-	// Broke is called when the connection to an upstream broke under a request. It must not
-	// block.
-	Broke(r *Request, a Attempt)
+// Poison keeps prompts that end upstreams from being sent again.
+type Poison interface {
+	// Refuse is asked before each send; nil lets the request be sent.
+	Refuse(ctx context.Context, r *Request) *contract.Refusal
+	// Proven is the final refusal of a prompt that is known to end upstreams, nil of others.
+	Proven(r *Request) *contract.Refusal
+	// Broke is told when the connection to an upstream broke under the last of a request's
+	// attempts. Unless it was the first one under its prompt, Broke returns when Refuse knows.
+	Broke(ctx context.Context, r *Request, attempts []Attempt)
+	// Answered is told that a request was answered.
+	Answered(r *Request)
 }
 
 // Path is the path of requests.
@@ -79,8 +86,8 @@
 	Upstreams Upstreams
 	Budgets   Budgets
 	Repeats   Repeats
-	// Watcher may be nil.
-	Watcher Watcher
+	// Poison may be nil.
+	Poison Poison
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -91,6 +98,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Until)
 	defer cancel()
 	p.Repeats.Request(r.Service.Name)
+	if refused := p.poisoned(ctx, r); refused != nil {
+		return End{Refusal: refused}
+	}
 	settle, refused := p.Budgets.Reserve(ctx, r)
 	if refused != nil {
 		return End{Refusal: refused}
@@ -109,18 +119,46 @@
 		if !ok {
 			return p.end(r, attempts, out)
 		}
-		attempt := target.Done(p.Upstreams.Send(ctx, r, target, out))
-		attempts = append(attempts, attempt)
-		if attempt.Break != nil && p.Watcher != nil {
-			p.Watcher.Broke(r, attempt)
-		}
+		attempts = append(attempts, target.Done(p.Upstreams.Send(ctx, r, target, out)))
+		p.learn(ctx, r, attempts)
 		v := decide(r, attempts, p.Now())
-		if !v.again || v.counted && !p.Repeats.Allow(r) {
+		if !v.again || p.poisoned(ctx, r) != nil || v.counted && !p.Repeats.Allow(r) {
 			return p.end(r, attempts, out)
 		}
 	}
 }
 
+// poisoned is the refusal of a prompt that must not be sent now.
+func (p *Path) poisoned(ctx context.Context, r *Request) *contract.Refusal {
+	if p.Poison == nil {
+		return nil
+	}
+	return p.Poison.Refuse(ctx, r)
+}
+
+// learn tells what the last attempt says of the request's prompt.
+func (p *Path) learn(ctx context.Context, r *Request, attempts []Attempt) {
+	last := attempts[len(attempts)-1]
+	switch {
+	case p.Poison == nil:
+	case last.Break != nil:
+		p.Poison.Broke(ctx, r, attempts)
+	case last.Result == Whole:
+		p.Poison.Answered(r)
+	}
+}
+
+// refusal names how a request without an answer ended.
+func (p *Path) refusal(r *Request, attempts []Attempt) *contract.Refusal {
+	broke := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Break != nil })
+	if broke && p.Poison != nil {
+		if proven := p.Poison.Proven(r); proven != nil {
+			return proven
+		}
+	}
+	return refusal(r, attempts, p.Now())
+}
+
 // end passes on the best of what there is.
 func (p *Path) end(r *Request, attempts []Attempt, out Caller) End {
 	e := End{Attempts: attempts}
@@ -138,7 +176,7 @@
 		e.Cut = a.Pass(out) != nil
 		return e
 	}
-	e.Refusal = refusal(r, attempts, p.Now())
+	e.Refusal = p.refusal(r, attempts)
 	return e
 }
 
