--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,9 @@
 	m.set.NewGauge("arbutusmill_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
 	m.set.NewGauge("arbutusmill_gateway_configuration_version", func() float64 { return float64(g.version()) })
 	m.set.NewGauge("arbutusmill_gateway_emptied_datacentres", func() float64 { return float64(len(g.directory.Emptied())) })
+	m.set.NewGauge("arbutusmill_gateway_prompts_that_end_upstreams", func() float64 {
+		return float64(len(g.prompts.register.All(time.Now())))
+	})
 	m.set.NewGauge("arbutusmill_gateway_routers", func() float64 {
 		n, _ := g.Members.Count(prepaid.RoleRouter)
 		return float64(n)
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -2,21 +2,15 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"net"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
-	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/member"
-	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/poison"
-	"github.com/arbutusmill/arbutusmill/prepaid"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/rs/zerolog"
@@ -29,20 +23,8 @@
 	// lookers is how many upstreams are looked at at once: one that does not answer at all
 	// takes the time of a dial.
 	lookers = 4
-	// mostNews bounds what waits to be told to others.
-	mostNews = 256
-	// tellers is how many routers are told at once.
-	tellers = 16
-	// tellTimeout bounds one message on a prompt: many times the way between two routers.
-	tellTimeout = 150 * time.Millisecond
-	// deciders is how many routers are asked to decide for a prompt, one after the other.
-	deciders = 2
 	// lapsePause is the pause between two looks for prompts whose time is over.
 	lapsePause = time.Second
-	// listTries is how often a router that starts asks others for what they know, and listPause
-	// the pause between.
-	listTries = 10
-	listPause = 500 * time.Millisecond
 )
 
 // promptGuard implements serving.Poison. The load that it answers: one prompt ends each engine that
@@ -71,15 +53,6 @@
 	attempt serving.Attempt
 }
 
-// promptNews is what others are to be told of a prompt.
-type promptNews struct {
-	prompt  poison.Prompt
-	method  string
-	message any
-	// toAll says that all routers are told, not only the one that decides for the prompt.
-	toAll bool
-}
-
 func newPromptGuard(g *Gateway) *promptGuard {
 	return &promptGuard{
 		vm:      g.settings.VM,
@@ -247,146 +220,6 @@
 	p.tellLater(promptNews{known.Prompt, link.MethodPromptKnown, known, true})
 }
 
-// errNobodyDecides says that none of the routers that decide for a prompt answered.
-var errNobodyDecides = errors.New("no router that decides for the prompt answered")
-
-// decide sends a message to the router that decides for a prompt, or to the next one if that does not
-// answer. Where it is this one, the message is taken here.
-func decide[In, Out any](ctx context.Context, p *promptGuard, prompt poison.Prompt, method string, in In,
-	here func(context.Context, In) (Out, error)) (out Out, err error) {
-	routers := p.members.Newest(prepaid.RoleRouter)
-	ranked := rendezvous.Rank(string(prompt), slices.Collect(maps.Keys(routers)))
-	for _, vm := range ranked[:min(deciders, len(ranked))] {
-		if vm == p.vm {
-			return here(ctx, in)
-		}
-		asking, cancel := context.WithTimeout(ctx, tellTimeout)
-		err = p.links.Call(asking, routers[vm].Address, method, in, &out)
-		cancel()
-		if err == nil {
-			return out, nil
-		}
-	}
-	return out, errors.Join(errNobodyDecides, err)
-}
-
-// takeEnded takes an end as the router that decides for the prompt.
-func (p *promptGuard) takeEnded(_ context.Context, e poison.Evidence) (poison.Evidence, error) {
-	all, news := p.register.Add(time.Now(), e)
-	p.spread(all, news)
-	return all, nil
-}
-
-// takeTry decides whether a prompt may be tried.
-func (p *promptGuard) takeTry(_ context.Context, in link.PromptTry) (link.PromptTryReply, error) {
-	now := time.Now()
-	allowed := p.register.Try(now, in.Prompt, in.Request)
-	return link.PromptTryReply{Allowed: allowed, Known: p.register.Known(now, in.Prompt)}, nil
-}
-
-// takeKnown takes what another router knows of a prompt.
-func (p *promptGuard) takeKnown(_ context.Context, e poison.Evidence) (link.Empty, error) {
-	if all, news := p.register.Add(time.Now(), e); news {
-		p.log.Info().Str("prompt", string(e.Prompt)).Str("standing", all.Standing().String()).
-			Str("evidence", describe(all)).Msg("prompt_known")
-	}
-	return link.Empty{}, nil
-}
-
-// takeCleared takes that a prompt was answered.
-func (p *promptGuard) takeCleared(_ context.Context, in link.PromptAnswered) (link.Empty, error) {
-	p.register.Clear(time.Now(), in.Prompt)
-	return link.Empty{}, nil
-}
-
-// list returns the prompts on trial and the proven ones.
-func (p *promptGuard) list(context.Context, link.Empty) ([]poison.Evidence, error) {
-	return p.register.All(time.Now()), nil
-}
-
-// tellLater queues news.
-func (p *promptGuard) tellLater(n promptNews) {
-	select {
-	case p.news <- n:
-	default:
-		p.metrics.promptNewsDropped()
-	}
-}
-
-// tellNews tells others what is queued until the context ends.
-func (p *promptGuard) tellNews(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-p.news:
-			if n.toAll {
-				p.tellAll(ctx, n)
-			} else {
-				p.tellDecider(ctx, n)
-			}
-		}
-	}
-}
-
-// tellDecider tells the router that decides for the prompt.
-func (p *promptGuard) tellDecider(ctx context.Context, n promptNews) {
-	nothingToDo := func(context.Context, any) (link.Empty, error) { return link.Empty{}, nil }
-	if _, err := decide(ctx, p, n.prompt, n.method, n.message, nothingToDo); err != nil {
-		p.log.Warn().Err(err).Str("prompt", string(n.prompt)).Str("method", n.method).Msg("prompt_not_told")
-	}
-}
-
-// tellAll tells all other routers. One that does not hear of a prompt learns of it by its own loss.
-func (p *promptGuard) tellAll(ctx context.Context, n promptNews) {
-	var wg sync.WaitGroup
-	room := make(chan struct{}, tellers)
-	for vm, m := range p.members.Newest(prepaid.RoleRouter) {
-		if vm == p.vm {
-			continue
-		}
-		room <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-room }()
-			telling, cancel := context.WithTimeout(ctx, tellTimeout)
-			defer cancel()
-			if err := p.links.Call(telling, m.Address, n.method, n.message, nil); err != nil {
-				p.log.Warn().Err(err).Str("router", vm).Str("method", n.method).Msg("prompt_not_told")
-			}
-		})
-	}
-	wg.Wait()
-}
-
-// learnFromOthers asks other routers, one after the other, for the prompts that they know, until one has
-// answered: a router that has just started would else send each of them once more.
-func (p *promptGuard) learnFromOthers(ctx context.Context) {
-	for range listTries {
-		for vm, m := range p.members.Newest(prepaid.RoleRouter) {
-			if vm != p.vm && p.learnFrom(ctx, m) {
-				return
-			}
-		}
-		if backoff.Sleep(ctx, listPause) != nil {
-			return
-		}
-	}
-}
-
-// learnFrom asks one router, and reports whether it answered.
-func (p *promptGuard) learnFrom(ctx context.Context, m member.Member) bool {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
-	var known []poison.Evidence
-	if p.links.Call(ctx, m.Address, link.MethodPromptList, link.Empty{}, &known) != nil {
-		return false
-	}
-	for _, e := range known {
-		_, _ = p.takeKnown(ctx, e) // it does not fail
-	}
-	return true
-}
-
 // lapse forgets prompts whose time is over.
 func (p *promptGuard) lapse(now time.Time) {
 	for _, e := range p.register.Lapse(now) {
@@ -394,24 +227,3 @@
 			Str("evidence", describe(e)).Msg("prompt_lapsed")
 	}
 }
-
-// promptMethods answer other routers' messages on prompts.
-func (g *Gateway) promptMethods() map[string]link.Handler {
-	return map[string]link.Handler{
-		link.MethodPromptEnded: link.Handle(func(ctx context.Context, e poison.Evidence) (poison.Evidence, error) {
-			return g.prompts.takeEnded(ctx, e)
-		}),
-		link.MethodPromptTry: link.Handle(func(ctx context.Context, in link.PromptTry) (link.PromptTryReply, error) {
-			return g.prompts.takeTry(ctx, in)
-		}),
-		link.MethodPromptKnown: link.Handle(func(ctx context.Context, e poison.Evidence) (link.Empty, error) {
-			return g.prompts.takeKnown(ctx, e)
-		}),
-		link.MethodPromptCleared: link.Handle(func(ctx context.Context, in link.PromptAnswered) (link.Empty, error) {
-			return g.prompts.takeCleared(ctx, in)
-		}),
-		link.MethodPromptList: link.Handle(func(ctx context.Context, in link.Empty) ([]poison.Evidence, error) {
-			return g.prompts.list(ctx, in)
-		}),
-	}
-}
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -55,6 +55,8 @@
 	Members  any      `json:"members"`
 	Followed any      `json:"followed"`
 	Relay    any      `json:"relay"`
+	// Prompts are those that upstreams ended under, on trial or proven.
+	Prompts any `json:"prompts"`
 }
 
 func (g *Gateway) dump() any {
@@ -62,6 +64,7 @@
 		Life: g.Life, Ready: g.ready(), Stopping: g.stopping.Load(), Active: g.active.Load(),
 		Version: g.version(), Budgets: g.Budgets.State(), Upstreams: g.directory.All(), Emptied: g.directory.Emptied(),
 		Pool: g.pool.States(), Members: g.Members.Members(), Followed: g.Follower.State(), Relay: g.Hub.State(),
+		Prompts: g.prompts.register.All(time.Now()),
 	}
 }
 
