--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -114,8 +114,8 @@
 }
 
 // Sharers returns among how many VMs the members of this process's role divide what they share,
-// and since when this process has been one of them. A VM counts for a minute after it left the list, since
-// it may just have used its part. n is 0 while this process is not listed: the others
+// and since when this process has been one of them. A VM counts for a minute after it left the
+// list, since it may just have used its part. n is 0 while this process is not listed: the others
 // then do not count it.
 func (g *Group) Sharers() (n int, since time.Time) {
 	g.mu.Lock()
@@ -123,15 +123,10 @@
 	if _, listed := g.members[g.Prefix+g.Self.ID]; !listed {
 		return 0, time.Time{}
 	}
-	vms := map[string]bool{}
-	for _, m := range g.members {
-		if m.Role == g.Self.Role {
-			vms[m.VM] = true
-		}
-	}
+	vms := g.newestLocked(g.Self.Role)
 	for _, m := range g.former {
 		if m.Role == g.Self.Role {
-			vms[m.VM] = true
+			vms[m.VM] = m.Member
 		}
 	}
 	return len(vms), g.registered
--- a/coord/retrybudget/retrybudget_test.go
+++ b/coord/retrybudget/retrybudget_test.go
@@ -116,8 +116,8 @@
 }
 
 // A service fails everything, and the processes that send to it are killed again and again. Each
-// life began with its whole share of the fixed part, so that three restarts in a window gave it out four
-// times: what an earlier life sent in the window is known to nobody.
+// life began with its whole share of the fixed part, so that three restarts in a window gave it
+// out four times: what an earlier life sent in the window is known to nobody.
 func TestRestartsGiveNothingOutAgain(t *testing.T) {
 	const processes = 4
 	var s service
@@ -134,8 +134,8 @@
 }
 
 // Operators change the window while a service fails. The slices of the old window got numbers of
-// the new one, so that what had been sent seemed older than it was, and 200 repeats passed where 100 were
-// allowed. What was sent counts by its time, whatever the window was then.
+// the new one, so that what had been sent seemed older than it was, and 200 repeats passed where
+// 100 were allowed. What was sent counts by its time, whatever the window was then.
 func TestChangedWindowForgetsNothing(t *testing.T) {
 	for _, window := range []time.Duration{3 * time.Second, 5 * time.Second, 20 * time.Second} {
 		changed := rule
--- a/gateway/broken.go
+++ b/gateway/broken.go
@@ -20,10 +20,13 @@
 	upstreamUnknown upstreamState = "unknown"
 )
 
+// dialer makes a connection, as a net.Dialer does.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
 // lookAt finds out whether the upstream at an address ended, by the start of a connection. A
-// broken connection alone does not tell: connections are reset, and answers spoiled, by upstreams that
-// live.
-func lookAt(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address string) upstreamState {
+// broken connection alone does not tell: connections are reset, and answers spoiled, by upstreams
+// that live.
+func lookAt(ctx context.Context, dial dialer, address string) upstreamState {
 	conn, err := dial(ctx, "tcp", address)
 	switch {
 	case err == nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,11 +155,11 @@
 	return warmup.Share(g.settings.VM, time.Since(share.Since), routers, upstream, most)
 }
 
-// share is this router's part in what all routers share without messages: the fixed number of repeats, and
-// what cold upstreams bear. It has none while others may not count it, or it may not count them:
-// when it is not listed, and when what it knows of the list is older than a window, in which
-// others may have begun to use theirs. Its own entry outlives that by the time of its lease, so that others
-// divide by one fewer only after it has stopped.
+// share is this router's part in what all routers share without messages: the fixed number of
+// repeats, and what cold upstreams bear. It has none while others may not count it, or it may not
+// count them: when it is not listed, and when what it knows of the list is older than a window, in
+// which others may have begun to use theirs. Its own entry outlives that by the time of its lease,
+// so that others divide by one fewer only after it has stopped.
 func (g *Gateway) share() retrybudget.Share {
 	if g.FollowedAge() > g.repeatRule().Window {
 		return retrybudget.Share{}
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -181,9 +181,9 @@
 	})
 }
 
-// Engines crash one after the other under prompts that are good: many callers' own, and one that all of
-// them send. Whoever was cut gets a second try, nobody is refused for its prompt, and what is known
-// against the common prompt is cleared by its next answer.
+// Engines crash one after the other under prompts that are good: many callers' own, and one that
+// all of them send. Whoever was cut gets a second try, nobody is refused for its prompt, and what
+// is known against the common prompt is cleared by its next answer.
 func TestCrashesRefuseNoGoodPrompt(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
@@ -211,8 +211,8 @@
 	})
 }
 
-// A prompt is on trial, since two engines crashed under it by chance. Its next request is let through, and
-// its answer clears it at all routers.
+// A prompt is on trial, since two engines crashed under it by chance. Its next request is let
+// through, and its answer clears it at all routers.
 func TestPromptOnTrialIsClearedByAnAnswer(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
@@ -244,8 +244,8 @@
 	})
 }
 
-// An engine breaks off the answers to a prompt, again and again, but lives. That is nothing against the
-// prompt: connections are reset, and answers spoiled, by engines that are faulty.
+// An engine breaks off the answers to a prompt, again and again, but lives. That is nothing
+// against the prompt: connections are reset, and answers spoiled, by engines that are faulty.
 func TestBrokenConnectionsAreNoEnds(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
@@ -264,8 +264,8 @@
 	})
 }
 
-// Three engines crash one after the other under a prompt that runs at a fourth one all the while. It
-// counts as proven then, until the fourth one's answer clears it at all routers.
+// Three engines crash one after the other under a prompt that runs at a fourth one all the while.
+// It counts as proven then, until the fourth one's answer clears it at all routers.
 func TestProvenPromptIsClearedByAnAnswer(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
--- a/gateway/promptnews.go
+++ b/gateway/promptnews.go
@@ -65,8 +65,8 @@
 // errNobodyDecides says that none of the routers that decide for a prompt answered.
 var errNobodyDecides = errors.New("no router that decides for the prompt answered")
 
-// decide sends a message to the router that decides for a prompt, or to the next one if that does not
-// answer. Where it is this one, the message is taken here.
+// decide sends a message to the router that decides for a prompt, or to the next one if that does
+// not answer. Where it is this one, the message is taken here.
 func decide[In, Out any](ctx context.Context, p *promptGuard, prompt poison.Prompt, method string, in In,
 	here func(context.Context, In) (Out, error)) (out Out, err error) {
 	routers := p.members.Newest(prepaid.RoleRouter)
@@ -173,8 +173,8 @@
 	wg.Wait()
 }
 
-// learnFromOthers asks other routers, one after the other, for the prompts that they know, until one has
-// answered: a router that has just started would else send each of them once more.
+// learnFromOthers asks other routers, one after the other, for the prompts that they know, until
+// one has answered: a router that has just started would else send each of them once more.
 func (p *promptGuard) learnFromOthers(ctx context.Context) {
 	for range listTries {
 		for vm, m := range p.members.Newest(prepaid.RoleRouter) {
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -27,20 +26,20 @@
 	lapsePause = time.Second
 )
 
-// promptGuard implements serving.Poison. The load that it answers: one prompt ends each engine that
-// runs it, its caller and others bring it again through all routers, and what runs beside it is cut
-// each time.
+// promptGuard implements serving.Poison. The load that it answers: one prompt ends each engine
+// that runs it, its caller and others bring it again through all routers, and what runs beside it
+// is cut each time.
 //
-// An upstream that ended under a request is told to the router that decides for the prompt, found by
-// rendezvous hashing. From the second end on that router tells all others, and lets one request now and then
-// try the prompt; after the third one nobody sends it. A router that reaches no other goes by what
-// it has seen itself.
+// An upstream that ended under a request is told to the router that decides for the prompt, found
+// by rendezvous hashing. From the second end on that router tells all others, and lets one request
+// now and then try the prompt; after the third one nobody sends it. A router that reaches no other
+// goes by what it has seen itself.
 type promptGuard struct {
 	vm       string
 	register poison.Register
 	members  *member.Group
 	links    *link.Pool
-	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	dial     dialer
 	metrics  *gatewayMetrics
 	log      zerolog.Logger
 	broken   chan brokenAttempt
@@ -155,8 +154,8 @@
 	p.tellLater(promptNews{prompt, link.MethodPromptCleared, link.PromptAnswered{Prompt: prompt}, known.Standing() >= poison.OnTrial})
 }
 
-// Broke implements serving.Poison. Nobody waits after the first break under a prompt: its second try
-// is let through whatever the look shows.
+// Broke implements serving.Poison. Nobody waits after the first break under a prompt: its second
+// try is let through whatever the look shows.
 func (p *promptGuard) Broke(ctx context.Context, r *serving.Request, attempts []serving.Attempt) {
 	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1]}
 	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
--- a/poison/register.go
+++ b/poison/register.go
@@ -97,8 +97,9 @@
 }
 
 // Register is what one process knows of prompts under which upstreams ended. A prompt that was
-// ever answered is cleared: one that ends upstreams is never answered, while a good one that many callers
-// send loses an upstream now and then. The zero value knows of none. It is safe for concurrent use.
+// ever answered is cleared: one that ends upstreams is never answered, while a good one that many
+// callers send loses an upstream now and then. The zero value knows of none. It is safe for
+// concurrent use.
 type Register struct {
 	mu      sync.Mutex
 	records map[Prompt]*record
--- a/poison/register_test.go
+++ b/poison/register_test.go
@@ -47,8 +47,9 @@
 	require.NotEqual(t, bare("x"), bare("y"))
 }
 
-// Three upstreams end under a prompt. The first end stops nobody, after the second one request is let
-// through now and then, after the third none; and when its time is over the prompt may be tried anew.
+// Three upstreams end under a prompt. The first end stops nobody, after the second one request is
+// let through now and then, after the third none; and when its time is over the prompt may be
+// tried anew.
 func TestStandings(t *testing.T) {
 	var r Register
 	require.True(t, r.Empty())
@@ -76,8 +77,8 @@
 	require.True(t, r.Try(after, "p", "6"))
 }
 
-// A prompt that many callers send loses an upstream now and then, as all do. Any answer to it shows that it
-// is not the cause.
+// A prompt that many callers send loses an upstream now and then, as all do. Any answer to it
+// shows that it is not the cause.
 func TestAnsweredPromptIsCleared(t *testing.T) {
 	var r Register
 	for n := range 10 {
@@ -116,7 +117,8 @@
 	require.Equal(t, Suspect, r.Known(start.Add(suspicionFor), "p").Standing())
 }
 
-// world is a fleet of upstreams that run prompts, some of which end them, while others end by chance.
+// world is a fleet of upstreams that run prompts, some of which end them, while others end by
+// chance.
 type world struct {
 	t        *rapid.T
 	register Register
@@ -170,8 +172,8 @@
 func deadly(p Prompt) bool { return p[0] == 'd' }
 
 // Random mixes of good prompts, prompts that end upstreams, and upstreams that end by chance. No
-// prompt is sent after three upstreams ended under it without an answer between, and no prompt under which fewer than two
-// did is ever refused.
+// prompt is sent after three upstreams ended under it without an answer between, and no prompt
+// under which fewer than two did is ever refused.
 func TestBlameInRandomMixes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{t: t, now: start, running: map[string][]Prompt{}, hits: map[Prompt]int{}}
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -83,10 +83,11 @@
 	w.times = slices.Delete(w.times, 0, old)
 }
 
-// leaveShare is the part of what a cold upstream bears that is given by leave. The rest is for routers
-// that know of nobody to ask: while a process beside an upstream is just becoming known, some have
-// leave and others their share, and together these must not pass the bound. Requests also arrive some
-// milliseconds after they got leave, so that those of a little more than a second may arrive in one.
+// leaveShare is the part of what a cold upstream bears that is given by leave. The rest is for
+// routers that know of nobody to ask: while a process beside an upstream is just becoming known,
+// some have leave and others their share, and together these must not pass the bound. Requests
+// also arrive some milliseconds after they got leave, so that those of a little more than a second
+// may arrive in one.
 const leaveShare = 0.6
 
 // ByLeave is how many requests in any second get leave, of most that an upstream bears.
