--- a/gateway/callerconn_test.go
+++ b/gateway/callerconn_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -27,7 +27,7 @@
 
 // rawAlert is an alert as it stands on the wire.
 func rawAlert(id, body string) string {
-	return fmt.Sprintf("POST /alert/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: k1\r\n"+platformtest.HeaderID+": %s\r\n"+
+	return fmt.Sprintf("POST /alert/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: k1\r\n"+standin.HeaderID+": %s\r\n"+
 		"Content-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
@@ -40,7 +40,7 @@
 			play(t, func(f *fleet) {
 				f.config(0, "k1")
 				u := f.upstream("i-1", "plain", 0)
-				u.SetMode(platformtest.Hang)
+				u.SetMode(standin.Hang)
 				f.start()
 				conn := f.rawCall(rawAlert("r1", "surge"))
 				time.Sleep(100 * time.Millisecond)
@@ -79,7 +79,7 @@
 			require.NoError(t, err, id)
 			body, err := io.ReadAll(resp.Body)
 			require.NoError(t, err)
-			require.Equal(t, platformtest.PlainAnswer(id), string(body))
+			require.Equal(t, standin.PlainAnswer(id), string(body))
 		}
 		for _, s := range u.Seen() {
 			require.Equal(t, bodies[s.ID], s.Body, s.ID)
--- a/gateway/cold_test.go
+++ b/gateway/cold_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -77,7 +77,7 @@
 func TestColdEnginesWithoutLenders(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.coldConfig("k1")
-		var cold []*platformtest.Upstream
+		var cold []*standin.Upstream
 		for _, id := range []string{"i-1", "i-2", "i-3"} {
 			cold = append(cold, f.upstreamCold(id, "model", 5, 3*time.Second))
 		}
--- a/gateway/connection_test.go
+++ b/gateway/connection_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/memnet"
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -27,7 +27,7 @@
 func (u *rawUpstream) request(r *http.Request) string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	id := r.Header.Get(platformtest.HeaderID)
+	id := r.Header.Get(standin.HeaderID)
 	u.ids = append(u.ids, id)
 	return id
 }
@@ -71,13 +71,13 @@
 
 // signed is a whole answer.
 func signed(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+platformtest.HeaderID+": %s\r\n"+platformtest.HeaderSignature+": s\r\n"+
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+standin.HeaderID+": %s\r\n"+standin.HeaderSignature+": s\r\n"+
 		"Content-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
 // unframed is the beginning of an answer that has no length: its connection's end ends it.
 func unframed(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+platformtest.HeaderID+": %s\r\n"+platformtest.HeaderSignature+": s\r\n"+
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+standin.HeaderID+": %s\r\n"+standin.HeaderSignature+": s\r\n"+
 		"Connection: close\r\n\r\n%s", id, body)
 }
 
--- a/gateway/emptied_test.go
+++ b/gateway/emptied_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -36,13 +36,13 @@
 		f.settle()
 		before, beforeEngine, beforeOther := len(plain.Seen()), len(engine.Seen()), len(otherEngine.Seen())
 		askAll()
-		otherPlain.SetMode(platformtest.LoseAnswer)
-		otherEngine.SetMode(platformtest.LoseAnswer)
+		otherPlain.SetMode(standin.LoseAnswer)
+		otherEngine.SetMode(standin.LoseAnswer)
 		askAll()
 		require.Len(t, plain.Seen(), before)
 		require.Len(t, engine.Seen(), beforeEngine)
 		for _, s := range otherEngine.Seen()[beforeOther:] {
-			require.Empty(t, s.Header.Get(platformtest.HeaderFetch), "nothing is fetched from there")
+			require.Empty(t, s.Header.Get(standin.HeaderFetch), "nothing is fetched from there")
 		}
 
 		require.NoError(t, f.store.EndEmptying("bergen"))
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -33,7 +33,7 @@
 		q.key = "k1"
 		for range 5 {
 			a := f.ask(q)
-			require.Equal(t, "signature-of-i-2", a.header.Get(platformtest.HeaderSignature))
+			require.Equal(t, "signature-of-i-2", a.header.Get(standin.HeaderSignature))
 		}
 	})
 }
@@ -183,7 +183,7 @@
 func TestLogLineOfARequest(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(1_000_000, "k1")
-		f.upstream("i-1", "model", 5).SetMode(platformtest.LoseAnswer)
+		f.upstream("i-1", "model", 5).SetMode(standin.LoseAnswer)
 		f.start()
 		require.Equal(t, 502, f.ask(chat("r-17")).status)
 		f.settle()
@@ -213,7 +213,7 @@
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
 		u := f.upstream("i-1", "plain", 0)
-		u.SetMode(platformtest.Hang)
+		u.SetMode(standin.Hang)
 		f.start()
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
@@ -274,7 +274,7 @@
 			q.key = "k2"
 			require.Equal(t, 401, f.ask(q).status, "the key was taken away")
 			for range 5 {
-				require.Equal(t, "signature-of-i-2", f.ask(level("r")).header.Get(platformtest.HeaderSignature))
+				require.Equal(t, "signature-of-i-2", f.ask(level("r")).header.Get(standin.HeaderSignature))
 			}
 		})
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -17,7 +17,7 @@
 	"github.com/arbutusmill/arbutusmill/gateway"
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/memnet"
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/stretchr/testify/require"
 )
@@ -59,7 +59,7 @@
 type fleet struct {
 	t       *testing.T
 	network memnet.Network
-	store   *platformtest.Store
+	store   *standin.Store
 	log     *syncBuffer
 	// lives are the running gateways, by the number of their VM.
 	lives map[int]*life
@@ -135,7 +135,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: platformtest.NewStore(), log: &syncBuffer{}, lives: map[int]*life{}}
+	f := &fleet{t: t, store: standin.NewStore(), log: &syncBuffer{}, lives: map[int]*life{}}
 	f.serve(storeAddress, f.store.Handler())
 	return f
 }
@@ -169,20 +169,20 @@
 }
 
 // upstream starts and registers a stand-in.
-func (f *fleet) upstream(id, service string, events int) *platformtest.Upstream {
+func (f *fleet) upstream(id, service string, events int) *standin.Upstream {
 	return f.upstreamIn("bergen", id, service, events)
 }
 
 // upstreamIn starts and registers a stand-in in a data centre.
-func (f *fleet) upstreamIn(datacentre, id, service string, events int) *platformtest.Upstream {
-	u := &platformtest.Upstream{ID: id, Events: events, Pause: 10 * time.Millisecond}
+func (f *fleet) upstreamIn(datacentre, id, service string, events int) *standin.Upstream {
+	u := &standin.Upstream{ID: id, Events: events, Pause: 10 * time.Millisecond}
 	f.serve(addressOf(id), u)
 	require.NoError(f.t, f.store.Register(id, service, addressOf(id), datacentre, "ready", 6))
 	return u
 }
 
 // upstreamCold starts a stand-in that is cold for a while.
-func (f *fleet) upstreamCold(id, service string, events int, cold time.Duration) *platformtest.Upstream {
+func (f *fleet) upstreamCold(id, service string, events int, cold time.Duration) *standin.Upstream {
 	u := f.upstream(id, service, events)
 	f.registerCold(id, service, cold)
 	return u
@@ -305,14 +305,14 @@
 	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+address(max(1, q.vm), callersPort)+q.path, strings.NewReader(q.body))
 	require.NoError(f.t, err)
 	req.Host = "a.example"
-	for name, value := range map[string]string{platformtest.HeaderID: q.id, "Api-Key": q.key,
-		platformtest.HeaderUsage: q.usage, platformtest.HeaderParts: q.parts} {
+	for name, value := range map[string]string{standin.HeaderID: q.id, "Api-Key": q.key,
+		standin.HeaderUsage: q.usage, standin.HeaderParts: q.parts} {
 		if value != "" {
 			req.Header.Set(name, value)
 		}
 	}
 	if q.deadline > 0 {
-		req.Header.Set(platformtest.HeaderDeadline, fmt.Sprint(q.deadline.Milliseconds()))
+		req.Header.Set(standin.HeaderDeadline, fmt.Sprint(q.deadline.Milliseconds()))
 	}
 	for name, value := range q.header {
 		req.Header.Set(name, value)
@@ -352,7 +352,7 @@
 func events(n int) string {
 	var b strings.Builder
 	for i := 1; i <= n; i++ {
-		b.WriteString(platformtest.Event(i))
+		b.WriteString(standin.Event(i))
 	}
 	return b.String()
 }
--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -14,7 +14,7 @@
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/lender"
 	"github.com/arbutusmill/arbutusmill/memnet"
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/stretchr/testify/require"
 )
@@ -183,7 +183,7 @@
 		f.config(prepaid, "k1")
 		u := f.upstream("i-1", "model", 5)
 		kills := map[string]func(){}
-		beside := map[string]*platformtest.Upstream{}
+		beside := map[string]*standin.Upstream{}
 		for n := range 2 {
 			vm := firstLender + n
 			id := fmt.Sprint("i-", vm)
@@ -317,7 +317,7 @@
 func TestRoutersSeeEachOthersPrompts(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
-		ups := []*platformtest.Upstream{f.upstream("i-1", "model", 20), f.upstream("i-2", "model", 20)}
+		ups := []*standin.Upstream{f.upstream("i-1", "model", 20), f.upstream("i-2", "model", 20)}
 		f.startLender(firstLender, "i-1")
 		f.startLender(firstLender+1, "i-2")
 		f.startVM(1)
@@ -464,7 +464,7 @@
 		f.register("i-20", "plain", "draining")
 		time.Sleep(500 * time.Millisecond)
 		for range 10 {
-			require.Equal(t, "signature-of-i-21", f.ask(level("r")).header.Get(platformtest.HeaderSignature))
+			require.Equal(t, "signature-of-i-21", f.ask(level("r")).header.Get(standin.HeaderSignature))
 		}
 		time.Sleep(1500 * time.Millisecond)
 		q := level("r")
--- a/gateway/lenderends_test.go
+++ b/gateway/lenderends_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -21,7 +21,7 @@
 // that it lent.
 type lenderEnds struct {
 	*fleet
-	engine  *platformtest.Upstream
+	engine  *standin.Upstream
 	home    int // the number of the VM with the lender that is home of the budget
 	stop    func()
 	kill    func()
--- a/gateway/path_bench_test.go
+++ b/gateway/path_bench_test.go
@@ -16,14 +16,14 @@
 
 	"github.com/arbutusmill/arbutusmill/gateway"
 	"github.com/arbutusmill/arbutusmill/hosted"
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/stretchr/testify/require"
 )
 
 // tcpFleet is a gateway with stand-ins on loopback, for measurements.
 func tcpFleet(b *testing.B, log io.Writer) (callers, upstream string) {
-	store := platformtest.NewStore()
+	store := standin.NewStore()
 	address := func() string {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(b, err)
@@ -39,9 +39,9 @@
 		return l.Addr().String()
 	}
 	require.NoError(b, store.PutConfig(fmt.Sprintf(configForm, 1, `"k1"`, 1<<50)))
-	engine := serve(&platformtest.Upstream{ID: "i-1", Events: 40})
+	engine := serve(&standin.Upstream{ID: "i-1", Events: 40})
 	require.NoError(b, store.Register("i-1", "model", engine, "bergen", "ready", 64))
-	plain := serve(&platformtest.Upstream{ID: "i-2"})
+	plain := serve(&standin.Upstream{ID: "i-2"})
 	require.NoError(b, store.Register("i-2", "plain", plain, "bergen", "ready", 64))
 	s := settings.DefaultGateway()
 	s.VM, s.Datacentre = "router-1", "bergen"
@@ -90,10 +90,10 @@
 	require.NoError(b, err)
 	req.Host = "a.example"
 	req.Header.Set("Api-Key", "k1")
-	req.Header.Set(platformtest.HeaderID, id)
-	req.Header.Set(platformtest.HeaderDeadline, "6000")
-	req.Header.Set(platformtest.HeaderUsage, "1000,120")
-	req.Header.Set(platformtest.HeaderParts, "aa:600,bb:400")
+	req.Header.Set(standin.HeaderID, id)
+	req.Header.Set(standin.HeaderDeadline, "6000")
+	req.Header.Set(standin.HeaderUsage, "1000,120")
+	req.Header.Set(standin.HeaderParts, "aa:600,bb:400")
 	resp, err := c.Do(req)
 	require.NoError(b, err)
 	_, err = io.Copy(io.Discard, resp.Body)
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -19,14 +19,14 @@
 
 // fragileEngine is an engine that ends, with all that runs there, when it runs a deadly prompt.
 type fragileEngine struct {
-	*platformtest.Upstream
+	*standin.Upstream
 	server *http.Server
 	ended  atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
 func (e *fragileEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.Contains(r.Header.Get(platformtest.HeaderParts), deadlyPart) {
+	if strings.Contains(r.Header.Get(standin.HeaderParts), deadlyPart) {
 		time.Sleep(50 * time.Millisecond)
 		e.end()
 	}
@@ -44,7 +44,7 @@
 	var engines []*fragileEngine
 	for i := range n {
 		id := fmt.Sprint("i-", i+1)
-		e := &fragileEngine{Upstream: &platformtest.Upstream{ID: id, Events: 20, Pause: 20 * time.Millisecond}}
+		e := &fragileEngine{Upstream: &standin.Upstream{ID: id, Events: 20, Pause: 20 * time.Millisecond}}
 		l, err := f.network.Listen("tcp", addressOf(id))
 		require.NoError(f.t, err)
 		e.server = &http.Server{Handler: e}
@@ -252,13 +252,13 @@
 		engines := f.fragile(3)
 		f.start()
 		for _, e := range engines {
-			e.SetMode(platformtest.LoseAnswer)
+			e.SetMode(standin.LoseAnswer)
 		}
 		for n := range 4 {
 			require.Equal(t, http.StatusBadGateway, f.ask(review(fmt.Sprint("r-", n))).status)
 		}
 		for _, e := range engines {
-			e.SetMode(platformtest.Serve)
+			e.SetMode(standin.Serve)
 		}
 		require.Equal(t, 200, f.ask(review("after")).status)
 	})
--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -33,14 +33,14 @@
 					f.form = strings.Replace(f.form, `"tenants":[{`, `"tenants":[{"allowed_regions":`+c.team+`,`, 1)
 				}
 				f.config(0, "k1")
-				upstreams := map[string]*platformtest.Upstream{
+				upstreams := map[string]*standin.Upstream{
 					"i-1": f.upstreamIn("bergen", "i-1", "plain", 0),
 					"i-2": f.upstreamIn("oslo", "i-2", "plain", 0),
 					"i-3": f.upstreamIn("nowhere", "i-3", "plain", 0),
 				}
 				f.start()
 				for _, u := range upstreams {
-					u.SetMode(platformtest.LoseAnswer) // each request is sent twice
+					u.SetMode(standin.LoseAnswer) // each request is sent twice
 				}
 				for range 30 {
 					a := f.ask(level("r"))
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -20,14 +20,14 @@
 func TestFixedPartOfRepeatsIsGivenOutOnce(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
-		ups := []*platformtest.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
+		ups := []*standin.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
 		f.startVM(1)
 		f.startVM(2)
 		time.Sleep(20 * time.Second)
 		f.cutOff(1)
 		time.Sleep(2 * time.Minute)
 		for _, u := range ups {
-			u.SetMode(platformtest.Fail)
+			u.SetMode(standin.Fail)
 		}
 		const requests = 120
 		for i := range requests {
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
@@ -23,22 +23,22 @@
 		u := f.upstream("i-1", "plain", 0)
 		f.start()
 		q := alert("r1")
-		q.header = map[string]string{platformtest.HeaderTeam: "somebody-else", "X-Own": "kept", "Kv-From": "10.0.0.1:80/1"}
+		q.header = map[string]string{standin.HeaderTeam: "somebody-else", "X-Own": "kept", "Kv-From": "10.0.0.1:80/1"}
 		a := f.ask(q)
 		require.Equal(t, 200, a.status)
-		require.Equal(t, platformtest.PlainAnswer("r1"), a.body)
-		require.Equal(t, "signature-of-i-1", a.header.Get(platformtest.HeaderSignature))
-		require.Equal(t, "r1", a.header.Get(platformtest.HeaderID))
+		require.Equal(t, standin.PlainAnswer("r1"), a.body)
+		require.Equal(t, "signature-of-i-1", a.header.Get(standin.HeaderSignature))
+		require.Equal(t, "r1", a.header.Get(standin.HeaderID))
 		seen := u.Seen()
 		require.Len(t, seen, 1)
 		require.Equal(t, "POST", seen[0].Method)
 		require.Equal(t, "/alert/x?y=1", seen[0].URI)
 		require.Equal(t, "surge", seen[0].Body)
 		h := seen[0].Header
-		require.Equal(t, "pilots", h.Get(platformtest.HeaderTeam))
-		require.Equal(t, "i-1", h.Get(platformtest.HeaderInstance))
+		require.Equal(t, "pilots", h.Get(standin.HeaderTeam))
+		require.Equal(t, "i-1", h.Get(standin.HeaderInstance))
 		require.Equal(t, "kept", h.Get("X-Own"))
-		require.Equal(t, "1", h.Get(platformtest.HeaderRank))
+		require.Equal(t, "1", h.Get(standin.HeaderRank))
 		for _, name := range []string{"Api-Key", "Kv-From", "Accept-Encoding"} {
 			require.Empty(t, h.Values(name), name)
 		}
@@ -90,7 +90,7 @@
 		require.Equal(t, 200, a.status)
 		require.False(t, a.cut)
 		require.Equal(t, events(10), a.body)
-		require.Equal(t, "6000", u.Seen()[0].Header.Get(platformtest.HeaderDeadline))
+		require.Equal(t, "6000", u.Seen()[0].Header.Get(standin.HeaderDeadline))
 	})
 }
 
@@ -100,19 +100,19 @@
 func TestBrokenStreamIsResumed(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(1_000_000, "k1")
-		ups := []*platformtest.Upstream{f.upstream("i-1", "model", 10), f.upstream("i-2", "model", 10)}
+		ups := []*standin.Upstream{f.upstream("i-1", "model", 10), f.upstream("i-2", "model", 10)}
 		f.start()
 		f.ask(review("r0")) // finds the preferred upstream
 		home := 0
 		if len(ups[1].Seen()) > 0 {
 			home = 1
 		}
-		ups[home].SetMode(platformtest.BreakOff)
+		ups[home].SetMode(standin.BreakOff)
 		a := f.ask(review("r1"))
 		require.Equal(t, 200, a.status)
 		require.False(t, a.cut)
 		require.Equal(t, events(10), a.body)
-		require.Equal(t, "signature-of-"+ups[home].ID, a.header.Get(platformtest.HeaderSignature))
+		require.Equal(t, "signature-of-"+ups[home].ID, a.header.Get(standin.HeaderSignature))
 		require.Equal(t, "4", ups[1-home].Seen()[0].LastEvent)
 	})
 }
@@ -122,10 +122,10 @@
 func TestBrokenStreamThatMustNotRunTwice(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(1_000_000, "k1")
-		ups := []*platformtest.Upstream{f.upstream("i-1", "model", 10), f.upstream("i-2", "model", 10)}
+		ups := []*standin.Upstream{f.upstream("i-1", "model", 10), f.upstream("i-2", "model", 10)}
 		f.start()
 		for _, u := range ups {
-			u.SetMode(platformtest.BreakOff)
+			u.SetMode(standin.BreakOff)
 		}
 		a := f.ask(chat("r1"))
 		require.True(t, a.cut)
@@ -138,28 +138,28 @@
 func TestFailuresByKind(t *testing.T) {
 	cases := []struct {
 		name    string
-		mode    platformtest.Mode
+		mode    standin.Mode
 		q       question
 		status  int
 		runs    int
 		arrived int
 	}{
-		{"unsafe, answer lost", platformtest.LoseAnswer, alert("r"), 502, 1, 1},
-		{"unsafe, cut answer", platformtest.BreakOff, alert("r"), 502, 1, 1},
-		{"unsafe, answer of another", platformtest.Crossed, alert("r"), 502, 1, 1},
-		{"unsafe, no signature", platformtest.Unsigned, alert("r"), 502, 1, 1},
-		{"unsafe, failed", platformtest.Fail, alert("r"), 500, 1, 1},
-		{"unsafe, 503 without proof", platformtest.Full, alert("r"), 502, 1, 1},
-		{"unsafe, declined by both", platformtest.Decline, alert("r"), 429, 0, 2},
-		{"safe, answer lost by both", platformtest.LoseAnswer, level("r"), 502, 2, 2},
-		{"safe, answers of another", platformtest.Crossed, level("r"), 502, 2, 2},
-		{"safe, failed by both", platformtest.Fail, level("r"), 500, 2, 2},
+		{"unsafe, answer lost", standin.LoseAnswer, alert("r"), 502, 1, 1},
+		{"unsafe, cut answer", standin.BreakOff, alert("r"), 502, 1, 1},
+		{"unsafe, answer of another", standin.Crossed, alert("r"), 502, 1, 1},
+		{"unsafe, no signature", standin.Unsigned, alert("r"), 502, 1, 1},
+		{"unsafe, failed", standin.Fail, alert("r"), 500, 1, 1},
+		{"unsafe, 503 without proof", standin.Full, alert("r"), 502, 1, 1},
+		{"unsafe, declined by both", standin.Decline, alert("r"), 429, 0, 2},
+		{"safe, answer lost by both", standin.LoseAnswer, level("r"), 502, 2, 2},
+		{"safe, answers of another", standin.Crossed, level("r"), 502, 2, 2},
+		{"safe, failed by both", standin.Fail, level("r"), 500, 2, 2},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			play(t, func(f *fleet) {
 				f.config(0, "k1")
-				ups := []*platformtest.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
+				ups := []*standin.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
 				f.start()
 				for _, u := range ups {
 					u.SetMode(c.mode)
@@ -177,13 +177,13 @@
 // requests that were provably not run.
 func TestOtherUpstreamHelps(t *testing.T) {
 	for _, c := range []struct {
-		mode platformtest.Mode
+		mode standin.Mode
 		q    question
 	}{
-		{platformtest.LoseAnswer, level("r")},
-		{platformtest.Fail, level("r")},
-		{platformtest.Decline, level("r")},
-		{platformtest.Decline, alert("r")},
+		{standin.LoseAnswer, level("r")},
+		{standin.Fail, level("r")},
+		{standin.Decline, level("r")},
+		{standin.Decline, alert("r")},
 	} {
 		t.Run(string(c.mode)+c.q.path, func(t *testing.T) {
 			play(t, func(f *fleet) {
@@ -206,7 +206,7 @@
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
 		f.upstream("i-1", "plain", 0)
-		other := &platformtest.Upstream{ID: "i-9"}
+		other := &standin.Upstream{ID: "i-9"}
 		f.serve(addressOf("i-2"), other)
 		f.register("i-2", "plain", "ready")
 		f.start()
@@ -240,7 +240,7 @@
 func TestTimeOfRouteIsOver(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
-		f.upstream("i-1", "plain", 0).SetMode(platformtest.Hang)
+		f.upstream("i-1", "plain", 0).SetMode(standin.Hang)
 		f.start()
 		q := alert("r1")
 		q.deadline = 5 * time.Second
@@ -255,9 +255,9 @@
 func TestSilentUpstreamLeavesTimeForAnother(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
-		ups := []*platformtest.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
+		ups := []*standin.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
 		f.start()
-		ups[0].SetMode(platformtest.Hang)
+		ups[0].SetMode(standin.Hang)
 		for range 3 {
 			require.Equal(t, 200, f.ask(level("r")).status)
 		}
@@ -290,7 +290,7 @@
 		defer func() { _ = conn.Close() }()
 		go func() {
 			_, _ = io.WriteString(conn, "POST /alert/x HTTP/1.1\r\nHost: a.example\r\nApi-Key: k1\r\n"+
-				platformtest.HeaderID+": r\r\nContent-Length: 100\r\n\r\nhalf")
+				standin.HeaderID+": r\r\nContent-Length: 100\r\n\r\nhalf")
 		}()
 		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		require.NoError(t, err)
@@ -305,17 +305,17 @@
 func TestRepeatGetsTheTimeThatIsLeft(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
-		ups := []*platformtest.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
+		ups := []*standin.Upstream{f.upstream("i-1", "plain", 0), f.upstream("i-2", "plain", 0)}
 		f.start()
 		for _, u := range ups {
-			u.SetMode(platformtest.Hang)
+			u.SetMode(standin.Hang)
 		}
 		f.ask(level("r"))
 		seen := append(ups[0].Seen(), ups[1].Seen()...)
 		require.Len(t, seen, 2)
 		var deadlines []int
 		for _, s := range seen {
-			ms, err := strconv.Atoi(s.Header.Get(platformtest.HeaderDeadline))
+			ms, err := strconv.Atoi(s.Header.Get(standin.HeaderDeadline))
 			require.NoError(t, err)
 			deadlines = append(deadlines, ms)
 		}
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -6,16 +6,16 @@
 	"testing"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/platform/platformtest"
+	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
 
 // replaceable is an address where one upstream process follows another.
 type replaceable struct {
-	now atomic.Pointer[platformtest.Upstream]
+	now atomic.Pointer[standin.Upstream]
 }
 
-func replaceableBy(u *platformtest.Upstream) *replaceable {
+func replaceableBy(u *standin.Upstream) *replaceable {
 	r := &replaceable{}
 	r.now.Store(u)
 	return r
@@ -30,7 +30,7 @@
 func TestUpstreamRestartsUnderItsID(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
-		first := &platformtest.Upstream{ID: "i-1", Born: 1}
+		first := &standin.Upstream{ID: "i-1", Born: 1}
 		at := replaceableBy(first)
 		f.serve(addressOf("i-1"), at)
 		register := func(born int64) {
@@ -39,9 +39,9 @@
 		register(1)
 		f.start()
 		require.Equal(t, 200, f.ask(alert("before")).status)
-		at.now.Store(&platformtest.Upstream{ID: "i-9"})
+		at.now.Store(&standin.Upstream{ID: "i-9"})
 		require.NotEqual(t, 200, f.ask(alert("meanwhile")).status)
-		again := &platformtest.Upstream{ID: "i-1", Born: 2}
+		again := &standin.Upstream{ID: "i-1", Born: 2}
 		at.now.Store(again)
 		register(2)
 		time.Sleep(time.Second)
@@ -58,13 +58,13 @@
 func TestUnsafeRequestOfTheLifeBefore(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
-		first := &platformtest.Upstream{ID: "i-1", Born: 1}
-		first.SetMode(platformtest.LoseAnswer)
+		first := &standin.Upstream{ID: "i-1", Born: 1}
+		first.SetMode(standin.LoseAnswer)
 		at := replaceableBy(first)
 		f.serve(addressOf("i-1"), at)
 		require.NoError(t, f.store.RegisterBorn("i-1", "plain", addressOf("i-1"), "bergen", "ready", 6, 1))
 		f.start()
-		again := &platformtest.Upstream{ID: "i-1", Born: 2}
+		again := &standin.Upstream{ID: "i-1", Born: 2}
 		ended := make(chan int)
 		go func() { ended <- f.ask(alert("once")).status }()
 		time.Sleep(time.Millisecond)
