The demo runs what operators run: routers and lenders on stand-ins of the platform

Each scene fails the demo if it is not as promised; -log FILE keeps the processes' lines for explain, -keep leaves the fleet running.

What went: demo.Run and its scenes; the promises that they showed (streamed and billed, run once, bill equals what was served) are shown by the new scenes, and in tests by gateway: TestStreamPassesEventByEvent, TestFailuresByKind, TestBudgetIsSpentToItsEndAndNotBeyond.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -1,4 +1,4 @@
-// Package demo runs a whole fleet in one process, on loopback addresses: the
+// Package demo runs a fleet of the form with agents in one process, on loopback addresses: the
 // platform's stand-in, engines, a plain service, and a router and agents in each
 // data centre. Each part is what the daemons run, and they talk over TCP.
 package demo
--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -29,7 +29,7 @@
 	opt.Log = io.Discard
 	f, err := Start(context.Background(), opt) // t.Context ends before the planned stop
 	require.NoError(t, err)
-	d := &testFleet{t: t, demo: &demo{f: f, out: io.Discard}}
+	d := &testFleet{t: t, demo: &demo{f: f}}
 	t.Cleanup(func() { require.NoError(t, f.Stop()) })
 	require.NoError(t, d.configure(context.Background()))
 	return d
--- a/operator/local.go
+++ b/operator/local.go
@@ -12,33 +12,56 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/demo"
+	"github.com/arbutusmill/arbutusmill/localfleet"
 	"github.com/arbutusmill/arbutusmill/standin"
 	"github.com/arbutusmill/arbutusmill/vm"
 )
 
+// demoFlags are those of the demo.
+type demoFlags struct {
+	log  string
+	keep bool
+}
+
 func demoCommand() *command {
-	var verbose bool
+	d := &demoFlags{}
 	return &command{
 		name:     "demo",
 		synopsis: "run a whole fleet on this machine and show its main job",
-		usage: `demo [-v]
-Starts stand-ins, routers and agents of three data centres on loopback, streams a tide
-question, places a badge order, and prints each team's bill. Exit status 0 only if the
-bill is what was served.
-Example: arbutusmill demo
+		usage: `demo [-log FILE] [-keep]
+Starts routers and lenders of three data centres on loopback, as the daemons run them, on
+stand-ins of the platform and of upstreams, and shows what they promise: prompts streamed and
+billed, a call that runs once, a budget that ends, an emptied data centre, a router that is cut
+off, a loss of all processes. Exit status 0 only if all of it is as promised.
+Example: arbutusmill demo -log demo.log
 `,
-		flags: func(f *flag.FlagSet) { f.BoolVar(&verbose, "v", false, "print the processes' logs") },
-		run: func(ctx context.Context, _ []string) error {
-			log := io.Discard
-			if verbose {
-				log = os.Stderr
-			}
-			return demo.Run(ctx, os.Stdout, log)
+		flags: func(f *flag.FlagSet) {
+			f.StringVar(&d.log, "log", "", "`file` for the processes' logs")
+			f.BoolVar(&d.keep, "keep", false, "leave the fleet running until Ctrl-C")
 		},
+		run: d.run,
 	}
 }
 
+func (d *demoFlags) run(ctx context.Context, _ []string) error {
+	log := io.Discard
+	if d.log != "" {
+		file, err := os.Create(d.log)
+		if err != nil {
+			return usagef("-log: %v", err)
+		}
+		defer file.Close()
+		log = file
+	}
+	return localfleet.Show(ctx, localfleet.Options{Out: os.Stdout, Log: log, Colour: isTerminal(os.Stdout), Keep: d.keep})
+}
+
+// isTerminal reports whether a file is a terminal.
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
 type standinFlags struct {
 	listen string
 	vms    string
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -21,8 +21,8 @@
 	"golang.org/x/sync/singleflight"
 )
 
-// pagePrefix begins the keys of the budget pages in the store.
-const pagePrefix = "arbutusmill/budget/"
+// PagePrefix begins the keys of the budget pages in the store.
+const PagePrefix = "arbutusmill/budget/"
 
 // storeName is the store in records of what failed.
 const storeName = "store"
@@ -170,7 +170,7 @@
 func New(p Parts) *Budgets {
 	s := p.Settings
 	b := &Budgets{
-		layout:  account.Layout{Prefix: pagePrefix, Pages: s.Pages},
+		layout:  account.Layout{Prefix: PagePrefix, Pages: s.Pages},
 		members: p.Members,
 		limits:  p.Limits,
 		timeout: time.Duration(s.StoreWait),
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -115,7 +115,7 @@
 func (b *Budgets) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := b.pages.Store.Peek(ctx, pagePrefix+"none")
+	_, err := b.pages.Store.Peek(ctx, PagePrefix+"none")
 	b.noteOutage(&b.store, "store", "", err, store.ErrUnknown)
 }
 
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -135,7 +135,7 @@
 	b.settling.since(time.Now(), life, false)
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	if err := b.newSettler().Forget(ctx, life, pagePrefix); err != nil {
+	if err := b.newSettler().Forget(ctx, life, PagePrefix); err != nil {
 		b.log.Warn().Err(err).Str("lender", life).Msg("list_of_borrowers_not_removed") // it does no harm
 	}
 }
