--- a/localfleet/fleet.go
+++ b/localfleet/fleet.go
@@ -95,8 +95,8 @@
 // process is a router or a lender.
 type process interface{ Run(context.Context) error }
 
-// Start starts a fleet with one router, one engine and one lender in each data centre, and waits until
-// all routers take callers. log takes the processes' lines.
+// Start starts a fleet with one router, one engine and one lender in each data centre, and waits
+// until all routers take callers. log takes the processes' lines.
 func Start(ctx context.Context, datacentres []string, log io.Writer) (*Fleet, error) {
 	ctx, end := context.WithCancel(ctx)
 	f := &Fleet{Store: standin.NewStore(), regions: map[string]string{}, log: &lockedWriter{w: log}, ctx: ctx, end: end,
@@ -193,8 +193,8 @@
 // noneDropped says that no log line was dropped: lines are written as they come.
 func noneDropped() uint64 { return 0 }
 
-// reserve opens a free loopback port and keeps it for the process that will have it: one that was only
-// looked up could be taken meanwhile.
+// reserve opens a free loopback port and keeps it for the process that will have it: one that was
+// only looked up could be taken meanwhile.
 func (f *Fleet) reserve() string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -246,7 +246,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyWait)
 	defer cancel()
 	for _, v := range f.routers() {
-		for !isReady(ctx, v.ready) {
+		for !Ready(ctx, v.ready) {
 			select {
 			case <-ctx.Done():
 				return Error.New("%s is not ready", v.name)
@@ -257,7 +257,9 @@
 	return nil
 }
 
-func isReady(ctx context.Context, address string) bool {
+// Ready asks a router as the balancer does whether callers should be sent there; address is that of
+// its listener for this question.
+func Ready(ctx context.Context, address string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+platform.ReadyPath, nil)
 	if err != nil {
 		return false
--- a/localfleet/link_test.go
+++ b/localfleet/link_test.go
@@ -30,8 +30,8 @@
 	return err == nil
 }
 
-// A process is cut off from one address: its connections there end and no new ones begin, those to others
-// go on, until the cut is over.
+// A process is cut off from one address: its connections there end and no new ones begin, those to
+// others go on, until the cut is over.
 func TestCutOff(t *testing.T) {
 	server := newLink(net.Listen)
 	var addresses []string
--- a/localfleet/scenes.go
+++ b/localfleet/scenes.go
@@ -81,8 +81,8 @@
 // topics are what the prompts of some scenes are about: enough for every engine to get some.
 const topics = 9
 
-// spread asks prompts on different topics of a kind through all routers, and returns how many ran at
-// the first data centre's engine.
+// spread asks prompts on different topics of a kind through all routers, and returns how many ran
+// at the first data centre's engine.
 func (s *show) spread(ctx context.Context, kind string) (here int, err error) {
 	before := len(s.f.Engines[0].Seen())
 	for n := range topics {
--- a/localfleet/show.go
+++ b/localfleet/show.go
@@ -56,9 +56,9 @@
 	asked    int
 }
 
-// Show starts a local fleet and shows the main job: prompts that are streamed and billed, calls that run
-// once, budgets that end, and what happens when operators and failures intervene. It fails if any of
-// it is not as promised.
+// Show starts a local fleet and shows the main job: prompts that are streamed and billed, calls
+// that run once, budgets that end, and what happens when operators and failures intervene. It
+// fails if any of it is not as promised.
 func Show(ctx context.Context, o Options) error {
 	began := time.Now()
 	f, err := Start(ctx, datacentres, o.Log)
