A proven prompt goes back on trial after its five minutes, instead of being forgotten

A prompt that its callers send for hours would have ended three engines each five minutes; it ends one. Found in reading. The register's Clear is Answered now, since Clear is a standing. TestStandings goes on through the lapse.

--- a/gateway/promptnews.go
+++ b/gateway/promptnews.go
@@ -110,7 +110,7 @@
 
 // takeCleared takes that a prompt was answered.
 func (p *promptGuard) takeCleared(_ context.Context, in link.PromptAnswered) (link.Empty, error) {
-	p.register.Clear(time.Now(), in.Prompt)
+	p.register.Answered(time.Now(), in.Prompt)
 	return link.Empty{}, nil
 }
 
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -145,7 +145,7 @@
 		return
 	}
 	prompt := poison.Identify(r)
-	known := p.register.Clear(time.Now(), prompt)
+	known := p.register.Answered(time.Now(), prompt)
 	if known.Standing() == poison.Clear {
 		return
 	}
@@ -221,8 +221,7 @@
 
 // lapse forgets prompts whose time is over.
 func (p *promptGuard) lapse(now time.Time) {
-	for _, e := range p.register.Lapse(now) {
-		p.log.Info().Str("prompt", string(e.Prompt)).Str("was", e.Standing().String()).
-			Str("evidence", describe(e)).Msg("prompt_lapsed")
+	for _, l := range p.register.Lapse(now) {
+		p.log.Info().Str("prompt", string(l.Prompt)).Stringer("was", l.Was).Stringer("standing", l.Now).Msg("prompt_lapsed")
 	}
 }
--- a/poison/register.go
+++ b/poison/register.go
@@ -19,8 +19,8 @@
 	// suspicionFor is how long ends count without another one: longer than any caller of a cut
 	// request goes on trying.
 	suspicionFor = time.Minute
-	// provenFor is how long a proven prompt is refused; then it may be tried again, since
-	// engines get new versions.
+	// provenFor is how long a proven prompt is refused; then it is on trial again, since engines
+	// get new versions.
 	provenFor = 5 * time.Minute
 	// mostPrompts bounds the prompts that are known. A rack of engines that ends cuts some
 	// thousand requests.
@@ -88,12 +88,19 @@
 
 func (r *record) standing() Standing { return standing(len(r.ends)) }
 
-// lapses is when the record is forgotten.
-func (r *record) lapses() time.Time {
-	if r.standing() == Proven {
-		return r.last.Add(provenFor)
+// lapse takes the time into account that passed without another end, and reports whether nothing is
+// left. A proven prompt goes back on trial, so that one which its callers send for hours ends
+// one upstream each time, not three.
+func (r *record) lapse(now time.Time) (gone bool) {
+	if r.standing() == Proven && !now.Before(r.last.Add(provenFor)) {
+		for upstream := range r.ends {
+			if len(r.ends) > endsOnTrial {
+				delete(r.ends, upstream)
+			}
+		}
+		r.last = r.last.Add(provenFor)
 	}
-	return r.last.Add(suspicionFor)
+	return r.standing() != Proven && !now.Before(r.last.Add(suspicionFor))
 }
 
 // Register is what one process knows of prompts under which upstreams ended. A prompt that was
@@ -148,9 +155,9 @@
 	return known
 }
 
-// lapseLocked forgets a prompt whose time is over.
+// lapseLocked takes the time into account that passed for a prompt.
 func (r *Register) lapseLocked(now time.Time, p Prompt) {
-	if known := r.records[p]; known != nil && !now.Before(known.lapses()) {
+	if known := r.records[p]; known != nil && known.lapse(now) {
 		delete(r.records, p)
 	}
 }
@@ -216,8 +223,8 @@
 	return true
 }
 
-// Clear forgets a prompt that was answered, and returns what was known of it.
-func (r *Register) Clear(now time.Time, p Prompt) Evidence {
+// Answered forgets a prompt that was answered, and returns what was known of it.
+func (r *Register) Answered(now time.Time, p Prompt) Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.records[p]
@@ -228,17 +235,24 @@
 	return known.evidence(now, p)
 }
 
-// Lapse forgets the prompts whose time is over, and returns those that were on trial or proven.
-func (r *Register) Lapse(now time.Time) (lapsed []Evidence) {
+// Lapsed is a prompt whose standing became better with time.
+type Lapsed struct {
+	Prompt   Prompt
+	Was, Now Standing
+}
+
+// Lapse takes the time into account that passed, and returns the prompts that were on trial or
+// proven and are not any more.
+func (r *Register) Lapse(now time.Time) (lapsed []Lapsed) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p, known := range r.records {
-		if now.Before(known.lapses()) {
-			continue
+		l := Lapsed{Prompt: p, Was: known.standing()}
+		if r.lapseLocked(now, p); r.records[p] != nil {
+			l.Now = known.standing()
 		}
-		delete(r.records, p)
-		if known.standing() >= OnTrial {
-			lapsed = append(lapsed, known.evidence(now, p))
+		if l.Was >= OnTrial && l.Now != l.Was {
+			lapsed = append(lapsed, l)
 		}
 	}
 	return lapsed
--- a/poison/register_test.go
+++ b/poison/register_test.go
@@ -73,8 +73,14 @@
 	require.False(t, r.Try(start.Add(time.Minute), "p", "5"))
 	require.Len(t, r.All(start.Add(time.Minute)), 1)
 	after := start.Add(time.Second + provenFor)
-	require.Len(t, r.Lapse(after), 1)
+	require.Equal(t, []Lapsed{{Prompt: "p", Was: Proven, Now: OnTrial}}, r.Lapse(after))
 	require.True(t, r.Try(after, "p", "6"))
+	require.False(t, r.Try(after, "p", "7"), "one at a time, as before")
+	r.Add(after.Add(time.Second), ended("p", "i-4"))
+	require.Equal(t, Proven, r.Known(after.Add(time.Second), "p").Standing())
+	much := after.Add(time.Second + provenFor + suspicionFor)
+	require.Equal(t, []Lapsed{{Prompt: "p", Was: Proven, Now: Clear}}, r.Lapse(much))
+	require.True(t, r.Empty())
 }
 
 // A prompt that many callers send loses an upstream now and then, as all do. Any answer to it
@@ -84,11 +90,11 @@
 	for n := range 10 {
 		r.Add(start, ended("p", fmt.Sprint("i-", n)))
 		if n%2 == 1 {
-			require.Equal(t, OnTrial, r.Clear(start, "p").Standing())
+			require.Equal(t, OnTrial, r.Answered(start, "p").Standing())
 		}
 		require.Less(t, r.Known(start, "p").Standing(), Proven)
 	}
-	require.Equal(t, Clear, r.Clear(start, "unknown").Standing())
+	require.Equal(t, Clear, r.Answered(start, "unknown").Standing())
 }
 
 // A rack of upstreams ends and cuts more requests than are kept. A proven prompt is still known.
@@ -164,7 +170,7 @@
 	p := w.running[upstream][0]
 	w.running[upstream] = w.running[upstream][1:]
 	if !deadly(p) {
-		w.register.Clear(w.now, p)
+		w.register.Answered(w.now, p)
 		w.hits[p] = 0
 	}
 }
