A router that decides for a prompt tells the others what it saw itself

Found in reading. Where the router under whose request an engine ended was also the one that decides for the prompt, it had noted the end before it decided, took it for known, and told nobody: of six prompts one was not told. The others learned of such a prompt by the next end that they reported. Now its own end is news like any other. TestRouterThatDecidesTellsWhatItSawItself failed before (5 of 6); its guard is shown.

--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -305,3 +305,27 @@
 		}
 	})
 }
+
+// Prompts end engines at one router, which decides for some of them itself. The other router is told of
+// each all the same; of those that the first one decides for it was not.
+func TestRouterThatDecidesTellsWhatItSawItself(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		f.fragile(20)
+		f.routers(2)
+		const prompts = 6
+		for n := range prompts {
+			q := review(fmt.Sprint("d-", n))
+			q.parts, q.vm = fmt.Sprintf("aa:600,%s%d:400", deadlyPart, n), 1
+			require.NotEqual(t, 200, f.ask(q).status)
+			time.Sleep(100 * time.Millisecond)
+		}
+		told := 0
+		for line := range strings.Lines(f.log.String()) {
+			if strings.Contains(line, `"vm":"router-2"`) && strings.Contains(line, `"standing":"on_trial"`) {
+				told++
+			}
+		}
+		require.Equal(t, prompts, told)
+	})
+}
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -200,7 +200,11 @@
 		return
 	}
 	mine, news := p.register.Add(time.Now(), poison.Evidence{Prompt: prompt, Ends: []poison.End{{Upstream: b.attempt.Upstream.String()}}})
-	all, err := decide(ctx, p, prompt, link.MethodPromptEnded, mine, p.takeEnded)
+	decideHere := func(context.Context, poison.Evidence) (poison.Evidence, error) {
+		p.spread(mine, news)
+		return mine, nil
+	}
+	all, err := decide(ctx, p, prompt, link.MethodPromptEnded, mine, decideHere)
 	if err != nil {
 		p.log.Warn().Err(err).Str("prompt", string(prompt)).Msg("prompt_not_told")
 		p.spread(mine, news)
