--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -22,12 +22,6 @@
 	changed chan struct{}
 }
 
-// Directions of a proxy.
-const (
-	towards = iota
-	back
-)
-
 // listen begins to take connections, at first and after a crash.
 func (p *proxy) listen() error {
 	ln, err := net.Listen("tcp", p.own)
