--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -151,7 +151,9 @@
 	}
 	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("was", known.Standing().String()).
 		Str("evidence", describe(known)).Msg("prompt_cleared")
-	p.tellLater(promptNews{prompt, link.MethodPromptCleared, link.PromptAnswered{Prompt: prompt}, known.Standing() >= poison.OnTrial})
+	p.tellLater(promptNews{
+		prompt: prompt, method: link.MethodPromptCleared, message: link.PromptAnswered{Prompt: prompt},
+		toAll: known.Standing() >= poison.OnTrial})
 }
 
 // Broke implements serving.Poison. Nobody waits after the first break under a prompt: its second
@@ -199,7 +201,8 @@
 	if state != upstreamEnded {
 		return
 	}
-	mine, news := p.register.Add(time.Now(), poison.Evidence{Prompt: prompt, Ends: []poison.End{{Upstream: b.attempt.Upstream.String()}}})
+	end := poison.End{Upstream: b.attempt.Upstream.String()}
+	mine, news := p.register.Add(time.Now(), poison.Evidence{Prompt: prompt, Ends: []poison.End{end}})
 	decideHere := func(context.Context, poison.Evidence) (poison.Evidence, error) {
 		p.spread(mine, news)
 		return mine, nil
@@ -220,7 +223,7 @@
 	}
 	p.log.Warn().Str("prompt", string(known.Prompt)).Str("standing", known.Standing().String()).
 		Str("evidence", describe(known)).Msg("prompt_ends_upstreams")
-	p.tellLater(promptNews{known.Prompt, link.MethodPromptKnown, known, true})
+	p.tellLater(promptNews{prompt: known.Prompt, method: link.MethodPromptKnown, message: known, toAll: true})
 }
 
 // lapse forgets prompts whose time is over.
--- a/localfleet/fleet.go
+++ b/localfleet/fleet.go
@@ -95,8 +95,9 @@
 // process is a router or a lender.
 type process interface{ Run(context.Context) error }
 
-// Start starts a fleet with one router, one engine and one lender in each data centre, and waits
-// until all routers take callers. log takes the processes' lines.
+// Start starts a fleet with one router, one engine and one lender in each data centre. It has no
+// configuration yet, and routers take callers once they have one; see WaitReady. log takes the
+// processes' lines.
 func Start(ctx context.Context, datacentres []string, log io.Writer) (*Fleet, error) {
 	ctx, end := context.WithCancel(ctx)
 	f := &Fleet{Store: standin.NewStore(), regions: map[string]string{}, log: &lockedWriter{w: log}, ctx: ctx, end: end,
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -19,57 +19,64 @@
 	longest  = 2500 * time.Millisecond
 )
 
-// fault is one harm: it is done at once, and undone after a while.
+// fault is done at a moment, and undone after a while if it can be.
 type fault struct {
-	name     string
-	at, for_ time.Duration
-	do       func()
-	undo     func()
-	// planned work must cut nothing.
-	planned bool
+	name string
+	// at is when it is done, after the first fault may begin, and lasts how long until it is undone.
+	at, lasts time.Duration
+	do, undo  func()
 }
 
+// faultStream tells the random numbers of a seed's faults from those of its callers.
+const faultStream = 7
+
 // plan draws the faults of a seed. One seed in three has planned work alone.
 func (w *world) plan(seed uint64) (faults []fault, planned bool) {
-	luck := rand.New(rand.NewPCG(seed, 7))
+	luck := rand.New(rand.NewPCG(seed, faultStream))
 	planned = seed%3 == 0
 	for range 3 + luck.IntN(mostFaults-2) {
 		f := w.draw(luck, planned)
 		f.at = time.Duration(luck.Int64N(int64(faultTime)))
-		f.for_ = shortest + time.Duration(luck.Int64N(int64(longest-shortest)))
+		f.lasts = shortest + time.Duration(luck.Int64N(int64(longest-shortest)))
 		faults = append(faults, f)
 	}
 	return faults, planned
 }
 
-// draw draws one fault.
+// draw draws one fault. Those that are planned must cut nothing: stops, reloads, configurations.
 func (w *world) draw(luck *rand.Rand, planned bool) fault {
 	p := w.processes[luck.IntN(len(w.processes))]
 	u := w.upstreams[luck.IntN(len(w.upstreams))]
 	if planned {
-		return []fault{w.term(p), w.reload(p), w.reconfigure()}[luck.IntN(3)]
+		work := []fault{w.term(p), w.reload(p), w.reconfigure()}
+		return work[luck.IntN(len(work))]
 	}
-	way, ways := p.store, "store of "+p.name
+	way, name := p.store, "store of "+p.name
 	if luck.IntN(2) == 0 {
-		way, ways = u.proxy, u.ID
+		way, name = u.proxy, u.ID
 	}
-	one := luck.IntN(2) == 0
-	d := time.Duration(luck.Int64N(int64(300 * time.Millisecond)))
+	towards := luck.IntN(2) == 0
+	delay := time.Duration(luck.Int64N(int64(300 * time.Millisecond)))
 	mode := []standin.Mode{standin.LoseAnswer, standin.Fail, standin.BreakOff, standin.Decline, standin.Hang}[luck.IntN(5)]
 	all := w.sameService(u)
-	return []fault{
+	every := []fault{
 		w.term(p), w.reload(p), w.reconfigure(), w.kill(p), w.pause(p),
-		{name: "reset " + ways, do: way.resetAll},
-		{name: "silence " + ways, do: func() { way.setSilent(true, true) }, undo: func() { way.setSilent(false, false); way.resetAll() }},
-		{name: fmt.Sprintf("silence %s one way (towards %t)", ways, one), do: func() { way.setSilent(one, !one) }, undo: func() { way.setSilent(false, false) }},
-		{name: fmt.Sprintf("delay %s by %s", ways, d), do: func() { way.setDelay(d) }, undo: way.heal},
-		{name: fmt.Sprintf("%s of %s", mode, u.ID), do: func() { u.SetMode(mode) }, undo: func() { u.SetMode(standin.Serve) }},
-		{name: fmt.Sprintf("%s of all %s", mode, u.service), do: func() { setModes(all, mode) }, undo: func() { setModes(all, standin.Serve) }},
+		{name: "reset " + name, do: way.resetAll},
+		{name: "silence " + name, do: func() { way.setSilent(true, true) },
+			undo: func() { way.setSilent(false, false); way.resetAll() }},
+		{name: fmt.Sprintf("silence %s one way (towards it: %t)", name, towards), do: func() { way.setSilent(towards, !towards) },
+			undo: func() { way.setSilent(false, false) }},
+		{name: fmt.Sprintf("delay %s by %s", name, delay), do: func() { way.setDelay(delay) }, undo: way.heal},
+		{name: fmt.Sprintf("%s of %s", mode, u.ID), do: func() { u.SetMode(mode) },
+			undo: func() { u.SetMode(standin.Serve) }},
+		{name: fmt.Sprintf("%s of all %s", mode, u.service), do: func() { setModes(all, mode) },
+			undo: func() { setModes(all, standin.Serve) }},
 		{name: "crash " + u.ID, do: u.proxy.crash, undo: func() { _ = u.proxy.listen() }}, // fails if it is back already
 		{name: "store silent", do: func() { w.store.SetSilent(true) }, undo: func() { w.store.SetSilent(false) }},
 		{name: "store forgets", do: func() { w.store.Compact() }},
 		{name: "drain " + u.ID, do: func() { w.register(u, "draining") }, undo: func() { w.register(u, "ready") }},
-	}[luck.IntN(15)]
+	}
+	return every[luck.IntN(len(every))]
 }
 
 // sameService are the upstreams of an upstream's service.
@@ -89,7 +96,7 @@
 }
 
 func (w *world) term(p *process) fault {
-	return fault{name: "stop " + p.name, do: func() { p.restart(syscall.SIGTERM) }, planned: true}
+	return fault{name: "stop " + p.name, do: func() { p.restart(syscall.SIGTERM) }}
 }
 
 func (w *world) kill(p *process) fault {
@@ -97,7 +104,7 @@
 }
 
 func (w *world) reload(p *process) fault {
-	return fault{name: "reload " + p.name, do: func() { p.signal(syscall.SIGHUP) }, planned: true}
+	return fault{name: "reload " + p.name, do: func() { p.signal(syscall.SIGHUP) }}
 }
 
 func (w *world) reconfigure() fault {
@@ -105,7 +112,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.configure()
-	}, planned: true}
+	}}
 }
 
 func (w *world) pause(p *process) fault {
@@ -122,7 +129,7 @@
 			log("%.2f %s", time.Since(began).Seconds(), f.name)
 			f.do()
 			if f.undo != nil {
-				time.Sleep(f.for_)
+				time.Sleep(f.lasts)
 				f.undo()
 				log("%.2f end of %s", time.Since(began).Seconds(), f.name)
 			}
