--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -75,12 +75,18 @@
 	d.Every(lapsePause, func(context.Context) { p.lapse(time.Now()) })
 }
 
-// Refuse implements serving.Poison.
-func (p *promptGuard) Refuse(ctx context.Context, r *serving.Request) *contract.Refusal {
+// known is what is known against a request's prompt. While no prompt is known at all, none is
+// identified: that would hash a part of every request.
+func (p *promptGuard) known(r *serving.Request) poison.Evidence {
 	if p.register.Empty() {
-		return nil
+		return poison.Evidence{}
 	}
-	known := p.register.Known(time.Now(), poison.Identify(r))
+	return p.register.Known(time.Now(), poison.Identify(r))
+}
+
+// Refuse implements serving.Poison.
+func (p *promptGuard) Refuse(ctx context.Context, r *serving.Request) *contract.Refusal {
+	known := p.known(r)
 	switch known.Standing() {
 	case poison.Proven:
 		return provenRefusal(known)
@@ -92,10 +98,7 @@
 
 // Proven implements serving.Poison.
 func (p *promptGuard) Proven(r *serving.Request) *contract.Refusal {
-	if p.register.Empty() {
-		return nil
-	}
-	known := p.register.Known(time.Now(), poison.Identify(r))
+	known := p.known(r)
 	if known.Standing() != poison.Proven {
 		return nil
 	}
@@ -161,7 +164,7 @@
 func (p *promptGuard) Broke(ctx context.Context, r *serving.Request, attempts []serving.Attempt) {
 	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1]}
 	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
-	if earlier || p.suspected(r) {
+	if earlier || p.known(r).Standing() > poison.Clear {
 		p.judge(ctx, b)
 		return
 	}
@@ -172,11 +175,6 @@
 	}
 }
 
-// suspected reports whether anything is known against a request's prompt.
-func (p *promptGuard) suspected(r *serving.Request) bool {
-	return !p.register.Empty() && p.register.Known(time.Now(), poison.Identify(r)).Standing() > poison.Clear
-}
-
 // look looks at the upstreams of broken attempts until the context ends.
 func (p *promptGuard) look(ctx context.Context) {
 	for {
