Tests in virtual time get one thread where the race detector cannot follow more

Cause: all timers of a synctest bubble share one context of the race detector (Go before 1.27). A timer that is due is run by whichever goroutine looks at it, so two timers of one virtual moment run on two threads and overwrite the context's shadow stack.

--- a/agent/queue_test.go
+++ b/agent/queue_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -42,7 +43,7 @@
 // A pilot's check and a season's reviews wait for the same engine. The pilot must go
 // first although the reviews came first.
 func TestUrgentGoesFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		got := order(t, NewQueue(1, 10), []string{"dA", "dA", "nB", "uC"}, 0)
 		require.Equal(t, []string{"uC", "nB", "dA", "dA"}, got)
 	})
@@ -51,7 +52,7 @@
 // One team sends a flood. Another team's request of the same class must not wait
 // behind all of it.
 func TestFloodDoesNotStarveOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		got := order(t, NewQueue(1, 10), []string{"nA", "nA", "nA", "nA", "nB"}, 0)
 		require.Equal(t, []string{"nA", "nB", "nA", "nA", "nA"}, got)
 	})
@@ -60,7 +61,7 @@
 // The queue is full of work that can wait when urgent work arrives. The newest of
 // the waiting work is refused at once, and the urgent work is not.
 func TestUrgentShedsDeferrable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		got := order(t, NewQueue(1, 3), []string{"dA", "dB", "dB", "uC"}, 0)
 		require.Equal(t, []string{"dB!overloaded", "uC", "dA", "dB"}, got)
 	})
@@ -69,7 +70,7 @@
 // Deferrable work waits long behind a steady flow of normal work. After the ageing
 // time it counts as normal, so it is served before normal work that came later.
 func TestDeferrableAges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		got := order(t, NewQueue(1, 10), []string{"dA", "nB", "nB"}, DefaultAgeAfter)
 		require.Equal(t, "nB", got[0])
 		require.Equal(t, "dA", got[1])
@@ -79,7 +80,7 @@
 // The wait would be longer than the request has. It is refused at once, with a true
 // "not run", and not when its time is over.
 func TestHopelessDeadlineIsRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		q := NewQueue(1, 10)
 		release, _ := q.Acquire(t.Context(), contract.Normal, "A", time.Hour)
 		time.Sleep(10 * time.Second)
@@ -98,7 +99,7 @@
 
 // Normal work fills an engine. A slot stays free for urgent work.
 func TestSlotIsKeptForUrgent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		q := NewQueue(2, 10)
 		_, refusal := q.Acquire(t.Context(), contract.Normal, "A", time.Hour)
 		require.Nil(t, refusal)
@@ -111,7 +112,7 @@
 
 // Requests give up while slots are handed out. No slot may be lost by it.
 func TestAbandonedWaitersLoseNoSlot(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		q := NewQueue(2, 100)
 		for i := range 50 {
 			go func() {
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/arbutusmill/arbutusmill/memnet"
 	"github.com/stretchr/testify/require"
 )
@@ -28,7 +29,7 @@
 // network connection", and the caller's stream breaks off after a few words. A body of known
 // length needs no such look.
 func TestStreamOutlivesItsRequestsBody(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var network memnet.Network
 		l, err := network.Listen("tcp", "engine:80")
 		require.NoError(t, err)
--- a/coord/grant/fleet_test.go
+++ b/coord/grant/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/internal/lab"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -52,7 +53,7 @@
 // sides go on serving. If either spent what it does not hold, the sum of both would
 // pass the budget when they meet again.
 func TestHourOfPartitionWithTopUps(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, far := newFleet(t, 1000)
 		ctx := t.Context()
 		f.Cut("detroit")
@@ -78,7 +79,7 @@
 // The store is down for ten minutes. Callers must be served from what routers hold,
 // and the store must agree with what was served when it is back.
 func TestStoreDownTenMinutes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, far := newFleet(t, 1000)
 		ctx := t.Context()
 		f.Store.SetFaults(memstore.Faults{Down: true})
@@ -104,7 +105,7 @@
 // Each call to the store takes 400 ms. Requests that find tokens at hand must not
 // wait for it, and a refill must come through before its request's deadline.
 func TestSlowStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, _ := newFleet(t, 1000)
 		ctx := t.Context()
 		f.Store.SetFaults(memstore.Faults{Delay: 100 * time.Millisecond})
@@ -149,7 +150,7 @@
 	}
 	for name, step := range steps {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				f, near, far := newFleet(t, 1000)
 				ctx := t.Context()
 				f.Store.SetFaults(memstore.Faults{LoseWrites: 1})
@@ -174,7 +175,7 @@
 // another. The first one must come back, or its tokens are out of reach for ever,
 // and an answer that arrives after all must not revive it.
 func TestLostLotComesBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, far := newFleet(t, 1000)
 		ctx := t.Context()
 		f.Store.SetFaults(memstore.Faults{Down: true})
@@ -230,7 +231,7 @@
 // An operator's top-up takes effect and its answer is lost; the operator repeats it,
 // and a second operator enters the same invoice. The team must be credited once.
 func TestTopUpCountsOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, _, _ := newFleet(t, 0)
 		ctx := t.Context()
 		f.Store.SetFaults(memstore.Faults{LoseWrites: 1})
@@ -252,7 +253,7 @@
 // had used a lot of it. When the router wakes it must learn what was used: if the peer
 // had forgotten the lot, the router would take it back as unused and spend it again.
 func TestShutOutLenderIsStillSettled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, far := newFleet(t, 1000)
 		ctx := t.Context()
 		f.Store.SetFaults(memstore.Faults{Down: true})
@@ -280,7 +281,7 @@
 // The store is cut off and a peer has tokens. A request must not spend its whole time
 // on the store, or it is refused although it could be served.
 func TestStoreOutageLeavesTimeForPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, far := newFleet(t, 1000)
 		ctx := t.Context()
 		f.Cut("cleveland", "detroit")
@@ -294,7 +295,7 @@
 // Two requests wait for the same look at a page; the caller of the first goes away. The
 // second must not be refused for that.
 func TestFirstCallerGoesAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, far := newFleet(t, 1000)
 		far.Dead = true
 		require.NoError(t, f.Book().TopUp(t.Context(), budget, "second", 5000))
@@ -316,7 +317,7 @@
 // Three requests wait for the store at once. Together they want more than the budget
 // has, but each alone would fit: the first must be served.
 func TestWaitingTogetherIsNotExhausted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, near, _ := newFleet(t, 1000)
 		ctx := t.Context()
 		f.Store.SetFaults(memstore.Faults{Delay: 50 * time.Millisecond}) // so that all wait
--- a/coord/grant/lean_property_test.go
+++ b/coord/grant/lean_property_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
@@ -14,6 +13,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -321,7 +321,7 @@
 // lost after they took effect; limits rise. Nobody recovers anything, and never are more
 // tokens delivered than the limit.
 func TestNoOverspendWithLenders(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
 			f := newLeanFleet(rt)
 			for range rapid.IntRange(1, 80).Draw(rt, "steps") {
@@ -339,7 +339,7 @@
 // only seemed dead and go on lending, to routers that know and to new ones. What is freed is
 // granted again, and never are more tokens delivered than the limit.
 func TestNoOverspendWithSettlement(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		freed := int64(0)
 		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
 			f := newLeanFleet(rt)
--- a/coord/grant/pages_test.go
+++ b/coord/grant/pages_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -54,7 +54,7 @@
 // Callers of a team go on asking when its budget is nearly used up. Each request that lacks
 // tokens made a read of the page; the store's rate and its price are shared by the fleet.
 func TestReadsNearTheEndOfABudgetAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := newHome(t, 100)
 		a := h.acquirer()
 		_, err := a.Acquire(t.Context(), "team", 90)
@@ -75,7 +75,7 @@
 // same call. It must not end with the first one's time: all would be refused, and the store
 // would count as lost.
 func TestCallHasItsOwnTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := newHome(t, 100)
 		var ended []error
 		h.pages.Ended = func(_ time.Duration, err error) { ended = append(ended, err) }
@@ -100,7 +100,7 @@
 // A router took tokens from the store while it reached no lender. When it does again it
 // takes no more for requests that its lender serves, and gives its row up.
 func TestBorrowerGivesItsRowUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := newHome(t, 100)
 		h.borrows, h.asking = true, true
 		r, err := h.acquirer().Acquire(t.Context(), "team", 10)
@@ -148,7 +148,7 @@
 // A request waits for tokens. They come, and requests that came later take them first. The
 // budget is nearly unused, so the first one must not be refused: its tokens are fetched again.
 func TestTokensTakenMeanwhileAreFetchedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		for _, lend := range []bool{false, true} {
 			h := newHome(t, 100_000)
 			a := &grant.Acquirer{Holder: h.pages.Holder, Now: time.Now, Chain: []grant.Granter{&thief{home: h, times: 2}}}
@@ -168,7 +168,7 @@
 // it was quick again. The first request is refused in time, those that come meanwhile at once
 // since waiting is in vain, and a moment later there are tokens.
 func TestSlowStoreStillBringsTokens(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := newHome(t, 100_000)
 		h.pages.CallTimeout, h.pages.SyncTimeout = 700*time.Millisecond, 2*time.Second
 		var ended []error
@@ -195,7 +195,7 @@
 // The store does a write and its answer is lost, so that the connection is silent. After the
 // time for one call the page is read again, and shows that the tokens came.
 func TestLostAnswerIsReadBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := newHome(t, 100_000)
 		h.pages.Store = &silentWrites{Store: h.store, silent: 1}
 		h.pages.Timeout, h.pages.CallTimeout, h.pages.SyncTimeout = time.Second, 700*time.Millisecond, 2*time.Second
@@ -209,7 +209,7 @@
 // A store refuses every connection at once. A sync that tries for two seconds would make
 // fifteen calls for each page, all of them paid for; three tell as much.
 func TestFailingCallsOfASyncAreBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		h := newHome(t, 100_000)
 		h.pages.SyncTimeout = 2 * time.Second
 		refused := &refusing{Store: h.store}
@@ -267,7 +267,7 @@
 // Ten budgets of a page are drawn on all the time. Each of them used to make a write of its own
 // as it ran low. The first one that is low now makes a write that fills all of them.
 func TestOneWriteFillsAllBudgetsOfAPage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		const teams, credit, worst = 10, 1_000_000, 1000
 		h := newHome(t, credit)
 		name := func(i int) string { return fmt.Sprint("team-", i) }
--- a/coord/grant/property_test.go
+++ b/coord/grant/property_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/internal/lab"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -168,7 +168,7 @@
 // and when all is quiet the account has settled what the agents served, or more where
 // a lot's use could not be proved.
 func TestNoOverspendUnderAnyInterleaving(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
 			w := newWorld(t.Context(), rt)
 			for range rapid.IntRange(1, 60).Draw(rt, "steps") {
--- a/coord/internal/lab/experiment_test.go
+++ b/coord/internal/lab/experiment_test.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/internal/lab"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -20,7 +20,7 @@
 
 func run(t *testing.T, c lab.Cell) lab.Result {
 	var res lab.Result
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var err error
 		res, err = lab.Run(t.Context(), c)
 		require.NoError(t, err)
--- a/coord/ledger/ledger_test.go
+++ b/coord/ledger/ledger_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -118,7 +119,7 @@
 // The store is down for so long that charges fill their bound. New work must be
 // refused before it runs; dropping a charge instead would serve tokens unbilled.
 func TestOutboxRefusesWorkRatherThanLoseCharges(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := memstore.New()
 		d := &direct{shard: ledger.OpenShard(s, layout, 0, "r#1", 100)}
 		d.down.Store(true)
@@ -145,7 +146,7 @@
 // Many requests end within a second. The store must see about one write for all of
 // them, whatever their number.
 func TestGroupCommit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := memstore.New()
 		g := ledger.NewGroup(ledger.OpenShard(s, layout, 0, "r#1", 100), time.Second)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -10,6 +10,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -36,7 +37,7 @@
 // Members of one role are ranked and counted without those of others: a router that were
 // ranked among the lenders would be taken for the home of budgets.
 func TestRolesAreApart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -58,7 +59,7 @@
 // A process learns that its VM will be taken away. It is off the list at once, and not only
 // with the next renewal; when the VM stays after all, it is back as fast.
 func TestStepAside(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -87,7 +88,7 @@
 // process keeps the members that it knew, sees that it is not listed itself, and registers again
 // at once, long before its next renewal is due.
 func TestLapsedMembersRegisterAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
@@ -246,7 +247,7 @@
 // others divide by three for another minute; the one that is not listed has no part, and begins
 // anew when it is listed again.
 func TestSharersCountThoseThatLeftLately(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
--- a/coord/recovery/recovery_test.go
+++ b/coord/recovery/recovery_test.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/internal/lab"
 	"github.com/arbutusmill/arbutusmill/coord/recovery"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -84,7 +84,7 @@
 // then finds the rest of the budget gone, or spends it twice. Cause: only the dead
 // router knew what its grant was used for.
 func TestDeadRouterLeavesExactRest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.begin(f.bergen).Finish(30)
 		running := f.begin(f.bergen)
@@ -108,7 +108,7 @@
 // back and others spend it. Then it wakes and serves from the grant that it still
 // has in memory: the team is served more than it paid for.
 func TestFrozenRouterWakesAfterRecovery(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.begin(f.bergen).Finish(10)
 		f.bergen.Frozen = true
@@ -128,7 +128,7 @@
 // A router restarts while requests of its former life still run. Their tokens must
 // not come back before they ended, although the VM is there and healthy.
 func TestNewLifeWhileOldRequestsRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		old := f.bergen
 		running := f.begin(old)
@@ -150,7 +150,7 @@
 // knows what was served, so the rest of the grant is forfeited and shown; spending it
 // again would overspend by what the lost agent had served.
 func TestRouterAndAgentLostTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.begin(f.bergen).Finish(70)
 		holds := f.account().Rows[f.bergen.Holder.ID()].Balance()
@@ -181,7 +181,7 @@
 // An agent had a lost life long before the dead router's oldest open reservation.
 // Its loss says nothing about that router, so nothing is forfeited.
 func TestOldAgentLossCostsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.agents[0].Dead = true
 		_, err := f.AddAgent(f.ctx, "bergen-engine", "bergen")
@@ -206,7 +206,7 @@
 // written, and the platform's list does not show it yet. If it is not asked, a
 // frozen router can wake and be served there with recovered tokens.
 func TestAgentStartedDuringRecoveryMustAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		late, err := f.AddAgent(f.ctx, "late-engine", "bergen")
 		require.NoError(t, err)
@@ -223,7 +223,7 @@
 // A router borrows a lot from a peer and dies. The lender must get back what the
 // lot was not used for, no more: the rest was served.
 func TestDeadBorrowerReturnsLot(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		f.spendAllOwn(f.bergen)
 		f.Cut("bergen", "floro") // no store: only peers are left
--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -6,12 +6,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -209,7 +209,7 @@
 // A relay has lost one of two prefixes and follows the other. The follower is told of that loss
 // only, goes on hearing of the other keys, and does not ask again and again meanwhile.
 func TestOnePrefixIsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		defer wg.Wait()
@@ -270,7 +270,7 @@
 
 // A relay that nobody asks any more stops following the store.
 func TestIdleRelayStopsFollowing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := memstore.New()
 		h := &Hub{Store: "s", Prefixes: []Prefix{{Name: keys, Store: s, StaleAfter: time.Second}}, MostFollowers: 1, Now: time.Now}
--- a/coord/relay/world_test.go
+++ b/coord/relay/world_test.go
@@ -6,12 +6,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -247,7 +247,7 @@
 
 // play runs a test with a world in virtual time.
 func play(t *testing.T, relays, followers int, test func(w *world)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := newWorld(ctx, t, relays, followers)
 		defer w.wg.Wait()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/stretchr/testify/require"
 )
@@ -31,7 +31,7 @@
 // Two operators put different presets in force at the same moment. One must win, the
 // other must be told, and the loser's preset must not be in force later.
 func TestTwoOperatorsRace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		r := fleet.Registry{Store: memstore.New()}
 		_, err := r.Apply(t.Context(), document("ordinary"), 0, "first")
 		require.NoError(t, err)
@@ -57,7 +57,7 @@
 // An apply takes effect and its answer is lost. The repeat must see that it was its own
 // write, and not report a race or make another generation.
 func TestLostAnswerOfAnApply(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := memstore.New()
 		r := fleet.Registry{Store: s}
 		s.SetFaults(memstore.Faults{LoseWrites: 1})
@@ -70,7 +70,7 @@
 // The store goes down, which ends the watch, and a change is applied when it is back.
 // The follower must take it in seconds.
 func TestFollowerComesBackAfterOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		s := memstore.New()
 		r := fleet.Registry{Store: s}
 		var c fleet.Current
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -11,9 +11,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/arbutusmill/arbutusmill/gateway"
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/memnet"
@@ -55,7 +55,7 @@
  "tenants":[{"name":"pilots","api_keys":[%s],"priority":1,"prepaid":%d}]}`
 
 // fleet is one gateway between callers and stand-ins, on a network in memory and, when
-// it is made inside synctest.Test, in virtual time.
+// it is made inside virtualtime.Test.
 type fleet struct {
 	t       *testing.T
 	network memnet.Network
@@ -127,7 +127,7 @@
 
 // play runs a test with a fleet in virtual time.
 func play(t *testing.T, test func(f *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.close()
 		test(f)
--- a/prepaid/budgets_test.go
+++ b/prepaid/budgets_test.go
@@ -10,6 +10,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/rs/zerolog"
@@ -72,7 +73,7 @@
 // refused at once although it has tokens. When it answers nothing at all it is lost, and
 // requests leave it alone until it answers again.
 func TestLateAnswersAreNoOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		n := &network{delay: 700 * time.Millisecond}
 		b := borrower(t, n)
 		lend := func() error {
@@ -121,7 +122,7 @@
 // progress. The borrower asks neither another lender nor the store: there is nothing, and
 // near the end of a budget each request would cost all these calls.
 func TestNobodyAsksOnForTokensThatAreSetAside(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		asked := 0
 		held := lenderFunc(func() error { asked++; return grant.Error.Wrap(grant.ErrHeld) })
 		b := borrower(t, &network{})
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/arbutusmill/arbutusmill/memnet"
 	"github.com/stretchr/testify/require"
 )
@@ -17,7 +18,7 @@
 // more. The end of the answer still waits to be written, since the VM is busy or the caller's
 // connection is slow. To close the server then gives the caller "unexpected EOF".
 func TestAnswerEndsWholeWhenItsProcessStops(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var network memnet.Network
 		l, err := network.Listen("tcp", "10.1.0.1:80")
 		require.NoError(t, err)
--- a/vm/view_test.go
+++ b/vm/view_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/arbutusmill/arbutusmill/vm"
 	"github.com/stretchr/testify/require"
 )
@@ -13,7 +13,7 @@
 // more; but when it is back under the same name, without ever having left the list,
 // it must get work again, or restarts would eat up the fleet.
 func TestLeavingByItsOwnWord(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		list := []vm.VM{{ID: "e-2", Role: vm.Agent, State: vm.Live, Service: "s"},
 			{ID: "e-1", Role: vm.Agent, State: vm.Live, Service: "s"},
 			{ID: "e-3", Role: vm.Agent, State: vm.Leaving, Service: "s"}}
