A lender's limits of exposure are known to two witnesses, so that a router may die with it

Cause: what a router borrowed was known to the router and its lender only. With both gone the settlement gave up on the lender's whole row: what was available, and the lots of all routers that lived. A router that had died long before blocked the settlement likewise, since it stays in the list of borrowers.

Change: a lender lends each router no more than a limit that one of two witnesses, other lenders, has taken. When both are over, the limit counts in place of the word. No call of the store but one write when witnesses are named.

TestNoOverspendWithWitnesses: random deaths, cuts, lost, repeated and late messages; nothing counts as less used than it was.

--- a/coord/grant/acquirer.go
+++ b/coord/grant/acquirer.go
@@ -11,7 +11,9 @@
 type Acquirer struct {
 	Holder *Holder
 	Chain  []Granter
-	Now    func() time.Time
+	// Exposer is needed by holders whose exposure is limited.
+	Exposer Exposer
+	Now     func() time.Time
 }
 
 // Acquire reserves n tokens of the budget. Its errors are ErrExhausted,
@@ -31,12 +33,18 @@
 func (q *Acquirer) Lend(ctx context.Context, budget, id, borrower string, need, want int64) (Lot, error) {
 	for try := 1; ; try++ {
 		l, err := q.Holder.lend(q.Now(), budget, id, borrower, need, need, want)
-		if !errors.Is(err, ErrShort) || try > mostFills {
+		switch {
+		case try > mostFills:
+			return l, err
+		case errors.Is(err, ErrUnexposed):
+			err = q.Exposer.Expose(ctx, budget, borrower, need)
+		case errors.Is(err, ErrShort):
+			done := q.Holder.wait(budget, need)
+			err = q.fill(ctx, budget, need)
+			done()
+		default:
 			return l, err
 		}
-		done := q.Holder.wait(budget, need)
-		err = q.fill(ctx, budget, need)
-		done()
 		if err != nil {
 			return Lot{}, err
 		}
--- a/coord/grant/book.go
+++ b/coord/grant/book.go
@@ -53,6 +53,8 @@
 	returned int64
 	settled  int64 // by all settled reservations
 	reserved int64 // by open reservations
+	// exposures are by borrower; see LimitExposure.
+	exposures map[string]*exposure
 
 	queue          []issued // in order of seq; settled heads are cut off
 	through        int64
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -41,8 +41,10 @@
 	dead func(holder string) bool
 	// stopping folds every row as soon as nothing is open on it.
 	stopping bool
-	byPage   func(budget string) string
-	pages    map[string]map[string]*book
+	// exposureLimited says that books' limits of exposure are in force.
+	exposureLimited bool
+	byPage          func(budget string) string
+	pages           map[string]map[string]*book
 }
 
 // LotReturn settles a borrowed lot with its lender.
--- a/coord/grant/lean_property_test.go
+++ b/coord/grant/lean_property_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
@@ -27,6 +29,7 @@
 	words   settlement.Words
 	t       *rapid.T
 	store   *memstore.Store
+	faults  memstore.Faults
 	layout  account.Layout
 	lenders [2]*leanLife
 	routers [2]*leanLife
@@ -37,11 +40,20 @@
 	version int64
 	// used is what upstreams delivered, open requests counted with what they will.
 	used int64
+	// usedOf is the part of it that came out of each holder's present row.
+	usedOf map[string]int64
 	// loseAnswers makes messages between lives take effect without an answer.
 	loseAnswers bool
 	// settles makes lenders that are dead, or taken for dead, be settled by their borrowers.
 	settles bool
 	freed   int64
+	// witnesses keep the lenders' limits of exposure; nil where there are none.
+	witnesses []*leanLife
+	// late are messages to witnesses that arrive again later; guarded by mu.
+	late []func()
+	mu   sync.Mutex
+	// freedByWitnesses is what was freed although a borrower had died with its lender.
+	freedByWitnesses int64
 }
 
 // leanLife is one run of a process.
@@ -55,6 +67,8 @@
 	cut, aside, asking bool
 	open               []leanRequest
 	register           settlement.Register
+	exposure           settlement.Exposure
+	witness            settlement.Witness
 }
 
 type leanRequest struct {
@@ -85,7 +99,7 @@
 }
 
 func newLeanFleet(t *rapid.T) *leanFleet {
-	f := &leanFleet{t: t, store: memstore.New(), layout: account.Layout{Prefix: "p/", Pages: 1}, dead: map[string]bool{}}
+	f := &leanFleet{t: t, store: memstore.New(), layout: account.Layout{Prefix: "p/", Pages: 1}, dead: map[string]bool{}, usedOf: map[string]int64{}}
 	f.raise()
 	for i := range f.lenders {
 		f.lenders[i] = f.start("lender")
@@ -104,6 +118,8 @@
 	l := &leanLife{fleet: f, id: fmt.Sprint(kind, "/", f.lives)}
 	f.all = append(f.all, l)
 	l.register = settlement.Register{Store: cutStore{f.store, l}, Key: listPrefix + l.id}
+	l.exposure = settlement.Exposure{Register: &l.register, Tell: l.tell, Timeout: 100 * time.Millisecond,
+		Ahead: 250 * time.Millisecond, Now: time.Now}
 	role := func(string) grant.Role {
 		if kind == "router" || l.aside {
 			return grant.BorrowerOf
@@ -115,6 +131,7 @@
 	}
 	l.holder = grant.NewHolder(l.id, f.layout, grant.HorizonPolicy{Horizon: 4 * time.Second, StandIn: 2 * time.Second,
 		Worsts: 1, Share: 0.9, Slack: 0.25, Role: role, Asking: func(string) bool { return l.asking }})
+	l.exposure.Holder = l.holder
 	l.holder.AverageDemand(10 * time.Second)
 	l.holder.Lean(func(id string) bool { return f.dead[id] })
 	l.pages = &grant.StoreGranter{Holder: l.holder, Store: cutStore{f.store, l}, Layout: f.layout, Now: time.Now,
@@ -151,7 +168,7 @@
 		if l.fleet.settles && lender.register.Admit(ctx, l.id) != nil {
 			return grant.Lot{}, errLost
 		}
-		own := &grant.Acquirer{Holder: lender.holder, Now: time.Now, Chain: []grant.Granter{lender}}
+		own := &grant.Acquirer{Holder: lender.holder, Now: time.Now, Chain: []grant.Granter{lender}, Exposer: &lender.exposure}
 		lot, err := own.Lend(ctx, budget, id, l.id, need, want)
 		if l.fleet.loseAnswers {
 			return grant.Lot{}, errLost
@@ -175,6 +192,9 @@
 	if f.settles {
 		ops += 2
 	}
+	if f.witnesses != nil {
+		ops += 8
+	}
 	switch rapid.IntRange(0, ops).Draw(f.t, "op") {
 	case 0, 1, 2, 3, 4:
 		f.serve(ctx)
@@ -197,14 +217,25 @@
 	case 13:
 		f.loseAnswers = !f.loseAnswers
 	case 14:
-		f.store.SetFaults(memstore.Faults{Down: rapid.Bool().Draw(f.t, "down"), LoseWrites: rapid.IntRange(0, 2).Draw(f.t, "lose")})
+		f.faults = memstore.Faults{Down: rapid.Bool().Draw(f.t, "down"), LoseWrites: rapid.IntRange(0, 2).Draw(f.t, "lose")}
+		f.store.SetFaults(f.faults)
 	case 15:
 		f.audit()
 		if rapid.Bool().Draw(f.t, "raise") {
 			f.raise()
 		}
-	case 20, 21:
+	case 20, 21, 22:
 		f.settle(ctx)
+	case 23, 24:
+		f.appoint(ctx)
+	case 25:
+		_ = f.lender().exposure.Keep(ctx) // failures are part of the world
+	case 26:
+		f.disturbWitness()
+	case 27:
+		f.deliverLate()
+	case 28, 29:
+		f.killPair()
 	}
 	time.Sleep(time.Duration(rapid.IntRange(0, 1500).Draw(f.t, "ms")) * time.Millisecond)
 }
@@ -220,6 +251,9 @@
 	}
 	use := rapid.Int64Range(0, n).Draw(f.t, "use")
 	f.used += use
+	for _, p := range r.Split(use) {
+		f.usedOf[p.Holder] += p.Tokens
+	}
 	l.open = append(l.open, leanRequest{r, use})
 }
 
@@ -300,19 +334,111 @@
 		}}
 	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
 	defer cancel()
+	s.AskWitness = f.askWitness
 	lender := rapid.SampledFrom(lenders).Draw(f.t, "settled")
 	done, _ := s.Settle(ctx, lender, f.layout.KeyOf(0), rapid.Bool().Draw(f.t, "patient")) // failures are part of the world
+	if used, ended := done.Used[budget]; ended {
+		require.GreaterOrEqual(f.t, used, f.usedOf[lender], "tokens of a row count as used")
+	}
 	f.freed += done.Freed[budget]
+	if len(done.Missing) > 0 {
+		f.freedByWitnesses += done.Freed[budget]
+	}
+}
+
+// noteFolded forgets what was used of rows that are gone.
+func (f *leanFleet) noteFolded(ctx context.Context) {
+	f.store.SetFaults(memstore.Faults{})
+	defer f.store.SetFaults(f.faults)
+	item, err := f.store.Get(ctx, f.layout.KeyOf(0))
+	require.NoError(f.t, err)
+	p, err := account.Decode(item.Value)
+	require.NoError(f.t, err)
+	for holder := range f.usedOf {
+		if a := p.Accounts[budget]; a == nil || a.Rows[holder] == nil {
+			delete(f.usedOf, holder)
+		}
+	}
+}
+
+// appoint gives a lender one or both of the witnesses that live now.
+func (f *leanFleet) appoint(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	ids := []string{f.witnesses[0].id, f.witnesses[1].id}
+	from := rapid.IntRange(0, 1).Draw(f.t, "first witness")
+	to := rapid.IntRange(from+1, 2).Draw(f.t, "after the last witness")
+	_ = f.lender().exposure.Appoint(ctx, ids[from:to]...) // failures are part of the world
+}
+
+// disturbWitness cuts a witness off, brings it back, or starts another in its place.
+func (f *leanFleet) disturbWitness() {
+	i := rapid.IntRange(0, 1).Draw(f.t, "which witness")
+	if rapid.Bool().Draw(f.t, "cut") {
+		f.witnesses[i].cut = !f.witnesses[i].cut
+		return
+	}
+	f.dead[f.witnesses[i].id] = true
+	f.witnesses[i] = f.start("witness")
+}
+
+// tell brings a lender's limits to a witness; some arrive once more, much later.
+func (l *leanLife) tell(_ context.Context, witness string, notice settlement.Notice) error {
+	f := l.fleet
+	for _, w := range f.witnesses {
+		if w.id != witness || w.cut || l.cut {
+			continue
+		}
+		again := func() { _ = w.witness.Note(time.Now(), notice) } // a witness may refuse what is late
+		f.mu.Lock()
+		f.late = append(f.late, again)
+		f.mu.Unlock()
+		if err := w.witness.Note(time.Now(), notice); err != nil || !f.loseAnswers {
+			return err
+		}
+	}
+	return errLost
+}
+
+func (f *leanFleet) deliverLate() {
+	if len(f.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(f.late)-1).Draw(f.t, "late message")
+	f.late[i]()
+}
+
+func (f *leanFleet) askWitness(_ context.Context, witness, lender string, term int64) (settlement.Testimony, error) {
+	for _, w := range f.witnesses {
+		if w.id == witness && !w.cut && !f.loseAnswers {
+			return w.witness.Testify(lender, term), nil
+		}
+	}
+	return settlement.Testimony{}, errLost
 }
 
 // kill ends a life and starts the next one in its place.
 func (f *leanFleet) kill() {
 	i := rapid.IntRange(0, 1).Draw(f.t, "which")
 	if rapid.Bool().Draw(f.t, "a router") {
-		f.dead[f.routers[i].id] = true
-		f.routers[i] = f.start("router")
+		f.killRouter(i)
 		return
 	}
+	f.killLender(i)
+}
+
+// killPair ends a lender and a router at the same moment.
+func (f *leanFleet) killPair() {
+	f.killLender(rapid.IntRange(0, 1).Draw(f.t, "which lender"))
+	f.killRouter(rapid.IntRange(0, 1).Draw(f.t, "which router"))
+}
+
+func (f *leanFleet) killRouter(i int) {
+	f.dead[f.routers[i].id] = true
+	f.routers[i] = f.start("router")
+}
+
+func (f *leanFleet) killLender(i int) {
 	f.dead[f.lenders[i].id] = true
 	f.lenders[i] = f.start("lender")
 }
@@ -356,3 +482,27 @@
 		require.Positive(t, freed, "some settlement freed tokens")
 	})
 }
+
+// Guards against tokens that a lender's death frees although they were used: borrowers and
+// witnesses die with it, are cut off, and messages between them are lost, repeated and late.
+func TestNoOverspendWithWitnesses(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		freed := int64(0)
+		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
+			f := newLeanFleet(rt)
+			f.settles = true
+			f.witnesses = []*leanLife{f.start("witness"), f.start("witness")}
+			for range rapid.IntRange(1, 100).Draw(rt, "steps") {
+				f.step(t.Context())
+				for _, l := range f.all {
+					l.pages.Wait() // nothing of a step goes on in the next one
+				}
+				synctest.Wait()
+				f.noteFolded(t.Context())
+				require.LessOrEqual(rt, f.used, f.limit, "overspend")
+			}
+			freed += f.freedByWitnesses
+		})
+		require.Positive(t, freed, "some settlement freed tokens by the word of witnesses")
+	})
+}
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -31,13 +31,18 @@
 	if have := b.lent[id]; have != nil {
 		return Lot{Part: have.part, Through: b.durableThrough}, nil
 	}
-	n := min(b.available(), max(need, min(want, b.available()/2)))
-	if n < least {
+	lendable := h.lendableLocked(b, borrower)
+	n := min(lendable, max(need, min(want, lendable/2)))
+	switch {
+	case n < least && b.available() >= least:
+		return Lot{}, Error.Wrap(ErrUnexposed)
+	case n < least:
 		return Lot{}, Error.Wrap(ErrShort)
 	}
 	if h.lean {
 		b.spend(now, n)
 	}
+	b.exposureOf(borrower).lend(now, n)
 	return h.lendLocked(b, id, borrower, n), nil
 }
 
@@ -90,6 +95,7 @@
 	}
 	for id, l := range b.lent {
 		if l.part.Seq == r.Seq {
+			b.exposureOf(l.borrower).close(l.part.Tokens, r.Used)
 			delete(b.lent, id)
 		}
 	}
--- /dev/null
+++ b/coord/settlement/exposure.go
@@ -0,0 +1,151 @@
+package settlement
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/singleflight"
+)
+
+// ErrNoWitness says that no witness took a limit, so that nothing beyond the last one may be lent.
+var ErrNoWitness = errs.New("no witness answers")
+
+// Exposure is a lender's side of its limits of exposure: it tells them to its witnesses before
+// it lends beyond the last ones, and has the witnesses' names in its durable list.
+//
+// When the lender has died, and a borrower with it, all witnesses of the list's last term are
+// asked. Each raise was taken by at least one of them, and each of them was told all limits when
+// it was first told any, so the largest answer covers all that was ever lent. A witness that died,
+// or that the lender never reached, leaves the limits unknown.
+type Exposure struct {
+	Holder   *grant.Holder
+	Register *Register
+	// Tell brings limits to a witness and returns nil when it has taken them.
+	Tell func(ctx context.Context, witness string, notice Notice) error
+	// Timeout bounds one message. A slower witness is told also after the first one has answered.
+	Timeout time.Duration
+	// Ahead is for how long limits are raised ahead of the demand.
+	Ahead time.Duration
+	// Now is the clock.
+	Now func() time.Time
+
+	mu        sync.Mutex
+	term      int64
+	witnesses []string
+	// told are the witnesses that know all limits of this term.
+	told map[string]bool
+	// exposing are the raises that lots wait for, by budget and borrower.
+	exposing singleflight.Group
+}
+
+// Witnesses returns the witnesses in force.
+func (e *Exposure) Witnesses() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.witnesses)
+}
+
+// Appoint replaces the witnesses. From the first time on the holder's exposure is limited. The
+// list names them first: a lender that dies in between has witnesses who know nothing, and all that
+// it held counts as used.
+func (e *Exposure) Appoint(ctx context.Context, witnesses ...string) error {
+	term, err := e.Register.appoint(ctx, witnesses)
+	if err != nil {
+		return err
+	}
+	e.Holder.LimitExposure()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.term, e.witnesses, e.told = term, slices.Clone(witnesses), map[string]bool{}
+	return nil
+}
+
+// Keep raises the limits that are nearly reached.
+func (e *Exposure) Keep(ctx context.Context) error {
+	wanted := e.Holder.ExposureWanted(e.Now(), e.Ahead)
+	if len(wanted) == 0 {
+		return nil
+	}
+	return e.raise(ctx, wanted)
+}
+
+// Expose implements grant.Exposer. Lots of one borrower that wait for one budget share a raise.
+func (e *Exposure) Expose(ctx context.Context, budget, borrower string, n int64) error {
+	done := e.exposing.DoChan(budget+" "+borrower, func() (any, error) {
+		limits := e.Holder.ExposureFor(e.Now(), budget, borrower, n, e.Ahead)
+		return nil, e.raise(context.WithoutCancel(ctx), limits)
+	})
+	select {
+	case r := <-done:
+		return r.Err
+	case <-ctx.Done():
+		return Error.Wrap(ErrNoWitness)
+	}
+}
+
+// raise tells limits to all witnesses at once and puts them in force when the first one has taken
+// them.
+func (e *Exposure) raise(ctx context.Context, limits grant.ExposureLimits) error {
+	term, witnesses := e.current()
+	taken := make(chan error, len(witnesses))
+	for _, witness := range witnesses {
+		go func() { taken <- e.tell(ctx, witness, term, limits) }()
+	}
+	failed := []error{Error.Wrap(ErrNoWitness)}
+	for range witnesses {
+		err := <-taken
+		if err == nil {
+			return e.inForce(term, limits)
+		}
+		failed = append(failed, err)
+	}
+	return errors.Join(failed...)
+}
+
+func (e *Exposure) current() (term int64, witnesses []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term, e.witnesses
+}
+
+// inForce raises the holder's limits, unless the witnesses that took them were replaced meanwhile.
+func (e *Exposure) inForce(term int64, limits grant.ExposureLimits) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.term != term {
+		return Error.Wrap(ErrNoWitness)
+	}
+	e.Holder.RaiseExposure(limits)
+	return nil
+}
+
+// tell brings limits to one witness; the first time with all others.
+func (e *Exposure) tell(ctx context.Context, witness string, term int64, limits grant.ExposureLimits) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.Timeout)
+	defer cancel()
+	in := Notice{Lender: e.Holder.ID(), Term: term, Limits: limits}
+	if !e.isTold(witness, term) {
+		in.Whole, in.Limits = true, e.Holder.ExposureLimits()
+		in.Limits.Merge(limits)
+	}
+	if err := e.Tell(ctx, witness, in); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.term == term {
+		e.told[witness] = true
+	}
+	return nil
+}
+
+func (e *Exposure) isTold(witness string, term int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term == term && e.told[witness]
+}
--- a/coord/settlement/register.go
+++ b/coord/settlement/register.go
@@ -38,6 +38,10 @@
 type list struct {
 	Borrowers []string `json:"borrowers"`
 	Sealed    bool     `json:"sealed,omitempty"`
+	// Witnesses know the lender's limits of exposure, and Term numbers their appointment; 0
+	// stands for none.
+	Witnesses []string `json:"witnesses,omitempty"`
+	Term      int64    `json:"term,omitempty"`
 }
 
 func decodeList(value []byte) (list, error) {
@@ -71,6 +75,27 @@
 	if r.Has(borrowers...) {
 		return nil
 	}
+	now, err := r.writeLocked(ctx, func(l *list) { l.Borrowers = merged(l.Borrowers, borrowers) })
+	if err != nil {
+		return err
+	}
+	r.note(now.Borrowers)
+	return nil
+}
+
+// appoint names witnesses in a new term, which it returns. Its errors are those of Admit.
+func (r *Register) appoint(ctx context.Context, witnesses []string) (term int64, err error) {
+	r.writing.Lock()
+	defer r.writing.Unlock()
+	now, err := r.writeLocked(ctx, func(l *list) {
+		l.Witnesses = witnesses
+		l.Term++
+	})
+	return now.Term, err
+}
+
+// writeLocked changes the list in the store. An answer may be lost, so that a change is made twice.
+func (r *Register) writeLocked(ctx context.Context, change func(*list)) (list, error) {
 	var now list
 	item, err := store.UpdateFrom(ctx, r.Store, r.Key, r.last, func(old store.Item) ([]byte, error) {
 		var err error
@@ -80,15 +105,14 @@
 		if now.Sealed {
 			return nil, Error.Wrap(ErrSealed)
 		}
-		now.Borrowers = merged(now.Borrowers, borrowers)
+		change(&now)
 		return json.Marshal(now)
 	})
 	if err != nil {
-		return err
+		return list{}, err
 	}
 	r.last = item
-	r.note(now.Borrowers)
-	return nil
+	return now, nil
 }
 
 // Used reports whether anybody was admitted.
--- a/coord/settlement/settler.go
+++ b/coord/settlement/settler.go
@@ -18,8 +18,11 @@
 	// Ask asks a borrower for its final word on a lender. An error means that it did not
 	// answer.
 	Ask func(ctx context.Context, borrower, lender string) (grant.Borrowed, error)
-	// Over reports whether a borrower's life has certainly ended.
-	Over func(borrower string) bool
+	// AskWitness asks a witness for a lender's limits of exposure in a term. An error means that
+	// it did not answer. It may be nil: then a borrower's word that is missing is missing for good.
+	AskWitness func(ctx context.Context, witness, lender string, term int64) (Testimony, error)
+	// Over reports whether the life of a borrower or witness has certainly ended.
+	Over func(life string) bool
 	// Words keeps what borrowers told, between tries.
 	Words *Words
 }
@@ -31,6 +34,9 @@
 type Settlement struct {
 	// Used is what borrowers used of it, Freed what may be granted again.
 	Used, Freed map[string]int64
+	// Missing are the borrowers whose word is missing for good; the most that they can have
+	// used is in Used.
+	Missing []string
 }
 
 // Settle ends the dead lender's rows on a page. With patient set it waits for requests that
@@ -38,26 +44,95 @@
 // they set aside counts as used. Its errors are ErrUnsettled, ErrNotYet and the store's; after
 // each of them the rows are as they were.
 func (s *Settler) Settle(ctx context.Context, lender, page string, patient bool) (Settlement, error) {
-	borrowers, err := s.seal(ctx, lender)
+	sealed, err := s.seal(ctx, lender)
 	if err != nil {
 		return Settlement{}, err
 	}
-	s.ask(ctx, lender, borrowers)
-	used := map[string]int64{}
+	s.ask(ctx, lender, sealed.Borrowers)
+	used, missing, err := s.sum(lender, sealed.Borrowers, patient)
+	if err != nil {
+		return Settlement{}, err
+	}
+	if len(missing) > 0 {
+		// All of these are over before any witness is asked: none can be lent anything later.
+		limits, err := s.limits(ctx, lender, sealed)
+		if err != nil {
+			return Settlement{}, err
+		}
+		addMissing(used, missing, limits)
+	}
+	out, err := s.end(ctx, lender, page, used)
+	out.Missing = missing
+	return out, err
+}
+
+// sum adds what borrowers told, and names those whose word is missing for good.
+func (s *Settler) sum(lender string, borrowers []string, patient bool) (used map[string]int64, missing []string, err error) {
+	used = map[string]int64{}
+	var wait bool
 	for _, borrower := range borrowers {
 		word, heard := s.Words.of(lender, borrower)
 		over := s.Over(borrower)
 		switch {
-		case heard && !word.Known, !heard && over:
-			return Settlement{}, Error.Wrap(ErrUnsettled)
-		case !heard, word.Open && patient && !over:
-			return Settlement{}, Error.Wrap(ErrNotYet)
+		case over && (!heard || !word.Known):
+			missing = append(missing, borrower)
+			continue
+		case !heard, !word.Known:
+			// A borrower that does not know may go on spending until it is over.
+			return nil, nil, Error.Wrap(ErrNotYet)
+		case word.Open && patient && !over:
+			wait = true
 		}
 		for budget, n := range word.Used {
 			used[budget] += n
 		}
 	}
-	return s.end(ctx, lender, page, used)
+	if wait {
+		return nil, nil, Error.Wrap(ErrNotYet)
+	}
+	return used, missing, nil
+}
+
+// addMissing adds the most that borrowers can have used whose word is missing for good.
+func addMissing(used map[string]int64, missing []string, limits grant.ExposureLimits) {
+	for budget, byBorrower := range limits {
+		for _, borrower := range missing {
+			used[budget] += byBorrower[borrower]
+		}
+	}
+}
+
+// limits are a dead lender's limits of exposure by all its witnesses.
+func (s *Settler) limits(ctx context.Context, lender string, sealed list) (grant.ExposureLimits, error) {
+	if s.AskWitness == nil || len(sealed.Witnesses) == 0 {
+		return nil, Error.Wrap(ErrUnsettled)
+	}
+	limits := grant.ExposureLimits{}
+	for _, witness := range sealed.Witnesses {
+		told, err := s.testimony(ctx, witness, lender, sealed.Term)
+		if err != nil {
+			return nil, err
+		}
+		limits.Merge(told)
+	}
+	return limits, nil
+}
+
+// testimony asks one witness, unless its answer is kept: that one is final, for nothing that the
+// lender tells later was lent to anyone.
+func (s *Settler) testimony(ctx context.Context, witness, lender string, term int64) (grant.ExposureLimits, error) {
+	if limits, ok := s.Words.limitsOf(lender, witness); ok {
+		return limits, nil
+	}
+	told, err := s.AskWitness(ctx, witness, lender, term)
+	switch {
+	case err != nil && s.Over(witness), err == nil && !told.Known:
+		return nil, Error.Wrap(ErrUnsettled)
+	case err != nil:
+		return nil, Error.Wrap(ErrNotYet)
+	}
+	s.Words.keepLimits(lender, witness, told.Limits)
+	return told.Limits, nil
 }
 
 // ask asks those borrowers for their word whose last one may still change, or was never heard. All
@@ -83,20 +158,20 @@
 
 // seal closes the list and returns it. A lender without one is not known to have listed
 // anybody, so it cannot be settled: its list may have been removed.
-func (s *Settler) seal(ctx context.Context, lender string) ([]string, error) {
-	var borrowers []string
+func (s *Settler) seal(ctx context.Context, lender string) (list, error) {
+	var sealed list
 	_, err := store.Update(ctx, s.Store, s.Prefix+lender, func(old store.Item) ([]byte, error) {
 		if old.Revision == 0 {
 			return nil, Error.Wrap(ErrUnsettled)
 		}
-		l, err := decodeList(old.Value)
-		if err != nil {
+		var err error
+		if sealed, err = decodeList(old.Value); err != nil {
 			return nil, err
 		}
-		borrowers, l.Sealed = l.Borrowers, true
-		return json.Marshal(l)
+		sealed.Sealed = true
+		return json.Marshal(sealed)
 	})
-	return borrowers, err
+	return sealed, err
 }
 
 // end writes the page. The lender's own reports are a part of what was used: it heard of
--- a/coord/settlement/words.go
+++ b/coord/settlement/words.go
@@ -14,6 +14,8 @@
 	mu sync.Mutex
 	// byLender has the last words by lender and borrower.
 	byLender map[string]map[string]grant.Borrowed
+	// limits are those that witnesses told, by lender and witness.
+	limits map[string]map[string]grant.ExposureLimits
 }
 
 func (w *Words) of(lender, borrower string) (word grant.Borrowed, heard bool) {
@@ -45,4 +47,24 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.byLender, lender)
+	delete(w.limits, lender)
+}
+
+func (w *Words) limitsOf(lender, witness string) (limits grant.ExposureLimits, heard bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	limits, heard = w.limits[lender][witness]
+	return limits, heard
+}
+
+func (w *Words) keepLimits(lender, witness string, limits grant.ExposureLimits) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.limits == nil {
+		w.limits = map[string]map[string]grant.ExposureLimits{}
+	}
+	if w.limits[lender] == nil {
+		w.limits[lender] = map[string]grant.ExposureLimits{}
+	}
+	w.limits[lender][witness] = limits
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -219,7 +219,12 @@
 }
 
 // startVM starts the gateway of a VM.
-func (f *fleet) startVM(vm int) {
+func (f *fleet) startVM(vm int) { f.startVMAs(f.settings(vm).VM, vm) }
+
+// startVMAs starts a gateway on the VM of that name, at the addresses of the number vm.
+func (f *fleet) startVMAs(name string, vm int) {
+	s := f.settings(vm)
+	s.VM = name
 	ctx, stop := context.WithCancel(context.Background())
 	dial := func(ctx context.Context, network, to string) (net.Conn, error) {
 		if all, cut := f.cut.Load(vm); cut && (to == storeAddress || all == true) {
@@ -234,7 +239,7 @@
 		}
 		return conn, err
 	}
-	g := gateway.New(f.settings(vm), hosted.Network{Listen: f.network.Listen, Dial: dial}, f.log,
+	g := gateway.New(s, hosted.Network{Listen: f.network.Listen, Dial: dial}, f.log,
 		func() uint64 { return 0 })
 	l := &life{gateway: g, stop: stop, done: make(chan error, 1)}
 	f.lives[vm] = l
--- a/gateway/lenderends_test.go
+++ b/gateway/lenderends_test.go
@@ -52,9 +52,11 @@
 	return e
 }
 
-func (e *lenderEnds) stream(id string) {
+func (e *lenderEnds) stream(id string) { e.streamAt(1, id) }
+
+func (e *lenderEnds) streamAt(vm int, id string) {
 	q := chat(id)
-	q.usage = "1000,3000"
+	q.usage, q.vm = "1000,3000", vm
 	e.ask(q)
 }
 
@@ -120,3 +122,28 @@
 		require.Empty(t, f.store.Keys("arbutusmill/member/router-1/"))
 	})
 }
+
+// Guards against the loss of all that a lender held when a router that it lent to dies with it.
+func TestLenderAndRouterDieTogether(t *testing.T) {
+	play(t, func(f *fleet) {
+		const router, itsNextLife = 2, 3
+		f.startVM(router)
+		f.network.SetDark(address(router, linkPort), true) // it can borrow, and is never heard
+		e := startLenderEnds(f)
+		e.streams.Go(func() { e.streamAt(router, "of the router that dies") })
+		time.Sleep(time.Second)
+		e.kill()
+		f.cutOffAll(router)
+		time.Sleep(time.Second)
+		f.startLenderAs(fmt.Sprint("engine-", e.home), e.home+10, "")
+		f.startVMAs(f.settings(router).VM, itsNextLife)
+		e.streams.Wait()
+		for range 20 {
+			f.ask(chat("now and then"))
+			e.others += 1060
+			time.Sleep(time.Second)
+		}
+		require.Regexp(t, `"missing":\["router-2/[^"]*"\].*"event":"lender_settled"`, f.log.String())
+		e.spendAll()
+	})
+}
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/link"
 )
 
@@ -90,6 +91,18 @@
 	return out, err
 }
 
+// Tell brings this lender's limits of exposure to a witness.
+func (d *Desk) Tell(ctx context.Context, witness string, notice settlement.Notice) error {
+	return d.call(ctx, witness, link.MethodLimits, notice, nil)
+}
+
+// AskLimits asks a witness for the limits of a lender that is gone.
+func (d *Desk) AskLimits(ctx context.Context, witness string, in link.LimitsRequest) (settlement.Testimony, error) {
+	var out settlement.Testimony
+	err := d.call(ctx, witness, link.MethodTestify, in, &out)
+	return out, err
+}
+
 // Lend implements grant.Lender: it asks a peer for a lot.
 func (d *Desk) Lend(ctx context.Context, peer, budget, id string, need, want int64) (grant.Lot, error) {
 	addr, ok := d.Address(peer)
--- a/link/messages.go
+++ b/link/messages.go
@@ -18,6 +18,11 @@
 	// MethodBorrowed asks a borrower for its final word on a dead lender:
 	// BorrowedRequest, grant.Borrowed.
 	MethodBorrowed = "budget.borrowed"
+	// MethodLimits brings a lender's limits of exposure to a witness: settlement.Notice, Empty.
+	MethodLimits = "budget.limits"
+	// MethodTestify asks a witness for a dead lender's limits: LimitsRequest,
+	// settlement.Testimony.
+	MethodTestify = "budget.testify"
 	// MethodWatermarks asks how far rows are reported durably:
 	// WatermarkRequest, WatermarkReply.
 	MethodWatermarks = "budget.watermarks"
@@ -140,6 +145,15 @@
 	Lender   string `json:"lender"`
 }
 
+// LimitsRequest asks for the limits of exposure of a lender that is gone.
+type LimitsRequest struct {
+	// Witness is the life that is asked.
+	Witness string `json:"witness"`
+	Lender  string `json:"lender"`
+	// Term is that of the lender's list.
+	Term int64 `json:"term"`
+}
+
 // AppendRequest brings charges of one shard.
 type AppendRequest struct {
 	Shard   int             `json:"shard"`
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -137,8 +137,13 @@
 	// asking counts the requests that turned to the store, by budget.
 	asking counts
 	// register lists the borrowers of a process that only lends; nil for others.
-	register  *settlement.Register
-	admitting singleflight.Group // by borrower
+	register *settlement.Register
+	// exposure limits what such a process lends; witness keeps the limits of others.
+	exposure *settlement.Exposure
+	witness  settlement.Witness
+	// silentWitnesses are the own witnesses that do not answer.
+	silentWitnesses absences
+	admitting       singleflight.Group // by borrower
 	// notAdmitted is when the store took too long to name a borrower.
 	notAdmitted lastAsked
 	// settling is since when dead lenders have been waiting for their settlement, and
@@ -192,11 +197,12 @@
 	}
 	if p.LendsOnly {
 		b.register = &settlement.Register{Store: p.Store, Key: lendsPrefix + p.Life}
+		b.exposure = b.newExposure()
 	}
 	b.desk = &lending.Desk{
 		Holder: b.holder, Links: p.Links, Address: b.addressOf, Timeout: time.Duration(s.PeerWait), Now: time.Now,
 		Limit: p.Limits.Of,
-		Fill:  &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}},
+		Fill:  &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}, Exposer: b.exposure},
 	}
 	peers := &grant.PeerGranter{Holder: b.holder, Lender: b, Peers: b.homes, Timeout: time.Duration(s.PeerWait), Now: time.Now}
 	b.acquirer = &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{peers, b}}
@@ -212,6 +218,7 @@
 	d.Every(probePause, b.probePeers)
 	d.Every(settlePause, b.settleDead)
 	d.Every(settlePause, b.admitNew)
+	b.startExposure(d.Every)
 }
 
 // State is what the process holds, for dumps.
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -57,6 +57,8 @@
 // Methods answers the messages of other processes.
 func (b *Budgets) Methods() map[string]link.Handler {
 	m := b.desk.Methods()
+	m[link.MethodLimits] = link.Handle(b.noteLimits)
+	m[link.MethodTestify] = link.Handle(b.testify)
 	lend := m[link.MethodLend]
 	m[link.MethodLend] = func(ctx context.Context, params json.RawMessage) (any, error) {
 		if b.members.Aside() {
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -102,7 +102,8 @@
 
 // newSettler is this process's side of settling others.
 func (b *Budgets) newSettler() *settlement.Settler {
-	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Words: &b.words, Over: b.isDead, Ask: b.desk.AskBorrowed}
+	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Words: &b.words, Over: b.isDead, Ask: b.desk.AskBorrowed,
+		AskWitness: b.askWitness}
 }
 
 // settleDead settles the rows of dead lenders on the pages of which this process is the home.
@@ -160,7 +161,7 @@
 	b.pages.Changed(page)
 	for budget, freed := range done.Freed {
 		b.log.Info().Str("lender", life).Str("budget", budget).Int64("used", done.Used[budget]).Int64("freed", freed).
-			Bool("patient", patient).Msg("lender_settled")
+			Bool("patient", patient).Strs("missing", done.Missing).Msg("lender_settled")
 	}
 	return true
 }
