A witness that forgot its lender is told all limits again; an uncertain appointment is repeated

Before: TestWitnessThatForgotIsToldAll fails at its second raise. After: it passes; coord/settlement, coord/grant, prepaid, gateway and lender pass.

--- a/coord/settlement/exposure.go
+++ b/coord/settlement/exposure.go
@@ -29,7 +29,7 @@
 	Tell func(ctx context.Context, witness string, notice Notice) error
 	// Timeout bounds one message. A slower witness is told also after the first one has answered.
 	Timeout time.Duration
-	// Ahead is for how long limits are raised ahead of the demand.
+	// Ahead is for how long limits are raised ahead of what a borrower is lent.
 	Ahead time.Duration
 	// Now is the clock.
 	Now func() time.Time
@@ -78,7 +78,7 @@
 func (e *Exposure) Expose(ctx context.Context, budget, borrower string, n int64) error {
 	done := e.exposing.DoChan(budget+" "+borrower, func() (any, error) {
 		limits := e.Holder.ExposureFor(e.Now(), budget, borrower, n, e.Ahead)
-		return nil, e.raise(context.WithoutCancel(ctx), limits)
+		return nil, e.raise(ctx, limits)
 	})
 	select {
 	case r := <-done:
@@ -124,7 +124,8 @@
 	return nil
 }
 
-// tell brings limits to one witness; the first time with all others.
+// tell brings limits to one witness, with all others the first time and after a failure: the
+// witness may have forgotten them. The time of the request that waits does not end it.
 func (e *Exposure) tell(ctx context.Context, witness string, term int64, limits grant.ExposureLimits) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.Timeout)
 	defer cancel()
@@ -133,15 +134,13 @@
 		in.Whole, in.Limits = true, e.Holder.ExposureLimits()
 		in.Limits.Merge(limits)
 	}
-	if err := e.Tell(ctx, witness, in); err != nil {
-		return err
-	}
+	err := e.Tell(ctx, witness, in)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.term == term {
-		e.told[witness] = true
+		e.told[witness] = err == nil
 	}
-	return nil
+	return err
 }
 
 func (e *Exposure) isTold(witness string, term int64) bool {
--- a/coord/settlement/witness_test.go
+++ b/coord/settlement/witness_test.go
@@ -248,3 +248,19 @@
 	w.Forget(now.Add(time.Second), func(string) bool { return true })
 	require.False(t, w.Testify("lender/1", 2).Known)
 }
+
+// Guards against a witness that forgot a lender and then takes none of its changes for good.
+func TestWitnessThatForgotIsToldAll(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		w := newWitnessed(t)
+		require.NoError(t, w.exposure.Appoint(t.Context(), "lender/2"))
+		require.NoError(t, w.use("router/1", 20, 20))
+		w.witnesses["lender/2"].Forget(time.Now().Add(time.Second), func(string) bool { return true })
+		require.Error(t, w.use("router/2", 10, 10))
+		require.NoError(t, w.use("router/2", 10, 10))
+		w.die("router/1", "router/2")
+		used, err := w.settle()
+		require.NoError(t, err)
+		require.EqualValues(t, 30, used)
+	})
+}
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -141,8 +141,10 @@
 	// exposure limits what such a process lends; witness keeps the limits of others.
 	exposure *settlement.Exposure
 	witness  settlement.Witness
-	// silentWitnesses are the own witnesses that do not answer.
+	// silentWitnesses are the own witnesses that do not answer, and appointAgain says that the
+	// store may have other names than those in force. Only appointWitnesses uses both.
 	silentWitnesses absences
+	appointAgain    bool
 	admitting       singleflight.Group // by borrower
 	// notAdmitted is when the store took too long to name a borrower.
 	notAdmitted lastAsked
--- a/prepaid/exposure.go
+++ b/prepaid/exposure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -102,12 +103,18 @@
 	}
 	now := b.exposure.Witnesses()
 	next := chooseWitnesses(b.members.Self, b.serving(now), b.members.Rank(b.holder.ID(), RoleLender), b.isLost)
-	if len(next) == 0 || slices.Equal(now, next) {
+	if len(next) == 0 || slices.Equal(now, next) && !b.appointAgain {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	if err := b.exposure.Appoint(ctx, next...); err != nil {
+	err := b.exposure.Appoint(ctx, next...)
+	b.appointAgain = err != nil // the store may have taken the names all the same
+	switch {
+	case errors.Is(err, settlement.ErrSealed):
+		b.takenForDead(err)
+		return
+	case err != nil:
 		b.log.Warn().Err(err).Strs("witnesses", next).Msg("witnesses_not_appointed") // it is tried again
 		return
 	}
--- a/prepaid/exposure_internal_test.go
+++ b/prepaid/exposure_internal_test.go
@@ -9,7 +9,9 @@
 
 // Guards against witnesses that are lost together with their lender, or with its data centre.
 func TestChooseWitnesses(t *testing.T) {
-	at := func(id, vm, datacentre string) member.Member { return member.Member{ID: id, VM: vm, Datacentre: datacentre} }
+	at := func(id, vm, datacentre string) member.Member {
+		return member.Member{ID: id, VM: vm, Datacentre: datacentre}
+	}
 	self := at("self/1", "self", "west")
 	near1, near2 := at("near1/1", "near1", "west"), at("near2/1", "near2", "west")
 	far1, far2 := at("far1/1", "far1", "east"), at("far2/1", "far2", "north")
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -77,15 +77,19 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, settlement.ErrSealed):
-		// Others took this life for dead and freed its rest: it may spend nothing more.
-		b.holder.Fence()
-		b.log.Error().Err(err).Msg("taken_for_dead")
+		b.takenForDead(err)
 		return grant.Error.Wrap(grant.ErrFenced)
 	}
 	b.log.Warn().Err(err).Str("borrower", borrower).Msg("borrower_not_admitted")
 	return grant.Error.Wrap(grant.ErrUnreachable)
 }
 
+// takenForDead ends all lending: others took this life for dead and freed its rest.
+func (b *Budgets) takenForDead(err error) {
+	b.holder.Fence()
+	b.log.Error().Err(err).Msg("taken_for_dead")
+}
+
 // admitNew names routers that have just been listed, ahead of need: one that asks for the
 // first time while the store is away could not be lent anything.
 func (b *Budgets) admitNew(context.Context) {
