--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -60,7 +60,7 @@
 	mode := []standin.Mode{standin.LoseAnswer, standin.Fail, standin.BreakOff, standin.Decline, standin.Hang}[luck.IntN(5)]
 	all := w.sameService(u)
 	every := []fault{
-		w.term(p), w.reload(p), w.reconfigure(), w.kill(p), w.pause(p),
+		w.term(p), w.reload(p), w.reconfigure(), w.kill(p), w.pause(p), w.killPair(luck), w.killAll(),
 		{name: "reset " + name, do: way.resetAll},
 		{name: "silence " + name, do: func() { way.setSilent(true, true) },
 			undo: func() { way.setSilent(false, false); way.resetAll() }},
@@ -103,6 +103,26 @@
 	return fault{name: "kill " + p.name, do: func() { p.restart(syscall.SIGKILL) }}
 }
 
+// killPair ends a lender together with a router that it may have lent to.
+func (w *world) killPair(luck *rand.Rand) fault {
+	lenders, gateways := w.ofRole("lender"), w.ofRole("gateway")
+	pair := []*process{lenders[luck.IntN(len(lenders))], gateways[luck.IntN(len(gateways))]}
+	return fault{name: "kill " + pair[0].name + " and " + pair[1].name, do: func() { killTogether(pair) }}
+}
+
+// killAll ends all processes at the same moment.
+func (w *world) killAll() fault {
+	return fault{name: "kill all", do: func() { killTogether(w.processes) }}
+}
+
+func killTogether(ps []*process) {
+	var wg sync.WaitGroup
+	for _, p := range ps {
+		wg.Go(func() { p.restart(syscall.SIGKILL) })
+	}
+	wg.Wait()
+}
+
 func (w *world) reload(p *process) fault {
 	return fault{name: "reload " + p.name, do: func() { p.signal(syscall.SIGHUP) }}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,8 @@
 var (
 	firstSeed = flag.Uint64("soak.first", 1, "first seed")
 	seeds     = flag.Int("soak.seeds", 3, "how many seeds to play")
+	routers   = flag.Int("soak.routers", 3, "how many routers run")
+	engines   = flag.Int("soak.engines", 4, "how many engines, each with a lender, run")
 	logs      = flag.String("soak.logs", "", "folder in which the processes' logs are kept")
 )
 
@@ -36,7 +38,8 @@
 )
 
 // Routers and lenders run as processes of their own, with callers that go on all the while. Faults
-// come in series and overlap: processes are stopped, killed, paused and reloaded; their ways to
+// come in series and overlap: processes are stopped, killed (one, a lender with a router, all),
+// paused and reloaded; their ways to
 // the store and to upstreams are reset, silenced in both directions or one, and delayed; upstreams
 // fail, lose answers, hang and leave; the store falls silent and loses its history; the
 // configuration changes. What callers and upstreams see keeps the promises.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -18,8 +18,6 @@
 
 // Sizes and settings of the soak's fleet.
 const (
-	routers        = 3
-	engines        = 4
 	plains         = 2
 	events         = 8
 	eventPause     = 10 * time.Millisecond
@@ -69,14 +67,14 @@
 	w := &world{t: t, dir: dir, store: standin.NewStore()}
 	w.storeAddress = w.serve(w.store.Handler())
 	w.configure()
-	for i := range engines {
+	for i := range *engines {
 		u := w.startUpstream("model", fmt.Sprint("i-", i+1), events, eventPause)
 		w.processes = append(w.processes, w.newLender(fmt.Sprint("engine-", i+1), u.proxy.own))
 	}
 	for i := range plains {
-		w.startUpstream("plain", fmt.Sprint("i-", engines+i+1), 0, plainTime)
+		w.startUpstream("plain", fmt.Sprint("i-", *engines+i+1), 0, plainTime)
 	}
-	for i := range routers {
+	for i := range *routers {
 		w.processes = append(w.processes, w.newRouter(fmt.Sprint("router-", i+1)))
 	}
 	for _, p := range w.processes {
