A burst of lots waits for one raise of its limit together

What callers would have seen: refusals in bursts. Lots of one router and team that wait for a raise shared one that was for the first of them only, and each gave up after four.

After: none; at most four raises.

--- a/coord/grant/acquirer.go
+++ b/coord/grant/acquirer.go
@@ -31,14 +31,15 @@
 // It lends need or nothing: a peer that got a part would have to ask on, and the part
 // would be missing here meanwhile.
 func (q *Acquirer) Lend(ctx context.Context, budget, id, borrower string, need, want int64) (Lot, error) {
-	for try := 1; ; try++ {
+	for fills := 0; ; {
 		l, err := q.Holder.lend(q.Now(), budget, id, borrower, need, need, want)
 		switch {
-		case try > mostFills:
-			return l, err
 		case errors.Is(err, ErrUnexposed):
+			// Lots that came meanwhile may take a raise; this one waits for the next as long
+			// as its request does.
 			err = q.Exposer.Expose(ctx, budget, borrower, need)
-		case errors.Is(err, ErrShort):
+		case errors.Is(err, ErrShort) && fills < mostFills:
+			fills++
 			done := q.Holder.wait(budget, need)
 			err = q.fill(ctx, budget, need)
 			done()
--- a/coord/settlement/exposure.go
+++ b/coord/settlement/exposure.go
@@ -39,10 +39,17 @@
 	witnesses []string
 	// told are the witnesses that know all limits of this term.
 	told map[string]bool
-	// exposing are the raises that lots wait for, by budget and borrower.
+	// waiting are the tokens of lots that wait for a raise, and exposing the raises that they wait
+	// for, by budget and borrower.
+	waiting  map[lotsOf]int64
 	exposing singleflight.Group
 }
 
+// lotsOf are the lots of one budget that one borrower asks for.
+type lotsOf struct{ budget, borrower string }
+
+var _ grant.Exposer = (*Exposure)(nil)
+
 // Witnesses returns the witnesses in force.
 func (e *Exposure) Witnesses() []string {
 	e.mu.Lock()
@@ -74,10 +81,14 @@
 	return e.raise(ctx, wanted)
 }
 
-// Expose implements grant.Exposer. Lots of one borrower that wait for one budget share a raise.
+// Expose implements grant.Exposer. Lots of one borrower that wait for one budget share a raise, which
+// is for all that wait when it begins: in a burst each would else wait for those before it.
 func (e *Exposure) Expose(ctx context.Context, budget, borrower string, n int64) error {
+	lots := lotsOf{budget, borrower}
+	e.wait(lots, n)
+	defer e.wait(lots, -n)
 	done := e.exposing.DoChan(budget+" "+borrower, func() (any, error) {
-		limits := e.Holder.ExposureFor(e.Now(), budget, borrower, n, e.Ahead)
+		limits := e.Holder.ExposureFor(e.Now(), budget, borrower, e.waitingFor(lots), e.Ahead)
 		return nil, e.raise(ctx, limits)
 	})
 	select {
@@ -88,6 +99,23 @@
 	}
 }
 
+func (e *Exposure) wait(lots lotsOf, n int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waiting == nil {
+		e.waiting = map[lotsOf]int64{}
+	}
+	if e.waiting[lots] += n; e.waiting[lots] == 0 {
+		delete(e.waiting, lots)
+	}
+}
+
+func (e *Exposure) waitingFor(lots lotsOf) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.waiting[lots]
+}
+
 // raise tells limits to all witnesses at once and puts them in force when the first one has taken
 // them.
 func (e *Exposure) raise(ctx context.Context, limits grant.ExposureLimits) error {
--- a/coord/settlement/witness_test.go
+++ b/coord/settlement/witness_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -264,3 +267,28 @@
 		require.EqualValues(t, 30, used)
 	})
 }
+
+// Guards against refused lots in a burst: all of one router's lots that come at once get a raise.
+func TestManyLotsAtOnce(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		w := newWitnessed(t)
+		require.NoError(t, w.exposure.Appoint(t.Context(), "lender/2"))
+		require.NoError(t, w.use("router/1", 1, 1))
+		tell, raises := w.exposure.Tell, 0
+		w.exposure.Tell = func(ctx context.Context, witness string, n settlement.Notice) error {
+			raises++
+			time.Sleep(time.Millisecond)
+			return tell(ctx, witness, n)
+		}
+		var wg sync.WaitGroup
+		for n := range 40 {
+			wg.Go(func() {
+				own := &grant.Acquirer{Holder: w.lender, Now: time.Now, Chain: []grant.Granter{w.pages}, Exposer: w.exposure}
+				_, err := own.Lend(t.Context(), budget, fmt.Sprint("burst-", n), "router/1", 2, 2)
+				assert.NoError(t, err)
+			})
+		}
+		wg.Wait()
+		require.LessOrEqual(t, raises, 4)
+	})
+}
--- a/prepaid/exposure.go
+++ b/prepaid/exposure.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/link"
@@ -168,5 +167,3 @@
 	slices.Sort(out)
 	return out
 }
-
-var _ grant.Exposer = (*settlement.Exposure)(nil)
