What limits of exposure cover, said exactly

A comment only. A budget that was given up and taken again begins anew with its limits at the holder, while witnesses keep the higher ones: the limits cover the present row, not the holder's whole life. coord/grant and coord/settlement pass, vet and staticcheck are clean.

--- a/coord/grant/exposure.go
+++ b/coord/grant/exposure.go
@@ -13,8 +13,8 @@
 // limit is raised.
 var ErrUnexposed = errs.New("beyond the limit of exposure")
 
-// ExposureLimits bound what each borrower used and may still use of a holder's rows, by budget and
-// borrower in tokens, over the holder's whole life.
+// ExposureLimits bound what each borrower used and may still use of a holder's present rows, by
+// budget and borrower in tokens. They may count earlier rows too, and never fall with them.
 type ExposureLimits map[string]map[string]int64
 
 // Merge raises the limits that are lower than other's.
