--- a/gateway/promptnews.go
+++ b/gateway/promptnews.go
@@ -196,6 +196,7 @@
 	if p.links.Call(ctx, m.Address, link.MethodPromptList, link.Empty{}, &known) != nil {
 		return false
 	}
+	p.log.Info().Str("from", m.ID).Int("prompts", len(known)).Msg("prompts_learned")
 	for _, e := range known {
 		_, _ = p.takeKnown(ctx, e) // it does not fail
 	}
