A prompt that ends upstreams is tried three times more at most

What callers saw: a prompt that callers bring for hours ended an upstream each five minutes, with all that ran there; one that came each minute or more seldom ended one each time, since its ends were forgotten after a minute and never made three.

Cause: evidence lapsed by time alone, much sooner than its callers give up. The class: what is known is forgotten while what it is about goes on.

An answer clears it at any time, as before, so a prompt that lost three upstreams by chance is tried as soon as before. Forgetting is a function of time and ends, so two processes that know the same ends agree.

Both are as strict.

--- a/poison/register.go
+++ b/poison/register.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -13,15 +14,16 @@
 	endsOnTrial = 2
 	// endsProven is how many prove that the prompt ends upstreams.
 	endsProven = 3
+	// mostTrials is how often a proven prompt is tried once more.
+	mostTrials = 3
 	// trialPause is the time between the starts of two requests that try a prompt on trial:
 	// longer than engines usually take to read a prompt and begin to answer.
 	trialPause = 2 * time.Second
-	// suspicionFor is how long ends count without another one: longer than any caller of a cut
-	// request goes on trying.
-	suspicionFor = time.Minute
-	// provenFor is how long a proven prompt is refused; then it is on trial again, since engines
-	// get new versions.
+	// provenFor is how long a prompt is refused after the end that proved it; then it is on trial
+	// again, since engines get new versions. Each further end doubles it.
 	provenFor = 5 * time.Minute
+	// rememberedFor is how long ends count without another one.
+	rememberedFor = 24 * time.Hour
 	// mostPrompts bounds the prompts that are known. A rack of engines that ends cuts some
 	// thousand requests.
 	mostPrompts = 4096
@@ -62,11 +64,19 @@
 }
 
 // Standing is what the evidence says.
-func (e Evidence) Standing() Standing { return standing(len(e.Ends)) }
+func (e Evidence) Standing() Standing {
+	if len(e.Ends) == 0 {
+		return Clear
+	}
+	newest := slices.MinFunc(e.Ends, func(a, b End) int { return cmp.Compare(a.Age, b.Age) })
+	return standing(len(e.Ends), newest.Age)
+}
 
-func standing(ends int) Standing {
+// standing is that of a prompt with so many ends, the last one that long ago.
+func standing(ends int, since time.Duration) Standing {
+	trials := ends - endsProven
 	switch {
-	case ends >= endsProven:
+	case trials >= mostTrials, trials >= 0 && since < provenFor<<trials:
 		return Proven
 	case ends >= endsOnTrial:
 		return OnTrial
@@ -84,24 +94,14 @@
 	// tried is when the last request that tried the prompt was let through, and by its id.
 	tried time.Time
 	by    string
+	// was is the standing at the last look for what lapsed.
+	was Standing
 }
 
-func (r *record) standing() Standing { return standing(len(r.ends)) }
+func (r *record) standing(now time.Time) Standing { return standing(len(r.ends), now.Sub(r.last)) }
 
-// lapse takes the time into account that passed without another end, and reports whether nothing is
-// left. A proven prompt goes back on trial, so that one which its callers send for hours ends
-// one upstream each time, not three.
-func (r *record) lapse(now time.Time) (gone bool) {
-	if r.standing() == Proven && !now.Before(r.last.Add(provenFor)) {
-		for upstream := range r.ends {
-			if len(r.ends) > endsOnTrial {
-				delete(r.ends, upstream)
-			}
-		}
-		r.last = r.last.Add(provenFor)
-	}
-	return r.standing() != Proven && !now.Before(r.last.Add(suspicionFor))
-}
+// forgotten reports whether nothing ended under the prompt for so long that it counts as clear.
+func (r *record) forgotten(now time.Time) bool { return !now.Before(r.last.Add(rememberedFor)) }
 
 // Register is what one process knows of prompts under which upstreams ended. A prompt that was
 // ever answered is cleared: one that ends upstreams is never answered, while a good one that many
@@ -125,22 +125,25 @@
 	defer r.mu.Unlock()
 	known := r.recordLocked(now, e.Prompt)
 	for _, end := range e.Ends {
-		if _, told := known.ends[end.Upstream]; told || len(known.ends) >= mostEnds {
+		if _, told := known.ends[end.Upstream]; told {
 			continue
 		}
 		at := now.Add(-end.Age)
-		known.ends[end.Upstream] = at
 		if at.After(known.last) {
 			known.last = at
 		}
-		news = true
+		if len(known.ends) < mostEnds {
+			known.ends[end.Upstream] = at
+			news = true
+		}
 	}
+	known.was = max(known.was, known.standing(now))
 	return known.evidence(now, e.Prompt), news
 }
 
 // recordLocked is the record of a prompt, made if there is none.
 func (r *Register) recordLocked(now time.Time, p Prompt) *record {
-	r.lapseLocked(now, p)
+	r.forgetLocked(now, p)
 	if known := r.records[p]; known != nil {
 		return known
 	}
@@ -155,9 +158,9 @@
 	return known
 }
 
-// lapseLocked takes the time into account that passed for a prompt.
-func (r *Register) lapseLocked(now time.Time, p Prompt) {
-	if known := r.records[p]; known != nil && known.lapse(now) {
+// forgetLocked forgets a prompt under which nothing ended for long.
+func (r *Register) forgetLocked(now time.Time, p Prompt) {
+	if known := r.records[p]; known != nil && known.forgotten(now) {
 		delete(r.records, p)
 	}
 }
@@ -195,7 +198,7 @@
 func (r *Register) Known(now time.Time, p Prompt) Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lapseLocked(now, p)
+	r.forgetLocked(now, p)
 	if known := r.records[p]; known != nil {
 		return known.evidence(now, p)
 	}
@@ -207,12 +210,12 @@
 func (r *Register) Try(now time.Time, p Prompt, request string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lapseLocked(now, p)
+	r.forgetLocked(now, p)
 	known := r.records[p]
 	switch {
-	case known == nil || known.standing() < OnTrial:
+	case known == nil || known.standing(now) < OnTrial:
 		return true
-	case known.standing() == Proven:
+	case known.standing(now) == Proven:
 		return false
 	case known.by == request:
 		return true // it could not be sent to the upstream that was chosen first
@@ -247,9 +250,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p, known := range r.records {
-		l := Lapsed{Prompt: p, Was: known.standing()}
-		if r.lapseLocked(now, p); r.records[p] != nil {
-			l.Now = known.standing()
+		l := Lapsed{Prompt: p, Was: known.was, Now: known.standing(now)}
+		known.was = l.Now
+		if known.forgotten(now) {
+			l.Now = Clear
+			delete(r.records, p)
 		}
 		if l.Was >= OnTrial && l.Now != l.Was {
 			lapsed = append(lapsed, l)
@@ -263,7 +268,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p, known := range r.records {
-		if known.standing() >= OnTrial {
+		if known.standing(now) >= OnTrial {
 			all = append(all, known.evidence(now, p))
 		}
 	}
--- a/poison/register_test.go
+++ b/poison/register_test.go
@@ -78,8 +78,12 @@
 	require.False(t, r.Try(after, "p", "7"), "one at a time, as before")
 	r.Add(after.Add(time.Second), ended("p", "i-4"))
 	require.Equal(t, Proven, r.Known(after.Add(time.Second), "p").Standing())
-	much := after.Add(time.Second + provenFor + suspicionFor)
-	require.Equal(t, []Lapsed{{Prompt: "p", Was: Proven, Now: Clear}}, r.Lapse(much))
+	again := after.Add(time.Second + 2*provenFor)
+	require.Empty(t, r.Lapse(again.Add(-1)), "twice as long as the first time")
+	require.Equal(t, []Lapsed{{Prompt: "p", Was: Proven, Now: OnTrial}}, r.Lapse(again))
+	require.Empty(t, r.Lapse(again.Add(time.Hour)))
+	much := after.Add(time.Second + rememberedFor)
+	require.Equal(t, []Lapsed{{Prompt: "p", Was: OnTrial, Now: Clear}}, r.Lapse(much))
 	require.True(t, r.Empty())
 }
 
@@ -112,15 +116,17 @@
 		r.Add(start, ended("p", fmt.Sprint("more-", n)))
 	}
 	require.Len(t, r.Known(start, "p").Ends, mostEnds)
+	require.Equal(t, Proven, r.Known(start.Add(rememberedFor-1), "p").Standing())
 }
 
-// Suspicions lapse without another end.
+// Suspicions lapse in a day without another end, and not before.
 func TestSuspicionLapses(t *testing.T) {
 	var r Register
 	r.Add(start, ended("p", "i-1"))
-	require.Empty(t, r.Lapse(start.Add(suspicionFor-1)))
-	r.Add(start.Add(suspicionFor), ended("p", "i-2"))
-	require.Equal(t, Suspect, r.Known(start.Add(suspicionFor), "p").Standing())
+	require.Empty(t, r.Lapse(start.Add(rememberedFor-1)))
+	require.Equal(t, Suspect, r.Known(start.Add(rememberedFor-1), "p").Standing())
+	r.Add(start.Add(rememberedFor), ended("p", "i-2"))
+	require.Equal(t, Suspect, r.Known(start.Add(rememberedFor), "p").Standing())
 }
 
 // world is a fleet of upstreams that run prompts, some of which end them, while others end by
