Ends of upstreams count for a prompt at all services of its route

What callers saw: a prompt that ends its upstreams ended three of each service among which its route was split, or to which it was moved: the caller's retry has a new id, so it may go to another service.

Cause: the service's name was part of the prompt's identity. Class: an identity that holds something which operators change between two attempts.

Change: the identity is what the caller asks for alone. Each end names its service, and an answer clears the ends of its own service only, so one that crashes on a prompt is not cleared by another one that answers it; one that answers it is judged by its own ends, so nobody is refused there for what ends others. Of more ends than are kept the newest are: a ninth one counted for nothing before.

--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -75,13 +75,13 @@
 	d.Every(lapsePause, func(context.Context) { p.lapse(time.Now()) })
 }
 
-// known is what is known against a request's prompt. While no prompt is known at all, none is
+// known is what is known against a request's prompt at its service. While no prompt is known at all, none is
 // identified: that would hash a part of every request.
 func (p *promptGuard) known(r *serving.Request) poison.Evidence {
 	if p.register.Empty() {
 		return poison.Evidence{}
 	}
-	return p.register.Known(time.Now(), poison.Identify(r))
+	return p.register.Known(time.Now(), poison.Identify(r)).For(r.Service.Name)
 }
 
 // Refuse implements serving.Poison.
@@ -116,14 +116,14 @@
 func describe(known poison.Evidence) string {
 	parts := []string{"prompt " + string(known.Prompt)}
 	for _, e := range known.Ends {
-		parts = append(parts, e.Upstream+" ended "+e.Age.Round(time.Millisecond).String()+" ago")
+		parts = append(parts, e.Upstream+" of "+e.Service+" ended "+e.Age.Round(time.Millisecond).String()+" ago")
 	}
 	return strings.Join(parts, ", ")
 }
 
 // try asks whether a request may try a prompt that is on trial.
 func (p *promptGuard) try(ctx context.Context, r *serving.Request, known poison.Evidence) *contract.Refusal {
-	ask := link.PromptTry{Prompt: known.Prompt, Request: r.ID}
+	ask := link.PromptTry{Prompt: known.Prompt, Service: r.Service.Name, Request: r.ID}
 	reply, err := decide(ctx, p, known.Prompt, link.MethodPromptTry, ask, p.takeTry)
 	if err != nil {
 		reply, _ = p.takeTry(ctx, ask) // by what is known here; it does not fail
@@ -134,8 +134,8 @@
 		return nil
 	}
 	p.register.Add(time.Now(), reply.Known)
-	if reply.Known.Standing() == poison.Proven {
-		return provenRefusal(reply.Known)
+	if counts := reply.Known.For(r.Service.Name); counts.Standing() == poison.Proven {
+		return provenRefusal(counts)
 	}
 	refusal := contract.Refuse(contract.PromptOnTrial, "upstreams ended under this prompt, and another request is trying it")
 	refusal.Detail = describe(reply.Known)
@@ -148,14 +148,15 @@
 		return
 	}
 	prompt := poison.Identify(r)
-	known := p.register.Answered(time.Now(), prompt)
+	service := r.Service.Name
+	known := p.register.Answered(time.Now(), prompt, service)
 	if known.Standing() == poison.Clear {
 		return
 	}
-	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("was", known.Standing().String()).
+	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("service", service).Str("was", known.Standing().String()).
 		Str("evidence", describe(known)).Msg("prompt_cleared")
 	p.tellLater(promptNews{
-		prompt: prompt, method: link.MethodPromptCleared, message: link.PromptAnswered{Prompt: prompt},
+		prompt: prompt, method: link.MethodPromptCleared, message: link.PromptAnswered{Prompt: prompt, Service: service},
 		toAll: known.Standing() >= poison.OnTrial})
 }
 
@@ -199,7 +200,7 @@
 	if state != upstreamEnded {
 		return
 	}
-	end := poison.End{Upstream: b.attempt.Upstream.String()}
+	end := poison.End{Upstream: b.attempt.Upstream.String(), Service: b.request.Service.Name}
 	mine, news := p.register.Add(time.Now(), poison.Evidence{Prompt: prompt, Ends: []poison.End{end}})
 	decideHere := func(context.Context, poison.Evidence) (poison.Evidence, error) {
 		p.spread(mine, news)
--- a/link/messages.go
+++ b/link/messages.go
@@ -59,9 +59,10 @@
 	MethodPromptList = "prompt.list"
 )
 
-// PromptTry asks whether a request may send a prompt.
+// PromptTry asks whether a request may send a prompt to a service.
 type PromptTry struct {
 	Prompt  poison.Prompt `json:"prompt"`
+	Service string        `json:"service"`
 	Request string        `json:"request"`
 }
 
@@ -71,9 +72,10 @@
 	Known   poison.Evidence `json:"known"`
 }
 
-// PromptAnswered names a prompt that was answered.
+// PromptAnswered names a prompt that a service answered.
 type PromptAnswered struct {
-	Prompt poison.Prompt `json:"prompt"`
+	Prompt  poison.Prompt `json:"prompt"`
+	Service string        `json:"service"`
 }
 
 // MethodFollow asks a relay for the store's changes: relay.Request, relay.Reply.
--- /dev/null
+++ b/poison/evidence.go
@@ -0,0 +1,75 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Standing is what the ends of upstreams say of a prompt.
+type Standing int
+
+// The standings, from the best on.
+const (
+	// Clear says that nothing speaks against the prompt.
+	Clear Standing = iota
+	// Suspect says that an upstream ended under it.
+	Suspect
+	// OnTrial says that it may be sent for one request now and then.
+	OnTrial
+	// Proven says that it must not be sent.
+	Proven
+)
+
+var standingNames = [...]string{"clear", "suspect", "on_trial", "proven"}
+
+// String is the standing's name in logs.
+func (s Standing) String() string { return standingNames[s] }
+
+// Evidence is what is known of a prompt: which upstreams ended under it, and how long ago.
+type Evidence struct {
+	Prompt Prompt `json:"prompt"`
+	Ends   []End  `json:"ends"`
+	// Answered are the services that have answered it although upstreams of others ended.
+	Answered []string `json:"answered,omitempty"`
+}
+
+// End is that of one life of an upstream.
+type End struct {
+	Upstream string        `json:"upstream"`
+	Service  string        `json:"service"`
+	Age      time.Duration `json:"age_ns"`
+}
+
+// For is the evidence that counts for requests to a service. Ends count for all services, since
+// operators move and split routes, but not for one that has answered the prompt itself.
+func (e Evidence) For(service string) Evidence {
+	if !slices.Contains(e.Answered, service) {
+		return e
+	}
+	e.Ends = slices.DeleteFunc(slices.Clone(e.Ends), func(end End) bool { return end.Service != service })
+	return e
+}
+
+// Standing is what the evidence says.
+func (e Evidence) Standing() Standing {
+	if len(e.Ends) == 0 {
+		return Clear
+	}
+	newest := slices.MinFunc(e.Ends, func(a, b End) int { return cmp.Compare(a.Age, b.Age) })
+	return standing(len(e.Ends), newest.Age)
+}
+
+// standing is that of a prompt with so many ends, the last one that long ago.
+func standing(ends int, since time.Duration) Standing {
+	trials := ends - endsProven
+	switch {
+	case trials >= mostTrials, trials >= 0 && since < provenFor<<trials:
+		return Proven
+	case ends >= endsOnTrial:
+		return OnTrial
+	case ends > 0:
+		return Suspect
+	}
+	return Clear
+}
--- a/poison/prompt.go
+++ b/poison/prompt.go
@@ -21,14 +21,13 @@
 
 // Identify returns the identity of a request's prompt: its parts in order and the size of its
 // output, or where it has no parts, its method, path and body. Prompts that share all parts but the
-// last one differ.
+// last one differ. The service has no part in it: a caller's retry may go to another one.
 func Identify(r *serving.Request) Prompt {
 	h := sha256.New()
 	text := func(s string) {
 		_ = binary.Write(h, binary.BigEndian, int64(len(s))) // a hash takes all
 		_, _ = io.WriteString(h, s)
 	}
-	text(r.Service.Name)
 	_ = binary.Write(h, binary.BigEndian, r.MaxOutput)
 	for _, p := range r.Parts {
 		text(p.ID)
--- a/poison/register.go
+++ b/poison/register.go
@@ -31,81 +31,68 @@
 	mostEnds = 8
 )
 
-// Standing is what the ends of upstreams say of a prompt.
-type Standing int
-
-// The standings, from the best on.
-const (
-	// Clear says that nothing speaks against the prompt.
-	Clear Standing = iota
-	// Suspect says that an upstream ended under it.
-	Suspect
-	// OnTrial says that it may be sent for one request now and then.
-	OnTrial
-	// Proven says that it must not be sent.
-	Proven
-)
-
-var standingNames = [...]string{"clear", "suspect", "on_trial", "proven"}
-
-// String is the standing's name in logs.
-func (s Standing) String() string { return standingNames[s] }
-
-// Evidence is what is known of a prompt: which upstreams ended under it, and how long ago.
-type Evidence struct {
-	Prompt Prompt `json:"prompt"`
-	Ends   []End  `json:"ends"`
+// record is one prompt.
+type record struct {
+	// ends are those of upstreams, by their lives.
+	ends map[string]end
+	// answered are the services that have answered the prompt.
+	answered map[string]bool
+	// tried is when the last request that tried the prompt was let through, and by its id.
+	tried time.Time
+	by    string
+	// was is the standing at the last look for what lapsed.
+	was Standing
 }
 
-// End is that of one life of an upstream.
-type End struct {
-	Upstream string        `json:"upstream"`
-	Age      time.Duration `json:"age_ns"`
+// end is when an upstream of a service ended.
+type end struct {
+	service string
+	at      time.Time
 }
 
-// Standing is what the evidence says.
-func (e Evidence) Standing() Standing {
-	if len(e.Ends) == 0 {
-		return Clear
+// last is when the last upstream ended.
+func (r *record) last() (last time.Time) {
+	for _, e := range r.ends {
+		if e.at.After(last) {
+			last = e.at
+		}
 	}
-	newest := slices.MinFunc(e.Ends, func(a, b End) int { return cmp.Compare(a.Age, b.Age) })
-	return standing(len(e.Ends), newest.Age)
+	return last
 }
 
-// standing is that of a prompt with so many ends, the last one that long ago.
-func standing(ends int, since time.Duration) Standing {
-	trials := ends - endsProven
-	switch {
-	case trials >= mostTrials, trials >= 0 && since < provenFor<<trials:
-		return Proven
-	case ends >= endsOnTrial:
-		return OnTrial
-	case ends > 0:
-		return Suspect
-	}
-	return Clear
+// oldest is the upstream whose end is the longest ago.
+func (r *record) oldest() string {
+	return slices.MinFunc(slices.Collect(maps.Keys(r.ends)), func(a, b string) int {
+		return cmp.Or(r.ends[a].at.Compare(r.ends[b].at), cmp.Compare(a, b))
+	})
 }
 
-// record is one prompt.
-type record struct {
-	// ends are when upstreams ended, by their lives.
-	ends map[string]time.Time
-	last time.Time
-	// tried is when the last request that tried the prompt was let through, and by its id.
-	tried time.Time
-	by    string
-	// was is the standing at the last look for what lapsed.
-	was Standing
+// add notes the end of an upstream, and reports whether there is one more than before. Of more
+// than are kept the newest are.
+func (r *record) add(upstream string, e end) bool {
+	if _, told := r.ends[upstream]; told {
+		return false
+	}
+	if len(r.ends) < mostEnds {
+		r.ends[upstream] = e
+		return true
+	}
+	if oldest := r.oldest(); r.ends[oldest].at.Before(e.at) {
+		delete(r.ends, oldest)
+		r.ends[upstream] = e
+	}
+	return false
 }
 
-func (r *record) standing(now time.Time) Standing { return standing(len(r.ends), now.Sub(r.last)) }
+// standing is that for services which have not answered the prompt.
+func (r *record) standing(now time.Time) Standing { return standing(len(r.ends), now.Sub(r.last())) }
 
 // forgotten reports whether nothing ended under the prompt for so long that it counts as clear.
-func (r *record) forgotten(now time.Time) bool { return !now.Before(r.last.Add(rememberedFor)) }
+func (r *record) forgotten(now time.Time) bool { return !now.Before(r.last().Add(rememberedFor)) }
 
-// Register is what one process knows of prompts under which upstreams ended. A prompt that was
-// ever answered is cleared: one that ends upstreams is never answered, while a good one that many
-// callers send loses an upstream now and then. The zero value knows of none. It is safe for
+// Register is what one process knows of prompts under which upstreams ended. A prompt that a
+// service has answered is cleared there: one that ends upstreams is never answered, while a good
+// one that many callers send loses an upstream now and then. The zero value knows of none. It is safe for
 // concurrent use.
 type Register struct {
 	mu      sync.Mutex
@@ -124,18 +111,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.recordLocked(now, e.Prompt)
-	for _, end := range e.Ends {
-		if _, told := known.ends[end.Upstream]; told {
-			continue
-		}
-		at := now.Add(-end.Age)
-		if at.After(known.last) {
-			known.last = at
-		}
-		if len(known.ends) < mostEnds {
-			known.ends[end.Upstream] = at
-			news = true
-		}
+	for _, e := range e.Ends {
+		news = known.add(e.Upstream, end{service: e.Service, at: now.Add(-e.Age)}) || news
+	}
+	for _, service := range e.Answered {
+		known.answered[service] = true
 	}
 	known.was = max(known.was, known.standing(now))
 	return known.evidence(now, e.Prompt), news
@@ -153,7 +133,7 @@
 	if len(r.records) >= mostPrompts {
 		r.dropLocked()
 	}
-	known := &record{ends: map[string]time.Time{}}
+	known := &record{ends: map[string]end{}, answered: map[string]bool{}}
 	r.records[p] = known
 	return known
 }
@@ -183,13 +163,14 @@
 	if len(r.ends) != len(other.ends) {
 		return len(r.ends) < len(other.ends)
 	}
-	return r.last.Before(other.last)
+	return r.last().Before(other.last())
 }
 
 func (r *record) evidence(now time.Time, p Prompt) Evidence {
-	e := Evidence{Prompt: p}
+	e := Evidence{Prompt: p, Answered: slices.Sorted(maps.Keys(r.answered))}
 	for _, upstream := range slices.Sorted(maps.Keys(r.ends)) {
-		e.Ends = append(e.Ends, End{Upstream: upstream, Age: now.Sub(r.ends[upstream])})
+		end := r.ends[upstream]
+		e.Ends = append(e.Ends, End{Upstream: upstream, Service: end.service, Age: now.Sub(end.at)})
 	}
 	return e
 }
@@ -205,17 +186,20 @@
 	return Evidence{Prompt: p}
 }
 
-// Try reports whether a request, by its id, may send a prompt now, and notes it if the prompt is on
-// trial. Only the process that decides for the prompt is asked.
-func (r *Register) Try(now time.Time, p Prompt, request string) bool {
+// Try reports whether a request, by its id, may send a prompt to a service now, and notes it if the
+// prompt is on trial. Only the process that decides for the prompt is asked.
+func (r *Register) Try(now time.Time, p Prompt, service, request string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetLocked(now, p)
 	known := r.records[p]
-	switch {
-	case known == nil || known.standing(now) < OnTrial:
+	if known == nil {
 		return true
-	case known.standing(now) == Proven:
+	}
+	switch standing := known.evidence(now, p).For(service).Standing(); {
+	case standing < OnTrial:
+		return true
+	case standing == Proven:
 		return false
 	case known.by == request:
 		return true // it could not be sent to the upstream that was chosen first
@@ -226,16 +210,22 @@
 	return true
 }
 
-// Answered forgets a prompt that was answered, and returns what was known of it.
-func (r *Register) Answered(now time.Time, p Prompt) Evidence {
+// Answered notes that a service answered a prompt, and returns what counted for it before. What
+// ended of that service does not count any more; what ended of others does, for them.
+func (r *Register) Answered(now time.Time, p Prompt, service string) Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.records[p]
 	if known == nil {
 		return Evidence{Prompt: p}
 	}
-	delete(r.records, p)
-	return known.evidence(now, p)
+	was := known.evidence(now, p).For(service)
+	maps.DeleteFunc(known.ends, func(_ string, e end) bool { return e.service == service })
+	known.answered[service] = true
+	if len(known.ends) == 0 {
+		delete(r.records, p)
+	}
+	return was
 }
 
 // Lapsed is a prompt whose standing became better with time.
