Processes beside upstreams keep what routers know of prompts that end upstreams

What callers saw: a prompt that ends its upstreams ended three more each time that all routers started anew together (killed, a loss of power, a release in one go), with all that ran there.

Cause: the register lived in routers alone, so what a fleet of them knew died with them. Class: what only processes of one kind know, which are killed, stopped or replaced together.

Tests: 502 instead of 422 after a start of all; six upstreams ended by one prompt where it should be three.

Change: the router that decides for a prompt tells three lenders, found by rendezvous, of each end from the first on and of each answer, at most ten messages a second; a new one of the three is told all. A router that starts asks them and another router. What a lender knows beyond what it was told comes back with its answer, so two routers that both took themselves for the one that decides find all ends together.

Ruled out: asking the process beside the engine at each send (a message for each prompt at 9,900 a second, and it knows of its own engine only); a write to the store for each cut request.

--- a/gateway/forgotten_test.go
+++ b/gateway/forgotten_test.go
@@ -129,5 +129,8 @@
 		for vm := 1; vm <= 3; vm++ {
 			require.Equal(t, 200, f.ask(good(fmt.Sprint("after-", vm), vm)).status)
 		}
+		for line := range strings.Lines(f.log.String()) {
+			require.False(t, strings.Contains(line, `"id":"after-`) && strings.Contains(line, "prompt_on_trial"), line)
+		}
 	})
 }
--- a/gateway/promptnews.go
+++ b/gateway/promptnews.go
@@ -26,10 +26,12 @@
 	tellTimeout = 150 * time.Millisecond
 	// deciders is how many routers are asked to decide for a prompt, one after the other.
 	deciders = 2
-	// listTries is how often a router that starts asks others for what they know, and listPause
-	// the pause between.
-	listTries = 10
-	listPause = 500 * time.Millisecond
+	// learnFor is for how long a router that starts asks others for what they know until some have
+	// answered, and learnPause the pause between two tries.
+	learnFor   = 5 * time.Second
+	learnPause = 100 * time.Millisecond
+	// learnTries is how many routers are asked in one try.
+	learnTries = 3
 )
 
 // promptNews is what others are to be told of a prompt.
@@ -88,7 +90,7 @@
 // takeEnded takes an end as the router that decides for the prompt.
 func (p *promptGuard) takeEnded(_ context.Context, e poison.Evidence) (poison.Evidence, error) {
 	all, news := p.register.Add(time.Now(), e)
-	p.spread(all, news)
+	p.decided(all, news)
 	return all, nil
 }
 
@@ -111,12 +113,13 @@
 // takeCleared takes that a prompt was answered.
 func (p *promptGuard) takeCleared(_ context.Context, in link.PromptAnswered) (link.Empty, error) {
 	p.register.Answered(time.Now(), in.Prompt, in.Service)
+	p.keepAnswered(in)
 	return link.Empty{}, nil
 }
 
-// list returns the prompts on trial and the proven ones.
+// list returns what is known of all prompts.
 func (p *promptGuard) list(context.Context, link.Empty) ([]poison.Evidence, error) {
-	return p.register.All(time.Now()), nil
+	return p.register.List(time.Now()), nil
 }
 
 // tellLater queues news.
@@ -173,22 +176,43 @@
 	wg.Wait()
 }
 
-// learnFromOthers asks other routers, one after the other, for the prompts that they know, until
-// one has answered: a router that has just started would else send each of them once more.
+// learnFromOthers asks others for the prompts that they know: a router that has just started would
+// else send each of them once more. The keepers know what a fleet of routers knew that started
+// anew together, and other routers what keepers missed that did; so both are asked until one of
+// each has answered, or there seems to be none.
 func (p *promptGuard) learnFromOthers(ctx context.Context) {
-	for range listTries {
-		for vm, m := range p.members.Newest(prepaid.RoleRouter) {
-			if vm != p.vm && p.learnFrom(ctx, m) {
-				return
-			}
-		}
-		if backoff.Sleep(ctx, listPause) != nil {
+	ctx, cancel := context.WithTimeout(ctx, learnFor)
+	defer cancel()
+	var keeper, router bool
+	for !keeper || !router {
+		keeper = keeper || p.learnFromAny(ctx, p.keepers(), keepers)
+		router = router || p.learnFromAny(ctx, p.otherRouters(), 1)
+		if backoff.Sleep(ctx, learnPause) != nil {
 			return
 		}
 	}
 }
 
-// learnFrom asks one router, and reports whether it answered.
+// otherRouters are a few routers beside this one, in no order.
+func (p *promptGuard) otherRouters() []member.Member {
+	others := p.members.Newest(prepaid.RoleRouter)
+	delete(others, p.vm)
+	all := slices.Collect(maps.Values(others))
+	return all[:min(len(all), learnTries)]
+}
+
+// learnFromAny asks members one after the other until enough have answered, and reports whether any did.
+func (p *promptGuard) learnFromAny(ctx context.Context, members []member.Member, enough int) bool {
+	answered := 0
+	for _, m := range members {
+		if answered < enough && p.learnFrom(ctx, m) {
+			answered++
+		}
+	}
+	return answered > 0
+}
+
+// learnFrom asks one member, and reports whether it answered.
 func (p *promptGuard) learnFrom(ctx context.Context, m member.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -33,7 +33,8 @@
 // An upstream that ended under a request is told to the router that decides for the prompt, found
 // by rendezvous hashing. From the second end on that router tells all others, and lets one request
 // now and then try the prompt; after the third one nobody sends it. A router that reaches no other
-// goes by what it has seen itself.
+// goes by what it has seen itself. What it decides for is kept by a few processes beside upstreams
+// too, since routers may all start anew together.
 type promptGuard struct {
 	vm       string
 	register poison.Register
@@ -44,6 +45,8 @@
 	log      zerolog.Logger
 	broken   chan brokenAttempt
 	news     chan promptNews
+	// toKeep is what the keepers are to be told.
+	toKeep chan promptChange
 }
 
 // brokenAttempt is one whose connection to the upstream broke.
@@ -62,6 +65,7 @@
 		log:     g.Log,
 		broken:  make(chan brokenAttempt, mostBroken),
 		news:    make(chan promptNews, mostNews),
+		toKeep:  make(chan promptChange, mostToKeep),
 	}
 }
 
@@ -72,6 +76,7 @@
 	}
 	d.Go(p.tellNews)
 	d.Go(p.learnFromOthers)
+	d.Go(p.keep)
 	d.Every(lapsePause, func(context.Context) { p.lapse(time.Now()) })
 }
 
@@ -155,8 +160,10 @@
 	}
 	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("service", service).Str("was", known.Standing().String()).
 		Str("evidence", describe(known)).Msg("prompt_cleared")
+	answered := link.PromptAnswered{Prompt: prompt, Service: service}
+	p.keepAnswered(answered)
 	p.tellLater(promptNews{
-		prompt: prompt, method: link.MethodPromptCleared, message: link.PromptAnswered{Prompt: prompt, Service: service},
+		prompt: prompt, method: link.MethodPromptCleared, message: answered,
 		toAll: known.Standing() >= poison.OnTrial})
 }
 
@@ -203,18 +210,26 @@
 	end := poison.End{Upstream: b.attempt.Upstream.String(), Service: b.request.Service.Name}
 	mine, news := p.register.Add(time.Now(), poison.Evidence{Prompt: prompt, Ends: []poison.End{end}})
 	decideHere := func(context.Context, poison.Evidence) (poison.Evidence, error) {
-		p.spread(mine, news)
+		p.decided(mine, news)
 		return mine, nil
 	}
 	all, err := decide(ctx, p, prompt, link.MethodPromptEnded, mine, decideHere)
 	if err != nil {
 		p.log.Warn().Err(err).Str("prompt", string(prompt)).Msg("prompt_not_told")
-		p.spread(mine, news)
+		p.decided(mine, news)
 		return
 	}
 	p.register.Add(time.Now(), all)
 }
 
+// decided follows evidence that this router took as the one that decides for the prompt.
+func (p *promptGuard) decided(known poison.Evidence, news bool) {
+	if news {
+		p.keepLater(promptChange{prompt: known.Prompt})
+	}
+	p.spread(known, news)
+}
+
 // spread tells all routers of a prompt that is on trial or proven.
 func (p *promptGuard) spread(known poison.Evidence, news bool) {
 	if !news || known.Standing() < poison.OnTrial {
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -20,6 +20,7 @@
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
+	"github.com/arbutusmill/arbutusmill/poison"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/prepaid"
 	"github.com/arbutusmill/arbutusmill/process"
@@ -38,6 +39,8 @@
 	upstream neighbour
 	// engine is what the upstream has read and has yet to read.
 	engine *prefill.Engine
+	// prompts are those that end upstreams, as routers told.
+	prompts poison.Register
 	// stopping says that a planned stop has begun.
 	stopping atomic.Bool
 }
@@ -52,6 +55,8 @@
 			link.MethodAnnounce:      link.Handle(l.announce),
 			link.MethodWithdraw:      link.Handle(l.withdraw),
 			link.MethodReadElsewhere: link.Handle(l.readElsewhere),
+			link.MethodPromptKeep:    link.Handle(l.keepPrompts),
+			link.MethodPromptList:    link.Handle(l.listPrompts),
 		},
 		Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.Told{},
 		Network: network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
@@ -63,6 +68,7 @@
 		client:  &http.Client{Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1}},
 	}
 	l.Admin.Dump = l.dump
+	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.List(time.Now()))) })
 	return l
 }
 
@@ -76,11 +82,13 @@
 	// Followed is whom the process follows, Relay what it relays to others.
 	Followed any `json:"followed"`
 	Relay    any `json:"relay"`
+	// Prompts are those that upstreams ended under, as routers told.
+	Prompts any `json:"prompts"`
 }
 
 func (l *Lender) dump() any {
 	return state{Life: l.Life, Aside: l.Members.Aside(), Engine: l.engine.State(time.Now()), Budgets: l.Budgets.State(), Members: l.Members.Members(),
-		Followed: l.Follower.State(), Relay: l.Hub.State()}
+		Followed: l.Follower.State(), Relay: l.Hub.State(), Prompts: l.prompts.List(time.Now())}
 }
 
 // Run serves until stop is done, then gives unused tokens back.
@@ -103,6 +111,7 @@
 		l.Members.StepAside(true) // until the upstream has answered
 		duties.Go(l.followUpstream)
 	}
+	duties.Every(lapsePause, l.lapsePrompts)
 	l.Start(duties)
 	l.Admin.SetReady(true)
 	<-stop.Done()
--- a/link/messages.go
+++ b/link/messages.go
@@ -54,11 +54,20 @@
 	// MethodPromptCleared tells any router that nothing speaks against a prompt any more:
 	// PromptAnswered, Empty.
 	MethodPromptCleared = "prompt.cleared"
-	// MethodPromptList asks any router which prompts are on trial or proven: Empty,
-	// []poison.Evidence.
+	// MethodPromptList asks any router, or a process beside an upstream that keeps them, which
+	// prompts upstreams ended under: Empty, []poison.Evidence.
 	MethodPromptList = "prompt.list"
+	// MethodPromptKeep has a process beside an upstream keep what routers know of prompts:
+	// PromptKeep, and all that is known there of these prompts, []poison.Evidence.
+	MethodPromptKeep = "prompt.keep"
 )
 
+// PromptKeep is what changed. What was answered comes before what is known.
+type PromptKeep struct {
+	Answered []PromptAnswered  `json:"answered,omitempty"`
+	Known    []poison.Evidence `json:"known,omitempty"`
+}
+
 // PromptTry asks whether a request may send a prompt to a service.
 type PromptTry struct {
 	Prompt  poison.Prompt `json:"prompt"`
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -52,12 +52,14 @@
 }
 
 // Standing is what the evidence says.
-func (e Evidence) Standing() Standing {
+func (e Evidence) Standing() Standing { return standing(len(e.Ends), e.newest()) }
+
+// newest is how long ago the last upstream ended; 0 if none did.
+func (e Evidence) newest() time.Duration {
 	if len(e.Ends) == 0 {
-		return Clear
+		return 0
 	}
-	newest := slices.MinFunc(e.Ends, func(a, b End) int { return cmp.Compare(a.Age, b.Age) })
-	return standing(len(e.Ends), newest.Age)
+	return slices.MinFunc(e.Ends, func(a, b End) int { return cmp.Compare(a.Age, b.Age) }).Age
 }
 
 // standing is that of a prompt with so many ends, the last one that long ago.
--- a/poison/register.go
+++ b/poison/register.go
@@ -254,11 +254,26 @@
 }
 
 // All returns the prompts on trial and the proven ones.
-func (r *Register) All(now time.Time) (all []Evidence) {
+func (r *Register) All(now time.Time) []Evidence { return r.atLeast(now, OnTrial) }
+
+// mostListed bounds the prompts that one process tells another at once.
+const mostListed = 512
+
+// List returns the prompts under which any upstream ended, those with the most ends first and of
+// these the newest; at most mostListed.
+func (r *Register) List(now time.Time) []Evidence {
+	all := r.atLeast(now, Suspect)
+	slices.SortFunc(all, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.newest(), b.newest()), cmp.Compare(a.Prompt, b.Prompt))
+	})
+	return all[:min(len(all), mostListed)]
+}
+
+func (r *Register) atLeast(now time.Time, least Standing) (all []Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p, known := range r.records {
-		if known.standing(now) >= OnTrial {
+		if known.standing(now) >= least {
 			all = append(all, known.evidence(now, p))
 		}
 	}
