--- a/gateway/forgotten_test.go
+++ b/gateway/forgotten_test.go
@@ -13,6 +13,11 @@
 
 // restart ends the routers of VMs 1 to n at the same time, and starts them anew.
 func (f *fleet) restart(n int) {
+	f.stopAll(n)
+	f.startAll(n)
+}
+
+func (f *fleet) stopAll(n int) {
 	var wg sync.WaitGroup
 	for vm := 1; vm <= n; vm++ {
 		l := f.lives[vm]
@@ -23,6 +28,9 @@
 		})
 	}
 	wg.Wait()
+}
+
+func (f *fleet) startAll(n int) {
 	for vm := 1; vm <= n; vm++ {
 		f.startVM(vm)
 	}
@@ -134,3 +142,38 @@
 		}
 	})
 }
+
+// Guards against a prompt that ends three more upstreams each time that all processes start anew.
+func TestPromptIsKnownAfterAllProcessesRestarted(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		engines := f.fragile(24)
+		const lenders = 6
+		var stops []func()
+		startLenders := func() {
+			stops = nil
+			for n := range lenders {
+				stop, _ := f.startLender(firstLender+n, "")
+				stops = append(stops, stop)
+			}
+		}
+		startLenders()
+		f.routers(3)
+		for round := range 5 {
+			q := deadly(fmt.Sprint("round-", round), 1+round%3)
+			q.path = "/chat/x" // it is sent to one upstream
+			require.NotEqual(t, 200, f.ask(q).status)
+			time.Sleep(2 * time.Second)
+			var wg sync.WaitGroup
+			for _, stop := range stops {
+				wg.Go(stop)
+			}
+			f.stopAll(3)
+			wg.Wait()
+			startLenders()
+			f.startAll(3)
+			time.Sleep(2 * time.Second)
+		}
+		require.LessOrEqual(t, endedOf(engines), 3)
+	})
+}
