What is known of prompts that end upstreams is in the store too

What callers saw: a prompt that ends its upstreams ended three more each time that all processes were killed, or lost power, together.

Cause: what routers know of prompts was in memory only, of routers and of the lenders that keep it.

Change: the first of the three lenders writes a document of at most 128 prompts, those with the most ends first, at most once a second and only when more is known; the three read it once, when a router first asks them or before they write. Nothing is read or written while no upstream ends under a request. A document that cannot be decoded gets a line and a counter, counts as empty and is replaced. A router that starts asks for a minute instead of five seconds, with growing pauses, since the keepers need the store then.

Ruled out: a write by each router that decides for a prompt (one engine's end cuts dozens of prompts, which dozens of routers decide for).

--- a/gateway/promptkeepers.go
+++ b/gateway/promptkeepers.go
@@ -17,8 +17,6 @@
 	// keepers is how many keep it: one may be lost with its upstream, and another restarted
 	// meanwhile.
 	keepers = 3
-	// keepersKey is the key by which all routers find the same ones.
-	keepersKey = "prompts"
 	// keepPause is the pause between two messages to the keepers. An engine that ends cuts dozens
 	// of requests at once; they go in one message.
 	keepPause = 100 * time.Millisecond
@@ -37,7 +35,7 @@
 
 // keepers are the processes beside upstreams that keep what is known of all prompts.
 func (p *promptGuard) keepers() []member.Member {
-	ranked := p.members.Rank(keepersKey, prepaid.RoleLender)
+	ranked := p.members.Rank(poison.KeepersKey, prepaid.RoleLender)
 	return ranked[:min(keepers, len(ranked))]
 }
 
--- a/gateway/promptnews.go
+++ b/gateway/promptnews.go
@@ -27,9 +27,11 @@
 	// deciders is how many routers are asked to decide for a prompt, one after the other.
 	deciders = 2
 	// learnFor is for how long a router that starts asks others for what they know until some have
-	// answered, and learnPause the pause between two tries.
-	learnFor   = 5 * time.Second
-	learnPause = 100 * time.Millisecond
+	// answered: longer than most outages of the store, which keepers that have started too need. The
+	// pause between two tries grows from learnPause to mostLearnPause.
+	learnFor       = time.Minute
+	learnPause     = 100 * time.Millisecond
+	mostLearnPause = 2 * time.Second
 	// learnTries is how many routers are asked in one try.
 	learnTries = 3
 )
@@ -184,10 +186,11 @@
 	ctx, cancel := context.WithTimeout(ctx, learnFor)
 	defer cancel()
 	var keeper, router bool
+	pauses := backoff.New(learnPause, mostLearnPause)
 	for !keeper || !router {
 		keeper = keeper || p.learnFromAny(ctx, p.keepers(), keepers)
 		router = router || p.learnFromAny(ctx, p.otherRouters(), 1)
-		if backoff.Sleep(ctx, learnPause) != nil {
+		if pauses.Wait(ctx) != nil {
 			return
 		}
 	}
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -40,7 +41,7 @@
 	// engine is what the upstream has read and has yet to read.
 	engine *prefill.Engine
 	// prompts are those that end upstreams, as routers told.
-	prompts poison.Register
+	prompts *promptKeeper
 	// stopping says that a planned stop has begun.
 	stopping atomic.Bool
 }
@@ -49,18 +50,20 @@
 // could not keep.
 func New(s *settings.Lender, network hosted.Network, log io.Writer, dropped func() uint64) *Lender {
 	l := &Lender{settings: s, engine: prefill.NewEngine(time.Now(), s.Upstream.PrefillPerMs)}
+	l.prompts = &promptKeeper{first: l.isFirstKeeper}
+	methods := l.prompts.methods()
+	maps.Copy(methods, map[string]link.Handler{
+		link.MethodAnnounce:      link.Handle(l.announce),
+		link.MethodWithdraw:      link.Handle(l.withdraw),
+		link.MethodReadElsewhere: link.Handle(l.readElsewhere),
+	})
 	l.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link, Beside: s.Upstream.Address, Relays: true,
-		Methods: map[string]link.Handler{
-			link.MethodAnnounce:      link.Handle(l.announce),
-			link.MethodWithdraw:      link.Handle(l.withdraw),
-			link.MethodReadElsewhere: link.Handle(l.readElsewhere),
-			link.MethodPromptKeep:    link.Handle(l.keepPrompts),
-			link.MethodPromptList:    link.Handle(l.listPrompts),
-		},
-		Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.Told{},
+		Methods: methods,
+		Store:   s.Store, Budgets: s.Budgets, Limits: &prepaid.Told{},
 		Network: network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
+	l.prompts.store, l.prompts.unreadable, l.prompts.log = l.Store, l.Unreadable, l.Log
 	l.current.Store(s)
 	l.upstream = neighbour{
 		address: s.Upstream.Address,
@@ -68,10 +71,16 @@
 		client:  &http.Client{Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1}},
 	}
 	l.Admin.Dump = l.dump
-	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.List(time.Now()))) })
+	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.register.List(time.Now()))) })
 	return l
 }
 
+// isFirstKeeper reports whether this process is the first of those that keep prompts.
+func (l *Lender) isFirstKeeper() bool {
+	ranked := l.Members.Rank(poison.KeepersKey, prepaid.RoleLender)
+	return len(ranked) > 0 && ranked[0].ID == l.Life
+}
+
 // state is a lender as dumps show it.
 type state struct {
 	Life    string `json:"life"`
@@ -88,7 +97,7 @@
 
 func (l *Lender) dump() any {
 	return state{Life: l.Life, Aside: l.Members.Aside(), Engine: l.engine.State(time.Now()), Budgets: l.Budgets.State(), Members: l.Members.Members(),
-		Followed: l.Follower.State(), Relay: l.Hub.State(), Prompts: l.prompts.List(time.Now())}
+		Followed: l.Follower.State(), Relay: l.Hub.State(), Prompts: l.prompts.register.List(time.Now())}
 }
 
 // Run serves until stop is done, then gives unused tokens back.
@@ -111,7 +120,8 @@
 		l.Members.StepAside(true) // until the upstream has answered
 		duties.Go(l.followUpstream)
 	}
-	duties.Every(lapsePause, l.lapsePrompts)
+	duties.Every(lapsePause, l.prompts.lapse)
+	duties.Every(storePause, l.prompts.write)
 	l.Start(duties)
 	l.Admin.SetReady(true)
 	<-stop.Done()
