The limits that upstreams name are read, and logged

An upstream may say in its answers how many requests a second it takes from all routers together. Nothing read it, and no line told of it. The header is decoded once, in platform/; what cannot be read gets a line with the upstream and the text, and a counter, and what was named before stays.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -48,6 +48,11 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_broken_attempts_not_looked_at_total").Inc()
 }
 
+// limitUnreadable counts an answer that names a limit which cannot be read.
+func (m *gatewayMetrics) limitUnreadable() {
+	m.set.GetOrCreateCounter("arbutusmill_gateway_unreadable_limits_total").Inc()
+}
+
 // promptNewsDropped counts news of a prompt that found no room.
 func (m *gatewayMetrics) promptNewsDropped() {
 	m.set.GetOrCreateCounter("arbutusmill_gateway_prompt_news_dropped_total").Inc()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -173,6 +173,9 @@
 		// this request is not known.
 		return x.attempt(serving.Unknown, "answer to request %q", m.ID)
 	}
+	if !m.Misdirected {
+		x.target.Limit(m.Limit, m.LimitError)
+	}
 	switch {
 	case m.Misdirected:
 		return x.attempt(serving.Misdirected, "another process answers there")
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -62,6 +62,8 @@
 	// any more, and what decided it: how long streams of its service are held up, as a share
 	// of their goal, and how many times as long as others it takes. It must not block.
 	Exposed func(life directory.Life, exposed bool, heldUp, slowness float64)
+	// Limits, if set, hears of the limits that upstreams name.
+	Limits LimitReporter
 	// Region returns the region of a data centre, "" if it is not known.
 	Region func(datacentre string) string
 	// Cold bounds what cold upstreams are sent.
@@ -103,6 +105,8 @@
 	exposed  bool
 	// sent are the requests without leave while it is cold.
 	sent warmup.Window
+	// limit is the requests a second that it takes from all routers together; 0 if it names none.
+	limit float64
 }
 
 // shareOfTime is the part of the time left that one attempt gets when the request may
@@ -230,7 +234,7 @@
 	}
 	one := &run{pool: p, upstream: u.Life, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name),
 		reading: p.readingOf(r.Service.Name), sent: now}
-	t.Event, t.Done = one.event, one.done
+	t.Event, t.Limit, t.Done = one.event, one.limit, one.done
 	return t
 }
 
--- a/pool/run.go
+++ b/pool/run.go
@@ -27,6 +27,9 @@
 	pace  pace
 }
 
+// limit implements serving.Target's Limit.
+func (r *run) limit(perSecond float64, err error) { r.pool.limitNamed(r.upstream, perSecond, err) }
+
 // event implements serving.Target's Event.
 func (r *run) event(now time.Time) {
 	if r.last.IsZero() && r.choice.Before == 0 && r.choice.FetchFrom < 0 && r.choice.Unread > 0 {
--- a/serving/path.go
+++ b/serving/path.go
@@ -32,6 +32,9 @@
 	Until time.Time
 	// Event is called as each event of the answer arrives, or once with all of it.
 	Event func(now time.Time)
+	// Limit is called as soon as an answer of the upstream has begun, with how many requests a second
+	// it says that it takes from all routers together, 0 if it names no limit, or why that cannot be read.
+	Limit func(perSecond float64, err error)
 	// Done is called once with the attempt, and returns it with what the chooser knows
 	// of it: what it expected, and how the stream paused.
 	Done func(Attempt) Attempt
