Upstreams get no more requests than the limits that they name

What callers saw: nothing at first. Upstreams in need, which say in their answers how many requests a second they take from all routers together, got as many as without: 12 to 20 in 4 s where 11 were allowed.

Cause: nothing in the system went by the word. Class: something that the other side says about itself and that changes what it must be sent, read by nobody; it breaks wherever an upstream's share passes what it names.

Change: package ratelimit. Where a process beside an engine hears of each prompt, it counts and gives leave, as for cold engines: one gate for all routers, empty when a limit becomes known. A router tells it of a word that is news, each announcement has what its router believes. Words carry the state of knowledge under which their request was let go, so that an answer which is overtaken can make a limit stricter but not lift it. Upstreams without such a process are shared by a few routers; those whose process can't be reached likewise, by three tenths. After a denial less urgent requests yield, and an engine that has just denied is not asked again for as long as it said. A request that finds no room is refused at once, 429 upstream_limit, with when to come back. Logged and counted: each change of a limit, each choice that limits had a part in.

Ruled out: counting at each router (the sum over routers passes), a bucket that is full when the limit is learned, clocks to order words.

--- a/contract/kind.go
+++ b/contract/kind.go
@@ -29,6 +29,7 @@
 	Overloaded          Kind = "overloaded"
 	DeadlineTooShort    Kind = "deadline_too_short"
 	NoUpstream          Kind = "no_upstream"
+	UpstreamLimit       Kind = "upstream_limit"
 	Stopping            Kind = "stopping"
 	NotReady            Kind = "not_ready"
 	ChargeBacklog       Kind = "charge_backlog"
@@ -73,6 +74,7 @@
 	Overloaded:          {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second, TryOther: true},
 	DeadlineTooShort:    {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second},
 	NoUpstream:          {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
+	UpstreamLimit:       {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second},
 	Stopping:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second, TryOther: true},
 	NotReady:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second, TryOther: true},
 	ChargeBacklog:       {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 10 * time.Second, TryOther: true},
--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -31,6 +31,9 @@
 type note struct {
 	address, method string
 	message         any
+	// answer takes the answer, and answered is called then; both may be nil.
+	answer   any
+	answered func()
 }
 
 // mostNotes bounds those that wait to be sent. One that finds no room is dropped: the process
@@ -50,7 +53,9 @@
 		case <-ctx.Done():
 			return
 		case n := <-a.notes:
-			a.call(n.address, n.method, n.message, nil)
+			if a.call(n.address, n.method, n.message, n.answer) && n.answered != nil {
+				n.answered()
+			}
 		}
 	}
 }
@@ -63,12 +68,12 @@
 
 // withdraw implements pool.Pool's Withdraw. Nobody waits for it.
 func (a *announcer) withdraw(address string, what prefill.Announcement, told prefill.Told) {
-	a.send(note{address, link.MethodWithdraw, link.Withdrawal{Announcement: what, Told: told}})
+	a.send(note{address: address, method: link.MethodWithdraw, message: link.Withdrawal{Announcement: what, Told: told}})
 }
 
 // readElsewhere implements pool.Pool's ReadElsewhere. Nobody waits for it.
 func (a *announcer) readElsewhere(address string, what prefill.Elsewhere) {
-	a.send(note{address, link.MethodReadElsewhere, what})
+	a.send(note{address: address, method: link.MethodReadElsewhere, message: what})
 }
 
 func (a *announcer) send(n note) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,7 +119,7 @@
 		Withdraw:      g.beside.withdraw,
 		ReadElsewhere: g.beside.readElsewhere,
 		Exposed:       g.engineExposed,
-		Limits:        g,
+		Limits:        limits{g},
 		Region:        func(datacentre string) string { return s.Regions[datacentre] },
 		Cold:          warmup.Bound{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
 		Beside:        g.beside.known,
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -1,14 +1,58 @@
 package gateway
 
-import "github.com/arbutusmill/arbutusmill/directory"
+import (
+	"slices"
+	"time"
 
-// LimitChanged implements pool.LimitReporter.
-func (g *Gateway) LimitChanged(life directory.Life, was, now float64) {
-	g.Log.Info().Stringer("upstream", life).Float64("was_per_second", was).Float64("per_second", now).Msg("upstream_limit")
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/pool"
+	"github.com/arbutusmill/arbutusmill/prepaid"
+	"github.com/arbutusmill/arbutusmill/ratelimit"
+	"github.com/arbutusmill/arbutusmill/serving"
+)
+
+// limits implements pool.Limits.
+type limits struct{ g *Gateway }
+
+// Share implements pool.Limits.
+func (l limits) Share(upstream string, perSecond float64) float64 {
+	n, since := l.g.Members.Sharers()
+	if n == 0 {
+		return 0
+	}
+	ranked := l.g.Members.Rank(upstream, prepaid.RoleRouter)
+	place := slices.IndexFunc(ranked, func(m member.Member) bool { return m.VM == l.g.settings.VM })
+	return ratelimit.Share(place, len(ranked), time.Since(since), perSecond)
+}
+
+// Tell implements pool.Limits.
+func (l limits) Tell(address string, born int64, w ratelimit.Word, known func(ratelimit.Known)) {
+	var answer ratelimit.Known
+	l.g.beside.send(note{address: address, method: link.MethodLimit, message: link.LimitNamed{Born: born, Word: w},
+		answer: &answer, answered: func() { known(answer) }})
+}
+
+// Changed implements pool.Limits.
+func (l limits) Changed(life directory.Life, was, now float64, from pool.LimitSource) {
+	l.g.Log.Info().Stringer("upstream", life).Float64("was_per_second", was).Float64("per_second", now).Str("from", string(from)).
+		Msg("upstream_limit")
+}
+
+// Unreadable implements pool.Limits.
+func (l limits) Unreadable(life directory.Life, err error) {
+	l.g.metrics.limitUnreadable()
+	l.g.Log.Warn().Stringer("upstream", life).Err(err).Msg("upstream_limit_unreadable")
 }
 
-// LimitUnreadable implements pool.LimitReporter.
-func (g *Gateway) LimitUnreadable(life directory.Life, err error) {
-	g.metrics.limitUnreadable()
-	g.Log.Warn().Stringer("upstream", life).Err(err).Msg("upstream_limit_unreadable")
+// Held implements pool.Limits.
+func (l limits) Held(r *serving.Request, h pool.Held) {
+	chosen := ""
+	if h.Chosen != nil {
+		chosen = h.Chosen.String()
+	}
+	l.g.metrics.heldByLimits(r.Service.Name, h.Chosen != nil)
+	l.g.Log.Info().Str("id", r.ID).Str("service", r.Service.Name).Int("rank", r.Rank).Int("held", h.Held).Int("of", h.Of).
+		Str("chosen", chosen).Int64("next_ms", h.Next.Milliseconds()).Msg("held_by_limits")
 }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,6 +44,9 @@
 	return all
 }
 
+// loaded counts the requests of all loads.
+var loaded atomic.Int64
+
 // outcomes are the answers to a load, by status.
 type outcomes map[int]int
 
@@ -53,8 +57,7 @@
 	var mu sync.Mutex
 	got := outcomes{}
 	for range int(span.Seconds() * float64(perSecond)) {
-		f.flooded++
-		n := f.flooded
+		n := int(loaded.Add(1))
 		wg.Go(func() {
 			a := f.ask(ask(fmt.Sprint("l-", n), 1+n%routers))
 			mu.Lock()
@@ -159,7 +162,8 @@
 					for _, u := range append(engines, plain...) {
 						u.SetLimit(fmt.Sprint(limit))
 					}
-					f.load(routers, 80, 10*time.Second, func(id string, vm int) question {
+					span := max(10*time.Second, time.Duration(6/limit)*time.Second) // each of three shares gives one
+					f.load(routers, 50, span, func(id string, vm int) question {
 						if strings.HasSuffix(id, "0") || strings.HasSuffix(id, "5") {
 							return prompt(id, vm)
 						}
@@ -218,10 +222,12 @@
 				_, kill := f.startLender(firstLender+1, "i-1")
 				f.routers(6)
 				engine.SetLimit(fmt.Sprint(limit))
-				f.load(6, 40, 5*time.Second, prompt)
+				f.load(6, 40, 9*time.Second, prompt)
 				kill()
-				f.load(6, 40, 12*time.Second, prompt)
+				before := len(engine.Seen())
+				f.load(6, 20, max(14*time.Second, time.Duration(12/limit)*time.Second), prompt)
 				requireWithinLimit(t, engine, limit)
+				require.Greater(t, len(engine.Seen()), before)
 			})
 		})
 	}
@@ -266,3 +272,32 @@
 		})
 	}
 }
+
+// Guards against less urgent requests that use what engines take while urgent ones are refused.
+func TestUrgentRequestsGoFirstWithinLimits(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.config(0, "k1")
+		f.form = strings.Replace(configForm, `"priority":1,"prepaid"`, `"prepaid"`, 1) // routes' own priorities
+		f.config(0, "k1")
+		engines := f.engines(1, 2, true)
+		f.routers(3)
+		for _, e := range engines {
+			e.SetLimit("3")
+		}
+		f.load(3, 40, 4*time.Second, prompt) // until they are known
+		var wg sync.WaitGroup
+		var urgent, other outcomes
+		wg.Go(func() { urgent = f.load(3, 6, 15*time.Second, prompt) })
+		wg.Go(func() {
+			other = f.load(3, 20, 15*time.Second, func(id string, vm int) question {
+				q := prompt("o"+id, vm)
+				q.path = "/review/x"
+				return q
+			})
+		})
+		wg.Wait()
+		served := func(o outcomes) float64 { return float64(o[200]) / float64(o[200]+o[429]) }
+		require.Greater(t, served(urgent), 0.5, "as many as the engines take were asked for")
+		require.Less(t, served(other), 0.2*served(urgent))
+	})
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,11 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_unreadable_limits_total").Inc()
 }
 
+// heldByLimits counts a choice in which limits kept a request from some upstreams.
+func (m *gatewayMetrics) heldByLimits(service string, served bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_held_by_limits_total{service=%q,served=\"%t\"}", service, served)).Inc()
+}
+
 // promptNewsDropped counts news of a prompt that found no room.
 func (m *gatewayMetrics) promptNewsDropped() {
 	m.set.GetOrCreateCounter("arbutusmill_gateway_prompt_news_dropped_total").Inc()
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -10,8 +10,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -25,6 +27,7 @@
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/prepaid"
 	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/ratelimit"
 	"github.com/arbutusmill/arbutusmill/settings"
 )
 
@@ -42,6 +45,8 @@
 	engine *prefill.Engine
 	// prompts are those that end upstreams, as routers told.
 	prompts *promptKeeper
+	// loggedLimit is the upstream's limit as it was last logged, the bits of a float64.
+	loggedLimit atomic.Uint64
 	// stopping says that a planned stop has begun.
 	stopping atomic.Bool
 }
@@ -56,6 +61,7 @@
 		link.MethodAnnounce:      link.Handle(l.announce),
 		link.MethodWithdraw:      link.Handle(l.withdraw),
 		link.MethodReadElsewhere: link.Handle(l.readElsewhere),
+		link.MethodLimit:         link.Handle(l.limitNamed),
 	})
 	l.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link, Beside: s.Upstream.Address, Relays: true,
@@ -72,6 +78,7 @@
 	}
 	l.Admin.Dump = l.dump
 	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.register.List(time.Now()))) })
+	l.Metrics.NewGauge("arbutusmill_lender_limit_per_second", func() float64 { return l.engine.State(time.Now()).Limit })
 	return l
 }
 
@@ -135,7 +142,37 @@
 
 // announce takes a prompt that a router sends to the upstream beside.
 func (l *Lender) announce(_ context.Context, in prefill.Announcement) (prefill.Told, error) {
-	return l.engine.Announce(time.Now(), in), nil
+	told := l.engine.Announce(time.Now(), in)
+	l.announced(told)
+	l.limitKnown(told.Limit)
+	return told, nil
+}
+
+// announced counts a prompt by whether it may go to the upstream.
+func (l *Lender) announced(told prefill.Told) {
+	result := "taken"
+	switch {
+	case told.Denied && told.Next > 0:
+		result = "beyond_limit"
+	case told.Denied:
+		result = "beyond_cold"
+	}
+	l.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_lender_announced_prompts_total{result=%q}", result)).Inc()
+}
+
+// limitNamed takes what an answer of the upstream beside said of the requests that it takes.
+func (l *Lender) limitNamed(_ context.Context, in link.LimitNamed) (ratelimit.Known, error) {
+	known := l.engine.LimitNamed(time.Now(), in.Born, in.Word)
+	l.limitKnown(known)
+	return known, nil
+}
+
+// limitKnown logs when what is known of the upstream's limit has changed.
+func (l *Lender) limitKnown(k ratelimit.Known) {
+	if was := l.loggedLimit.Swap(math.Float64bits(k.PerSecond)); was != math.Float64bits(k.PerSecond) {
+		l.Log.Info().Float64("was_per_second", math.Float64frombits(was)).Float64("per_second", k.PerSecond).
+			Int64("number", k.Mark.Number).Msg("upstream_limit")
+	}
 }
 
 // withdraw takes back a prompt that went elsewhere.
--- a/link/messages.go
+++ b/link/messages.go
@@ -5,6 +5,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 	"github.com/arbutusmill/arbutusmill/poison"
 	"github.com/arbutusmill/arbutusmill/prefill"
+	"github.com/arbutusmill/arbutusmill/ratelimit"
 )
 
 // Methods of routers.
@@ -37,6 +38,9 @@
 	MethodAnnounce = "upstream.announce"
 	// MethodWithdraw takes an announcement back: Withdrawal, Empty.
 	MethodWithdraw = "upstream.withdraw"
+	// MethodLimit tells what an answer of the engine said of the requests a second that it takes, and
+	// asks what is known: LimitNamed, ratelimit.Known.
+	MethodLimit = "upstream.limit"
 	// MethodReadElsewhere tells the process beside the engine that prompts with a shared part
 	// prefer that another engine reads it: prefill.Elsewhere, Empty.
 	MethodReadElsewhere = "upstream.read_elsewhere"
@@ -87,6 +91,13 @@
 	Service string        `json:"service"`
 }
 
+// LimitNamed is what an answer of an engine's life said.
+type LimitNamed struct {
+	// Born is the start of that life; see directory.Life.
+	Born int64          `json:"born,omitempty"`
+	Word ratelimit.Word `json:"word"`
+}
+
 // MethodFollow asks a relay for the store's changes: relay.Request, relay.Reply.
 const MethodFollow = "store.follow"
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -26,19 +26,29 @@
 		c := p.candidates(r, attempts)
 		choice, ok := c.choose()
 		if !ok {
+			c.logHeld(nil)
 			return serving.Target{}, false
 		}
 		// Its data centre may have been emptied while others were asked.
-		if u := c.ups[choice.Index]; p.Directory.Takes(u) {
+		if u := c.ups[choice.Index]; !p.Directory.Takes(u) {
+			continue
+		}
+		if target, ok := p.take(c, choice); ok {
 			c.tellHome(choice)
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			return p.takeLocked(p.Now(), r, c.ups, choice), true
+			c.logHeld(&target.Life)
+			return target, true
 		}
 	}
 	return serving.Target{}, false
 }
 
+// take begins an attempt at the chosen upstream; see takeLocked.
+func (p *Pool) take(c *candidates, choice placement.Choice) (serving.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.takeLocked(p.Now(), c.r, c.ups, choice, c.granted)
+}
+
 // Serves reports whether any upstream may take the request, now or soon.
 func (p *Pool) Serves(r *serving.Request) bool { return len(p.allowed(r, nil)) > 0 }
 
@@ -49,11 +59,17 @@
 	ups   []directory.Upstream
 	views []placement.Upstream
 	rates placement.Rates
+	// granted says that the process beside the chosen upstream has given leave.
+	granted bool
+	// held is what limits hold back, denied how many of those the process beside an upstream denied.
+	held   Held
+	denied int
 }
 
 func (p *Pool) candidates(r *serving.Request, attempts []serving.Attempt) *candidates {
 	ups := p.allowed(r, attempts)
-	return &candidates{pool: p, r: r, ups: ups, views: p.views(r, ups), rates: p.rates(r)}
+	views, held := p.views(r, ups)
+	return &candidates{pool: p, r: r, ups: ups, views: views, held: held, rates: p.rates(r)}
 }
 
 // allowed are the upstreams of the request's service in the regions where it may be served,
@@ -97,7 +113,7 @@
 	for range mostMoves + mostDenied + 1 {
 		u, view := c.ups[choice.Index], &c.views[choice.Index]
 		told, answered := c.pool.announce(c.r, u, choice)
-		if told.Denied || !answered && c.pool.needsLeave(c.r, u) {
+		if c.turnedAway(u, told, answered) {
 			view.Closed = true
 			next, ok := c.best()
 			if !ok {
@@ -106,6 +122,7 @@
 			choice = next
 			continue
 		}
+		c.granted = answered
 		if !answered || moves == mostMoves {
 			return choice, true
 		}
@@ -122,6 +139,46 @@
 	return placement.Choice{}, false
 }
 
+// turnedAway reports whether an upstream must not get the prompt by what the process beside it
+// told, or since it did not answer.
+func (c *candidates) turnedAway(u directory.Upstream, told prefill.Told, answered bool) bool {
+	if !answered {
+		return c.pool.needsLeave(c.r, u) || c.pool.unreachedLimit(c.r, u)
+	}
+	c.pool.adoptLimit(u.Life, told.Limit)
+	if told.Denied && told.Next > 0 {
+		c.pool.denied(u.Life, c.r.Rank, told.Next)
+		c.held.add(told.Next)
+		c.deniedByLimit()
+	}
+	return told.Denied
+}
+
+// deniedByLimit leaves all upstreams that name a limit alone after a few have denied the prompt for
+// theirs, if there are others.
+func (c *candidates) deniedByLimit() {
+	if c.denied++; c.denied < mostLimitsAsked {
+		return
+	}
+	limited := make([]bool, len(c.ups))
+	others := false
+	for i, u := range c.ups {
+		limited[i] = c.pool.limitKnown(u.Life).PerSecond > 0
+		others = others || !limited[i] && !c.views[i].Closed && !c.views[i].Avoid
+	}
+	for i := range c.views {
+		c.views[i].Closed = c.views[i].Closed || others && limited[i]
+	}
+}
+
+// logHeld tells of a choice that limits had a part in.
+func (c *candidates) logHeld(chosen *directory.Life) {
+	if c.held.Held > 0 {
+		c.held.Chosen = chosen
+		c.pool.Limits.Held(c.r, c.held)
+	}
+}
+
 // learn takes in which other engine keeps more of the prompt.
 func (c *candidates) learn(told prefill.Told) {
 	if told.ElsewhereTokens == 0 {
@@ -162,7 +219,8 @@
 
 func (p *Pool) announcement(r *serving.Request, u directory.Upstream, c placement.Choice) prefill.Announcement {
 	a := prefill.Announcement{Prompt: r.Prompt, Parts: r.Parts, Fetched: c.Fetched,
-		Most: p.Cold.Most(r.Service.Cold.PerSecond), Cold: p.cold(p.Now(), r, u)}
+		Most: p.Cold.Most(r.Service.Cold.PerSecond), Cold: p.cold(p.Now(), r, u),
+		Rank: r.Rank, Limit: p.limitKnown(u.Life)}
 	if rate, known := p.readingOf(r.Service.Name).perMs(p.PrefillPerMs); known {
 		a.PerMs = rate
 	}
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -1,30 +1,179 @@
 package pool
 
-import "github.com/arbutusmill/arbutusmill/directory"
+import (
+	"time"
 
-// LimitReporter hears of the limits that upstreams name. It must not block.
-type LimitReporter interface {
-	// LimitChanged is called when an upstream names another limit than before, in requests a second;
-	// 0 is none.
-	LimitChanged(life directory.Life, was, now float64)
-	// LimitUnreadable is called for each limit that cannot be read. What was named before holds.
-	LimitUnreadable(life directory.Life, err error)
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
+	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/ratelimit"
+	"github.com/arbutusmill/arbutusmill/serving"
+)
+
+// Limits is what a Pool needs to hold upstreams to the limits that they name. Its methods must not
+// block.
+type Limits interface {
+	// Share is the part of an upstream's limit that is this router's, where nobody counts for all.
+	Share(upstream string, perSecond float64) float64
+	// Tell tells the process beside the upstream at an address what an answer of its life that started
+	// at born said. known is called with what that process knows, if it answers.
+	Tell(address string, born int64, w ratelimit.Word, known func(ratelimit.Known))
+	// Changed is called when what is known of a limit has changed, in requests a second; 0 is none.
+	// from says who told.
+	Changed(life directory.Life, was, now float64, from LimitSource)
+	// Unreadable is called for each limit that cannot be read. What was named before holds.
+	Unreadable(life directory.Life, err error)
+	// Held is called for each choice in which limits kept the request from some upstreams.
+	Held(r *serving.Request, h Held)
+}
+
+// LimitSource is who told of a limit.
+type LimitSource string
+
+// The sources.
+const (
+	FromAnswer LimitSource = "answer"
+	FromBeside LimitSource = "beside"
+)
+
+// Held is a choice that limits had a part in.
+type Held struct {
+	// Held is how many of the upstreams that might have served the request had no room.
+	Held, Of int
+	// Chosen is the one that it goes to; nil if there is none.
+	Chosen *directory.Life
+	// Next is in how long one of them may have room; 0 if that is not known.
+	Next time.Duration
+}
+
+// add counts one more upstream, which may have room in that time; 0 is not known.
+func (h *Held) add(next time.Duration) {
+	h.Held++
+	if next > 0 && (h.Next == 0 || next < h.Next) {
+		h.Next = next
+	}
 }
 
-// limitNamed notes the limit that an answer names.
-func (p *Pool) limitNamed(life directory.Life, perSecond float64, err error) {
+// leastRetryAfter is about the time of a caller's way back and here again.
+const leastRetryAfter = 50 * time.Millisecond
+
+// mostLimitsAsked bounds the processes beside upstreams that may deny one prompt for a limit while
+// others name none: each is a message that the caller waits for.
+const mostLimitsAsked = 2
+
+// limitNamed notes the limit that an answer of an upstream names.
+func (p *Pool) limitNamed(r *run, perSecond float64, err error) {
 	if err != nil {
-		if p.Limits != nil {
-			p.Limits.LimitUnreadable(life, err)
-		}
+		p.Limits.Unreadable(r.upstream, err)
 		return
 	}
+	word := ratelimit.Word{PerSecond: perSecond, Under: r.under}
+	p.mu.Lock()
+	s := p.stateLocked(r.upstream)
+	was := s.gate.Known().PerSecond
+	changed := s.gate.HearOwn(p.Now(), word)
+	p.mu.Unlock()
+	if !changed {
+		return
+	}
+	p.Limits.Changed(r.upstream, was, perSecond, FromAnswer)
+	p.Limits.Tell(r.address, r.upstream.Born, word, func(k ratelimit.Known) { p.adoptLimit(r.upstream, k) })
+}
+
+// adoptLimit takes what the process beside an upstream knows of its limit.
+func (p *Pool) adoptLimit(life directory.Life, k ratelimit.Known) {
+	if k.Mark.Source == 0 {
+		return // it tells of no limits
+	}
 	p.mu.Lock()
 	s := p.stateLocked(life)
-	was := s.limit
-	s.limit = perSecond
+	was := s.gate.Known().PerSecond
+	changed := s.gate.Adopt(p.Now(), k)
 	p.mu.Unlock()
-	if was != perSecond && p.Limits != nil {
-		p.Limits.LimitChanged(life, was, perSecond)
+	if changed {
+		p.Limits.Changed(life, was, k.PerSecond, FromBeside)
+	}
+}
+
+// limitKnown is what is known of an upstream's limit.
+func (p *Pool) limitKnown(life directory.Life) ratelimit.Known {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stateLocked(life).gate.Known()
+}
+
+// denial is the last word of the process beside an upstream that its limit had no room: for requests
+// of that rank and less urgent ones it need not be asked again until then.
+type denial struct {
+	rank  int
+	until time.Time
+}
+
+// left is for how long the denial holds for requests of a rank.
+func (d denial) left(now time.Time, rank int) time.Duration {
+	if rank < d.rank {
+		return 0
+	}
+	return d.until.Sub(now)
+}
+
+// denied notes a denial.
+func (p *Pool) denied(life directory.Life, rank int, next time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stateLocked(life).denial = denial{rank: rank, until: p.Now().Add(next)}
+}
+
+// limitShareLocked is the part of an upstream's limit that this router may use without leave.
+func (p *Pool) limitShareLocked(r *serving.Request, u directory.Upstream, s *state) float64 {
+	share := p.Limits.Share(u.Life.String(), s.gate.Known().PerSecond)
+	if p.asksLeave(r, u) {
+		share *= ratelimit.UnreachedShare
+	}
+	return share
+}
+
+// limitedLocked reports whether an upstream's limit has no room for a request, and in how long it may.
+func (p *Pool) limitedLocked(now time.Time, r *serving.Request, u directory.Upstream, s *state) (limited bool, next time.Duration) {
+	if !s.gate.Limited() {
+		return false, 0
+	}
+	if p.asksLeave(r, u) {
+		next = s.denial.left(now, r.Rank)
+		return next > 0, next
+	}
+	share := p.limitShareLocked(r, u, s)
+	if s.gate.Room(now, share, r.Rank) {
+		return false, 0
+	}
+	return true, s.gate.Next(now, share, r.Rank)
+}
+
+// unreachedLimit reports whether a request may not go to an upstream whose limit is counted by a
+// process that does not answer.
+func (p *Pool) unreachedLimit(r *serving.Request, u directory.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateLocked(u.Life)
+	return s.gate.Limited() && !s.gate.Room(p.Now(), p.limitShareLocked(r, u, s), r.Rank)
+}
+
+// takeLimitLocked counts a request that goes to an upstream without leave, and reports whether it
+// may: others may have taken the room since the choice was made.
+func (p *Pool) takeLimitLocked(now time.Time, r *serving.Request, u directory.Upstream, s *state) bool {
+	return !s.gate.Limited() || s.gate.Take(now, p.limitShareLocked(r, u, s), r.Rank)
+}
+
+// Limited implements serving.Upstreams: the refusal of a request which upstreams would serve but for
+// the limits that they name.
+func (p *Pool) Limited(r *serving.Request, attempts []serving.Attempt) *contract.Refusal {
+	_, held := p.views(r, p.allowed(r, attempts))
+	if held.Held == 0 {
+		return nil
+	}
+	refusal := contract.Refuse(contract.UpstreamLimit, "the upstreams of %s take no more requests now: %d of %d say so", r.Service.Name, held.Held, held.Of)
+	if held.Next > 0 {
+		refusal = refusal.After(max(leastRetryAfter, held.Next+backoff.Jitter(held.Next)/2))
 	}
+	return refusal
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -13,6 +13,7 @@
 	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/placement"
 	"github.com/arbutusmill/arbutusmill/prefill"
+	"github.com/arbutusmill/arbutusmill/ratelimit"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/warmup"
 )
@@ -62,8 +63,8 @@
 	// any more, and what decided it: how long streams of its service are held up, as a share
 	// of their goal, and how many times as long as others it takes. It must not block.
 	Exposed func(life directory.Life, exposed bool, heldUp, slowness float64)
-	// Limits, if set, hears of the limits that upstreams name.
-	Limits LimitReporter
+	// Limits shares and tells the limits that upstreams name.
+	Limits Limits
 	// Region returns the region of a data centre, "" if it is not known.
 	Region func(datacentre string) string
 	// Cold bounds what cold upstreams are sent.
@@ -105,25 +106,32 @@
 	exposed  bool
 	// sent are the requests without leave while it is cold.
 	sent warmup.Window
-	// limit is the requests a second that it takes from all routers together; 0 if it names none.
-	limit float64
+	// gate holds what goes there without leave to this router's share of the limit that it names.
+	gate ratelimit.Gate
+	// denial is the last one of the process beside it for that limit.
+	denial denial
 }
 
 // shareOfTime is the part of the time left that one attempt gets when the request may
 // be tried at another upstream after it.
 const shareOfTime = 0.5
 
-// views is what is known of the upstreams.
-func (p *Pool) views(r *serving.Request, ups []directory.Upstream) []placement.Upstream {
+// views is what is known of the upstreams, and what their limits hold back.
+func (p *Pool) views(r *serving.Request, ups []directory.Upstream) ([]placement.Upstream, Held) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
 	views := make([]placement.Upstream, len(ups))
+	held := Held{Of: len(ups)}
 	for i, u := range ups {
 		views[i] = p.viewLocked(now, r, u)
+		if limited, next := p.limitedLocked(now, r, u, p.stateLocked(u.Life)); limited {
+			views[i].Closed = true
+			held.add(next)
+		}
 	}
 	p.addSpeedLocked(r.Service.Name, views)
-	return views
+	return views, held
 }
 
 // addSpeedLocked adds what is known of how fast the upstreams of a service are.
@@ -214,9 +222,14 @@
 	return s
 }
 
-func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice) serving.Target {
+// takeLocked begins an attempt at the chosen upstream. granted says that the process beside it has
+// given leave. It reports false if there is no room any more within the upstream's limit.
+func (p *Pool) takeLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice, granted bool) (serving.Target, bool) {
 	u := ups[c.Index]
 	s := p.stateLocked(u.Life)
+	if !granted && !p.takeLimitLocked(now, r, u, s) {
+		return serving.Target{}, false
+	}
 	if p.cold(now, r, u) && !p.asksLeave(r, u) {
 		s.sent.Count(now)
 	}
@@ -232,10 +245,10 @@
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
 	}
-	one := &run{pool: p, upstream: u.Life, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name),
+	one := &run{pool: p, upstream: u.Life, address: u.Address, under: s.gate.Known().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name),
 		reading: p.readingOf(r.Service.Name), sent: now}
 	t.Event, t.Limit, t.Done = one.event, one.limit, one.done
-	return t
+	return t, true
 }
 
 // read notes that a request's prompt was read: its first event came, or it ended.
@@ -331,6 +344,8 @@
 	FailureShare float64 `json:"failure_share"`
 	Slowness     float64 `json:"slowness"`
 	Exposed      bool    `json:"left_to_short_prompts"`
+	// Limit is the requests a second that it takes from all routers together, 0 if it names none.
+	Limit float64 `json:"limit_per_second,omitempty"`
 }
 
 // States lists what is known of all upstreams.
@@ -342,7 +357,7 @@
 	for life, s := range p.states {
 		out = append(out, State{Upstream: life.String(), Running: s.running, Unread: s.unread,
 			Cached: s.cache.Tokens(), Fails: s.fails, FailureShare: s.failureShare(now),
-			Slowness: s.slowness, Exposed: s.exposed})
+			Slowness: s.slowness, Exposed: s.exposed, Limit: s.gate.Known().PerSecond})
 	}
 	return out
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -141,7 +141,8 @@
 	life := directory.Life{ID: id, Born: 2}
 	view := func() placement.Upstream {
 		ups := p.allowed(r, []serving.Attempt{{Upstream: before.Life}})
-		for _, v := range p.views(r, ups) {
+		views, _ := p.views(r, ups)
+		for _, v := range views {
 			if v.Life == life {
 				return v
 			}
--- a/pool/run.go
+++ b/pool/run.go
@@ -5,6 +5,7 @@
 
 	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/placement"
+	"github.com/arbutusmill/arbutusmill/ratelimit"
 	"github.com/arbutusmill/arbutusmill/serving"
 )
 
@@ -12,7 +13,10 @@
 type run struct {
 	pool     *Pool
 	upstream directory.Life
-	choice   placement.Choice
+	address  string
+	// under is what was known of the upstream's limit when the request was let go.
+	under  ratelimit.Mark
+	choice placement.Choice
 	// goal is that of the route for pauses; slowness is the engine's at the choice.
 	goal     time.Duration
 	slowness float64
@@ -28,7 +32,7 @@
 }
 
 // limit implements serving.Target's Limit.
-func (r *run) limit(perSecond float64, err error) { r.pool.limitNamed(r.upstream, perSecond, err) }
+func (r *run) limit(perSecond float64, err error) { r.pool.limitNamed(r, perSecond, err) }
 
 // event implements serving.Target's Event.
 func (r *run) event(now time.Time) {
--- a/pool/speed_test.go
+++ b/pool/speed_test.go
@@ -41,7 +41,8 @@
 	}
 	stream(t, p, &now, "a", 13, held(20*time.Millisecond))
 	stream(t, p, &now, "b", 13, held(26*time.Millisecond))
-	for _, v := range p.views(plain(now), p.Directory.Of("s")) {
+	views, _ := p.views(plain(now), p.Directory.Of("s"))
+	for _, v := range views {
 		require.Positive(t, v.EventTime)
 	}
 	require.InDelta(t, 1, p.states[directory.Life{ID: "a"}].slowness, 0.01)
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/ratelimit"
 	"github.com/arbutusmill/arbutusmill/warmup"
 )
 
@@ -22,6 +23,10 @@
 	// PerMs is the tokens that the engine reads in a millisecond, as the router has learned; 0
 	// says nothing.
 	PerMs float64 `json:"per_ms,omitempty"`
+	// Rank is the request's priority, 0 for the most urgent.
+	Rank int `json:"rank,omitempty"`
+	// Limit is what the router knows of the requests a second that the engine takes.
+	Limit ratelimit.Known `json:"limit,omitzero"`
 }
 
 // Told is what is known at an engine of a prompt that is announced.
@@ -36,8 +41,12 @@
 	// directory.Life.
 	Born int64 `json:"born,omitempty"`
 	// Denied says that the prompt must not be sent: the engine has got as many in the last
-	// second as it bears.
+	// second as it bears when cold, or as many as it says that it takes.
 	Denied bool `json:"denied,omitempty"`
+	// Limit is what is known of the requests a second that the engine takes, and Next in how long one
+	// more may go, if that is why the prompt was denied.
+	Limit ratelimit.Known `json:"limit,omitzero"`
+	Next  time.Duration   `json:"next_ns,omitempty"`
 	// Elsewhere is another engine that keeps more of the prompt's leading tokens, as far as is
 	// known beside this one, and ElsewhereTokens how many; 0 is none.
 	Elsewhere       directory.Life `json:"elsewhere,omitzero"`
@@ -60,11 +69,13 @@
 	began  time.Time
 	// cold is when a router last took the engine for cold.
 	cold time.Time
+	// gate holds all routers' prompts together to the rate that the engine names.
+	gate ratelimit.Gate
 }
 
 // NewEngine makes the model of an engine that has read nothing.
 func NewEngine(now time.Time, perMs float64) *Engine {
-	return &Engine{queue: Queue{PerMs: perMs}, began: now}
+	return &Engine{queue: Queue{PerMs: perMs}, began: now, gate: ratelimit.NewGate()}
 }
 
 // SetRoom says how many tokens of cached parts the engine's memory has room for.
@@ -80,6 +91,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.born = born
+	e.gate = ratelimit.NewGate()
 	e.queue.Clear()
 	e.cache = Cache{}
 	e.cache.Add(cached, e.room)
@@ -98,11 +110,13 @@
 // Announce notes a prompt, and tells what was known before.
 func (e *Engine) Announce(now time.Time, a Announcement) Told {
 	e.mu.Lock()
-	if !e.leaveLocked(now, a) {
+	e.gate.Believed(now, a.Limit)
+	told := Told{Born: e.born, Limit: e.gate.Known()}
+	if told.Denied, told.Next = e.deniesLocked(now, a); told.Denied {
 		defer e.mu.Unlock()
-		return Told{Denied: true, Born: e.born}
+		return told
 	}
-	told := Told{Cached: e.cache.Match(a.Parts), Born: e.born}
+	told.Cached = e.cache.Match(a.Parts)
 	if by, tokens := e.places.find(now, a.Parts); tokens > told.Cached {
 		told.Elsewhere, told.ElsewhereTokens = by, tokens
 	}
@@ -126,6 +140,33 @@
 // Others hear of it up to a second later.
 const coldHeardFor = time.Second
 
+// deniesLocked counts a prompt that the engine takes, and reports whether it does not, and in how long
+// one more may go if that is known.
+func (e *Engine) deniesLocked(now time.Time, a Announcement) (denied bool, next time.Duration) {
+	if !e.gate.Take(now, wholeLimit, a.Rank) {
+		return true, e.gate.Next(now, wholeLimit, a.Rank)
+	}
+	if !e.leaveLocked(now, a) {
+		e.gate.Return(wholeLimit)
+		return true, 0
+	}
+	return false, 0
+}
+
+// wholeLimit is the share of an engine's limit that is given out beside it.
+const wholeLimit = 1
+
+// LimitNamed takes what an answer of the engine's life that started at born said of the requests
+// a second that it takes, and returns what is known.
+func (e *Engine) LimitNamed(now time.Time, born int64, w ratelimit.Word) ratelimit.Known {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if born == e.born {
+		e.gate.Hear(now, w)
+	}
+	return e.gate.Known()
+}
+
 // leaveLocked counts a prompt, and reports whether the engine bears it. One that is warm bears
 // all; to hold it to what it would bear cold, in case that it has become so unnoticed, cost
 // 2 in 100 of what a day of cold returns at twice the usual load is worth (five seeds).
@@ -157,6 +198,7 @@
 	if told.Born != e.born {
 		return
 	}
+	e.gate.Return(wholeLimit)
 	e.queue.Add(now, -told.Unread)
 	e.cache.Forget(beyond(a.Parts, told.Cached))
 }
@@ -178,11 +220,13 @@
 	Cached  int64 `json:"cached"`
 	Room    int64 `json:"room"`
 	Born    int64 `json:"born_unix_ms,omitempty"`
+	// Limit is the requests a second that it takes, 0 if it names none.
+	Limit float64 `json:"limit_per_second,omitempty"`
 }
 
 // State returns what is known now.
 func (e *Engine) State(now time.Time) State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return State{Backlog: e.queue.Add(now, 0), Cached: e.cache.Tokens(), Room: e.room, Born: e.born}
+	return State{Backlog: e.queue.Add(now, 0), Cached: e.cache.Tokens(), Room: e.room, Born: e.born, Limit: e.gate.Known().PerSecond}
 }
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -93,6 +93,9 @@
 	return r == serving.Whole || r == serving.Declined || r == serving.Refused
 }
 
+// Limited implements serving.Upstreams. Agents name no limits.
+func (a *agents) Limited(*serving.Request, []serving.Attempt) *contract.Refusal { return nil }
+
 // Send implements serving.Upstreams.
 func (a *agents) Send(ctx context.Context, _ *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
 	a.last = a.byID[t.Life.ID]
--- a/serving/path.go
+++ b/serving/path.go
@@ -13,6 +13,9 @@
 type Upstreams interface {
 	// Pick chooses an upstream that was not tried, or none.
 	Pick(r *Request, attempts []Attempt) (Target, bool)
+	// Limited is the refusal of a request for which Pick found none, if upstreams would have served it
+	// but for the requests a second that they take; nil otherwise.
+	Limited(r *Request, attempts []Attempt) *contract.Refusal
 	// Send sends the request and passes the answer on. It returns when the answer
 	// has ended, one way or another, and never sends a second time.
 	Send(ctx context.Context, r *Request, t Target, out Caller) Attempt
@@ -159,7 +162,13 @@
 			return proven
 		}
 	}
-	return refusal(r, attempts, p.Now())
+	named := refusal(r, attempts, p.Now())
+	if named.Kind == contract.NoUpstream {
+		if limited := p.Upstreams.Limited(r, attempts); limited != nil {
+			return limited
+		}
+	}
+	return named
 }
 
 // end passes on the best of what there is.
