A limit that cannot be read gets one line for each text; upstreams name limits in the soak

An upstream whose every answer names such a limit wrote a line for each of them. The counter still counts all.

--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -41,8 +41,11 @@
 }
 
 // Unreadable implements pool.Limits.
-func (l limits) Unreadable(life directory.Life, err error) {
+func (l limits) Unreadable(life directory.Life, err error, again bool) {
 	l.g.metrics.limitUnreadable()
+	if again {
+		return // one line for each text
+	}
 	l.g.Log.Warn().Stringer("upstream", life).Err(err).Msg("upstream_limit_unreadable")
 }
 
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -268,6 +268,7 @@
 				f.load(3, 40, 8*time.Second, prompt)
 				requireWithinLimit(t, engines[0], 1)
 				require.Contains(t, f.log.String(), `"event":"upstream_limit_unreadable"`)
+				require.LessOrEqual(t, strings.Count(f.log.String(), "upstream_limit_unreadable"), 3, "a line for each router")
 			})
 		})
 	}
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -21,8 +21,9 @@
 	// Changed is called when what is known of a limit has changed, in requests a second; 0 is none.
 	// from says who told.
 	Changed(life directory.Life, was, now float64, from LimitSource)
-	// Unreadable is called for each limit that cannot be read. What was named before holds.
-	Unreadable(life directory.Life, err error)
+	// Unreadable is called for each limit that cannot be read; again says that the last one was the
+	// same. What was named before holds.
+	Unreadable(life directory.Life, err error, again bool)
 	// Held is called for each choice in which limits kept the request from some upstreams.
 	Held(r *serving.Request, h Held)
 }
@@ -64,12 +65,13 @@
 // limitNamed notes the limit that an answer of an upstream names.
 func (p *Pool) limitNamed(r *run, perSecond float64, err error) {
 	if err != nil {
-		p.Limits.Unreadable(r.upstream, err)
+		p.Limits.Unreadable(r.upstream, err, p.sameLimitError(r.upstream, err.Error()))
 		return
 	}
 	word := ratelimit.Word{PerSecond: perSecond, Under: r.under}
 	p.mu.Lock()
 	s := p.stateLocked(r.upstream)
+	s.limitError = ""
 	was := s.gate.Known().PerSecond
 	changed := s.gate.HearOwn(p.Now(), word)
 	p.mu.Unlock()
@@ -80,6 +82,17 @@
 	p.Limits.Tell(r.address, r.upstream.Born, word, func(k ratelimit.Known) { p.adoptLimit(r.upstream, k) })
 }
 
+// sameLimitError notes why a limit cannot be read, and reports whether the last one could not for the
+// same reason.
+func (p *Pool) sameLimitError(life directory.Life, text string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateLocked(life)
+	same := s.limitError == text
+	s.limitError = text
+	return same
+}
+
 // adoptLimit takes what the process beside an upstream knows of its limit.
 func (p *Pool) adoptLimit(life directory.Life, k ratelimit.Known) {
 	if k.Mark.Source == 0 {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -108,6 +108,8 @@
 	sent warmup.Window
 	// gate holds what goes there without leave to this router's share of the limit that it names.
 	gate ratelimit.Gate
+	// limitError is why the last limit that it named cannot be read; "" if it can.
+	limitError string
 	// denial is the last one of the process beside it for that limit.
 	denial denial
 }
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -93,7 +93,7 @@
 // ask sends one request and notes its outcome.
 func (c *crowd) ask(client *http.Client, router *process, route, team, id string) outcome {
 	o := outcome{id: id, route: route, team: team, router: router.name, began: time.Now()}
-	c.w.note(&c.w.asked, arrival{serviceOf(route), id, o.began})
+	c.w.note(&c.w.asked, arrival{service: serviceOf(route), id: id, at: o.began})
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline+time.Second)
 	defer cancel()
 	req, err := request(ctx, router, route, team, id)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,7 +42,7 @@
 // paused and reloaded; their ways to
 // the store and to upstreams are reset, silenced in both directions or one, and delayed; upstreams
 // fail, lose answers, hang and leave; the store falls silent and loses its history; the
-// configuration changes. What callers and upstreams see keeps the promises.
+// configuration changes; upstreams name limits. What callers and upstreams see keeps the promises.
 func TestSoak(t *testing.T) {
 	for _, seed := range regressions {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soak(t, seed) })
@@ -75,7 +75,7 @@
 	go func() { c.run(ctx); close(done) }()
 	time.Sleep(calmBefore)
 	faults, planned := w.plan(seed)
-	play(faults, t.Logf)
+	play(append(faults, w.planLimits(seed)...), t.Logf)
 	w.waitServing()
 	time.Sleep(calmAfter)
 	stop()
@@ -140,6 +140,7 @@
 	}
 	w.t.Logf("%d requests by status: %v, %d without a whole answer", len(c.outcomes), byStatus, cut)
 	w.checkSpend(c)
+	w.checkLimits()
 	for _, service := range []string{"model", "plain"} {
 		w.checkRepeats(service)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -38,6 +38,8 @@
 type arrival struct {
 	service, id string
 	at          time.Time
+	// upstream is where it came; "" for a caller's.
+	upstream string
 }
 
 // world is a fleet of processes and all that surrounds them.
@@ -61,6 +63,9 @@
 	*standin.Upstream
 	service string
 	proxy   *proxy
+	// limit is the requests a second that it named, until limitEnded; 0 is none.
+	limit      float64
+	limitEnded time.Time
 }
 
 func newWorld(t *testing.T, dir string) *world {
@@ -97,7 +102,7 @@
 	u := &upstream{Upstream: &standin.Upstream{ID: id, Events: events, Pause: pause}, service: service}
 	address := w.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if id := r.Header.Get(standin.HeaderID); id != "" {
-			w.note(&w.arrivals, arrival{service, id, time.Now()})
+			w.note(&w.arrivals, arrival{service: service, id: id, at: time.Now(), upstream: u.ID})
 		}
 		u.ServeHTTP(rw, r)
 	}))
