A choice looks each upstream up once

Whether limits hold an upstream back took a third look-up of each upstream for each choice. One for all now.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -123,31 +123,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Now()
-	views := make([]placement.Upstream, len(ups))
+	views, states := make([]placement.Upstream, len(ups)), make([]*state, len(ups))
 	held := Held{Of: len(ups)}
 	for i, u := range ups {
-		views[i] = p.viewLocked(now, r, u)
-		if limited, next := p.limitedLocked(now, r, u, p.stateLocked(u.Life)); limited {
+		states[i] = p.stateLocked(u.Life)
+		views[i] = p.viewLocked(now, r, u, states[i])
+		if limited, next := p.limitedLocked(now, r, u, states[i]); limited {
 			views[i].Closed = true
 			held.add(next)
 		}
 	}
-	p.addSpeedLocked(r.Service.Name, views)
+	p.addSpeedLocked(r.Service.Name, views, states)
 	return views, held
 }
 
 // addSpeedLocked adds what is known of how fast the upstreams of a service are.
-func (p *Pool) addSpeedLocked(service string, views []placement.Upstream) {
+func (p *Pool) addSpeedLocked(service string, views []placement.Upstream, states []*state) {
 	paces := make([]time.Duration, len(views))
 	eventTimes := make([]time.Duration, len(views))
-	for i, v := range views {
-		s := p.stateLocked(v.Life)
+	for i, s := range states {
 		paces[i], eventTimes[i] = s.pace, s.eventTime
 	}
 	usual, usualEvent := usualPace(slices.Clone(paces)), usualPace(slices.Clone(eventTimes))
 	held := p.pausesOf(service).share()
-	for i := range views {
-		s := p.stateLocked(views[i].Life)
+	for i, s := range states {
 		s.slowness = slowness(paces[i], usual)
 		p.judgeLocked(views[i].Life, s, held)
 		views[i].Exposed = s.exposed
@@ -197,8 +196,7 @@
 	return rates
 }
 
-func (p *Pool) viewLocked(now time.Time, r *serving.Request, u directory.Upstream) placement.Upstream {
-	s := p.stateLocked(u.Life)
+func (p *Pool) viewLocked(now time.Time, r *serving.Request, u directory.Upstream, s *state) placement.Upstream {
 	return placement.Upstream{
 		Life:         u.Life,
 		Datacentre:   u.Datacentre,
