Sends of a prompt that is proven to end upstreams are called back

What callers saw: where several routers had such a prompt under way, up to five engines ended instead of three, with all that ran there: those at which the prompt waited, or was being read, ended when they came to it.

Cause: the word that a prompt ends upstreams stopped new sends only.

Change: a router knows its sends whose answers have not begun, by prompt. When the third end of a prompt is known there they are ended, which closes their connections, and their callers hear at once that the prompt ends upstreams (422). One whose answer has begun is left alone: a prompt that is answered is not to blame. Requests without parts are not called back.

TestPromptThatIsAnsweredIsNotCalledBack holds before and after.

--- a/gateway/callback_test.go
+++ b/gateway/callback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -27,6 +28,7 @@
 		e.Upstream.ServeHTTP(w, r)
 		return
 	}
+	_, _ = io.Copy(io.Discard, r.Body) // a server sees its caller leave only after that
 	e.came.Store(true)
 	begins := time.NewTimer(e.begins)
 	defer begins.Stop()
--- a/gateway/promptkeepers.go
+++ b/gateway/promptkeepers.go
@@ -166,6 +166,6 @@
 	if len(p.register.Known(now, e.Prompt).Ends) == 0 {
 		return
 	}
-	all, news := p.register.Add(now, e)
+	all, news := p.add(e)
 	p.decided(all, news)
 }
--- a/gateway/promptnews.go
+++ b/gateway/promptnews.go
@@ -91,7 +91,7 @@
 
 // takeEnded takes an end as the router that decides for the prompt.
 func (p *promptGuard) takeEnded(_ context.Context, e poison.Evidence) (poison.Evidence, error) {
-	all, news := p.register.Add(time.Now(), e)
+	all, news := p.add(e)
 	p.decided(all, news)
 	return all, nil
 }
@@ -105,7 +105,7 @@
 
 // takeKnown takes what another router knows of a prompt.
 func (p *promptGuard) takeKnown(_ context.Context, e poison.Evidence) (link.Empty, error) {
-	if all, news := p.register.Add(time.Now(), e); news {
+	if all, news := p.add(e); news {
 		p.log.Info().Str("prompt", string(e.Prompt)).Str("standing", all.Standing().String()).
 			Str("evidence", describe(all)).Msg("prompt_known")
 	}
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -38,6 +38,7 @@
 type promptGuard struct {
 	vm       string
 	register poison.Register
+	sends    sends
 	members  *member.Group
 	links    *link.Pool
 	dial     dialer
@@ -138,7 +139,7 @@
 	if reply.Allowed {
 		return nil
 	}
-	p.register.Add(time.Now(), reply.Known)
+	p.add(reply.Known)
 	if counts := reply.Known.For(r.Service.Name); counts.Standing() == poison.Proven {
 		return provenRefusal(counts)
 	}
@@ -208,7 +209,7 @@
 		return
 	}
 	end := poison.End{Upstream: b.attempt.Upstream.String(), Service: b.request.Service.Name}
-	mine, news := p.register.Add(time.Now(), poison.Evidence{Prompt: prompt, Ends: []poison.End{end}})
+	mine, news := p.add(poison.Evidence{Prompt: prompt, Ends: []poison.End{end}})
 	decideHere := func(context.Context, poison.Evidence) (poison.Evidence, error) {
 		p.decided(mine, news)
 		return mine, nil
@@ -219,7 +220,7 @@
 		p.decided(mine, news)
 		return
 	}
-	p.register.Add(time.Now(), all)
+	p.add(all)
 }
 
 // decided follows evidence that this router took as the one that decides for the prompt.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -136,6 +136,9 @@
 
 // noAnswer is a send without a valid answer.
 func (x *exchange) noAnswer(connected bool, err error) serving.Attempt {
+	if errors.Is(context.Cause(x.caller), serving.ErrCalledBack) {
+		return x.calledBack(connected)
+	}
 	switch cause := x.caller.Err(); {
 	case !connected && errors.Is(cause, context.Canceled):
 		a := x.attempt(serving.CallerGone, "before it was sent")
@@ -155,6 +158,17 @@
 	return a
 }
 
+// calledBack is a send that was ended before its answer began.
+func (x *exchange) calledBack(connected bool) serving.Attempt {
+	result := serving.Unknown
+	if !connected {
+		result = serving.Unreached
+	}
+	a := x.attempt(result, "called back")
+	a.CalledBack = true
+	return a
+}
+
 // brk describes the break of the connection.
 func (x *exchange) brk() *serving.Break {
 	b := &serving.Break{Address: x.target.Address, Events: x.events}
--- a/serving/path.go
+++ b/serving/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -85,8 +86,15 @@
 	Broke(ctx context.Context, r *Request, attempts []Attempt)
 	// Answered is told that a request was answered.
 	Answered(r *Request)
+	// Sending is told of each send. The context that it returns ends with ErrCalledBack as its cause if
+	// the request's prompt is found to end upstreams, unless began was called before, with the first
+	// piece of the answer. done is called when the send has ended.
+	Sending(ctx context.Context, r *Request) (sending context.Context, began, done func())
 }
 
+// ErrCalledBack is why a send ended: its prompt was found to end upstreams.
+var ErrCalledBack = errors.New("the prompt was found to end upstreams")
+
 // Path is the path of requests.
 type Path struct {
 	Upstreams Upstreams
@@ -125,7 +133,7 @@
 		if !ok {
 			return p.end(r, attempts, out)
 		}
-		attempts = append(attempts, target.Done(p.Upstreams.Send(ctx, r, target, out)))
+		attempts = append(attempts, target.Done(p.send(ctx, r, target, out)))
 		p.learn(ctx, r, attempts)
 		v := decide(r, attempts, p.Now())
 		if !v.again || p.poisoned(ctx, r) != nil || v.counted && !p.Repeats.Allow(r) {
@@ -134,6 +142,21 @@
 	}
 }
 
+// send sends the request once, so that it can be called back until its answer begins.
+func (p *Path) send(ctx context.Context, r *Request, t Target, out Caller) Attempt {
+	if p.Poison == nil || out.Began() {
+		return p.Upstreams.Send(ctx, r, t, out)
+	}
+	ctx, began, done := p.Poison.Sending(ctx, r)
+	defer done()
+	event := t.Event
+	t.Event = func(now time.Time) {
+		began()
+		event(now)
+	}
+	return p.Upstreams.Send(ctx, r, t, out)
+}
+
 // poisoned is the refusal of a prompt that must not be sent now.
 func (p *Path) poisoned(ctx context.Context, r *Request) *contract.Refusal {
 	if p.Poison == nil {
@@ -156,8 +179,8 @@
 
 // refusal names how a request without an answer ended.
 func (p *Path) refusal(r *Request, attempts []Attempt) *contract.Refusal {
-	broke := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Break != nil })
-	if broke && p.Poison != nil {
+	hit := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Break != nil || a.CalledBack })
+	if hit && p.Poison != nil {
 		if proven := p.Poison.Proven(r); proven != nil {
 			return proven
 		}
