Names: limiter instead of gate, recalled instead of called back

The field's words; a callback is something else to a reader of code. The log event is prompt_recalled, the counter arbutusmill_gateway_recalled_sends_total. Nothing else changes.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -58,9 +58,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_held_by_limits_total{service=%q,served=\"%t\"}", service, served)).Inc()
 }
 
-// calledBack counts a send that was ended since its prompt was found to end upstreams.
-func (m *gatewayMetrics) calledBack(service string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_called_back_sends_total{service=%q}", service)).Inc()
+// recalled counts a send that was ended since its prompt was found to end upstreams.
+func (m *gatewayMetrics) recalled(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_recalled_sends_total{service=%q}", service)).Inc()
 }
 
 // promptNewsDropped counts news of a prompt that found no room.
--- a/gateway/callback.go
+++ b/gateway/recall.go
@@ -60,7 +60,7 @@
 	return out
 }
 
-// Sending implements serving.Poison. Requests without parts are not called back: they are short.
+// Sending implements serving.Poison. Requests without parts are not recalled: they are short.
 func (p *promptGuard) Sending(ctx context.Context, r *serving.Request) (sending context.Context, began, done func()) {
 	if len(r.Parts) == 0 {
 		return ctx, func() {}, func() {}
@@ -75,7 +75,7 @@
 	}
 }
 
-// add takes evidence in, and calls the prompt back if it is proven now.
+// add takes evidence in, and recalls the sends of a prompt that is proven now.
 func (p *promptGuard) add(e poison.Evidence) (all poison.Evidence, news bool) {
 	all, news = p.register.Add(time.Now(), e)
 	if !news || all.Standing() < poison.Proven {
@@ -85,9 +85,9 @@
 		if all.For(one.request.Service.Name).Standing() < poison.Proven {
 			continue
 		}
-		p.metrics.calledBack(one.request.Service.Name)
-		p.log.Warn().Str("id", one.request.ID).Str("prompt", string(all.Prompt)).Str("evidence", describe(all)).Msg("prompt_called_back")
-		one.cancel(serving.ErrCalledBack)
+		p.metrics.recalled(one.request.Service.Name)
+		p.log.Warn().Str("id", one.request.ID).Str("prompt", string(all.Prompt)).Str("evidence", describe(all)).Msg("prompt_recalled")
+		one.cancel(serving.ErrRecalled)
 	}
 	return all, news
 }
--- a/gateway/callback_test.go
+++ b/gateway/recall_test.go
@@ -40,7 +40,7 @@
 }
 
 // Guards against engines that end under a prompt which waits there while three others end under it.
-func TestWaitingPromptIsCalledBack(t *testing.T) {
+func TestWaitingPromptIsRecalled(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
 		const prompts, step = 6, 800 * time.Millisecond
@@ -83,7 +83,7 @@
 
 // Guards against streams that are cut since other upstreams ended under their prompt: whoever gets an
 // answer shows that the prompt is not to blame.
-func TestPromptThatIsAnsweredIsNotCalledBack(t *testing.T) {
+func TestPromptThatIsAnsweredIsNotRecalled(t *testing.T) {
 	play(t, func(f *fleet) {
 		f.config(0, "k1")
 		slow := f.upstream("i-20", "model", 60)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -136,8 +136,8 @@
 
 // noAnswer is a send without a valid answer.
 func (x *exchange) noAnswer(connected bool, err error) serving.Attempt {
-	if errors.Is(context.Cause(x.caller), serving.ErrCalledBack) {
-		return x.calledBack(connected)
+	if errors.Is(context.Cause(x.caller), serving.ErrRecalled) {
+		return x.recalled(connected)
 	}
 	switch cause := x.caller.Err(); {
 	case !connected && errors.Is(cause, context.Canceled):
@@ -158,14 +158,14 @@
 	return a
 }
 
-// calledBack is a send that was ended before its answer began.
-func (x *exchange) calledBack(connected bool) serving.Attempt {
+// recalled is a send that was ended before its answer began.
+func (x *exchange) recalled(connected bool) serving.Attempt {
 	result := serving.Unknown
 	if !connected {
 		result = serving.Unreached
 	}
-	a := x.attempt(result, "called back")
-	a.CalledBack = true
+	a := x.attempt(result, "recalled")
+	a.Recalled = true
 	return a
 }
 
--- a/pool/limit.go
+++ b/pool/limit.go
@@ -72,8 +72,8 @@
 	p.mu.Lock()
 	s := p.stateLocked(r.upstream)
 	s.limitError = ""
-	was := s.gate.Known().PerSecond
-	changed := s.gate.HearOwn(p.Now(), word)
+	was := s.limiter.Known().PerSecond
+	changed := s.limiter.HearOwn(p.Now(), word)
 	p.mu.Unlock()
 	if !changed {
 		return
@@ -100,8 +100,8 @@
 	}
 	p.mu.Lock()
 	s := p.stateLocked(life)
-	was := s.gate.Known().PerSecond
-	changed := s.gate.Adopt(p.Now(), k)
+	was := s.limiter.Known().PerSecond
+	changed := s.limiter.Adopt(p.Now(), k)
 	p.mu.Unlock()
 	if changed {
 		p.Limits.Changed(life, was, k.PerSecond, FromBeside)
@@ -112,7 +112,7 @@
 func (p *Pool) limitKnown(life directory.Life) ratelimit.Known {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stateLocked(life).gate.Known()
+	return p.stateLocked(life).limiter.Known()
 }
 
 // denial is the last word of the process beside an upstream that its limit had no room: for requests
@@ -139,7 +139,7 @@
 
 // limitShareLocked is the part of an upstream's limit that this router may use without leave.
 func (p *Pool) limitShareLocked(r *serving.Request, u directory.Upstream, s *state) float64 {
-	share := p.Limits.Share(u.Life.String(), s.gate.Known().PerSecond)
+	share := p.Limits.Share(u.Life.String(), s.limiter.Known().PerSecond)
 	if p.asksLeave(r, u) {
 		share *= ratelimit.UnreachedShare
 	}
@@ -148,7 +148,7 @@
 
 // limitedLocked reports whether an upstream's limit has no room for a request, and in how long it may.
 func (p *Pool) limitedLocked(now time.Time, r *serving.Request, u directory.Upstream, s *state) (limited bool, next time.Duration) {
-	if !s.gate.Limited() {
+	if !s.limiter.Limited() {
 		return false, 0
 	}
 	if p.asksLeave(r, u) {
@@ -156,10 +156,10 @@
 		return next > 0, next
 	}
 	share := p.limitShareLocked(r, u, s)
-	if s.gate.Room(now, share, r.Rank) {
+	if s.limiter.Room(now, share, r.Rank) {
 		return false, 0
 	}
-	return true, s.gate.Next(now, share, r.Rank)
+	return true, s.limiter.Next(now, share, r.Rank)
 }
 
 // unreachedLimit reports whether a request may not go to an upstream whose limit is counted by a
@@ -168,13 +168,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.stateLocked(u.Life)
-	return s.gate.Limited() && !s.gate.Room(p.Now(), p.limitShareLocked(r, u, s), r.Rank)
+	return s.limiter.Limited() && !s.limiter.Room(p.Now(), p.limitShareLocked(r, u, s), r.Rank)
 }
 
 // takeLimitLocked counts a request that goes to an upstream without leave, and reports whether it
 // may: others may have taken the room since the choice was made.
 func (p *Pool) takeLimitLocked(now time.Time, r *serving.Request, u directory.Upstream, s *state) bool {
-	return !s.gate.Limited() || s.gate.Take(now, p.limitShareLocked(r, u, s), r.Rank)
+	return !s.limiter.Limited() || s.limiter.Take(now, p.limitShareLocked(r, u, s), r.Rank)
 }
 
 // Limited implements serving.Upstreams: the refusal of a request which upstreams would serve but for
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -106,8 +106,8 @@
 	exposed  bool
 	// sent are the requests without leave while it is cold.
 	sent warmup.Window
-	// gate holds what goes there without leave to this router's share of the limit that it names.
-	gate ratelimit.Gate
+	// limiter holds what goes there without leave to this router's share of the limit that it names.
+	limiter ratelimit.Limiter
 	// limitError is why the last limit that it named cannot be read; "" if it can.
 	limitError string
 	// denial is the last one of the process beside it for that limit.
@@ -245,7 +245,7 @@
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Until = now.Add(time.Duration(shareOfTime * float64(r.Until.Sub(now))))
 	}
-	one := &run{pool: p, upstream: u.Life, address: u.Address, under: s.gate.Known().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name),
+	one := &run{pool: p, upstream: u.Life, address: u.Address, under: s.limiter.Known().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), pauses: p.pausesOf(r.Service.Name),
 		reading: p.readingOf(r.Service.Name), sent: now}
 	t.Event, t.Limit, t.Done = one.event, one.limit, one.done
 	return t, true
@@ -357,7 +357,7 @@
 	for life, s := range p.states {
 		out = append(out, State{Upstream: life.String(), Running: s.running, Unread: s.unread,
 			Cached: s.cache.Tokens(), Fails: s.fails, FailureShare: s.failureShare(now),
-			Slowness: s.slowness, Exposed: s.exposed, Limit: s.gate.Known().PerSecond})
+			Slowness: s.slowness, Exposed: s.exposed, Limit: s.limiter.Known().PerSecond})
 	}
 	return out
 }
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -69,13 +69,13 @@
 	began  time.Time
 	// cold is when a router last took the engine for cold.
 	cold time.Time
-	// gate holds all routers' prompts together to the rate that the engine names.
-	gate ratelimit.Gate
+	// limiter holds all routers' prompts together to the rate that the engine names.
+	limiter ratelimit.Limiter
 }
 
 // NewEngine makes the model of an engine that has read nothing.
 func NewEngine(now time.Time, perMs float64) *Engine {
-	return &Engine{queue: Queue{PerMs: perMs}, began: now, gate: ratelimit.NewGate()}
+	return &Engine{queue: Queue{PerMs: perMs}, began: now, limiter: ratelimit.NewLimiter()}
 }
 
 // SetRoom says how many tokens of cached parts the engine's memory has room for.
@@ -91,7 +91,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.born = born
-	e.gate = ratelimit.NewGate()
+	e.limiter = ratelimit.NewLimiter()
 	e.queue.Clear()
 	e.cache = Cache{}
 	e.cache.Add(cached, e.room)
@@ -110,8 +110,8 @@
 // Announce notes a prompt, and tells what was known before.
 func (e *Engine) Announce(now time.Time, a Announcement) Told {
 	e.mu.Lock()
-	e.gate.Believed(now, a.Limit)
-	told := Told{Born: e.born, Limit: e.gate.Known()}
+	e.limiter.Believed(now, a.Limit)
+	told := Told{Born: e.born, Limit: e.limiter.Known()}
 	if told.Denied, told.Next = e.deniesLocked(now, a); told.Denied {
 		defer e.mu.Unlock()
 		return told
@@ -143,11 +143,11 @@
 // deniesLocked counts a prompt that the engine takes, and reports whether it does not, and in how long
 // one more may go if that is known.
 func (e *Engine) deniesLocked(now time.Time, a Announcement) (denied bool, next time.Duration) {
-	if !e.gate.Take(now, wholeLimit, a.Rank) {
-		return true, e.gate.Next(now, wholeLimit, a.Rank)
+	if !e.limiter.Take(now, wholeLimit, a.Rank) {
+		return true, e.limiter.Next(now, wholeLimit, a.Rank)
 	}
 	if !e.leaveLocked(now, a) {
-		e.gate.Return(wholeLimit)
+		e.limiter.Return(wholeLimit)
 		return true, 0
 	}
 	return false, 0
@@ -162,9 +162,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if born == e.born {
-		e.gate.Hear(now, w)
+		e.limiter.Hear(now, w)
 	}
-	return e.gate.Known()
+	return e.limiter.Known()
 }
 
 // leaveLocked counts a prompt, and reports whether the engine bears it. One that is warm bears
@@ -198,7 +198,7 @@
 	if told.Born != e.born {
 		return
 	}
-	e.gate.Return(wholeLimit)
+	e.limiter.Return(wholeLimit)
 	e.queue.Add(now, -told.Unread)
 	e.cache.Forget(beyond(a.Parts, told.Cached))
 }
@@ -228,5 +228,5 @@
 func (e *Engine) State(now time.Time) State {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return State{Backlog: e.queue.Add(now, 0), Cached: e.cache.Tokens(), Room: e.room, Born: e.born, Limit: e.gate.Known().PerSecond}
+	return State{Backlog: e.queue.Add(now, 0), Cached: e.cache.Tokens(), Room: e.room, Born: e.born, Limit: e.limiter.Known().PerSecond}
 }
--- a/ratelimit/known.go
+++ b/ratelimit/known.go
@@ -2,7 +2,7 @@
 // requests a second that it takes from all routers together, for as long as it says so.
 //
 // Routers do not hear of each other's requests. So one process counts for each upstream where
-// there is one beside it, to which each prompt is announced; it gives leave for each (Gate).
+// there is one beside it, to which each prompt is announced; it gives leave for each (Limiter).
 // Where there is none, a few routers share the rate (Share).
 package ratelimit
 
--- a/ratelimit/gate_test.go
+++ b/ratelimit/limiter_test.go
@@ -32,16 +32,16 @@
 	return most
 }
 
-// limited is a gate that has just heard of a limit.
-func limited(perSecond float64) *Gate {
-	g := NewGate()
+// limited is a limiter that has just heard of a limit.
+func limited(perSecond float64) *Limiter {
+	g := NewLimiter()
 	g.Hear(start, Word{PerSecond: perSecond, Under: g.Known().Mark})
 	return &g
 }
 
 // Guards against more than the bound in any span, whatever the load, with requests that went elsewhere
 // after all and limits that change.
-func TestGateKeepsTheBound(t *testing.T) {
+func TestLimiterKeepsTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limits := rapid.SampledFrom([]float64{0.2, 0.7, 1, 3, 10, 50})
 		perSecond := limits.Draw(t, "limit")
@@ -77,7 +77,7 @@
 }
 
 // Guards against a limit whose room is left unused.
-func TestGateLetsThroughWhatTheLimitAllows(t *testing.T) {
+func TestLimiterLetsThroughWhatTheLimitAllows(t *testing.T) {
 	for _, perSecond := range []float64{0.2, 1, 5, 50} {
 		g := limited(perSecond)
 		went := 0
@@ -116,7 +116,7 @@
 
 // Guards against an answer that was given before the limit was named and lifts it since it arrives after that.
 func TestOldAnswersLiftNoLimit(t *testing.T) {
-	g := NewGate()
+	g := NewLimiter()
 	before := g.Known().Mark
 	require.True(t, g.Hear(start, Word{PerSecond: 3, Under: before}))
 	require.False(t, g.Hear(start, Word{Under: before}), "let go before, answered before")
@@ -131,8 +131,8 @@
 
 // Guards against a process that counts and has just started, which lets all through until it hears of the limit itself.
 func TestProcessThatStartsIsToldOfTheLimit(t *testing.T) {
-	old, anew := limited(1), NewGate()
-	var router Gate
+	old, anew := limited(1), NewLimiter()
+	var router Limiter
 	require.True(t, router.Adopt(start, old.Known()))
 	require.True(t, anew.Believed(start, router.Known()))
 	require.False(t, anew.Take(start, 1, 0))
@@ -146,7 +146,7 @@
 // Guards against a router's own marks that pass for those of the process that counts.
 func TestOwnMarksOfRouters(t *testing.T) {
 	counts := limited(1)
-	var router Gate
+	var router Limiter
 	router.Adopt(start, counts.Known())
 	early := counts.Known()
 	require.True(t, router.HearOwn(start, Word{PerSecond: 2, Under: router.Known().Mark}))
@@ -164,10 +164,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		perSecond := rapid.SampledFrom([]float64{0.2, 1, 5, 20, 50}).Draw(t, "limit")
 		routers := rapid.SampledFrom([]int{1, 2, 3, 4, 12, 100, 330}).Draw(t, "routers")
-		gates := make([]*Gate, routers)
+		limiters := make([]*Limiter, routers)
 		listed := make([]time.Time, routers)
-		for i := range gates {
-			gates[i] = limited(perSecond)
+		for i := range limiters {
+			limiters[i] = limited(perSecond)
 			listed[i] = start.Add(-time.Hour)
 		}
 		var went []time.Time
@@ -175,9 +175,9 @@
 			now := at(float64(n) / 100)
 			if n > 0 && n%int(span.Seconds()*100) == 0 {
 				i := rapid.IntRange(0, routers-1).Draw(t, "restarts")
-				gates[i], listed[i] = limited(perSecond), now
+				limiters[i], listed[i] = limited(perSecond), now
 			}
-			for i, g := range gates {
+			for i, g := range limiters {
 				if g.Take(now, Share(i, routers, now.Sub(listed[i]), perSecond), 0) {
 					went = append(went, now)
 				}
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -71,8 +71,8 @@
 	Refusal *contract.Refusal
 	// Break is set if the connection broke while the upstream had the request.
 	Break *Break
-	// CalledBack says that the send was ended since its prompt was found to end upstreams.
-	CalledBack bool
+	// Recalled says that the send was ended since its prompt was found to end upstreams.
+	Recalled bool
 	// Output is the most tokens that the run may have produced.
 	Output int64
 	// Began says that the run read the prompt, or may have.
--- a/serving/path.go
+++ b/serving/path.go
@@ -86,14 +86,14 @@
 	Broke(ctx context.Context, r *Request, attempts []Attempt)
 	// Answered is told that a request was answered.
 	Answered(r *Request)
-	// Sending is told of each send. The context that it returns ends with ErrCalledBack as its cause if
+	// Sending is told of each send. The context that it returns ends with ErrRecalled as its cause if
 	// the request's prompt is found to end upstreams, unless began was called before, with the first
 	// piece of the answer. done is called when the send has ended.
 	Sending(ctx context.Context, r *Request) (sending context.Context, began, done func())
 }
 
-// ErrCalledBack is why a send ended: its prompt was found to end upstreams.
-var ErrCalledBack = errors.New("the prompt was found to end upstreams")
+// ErrRecalled is why a send ended: its prompt was found to end upstreams.
+var ErrRecalled = errors.New("the prompt was found to end upstreams")
 
 // Path is the path of requests.
 type Path struct {
@@ -142,7 +142,7 @@
 	}
 }
 
-// send sends the request once, so that it can be called back until its answer begins.
+// send sends the request once, so that it can be recalled until its answer begins.
 func (p *Path) send(ctx context.Context, r *Request, t Target, out Caller) Attempt {
 	if p.Poison == nil || out.Began() {
 		return p.Upstreams.Send(ctx, r, t, out)
@@ -179,7 +179,7 @@
 
 // refusal names how a request without an answer ended.
 func (p *Path) refusal(r *Request, attempts []Attempt) *contract.Refusal {
-	hit := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Break != nil || a.CalledBack })
+	hit := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Break != nil || a.Recalled })
 	if hit && p.Poison != nil {
 		if proven := p.Poison.Proven(r); proven != nil {
 			return proven
