--- a/coord/internal/lab/lab.go
+++ b/coord/internal/lab/lab.go
@@ -173,7 +173,7 @@
 	n := &Node{VM: vm, DC: dc, fleet: f, Holder: grant.NewHolder(life, f.Layout, f.Opt.Policy())}
 	n.Holder.Expect(f.Opt.Expect)
 	now := func() time.Time { return f.Now }
-	n.Pages = &grant.StoreGranter{Holder: n.Holder, Store: f.limiter(dc), Layout: f.Layout, Timing: f.Opt.Timing,
+	n.Pages = &grant.StoreGranter{Holder: n.Holder, Store: f.gate(dc), Layout: f.Layout, Timing: f.Opt.Timing,
 		Timeout: CallTimeout / 2, Now: now}
 	chain := []grant.Granter{n.Pages}
 	if f.Opt.Transfers {
@@ -348,9 +348,9 @@
 func (f *Fleet) Recover(ctx context.Context, dc, holder string, forfeit bool) (recovery.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	r := &recovery.Recoverer{Store: f.limiter(dc), Layout: f.Layout,
-		Lives:  incarnation.Registry{Store: f.limiter(dc), Prefix: f.Lives.Prefix},
-		Fences: recovery.Fences{Store: f.limiter(dc), Key: f.Fences.Key}, Fleet: access{f, dc, holder}}
+	r := &recovery.Recoverer{Store: f.gate(dc), Layout: f.Layout,
+		Lives:  incarnation.Registry{Store: f.gate(dc), Prefix: f.Lives.Prefix},
+		Fences: recovery.Fences{Store: f.gate(dc), Key: f.Fences.Key}, Fleet: access{f, dc, holder}}
 	return r.Recover(ctx, holder, forfeit)
 }
 
