--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -267,6 +267,25 @@
 	})
 }
 
+// crashThreeUnder lets three of the engines crash, one after the other, under a prompt that comes through
+// VMs 1 to 3.
+func (f *fleet) crashThreeUnder(engines []*fragileEngine, prompt func(id string, vm int) question) {
+	for vm := 1; vm <= 3; vm++ {
+		id := fmt.Sprint("crash-", vm)
+		cut := make(chan answer)
+		go func() { cut <- f.ask(prompt(id, vm)) }()
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range engines {
+			if slices.Contains(e.IDs(), id) {
+				e.end()
+			}
+		}
+		require.True(f.t, (<-cut).cut)
+		time.Sleep(100 * time.Millisecond)
+	}
+	require.Equal(f.t, 3, endedOf(engines))
+}
+
 // Three engines crash one after the other under a prompt that runs at a fourth one all the while.
 // It counts as proven then, until the fourth one's answer clears it at all routers.
 func TestProvenPromptIsClearedByAnAnswer(t *testing.T) {
@@ -286,20 +305,7 @@
 		f.register("i-9", "model", "draining")
 		engines := f.fragile(5)
 		time.Sleep(500 * time.Millisecond)
-		for vm := 1; vm <= 3; vm++ {
-			id := fmt.Sprint("crash-", vm)
-			cut := make(chan answer)
-			go func() { cut <- f.ask(common(id, vm)) }()
-			time.Sleep(200 * time.Millisecond)
-			for _, e := range engines {
-				if slices.Contains(e.IDs(), id) {
-					e.end()
-				}
-			}
-			require.True(t, (<-cut).cut)
-			time.Sleep(100 * time.Millisecond)
-		}
-		require.Equal(t, 3, endedOf(engines))
+		f.crashThreeUnder(engines, common)
 		require.Equal(t, http.StatusUnprocessableEntity, f.ask(common("refused", 1)).status)
 		require.Equal(t, 200, (<-answered).status)
 		time.Sleep(200 * time.Millisecond)
--- a/gateway/recall_test.go
+++ b/gateway/recall_test.go
@@ -100,22 +100,7 @@
 		f.register("i-20", "model", "draining")
 		engines := f.fragile(6)
 		time.Sleep(500 * time.Millisecond)
-		for vm := 1; vm <= 3; vm++ {
-			id := fmt.Sprint("crash-", vm)
-			cut := make(chan answer)
-			go func() { cut <- f.ask(common(id, vm)) }()
-			time.Sleep(200 * time.Millisecond)
-			for _, e := range engines {
-				for _, ran := range e.IDs() {
-					if ran == id {
-						e.end()
-					}
-				}
-			}
-			require.True(t, (<-cut).cut)
-			time.Sleep(100 * time.Millisecond)
-		}
-		require.Equal(t, 3, endedOf(engines))
+		f.crashThreeUnder(engines, common)
 		a := <-answered
 		require.Equal(t, 200, a.status)
 		require.False(t, a.cut)
