A process follows its settings file before it takes work

Cause: the file was followed by a goroutine that started beside the servers. Under load the process answered health checks before that goroutine had asked for the signal and looked at the file.

Change: the signal is asked for and the file looked at before it is read for the settings of the start, so no moment is left between.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -51,6 +51,7 @@
 		fmt.Fprintln(os.Stderr, "settings: -config FILE is missing")
 		return subcommands.ExitUsageError
 	}
+	file := newFileFollower(c.config)
 	s, err := settings.LoadGateway(c.config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -59,7 +60,7 @@
 	out, dropped := observe.Stdout()
 	g := gateway.New(s, hosted.TCP(), out, dropped)
 	captureLibraryLog(g.Log)
-	go followFile(ctx, c.config, func() {
+	go file.run(ctx, func() {
 		s, err := settings.LoadGateway(c.config)
 		if err != nil {
 			g.ReloadRefused(err)
--- a/daemon/lender.go
+++ b/daemon/lender.go
@@ -45,6 +45,7 @@
 		fmt.Fprintln(os.Stderr, "settings: -config FILE is missing")
 		return subcommands.ExitUsageError
 	}
+	file := newFileFollower(c.config)
 	s, err := settings.LoadLender(c.config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -53,7 +54,7 @@
 	out, dropped := observe.Stdout()
 	l := lender.New(s, hosted.TCP(), out, dropped)
 	captureLibraryLog(l.Log)
-	go followFile(ctx, c.config, func() {
+	go file.run(ctx, func() {
 		s, err := settings.LoadLender(c.config)
 		if err != nil {
 			l.ReloadRefused(err)
