One ranking of the routers that decide for a prompt

Which router decides was found twice: where a message is sent, anew, and where it is asked whether this router decides, by the members' own rankings. Those are kept for the few pages of budgets, 256 of them, and dropped together when one more is asked for: each prompt's would have pushed them out. Both places use one function now, which keeps nothing. The order is the same, by the same rendezvous of the same VMs.

--- a/gateway/promptkeepers.go
+++ b/gateway/promptkeepers.go
@@ -41,7 +41,7 @@
 
 // decides reports whether this router is the one that decides for a prompt.
 func (p *promptGuard) decides(prompt poison.Prompt) bool {
-	ranked := p.members.Rank(string(prompt), prepaid.RoleRouter)
+	ranked := p.rankFor(prompt)
 	return len(ranked) == 0 || ranked[0].VM == p.vm
 }
 
--- a/gateway/promptnews.go
+++ b/gateway/promptnews.go
@@ -69,18 +69,28 @@
 // errNobodyDecides says that none of the routers that decide for a prompt answered.
 var errNobodyDecides = errors.New("no router that decides for the prompt answered")
 
+// rankFor are the routers in the order in which they decide for a prompt. The members' own rankings
+// are not asked: they are kept for the few pages of budgets, and there may be thousands of prompts.
+func (p *promptGuard) rankFor(prompt poison.Prompt) []member.Member {
+	routers := p.members.Newest(prepaid.RoleRouter)
+	ranked := make([]member.Member, 0, len(routers))
+	for _, vm := range rendezvous.Rank(string(prompt), slices.Collect(maps.Keys(routers))) {
+		ranked = append(ranked, routers[vm])
+	}
+	return ranked
+}
+
 // decide sends a message to the router that decides for a prompt, or to the next one if that does
 // not answer. Where it is this one, the message is taken here.
 func decide[In, Out any](ctx context.Context, p *promptGuard, prompt poison.Prompt, method string, in In,
 	here func(context.Context, In) (Out, error)) (out Out, err error) {
-	routers := p.members.Newest(prepaid.RoleRouter)
-	ranked := rendezvous.Rank(string(prompt), slices.Collect(maps.Keys(routers)))
-	for _, vm := range ranked[:min(deciders, len(ranked))] {
-		if vm == p.vm {
+	ranked := p.rankFor(prompt)
+	for _, router := range ranked[:min(deciders, len(ranked))] {
+		if router.VM == p.vm {
 			return here(ctx, in)
 		}
 		asking, cancel := context.WithTimeout(ctx, tellTimeout)
-		err = p.links.Call(asking, routers[vm].Address, method, in, &out)
+		err = p.links.Call(asking, router.Address, method, in, &out)
 		cancel()
 		if err == nil {
 			return out, nil
