--- a/lender/prompts.go
+++ b/lender/prompts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,9 @@
 	storeInterval = time.Second
 	// loadTimeout bounds the read of the store that a router's request waits for.
 	loadTimeout = 100 * time.Millisecond
+	// maxUnstoredAnswers limits the answers kept for the next load: as many as a router queues
+	// between two messages.
+	maxUnstoredAnswers = 512
 )
 
 // errNotLoaded is returned if no prompts are recorded here and the store could not be read.
@@ -47,6 +51,11 @@
 	loaded, changed atomic.Bool
 	// revision is the one that a write replaces. It is guarded by storeMu.
 	revision store.Revision
+
+	unstoredMu sync.Mutex
+	// unstored holds the answers since this process last wrote to the store, oldest first. The
+	// store's value may hold crashes that they cleared.
+	unstored []link.PromptAnswered
 }
 
 // methods returns the handlers of messages from routers.
@@ -63,6 +72,7 @@
 	for _, a := range in.Answered {
 		k.registry.RecordAnswer(now, a.Prompt, a.Service)
 	}
+	k.addUnstored(in.Answered)
 	merged := make([]poison.Evidence, 0, len(in.Known))
 	added := 0
 	for _, e := range in.Known {
@@ -79,6 +89,28 @@
 	return merged, nil
 }
 
+// addUnstored keeps answers for the next load; beyond maxUnstoredAnswers the oldest are dropped.
+func (k *promptKeeper) addUnstored(answered []link.PromptAnswered) {
+	k.unstoredMu.Lock()
+	defer k.unstoredMu.Unlock()
+	k.unstored = append(k.unstored, answered...)
+	k.unstored = k.unstored[max(0, len(k.unstored)-maxUnstoredAnswers):]
+}
+
+// unstoredAnswers returns the answers that the store's value may lack.
+func (k *promptKeeper) unstoredAnswers() []link.PromptAnswered {
+	k.unstoredMu.Lock()
+	defer k.unstoredMu.Unlock()
+	return slices.Clone(k.unstored)
+}
+
+// removeUnstored removes the answers that a write has stored. Others may have been added meanwhile.
+func (k *promptKeeper) removeUnstored(stored []link.PromptAnswered) {
+	k.unstoredMu.Lock()
+	defer k.unstoredMu.Unlock()
+	k.unstored = slices.DeleteFunc(k.unstored, func(a link.PromptAnswered) bool { return slices.Contains(stored, a) })
+}
+
 // list returns all evidence to a router that has just started.
 func (k *promptKeeper) list(ctx context.Context, _ link.Empty) ([]poison.Evidence, error) {
 	if err := k.load(ctx); err != nil && k.registry.Empty() {
@@ -107,7 +139,7 @@
 	if err != nil {
 		return err
 	}
-	all := k.decode(item)
+	all := k.withoutAnswered(k.decode(item))
 	for _, e := range all {
 		k.registry.Add(time.Now(), e)
 	}
@@ -117,6 +149,20 @@
 	return nil
 }
 
+// withoutAnswered removes the crashes that answers received here have cleared: another keeper may
+// have written them before the answers.
+func (k *promptKeeper) withoutAnswered(all []poison.Evidence) []poison.Evidence {
+	var loaded poison.Registry
+	now := time.Now()
+	for _, e := range all {
+		loaded.Add(now, e)
+	}
+	for _, a := range k.unstoredAnswers() {
+		loaded.RecordAnswer(now, a.Prompt, a.Service)
+	}
+	return loaded.List(now)
+}
+
 // decode decodes the store's value. An undecodable value counts as empty, and the next write replaces it.
 func (k *promptKeeper) decode(item store.Item) []poison.Evidence {
 	if item.Revision == 0 {
@@ -150,6 +196,7 @@
 		return err
 	}
 	now := time.Now()
+	answers := k.unstoredAnswers()
 	value, err := poison.Encode(now, k.registry.List(now))
 	if err != nil {
 		return err
@@ -159,6 +206,7 @@
 		return err
 	}
 	k.revision = revision
+	k.removeUnstored(answers)
 	k.log.Info().Int64("revision", int64(revision)).Int("bytes", len(value)).Msg("prompts_stored")
 	return nil
 }
