--- /dev/null
+++ b/rollout/follower.go
@@ -0,0 +1,84 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+)
+
+// Preference is which upstreams a request may be sent to.
+type Preference int
+
+// The preferences.
+const (
+	// Previous means upstreams of versions other than that of the order, or the order's if there
+	// are no others.
+	Previous Preference = iota
+	// Next means upstreams of the order's version, or others if there are none.
+	Next
+	// OnlyPrevious and OnlyNext permit no others.
+	OnlyPrevious
+	OnlyNext
+)
+
+// Follower is a router's knowledge about a service's roll-out. It is not safe for concurrent use.
+type Follower struct {
+	Order Order
+	// Since is when the router received the order; zero if it was there when the router started.
+	Since time.Time
+	// Limits are those of the deciders.
+	Limits Limits
+
+	directive Directive
+	heard     time.Time
+	// finishing is set once the router has sent everything to the new version. From then on the
+	// upstreams of the previous version may stop at any time.
+	finishing bool
+}
+
+// Apply applies a directive, unless it belongs to another order. A final one stays.
+func (f *Follower) Apply(now time.Time, d Directive) {
+	if d.Revision != f.Order.Revision || f.directive.State.Final() {
+		return
+	}
+	f.directive, f.heard = d, now
+	f.finishing = f.finishing && !d.State.Final() || d.Finish
+}
+
+// State returns the state of the roll-out, as far as the router knows.
+func (f *Follower) State() State { return f.directive.State }
+
+// Finishing reports whether the router sends nothing to the previous version.
+func (f *Follower) Finishing() bool { return f.finishing }
+
+// Directive returns the last directive.
+func (f *Follower) Directive() Directive { return f.directive }
+
+// InContact reports whether the last directive is recent.
+func (f *Follower) InContact(now time.Time) bool {
+	return !f.heard.IsZero() && now.Sub(f.heard) < f.Limits.Contact
+}
+
+// Prefer returns where a request goes. draw is a number from 0 to 1 that belongs to the request, and
+// retried is set if an upstream has failed it: the version may be the reason.
+//
+// A router without contact sends nothing new to the version, since it would not learn that it is bad.
+// If it had already stopped sending to the previous one, those upstreams may have ended, so they are
+// only the second choice.
+func (f *Follower) Prefer(now time.Time, route string, draw float64, retried bool) Preference {
+	d := f.directive
+	switch {
+	case d.State == Completed:
+		return OnlyNext
+	case d.State == RolledBack:
+		return OnlyPrevious
+	case f.finishing:
+		return Next
+	case !f.InContact(now):
+		return Previous
+	case slices.Contains(d.Moved, route):
+		return Next
+	case draw < d.Share && !retried:
+		return Next
+	}
+	return Previous
+}
--- /dev/null
+++ b/rollout/plan.go
@@ -0,0 +1,107 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// allowanceUse is the part of the allowed requests that is planned for: reports are late, and
+	// some routers may send none.
+	allowanceUse = 0.93
+	// testPart is the part of the planned requests that test the version before anything is moved.
+	testPart = 0.25
+	// maxTestShare bounds the share of the requests that test the version at any time, and firstTestShare
+	// is the share while the rate of requests is not known.
+	maxTestShare   = 0.5
+	firstTestShare = 0.05
+	// drainMeans is how many mean run times the requests at the previous version get to end: 95 in
+	// 100 end within it if run times are exponentially distributed.
+	drainMeans = 3
+	// minAnswers is the number of the new version's answers without which it is not proven.
+	minAnswers = 10
+)
+
+// demand is what the service got since the order.
+type demand struct {
+	// elapsed is the time since the order, duration the time from the order to its deadline.
+	elapsed, duration time.Duration
+	// sent are all requests, exposed those sent to the new version.
+	sent, exposed int
+	routes        map[string]evidence
+	// mayInterrupt are the routes whose requests can be sent again when their upstream stops.
+	mayInterrupt map[string]bool
+}
+
+func (d *demand) left() time.Duration { return max(0, d.duration-d.elapsed) }
+
+// expected returns the number of requests in a time at the rate so far.
+func (d *demand) expected(sent int, within time.Duration) float64 {
+	return float64(sent) * float64(within) / float64(max(d.elapsed, time.Millisecond))
+}
+
+// allowance returns how many requests a bad version may get until the deadline.
+func (d *demand) allowance(l Limits) float64 {
+	total := float64(d.sent) + d.expected(d.sent, d.left())
+	return allowanceUse * (l.Share*total + float64(l.Slack)/2)
+}
+
+// testShare returns the share of the requests that test the version now.
+func (d *demand) testShare(l Limits) float64 {
+	rest := testPart*d.allowance(l) - float64(d.exposed)
+	coming := d.expected(d.sent, d.left())
+	if rest <= 0 {
+		return 0
+	}
+	if coming <= 0 {
+		return firstTestShare
+	}
+	return min(maxTestShare, rest/coming)
+}
+
+// moved returns the routes whose requests all go to the new version from now on. Even if the version
+// turned bad now, it would get no more than allowed until the deadline. Routes whose requests can't
+// be interrupted are moved earlier, by the time that these run.
+func (d *demand) moved(l Limits) (routes []string) {
+	left := d.left()
+	rest := d.allowance(l) - float64(d.exposed)
+	for _, name := range d.byDrain() {
+		rest -= d.expected(d.routes[name].sent(), left)
+		if rest < 0 || left > l.Margin+d.drain(name) {
+			break
+		}
+		routes = append(routes, name)
+	}
+	return routes
+}
+
+// byDrain returns the routes by drain time, the longest first.
+func (d *demand) byDrain() []string {
+	return slices.SortedFunc(maps.Keys(d.routes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(d.drain(b), d.drain(a)), cmp.Compare(a, b))
+	})
+}
+
+// drain returns the time in which most of a route's running requests end.
+func (d *demand) drain(route string) time.Duration {
+	if d.mayInterrupt[route] {
+		return 0
+	}
+	return drainMeans * d.routes[route].old.meanRun()
+}
+
+func (e evidence) sent() int { return e.old.Sent + e.new.Sent }
+
+// answered returns the number of the new version's answers.
+func (d *demand) answered() (n int) {
+	for _, e := range d.routes {
+		n += e.new.Answered
+	}
+	return n
+}
+
+// proven reports whether the new version has answered enough requests; few are enough for a service that
+// gets few.
+func (d *demand) proven() bool { return d.answered() >= min(minAnswers, (d.sent+3)/4) }
--- /dev/null
+++ b/rollout/rollout.go
@@ -0,0 +1,81 @@
+// Package rollout decides how a service moves to a new version of its upstreams. It contains no
+// input or output: callers pass the time, what routers observed, and what the store holds.
+//
+// Load pattern: a version may be bad at once, after a while, under load or on one route, and the old
+// one serves well meanwhile. So little traffic tests the new version for most of the time, at a few
+// upstreams that get as much as they would in the end, and all of it moves as late as the time allows.
+// The requests that a bad version may get are budgeted over the whole roll-out.
+package rollout
+
+import (
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/store"
+)
+
+// Order is an operator's order to move a service to a version.
+type Order struct {
+	Service string
+	// Version is the version to move to.
+	Version string
+	// Duration is the time from the order to its deadline.
+	Duration time.Duration
+	// Revision is that of the order's entry in the store; a later order has a higher one.
+	Revision store.Revision
+}
+
+// State is the state of a roll-out.
+type State int
+
+// The states. Completed and RolledBack are final.
+const (
+	InProgress State = iota
+	// Completed means that only the new version gets requests; the old upstreams stop at once.
+	Completed
+	// RolledBack means that the new version gets no requests.
+	RolledBack
+)
+
+var stateNames = [...]string{"in_progress", "completed", "rolled_back"}
+
+// String returns the name used in logs and stored documents.
+func (s State) String() string { return stateNames[s] }
+
+// Final reports whether the roll-out has ended.
+func (s State) Final() bool { return s != InProgress }
+
+// Limits bounds what a bad version may get.
+type Limits struct {
+	// Share is the maximum share of the service's requests from the order to its deadline; Slack is
+	// a number of requests beyond it.
+	Share float64
+	Slack int
+	// Contact is how long a router follows a directive without a newer one.
+	Contact time.Duration
+	// Margin is the time before the deadline at which the last requests are moved: it covers the
+	// reports of all routers and the write to the store.
+	Margin time.Duration
+}
+
+// Directive tells routers how to divide a service's requests between the versions.
+type Directive struct {
+	// Revision is the revision of the order.
+	Revision store.Revision `json:"order"`
+	State    State          `json:"state"`
+	// Share is the share of the requests that test the new version.
+	Share float64 `json:"share"`
+	// Moved are the routes whose requests all go to the new version, Finish moves all routes.
+	Moved  []string `json:"moved,omitempty"`
+	Finish bool     `json:"finish,omitempty"`
+}
+
+// Record is what the store holds on a service's roll-out.
+type Record struct {
+	// Order is the revision of the order; 0 if there is no record.
+	Order store.Revision
+	State State
+	// Began is the time of the order by the clock of the process that wrote the record first.
+	Began time.Time
+	// Revision is the record's revision in the store.
+	Revision store.Revision
+}
