--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -208,6 +208,29 @@
 	return s.rev, nil
 }
 
+// Commit writes all items if every condition's key is at its revision, and returns the new revision of
+// the last one. It counts as one call.
+func (s *Store) Commit(ctx context.Context, conditions, puts []store.Item) (store.Revision, error) {
+	if err := s.beginCall(ctx, func(c *Calls) { c.Writes++ }); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range conditions {
+		if s.entries[c.Key].rev != c.Revision {
+			return 0, store.Error.Wrap(store.ErrConflict)
+		}
+	}
+	for _, p := range puts {
+		s.calls.WrittenBytes += int64(len(p.Value))
+		s.putLocked(p.Key, p.Value, 0)
+	}
+	if s.loseResponseLocked() {
+		return 0, store.Error.Wrap(store.ErrUnknown)
+	}
+	return s.rev, nil
+}
+
 // Delete implements store.Store.
 func (s *Store) Delete(ctx context.Context, key string, expect store.Revision) error {
 	if err := s.beginCall(ctx, func(c *Calls) { c.Writes++ }); err != nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -16,7 +16,11 @@
 // Upstream is one incarnation of an upstream process, as described by its entry.
 type Upstream struct {
 	Incarnation
-	Service    string
+	Service string
+	// Version is the version of its software.
+	Version string
+	// Registered is the revision at which its entry was created; set by the directory.
+	Registered store.Revision
 	Address    string
 	Datacentre string
 	Slots      int
@@ -172,6 +176,7 @@
 	delete(d.unreadable, it.Key)
 	e := &entry{Upstream: u, revision: it.Revision, created: it.Created}
 	e.ColdUntil = d.coldUntil(u, it, have)
+	e.Registered = it.Created
 	if have != nil {
 		e.survived = have.survived
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,7 @@
 	lenders        *lenderClient
 	retryBudgets   *retryBudgets
 	prompts        *promptGuard
+	rollouts       *rollouts
 	dispatcher     *serving.Dispatcher
 	metrics        *gatewayMetrics
 
@@ -100,8 +101,11 @@
 	g.current.Store(s)
 	g.operatorReader = &operatorReader{g: g, drained: map[string]store.Revision{}}
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
+	g.rollouts = newRollouts(g)
+	methods := g.promptMethods()
+	maps.Copy(methods, g.rollouts.methods())
 	g.Base = hosted.New(hosted.Parts{
-		Methods: g.promptMethods(),
+		Methods: methods,
 		Role:    prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.ConfiguredLimits{Catalog: &g.catalog},
 		Readers:  map[string]mirror.Reader{platform.OperatorPrefix: g.operatorReader, platform.UpstreamPrefix: g.directory},
@@ -124,6 +128,7 @@
 		Limits:              limits{g},
 		Region:              func(datacentre string) string { return s.Regions[datacentre] },
 		Cold:                warmup.Tolerance{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
+		Versions:            g.rollouts,
 		HasLender:           g.lenders.hasLender,
 		ColdShare:           g.coldShare,
 		Now:                 time.Now,
@@ -190,7 +195,7 @@
 // connection to the store continues with its last copy; one that never read the store cannot serve.
 // A router with an overloaded link serves its present callers better if it gets no new ones.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && !g.linkOverloaded() && g.catalog.Load() != nil && g.directory.Read()
+	return !g.stopping.Load() && !g.linkOverloaded() && g.catalog.Load() != nil && g.directory.Read() && g.rollouts.ready()
 }
 
 // linkOverloaded reports whether this VM's link has been overloaded for some time.
@@ -270,6 +275,7 @@
 func (g *Gateway) startTasks(tasks *process.TaskGroup) {
 	tasks.Go(g.lenders.run)
 	g.prompts.start(tasks)
+	g.rollouts.start(tasks)
 	g.Start(tasks)
 	tasks.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
 	tasks.Every(expireInterval, func(context.Context) { g.directory.Expire() })
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/prepaid"
+	"github.com/arbutusmill/arbutusmill/rollout"
 	"github.com/arbutusmill/arbutusmill/serving"
 )
 
@@ -68,6 +69,16 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_prompt_news_dropped_total").Inc()
 }
 
+// rolloutRequest counts a request to a service that moves to a version, by the version of the upstream.
+func (m *gatewayMetrics) rolloutRequest(service string, isNew bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_rollout_requests_total{service=%q,new=\"%t\"}", service, isNew)).Inc()
+}
+
+// rolloutStored counts a state of a roll-out that was written to the store.
+func (m *gatewayMetrics) rolloutStored(service string, s rollout.State) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_rollouts_stored_total{service=%q,state=%q}", service, s)).Inc()
+}
+
 // requestEnded records the outcome of a request that was dispatched.
 func (m *gatewayMetrics) requestEnded(r *serving.Request, o serving.Outcome, duration time.Duration) {
 	service := r.Service.Name
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -7,16 +7,20 @@
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/platform"
+	"github.com/arbutusmill/arbutusmill/rollout"
 )
 
-// operatorReader applies what operators write: configurations, and orders to drain data centres. Both
-// are followed as one prefix, so that a router has the configuration and the orders of the same
+// operatorReader applies what operators write: configurations, orders to drain data centres, and orders to
+// move services to new versions. They are followed as one prefix, so that a router has the configuration and the orders of the same
 // revision: otherwise a starting router might send requests to a data centre that is already drained. It
 // implements mirror.Reader; its methods are called from one goroutine.
 type operatorReader struct {
 	g *Gateway
 	// drained are the drained data centres, with the revisions of their orders.
 	drained map[string]store.Revision
+	// rollouts are the roll-out orders by service; read is set after the first read.
+	rollouts map[string]rollout.Order
+	read     bool
 }
 
 // Reset implements mirror.Reader.
@@ -29,6 +33,8 @@
 		}
 	}
 	o.setDrained(drained)
+	o.setRollouts(o.decodeRollouts(items))
+	o.read = true
 	for _, it := range items {
 		o.applyConfig(it)
 	}
@@ -40,11 +46,71 @@
 		o.applyDrain(datacentre, e)
 		return
 	}
+	if service, ok := platform.RolloutService(e.Key); ok {
+		o.applyRollout(service, e)
+		return
+	}
 	if !e.Deleted {
 		o.applyConfig(e.Item)
 	}
 }
 
+// decodeRollouts returns the roll-out orders among items. An order that is missing was withdrawn.
+func (o *operatorReader) decodeRollouts(items []store.Item) map[string]rollout.Order {
+	orders := map[string]rollout.Order{}
+	for service, order := range o.rollouts {
+		order.Withdrawn = true
+		orders[service] = order
+	}
+	for _, it := range items {
+		if service, ok := platform.RolloutService(it.Key); ok {
+			orders[service] = o.decodeRollout(service, it)
+		}
+	}
+	maps.DeleteFunc(orders, func(_ string, order rollout.Order) bool { return order.Version == "" })
+	return orders
+}
+
+// decodeRollout decodes an order. One that cannot be decoded is logged, and the order before it stays.
+func (o *operatorReader) decodeRollout(service string, it store.Item) rollout.Order {
+	order, err := platform.DecodeRolloutOrder(it)
+	if err != nil {
+		o.g.RecordUnreadable("orders")
+		o.g.Log.Error().Err(err).Int64("revision", int64(it.Revision)).Msg("order_unreadable")
+		return o.rollouts[service]
+	}
+	return order
+}
+
+// applyRollout applies a new roll-out order, or the removal of one.
+func (o *operatorReader) applyRollout(service string, e store.Event) {
+	have := o.rollouts[service]
+	if e.Revision < have.Revision {
+		return // an old event: the known order is newer
+	}
+	next := maps.Clone(o.rollouts)
+	if next == nil {
+		next = map[string]rollout.Order{}
+	}
+	order := have
+	if e.Deleted {
+		order.Withdrawn = true
+	} else {
+		order = o.decodeRollout(service, e.Item)
+	}
+	if order.Version != "" {
+		next[service] = order
+	}
+	o.setRollouts(next)
+}
+
+// setRollouts applies all roll-out orders. How long an order has existed is known only if it arrived while
+// this router was running.
+func (o *operatorReader) setRollouts(next map[string]rollout.Order) {
+	o.rollouts = next
+	o.g.rollouts.setOrders(next, o.read)
+}
+
 // Lost implements mirror.Reader. The last known state stays active.
 func (o *operatorReader) Lost(err error) {
 	o.g.configWatch.RecordFailure(o.g.Log, "configuration", err)
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -57,6 +57,8 @@
 	Relay    any      `json:"relay"`
 	// Prompts are the prompts that are on trial, or proven to crash upstreams.
 	Prompts any `json:"prompts"`
+	// Rollouts are the moves of services to new versions.
+	Rollouts any `json:"rollouts"`
 }
 
 func (g *Gateway) dump() any {
@@ -64,7 +66,7 @@
 		Incarnation: g.Incarnation, Ready: g.ready(), Stopping: g.stopping.Load(), Active: g.activeRequests.Load(),
 		Version: g.configVersion(), Budgets: g.Budgets.State(), Upstreams: g.directory.All(), Drained: g.directory.Drained(),
 		Pool: g.pool.States(), Members: g.Members.Members(), Followed: g.Follower.State(), Relay: g.Hub.State(),
-		Prompts: g.prompts.registry.Restricted(time.Now()),
+		Prompts: g.prompts.registry.Restricted(time.Now()), Rollouts: g.rollouts.state(),
 	}
 }
 
--- /dev/null
+++ b/gateway/rollouts.go
@@ -0,0 +1,460 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/directory"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/pool"
+	"github.com/arbutusmill/arbutusmill/prepaid"
+	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/rollout"
+	"github.com/arbutusmill/arbutusmill/serving"
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// rolloutTick is the interval between two looks at the roll-outs, minReportInterval the minimum
+	// time between two reports of a router.
+	rolloutTick       = 50 * time.Millisecond
+	minReportInterval = 4 * rolloutTick
+	// maxReportsPerSecond bounds the reports of all routers to the one that decides.
+	maxReportsPerSecond = 1000
+	// rolloutCallTimeout is the timeout of one report: many times the latency between two routers.
+	rolloutCallTimeout = 150 * time.Millisecond
+	// deciderCandidates is how many routers are tried, one after the other, as the decider.
+	deciderCandidates = 3
+	// marginReserve is the part of the time before a deadline that is left for the write to the store.
+	marginReserve = 300 * time.Millisecond
+	// minTestUpstreams is the minimum number of upstreams that test a version, if there are so many: a
+	// failure of one of them must not decide.
+	minTestUpstreams = 2
+	// stateWait is how long a router that starts during a roll-out, or after it, waits for its state before
+	// it serves the service without it.
+	stateWait = time.Second
+	// answerOverhead is the time that an answer takes besides its prefill.
+	answerOverhead = 10 * time.Millisecond
+)
+
+// rollouts moves services to new versions of their upstreams, as operators order. It implements
+// pool.Versions. Each router reports what it observes to the router that decides on the service, and
+// follows its directives; package rollout decides.
+type rollouts struct {
+	g *Gateway
+	// active are the roll-outs by service. The map is replaced on each change and never modified.
+	active atomic.Pointer[map[string]*serviceRollout]
+	// ordered wakes the task that reports.
+	ordered  chan struct{}
+	deciders rolloutDeciders
+}
+
+var _ pool.Versions = (*rollouts)(nil)
+
+// serviceRollout is this router's part of one roll-out.
+type serviceRollout struct {
+	order rollout.Order
+	// stateUntil is the time until which the state is awaited; zero if the router has seen the order
+	// arrive.
+	stateUntil time.Time
+
+	mu       sync.Mutex
+	follower rollout.Follower
+	routes   map[string]*rollout.RouteSamples
+	// test are the upstreams that test the version.
+	test       map[directory.Incarnation]bool
+	runningOld int
+	// oldUpstreams and newUpstreams are those of each version that accept requests.
+	oldUpstreams, newUpstreams int
+	// reportedAt is the time of the last report.
+	reportedAt time.Time
+}
+
+func newRollouts(g *Gateway) *rollouts {
+	r := &rollouts{g: g, ordered: make(chan struct{}, 1)}
+	r.active.Store(&map[string]*serviceRollout{})
+	r.deciders = rolloutDeciders{r: r, created: make(chan struct{}, 1), byService: map[string]*rolloutDecider{}}
+	return r
+}
+
+// start starts the background tasks.
+func (r *rollouts) start(tasks *process.TaskGroup) {
+	r.deciders.tasks = tasks
+	tasks.Go(func(ctx context.Context) { tickWhile(ctx, r.ordered, r.reportAll) })
+	tasks.Go(func(ctx context.Context) { tickWhile(ctx, r.deciders.created, r.deciders.decideAll) })
+}
+
+// tickWhile calls do at each tick while it returns true, and again after each wake.
+func tickWhile(ctx context.Context, wake <-chan struct{}, do func(context.Context) bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		}
+		for do(ctx) && backoff.Sleep(ctx, rolloutTick) == nil {
+		}
+	}
+}
+
+// signal wakes the task that waits on a channel of capacity 1.
+func signal(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default: // it will wake already
+	}
+}
+
+func (r *rollouts) methods() map[string]link.Handler {
+	return map[string]link.Handler{link.MethodRollout: link.Handle(r.deciders.handleReport)}
+}
+
+// limits returns the limits of a roll-out in a fleet of the present size.
+func (r *rollouts) limits() rollout.Limits {
+	s := r.g.current.Load().Rollouts
+	interval := r.reportInterval()
+	return rollout.Limits{Share: s.ExposureShare, Slack: s.ExposureSlack,
+		Contact: max(time.Duration(s.RollBack)/4, 3*interval), Margin: 2*interval + marginReserve}
+}
+
+// reportInterval is the time between two reports of each router.
+func (r *rollouts) reportInterval() time.Duration {
+	return max(minReportInterval, time.Duration(r.g.routerCount())*time.Second/maxReportsPerSecond)
+}
+
+// setOrders applies all orders. live is set if they arrived while the router was running.
+func (r *rollouts) setOrders(orders map[string]rollout.Order, live bool) {
+	before := *r.active.Load()
+	next := map[string]*serviceRollout{}
+	for service, order := range orders {
+		if have := before[service]; have != nil && have.order == order {
+			next[service] = have
+			continue
+		}
+		next[service] = r.newServiceRollout(order, live)
+		r.g.Log.Info().Str("service", service).Str("version", order.Version).Dur("within_ms", order.Duration).
+			Int64("revision", int64(order.Revision)).Bool("live", live).Bool("withdrawn", order.Withdrawn).Msg("rollout_ordered")
+	}
+	r.active.Store(&next)
+	signal(r.ordered)
+	for service, sr := range next {
+		if sr.order.Withdrawn && before[service] != sr {
+			r.deciders.endWithdrawn(sr.order)
+		}
+	}
+}
+
+func (r *rollouts) newServiceRollout(order rollout.Order, live bool) *serviceRollout {
+	sr := &serviceRollout{order: order, routes: map[string]*rollout.RouteSamples{},
+		follower: rollout.Follower{Order: order, Limits: r.limits()}}
+	if live {
+		sr.follower.Since = time.Now()
+	} else {
+		sr.stateUntil = time.Now().Add(stateWait)
+	}
+	if order.Withdrawn {
+		sr.follower.Apply(time.Now(), rollout.Directive{Revision: order.Revision, State: rollout.RolledBack})
+	}
+	return sr
+}
+
+// Eligible implements pool.Versions.
+func (r *rollouts) Eligible(req *serving.Request, attempts []serving.Attempt, ups []directory.Upstream) []directory.Upstream {
+	sr := (*r.active.Load())[req.Service.Name]
+	if sr == nil {
+		return ups
+	}
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	if sr.awaitsStateLocked(time.Now()) {
+		return nil
+	}
+	return sr.selectLocked(sr.follower.Prefer(time.Now(), req.Route.Name, drawOf(req.ID), len(attempts) > 0), ups)
+}
+
+// awaitsStateLocked reports whether the router has just started and does not know yet whether the upstreams
+// of the previous version have stopped, or the new version has proven bad.
+func (sr *serviceRollout) awaitsStateLocked(now time.Time) bool {
+	return now.Before(sr.stateUntil) && !sr.follower.InContact(now) && !sr.follower.State().Final()
+}
+
+// ready reports whether the state of each roll-out is known, or no longer awaited.
+func (r *rollouts) ready() bool {
+	now := time.Now()
+	for _, sr := range *r.active.Load() {
+		sr.mu.Lock()
+		waits := sr.awaitsStateLocked(now)
+		sr.mu.Unlock()
+		if waits {
+			return false
+		}
+	}
+	return true
+}
+
+// drawOf returns a number from 0 to 1 that is the same at each choice for a request.
+func drawOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
+
+// selectLocked returns the upstreams that a preference allows.
+func (sr *serviceRollout) selectLocked(p rollout.Preference, ups []directory.Upstream) []directory.Upstream {
+	var previous, next, test []directory.Upstream
+	for _, u := range ups {
+		switch {
+		case !sr.isNew(u):
+			previous = append(previous, u)
+			continue
+		case sr.test[u.Incarnation]:
+			test = append(test, u)
+		}
+		next = append(next, u)
+	}
+	switch p {
+	case rollout.OnlyPrevious:
+		return previous
+	case rollout.OnlyNext:
+		return sr.withLaterLocked(next, previous)
+	case rollout.Test:
+		return firstNonEmpty(test, previous, next)
+	case rollout.Next:
+		return firstNonEmpty(next, previous)
+	}
+	return firstNonEmpty(previous, next)
+}
+
+func firstNonEmpty(lists ...[]directory.Upstream) []directory.Upstream {
+	for _, l := range lists {
+		if len(l) > 0 {
+			return l
+		}
+	}
+	return nil
+}
+
+// withLaterLocked adds upstreams of other versions that registered after the roll-out was complete; the
+// earlier ones have stopped, although their entries may remain for seconds.
+func (sr *serviceRollout) withLaterLocked(next, others []directory.Upstream) []directory.Upstream {
+	ended := sr.follower.Directive().Ended
+	for _, u := range others {
+		if ended > 0 && u.Registered > ended {
+			next = append(next, u)
+		}
+	}
+	return next
+}
+
+func (sr *serviceRollout) isNew(u directory.Upstream) bool { return u.Version == sr.order.Version }
+
+// Begin implements pool.Versions.
+func (r *rollouts) Begin(req *serving.Request, u directory.Upstream, prefill time.Duration) func(serving.Result, time.Duration, time.Duration) {
+	sr := (*r.active.Load())[req.Service.Name]
+	if sr == nil {
+		return nil
+	}
+	r.g.metrics.rolloutRequest(req.Service.Name, sr.isNew(u))
+	mayInterrupt := req.Route.Idempotent() && req.Route.MaxRuns > 1
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	if sr.follower.State().Final() {
+		return nil
+	}
+	sr.updateLocked(req.Route.Name, u, func(s *rollout.Samples) { s.Sent++ })
+	sr.routes[req.Route.Name].MayInterrupt = mayInterrupt
+	countsAsRunning := !sr.isNew(u) && !mayInterrupt
+	if countsAsRunning {
+		sr.runningOld++
+	}
+	return func(result serving.Result, first, ran time.Duration) {
+		sr.mu.Lock()
+		defer sr.mu.Unlock()
+		if countsAsRunning {
+			sr.runningOld--
+		}
+		if outcome, counts := rolloutOutcome(result); counts {
+			sr.updateLocked(req.Route.Name, u, func(s *rollout.Samples) { s.Add(outcome, first, prefill+answerOverhead, ran) })
+		}
+	}
+}
+
+// rolloutOutcome returns what a result says about a version; false if it says nothing.
+func rolloutOutcome(result serving.Result) (o rollout.Outcome, counts bool) {
+	switch result {
+	case serving.Complete:
+		return rollout.Succeeded, true
+	case serving.Failed, serving.Unknown, serving.Broken:
+		return rollout.Failed, true
+	case serving.OutOfTime:
+		return rollout.TimedOut, true
+	}
+	return 0, false
+}
+
+// updateLocked changes the samples of a route and an upstream.
+func (sr *serviceRollout) updateLocked(route string, u directory.Upstream, change func(*rollout.Samples)) {
+	s := sr.routes[route]
+	if s == nil {
+		s = &rollout.RouteSamples{New: map[string]rollout.Samples{}}
+		sr.routes[route] = s
+	}
+	if !sr.isNew(u) {
+		change(&s.Old)
+		return
+	}
+	n := s.New[u.Incarnation.String()]
+	change(&n)
+	s.New[u.Incarnation.String()] = n
+}
+
+// reportAll reports on each roll-out whose report is due, and returns whether any has not ended.
+func (r *rollouts) reportAll(ctx context.Context) (open bool) {
+	now, interval := time.Now(), r.reportInterval()
+	for service, sr := range *r.active.Load() {
+		if sr.due(now, interval) {
+			sr.countUpstreams(r.g.directory.ForService(service), now)
+			r.report(ctx, sr)
+		}
+		open = open || !sr.ended()
+	}
+	return open
+}
+
+// ended reports whether the router knows that the roll-out has ended.
+func (sr *serviceRollout) ended() bool {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	return sr.follower.State().Final()
+}
+
+// due reports whether a report is due, and records it.
+func (sr *serviceRollout) due(now time.Time, interval time.Duration) bool {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	if sr.follower.Finishing() {
+		interval /= 2
+	}
+	if sr.follower.State().Final() || now.Sub(sr.reportedAt) < interval {
+		return false
+	}
+	sr.reportedAt = now
+	return true
+}
+
+// countUpstreams counts the upstreams of each version, and chooses those that test the new one: as many
+// as get the usual load from the share of the requests that tests it, the same at all routers.
+func (sr *serviceRollout) countUpstreams(ups []directory.Upstream, now time.Time) {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.oldUpstreams, sr.newUpstreams = 0, 0
+	warm := map[string]directory.Incarnation{}
+	for _, u := range ups {
+		switch {
+		case !sr.isNew(u):
+			sr.oldUpstreams++
+		case now.Before(u.ColdUntil):
+		default:
+			sr.newUpstreams++
+			warm[u.Incarnation.String()] = u.Incarnation
+		}
+	}
+	sr.test = map[directory.Incarnation]bool{}
+	n := max(minTestUpstreams, int(sr.follower.Directive().Share*float64(len(warm))))
+	for _, name := range rankTestUpstreams(sr.order.Service, slices.Collect(maps.Keys(warm)), n) {
+		sr.test[warm[name]] = true
+	}
+}
+
+// report sends a report to the router that decides, and applies its directive.
+func (r *rollouts) report(ctx context.Context, sr *serviceRollout) {
+	directive, from, err := r.deciders.callDecider(ctx, r.newReport(sr))
+	if err != nil {
+		r.g.Log.Warn().Err(err).Str("service", sr.order.Service).Msg("rollout_not_reported")
+		var ended bool
+		if sr.needsStore(time.Now()) {
+			directive, ended = r.readEnded(ctx, sr.order)
+		}
+		if !ended {
+			return
+		}
+		from = "store"
+	}
+	sr.mu.Lock()
+	before := sr.follower.Directive()
+	sr.follower.Limits = r.limits()
+	sr.follower.Apply(time.Now(), directive)
+	after := sr.follower.Directive()
+	sr.mu.Unlock()
+	if before.State != after.State || before.Finish != after.Finish || len(before.Moved) != len(after.Moved) || (before.Share > 0) != (after.Share > 0) {
+		r.g.Log.Info().Str("service", sr.order.Service).Str("version", sr.order.Version).Stringer("state", after.State).Float64("share", after.Share).
+			Strs("moved", after.Moved).Bool("finish", after.Finish).Str("from", from).Msg("rollout_directive")
+	}
+}
+
+// needsStore reports whether the router has to ask the store how the roll-out ended: it sends nothing to
+// the previous version, and has reached no decider for some time.
+func (sr *serviceRollout) needsStore(now time.Time) bool {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	return sr.follower.Finishing() && !sr.follower.InContact(now)
+}
+
+func (r *rollouts) newReport(sr *serviceRollout) rollout.Report {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	report := rollout.Report{Router: r.g.Incarnation, Service: sr.order.Service, Order: int64(sr.order.Revision),
+		Routes: map[string]rollout.RouteSamples{}, RunningOld: sr.runningOld, OldUpstreams: sr.oldUpstreams, NewUpstreams: sr.newUpstreams,
+		Finishing: sr.follower.Finishing(), RolledBack: sr.follower.State() == rollout.RolledBack}
+	if !sr.follower.Since.IsZero() {
+		report.Age = time.Since(sr.follower.Since)
+	}
+	for name, s := range sr.routes {
+		copied := *s
+		copied.New = maps.Clone(s.New)
+		report.Routes[name] = copied
+	}
+	return report
+}
+
+// rolloutState is the state of one roll-out in a dump.
+type rolloutState struct {
+	Service   string            `json:"service"`
+	Version   string            `json:"version"`
+	Order     store.Revision    `json:"order"`
+	Directive rollout.Directive `json:"directive"`
+	// InContact reports whether the directive is recent.
+	InContact bool           `json:"in_contact"`
+	Report    rollout.Report `json:"report"`
+	// Decision is what this router decided, if it decides on the service.
+	Decision *rollout.Decision `json:"decision,omitempty"`
+}
+
+// state returns the roll-outs for a dump.
+func (r *rollouts) state() []rolloutState {
+	var out []rolloutState
+	for service, sr := range *r.active.Load() {
+		s := rolloutState{Service: service, Version: sr.order.Version, Order: sr.order.Revision, Report: r.newReport(sr),
+			Decision: r.deciders.decision(service)}
+		sr.mu.Lock()
+		s.Directive, s.InContact = sr.follower.Directive(), sr.follower.InContact(time.Now())
+		sr.mu.Unlock()
+		out = append(out, s)
+	}
+	return out
+}
+
+// DecidesRollout reports whether this router decides on a service's roll-out.
+func (g *Gateway) DecidesRollout(service string) bool {
+	return g.rollouts.deciders.decision(service) != nil
+}
+
+// rolloutRouters returns the incarnations of all listed routers.
+func (r *rollouts) rolloutRouters() (ids []string) {
+	for _, m := range r.g.Members.Newest(prepaid.RoleRouter) {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/gateway/rollouts_test.go
@@ -0,0 +1,190 @@
+package gateway_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/platform/standin"
+	"github.com/stretchr/testify/require"
+)
+
+// rolloutFleet is a fleet whose service "plain" moves from v1 to v2, with callers that use all routers.
+type rolloutFleet struct {
+	*fleet
+	rng      *rand.Rand
+	routers  int
+	old, new []*standin.Upstream
+	ordered  time.Time
+	duration time.Duration
+	// stopping are the routers that restart, by VM.
+	stopping map[int]*gatewayProcess
+
+	mu sync.Mutex
+	// statuses are the status codes that callers got.
+	statuses map[int]int
+	// completed is when the store said so; the old upstreams stop then.
+	completed time.Time
+	state     string
+	endedAt   time.Time
+}
+
+const (
+	rolloutUpstreams = 6
+	rolloutDuration  = 8 * time.Second
+	// rolloutRate is the number of requests per second.
+	rolloutRate = 400
+)
+
+func startRolloutFleet(f *fleet, seed uint64, routers int) *rolloutFleet {
+	r := &rolloutFleet{fleet: f, rng: rand.New(rand.NewPCG(seed, 2)), routers: routers, duration: rolloutDuration, statuses: map[int]int{}, stopping: map[int]*gatewayProcess{}}
+	f.putConfig(0, "k1")
+	for n := range rolloutUpstreams {
+		r.old = append(r.old, f.upstream(fmt.Sprint("i-", n+1), "plain", 0))
+	}
+	f.startRouters(routers)
+	time.Sleep(3 * time.Second)
+	return r
+}
+
+// order orders the roll-out and starts the new upstreams.
+func (r *rolloutFleet) order(mode standin.Mode, slowdown time.Duration) {
+	for n := range rolloutUpstreams {
+		id := fmt.Sprint("i-", 20+n)
+		u := &standin.Upstream{ID: id, Pause: 10*time.Millisecond + slowdown}
+		u.SetMode(mode)
+		r.serve(upstreamAddress(id), u)
+		require.NoError(r.t, r.store.RegisterVersion(id, "plain", upstreamAddress(id), "bergen", "v2", 6))
+		r.new = append(r.new, u)
+	}
+	r.ordered = time.Now()
+	require.NoError(r.t, r.store.OrderRollout("plain", "v2", r.duration))
+}
+
+// play sends requests until some time after the deadline; at is called at each step.
+func (r *rolloutFleet) play(until time.Duration, at func(elapsed time.Duration)) {
+	const step = 20 * time.Millisecond
+	clients := map[int]*http.Client{}
+	var wg sync.WaitGroup
+	for elapsed := time.Duration(0); elapsed < until; elapsed = time.Since(r.ordered) {
+		if at != nil {
+			at(elapsed)
+		}
+		r.observeState()
+		for range rolloutRate / int(time.Second/step) {
+			vm := 1 + r.rng.IntN(r.routers)
+			if clients[vm] == nil {
+				clients[vm] = r.client()
+			}
+			req := alert(fmt.Sprintf("%x", r.rng.Uint64()))
+			if r.rng.IntN(3) == 0 {
+				req = level(req.id)
+			}
+			req.vm = vm
+			client := clients[vm]
+			wg.Go(func() {
+				resp := r.sendWith(client, req)
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.statuses[resp.status]++
+			})
+		}
+		time.Sleep(step)
+	}
+	wg.Wait()
+	r.observeState()
+}
+
+// observeState records the state that operators see.
+func (r *rolloutFleet) observeState() {
+	state, version, err := r.store.RolloutStatus("plain")
+	require.NoError(r.t, err)
+	if state == r.state {
+		return
+	}
+	require.Equal(r.t, "v2", version)
+	require.NotContains(r.t, []string{"completed", "rolled_back"}, r.state, "a final state stays")
+	r.state = state
+	if state != "in_progress" {
+		r.endedAt = time.Now()
+	}
+}
+
+// count returns the number of requests that reached upstreams from the order to a time.
+func (r *rolloutFleet) count(upstreams []*standin.Upstream, from, until time.Time) (n int) {
+	for _, u := range upstreams {
+		n += u.Between(from, until)
+	}
+	return n
+}
+
+// checkExposure checks what the new version got until the deadline.
+func (r *rolloutFleet) checkExposure() {
+	deadline := r.ordered.Add(r.duration)
+	exposed := r.count(r.new, r.ordered, deadline)
+	all := exposed + r.count(r.old, r.ordered, deadline)
+	require.LessOrEqual(r.t, float64(exposed), 0.1*float64(all)+50, "%d of %d", exposed, all)
+}
+
+// checkOldStopped checks that nothing was sent to the old upstreams after they were allowed to stop.
+func (r *rolloutFleet) checkOldStopped() {
+	require.Zero(r.t, r.count(r.old, r.endedAt.Add(time.Millisecond), time.Now()), "sent to stopped upstreams")
+}
+
+// Guards against a good version that is not completed by its deadline, and against requests that are cut off
+// when the old upstreams stop.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRolloutFleet(f, 1, 5)
+		r.order(standin.Serve, 0)
+		r.play(r.duration+time.Second, nil)
+		require.Equal(t, "completed", r.state)
+		require.LessOrEqual(t, r.endedAt.Sub(r.ordered), r.duration)
+		require.Greater(t, r.endedAt.Sub(r.ordered), r.duration/2, "a version that turns bad later would be missed")
+		r.checkOldStopped()
+		require.Equal(t, map[int]int{200: r.statuses[200]}, r.statuses)
+	})
+}
+
+// Guards against a bad version that gets more requests than allowed.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		mode     standin.Mode
+		slowdown time.Duration
+	}{
+		"fails":         {standin.Fail, 0},
+		"loses answers": {standin.LoseAnswer, 0},
+		"slow":          {standin.Serve, 60 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				r := startRolloutFleet(f, 1, 5)
+				r.order(c.mode, c.slowdown)
+				r.play(r.duration+time.Second, nil)
+				require.Equal(t, "rolled_back", r.state)
+				r.checkExposure()
+				require.Zero(t, r.count(r.new, r.endedAt.Add(time.Second), time.Now()), "sent to a version that was rolled back")
+			})
+		})
+	}
+}
+
+// Guards against a version that turns bad after most of the time has passed.
+func TestVersionThatTurnsBadLater(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRolloutFleet(f, 2, 5)
+		r.order(standin.Serve, 0)
+		r.play(r.duration+time.Second, func(elapsed time.Duration) {
+			if elapsed > 4*time.Second {
+				for _, u := range r.new {
+					u.SetMode(standin.Fail)
+				}
+			}
+		})
+		require.Equal(t, "rolled_back", r.state)
+		r.checkExposure()
+	})
+}
--- a/link/messages.go
+++ b/link/messages.go
@@ -69,6 +69,10 @@
 	MethodPromptKeep = "prompt.keep"
 )
 
+// MethodRollout reports what a router observed of a roll-out to the router that decides on it:
+// rollout.Report, rollout.Directive.
+const MethodRollout = "rollout.report"
+
 // PromptKeep holds changes to store. Answered is applied before Known.
 type PromptKeep struct {
 	Answered []PromptAnswered  `json:"answered,omitempty"`
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -73,10 +73,13 @@
 	return &candidates{pool: p, r: r, ups: ups, views: views, limited: limited, rates: p.rates(r)}
 }
 
-// eligible returns the upstreams of the request's service in its allowed regions, without those
-// already tried.
+// eligible returns the upstreams of the request's service in its allowed versions and regions, without
+// those already tried.
 func (p *Pool) eligible(r *serving.Request, attempts []serving.Attempt) []directory.Upstream {
 	ups := p.Directory.ForService(r.Service.Name)
+	if p.Versions != nil {
+		ups = p.Versions.Eligible(r, attempts, ups)
+	}
 	if len(attempts) == 0 && r.Regions == nil {
 		return ups
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -66,6 +66,8 @@
 	Limits Limits
 	// Region returns the region of a data centre, "" if unknown.
 	Region func(datacentre string) string
+	// Versions restricts requests to versions of their service; it may be nil.
+	Versions Versions
 	// Cold bounds the request rate to cold upstreams.
 	Cold warmup.Tolerance
 	// HasLender reports whether the upstream at an address has a known lender, which admits the
@@ -248,6 +250,10 @@
 	}
 	att := &attempt{pool: p, upstream: u.Incarnation, address: u.Address, limitMark: s.limiter.State().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), gaps: p.gapsOf(r.Service.Name),
 		prefillRate: p.prefillRateOf(r.Service.Name), sent: now}
+	if p.Versions != nil {
+		perMs, _ := att.prefillRate.tokensPerMs(p.PrefillPerMs)
+		att.versionDone = p.Versions.Begin(r, u, time.Duration(float64(c.PrefillTokens)/perMs*float64(time.Millisecond)))
+	}
 	t.Event, t.Limit, t.Done = att.event, att.limit, att.done
 	return t, true
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -24,7 +24,10 @@
 	prefillRate *prefillRate
 	// sent is when the upstream was chosen.
 	sent time.Time
+	// versionDone is Versions.Begin's result.
+	versionDone func(result serving.Result, first, ran time.Duration)
 
+	firstEvent time.Time
 	lastEvent  time.Time
 	prefilled  bool
 	longestGap serving.Gap
@@ -40,6 +43,9 @@
 		att.prefillRate.observe(att.choice.PrefillTokens, now.Sub(att.sent))
 	}
 	att.prefillDone()
+	if att.firstEvent.IsZero() {
+		att.firstEvent = now
+	}
 	if !att.lastEvent.IsZero() {
 		att.observeGap(now, now.Sub(att.lastEvent))
 	}
@@ -71,6 +77,19 @@
 func (att *attempt) done(a serving.Attempt) serving.Attempt {
 	att.prefillDone()
 	att.pool.attemptDone(att.upstream, a)
+	if att.versionDone != nil {
+		att.reportVersion(a.Result)
+	}
 	a.Cost, a.PendingPrefill, a.Gap = att.choice.Cost, att.choice.PrefillTokens, att.longestGap
 	return a
 }
+
+// reportVersion reports the result to Versions.
+func (att *attempt) reportVersion(result serving.Result) {
+	ran := att.pool.Now().Sub(att.sent)
+	first := ran
+	if !att.firstEvent.IsZero() {
+		first = att.firstEvent.Sub(att.sent)
+	}
+	att.versionDone(result, first, ran)
+}
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -45,6 +45,9 @@
 	d.setBegan(began)
 }
 
+// Confirmed reports whether the store holds this process as the decider.
+func (d *Decider) Confirmed() bool { return d.confirmed }
+
 // setBegan moves the time of the order back.
 func (d *Decider) setBegan(at time.Time) {
 	if !at.IsZero() && (d.began.IsZero() || at.Before(d.began)) {
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -15,6 +15,8 @@
 	Previous Preference = iota
 	// Next means upstreams of the order's version, or others if there are none.
 	Next
+	// Test means those upstreams of the order's version that test it.
+	Test
 	// OnlyPrevious and OnlyNext permit no others.
 	OnlyPrevious
 	OnlyNext
@@ -78,7 +80,7 @@
 	case slices.Contains(d.Moved, route):
 		return Next
 	case draw < d.Share && !retried:
-		return Next
+		return Test
 	}
 	return Previous
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -22,6 +22,8 @@
 	Duration time.Duration
 	// Revision is that of the order's entry in the store; a later order has a higher one.
 	Revision store.Revision
+	// Withdrawn is set if the operator has removed the order.
+	Withdrawn bool
 }
 
 // State is the state of a roll-out.
@@ -62,6 +64,8 @@
 	// Revision is the revision of the order.
 	Revision store.Revision `json:"order"`
 	State    State          `json:"state"`
+	// Ended is the store's revision at which the final state was written, 0 if it is not known.
+	Ended store.Revision `json:"ended,omitempty"`
 	// Share is the share of the requests that test the new version.
 	Share float64 `json:"share"`
 	// Moved are the routes whose requests all go to the new version, Finish moves all routes.
