--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -20,6 +20,9 @@
 const (
 	// decideInterval is the time between two decisions on a roll-out.
 	decideInterval = 2 * rolloutTick
+	// confirmTimeout is how long routers wait until the store holds a router as the decider, before they try
+	// another one: it may be cut from the store.
+	confirmTimeout = 600 * time.Millisecond
 	// rolloutStorePause is the pause after a call of the store that failed.
 	rolloutStorePause = 300 * time.Millisecond
 )
@@ -45,7 +48,8 @@
 
 // rolloutDecider is the decider of one order.
 type rolloutDecider struct {
-	order rollout.Order
+	order   rollout.Order
+	created time.Time
 
 	mu      sync.Mutex
 	decider rollout.Decider
@@ -113,7 +117,10 @@
 	defer dec.mu.Unlock()
 	dec.decider.Add(time.Now(), report)
 	if !dec.ended && !dec.decider.Confirmed() {
-		return rollout.Directive{}, errUnconfirmed // another router may have completed it
+		if time.Since(dec.created) > confirmTimeout {
+			return rollout.Directive{}, errUnconfirmed
+		}
+		return rollout.Directive{Revision: dec.order.Revision, Pending: true}, nil
 	}
 	directive := dec.decision.Directive
 	directive.Revision = dec.order.Revision
@@ -131,7 +138,7 @@
 	defer d.mu.Unlock()
 	have := d.byService[service]
 	if have == nil || have.order != sr.order {
-		have = &rolloutDecider{order: sr.order, decider: rollout.Decider{Order: sr.order, Limits: d.r.limits()}}
+		have = &rolloutDecider{order: sr.order, created: time.Now(), decider: rollout.Decider{Order: sr.order, Limits: d.r.limits()}}
 		d.byService[service] = have
 		signal(d.created)
 	}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -334,7 +334,7 @@
 func (sr *serviceRollout) due(now time.Time, interval time.Duration) bool {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	if sr.follower.Finishing() {
+	if sr.follower.Finishing() || sr.follower.NearDeadline(now) {
 		interval /= 2
 	}
 	if sr.follower.State().Final() || now.Sub(sr.reportedAt) < interval {
@@ -387,6 +387,9 @@
 	sr.follower.Limits = r.limits()
 	sr.follower.Apply(time.Now(), directive)
 	after := sr.follower.Directive()
+	if after.Finish && !before.Finish {
+		sr.reportedAt = time.Time{} // the end waits for this router's confirmation
+	}
 	sr.mu.Unlock()
 	if before.State != after.State || before.Finish != after.Finish || len(before.Moved) != len(after.Moved) || (before.Share > 0) != (after.Share > 0) {
 		r.g.Log.Info().Str("service", sr.order.Service).Str("version", sr.order.Version).Stringer("state", after.State).Float64("share", after.Share).
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -113,6 +114,16 @@
 	}
 }
 
+// reasons returns the log lines of decisions.
+func (r *rolloutFleet) reasons() (lines []string) {
+	for line := range strings.Lines(r.log.String()) {
+		if strings.Contains(line, "rollout_decision") {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // count returns the number of requests that reached upstreams from the order to a time.
 func (r *rolloutFleet) count(upstreams []*standin.Upstream, from, until time.Time) (n int) {
 	for _, u := range upstreams {
@@ -141,7 +152,7 @@
 		r := startRolloutFleet(f, 1, 5)
 		r.order(standin.Serve, 0)
 		r.play(r.duration+time.Second, nil)
-		require.Equal(t, "completed", r.state)
+		require.Equal(t, "completed", r.state, r.reasons())
 		require.LessOrEqual(t, r.endedAt.Sub(r.ordered), r.duration)
 		require.Greater(t, r.endedAt.Sub(r.ordered), r.duration/2, "a version that turns bad later would be missed")
 		r.checkOldStopped()
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -11,6 +11,10 @@
 // reportTTL is how long a router that sends no reports is waited for: it may have ended.
 const reportTTL = 1500 * time.Millisecond
 
+// overtime is how long after the deadline a process to which few routers report waits for another one to
+// end the roll-out.
+const overtime = 5 * time.Second
+
 // Decider collects the reports of all routers on one order and decides. One process has it at a
 // time; another one that takes over gets everything with the next report of each router. It is not
 // safe for concurrent use.
@@ -98,7 +102,8 @@
 // Decide returns what routers do now. routers are the incarnations of those that may send requests.
 func (d *Decider) Decide(now time.Time, routers []string) Decision {
 	demand := d.demand(now)
-	d.judge(&demand)
+	reporting := d.reporting(now, routers)
+	d.judge(&demand, reporting, len(routers))
 	out := Decision{Directive: Directive{Revision: d.Order.Revision, State: d.state}, Reason: d.reason,
 		Sent: demand.sent, Exposed: demand.exposed, Answered: demand.answered(), Elapsed: demand.elapsed}
 	if d.state.Final() || !d.confirmed || d.began.IsZero() {
@@ -119,15 +124,29 @@
 	out.Directive.Moved, out.Directive.Finish = slices.Sorted(maps.Keys(d.moved)), d.finishing
 	if d.finishing {
 		out.Waiting = d.waiting(now, demand.left(), routers)
-		out.Complete = out.Waiting == 0
+		out.Complete = out.Waiting == 0 && 2*reporting >= len(routers)
 	}
 	return out
 }
 
+// reporting counts the routers that report to this process. With few of them another process decides, or
+// most routers have ended.
+func (d *Decider) reporting(now time.Time, routers []string) (n int) {
+	for _, id := range routers {
+		if r, known := d.reports[id]; known && now.Sub(r.at) < reportTTL {
+			n++
+		}
+	}
+	return n
+}
+
 // judge ends the roll-out of a version that is bad, or that is not proven at the deadline. The times of
 // routes that were moved are not compared: the caches of the new version are empty, and the previous
 // one gets no such requests at the same time.
-func (d *Decider) judge(demand *demand) {
+func (d *Decider) judge(demand *demand, reporting, routers int) {
+	if reporting == 0 {
+		return
+	}
 	c := comparison{significance: significance,
 		timed: func(route string) bool { return demand.left() > d.Limits.Margin && !d.moved[route] }}
 	for _, routes := range []map[string]evidence{demand.routes, d.history.since(demand.elapsed, demand.routes)} {
@@ -135,7 +154,8 @@
 			d.End(RolledBack, reason)
 		}
 	}
-	if d.confirmed && demand.left() == 0 && !demand.proven() {
+	most := 2*reporting >= routers || demand.elapsed >= demand.duration+overtime
+	if d.confirmed && demand.left() == 0 && !demand.proven() && most {
 		d.End(RolledBack, "too few answers of the version before the deadline")
 	}
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -64,6 +64,8 @@
 	// Revision is the revision of the order.
 	Revision store.Revision `json:"order"`
 	State    State          `json:"state"`
+	// Pending is set while the process that decides does not know the state in the store.
+	Pending bool `json:"pending,omitempty"`
 	// Ended is the store's revision at which the final state was written, 0 if it is not known.
 	Ended store.Revision `json:"ended,omitempty"`
 	// Share is the share of the requests that test the new version.
