--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -73,6 +73,8 @@
 	// disconnected holds the VMs that cannot reach the store; the value is true for those that
 	// cannot reach any other process either.
 	disconnected sync.Map
+	// unreachable holds the addresses that no process can connect to.
+	unreachable sync.Map
 	// linkRate is the capacity of the routers' links in bytes/s; 0 means unlimited.
 	linkRate   int
 	storeConns sync.Map // numbers of the VMs by their net.Conn to the store
@@ -232,6 +234,9 @@
 		if all, found := f.disconnected.Load(vm); found && (to == storeAddress || all == true) {
 			return nil, memnet.ErrRefused
 		}
+		if _, found := f.unreachable.Load(to); found {
+			return nil, memnet.ErrRefused
+		}
 		conn, err := f.network.Dial(ctx, network, to)
 		if err == nil && to == storeAddress {
 			f.storeConns.Store(conn, vm)
--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
@@ -62,3 +63,33 @@
 		})
 	}
 }
+
+// Guards against requests that wait, or leave their region, when nothing in the only region that they allow
+// can serve them: they are refused at once, as not run and with a time to come back.
+func TestOnlyAllowedRegionServesNothing(t *testing.T) {
+	for name, lose := range map[string]func(f *fleet){
+		"drained":     func(f *fleet) { require.NoError(t, f.store.OrderDrain("oslo")) },
+		"empty":       func(f *fleet) { require.NoError(t, f.store.Unregister("i-2")) },
+		"leaving":     func(f *fleet) { require.NoError(t, f.store.Register("i-2", "plain", upstreamAddress("i-2"), "oslo", "draining", 6)) },
+		"unreachable": func(f *fleet) { f.unreachable.Store(upstreamAddress("i-2"), true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				f.template = strings.Replace(configTemplate, `{"name":"alert",`, `{"name":"alert","allowed_regions":["east"],`, 1)
+				f.putConfig(0, "k1")
+				west := f.upstreamIn("bergen", "i-1", "plain", 0)
+				east := f.upstreamIn("oslo", "i-2", "plain", 0)
+				f.start()
+				require.Equal(t, 200, f.send(alert("before")).status)
+				lose(f)
+				time.Sleep(5 * time.Second) // idle connections are closed
+				resp := f.send(alert("after"))
+				require.Equal(t, 503, resp.status)
+				require.NotEmpty(t, resp.header.Get("Retry-After"))
+				require.Less(t, resp.elapsed, 500*time.Millisecond)
+				require.Empty(t, west.Requests())
+				require.Equal(t, []string{"before"}, east.IDs())
+			})
+		})
+	}
+}
