--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -177,6 +177,11 @@
 				r.play(r.duration+time.Second, nil)
 				require.Equal(t, "rolled_back", r.state)
 				r.checkExposure()
+				for n := range r.old {
+					require.NoError(t, f.store.Unregister(fmt.Sprint("i-", n+1)))
+				}
+				f.settle()
+				require.Equal(t, 503, f.send(alert("nothing else is left")).status)
 				require.Zero(t, r.count(r.new, r.endedAt.Add(time.Second), time.Now()), "sent to a version that was rolled back")
 			})
 		})
