--- a/coord/member/lease.go
+++ b/coord/member/lease.go
@@ -23,6 +23,11 @@
 	// findTimeout bounds one such read: a store that is slower by a factor of 100 still answers
 	// within it.
 	findTimeout = 500 * time.Millisecond
+	// busyPause and busyPauseMax bound the pause after a read that failed, and busyTime the time of all:
+	// when hundreds of processes start at once, their reads of the list fill the store's link.
+	busyPause    = 300 * time.Millisecond
+	busyPauseMax = time.Second
+	busyTime     = 3 * time.Second
 	// cleanupInterval is the interval between two cleanups; see cleanUp.
 	cleanupInterval = time.Second
 )
@@ -65,24 +70,39 @@
 
 // FindPeers reads the list at startup until it holds another member, or for a third of a second.
 // Before that a process has no relay to follow, and if each process of a starting fleet followed
-// the store meanwhile, their calls would overload it.
+// the store meanwhile, their calls would overload it. A read that fails does not show that there are
+// no others, and is repeated for some seconds.
 func (g *Group) FindPeers(ctx context.Context) {
-	for attempt := range findAttempts {
-		if attempt > 0 && backoff.Sleep(ctx, findPause) != nil {
-			return
-		}
-		reading, cancel := context.WithTimeout(ctx, findTimeout)
-		items, err := g.Store.StaleSnapshot(reading, g.Prefix)
-		cancel()
-		if err == nil {
-			g.Reset(items)
+	busy := backoff.New(busyPause, busyPauseMax)
+	began := time.Now()
+	for attempt := 0; attempt < findAttempts; {
+		if g.readPeers(ctx) == nil {
 			if len(g.Members()) > 1 {
 				return
 			}
+			attempt++
+			if attempt < findAttempts && backoff.Sleep(ctx, findPause) != nil {
+				return
+			}
+			continue
+		}
+		if time.Since(began) > busyTime || busy.Wait(ctx) != nil {
+			return
 		}
 	}
 }
 
+// readPeers reads the list once.
+func (g *Group) readPeers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	items, err := g.Store.StaleSnapshot(ctx, g.Prefix)
+	if err == nil {
+		g.Reset(items)
+	}
+	return err
+}
+
 func (g *Group) init() {
 	g.once.Do(func() {
 		g.wakeups = make(chan struct{}, 1)
--- a/coord/relay/hub.go
+++ b/coord/relay/hub.go
@@ -60,8 +60,10 @@
 	*feed
 	prefix      Prefix
 	lastRequest time.Time
-	ctx         context.Context
-	end         context.CancelFunc
+	// lastRemote is the time of the last request of another process, zero if there was none.
+	lastRemote time.Time
+	ctx        context.Context
+	end        context.CancelFunc
 }
 
 func (h *Hub) init() {
@@ -113,6 +115,21 @@
 	h.notifyLocked()
 }
 
+// ReleaseLocal ends following for this process's own follower, which has found a relay. Prefixes that
+// other processes requested recently stay: when a whole fleet starts, each process may follow the store
+// for a moment, and would go on with its calls for idleTimeout.
+func (h *Hub) ReleaseLocal() {
+	h.init()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, f := range h.feeds {
+		if f.lastRemote.IsZero() || h.Now().Sub(f.lastRemote) > idleTimeout {
+			f.end()
+			delete(h.feeds, name)
+		}
+	}
+}
+
 func (h *Hub) dropIdle() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -138,7 +155,9 @@
 
 // Follow answers a follower: at once if there are changes after one of its positions, else
 // when there are or the wait is over.
-func (h *Hub) Follow(ctx context.Context, r Request) (Reply, error) {
+func (h *Hub) Follow(ctx context.Context, r Request) (Reply, error) { return h.follow(ctx, r, false) }
+
+func (h *Hub) follow(ctx context.Context, r Request, remote bool) (Reply, error) {
 	h.init()
 	if r.Store != h.Store {
 		return Reply{}, Error.Wrap(ErrOtherStore)
@@ -149,7 +168,7 @@
 	defer h.release()
 	until := h.Now().Add(min(max(0, r.Wait), maxWait))
 	for {
-		reply, next, err := h.readPositions(r)
+		reply, next, err := h.readPositions(r, remote)
 		if err != nil || reply.hasNew || !h.Now().Before(until) {
 			return reply.Reply, err
 		}
@@ -204,8 +223,8 @@
 }
 
 // readPositions returns the changes after each of a request's positions.
-func (h *Hub) readPositions(r Request) (out readResult, next nextCheck, err error) {
-	feeds, updated, err := h.feedsFor(r.Positions)
+func (h *Hub) readPositions(r Request, remote bool) (out readResult, next nextCheck, err error) {
+	feeds, updated, err := h.feedsFor(r.Positions, remote)
 	if err != nil {
 		return readResult{}, nextCheck{}, err
 	}
@@ -223,7 +242,7 @@
 
 // feedsFor returns the feeds of the positions, and starts to follow prefixes that are not followed
 // yet.
-func (h *Hub) feedsFor(positions []Position) ([]*feed, <-chan struct{}, error) {
+func (h *Hub) feedsFor(positions []Position, remote bool) ([]*feed, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.stopping {
@@ -240,6 +259,9 @@
 			f = h.startLocked(prefix)
 		}
 		f.lastRequest = h.Now()
+		if remote {
+			f.lastRemote = f.lastRequest
+		}
 		out[i] = f.feed
 	}
 	return out, h.updated, nil
--- a/coord/relay/pack.go
+++ b/coord/relay/pack.go
@@ -59,7 +59,7 @@
 
 // Serve is Follow for followers in other processes: it compresses large values.
 func (h *Hub) Serve(ctx context.Context, r Request) (Reply, error) {
-	reply, err := h.Follow(ctx, r)
+	reply, err := h.follow(ctx, r, true)
 	if err == nil {
 		h.packer.pack(reply)
 	}
--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
@@ -366,3 +367,29 @@
 		})
 	})
 }
+
+// Guards against calls of the store by a process that has found a relay: when a fleet starts, each process
+// may follow the store for a moment, and went on with its calls for ten seconds.
+func TestHubReleasedByItsOwnFollower(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		for _, remote := range []bool{false, true} {
+			s := memstore.New()
+			h := &Hub{Store: "s", Prefixes: []Prefix{{Name: "k/", Store: s, StaleAfter: time.Second}}, MaxFollowers: 9, Now: time.Now}
+			ctx, cancel := context.WithCancel(t.Context())
+			go h.Run(ctx)
+			request := Request{Store: "s", Positions: []Position{{Prefix: "k/"}}}
+			_, err := h.Follow(ctx, request)
+			require.NoError(t, err)
+			if remote {
+				_, err = h.Serve(ctx, request)
+				require.NoError(t, err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			h.ReleaseLocal()
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, remote, len(h.State().Feeds) == 1)
+			cancel()
+			synctest.Wait()
+		}
+	})
+}
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -92,6 +92,9 @@
 	// relaySources are the relays for the follower, computed from relaySourcesVersion of the members.
 	relaySources        []relay.Source
 	relaySourcesVersion uint64
+	// seenVersion is the last version of the members, seenSince the time since which it is current.
+	seenVersion uint64
+	seenSince   time.Time
 	// memberEntries is the store's list of members, ownEntry this process's entry in it.
 	memberEntries, ownEntry Dependency
 }
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/member"
@@ -26,6 +27,9 @@
 	processesPerRelay = 100
 	// maxFollowers is how many followers a relay accepts: those of two relays, for when one ends.
 	maxFollowers = 2*processesPerRelay + processesPerRelay/2
+	// membersSettled is how long the members must not have changed before other relays are chosen: longer
+	// than the time between two changes that a relay reports while a fleet starts.
+	membersSettled = 2 * time.Second
 	// maxRelays is how many relays a process tries before it calls the store itself. Each one that
 	// does not answer takes half a second of the time within which changes must be active.
 	maxRelays = 2
@@ -69,15 +73,38 @@
 	return &relay.Follower{Store: address, Readers: all, Sources: b.sources, Report: b, Now: time.Now}
 }
 
-// sources lists the relays for this process, recomputed when the members have changed. Only the
-// follower's goroutine calls it.
+// sources lists the relays for this process. Only the follower's goroutine calls it.
+//
+// While members join one after the other, each new one may rank first. Processes that moved to it at once
+// would find a relay that has read nothing yet, and each such relay reads and follows the whole store.
+// So the list is recomputed once the members have not changed for a while, or at once if one of
+// its relays is gone or it has none.
 func (b *Base) sources() []relay.Source {
-	if v := b.Members.Version(); b.relaySources == nil || v != b.relaySourcesVersion {
-		b.relaySources, b.relaySourcesVersion = b.findRelaySources(), v
+	now, version := time.Now(), b.Members.Version()
+	if version != b.seenVersion {
+		b.seenVersion, b.seenSince = version, now
+	}
+	settled := now.Sub(b.seenSince) >= membersSettled
+	if version != b.relaySourcesVersion && (settled || len(b.relaySources) <= 1 || b.lostRelay()) || b.relaySources == nil {
+		b.relaySources, b.relaySourcesVersion = b.findRelaySources(), version
 	}
 	return b.relaySources
 }
 
+// lostRelay reports whether a relay among the sources is no longer a member that may relay.
+func (b *Base) lostRelay() bool {
+	candidates := b.relayCandidates()
+	return slices.ContainsFunc(b.relaySources, func(s relay.Source) bool {
+		_, listed := candidates[s.Name]
+		return s.Name != ownHub && !listed && !b.mayRelay(s.Name)
+	})
+}
+
+// mayRelay reports whether a VM has a listed process that can relay, although others are preferred.
+func (b *Base) mayRelay(vm string) bool {
+	return slices.ContainsFunc(b.Members.Members(), func(m member.Member) bool { return m.VM == vm })
+}
+
 // findRelaySources returns the relays for this process, followed by its own hub. If this process is
 // one of those relays, its own hub takes its rank and ends the list.
 func (b *Base) findRelaySources() []relay.Source {
@@ -165,6 +192,9 @@
 
 // SourceChanged implements relay.Reporter.
 func (b *Base) SourceChanged(source string, reason error) {
+	if source != ownHub {
+		b.Hub.ReleaseLocal()
+	}
 	b.Log.Info().Str("source", source).AnErr("left", reason).Msg("changes_followed_at")
 }
 
--- a/hosted/relays_test.go
+++ b/hosted/relays_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/relay"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -25,15 +28,19 @@
 func newRouterBase(datacentre string, lenders ...string) *Base {
 	g := &member.Group{Prefix: "m/", TTL: time.Minute, Report: nopReporter{},
 		Self: member.Member{ID: "router/1", Role: "router", VM: "router", Datacentre: datacentre, Address: "r:1"}}
-	var items []store.Item
+	g.Reset(memberItems(lenders...))
+	return &Base{Members: g, Hub: &relay.Hub{}}
+}
+
+// memberItems returns the entries of lenders, given as "VM datacentre".
+func memberItems(lenders ...string) (items []store.Item) {
 	for i, l := range lenders {
 		var vm, dc string
 		_, _ = fmt.Sscanf(l, "%s %s", &vm, &dc)
 		value := fmt.Sprintf(`{"id":"%s/1","role":"lender","vm":%q,"datacentre":%q,"address":"x:1"}`, vm, vm, dc)
 		items = append(items, store.Item{Key: "m/" + vm + "/1", Value: []byte(value), Revision: store.Revision(i + 1)})
 	}
-	g.Reset(items)
-	return &Base{Members: g}
+	return items
 }
 
 // A large configuration changes often. A process follows relays in its own data centre, so that the
@@ -55,3 +62,43 @@
 	b = newRouterBase("bergen")
 	require.Empty(t, b.rankRelays(b.relayCandidates()))
 }
+
+// list replaces the members of a Base by lenders, given as "VM datacentre".
+func (b *Base) list(lenders ...string) {
+	b.Members.Reset(memberItems(lenders...))
+}
+
+// Guards against processes that move from relay to relay while a fleet starts: each member that joins may
+// rank first, and each relay that is chosen for a moment reads the whole store.
+func TestRelaysStayWhileMembersJoin(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		var lenders []string
+		for i := range 40 {
+			lenders = append(lenders, fmt.Sprintf("vm-%d bergen", i))
+		}
+		b := newRouterBase("bergen", lenders[:2]...)
+		chosen := map[string]bool{}
+		sourceNames := func() (names []string) {
+			for _, s := range b.sources() {
+				names = append(names, s.Name)
+			}
+			return names
+		}
+		first := sourceNames()
+		for n := 3; n <= len(lenders); n++ {
+			b.list(lenders[:n]...)
+			for _, name := range sourceNames() {
+				chosen[name] = true
+			}
+			time.Sleep(membersSettled / 4)
+		}
+		require.Len(t, chosen, len(first), "the relays from the beginning only")
+		time.Sleep(membersSettled)
+		settled := sourceNames()
+		b.list(lenders[:39]...)
+		require.Equal(t, settled, sourceNames(), "not while members change")
+		gone := slices.DeleteFunc(slices.Clone(lenders), func(l string) bool { return l == settled[0]+" bergen" })
+		b.list(gone...)
+		require.NotContains(t, sourceNames(), settled[0], "a relay that is gone is replaced at once")
+	})
+}
