--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -68,7 +68,9 @@
 	follower rollout.Follower
 	routes   map[string]*rollout.RouteSamples
 	// test are the upstreams that test the version.
-	test       map[directory.Incarnation]bool
+	test map[directory.Incarnation]bool
+	// selections caches the upstreams that each preference allows.
+	selections map[rollout.Preference]selection
 	runningOld int
 	// oldUpstreams and newUpstreams are those of each version that accept requests.
 	oldUpstreams, newUpstreams int
@@ -201,8 +203,32 @@
 // drawOf returns a number from 0 to 1 that is the same at each choice for a request.
 func drawOf(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
 
-// selectLocked returns the upstreams that a preference allows.
+// selection is the part of a list of upstreams that a preference allows. The directory replaces its lists
+// on each change, so a list is identified by its first element and its length.
+type selection struct {
+	first    *directory.Upstream
+	n        int
+	selected []directory.Upstream
+}
+
+// selectLocked returns the upstreams that a preference allows. It is called for each request, and a service
+// may have hundreds of upstreams, so results are kept until the list or the directive changes.
 func (sr *serviceRollout) selectLocked(p rollout.Preference, ups []directory.Upstream) []directory.Upstream {
+	if len(ups) == 0 {
+		return ups
+	}
+	if s, ok := sr.selections[p]; ok && s.first == &ups[0] && s.n == len(ups) {
+		return s.selected
+	}
+	selected := sr.filterLocked(p, ups)
+	if sr.selections == nil {
+		sr.selections = map[rollout.Preference]selection{}
+	}
+	sr.selections[p] = selection{first: &ups[0], n: len(ups), selected: selected}
+	return selected
+}
+
+func (sr *serviceRollout) filterLocked(p rollout.Preference, ups []directory.Upstream) []directory.Upstream {
 	var previous, next, test []directory.Upstream
 	for _, u := range ups {
 		switch {
@@ -361,6 +387,7 @@
 			warm[u.Incarnation.String()] = u.Incarnation
 		}
 	}
+	sr.selections = nil
 	sr.test = map[directory.Incarnation]bool{}
 	n := max(minTestUpstreams, int(sr.follower.Directive().Share*float64(len(warm))))
 	for _, name := range rankTestUpstreams(sr.order.Service, slices.Collect(maps.Keys(warm)), n) {
@@ -386,6 +413,7 @@
 	before := sr.follower.Directive()
 	sr.follower.Limits = r.limits()
 	sr.follower.Apply(time.Now(), directive)
+	sr.selections = nil
 	after := sr.follower.Directive()
 	if after.Finish && !before.Finish {
 		sr.reportedAt = time.Time{} // the end waits for this router's confirmation
