--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -23,9 +23,10 @@
 	Limits Limits
 
 	reports map[string]received
-	// began is the time of the order, as far as known; zero before the first report.
-	began time.Time
-	state State
+	// observed is the time of the order by the routers that received it, recorded the one in the store by
+	// another process's clock; zero if unknown.
+	observed, recorded time.Time
+	state              State
 	// reason is why the roll-out ended or will end.
 	reason  string
 	history history
@@ -46,21 +47,28 @@
 // known there, zero if it is not.
 func (d *Decider) Confirm(began time.Time) {
 	d.confirmed = true
-	d.setBegan(began)
+	d.recorded = earlier(d.recorded, began)
 }
 
 // Confirmed reports whether the store holds this process as the decider.
 func (d *Decider) Confirmed() bool { return d.confirmed }
 
-// setBegan moves the time of the order back.
-func (d *Decider) setBegan(at time.Time) {
-	if !at.IsZero() && (d.began.IsZero() || at.Before(d.began)) {
-		d.began = at
+// earlier returns the earlier of two times; zero means unknown.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
+	return a
 }
 
-// Began returns the time of the order, as far as known.
-func (d *Decider) Began() time.Time { return d.began }
+// Began returns the time of the order, zero if it is not known. Clocks of other processes may be wrong by
+// seconds, so the store's time counts only if no router has received the order.
+func (d *Decider) Began() time.Time {
+	if d.observed.IsZero() {
+		return d.recorded
+	}
+	return d.observed
+}
 
 // Add replaces a router's report. Reports of other orders are ignored.
 func (d *Decider) Add(now time.Time, r Report) {
@@ -71,7 +79,11 @@
 		d.reports = map[string]received{}
 	}
 	d.reports[r.Router] = received{r, now}
-	d.setBegan(now.Add(-r.Age))
+	if r.Age > 0 {
+		d.observed = earlier(d.observed, now.Add(-r.Age))
+	} else {
+		d.recorded = earlier(d.recorded, now)
+	}
 	d.finishing = d.finishing || r.Finishing
 	if r.RolledBack {
 		d.End(RolledBack, "another router knows that it was rolled back")
@@ -106,7 +118,7 @@
 	d.judge(&demand, reporting, len(routers))
 	out := Decision{Directive: Directive{Revision: d.Order.Revision, State: d.state}, Reason: d.reason,
 		Sent: demand.sent, Exposed: demand.exposed, Answered: demand.answered(), Elapsed: demand.elapsed}
-	if d.state.Final() || !d.confirmed || d.began.IsZero() {
+	if d.state.Final() || !d.confirmed || d.Began().IsZero() {
 		return out
 	}
 	out.Directive.Share = demand.testShare(d.Limits)
@@ -217,8 +229,8 @@
 // demand adds up the reports.
 func (d *Decider) demand(now time.Time) demand {
 	sum := demand{duration: d.Order.Duration, routes: map[string]evidence{}, mayInterrupt: map[string]bool{}}
-	if !d.began.IsZero() {
-		sum.elapsed = max(0, now.Sub(d.began))
+	if began := d.Began(); !began.IsZero() {
+		sum.elapsed = max(0, now.Sub(began))
 	}
 	for _, r := range d.reports {
 		for name, s := range r.Routes {
