--- a/coord/relay/hub.go
+++ b/coord/relay/hub.go
@@ -12,9 +12,10 @@
 const (
 	// maxWait bounds the wait that a follower may request.
 	maxWait = 5 * time.Second
-	// idleTimeout is how long a prefix is followed without requests for it. It is longer than
-	// the cooldown of followers after a failure, so that they find the relay up to date.
-	idleTimeout = 10 * time.Second
+	// idleTimeout is how long a prefix is followed without requests for it: several times the wait of a
+	// follower between two requests. Following for longer would cost the store more calls than the
+	// read for a follower that returns later.
+	idleTimeout = 3 * time.Second
 	// idleCheckInterval is the interval between two checks for idle prefixes.
 	idleCheckInterval = time.Second
 )
