--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -68,9 +68,11 @@
 // can serve them: they are refused at once, as not run and with a time to come back.
 func TestOnlyAllowedRegionServesNothing(t *testing.T) {
 	for name, lose := range map[string]func(f *fleet){
-		"drained":     func(f *fleet) { require.NoError(t, f.store.OrderDrain("oslo")) },
-		"empty":       func(f *fleet) { require.NoError(t, f.store.Unregister("i-2")) },
-		"leaving":     func(f *fleet) { require.NoError(t, f.store.Register("i-2", "plain", upstreamAddress("i-2"), "oslo", "draining", 6)) },
+		"drained": func(f *fleet) { require.NoError(t, f.store.OrderDrain("oslo")) },
+		"empty":   func(f *fleet) { require.NoError(t, f.store.Unregister("i-2")) },
+		"leaving": func(f *fleet) {
+			require.NoError(t, f.store.Register("i-2", "plain", upstreamAddress("i-2"), "oslo", "draining", 6))
+		},
 		"unreachable": func(f *fleet) { f.unreachable.Store(upstreamAddress("i-2"), true) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -360,7 +360,7 @@
 func (sr *serviceRollout) due(now time.Time, interval time.Duration) bool {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	if sr.follower.Finishing() || sr.follower.NearDeadline(now) {
+	if sr.follower.Finishing() || sr.follower.Directive().Near {
 		interval /= 2
 	}
 	if sr.follower.State().Final() || now.Sub(sr.reportedAt) < interval {
--- a/gateway/rolloutseeds_test.go
+++ b/gateway/rolloutseeds_test.go
@@ -174,3 +174,24 @@
 	r.checkExposure()
 	require.Equal(f.t, "rolled_back", r.state)
 }
+
+// Guards against a good version that is completed after its deadline since all routers, and with them all
+// that was observed of it, ended a second before.
+func TestGoodVersionIsCompletedAfterAllRoutersRestarted(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRolloutFleet(f, 1096, *rolloutRouters)
+		r.order(standin.Serve, 0)
+		restarted := false
+		r.play(r.duration+6*time.Second, func(elapsed time.Duration) {
+			r.startStopped()
+			if !restarted && elapsed >= 3705*time.Millisecond {
+				restarted = true
+				for vm := 1; vm <= r.routers; vm++ {
+					r.restart(vm)
+				}
+			}
+		})
+		require.Equal(t, "completed", r.state)
+		require.LessOrEqual(t, r.endedAt.Sub(r.ordered), r.duration)
+	})
+}
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -15,6 +15,9 @@
 // end the roll-out.
 const overtime = 5 * time.Second
 
+// nearDeadline is the time before the deadline in which directives change within a fraction of a second.
+const nearDeadline = 2 * time.Second
+
 // Decider collects the reports of all routers on one order and decides. One process has it at a
 // time; another one that takes over gets everything with the next report of each router. It is not
 // safe for concurrent use.
@@ -121,7 +124,7 @@
 	if d.state.Final() || !d.confirmed || d.Began().IsZero() {
 		return out
 	}
-	out.Directive.Share = demand.testShare(d.Limits)
+	out.Directive.Share, out.Directive.Near = demand.testShare(d.Limits), demand.left() < nearDeadline
 	if !demand.proven() {
 		return out
 	}
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -52,14 +52,6 @@
 // Finishing reports whether the router sends nothing to the previous version.
 func (f *Follower) Finishing() bool { return f.finishing }
 
-// nearDeadline is how long before the deadline directives change within a fraction of a second.
-const nearDeadline = 2 * time.Second
-
-// NearDeadline reports whether the deadline is near, as far as the router knows.
-func (f *Follower) NearDeadline(now time.Time) bool {
-	return !f.Since.IsZero() && now.Sub(f.Since) > f.Order.Duration-nearDeadline
-}
-
 // Directive returns the last directive.
 func (f *Follower) Directive() Directive { return f.directive }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -73,6 +73,8 @@
 	// Moved are the routes whose requests all go to the new version, Finish moves all routes.
 	Moved  []string `json:"moved,omitempty"`
 	Finish bool     `json:"finish,omitempty"`
+	// Near is set shortly before the deadline, when directives change within a fraction of a second.
+	Near bool `json:"near,omitempty"`
 }
 
 // Record is what the store holds on a service's roll-out.
