--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -16,11 +16,12 @@
 	restSignificance = 1e-2
 	// moveSignificance applies to the one comparison before requests are moved.
 	moveSignificance = 1e-3
-	// baselineFactor and the margins below are by how much a version may exceed the previous one's share
-	// of failures or slow answers: the two versions' upstreams differ in load and caches.
-	baselineFactor = 1.5
-	failureMargin  = 0.01
-	slowMargin     = 0.03
+	// The factors and margins below are by how much a version may exceed the previous one's share of
+	// failures or slow answers: the two versions' upstreams differ in load and caches.
+	failureFactor = 1.5
+	failureMargin = 0.01
+	slowFactor    = 1.3
+	slowMargin    = 0.03
 	// minBaseline is the number of the previous version's answers needed for a comparison of times.
 	minBaseline = 20
 	// certainFailures is the number of failures from which one upstream alone proves a bad version:
@@ -28,13 +29,16 @@
 	certainFailures = 25
 )
 
-// slowLimits define a slow answer: it is in a class above a quantile of the previous version's answers, and
-// by at least some classes above their median. The first finds versions that slow down some answers by
-// much, the second those that slow down all answers by little.
-var slowLimits = []struct {
+// slowLimit defines a slow answer.
+type slowLimit struct {
 	quantile float64
 	classes  int
-}{{0.9, 2}, {0.75, 1}}
+}
+
+// slowLimits define slow answers: one is in a class above a quantile of the previous version's answers, and
+// by at least some classes above their median. The first finds versions that slow down some answers by
+// much, the second those that slow down all answers by little.
+var slowLimits = []slowLimit{{0.9, 2}, {0.75, 1}}
 
 // evidence is what all routers observed on one route.
 type evidence struct {
@@ -63,17 +67,21 @@
 		if failures := c.worseFailures([]evidence{e}); failures != "" {
 			return fmt.Sprintf("route %s: %s", name, failures)
 		}
-		if !c.timed(name) {
-			continue
+		if times := c.slowerAnswers([]evidence{e}); c.timed(name) && times != "" {
+			return fmt.Sprintf("route %s: %s", name, times)
 		}
-		for _, limit := range slowLimits {
-			class := max(e.old.quantile(limit.quantile), e.old.quantile(0.5)+limit.classes)
-			if times := c.slowerAnswers(e, class); times != "" {
-				return fmt.Sprintf("route %s: %s", name, times)
-			}
+	}
+	return c.slowerAnswers(c.timedRoutes(routes))
+}
+
+// timedRoutes returns the routes whose times are compared.
+func (c comparison) timedRoutes(routes map[string]evidence) (timed []evidence) {
+	for name, e := range routes {
+		if c.timed(name) {
+			timed = append(timed, e)
 		}
 	}
-	return ""
+	return timed
 }
 
 // tally counts cases among answers, and how many of them the previous version would have at most.
@@ -107,7 +115,7 @@
 		return t
 	}
 	all := count(func(e evidence) Samples { return e.new })
-	worst := worstUpstream(routes, func(s Samples) int { return s.Failed })
+	worst := worstUpstream(routes, func(_ evidence, s Samples) int { return s.Failed })
 	rest := count(func(e evidence) Samples { return e.new.without(e.byUpstream[worst]) })
 	if !c.differs(all, rest, worst) {
 		return ""
@@ -127,35 +135,53 @@
 // allowedFailures returns the share of failures that the new version may have.
 func allowedFailures(old Samples) float64 {
 	share := float64(old.Failed) / float64(max(1, old.Answered))
-	return min(1, share*baselineFactor+failureMargin)
+	return min(1, share*failureFactor+failureMargin)
+}
+
+// slowerAnswers compares the shares of slow answers over some routes.
+func (c comparison) slowerAnswers(routes []evidence) string {
+	for _, limit := range slowLimits {
+		var all tally
+		for _, e := range routes {
+			all.add(limit.count(e, e.new))
+		}
+		worst := worstUpstream(routes, func(e evidence, s Samples) int { return limit.count(e, s).cases })
+		var rest tally
+		for _, e := range routes {
+			rest.add(limit.count(e, e.new.without(e.byUpstream[worst])))
+		}
+		if c.differs(all, rest, worst) {
+			return fmt.Sprintf("%d of %d answers are slow, allowed are %.1f", all.cases, all.answers, all.allowed)
+		}
+	}
+	return ""
 }
 
-// slowerAnswers compares the share of answers above a class of slowness.
-func (c comparison) slowerAnswers(e evidence, class int) string {
+func (t *tally) add(other tally) {
+	t.cases += other.cases
+	t.answers += other.answers
+	t.allowed += other.allowed
+}
+
+// count counts the slow answers among s; none without enough answers of the previous version.
+func (l slowLimit) count(e evidence, s Samples) tally {
+	class := max(e.old.quantile(l.quantile), e.old.quantile(0.5)+l.classes)
 	oldSlow, oldAll := e.old.slowerThan(class)
 	if oldAll < minBaseline {
-		return ""
-	}
-	allowed := min(1, float64(oldSlow)/float64(oldAll)*baselineFactor+slowMargin)
-	count := func(s Samples) tally {
-		slow, all := s.slowerThan(class)
-		return tally{cases: slow, answers: all, allowed: allowed * float64(all)}
-	}
-	all := count(e.new)
-	worst := worstUpstream([]evidence{e}, func(s Samples) int { n, _ := s.slowerThan(class); return n })
-	if !c.differs(all, count(e.new.without(e.byUpstream[worst])), worst) {
-		return ""
+		return tally{}
 	}
-	return fmt.Sprintf("%d of %d answers are slow, allowed are %.1f", all.cases, all.answers, all.allowed)
+	slow, all := s.slowerThan(class)
+	allowed := min(1, float64(oldSlow)/float64(oldAll)*slowFactor+slowMargin)
+	return tally{cases: slow, answers: all, allowed: allowed * float64(all)}
 }
 
 // worstUpstream returns the new upstream with the highest count, or "" if fewer than two have answers.
-func worstUpstream(routes []evidence, count func(Samples) int) (worst string) {
+func worstUpstream(routes []evidence, count func(evidence, Samples) int) (worst string) {
 	counts := map[string]int{}
 	for _, e := range routes {
 		for upstream, s := range e.byUpstream {
 			if s.Answered > 0 {
-				counts[upstream] += count(s)
+				counts[upstream] += count(e, s)
 			}
 		}
 	}
