--- a/hosted/relays_test.go
+++ b/hosted/relays_test.go
@@ -1,14 +1,17 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/relay"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
@@ -102,3 +105,21 @@
 		require.NotContains(t, sourceNames(), settled[0], "a relay that is gone is replaced at once")
 	})
 }
+
+// Guards against a process that goes on following the store after it has found a relay.
+func TestStoreIsReleasedForARelay(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		b := newRouterBase("bergen")
+		b.Hub = &relay.Hub{Store: "s", Prefixes: []relay.Prefix{{Name: "k/", Store: memstore.New(), StaleAfter: time.Second}}, MaxFollowers: 9, Now: time.Now}
+		ctx, cancel := context.WithCancel(t.Context())
+		go b.Hub.Run(ctx)
+		_, err := b.Hub.Follow(ctx, relay.Request{Store: "s", Positions: []relay.Position{{Prefix: "k/"}}})
+		require.NoError(t, err)
+		b.SourceChanged(ownHub, nil)
+		require.Len(t, b.Hub.State().Feeds, 1)
+		b.SourceChanged("engine-1", nil)
+		require.Empty(t, b.Hub.State().Feeds)
+		cancel()
+		synctest.Wait()
+	})
+}
