--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -27,10 +27,9 @@
 	mu sync.Mutex
 	// statuses are the status codes that callers got.
 	statuses map[int]int
-	// completed is when the store said so; the old upstreams stop then.
-	completed time.Time
-	state     string
-	endedAt   time.Time
+	// state is what operators see, endedAt when it became final.
+	state   string
+	endedAt time.Time
 }
 
 const (
--- a/rollout/simulate_test.go
+++ b/rollout/simulate_test.go
@@ -21,19 +21,16 @@
 	after time.Duration
 	// route is the only route on which it does; "" means all.
 	route string
-	// minPerUpstream is the rate (requests/s) of an upstream from which it does.
-	minPerUpstream float64
 }
 
 func (v version) isBad() bool { return v.failShare > 0 || v.slowShare > 0 }
 
 // simulation is one roll-out with many routers, in steps of virtual time.
 type simulation struct {
-	rng       *rand.Rand
-	version   version
-	routers   int
-	upstreams int
-	duration  time.Duration
+	rng      *rand.Rand
+	version  version
+	routers  int
+	duration time.Duration
 	// rates are the requests per second by route.
 	rates map[string]float64
 	// lostReports is the share of reports that are lost.
@@ -256,7 +253,7 @@
 }
 
 func newSimulation(seed uint64, v version) *simulation {
-	return &simulation{rng: rand.New(rand.NewPCG(seed, 1)), version: v, routers: 30, upstreams: 52, duration: 12 * time.Second,
+	return &simulation{rng: rand.New(rand.NewPCG(seed, 1)), version: v, routers: 30, duration: 12 * time.Second,
 		rates: map[string]float64{"plan": 100, "chat": 178, "tag": 196}}
 }
 
