--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -20,9 +20,9 @@
 const (
 	// decideInterval is the time between two decisions on a roll-out.
 	decideInterval = 2 * rolloutTick
-	// confirmTimeout is how long routers wait until the store holds a router as the decider, before they try
-	// another one: it may be cut from the store.
-	confirmTimeout = 600 * time.Millisecond
+	// storeLostAfter is how long a router may fail to write to the store, before others take another one as
+	// the decider: it may be cut from the store.
+	storeLostAfter = 600 * time.Millisecond
 	// rolloutStorePause is the pause after a call of the store that failed.
 	rolloutStorePause = 300 * time.Millisecond
 )
@@ -30,7 +30,7 @@
 // Errors of reports.
 var (
 	errOrderUnknown = errors.New("the order is not known here")
-	errUnconfirmed  = errors.New("the store does not hold this router as the decider yet")
+	errStoreLost    = errors.New("this router cannot write to the store")
 	errNoDecider    = errors.New("no router that may decide on the roll-out replied")
 )
 
@@ -59,9 +59,10 @@
 	// record is the store's, read is set while it is known, and ended once it is final.
 	record      rollout.Record
 	read, ended bool
-	// calling is set during a call of the store, pausedUntil the time before which there is none.
-	calling     bool
-	pausedUntil time.Time
+	// calling is set during a call of the store, pausedUntil the time before which there is none, and
+	// failingSince the time since which calls have failed.
+	calling                   bool
+	pausedUntil, failingSince time.Time
 }
 
 // rankTestUpstreams returns the n upstreams that test a service's version.
@@ -116,10 +117,11 @@
 	dec.mu.Lock()
 	defer dec.mu.Unlock()
 	dec.decider.Add(time.Now(), report)
-	if !dec.ended && !dec.decider.Confirmed() {
-		if time.Since(dec.created) > confirmTimeout {
-			return rollout.Directive{}, errUnconfirmed
-		}
+	switch {
+	case dec.ended:
+	case dec.storeLostLocked():
+		return rollout.Directive{}, errStoreLost
+	case !dec.decider.Confirmed():
 		return rollout.Directive{Revision: dec.order.Revision, Pending: true}, nil
 	}
 	directive := dec.decision.Directive
@@ -127,6 +129,16 @@
 	return directive, nil
 }
 
+// storeLostLocked reports whether the store has not taken this router as the decider, or what it decided, for
+// some time: another router may reach the store.
+func (dec *rolloutDecider) storeLostLocked() bool {
+	since := dec.failingSince
+	if since.IsZero() && !dec.decider.Confirmed() {
+		since = dec.created
+	}
+	return !since.IsZero() && time.Since(since) > storeLostAfter
+}
+
 // deciderFor returns the decider of a service's current order, and creates it if necessary; nil if there
 // is no order.
 func (d *rolloutDeciders) deciderFor(service string) *rolloutDecider {
@@ -139,24 +151,15 @@
 	have := d.byService[service]
 	if have == nil || have.order != sr.order {
 		have = &rolloutDecider{order: sr.order, created: time.Now(), decider: rollout.Decider{Order: sr.order, Limits: d.r.limits()}}
+		if sr.order.Withdrawn {
+			have.decider.End(rollout.RolledBack, "the operator removed the order")
+		}
 		d.byService[service] = have
 		signal(d.created)
 	}
 	return have
 }
 
-// endWithdrawn writes to the store that an order which the operator removed is rolled back, if this router
-// is the first candidate.
-func (d *rolloutDeciders) endWithdrawn(o rollout.Order) {
-	if first := d.candidates(o.Service); len(first) == 0 || first[0].ID != d.r.g.Incarnation {
-		return
-	}
-	dec := d.deciderFor(o.Service)
-	dec.mu.Lock()
-	defer dec.mu.Unlock()
-	dec.decider.End(rollout.RolledBack, "the operator removed the order")
-}
-
 // decision returns the last decision on a service, nil if this router does not decide on it.
 func (d *rolloutDeciders) decision(service string) *rollout.Decision {
 	d.mu.Lock()
@@ -234,8 +237,12 @@
 	defer dec.mu.Unlock()
 	dec.calling = false
 	if err == nil {
+		dec.failingSince = time.Time{}
 		return
 	}
+	if dec.failingSince.IsZero() {
+		dec.failingSince = time.Now()
+	}
 	// The write may have taken effect, or another process may have written.
 	dec.read = false
 	dec.pausedUntil = time.Now().Add(rolloutStorePause)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -138,11 +138,6 @@
 	}
 	r.active.Store(&next)
 	signal(r.ordered)
-	for service, sr := range next {
-		if sr.order.Withdrawn && before[service] != sr {
-			r.deciders.endWithdrawn(sr.order)
-		}
-	}
 }
 
 func (r *rollouts) newServiceRollout(order rollout.Order, live bool) *serviceRollout {
@@ -186,11 +181,11 @@
 	return open
 }
 
-// ended reports whether the router knows that the roll-out has ended.
+// ended reports whether the router knows that the roll-out has ended, and the store holds it.
 func (sr *serviceRollout) ended() bool {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	return sr.follower.State().Final()
+	return sr.follower.Ended()
 }
 
 // due reports whether a report is due, and records it.
@@ -200,7 +195,7 @@
 	if sr.follower.Finishing() || sr.follower.Directive().Near {
 		interval /= 2
 	}
-	if sr.follower.State().Final() || now.Sub(sr.reportedAt) < interval {
+	if sr.follower.Ended() || now.Sub(sr.reportedAt) < interval {
 		return false
 	}
 	sr.reportedAt = now
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -203,3 +203,44 @@
 		r.checkExposure()
 	})
 }
+
+// Guards against a state that operators see as in progress forever: the decider told routers that a version is
+// rolled back and ended before the store had it.
+func TestDeciderEndsBeforeTheStateIsStored(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRolloutFleet(f, 3, 5)
+		r.order(standin.Fail, 0)
+		silent, cut := false, false
+		r.play(r.duration+4*time.Second, func(elapsed time.Duration) {
+			if !silent && r.state == "in_progress" {
+				silent = true
+				f.store.SetUnresponsive(true)
+			}
+			if silent && !cut && len(r.reasons()) > 0 {
+				cut = true
+				f.disconnect(r.decider())
+				f.store.SetUnresponsive(false)
+			}
+		})
+		require.True(t, cut)
+		require.Equal(t, "rolled_back", r.state)
+		r.checkExposure()
+	})
+}
+
+// Guards against an order that the operator removed and that goes on.
+func TestWithdrawnOrderIsRolledBack(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRolloutFleet(f, 4, 3)
+		r.order(standin.Serve, 0)
+		withdrawn := time.Time{}
+		r.play(r.duration, func(elapsed time.Duration) {
+			if withdrawn.IsZero() && elapsed > 3*time.Second {
+				withdrawn = time.Now()
+				require.NoError(t, f.store.WithdrawRollout("plain"))
+			}
+		})
+		require.Equal(t, "rolled_back", r.state)
+		require.Zero(t, r.count(r.new, withdrawn.Add(2*time.Second), time.Now()))
+	})
+}
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -37,15 +37,20 @@
 	finishing bool
 }
 
-// Apply applies a directive, unless it is pending or belongs to another order. A final one stays.
+// Apply applies a directive, unless it is pending or belongs to another order. A final one stays, but
+// what the store holds goes first.
 func (f *Follower) Apply(now time.Time, d Directive) {
-	if d.Pending || d.Revision != f.Order.Revision || f.directive.State.Final() {
+	if d.Pending || d.Revision != f.Order.Revision || f.Ended() || f.directive.State.Final() && d.Ended == 0 {
 		return
 	}
 	f.directive, f.heard = d, now
 	f.finishing = f.finishing && !d.State.Final() || d.Finish
 }
 
+// Ended reports whether the store holds the final state. Until then the router goes on reporting: the
+// decider may end before it has written it.
+func (f *Follower) Ended() bool { return f.directive.State.Final() && f.directive.Ended > 0 }
+
 // State returns the state of the roll-out, as far as the router knows.
 func (f *Follower) State() State { return f.directive.State }
 
