--- a/coord/member/lease.go
+++ b/coord/member/lease.go
@@ -23,11 +23,11 @@
 	// findTimeout bounds one such read: a store that is slower by a factor of 100 still answers
 	// within it.
 	findTimeout = 500 * time.Millisecond
-	// busyPause and busyPauseMax bound the pause after a read that failed, and busyTime the time of all:
+	// findRetryMin and findRetryMax bound the pause after a read that failed, and findRetryTime the time of all:
 	// when hundreds of processes start at once, their reads of the list fill the store's link.
-	busyPause    = 300 * time.Millisecond
-	busyPauseMax = time.Second
-	busyTime     = 3 * time.Second
+	findRetryMin  = 300 * time.Millisecond
+	findRetryMax  = time.Second
+	findRetryTime = 3 * time.Second
 	// cleanupInterval is the interval between two cleanups; see cleanUp.
 	cleanupInterval = time.Second
 )
@@ -73,7 +73,7 @@
 // the store meanwhile, their calls would overload it. A read that fails does not show that there are
 // no others, and is repeated for some seconds.
 func (g *Group) FindPeers(ctx context.Context) {
-	busy := backoff.New(busyPause, busyPauseMax)
+	retry := backoff.New(findRetryMin, findRetryMax)
 	began := time.Now()
 	for attempt := 0; attempt < findAttempts; {
 		if g.readPeers(ctx) == nil {
@@ -86,7 +86,7 @@
 			}
 			continue
 		}
-		if time.Since(began) > busyTime || busy.Wait(ctx) != nil {
+		if time.Since(began) > findRetryTime || retry.Wait(ctx) != nil {
 			return
 		}
 	}
--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -65,8 +65,8 @@
 	pausedUntil, failingSince time.Time
 }
 
-// rankTestUpstreams returns the n upstreams that test a service's version.
-func rankTestUpstreams(service string, names []string, n int) []string {
+// rankCanaries returns the n upstreams that test a service's version.
+func rankCanaries(service string, names []string, n int) []string {
 	ranked := rendezvous.Rank(service, names)
 	return ranked[:min(n, len(ranked))]
 }
@@ -111,7 +111,7 @@
 // handleReport adds a router's report and returns the current directive.
 func (d *rolloutDeciders) handleReport(_ context.Context, report rollout.Report) (rollout.Directive, error) {
 	dec := d.deciderFor(report.Service)
-	if dec == nil || int64(dec.order.Revision) != report.Order {
+	if dec == nil || dec.order.Revision != report.Order {
 		return rollout.Directive{}, fmt.Errorf("%w: service %q, order %d", errOrderUnknown, report.Service, report.Order)
 	}
 	dec.mu.Lock()
@@ -212,7 +212,7 @@
 		return
 	}
 	d.r.g.Log.Info().Str("service", o.Service).Str("version", o.Version).Stringer("state", is.State).Strs("moved", is.Moved).Bool("finish", is.Finish).
-		Int64("elapsed_ms", after.Elapsed.Milliseconds()).Int("requests", after.Sent).Int("exposed", after.Exposed).Int("answered", after.Answered).
+		Int64("elapsed_ms", after.Elapsed.Milliseconds()).Int("requests", after.Sent).Int("to_new", after.SentToNew).Int("answered", after.Answered).
 		Int("waiting", after.Waiting).Str("why", after.Reason).Msg("rollout_decision")
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -24,15 +24,17 @@
 	minReportInterval = 4 * rolloutTick
 	// maxReportsPerSecond bounds the reports of all routers to the one that decides.
 	maxReportsPerSecond = 1000
+	// minReportTTL is the minimum time for which the decider counts on a router without a newer report.
+	minReportTTL = 1500 * time.Millisecond
 	// rolloutCallTimeout is the timeout of one report: many times the latency between two routers.
 	rolloutCallTimeout = 150 * time.Millisecond
 	// deciderCandidates is how many routers are tried, one after the other, as the decider.
 	deciderCandidates = 3
 	// marginReserve is the part of the time before a deadline that is left for the write to the store.
 	marginReserve = 300 * time.Millisecond
-	// minTestUpstreams is the minimum number of upstreams that test a version, if there are so many: a
+	// minCanaries is the minimum number of a version's canaries, if it has so many upstreams: a
 	// failure of one of them must not decide.
-	minTestUpstreams = 2
+	minCanaries = 2
 	// stateWait is how long a router that starts during a roll-out, or after it, waits for its state before
 	// it serves the service without it.
 	stateWait = time.Second
@@ -60,8 +62,8 @@
 	mu       sync.Mutex
 	follower rollout.Follower
 	routes   map[string]*rollout.RouteSamples
-	// test are the upstreams that test the version.
-	test map[directory.Incarnation]bool
+	// canaries are the upstreams of the version that are tried before all requests move.
+	canaries map[directory.Incarnation]bool
 	// selections caches the upstreams that each preference allows.
 	selections map[rollout.Preference]selection
 	runningOld int
@@ -114,8 +116,8 @@
 func (r *rollouts) limits() rollout.Limits {
 	s := r.g.current.Load().Rollouts
 	interval := r.reportInterval()
-	return rollout.Limits{Share: s.ExposureShare, Slack: s.ExposureSlack,
-		Contact: max(time.Duration(s.RollBack)/4, 3*interval), Margin: 2*interval + marginReserve}
+	return rollout.Limits{Share: s.MaxShare, Slack: s.MaxExtra,
+		TTL: max(time.Duration(s.RollBack)/4, 3*interval), ReportTTL: max(minReportTTL, 4*interval), Margin: 2*interval + marginReserve}
 }
 
 // reportInterval is the time between two reports of each router.
@@ -202,8 +204,8 @@
 	return true
 }
 
-// countUpstreams counts the upstreams of each version, and chooses those that test the new one: as many
-// as get the usual load from the share of the requests that tests it, the same at all routers.
+// countUpstreams counts the upstreams of each version, and chooses the canaries of the new one: as many
+// as get the usual load from their share of the requests, the same at all routers.
 func (sr *serviceRollout) countUpstreams(ups []directory.Upstream, now time.Time) {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
@@ -220,10 +222,10 @@
 		}
 	}
 	sr.selections = nil
-	sr.test = map[directory.Incarnation]bool{}
-	n := max(minTestUpstreams, int(sr.follower.Directive().Share*float64(len(warm))))
-	for _, name := range rankTestUpstreams(sr.order.Service, slices.Collect(maps.Keys(warm)), n) {
-		sr.test[warm[name]] = true
+	sr.canaries = map[directory.Incarnation]bool{}
+	n := max(minCanaries, int(sr.follower.Directive().Share*float64(len(warm))))
+	for _, name := range rankCanaries(sr.order.Service, slices.Collect(maps.Keys(warm)), n) {
+		sr.canaries[warm[name]] = true
 	}
 }
 
@@ -262,13 +264,13 @@
 func (sr *serviceRollout) needsStore(now time.Time) bool {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	return sr.follower.Finishing() && !sr.follower.InContact(now)
+	return sr.follower.Finishing() && !sr.follower.Fresh(now)
 }
 
 func (r *rollouts) newReport(sr *serviceRollout) rollout.Report {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	report := rollout.Report{Router: r.g.Incarnation, Service: sr.order.Service, Order: int64(sr.order.Revision),
+	report := rollout.Report{Router: r.g.Incarnation, Service: sr.order.Service, Order: sr.order.Revision,
 		Routes: map[string]rollout.RouteSamples{}, RunningOld: sr.runningOld, OldUpstreams: sr.oldUpstreams, NewUpstreams: sr.newUpstreams,
 		Finishing: sr.follower.Finishing(), RolledBack: sr.follower.State() == rollout.RolledBack}
 	if !sr.follower.Since.IsZero() {
@@ -288,9 +290,9 @@
 	Version   string            `json:"version"`
 	Order     store.Revision    `json:"order"`
 	Directive rollout.Directive `json:"directive"`
-	// InContact reports whether the directive is recent.
-	InContact bool           `json:"in_contact"`
-	Report    rollout.Report `json:"report"`
+	// Fresh reports whether the directive is recent.
+	Fresh  bool           `json:"fresh"`
+	Report rollout.Report `json:"report"`
 	// Decision is what this router decided, if it decides on the service.
 	Decision *rollout.Decision `json:"decision,omitempty"`
 }
@@ -302,7 +304,7 @@
 		s := rolloutState{Service: service, Version: sr.order.Version, Order: sr.order.Revision, Report: r.newReport(sr),
 			Decision: r.deciders.decision(service)}
 		sr.mu.Lock()
-		s.Directive, s.InContact = sr.follower.Directive(), sr.follower.InContact(time.Now())
+		s.Directive, s.Fresh = sr.follower.Directive(), sr.follower.Fresh(time.Now())
 		sr.mu.Unlock()
 		out = append(out, s)
 	}
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -131,12 +131,12 @@
 	return n
 }
 
-// checkExposure checks what the new version got until the deadline.
-func (r *rolloutFleet) checkExposure() {
+// checkBound checks what the new version got until the deadline.
+func (r *rolloutFleet) checkBound() {
 	deadline := r.ordered.Add(r.duration)
-	exposed := r.count(r.new, r.ordered, deadline)
-	all := exposed + r.count(r.old, r.ordered, deadline)
-	require.LessOrEqual(r.t, float64(exposed), 0.1*float64(all)+50, "%d of %d", exposed, all)
+	sentToNew := r.count(r.new, r.ordered, deadline)
+	all := sentToNew + r.count(r.old, r.ordered, deadline)
+	require.LessOrEqual(r.t, float64(sentToNew), 0.1*float64(all)+50, "%d of %d", sentToNew, all)
 }
 
 // checkOldStopped checks that nothing was sent to the old upstreams after they were allowed to stop.
@@ -175,7 +175,7 @@
 				r.order(c.mode, c.slowdown)
 				r.play(r.duration+time.Second, nil)
 				require.Equal(t, "rolled_back", r.state)
-				r.checkExposure()
+				r.checkBound()
 				for n := range r.old {
 					require.NoError(t, f.store.Unregister(fmt.Sprint("i-", n+1)))
 				}
@@ -200,7 +200,7 @@
 			}
 		})
 		require.Equal(t, "rolled_back", r.state)
-		r.checkExposure()
+		r.checkBound()
 	})
 }
 
@@ -224,7 +224,7 @@
 		})
 		require.True(t, cut)
 		require.Equal(t, "rolled_back", r.state)
-		r.checkExposure()
+		r.checkBound()
 	})
 }
 
--- a/gateway/rolloutseeds_test.go
+++ b/gateway/rolloutseeds_test.go
@@ -24,12 +24,12 @@
 	name string
 	// begin starts it, end ends it; end may be nil.
 	begin, end func(r *rolloutFleet)
-	// outOfTouch is set if machines lose the store, or the store fails: then a good version may be late
+	// degraded is set if machines lose the store, or the store fails: then a good version may be late
 	// or rolled back, and a bad one has more time.
-	outOfTouch bool
+	degraded bool
 }
 
-// victim is the router that decides, or another one.
+// victim returns the VM of any router.
 func (r *rolloutFleet) victim() int {
 	return 1 + r.rng.IntN(r.routers)
 }
@@ -39,19 +39,19 @@
 	return []trouble{
 		{name: "none"},
 		{name: "all routers lose the decider", begin: func(r *rolloutFleet) { vm = r.decider(); r.disconnect(vm) },
-			end: func(r *rolloutFleet) { r.reconnect(vm) }, outOfTouch: true},
+			end: func(r *rolloutFleet) { r.reconnect(vm) }, degraded: true},
 		{name: "decider restarted", begin: func(r *rolloutFleet) { r.restart(r.decider()) }},
 		{name: "decider restarted again and again", begin: func(r *rolloutFleet) { r.restart(r.decider()) }, end: func(r *rolloutFleet) { r.restart(r.decider()) }},
 		{name: "decider cut from the store", begin: func(r *rolloutFleet) { vm = r.decider(); r.disconnectFromStore(vm) },
-			end: func(r *rolloutFleet) { r.reconnect(vm) }, outOfTouch: true},
+			end: func(r *rolloutFleet) { r.reconnect(vm) }, degraded: true},
 		{name: "router cut off", begin: func(r *rolloutFleet) { vm = r.victim(); r.disconnect(vm) },
-			end: func(r *rolloutFleet) { r.reconnect(vm) }, outOfTouch: true},
+			end: func(r *rolloutFleet) { r.reconnect(vm) }, degraded: true},
 		{name: "store silent", begin: func(r *rolloutFleet) { r.store.SetUnresponsive(true) },
-			end: func(r *rolloutFleet) { r.store.SetUnresponsive(false) }, outOfTouch: true},
+			end: func(r *rolloutFleet) { r.store.SetUnresponsive(false) }, degraded: true},
 		{name: "store slow", begin: func(r *rolloutFleet) { r.store.SetFaults(memstore.Faults{Delay: 300 * time.Millisecond}) },
-			end: func(r *rolloutFleet) { r.store.SetFaults(memstore.Faults{}) }, outOfTouch: true},
+			end: func(r *rolloutFleet) { r.store.SetFaults(memstore.Faults{}) }, degraded: true},
 		{name: "answers of the store lost", begin: func(r *rolloutFleet) { r.store.SetFaults(memstore.Faults{LoseResponses: 3}) },
-			end: func(r *rolloutFleet) { r.store.SetFaults(memstore.Faults{}) }, outOfTouch: true},
+			end: func(r *rolloutFleet) { r.store.SetFaults(memstore.Faults{}) }, degraded: true},
 		{name: "all routers restarted", begin: func(r *rolloutFleet) {
 			for vm := 1; vm <= r.routers; vm++ {
 				r.restart(vm)
@@ -158,19 +158,19 @@
 		r.startStopped()
 		time.Sleep(100 * time.Millisecond)
 	}
-	f.t.Logf("%s, %v after the order; exposed %d of %d", r.state, r.endedAt.Sub(r.ordered),
+	f.t.Logf("%s, %v after the order; new version got %d of %d", r.state, r.endedAt.Sub(r.ordered),
 		r.count(r.new, r.ordered, r.ordered.Add(r.duration)), r.count(append(r.new, r.old...), r.ordered, r.ordered.Add(r.duration)))
 	if v.name == "good" {
-		if !c.outOfTouch {
+		if !c.degraded {
 			require.Equal(f.t, "completed", r.state, r.reasons())
 		}
-		if r.state == "completed" && !c.outOfTouch {
+		if r.state == "completed" && !c.degraded {
 			require.LessOrEqual(f.t, r.endedAt.Sub(r.ordered), r.duration)
 			r.checkOldStopped()
 		}
 		return
 	}
-	r.checkExposure()
+	r.checkBound()
 	require.Equal(f.t, "rolled_back", r.state)
 }
 
--- a/gateway/rolloutversions.go
+++ b/gateway/rolloutversions.go
@@ -32,7 +32,7 @@
 // awaitsStateLocked reports whether the router has just started and does not know yet whether the upstreams
 // of the previous version have stopped, or the new version has proven bad.
 func (sr *serviceRollout) awaitsStateLocked(now time.Time) bool {
-	return now.Before(sr.stateUntil) && !sr.follower.InContact(now) && !sr.follower.State().Final()
+	return now.Before(sr.stateUntil) && !sr.follower.Fresh(now) && !sr.follower.State().Final()
 }
 
 // drawOf returns a number from 0 to 1 that is the same at each choice for a request.
@@ -70,7 +70,7 @@
 		case !sr.isNew(u):
 			previous = append(previous, u)
 			continue
-		case sr.test[u.Incarnation]:
+		case sr.canaries[u.Incarnation]:
 			test = append(test, u)
 		}
 		next = append(next, u)
@@ -80,7 +80,7 @@
 		return previous
 	case rollout.OnlyNext:
 		return sr.withLaterLocked(next, previous)
-	case rollout.Test:
+	case rollout.Canary:
 		return firstNonEmpty(test, previous, next)
 	case rollout.Next:
 		return firstNonEmpty(next, previous)
@@ -117,13 +117,13 @@
 	if sr == nil {
 		return nil
 	}
-	r.g.metrics.rolloutRequest(req.Service.Name, sr.isNew(u))
 	mayInterrupt := req.Route.Idempotent() && req.Route.MaxRuns > 1
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
 	if sr.follower.State().Final() {
 		return nil
 	}
+	r.g.metrics.rolloutRequest(req.Service.Name, sr.isNew(u))
 	sr.updateLocked(req.Route.Name, u, func(s *rollout.Samples) { s.Sent++ })
 	sr.routes[req.Route.Name].MayInterrupt = mayInterrupt
 	countsAsRunning := !sr.isNew(u) && !mayInterrupt
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -4,13 +4,8 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
-// reportTTL is how long a router that sends no reports is waited for: it may have ended.
-const reportTTL = 1500 * time.Millisecond
-
 // overtime is how long after the deadline a process to which few routers report waits for another one to
 // end the roll-out.
 const overtime = 5 * time.Second
@@ -75,7 +70,7 @@
 
 // Add replaces a router's report. Reports of other orders are ignored.
 func (d *Decider) Add(now time.Time, r Report) {
-	if store.Revision(r.Order) != d.Order.Revision {
+	if r.Order != d.Order.Revision {
 		return
 	}
 	if d.reports == nil {
@@ -106,10 +101,10 @@
 	// Complete is set if the store may be told that the roll-out is complete.
 	Complete bool
 	Reason   string
-	// Sent, Exposed and Answered are the service's requests, those sent to the new version, and the
+	// Sent, SentToNew and Answered are the service's requests, those sent to the new version, and the
 	// new version's answers.
-	Sent, Exposed, Answered int
-	Elapsed                 time.Duration
+	Sent, SentToNew, Answered int
+	Elapsed                   time.Duration
 	// Waiting is the number of routers that may still send to the previous version.
 	Waiting int
 }
@@ -120,11 +115,11 @@
 	reporting := d.reporting(now, routers)
 	d.judge(&demand, reporting, len(routers))
 	out := Decision{Directive: Directive{Revision: d.Order.Revision, State: d.state}, Reason: d.reason,
-		Sent: demand.sent, Exposed: demand.exposed, Answered: demand.answered(), Elapsed: demand.elapsed}
+		Sent: demand.sent, SentToNew: demand.sentToNew, Answered: demand.answered(), Elapsed: demand.elapsed}
 	if d.state.Final() || !d.confirmed || d.Began().IsZero() {
 		return out
 	}
-	out.Directive.Share, out.Directive.Near = demand.testShare(d.Limits), demand.left() < nearDeadline
+	out.Directive.Share, out.Directive.Near = demand.canaryShare(d.Limits), demand.left() < nearDeadline
 	if !demand.proven() {
 		return out
 	}
@@ -148,7 +143,7 @@
 // most routers have ended.
 func (d *Decider) reporting(now time.Time, routers []string) (n int) {
 	for _, id := range routers {
-		if r, known := d.reports[id]; known && now.Sub(r.at) < reportTTL {
+		if r, known := d.reports[id]; known && now.Sub(r.at) < d.Limits.ReportTTL {
 			n++
 		}
 	}
@@ -205,7 +200,7 @@
 func (d *Decider) waiting(now time.Time, left time.Duration, routers []string) (n int) {
 	for _, id := range routers {
 		r, known := d.reports[id]
-		current := known && now.Sub(r.at) < reportTTL
+		current := known && now.Sub(r.at) < d.Limits.ReportTTL
 		switch {
 		case current && r.Finishing && r.RunningOld == 0:
 		case !current && left <= d.Limits.Margin/4:
@@ -245,7 +240,7 @@
 	}
 	for _, e := range sum.routes {
 		sum.sent += e.sent()
-		sum.exposed += e.new.Sent
+		sum.sentToNew += e.new.Sent
 	}
 	return sum
 }
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -15,8 +15,8 @@
 	Previous Preference = iota
 	// Next means upstreams of the order's version, or others if there are none.
 	Next
-	// Test means those upstreams of the order's version that test it.
-	Test
+	// Canary means those upstreams of the order's version that are tried before all requests move.
+	Canary
 	// OnlyPrevious and OnlyNext permit no others.
 	OnlyPrevious
 	OnlyNext
@@ -60,15 +60,15 @@
 // Directive returns the last directive.
 func (f *Follower) Directive() Directive { return f.directive }
 
-// InContact reports whether the last directive is recent.
-func (f *Follower) InContact(now time.Time) bool {
-	return !f.heard.IsZero() && now.Sub(f.heard) < f.Limits.Contact
+// Fresh reports whether the last directive is recent.
+func (f *Follower) Fresh(now time.Time) bool {
+	return !f.heard.IsZero() && now.Sub(f.heard) < f.Limits.TTL
 }
 
 // Prefer returns where a request goes. draw is a number from 0 to 1 that belongs to the request, and
 // retried is set if an upstream has failed it: the version may be the reason.
 //
-// A router without contact sends nothing new to the version, since it would not learn that it is bad.
+// A router without a fresh directive sends nothing new to the version, since it would not learn that it is bad.
 // If it had already stopped sending to the previous one, those upstreams may have ended, so they are
 // only the second choice.
 func (f *Follower) Prefer(now time.Time, route string, draw float64, retried bool) Preference {
@@ -80,12 +80,12 @@
 		return OnlyPrevious
 	case f.finishing:
 		return Next
-	case !f.InContact(now):
+	case !f.Fresh(now):
 		return Previous
 	case slices.Contains(d.Moved, route):
 		return Next
 	case draw < d.Share && !retried:
-		return Test
+		return Canary
 	}
 	return Previous
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -11,12 +11,12 @@
 	// allowanceUse is the part of the allowed requests that is planned for: reports are late, and
 	// some routers may send none.
 	allowanceUse = 0.93
-	// testPart is the part of the planned requests that test the version before anything is moved.
-	testPart = 0.25
-	// maxTestShare bounds the share of the requests that test the version at any time, and firstTestShare
+	// canaryPart is the part of the planned requests that go to canaries before anything is moved.
+	canaryPart = 0.25
+	// maxCanaryShare bounds the share of the requests that go to canaries at any time, and firstCanaryShare
 	// is the share while the rate of requests is not known.
-	maxTestShare   = 0.5
-	firstTestShare = 0.05
+	maxCanaryShare   = 0.5
+	firstCanaryShare = 0.05
 	// drainMeans is how many mean run times the requests at the previous version get to end: 95 in
 	// 100 end within it if run times are exponentially distributed.
 	drainMeans = 3
@@ -28,9 +28,9 @@
 type demand struct {
 	// elapsed is the time since the order, duration the time from the order to its deadline.
 	elapsed, duration time.Duration
-	// sent are all requests, exposed those sent to the new version.
-	sent, exposed int
-	routes        map[string]evidence
+	// sent are all requests, sentToNew those sent to the new version.
+	sent, sentToNew int
+	routes          map[string]evidence
 	// mayInterrupt are the routes whose requests can be sent again when their upstream stops.
 	mayInterrupt map[string]bool
 }
@@ -48,17 +48,17 @@
 	return allowanceUse * (l.Share*total + float64(l.Slack)/2)
 }
 
-// testShare returns the share of the requests that test the version now.
-func (d *demand) testShare(l Limits) float64 {
-	rest := testPart*d.allowance(l) - float64(d.exposed)
+// canaryShare returns the share of the requests that go to canaries now.
+func (d *demand) canaryShare(l Limits) float64 {
+	rest := canaryPart*d.allowance(l) - float64(d.sentToNew)
 	coming := d.expected(d.sent, d.left())
 	if rest <= 0 {
 		return 0
 	}
 	if coming <= 0 {
-		return firstTestShare
+		return firstCanaryShare
 	}
-	return min(maxTestShare, rest/coming)
+	return min(maxCanaryShare, rest/coming)
 }
 
 // moved returns the routes whose requests all go to the new version from now on. Even if the version
@@ -66,7 +66,7 @@
 // be interrupted are moved earlier, by the time that these run.
 func (d *demand) moved(l Limits) (routes []string) {
 	left := d.left()
-	rest := d.allowance(l) - float64(d.exposed)
+	rest := d.allowance(l) - float64(d.sentToNew)
 	for _, name := range d.byDrain() {
 		rest -= d.expected(d.routes[name].sent(), left)
 		if rest < 0 || left > l.Margin+d.drain(name) {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -2,7 +2,7 @@
 // input or output: callers pass the time, what routers observed, and what the store holds.
 //
 // Load pattern: a version may be bad at once, after a while, under load or on one route, and the old
-// one serves well meanwhile. So little traffic tests the new version for most of the time, at a few
+// one serves well meanwhile. So few requests go to the new version for most of the time, to canaries,
 // upstreams that get as much as they would in the end, and all of it moves as late as the time allows.
 // The requests that a bad version may get are budgeted over the whole roll-out.
 package rollout
@@ -52,8 +52,10 @@
 	// a number of requests beyond it.
 	Share float64
 	Slack int
-	// Contact is how long a router follows a directive without a newer one.
-	Contact time.Duration
+	// TTL is how long a router follows a directive without a newer one, ReportTTL how long the decider
+	// counts on a router without a newer report: both cover several reports, whose interval grows with
+	// the fleet.
+	TTL, ReportTTL time.Duration
 	// Margin is the time before the deadline at which the last requests are moved: it covers the
 	// reports of all routers and the write to the store.
 	Margin time.Duration
@@ -68,7 +70,7 @@
 	Pending bool `json:"pending,omitempty"`
 	// Ended is the store's revision at which the final state was written, 0 if it is not known.
 	Ended store.Revision `json:"ended,omitempty"`
-	// Share is the share of the requests that test the new version.
+	// Share is the share of the requests that go to canaries of the new version.
 	Share float64 `json:"share"`
 	// Moved are the routes whose requests all go to the new version, Finish moves all routes.
 	Moved  []string `json:"moved,omitempty"`
--- a/rollout/samples.go
+++ b/rollout/samples.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
 // slownessClasses is the number of classes of slowness. Class k holds answers that took between
@@ -127,7 +129,7 @@
 	Router  string `json:"router"`
 	Service string `json:"service"`
 	// Order is the revision of the order that the router knows.
-	Order int64 `json:"order"`
+	Order store.Revision `json:"order"`
 	// Age is how long the router has known the order, 0 if it was there when the router started.
 	Age    time.Duration           `json:"age_ns"`
 	Routes map[string]RouteSamples `json:"routes"`
--- a/rollout/simulate_test.go
+++ b/rollout/simulate_test.go
@@ -44,12 +44,12 @@
 	decidedAt time.Duration
 	decision  Decision
 
-	sent, exposed, badAnswers int
-	fiftieth                  time.Duration
-	lastExposed               time.Duration
-	outcome                   State
-	ended                     time.Duration
-	reason                    string
+	sent, sentToNew, badAnswers int
+	fiftieth                    time.Duration
+	lastSentToNew               time.Duration
+	outcome                     State
+	ended                       time.Duration
+	reason                      string
 }
 
 const (
@@ -57,7 +57,7 @@
 	simInterval = 200 * time.Millisecond
 )
 
-var simLimits = Limits{Share: 0.1, Slack: 50, Contact: time.Second, Margin: 700 * time.Millisecond}
+var simLimits = Limits{Share: 0.1, Slack: 50, TTL: time.Second, ReportTTL: 1500 * time.Millisecond, Margin: 700 * time.Millisecond}
 
 type simRouter struct {
 	id       string
@@ -152,7 +152,7 @@
 		}
 		return
 	}
-	s.expose(t)
+	s.recordSentToNew(t)
 	upstream := fmt.Sprint("u-", s.rng.IntN(2))
 	n := samples.New[upstream]
 	n.Sent++
@@ -183,10 +183,10 @@
 	return Succeeded
 }
 
-func (s *simulation) expose(t time.Duration) {
-	s.lastExposed = t
+func (s *simulation) recordSentToNew(t time.Duration) {
+	s.lastSentToNew = t
 	if t <= s.duration {
-		s.exposed++
+		s.sentToNew++
 	}
 }
 
@@ -257,12 +257,12 @@
 		rates: map[string]float64{"plan": 100, "chat": 178, "tag": 196}}
 }
 
-// checkExposure checks the bound on what a bad version may get.
-func (s *simulation) checkExposure(t require.TestingT) {
-	require.LessOrEqual(t, float64(s.exposed), simLimits.Share*float64(s.sent)+float64(simLimits.Slack),
-		"%+v: exposed %d of %d", s.version, s.exposed, s.sent)
+// checkBound checks the bound on what a bad version may get.
+func (s *simulation) checkBound(t require.TestingT) {
+	require.LessOrEqual(t, float64(s.sentToNew), simLimits.Share*float64(s.sent)+float64(simLimits.Slack),
+		"%+v: new version got %d of %d", s.version, s.sentToNew, s.sent)
 	if s.fiftieth > 0 {
-		require.LessOrEqual(t, s.lastExposed, s.fiftieth+5*time.Second, "%+v", s.version)
+		require.LessOrEqual(t, s.lastSentToNew, s.fiftieth+5*time.Second, "%+v", s.version)
 	}
 }
 
@@ -300,9 +300,9 @@
 			for seed := range uint64(20) {
 				s := newSimulation(seed, v)
 				s.run()
-				s.checkExposure(t)
+				s.checkBound(t)
 				if v.after < 10*second {
-					require.Equal(t, RolledBack, s.outcome, "seed %d: %d of %d, %d bad", seed, s.exposed, s.sent, s.badAnswers)
+					require.Equal(t, RolledBack, s.outcome, "seed %d: %d of %d, %d bad", seed, s.sentToNew, s.sent, s.badAnswers)
 				}
 			}
 		})
@@ -318,14 +318,14 @@
 			s.rates[route] *= 3
 		}
 		s.run()
-		s.checkExposure(t)
+		s.checkBound(t)
 		require.Equal(t, RolledBack, s.outcome, "seed %d", seed)
 	}
 }
 
 // Guards against a bad version that gets more requests than allowed while routers restart, reports are
 // lost and the decider is replaced.
-func TestExposureWithFailures(t *testing.T) {
+func TestBoundWithFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		v := version{
 			failShare:  rapid.SampledFrom([]float64{0, 0.2, 0.5, 1}).Draw(t, "failures"),
@@ -347,7 +347,7 @@
 		}
 		s.run()
 		if v.isBad() {
-			s.checkExposure(t)
+			s.checkBound(t)
 		}
 	})
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -99,10 +99,10 @@
 
 // Rollouts bounds what a bad version of a service may get while the service moves to it.
 type Rollouts struct {
-	// ExposureShare is the maximum share (0..1) of the service's requests from the order to its
-	// deadline; ExposureSlack is a number of requests beyond it.
-	ExposureShare float64 `yaml:"exposure_share"`
-	ExposureSlack int     `yaml:"exposure_slack"`
+	// MaxShare is the maximum share (0..1) of the service's requests from the order to its
+	// deadline; MaxExtra is a number of requests beyond it.
+	MaxShare float64 `yaml:"max_share"`
+	MaxExtra int     `yaml:"max_extra"`
 	// RollBack is the time after which a version that has proven bad gets nothing more.
 	RollBack fleet.Duration `yaml:"roll_back"`
 }
@@ -188,7 +188,7 @@
 			AnnounceTimeout: fleet.Duration(40 * time.Millisecond),
 		},
 		Cold:     Cold{Overshoot: 1},
-		Rollouts: Rollouts{ExposureShare: 0.1, ExposureSlack: 50, RollBack: fleet.Duration(5 * time.Second)},
+		Rollouts: Rollouts{MaxShare: 0.1, MaxExtra: 50, RollBack: fleet.Duration(5 * time.Second)},
 		Limits:   GatewayLimits{Concurrent: 2000, WriteTimeout: fleet.Duration(10 * time.Second), MemoryMB: 128},
 		// The balancer probes once a second and needs two failures.
 		Stop: Stop{Notice: fleet.Duration(3 * time.Second), Grace: fleet.Duration(8 * time.Second)},
@@ -231,8 +231,8 @@
 	c.require(s.Retries.Extra >= 0, "repeats.extra", "must not be negative")
 	c.require(s.Cold.Overshoot >= 1, "cold.overshoot", "must be 1 or more")
 	c.require(s.Cold.Slack >= 0, "cold.slack", "must not be negative")
-	c.require(s.Rollouts.ExposureShare > 0 && s.Rollouts.ExposureShare <= 1, "rollouts.exposure_share", "must be above 0 and at most 1")
-	c.require(s.Rollouts.ExposureSlack >= 0, "rollouts.exposure_slack", "must not be negative")
+	c.require(s.Rollouts.MaxShare > 0 && s.Rollouts.MaxShare <= 1, "rollouts.max_share", "must be above 0 and at most 1")
+	c.require(s.Rollouts.MaxExtra >= 0, "rollouts.max_extra", "must not be negative")
 	c.positive("rollouts.roll_back", s.Rollouts.RollBack)
 	c.require(s.Upstreams.PrefillPerMs > 0, "upstreams.prefill_tokens_per_ms", "must be positive")
 	c.require(s.Limits.Concurrent > 0, "limits.concurrent_requests", "must be positive")
