--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -244,3 +244,22 @@
 		require.Zero(t, r.count(r.new, withdrawn.Add(2*time.Second), time.Now()))
 	})
 }
+
+// Guards against a good version that is rolled back because one of its upstreams fails for reasons of its own.
+func TestGoodVersionWithAFailingUpstream(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRolloutFleet(f, 5, 5)
+		r.order(standin.Serve, 0)
+		broken := false
+		r.play(r.duration+time.Second, func(elapsed time.Duration) {
+			for _, u := range r.new {
+				if !broken && elapsed > 3*time.Second && len(u.Requests()) > 0 {
+					broken = true
+					u.SetMode(standin.LoseAnswer)
+				}
+			}
+		})
+		require.True(t, broken)
+		require.Equal(t, "completed", r.state, r.reasons())
+	})
+}
