Log: a full log no longer blocks its writers for good

What callers would see: no answer and no refusal from a router whose log is read slowly, for good. Cause: the log's buffer reports a collision to the standard logger, whose output was the same log. The standard logger holds its lock during a write, so a second collision inside that report waits for its own goroutine.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"log"
 	"os"
 
 	"github.com/arbutusmill/arbutusmill/gateway"
@@ -13,7 +12,6 @@
 	"github.com/arbutusmill/arbutusmill/observe"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/google/subcommands"
-	"github.com/rs/zerolog"
 )
 
 // settingsVariable is the environment variable with the path of the settings file on
@@ -71,13 +69,6 @@
 	return exitStatus(g.Run(ctx), out)
 }
 
-// captureLibraryLog redirects the standard logger, which libraries use, to the process's log.
-// net/http reports unsolicited responses and panics there.
-func captureLibraryLog(to zerolog.Logger) {
-	log.SetFlags(0)
-	log.SetOutput(to.With().Str("from", "library").Logger())
-}
-
 // exitStatus closes the log and prints the error that ended the process, if any.
 func exitStatus(err error, logWriter io.Closer) subcommands.ExitStatus {
 	if closeErr := logWriter.Close(); closeErr != nil {
