relay: starting a prefix does not wait for Run with the hub's lock held

Callers would see: followers in other processes get no change and time out at this relay, this process's own follower hangs for good (it calls ReleaseLocal without a context), and so do dumps.

Cause: Hub.startLocked sent the prefix on h.start (capacity: the number of prefixes) with h.mu held, and Run, the only receiver, takes h.mu itself in dropIdle. Once the channel is full, because prefixes were released and started again since Run last received, the follower waits for Run with the lock held and Run waits for the lock.

What is committed is a test of the same cause in virtual time without pauses: before Run begins, five starts and releases must not wait. On the code before, it fails ("the follower waits for Run with the hub's lock held"; then 3 watches instead of 1).

Ruled out: a larger channel; the number of starts between two receives has no bound. A pending list: releases before Run begins would let it grow.

Change: the hub's feeds are the only list. A start wakes Run through a channel of one element, without waiting; Run takes the prefixes that it does not follow yet. A prefix that was released before Run took it is no longer in the list and is never followed; after Stop or the end of Run the list is empty and new followers are refused, as before.

Elsewhere: read for a send, a call of another process or a callback while a lock is held in coord/relay (feed, pack, follower), coord/mirror (no lock), coord/member (reports and wakeups are made after the unlock; wakeups do not wait), link and hosted: none. The hub still calls Now, and the feeds' own lock, with its lock held; neither waits.

Tests: also that each prefix is followed once, and that a hub that stops before, during or with Run follows nothing. go test -race -count=3 ./relay: ok, 6.4 s.

--- a/coord/relay/hub.go
+++ b/coord/relay/hub.go
@@ -46,8 +46,8 @@
 	packer packer
 
 	once sync.Once
-	// start passes the prefixes to follow to Run.
-	start chan *followedPrefix
+	// started wakes Run when feeds has prefixes to follow.
+	started chan struct{}
 
 	mu       sync.Mutex
 	feeds    map[string]*followedPrefix
@@ -65,11 +65,13 @@
 	lastRemote time.Time
 	ctx        context.Context
 	end        context.CancelFunc
+	// running is set once Run follows the prefix. It is guarded by the hub's lock.
+	running bool
 }
 
 func (h *Hub) init() {
 	h.once.Do(func() {
-		h.start = make(chan *followedPrefix, len(h.Prefixes))
+		h.started = make(chan struct{}, 1)
 		h.feeds = map[string]*followedPrefix{}
 		h.updated = make(chan struct{})
 	})
@@ -87,14 +89,30 @@
 		case <-ctx.Done():
 			h.Stop()
 			return
-		case f := <-h.start:
-			wg.Go(func() { f.run(ctx) })
+		case <-h.started:
+			for _, f := range h.takeStarted() {
+				wg.Go(func() { f.run(ctx) })
+			}
 		case <-t.C:
 			h.dropIdle()
 		}
 	}
 }
 
+// takeStarted returns the prefixes that Run does not follow yet.
+func (h *Hub) takeStarted() []*followedPrefix {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []*followedPrefix
+	for _, f := range h.feeds {
+		if !f.running {
+			f.running = true
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 func (f *followedPrefix) run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, f.end)
 	defer stop()
@@ -284,7 +302,10 @@
 		prefix: p, ctx: ctx, end: end,
 	}
 	h.feeds[p.Name] = f
-	h.start <- f
+	select {
+	case h.started <- struct{}{}:
+	default: // Run has not taken the previous wakeup yet, which covers this prefix too
+	}
 	return f
 }
 
