settlement, ledger: the wait for a write to the store ends with the caller's context

Callers saw: while the store is silent, routers wait for a lender that registers borrowers one after the other, and a process that appends charges or appoints witnesses is stuck behind a write of another caller: up to 2 s for each write, whatever its own bound.

Cause: BorrowerRegistry.writeMu and Shard.appendMu are held during calls of the store, and sync.Mutex.Lock has no bound. Both are now a ctxlock.Mutex. A wait that ends says that nothing was written (settlement: it wraps store.ErrUnavailable and store.ErrUnknown, like a call that the store rejects); all callers already treat store errors so.

Ruled out: StoreGranter.Wait and Budgets.Wait: they wait for syncs only, each of which has SyncTimeout (2 s) and a store that ends with the context; admissions are not among them. Only the comment says so now. ledger.Batcher's callers already wait with their contexts.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -130,7 +130,8 @@
 // InvalidatePage makes the next sync of a page read it, after another process wrote it.
 func (g *StoreGranter) InvalidatePage(key string) { g.dropPage(key) }
 
-// Wait waits for the syncs in flight. Call it when no more are started.
+// Wait waits for the syncs in flight, each of which ends within SyncTimeout. Call it when no more are
+// started.
 func (g *StoreGranter) Wait() { g.inFlight.Wait() }
 
 // runSync runs a sync. Other requests wait for it too, so it must not end when the request that
--- a/coord/ledger/shard.go
+++ b/coord/ledger/shard.go
@@ -6,6 +6,7 @@
 	"errors"
 	"sync"
 
+	"github.com/arbutusmill/arbutusmill/coord/ctxlock"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
@@ -36,7 +37,7 @@
 	// window is the number of segments whose charge IDs are kept in memory.
 	window int64
 
-	appendMu sync.Mutex // held during an append
+	appendMu ctxlock.Mutex // held during an append
 
 	mu           sync.Mutex
 	loaded       bool
@@ -68,7 +69,9 @@
 // of them is in the log exactly once. After an error the outcome is unknown and the
 // caller must append them again.
 func (s *Shard) Append(ctx context.Context, charges []Charge) error {
-	s.appendMu.Lock()
+	if err := s.appendMu.Lock(ctx); err != nil {
+		return Error.Wrap(err)
+	}
 	defer s.appendMu.Unlock()
 	if err := s.ensureLoaded(ctx); err != nil {
 		return err
--- a/coord/settlement/borrowers.go
+++ b/coord/settlement/borrowers.go
@@ -15,9 +15,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"sync"
 
+	"github.com/arbutusmill/arbutusmill/coord/ctxlock"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/zeebo/errs"
 )
@@ -58,8 +60,8 @@
 	// Key is the store key of the list: the settler's prefix and the lender's incarnation.
 	Key string
 
-	writeMu sync.Mutex // serializes writes to the store
-	last    store.Item // as last written; guarded by writeMu
+	writeMu ctxlock.Mutex // serializes writes to the store
+	last    store.Item    // as last written; guarded by writeMu
 	mu      sync.Mutex
 	stored  map[string]bool
 }
@@ -70,7 +72,9 @@
 	if r.Has(borrowers...) {
 		return nil
 	}
-	r.writeMu.Lock()
+	if err := r.lockWrites(ctx); err != nil {
+		return err
+	}
 	defer r.writeMu.Unlock()
 	if r.Has(borrowers...) {
 		return nil
@@ -85,7 +89,9 @@
 
 // appoint records the witnesses in the list under a new term, which it returns. Its errors are those of Admit.
 func (r *BorrowerRegistry) appoint(ctx context.Context, witnesses []string) (term int64, err error) {
-	r.writeMu.Lock()
+	if err := r.lockWrites(ctx); err != nil {
+		return 0, err
+	}
 	defer r.writeMu.Unlock()
 	updated, err := r.writeLocked(ctx, func(l *borrowerList) {
 		l.Witnesses = witnesses
@@ -94,6 +100,14 @@
 	return updated.Term, err
 }
 
+// lockWrites locks writeMu. Its error wraps store.ErrUnavailable: nothing was written.
+func (r *BorrowerRegistry) lockWrites(ctx context.Context) error {
+	if err := r.writeMu.Lock(ctx); err != nil {
+		return store.Error.Wrap(errors.Join(store.ErrUnavailable, store.ErrUnknown, err))
+	}
+	return nil
+}
+
 // writeLocked changes the list in the store. If a response is lost, the change may be applied twice.
 func (r *BorrowerRegistry) writeLocked(ctx context.Context, change func(*borrowerList)) (borrowerList, error) {
 	var updated borrowerList
