link: a call ends with its context while the peer does not read; a write that stands still closes the connection

Callers would see: a router's request waits for seconds at a lender whose process is stopped, or that has no CPU, while its connection stays open: each announcement, loan or query to it outlasts its own deadline, and those behind it wait for the connection as well.

Cause: jsonrpc2 writes a message, and waits for those before it, without regard to the call's context; nothing else bounds a write. Once the buffers are full, a call lasts until the kernel gives up (TCP_USER_TIMEOUT, 2 s) on the side that dialled, and without a bound in the process that accepted the connection and replies.

Change: one goroutine for each connection writes the messages of calls, which hand them over until their contexts end; parameters are encoded by the caller, who may change them after the call. Writes have a timeout of three heartbeats for each part of 32 KiB, after which the connection is closed, on both sides; Server gets the callers' heartbeat interval for it. The first message of a new connection has the bound of the dial. A heartbeat's own timeout begins when it is written, so that a large message on a slow link, which has a timeout for each part, is not cut off. Replies wait for the one being written until the connection ends.

Ruled out: a goroutine for each call, since they pile up while the peer does not read; a deadline of the write alone, since a call must not fail the others' messages when its own deadline comes.

Left: requests of one connection have a goroutine each in the accepting process, until their reply is written or the connection is closed, as before; a large reply on a slow link may still outlast the caller's heartbeat.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -107,7 +107,7 @@
 	tasks.Go(a.base.FollowVMs)
 	tasks.Go(a.outbox.Run)
 	tasks.Every(sweepInterval, a.sweep)
-	server := &link.Server{Log: a.base.Log.Printf, Security: a.base.Security, Methods: a.methods()}
+	server := &link.Server{Log: a.base.Log.Printf, Security: a.base.Security, Heartbeat: time.Duration(s.Links.Heartbeat), Methods: a.methods()}
 	tasks.Go(func(ctx context.Context) { server.Serve(ctx, listeners.link) })
 	work := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: headerTimeout}
 	tasks.Serve(work, listeners.work, a.base.Security.Server)
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -152,7 +152,7 @@
 	for name, h := range methods {
 		methods[name] = b.instrumented(name, h)
 	}
-	s := &link.Server{Security: internalSecurity, Log: b.Log.Printf, Methods: methods}
+	s := &link.Server{Security: internalSecurity, Heartbeat: linkHeartbeat, Log: b.Log.Printf, Methods: methods}
 	tasks.Go(func(ctx context.Context) { s.Serve(ctx, links) })
 }
 
--- /dev/null
+++ b/link/conn.go
@@ -0,0 +1,113 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// clientConn makes calls on one connection. Its only goroutine writes their messages one after the
+// other, so that a call whose context ends does not wait for a write, its own or one before it, to a peer
+// that does not read.
+type clientConn struct {
+	*jsonrpc2.Conn
+	requests chan request
+}
+
+// request is a message for the writing goroutine.
+type request struct {
+	method string
+	params json.RawMessage
+	// sent receives the result of the write. It has a buffer, since the call may have ended.
+	sent chan sendResult
+}
+
+type sendResult struct {
+	response jsonrpc2.Waiter
+	err      error
+}
+
+func newClientConn(conn *jsonrpc2.Conn) *clientConn {
+	c := &clientConn{Conn: conn, requests: make(chan request)}
+	go c.write()
+	return c
+}
+
+// write writes the messages of calls until the connection ends.
+func (c *clientConn) write() {
+	for {
+		select {
+		case <-c.DisconnectNotify():
+			return
+		case r := <-c.requests:
+			response, err := c.DispatchCall(context.Background(), r.method, r.params)
+			r.sent <- sendResult{response, err}
+		}
+	}
+}
+
+// call sends a message and waits for the response until the context ends.
+func (c *clientConn) call(ctx context.Context, method string, params, result any) error {
+	response, err := c.send(ctx, method, params)
+	if err != nil {
+		return err
+	}
+	return response.Wait(ctx, result)
+}
+
+// send waits until a message is written, the context ends or the connection does.
+func (c *clientConn) send(ctx context.Context, method string, params any) (jsonrpc2.Waiter, error) {
+	// The message may be written after the call has ended and its caller has changed the parameters.
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return jsonrpc2.Waiter{}, err
+	}
+	r := request{method: method, params: encoded, sent: make(chan sendResult, 1)}
+	select {
+	case c.requests <- r:
+	case <-c.DisconnectNotify():
+		return jsonrpc2.Waiter{}, jsonrpc2.ErrClosed
+	case <-ctx.Done():
+		return jsonrpc2.Waiter{}, ctx.Err()
+	}
+	select {
+	case s := <-r.sent:
+		return s.response, s.err
+	case <-ctx.Done():
+		return jsonrpc2.Waiter{}, ctx.Err()
+	}
+}
+
+// maxWriteBytes is the size of the parts in which messages are written. The timeout applies to each part,
+// since a large message takes long on a slow link.
+const maxWriteBytes = 32 << 10
+
+// timeoutWriter is a connection that is closed if a part of a message is not written within the timeout.
+// The rest of the message would be missing from the stream, so the connection can't be used again.
+type timeoutWriter struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// newStream returns a stream of messages whose writes have a timeout of maxMissedHeartbeats intervals.
+func newStream(nc net.Conn, heartbeat time.Duration) jsonrpc2.ObjectStream {
+	return jsonrpc2.NewPlainObjectStream(&timeoutWriter{Conn: nc, timeout: maxMissedHeartbeats * heartbeat})
+}
+
+// Write implements net.Conn.
+func (w *timeoutWriter) Write(b []byte) (written int, err error) {
+	for written < len(b) && err == nil {
+		var n int
+		if err = w.SetWriteDeadline(time.Now().Add(w.timeout)); err == nil {
+			n, err = w.Conn.Write(b[written:min(len(b), written+maxWriteBytes)])
+			written += n
+		}
+	}
+	if err != nil {
+		_ = w.Close()
+	}
+	return written, err
+}
--- a/link/link.go
+++ b/link/link.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
@@ -12,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/ctxlock"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/relay"
 	"github.com/sourcegraph/jsonrpc2"
@@ -53,8 +55,13 @@
 	methodPing  = "ping"
 )
 
-// maxMissedHeartbeats is the number of heartbeat intervals without a response that ends a connection.
-const maxMissedHeartbeats = 3
+const (
+	// maxMissedHeartbeats is the number of heartbeat intervals without a response, or without progress of
+	// a write, that ends a connection.
+	maxMissedHeartbeats = 3
+	// defaultHeartbeat is the interval that a Server assumes if none is set.
+	defaultHeartbeat = time.Second
+)
 
 // Handler answers one method.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
@@ -90,6 +97,8 @@
 // Server answers the messages of other processes.
 type Server struct {
 	Security Security
+	// Heartbeat is the interval of the callers' heartbeats; 0 stands for one second.
+	Heartbeat time.Duration
 	// Log logs protocol errors of connections; nil drops them.
 	Log     func(format string, args ...any)
 	Methods map[string]Handler
@@ -115,7 +124,8 @@
 
 func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
 	session := &session{server: s}
-	conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(session), jsonrpc2.SetLogger(logFunc(s.Log)))
+	stream := newStream(nc, cmp.Or(s.Heartbeat, defaultHeartbeat))
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(session), jsonrpc2.SetLogger(logFunc(s.Log)))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -135,7 +145,9 @@
 
 // session is one accepted connection.
 type session struct {
-	server        *Server
+	server *Server
+	// replyMu is held during the write of a reply. The others wait for it until the connection ends.
+	replyMu       ctxlock.Mutex
 	mu            sync.Mutex
 	authenticated bool
 }
@@ -143,9 +155,10 @@
 // Handle implements jsonrpc2.Handler.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := s.answer(ctx, req)
-	if req.Notif {
+	if req.Notif || s.replyMu.Lock(ctx) != nil {
 		return
 	}
+	defer s.replyMu.Unlock()
 	if err != nil {
 		_ = conn.ReplyWithError(ctx, req.ID, wireError(err))
 		return
@@ -246,7 +259,7 @@
 	// cancel aborts the opening.
 	cancel context.CancelFunc
 	ready  chan struct{}
-	conn   *jsonrpc2.Conn
+	conn   *clientConn
 	err    error
 }
 
@@ -257,13 +270,13 @@
 	if err != nil {
 		return err
 	}
-	if err := conn.Call(ctx, method, params, result); err != nil {
+	if err := conn.call(ctx, method, params, result); err != nil {
 		return localError(err)
 	}
 	return nil
 }
 
-func (p *Pool) conn(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+func (p *Pool) conn(ctx context.Context, addr string) (*clientConn, error) {
 	p.mu.Lock()
 	if p.conns == nil {
 		p.conns = map[string]*peerConn{}
@@ -306,14 +319,14 @@
 	}
 }
 
-func (p *Pool) connect(ctx context.Context, addr string) (*jsonrpc2.Conn, error) {
+func (p *Pool) connect(ctx context.Context, addr string) (*clientConn, error) {
 	nc, err := p.dialNet(ctx, addr)
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrDown, err))
 	}
-	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(nc), jsonrpc2.AsyncHandler(noMethods{}),
-		jsonrpc2.SetLogger(logFunc(p.Log)))
-	if err := conn.Call(ctx, methodHello, hello{From: p.From, Secret: p.Security.Secret}, nil); err != nil {
+	conn := newClientConn(jsonrpc2.NewConn(context.Background(), newStream(nc, p.Heartbeat), jsonrpc2.AsyncHandler(noMethods{}),
+		jsonrpc2.SetLogger(logFunc(p.Log))))
+	if err := conn.call(ctx, methodHello, hello{From: p.From, Secret: p.Security.Secret}, nil); err != nil {
 		_ = conn.Close()
 		return nil, localError(err)
 	}
@@ -335,7 +348,7 @@
 // heartbeat sends heartbeats until the connection ends. A device in between may drop the
 // state of a connection, so that neither data nor a reset arrives any more. Then a
 // heartbeat gets no response, the connection is closed, and the next call opens a new one.
-func (p *Pool) heartbeat(conn *jsonrpc2.Conn) {
+func (p *Pool) heartbeat(conn *clientConn) {
 	t := time.NewTicker(p.Heartbeat)
 	defer t.Stop()
 	for {
@@ -344,16 +357,25 @@
 			return
 		case <-t.C:
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), maxMissedHeartbeats*p.Heartbeat)
-		err := conn.Call(ctx, methodPing, struct{}{}, nil)
-		cancel()
-		if err != nil {
+		if p.ping(conn) != nil {
 			_ = conn.Close()
 			return
 		}
 	}
 }
 
+// ping sends a heartbeat and waits for the response. The time before it is written does not count: the
+// messages before it have timeouts of their own.
+func (p *Pool) ping(conn *clientConn) error {
+	response, err := conn.send(context.Background(), methodPing, struct{}{})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), maxMissedHeartbeats*p.Heartbeat)
+	defer cancel()
+	return response.Wait(ctx, nil)
+}
+
 // Close closes all connections and aborts those being opened. Later calls fail with ErrDown.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -224,7 +224,8 @@
 	tasks.Every(time.Duration(b.RecoverInterval), r.recoverDead)
 	tasks.Go(r.placeTokens)
 	tasks.Every(time.Duration(b.PlacementInterval), r.placeTokens)
-	server := &link.Server{Log: r.base.Log.Printf, Security: r.base.Security, Methods: r.methods()}
+	server := &link.Server{Log: r.base.Log.Printf, Security: r.base.Security, Heartbeat: time.Duration(r.base.Settings.Links.Heartbeat),
+		Methods: r.methods()}
 	tasks.Go(func(ctx context.Context) { server.Serve(ctx, l.link) })
 	callers := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes: r.base.Settings.Limits.HeaderBytes}
