gateway: announcements to silent lenders end with the request's deadline

Callers saw: a prompt is answered long after its deadline when lenders do not respond: all engines are cold, so each needs its lender's admission, and the router asks one after the other, each with its own timeout of 40 ms.

Cause: lenderClient.call took its timeout from context.Background(); nothing in Pick ends with the request.

By reading, up to 27 announcements (1.08 s) were possible.

Change: pool.Pool's Announce gets the request's deadline, and lenderClient ends the call there. Queued messages end with their task.

Ruled out: the request's context instead of the deadline: a caller that disconnects would turn an attempt that ends as "caller gone" into a refusal without an upstream. A number of announcements smaller than today's: it bounds another thing.

--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -54,7 +54,7 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.messages:
-			if c.call(m.address, m.method, m.body, m.reply) && m.onReply != nil {
+			if c.call(ctx, m.address, m.method, m.body, m.reply) && m.onReply != nil {
 				m.onReply()
 			}
 		}
@@ -62,8 +62,10 @@
 }
 
 // announce implements pool.Pool's Announce.
-func (c *lenderClient) announce(address string, announcement prefill.Announcement) (reply prefill.AnnounceReply, ok bool) {
-	ok = c.call(address, link.MethodAnnounce, announcement, &reply)
+func (c *lenderClient) announce(deadline time.Time, address string, announcement prefill.Announcement) (reply prefill.AnnounceReply, ok bool) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	ok = c.call(ctx, address, link.MethodAnnounce, announcement, &reply)
 	return reply, ok
 }
 
@@ -90,20 +92,21 @@
 	return known
 }
 
-// call calls an upstream's lender and reports whether it replied. Without a reply, the pool chooses
-// upstreams by this router's own data.
-func (c *lenderClient) call(address, method string, in, out any) bool {
+// call calls an upstream's lender and reports whether it replied within the timeout. Without a reply, the
+// pool chooses upstreams by this router's own data. A lender that did not reply before the caller's context
+// ended gets no cooldown: it may have had too little time.
+func (c *lenderClient) call(caller context.Context, address, method string, in, out any) bool {
 	m, known := c.members.ByUpstream(address)
-	if !known || c.inCooldown(m.Address) {
+	if !known || c.inCooldown(m.Address) || caller.Err() != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+	ctx, cancel := context.WithTimeout(caller, c.timeout)
 	defer cancel()
-	if c.links.Call(ctx, m.Address, method, in, out) != nil {
+	err := c.links.Call(ctx, m.Address, method, in, out)
+	if err != nil && caller.Err() == nil {
 		c.startCooldown(m.Address)
-		return false
 	}
-	return true
+	return err == nil
 }
 
 func (c *lenderClient) inCooldown(address string) bool {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -217,7 +217,7 @@
 // engine is ignored: the directory entry or the lender is out of date, and the cache of an ended
 // incarnation would attract prompts.
 func (p *Pool) announce(r *serving.Request, u directory.Upstream, c placement.Choice) (prefill.AnnounceReply, bool) {
-	reply, ok := p.Announce(u.Address, p.announcement(r, u, c))
+	reply, ok := p.Announce(r.Deadline, u.Address, p.announcement(r, u, c))
 	return reply, ok && reply.StartUnixMS == u.StartUnixMS
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -51,9 +51,9 @@
 	Routers func() int
 	// Datacentre is the router's data centre.
 	Datacentre string
-	// Announce announces a prompt to an engine's lender; it returns false without an answer.
-	// Withdraw revokes an announcement. Both may be nil.
-	Announce func(address string, a prefill.Announcement) (prefill.AnnounceReply, bool)
+	// Announce announces a prompt to an engine's lender; it returns false without an answer, at the
+	// request's deadline at the latest. Withdraw revokes an announcement. Both may be nil.
+	Announce func(deadline time.Time, address string, a prefill.Announcement) (prefill.AnnounceReply, bool)
 	Withdraw func(address string, a prefill.Announcement, reply prefill.AnnounceReply)
 	// ReportRemotePrefill informs the lender of a prompt's preferred engine that another engine prefills
 	// parts of the prompt. It may be nil.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -93,7 +93,7 @@
 	p := poolOf(&now)
 	announced := map[string]int{}
 	queues := map[string]int64{}
-	p.Announce = func(address string, _ prefill.Announcement) (prefill.AnnounceReply, bool) {
+	p.Announce = func(_ time.Time, address string, _ prefill.Announcement) (prefill.AnnounceReply, bool) {
 		announced[address]++
 		return prefill.AnnounceReply{Backlog: queues[address]}, true
 	}
@@ -160,7 +160,7 @@
 func TestReplyAboutAnotherIncarnation(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := poolOf(&now)
-	p.Announce = func(string, prefill.Announcement) (prefill.AnnounceReply, bool) {
+	p.Announce = func(time.Time, string, prefill.Announcement) (prefill.AnnounceReply, bool) {
 		return prefill.AnnounceReply{Cached: 13_300, StartUnixMS: 7}, true
 	}
 	r := plainRequest(now)
@@ -209,7 +209,7 @@
 	p.Directory.Reset([]store.Item{{Key: "a"}, {Key: "b"}})
 	first := ""
 	p.Withdraw = func(string, prefill.Announcement, prefill.AnnounceReply) {}
-	p.Announce = func(address string, _ prefill.Announcement) (prefill.AnnounceReply, bool) {
+	p.Announce = func(_ time.Time, address string, _ prefill.Announcement) (prefill.AnnounceReply, bool) {
 		if first == "" {
 			first = address
 			p.Directory.SetDrained([]string{address})
@@ -237,7 +237,7 @@
 	p.Withdraw = func(address string, a prefill.Announcement, reply prefill.AnnounceReply) {
 		engines[address].Withdraw(now, a, reply)
 	}
-	p.Announce = func(address string, a prefill.Announcement) (prefill.AnnounceReply, bool) {
+	p.Announce = func(_ time.Time, address string, a prefill.Announcement) (prefill.AnnounceReply, bool) {
 		return engines[address].Announce(now, a), true
 	}
 	p.ReportRemotePrefill = func(address string, e prefill.RemotePrefill) { engines[address].RecordRemotePrefill(now, e) }
