link: Serve goes on after a connection could not be accepted

Callers would see: a process that was short of file descriptors for a moment gets no control messages any more: others connect to its address, which stays open, and their messages wait for their timeouts until the process is restarted.

Cause: Server.Serve ended with the first error of Accept. net/http's servers retry; this one did not.

Change: only a closed listener or the end of the context ends it; after other errors it logs, pauses for 5 ms up to 1 s, and goes on.

--- a/link/link.go
+++ b/link/link.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/ctxlock"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/relay"
@@ -61,6 +62,9 @@
 	maxMissedHeartbeats = 3
 	// defaultHeartbeat is the interval that a Server assumes if none is set.
 	defaultHeartbeat = time.Second
+	// minAcceptPause and maxAcceptPause bound the pause after a connection could not be accepted.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
 )
 
 // Handler answers one method.
@@ -104,7 +108,7 @@
 	Methods map[string]Handler
 }
 
-// Serve accepts connections until the context ends.
+// Serve accepts connections until the context ends or the listener is closed.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) {
 	if s.Security.Server != nil {
 		ln = tls.NewListener(ln, s.Security.Server)
@@ -113,11 +117,21 @@
 	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	pause := backoff.New(minAcceptPause, maxAcceptPause)
 	for {
 		nc, err := ln.Accept()
-		if err != nil {
+		switch {
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			if err == nil {
+				_ = nc.Close()
+			}
 			return
+		case err != nil: // such as too many open files
+			logFunc(s.Log).Printf("link: accept on %s: %v", ln.Addr(), err)
+			_ = pause.Wait(ctx) // ends early only with the context
+			continue
 		}
+		pause.Reset()
 		wg.Go(func() { s.serveConn(ctx, nc) })
 	}
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,6 +146,42 @@
 	})
 }
 
+// Guards against a process that accepts no control messages any more, with its address open, because a
+// connection could not be accepted once, such as for lack of file descriptors.
+func TestServerAcceptsAfterAnError(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		var network memnet.Network
+		ln, err := network.Listen("tcp", peerAddress)
+		require.NoError(t, err)
+		s := &link.Server{Security: link.Security{TrustedNetwork: true}, Heartbeat: heartbeat, Methods: map[string]link.Handler{
+			"echo": link.Handle(func(_ context.Context, in string) (string, error) { return in, nil })}}
+		ctx, stop := context.WithCancel(t.Context())
+		served := make(chan struct{})
+		go func() { s.Serve(ctx, &failingListener{Listener: ln, failures: 3}); close(served) }()
+		defer func() { stop(); <-served }()
+		p := newPool(&network)
+		defer p.Close()
+		var out string
+		require.NoError(t, p.Call(ctx, peerAddress, "echo", "in", &out))
+		require.Equal(t, "in", out)
+	})
+}
+
+// failingListener fails some times before it accepts connections.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
 func newPool(network *memnet.Network) *link.Pool {
 	return &link.Pool{From: "router-1/A", Security: link.Security{TrustedNetwork: true}, Heartbeat: heartbeat,
 		DialTimeout: heartbeat, Dial: network.Dial}
