soak: the proxy accepts after an error; a router that does not serve in time is logged probe by probe

The proxy's serve ended with the first error of Accept, with its listener open: later connections through it would have hung like that.

Change: serve ends only when its listener is closed. When waitServing fails, it logs each probe of that router: start, time to connect or that it did not, status, duration, and the largest scheduling delay of the test process meanwhile.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -43,12 +44,17 @@
 	p.resetAll()
 }
 
+// serve forwards the connections of a listener until it is closed.
 func (p *proxy) serve(ln net.Listener) {
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // such as too many open files
+			time.Sleep(pollInterval)
+			continue
+		}
 		go p.forward(conn.(*net.TCPConn))
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,17 +90,25 @@
 func (tf *testFleet) waitServing() {
 	deadline := time.Now().Add(recoveryTimeout)
 	probe := &loadGenerator{fleet: tf}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var probes probeRecorder
+	defer probes.start()()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: probes.dial}}
 	n := 0
 	for _, p := range tf.ofRole("gateway") {
+		probes.reset()
 		for _, route := range append(slices.Clone(routeNames), fmt.Sprint("v", tf.version)) {
 			for {
 				n++
 				o := probe.send(client, p, route, "pilots", fmt.Sprintf("probe-%d-%d", time.Now().UnixNano(), n))
+				probes.record(o)
 				if o.status == http.StatusOK {
 					break
 				}
-				require.True(tf.t, time.Now().Before(deadline), "%s does not serve /%s/: status %d, %v %s", p.name, route, o.status, o.err, o.body)
+				inTime := time.Now().Before(deadline)
+				if !inTime {
+					tf.t.Logf("probes of %s:\n%s", p.name, probes.lines())
+				}
+				require.True(tf.t, inTime, "%s does not serve /%s/: status %d, %v %s", p.name, route, o.status, o.err, o.body)
 				time.Sleep(pollInterval)
 			}
 		}
