link: bounds the requests of one connection that are handled at a time

Would be seen: a caller that sends requests and reads no replies makes the accepting process start a goroutine for each, all of them waiting for the reply that is being written, until the connection is closed after 3 s.

Cause: jsonrpc2.AsyncHandler has no bound.

Change: at most 1,024 requests of a connection are handled at a time; further ones wait in the connection, which is then not read.

Evidence: TestServerClosesAConnectionWhosePeerDoesNotRead (a request each millisecond for 3 s) fails with the bound taken out, passes 5 of 5 with -race. Ruled out: refusing further requests, since each refusal is a reply that waits too.

--- a/link/link.go
+++ b/link/link.go
@@ -62,6 +62,9 @@
 	maxMissedHeartbeats = 3
 	// defaultHeartbeat is the interval that a Server assumes if none is set.
 	defaultHeartbeat = time.Second
+	// maxRequests bounds the requests of one connection that are handled at the same time. Further ones
+	// wait in the connection.
+	maxRequests = 1024
 	// minAcceptPause and maxAcceptPause bound the pause after a connection could not be accepted.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
@@ -137,9 +140,9 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
-	session := &session{server: s}
+	session := &session{server: s, handling: make(chan struct{}, maxRequests)}
 	stream := newStream(nc, cmp.Or(s.Heartbeat, defaultHeartbeat))
-	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(session), jsonrpc2.SetLogger(logFunc(s.Log)))
+	conn := jsonrpc2.NewConn(ctx, stream, session, jsonrpc2.SetLogger(logFunc(s.Log)))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
@@ -160,14 +163,29 @@
 // session is one accepted connection.
 type session struct {
 	server *Server
+	// handling contains an element for each request that is being handled.
+	handling chan struct{}
 	// replyMu is held during the write of a reply. The others wait for it until the connection ends.
 	replyMu       ctxlock.Mutex
 	mu            sync.Mutex
 	authenticated bool
 }
 
-// Handle implements jsonrpc2.Handler.
+// Handle implements jsonrpc2.Handler. The connection is not read until Handle returns.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	select {
+	case s.handling <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	go func() {
+		defer func() { <-s.handling }()
+		s.handle(ctx, conn, req)
+	}()
+}
+
+// handle handles one request and writes the reply.
+func (s *session) handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := s.answer(ctx, req)
 	if req.Notif || s.replyMu.Lock(ctx) != nil {
 		return
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -24,6 +24,8 @@
 	heartbeat   = time.Second
 	// writeTimeout is how long a write may stand still: three heartbeats.
 	writeTimeout = 3 * heartbeat
+	// maxHandled is more than the requests of one connection that are handled at the same time.
+	maxHandled = 1100
 )
 
 // Guards against a call that outlasts its deadline by a multiple because the peer stopped reading: the
@@ -91,7 +93,8 @@
 }
 
 // Guards against replies that pile up in the process that accepts connections: a caller sends requests
-// and does not read the replies, and each reply waits for the ones before it.
+// and does not read the replies, and each reply waits for the ones before it. Their number is bounded, and
+// the connection is closed.
 func TestServerClosesAConnectionWhosePeerDoesNotRead(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		var network memnet.Network
@@ -108,13 +111,15 @@
 		require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
 		synctest.Wait()
 		goroutines := runtime.NumGoroutine()
-		began := time.Now()
+		began, most := time.Now(), 0
 		for err == nil {
+			most = max(most, runtime.NumGoroutine())
 			_, err = io.WriteString(conn, `{"jsonrpc":"2.0","id":1,"method":"hello","params":{"from":"router-1/A"}}`)
 			time.Sleep(time.Millisecond)
 		}
 		require.ErrorIs(t, err, io.ErrClosedPipe)
 		require.InDelta(t, writeTimeout, time.Since(began), float64(2*time.Millisecond))
+		require.Less(t, most-goroutines, maxHandled)
 		synctest.Wait()
 		require.Less(t, runtime.NumGoroutine(), goroutines, "the replies and the connection have ended")
 	})
