Prompts: evidence merges in any order, and is sent until acknowledged

What callers saw: a prompt under which engines crashed and that an engine then answered was on trial (503) or refused (422) again later, mostly after routers or lenders restarted. The other way round, a crash after the last answer was lost, and a prompt that crashes engines was sent again.

Cause: crashes were merged as a set that only grows, and an answer was a deletion without time, identity or trace. Each copy that missed it brought the crashes back; each deletion that a keeper kept for its next load (unstored) removed newer crashes. And each change was sent once, by the owner only, through queues that drop what does not fit.

Ruled out: different identities of the prompt (one in all lines), and timing of the tests (virtual time, they fail on each run).

Change: evidence is the crashes by incarnation and the last answer by service, each with a wall-clock time that its observer assigned once. Of two times the later one is kept; crashes before the last answer of their service are dropped. An answer is assigned a time after all crashes recorded at its router, a crash one not before the last recorded answer, so clocks matter only between events whose observers had not received each other. Routers hold the changed prompts for each keeper and router until it replies, read the evidence when they send it, and send it to a new owner; one that does not reach an owner tells the keepers and the other routers. A router that asks for a trial sends its evidence: an owner that had lost its records allowed each. Keepers merge everything; their lock's wait ends with the context. Older processes take part: they read what they did, and times are derived from ages where there are none.

TestUnstoredAnswersAreBounded tested a structure that is gone; TestAnswersAtAKeeperAreBounded takes its place: answers to 8,192 prompts at a keeper that never writes stay within the register's bound, and displace no prompt with crashes.

Why this works: the merge is a maximum of times and a threshold, so it is associative, commutative and idempotent; a copy that missed something differs only until the next message, and the sender repeats it.

--- a/gateway/promptkeepers.go
+++ b/gateway/promptkeepers.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/poison"
@@ -20,17 +18,18 @@
 	// keeperBatchDelay is how long changes are collected for one message to the keepers. A crashing
 	// engine interrupts dozens of requests at once.
 	keeperBatchDelay = 100 * time.Millisecond
-	// keeperCheckInterval is the interval between checks for new keepers.
-	keeperCheckInterval = time.Second
-	// maxQueuedChanges limits the changes between two messages.
-	maxQueuedChanges = 512
+	// maxKeeperBatch limits the prompts of one message to a keeper to some 40 kilobytes.
+	maxKeeperBatch = 128
 )
 
-// promptChange is a prompt with new evidence, or one that a service answered.
-type promptChange struct {
-	prompt poison.Prompt
-	// answered is nil for new evidence.
-	answered *link.PromptAnswered
+// newKeeperOutbox returns the outbox of the keepers.
+func (p *promptGuard) newKeeperOutbox() *promptOutbox {
+	return &promptOutbox{
+		batchDelay: keeperBatchDelay, maxBatch: maxKeeperBatch, slots: make(chan struct{}, keeperCount),
+		refresh: p.refreshKeepers, list: p.listedPrompts, send: p.sendToKeeper,
+		unreached: func(string, []pendingPrompt) {}, overflowed: p.metrics.promptUpdateDropped,
+		wake: make(chan struct{}, 1),
+	}
 }
 
 // keepers returns the lenders that store the evidence on all prompts.
@@ -45,127 +44,73 @@
 	return len(ranked) == 0 || ranked[0].VM == p.vm
 }
 
-// queueForKeepers queues a change for the keepers. If the queue is full, the change is dropped and
-// counted; it is sent when the prompt's owner or a keeper changes.
-func (p *promptGuard) queueForKeepers(c promptChange) {
-	select {
-	case p.keeperChanges <- c:
-	default:
-		p.metrics.promptUpdateDropped()
-	}
-}
-
-// queueAnsweredForKeepers queues an answer to a prompt for the keepers, if this router owns the prompt.
-func (p *promptGuard) queueAnsweredForKeepers(a link.PromptAnswered) {
-	if p.isOwner(a.Prompt) {
-		p.queueForKeepers(promptChange{prompt: a.Prompt, answered: &a})
-	}
-}
-
-// updateKeepers sends changes to the keepers, and to each new keeper the evidence on all prompts that
-// this router owns, until the context ends.
-func (p *promptGuard) updateKeepers(ctx context.Context) {
-	synced := map[string]bool{} // the keepers that have received all owned evidence, by incarnation
-	check := time.NewTicker(keeperCheckInterval)
-	defer check.Stop()
-	for {
-		var changes []promptChange
-		select {
-		case <-ctx.Done():
-			return
-		case <-check.C:
-		case c := <-p.keeperChanges:
-			changes = append(changes, c)
-			_ = backoff.Sleep(ctx, keeperBatchDelay) // ends early only with the context
-		}
-		synced = p.sendToKeepers(ctx, synced, p.mergeChanges(p.appendQueuedChanges(changes)))
-	}
-}
-
-// appendQueuedChanges appends the changes that are already queued, without waiting for more.
-func (p *promptGuard) appendQueuedChanges(changes []promptChange) []promptChange {
-	for range len(p.keeperChanges) {
-		changes = append(changes, <-p.keeperChanges)
+// refreshKeepers updates the keepers. Each new one is sent the evidence on all prompts that this router
+// owns.
+func (p *promptGuard) refreshKeepers() {
+	addresses := map[string]string{}
+	for _, m := range p.keepers() {
+		addresses[m.ID] = m.Address
 	}
-	return changes
-}
-
-// mergeChanges combines changes into one message.
-func (p *promptGuard) mergeChanges(changes []promptChange) (message link.PromptKeep) {
-	now, seen := time.Now(), map[poison.Prompt]bool{}
-	for _, c := range changes {
-		if c.answered != nil {
-			message.Answered = append(message.Answered, *c.answered)
-		}
-		if seen[c.prompt] {
-			continue
-		}
-		seen[c.prompt] = true
-		if e := p.registry.Known(now, c.prompt); len(e.Crashes) > 0 {
-			message.Known = append(message.Known, e)
-		}
+	added := p.keeperOutbox.setPeers(addresses)
+	if len(added) == 0 {
+		return
 	}
-	return message
-}
-
-// sendToKeepers sends the changes to each keeper, or the evidence on all owned prompts to one that is
-// not synced, and returns the keepers that are synced then.
-func (p *promptGuard) sendToKeepers(ctx context.Context, synced map[string]bool, changes link.PromptKeep) map[string]bool {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	updated := map[string]bool{}
-	for _, m := range p.keepers() {
-		message := changes
-		if !synced[m.ID] {
-			message.Known = p.ownedEvidence()
+	for _, prompt := range p.listedPrompts() {
+		if p.isOwner(prompt) {
+			p.keeperOutbox.add(prompt, true, added...)
 		}
-		wg.Go(func() {
-			if ok := p.sendToKeeper(ctx, m, message); ok {
-				mu.Lock()
-				defer mu.Unlock()
-				updated[m.ID] = true
-			}
-		})
 	}
-	wg.Wait()
-	return updated
 }
 
-// ownedEvidence returns the evidence on the prompts that this router owns.
-func (p *promptGuard) ownedEvidence() (owned []poison.Evidence) {
-	for _, e := range p.registry.List(time.Now()) {
-		if p.isOwner(e.Prompt) {
-			owned = append(owned, e)
-		}
+// listedPrompts returns the prompts that this router lists to others.
+func (p *promptGuard) listedPrompts() (prompts []poison.Prompt) {
+	for _, e := range p.registry.ListAll(time.Now()) {
+		prompts = append(prompts, e.Prompt)
 	}
-	return owned
+	return prompts
 }
 
-// sendToKeeper sends one message to a keeper, and adds the keeper's additional evidence: another
+// sendToKeeper sends the evidence on prompts to a keeper, and merges the keeper's evidence on them: another
 // router may have owned a prompt before. It reports whether the keeper replied.
-func (p *promptGuard) sendToKeeper(ctx context.Context, m member.Member, message link.PromptKeep) bool {
+func (p *promptGuard) sendToKeeper(ctx context.Context, address, id string, batch []pendingPrompt) bool {
+	message := p.keeperMessage(time.Now(), batch)
 	if len(message.Known)+len(message.Answered) == 0 {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, promptCallTimeout)
 	defer cancel()
 	var stored []poison.Evidence
-	if err := p.links.Call(ctx, m.Address, link.MethodPromptKeep, message, &stored); err != nil {
-		p.log.Warn().Err(err).Str("keeper", m.ID).Str("method", link.MethodPromptKeep).Msg("prompt_not_told")
+	if err := p.links.Call(ctx, address, link.MethodPromptKeep, message, &stored); err != nil {
+		p.log.Warn().Err(err).Str("keeper", id).Str("method", link.MethodPromptKeep).Msg("prompt_not_told")
 		return false
 	}
 	for _, e := range stored {
-		p.addKeeperEvidence(e)
+		p.mergeAndPublish(e)
 	}
 	return true
 }
 
-// addKeeperEvidence adds a keeper's evidence on a prompt, unless the prompt was answered meanwhile.
-func (p *promptGuard) addKeeperEvidence(e poison.Evidence) {
-	now := time.Now()
-	if len(p.registry.Known(now, e.Prompt).Crashes) == 0 {
-		return
+// keeperMessage returns the message with the current evidence on prompts.
+func (p *promptGuard) keeperMessage(now time.Time, batch []pendingPrompt) (message link.PromptKeep) {
+	for _, pending := range batch {
+		e := p.registry.Known(now, pending.prompt)
+		if len(e.Crashes) > 0 {
+			message.Known = append(message.Known, e)
+		}
+		message.Answered = append(message.Answered, answersToSend(e, pending)...)
+	}
+	return message
+}
+
+// answersToSend returns the answers to a prompt that are sent by themselves. Evidence contains answers too,
+// but evidence without crashes is sent to no process, and some processes read only messages of this form.
+// These remove all crashes of the services, so they are sent no answers without need.
+func answersToSend(e poison.Evidence, pending pendingPrompt) (answers []link.PromptAnswered) {
+	if len(e.Crashes) > 0 && !pending.answered {
+		return nil
+	}
+	for _, a := range e.Answers {
+		answers = append(answers, link.NewPromptAnswered(e.Prompt, a))
 	}
-	merged, isNew := p.addEvidence(e)
-	p.publishAsOwner(merged, isNew)
+	return answers
 }
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -45,38 +45,45 @@
 	metrics  *gatewayMetrics
 	log      zerolog.Logger
 	breaks   chan brokenAttempt
-	updates  chan promptUpdate
-	// keeperChanges are the changes to be sent to the keepers.
-	keeperChanges chan promptChange
+	// keeperOutbox and routerOutbox hold the evidence that other processes have not acknowledged.
+	keeperOutbox, routerOutbox *promptOutbox
+
+	received receivedPrompts
+	// lastRouters holds the incarnations of the routers at the last check, by VM. Only the routerOutbox's
+	// goroutine uses it.
+	lastRouters map[string]string
 }
 
 // brokenAttempt is an attempt whose connection to the upstream broke.
 type brokenAttempt struct {
 	request *serving.Request
 	attempt serving.Attempt
+	prompt  poison.Prompt
+	// at is the wall-clock time of the break in milliseconds.
+	at int64
 }
 
 func newPromptGuard(g *Gateway) *promptGuard {
-	return &promptGuard{
-		vm:            g.settings.VM,
-		members:       g.Members,
-		links:         g.Links,
-		dial:          g.Network.DialTimeout(time.Duration(g.settings.Upstreams.DialTimeout)),
-		metrics:       g.metrics,
-		log:           g.Log,
-		breaks:        make(chan brokenAttempt, maxQueuedBreaks),
-		updates:       make(chan promptUpdate, maxQueuedUpdates),
-		keeperChanges: make(chan promptChange, maxQueuedChanges),
+	p := &promptGuard{
+		vm:      g.settings.VM,
+		members: g.Members,
+		links:   g.Links,
+		dial:    g.Network.DialTimeout(time.Duration(g.settings.Upstreams.DialTimeout)),
+		metrics: g.metrics,
+		log:     g.Log,
+		breaks:  make(chan brokenAttempt, maxQueuedBreaks),
 	}
+	p.keeperOutbox, p.routerOutbox = p.newKeeperOutbox(), p.newRouterOutbox()
+	return p
 }
 
 func (p *promptGuard) start(tasks *process.TaskGroup) {
 	for range probeWorkers {
 		tasks.Go(p.probeUpstreams)
 	}
-	tasks.Go(p.sendUpdates)
+	tasks.Go(p.routerOutbox.run)
 	tasks.Go(p.fetchInitialEvidence)
-	tasks.Go(p.updateKeepers)
+	tasks.Go(p.keeperOutbox.run)
 	tasks.Every(promptExpireInterval, func(context.Context) { p.expire(time.Now()) })
 }
 
@@ -129,17 +136,17 @@
 // requestTrial requests the owner's permission to send a prompt that is on trial, and returns a
 // refusal if the owner denies it.
 func (p *promptGuard) requestTrial(ctx context.Context, r *serving.Request, evidence poison.Evidence) *contract.Refusal {
-	trial := link.PromptTry{Prompt: evidence.Prompt, Service: r.Service.Name, Request: r.ID}
-	reply, err := callOwner(ctx, p, evidence.Prompt, link.MethodPromptTry, trial, p.handleTry)
+	trial := link.PromptTry{Prompt: evidence.Prompt, Service: r.Service.Name, Request: r.ID, Known: p.registry.Known(time.Now(), evidence.Prompt)}
+	reply, _, err := callOwner(ctx, p, evidence.Prompt, link.MethodPromptTry, trial, p.handleTry)
 	if err != nil {
 		reply, _ = p.handleTry(ctx, trial) // decides by local evidence; never returns an error
 	}
 	p.log.Info().Str("id", r.ID).Str("prompt", string(evidence.Prompt)).Bool("allowed", reply.Allowed).
 		Bool("asked_others", err == nil).Str("evidence", describeEvidence(reply.Known)).Msg("prompt_on_trial")
+	p.addEvidence(reply.Known)
 	if reply.Allowed {
 		return nil
 	}
-	p.addEvidence(reply.Known)
 	if relevant := reply.Known.ForService(r.Service.Name); relevant.Standing() == poison.Proven {
 		return provenRefusal(relevant)
 	}
@@ -161,17 +168,19 @@
 	}
 	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("service", service).Str("was", before.Standing().String()).
 		Str("evidence", describeEvidence(before)).Msg("prompt_cleared")
-	answered := link.PromptAnswered{Prompt: prompt, Service: service}
-	p.queueAnsweredForKeepers(answered)
-	p.queueUpdate(promptUpdate{
-		prompt: prompt, method: link.MethodPromptCleared, message: answered,
-		broadcast: before.Standing() >= poison.OnTrial})
+	p.received.add(prompt)
+	p.notifyOwner(prompt, true)
+	if before.Standing() >= poison.OnTrial {
+		p.notifyRouters(prompt, true)
+	}
 }
 
 // ConnectionBroken implements serving.PromptGuard. It does not wait for the investigation of the
 // first break for a prompt: the first retry is allowed whatever the result.
 func (p *promptGuard) ConnectionBroken(ctx context.Context, r *serving.Request, attempts []serving.Attempt) {
-	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1]}
+	prompt := poison.Identify(r)
+	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1], prompt: prompt,
+		at: p.registry.CrashTime(time.Now(), prompt, r.Service.Name)} // an answer may come during the probe
 	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
 	if earlier || p.evidenceFor(r).Standing() > poison.Clear {
 		p.investigateBreak(ctx, b)
@@ -200,47 +209,39 @@
 // as evidence against the prompt and reports it to the prompt's owner.
 func (p *promptGuard) investigateBreak(ctx context.Context, b brokenAttempt) {
 	state := probeUpstream(ctx, p.dial, b.attempt.Break.Address)
-	prompt := poison.Identify(b.request)
 	p.metrics.connectionBroken(b.request.Service.Name, state)
-	p.log.Info().Str("id", b.request.ID).Str("prompt", string(prompt)).Str("team", b.request.Team).
+	p.log.Info().Str("id", b.request.ID).Str("prompt", string(b.prompt)).Str("team", b.request.Team).
 		Str("service", b.request.Service.Name).Stringer("upstream", b.attempt.Upstream).Str("state", string(state)).
 		Int64("events", b.attempt.Break.Events).Int64("running_ms", b.attempt.Break.Running.Milliseconds()).Msg("upstream_broke_off")
 	if state != upstreamDown {
 		return
 	}
-	crash := poison.Crash{Upstream: b.attempt.Upstream.String(), Service: b.request.Service.Name}
-	local, isNew := p.addEvidence(poison.Evidence{Prompt: prompt, Crashes: []poison.Crash{crash}})
-	handleLocally := func(context.Context, poison.Evidence) (poison.Evidence, error) {
-		p.publishAsOwner(local, isNew)
+	now := time.Now()
+	before := p.registry.Known(now, b.prompt)
+	local, isNew := p.addEvidence(poison.Evidence{Prompt: b.prompt, Crashes: []poison.Crash{{
+		Upstream: b.attempt.Upstream.String(), Service: b.request.Service.Name, Age: now.Sub(time.UnixMilli(b.at)), UnixMS: b.at}}})
+	if len(local.Crashes) == 0 {
+		return // the prompt was answered meanwhile
+	}
+	p.received.add(b.prompt)
+	publishLocally := func(context.Context, poison.Evidence) (poison.Evidence, error) {
+		if isNew {
+			p.publish(before, local)
+		}
 		return local, nil
 	}
-	merged, err := callOwner(ctx, p, prompt, link.MethodPromptEnded, local, handleLocally)
+	merged, isOwner, err := callOwner(ctx, p, b.prompt, link.MethodPromptEnded, local, publishLocally)
+	if !isOwner {
+		p.notifyOwner(b.prompt, false)
+	}
 	if err != nil {
-		p.log.Warn().Err(err).Str("prompt", string(prompt)).Msg("prompt_not_told")
-		p.publishAsOwner(local, isNew)
+		p.log.Warn().Err(err).Str("prompt", string(b.prompt)).Msg("prompt_not_told")
+		_, _ = publishLocally(ctx, local) // never returns an error
 		return
 	}
 	p.addEvidence(merged)
 }
 
-// publishAsOwner distributes evidence that this router recorded as the owner of the prompt.
-func (p *promptGuard) publishAsOwner(evidence poison.Evidence, isNew bool) {
-	if isNew {
-		p.queueForKeepers(promptChange{prompt: evidence.Prompt})
-	}
-	p.broadcast(evidence, isNew)
-}
-
-// broadcast notifies all routers of new evidence on a prompt that is on trial or proven.
-func (p *promptGuard) broadcast(evidence poison.Evidence, isNew bool) {
-	if !isNew || evidence.Standing() < poison.OnTrial {
-		return
-	}
-	p.log.Warn().Str("prompt", string(evidence.Prompt)).Str("standing", evidence.Standing().String()).
-		Str("evidence", describeEvidence(evidence)).Msg("prompt_ends_upstreams")
-	p.queueUpdate(promptUpdate{prompt: evidence.Prompt, method: link.MethodPromptKnown, message: evidence, broadcast: true})
-}
-
 // expire removes expired evidence.
 func (p *promptGuard) expire(now time.Time) {
 	for _, c := range p.registry.Expire(now) {
--- a/gateway/promptupdates.go
+++ b/gateway/promptupdates.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
@@ -18,8 +17,6 @@
 
 // Parameters of the messages between routers about prompts.
 const (
-	// maxQueuedUpdates limits the updates that wait to be sent.
-	maxQueuedUpdates = 256
 	// maxParallelNotifies is the number of routers notified in parallel.
 	maxParallelNotifies = 16
 	// promptCallTimeout is the timeout of one call about a prompt: many times the latency between two
@@ -37,33 +34,31 @@
 	routersPerFetch = 3
 )
 
-// promptUpdate is a message about a prompt to other routers.
-type promptUpdate struct {
-	prompt  poison.Prompt
-	method  string
-	message any
-	// broadcast sends the message to all routers, not only to the prompt's owner.
-	broadcast bool
-}
-
 // promptMethods returns the handlers of other routers' calls about prompts.
 func (g *Gateway) promptMethods() map[string]link.Handler {
 	return map[string]link.Handler{
 		link.MethodPromptEnded: link.Handle(func(ctx context.Context, e poison.Evidence) (poison.Evidence, error) {
+			g.prompts.received.add(e.Prompt)
 			return g.prompts.handleEnded(ctx, e)
 		}),
 		link.MethodPromptTry: link.Handle(func(ctx context.Context, in link.PromptTry) (link.PromptTryReply, error) {
+			g.prompts.mergeTry(in)
 			return g.prompts.handleTry(ctx, in)
 		}),
 		link.MethodPromptKnown: link.Handle(func(ctx context.Context, e poison.Evidence) (link.Empty, error) {
+			g.prompts.received.add(e.Prompt)
 			return g.prompts.handleKnown(ctx, e)
 		}),
 		link.MethodPromptCleared: link.Handle(func(ctx context.Context, in link.PromptAnswered) (link.Empty, error) {
+			g.prompts.received.add(in.Prompt)
 			return g.prompts.handleCleared(ctx, in)
 		}),
 		link.MethodPromptList: link.Handle(func(ctx context.Context, in link.Empty) ([]poison.Evidence, error) {
 			return g.prompts.handleList(ctx, in)
 		}),
+		link.MethodPromptEvidence: link.Handle(func(ctx context.Context, in link.Empty) ([]poison.Evidence, error) {
+			return g.prompts.handleListAll(ctx, in)
+		}),
 	}
 }
 
@@ -83,31 +78,40 @@
 }
 
 // callOwner calls the router that owns a prompt, or the next candidate if that doesn't reply. If
-// this router is the first to be called, callOwner calls local instead.
+// this router is the first to be called, callOwner calls local instead. isOwner reports whether it was the owner
+// that replied.
 func callOwner[In, Out any](ctx context.Context, p *promptGuard, prompt poison.Prompt, method string, in In,
-	local func(context.Context, In) (Out, error)) (out Out, err error) {
+	local func(context.Context, In) (Out, error)) (out Out, isOwner bool, err error) {
 	ranked := p.rankOwners(prompt)
-	for _, router := range ranked[:min(ownerCandidates, len(ranked))] {
+	for n, router := range ranked[:min(ownerCandidates, len(ranked))] {
 		if router.VM == p.vm {
-			return local(ctx, in)
+			out, err = local(ctx, in)
+			return out, n == 0, err
 		}
 		callCtx, cancel := context.WithTimeout(ctx, promptCallTimeout)
 		err = p.links.Call(callCtx, router.Address, method, in, &out)
 		cancel()
 		if err == nil {
-			return out, nil
+			return out, n == 0, nil
 		}
 	}
-	return out, errors.Join(errNoOwnerReply, err)
+	return out, false, errors.Join(errNoOwnerReply, err)
 }
 
 // handleEnded records a crash as the owner of the prompt.
 func (p *promptGuard) handleEnded(_ context.Context, e poison.Evidence) (poison.Evidence, error) {
-	merged, isNew := p.addEvidence(e)
-	p.publishAsOwner(merged, isNew)
+	merged, _ := p.mergeAndPublish(e)
 	return merged, nil
 }
 
+// mergeTry merges the evidence of the router that asks for permission: an owner that has just started may have
+// less.
+func (p *promptGuard) mergeTry(in link.PromptTry) {
+	if in.Known.Prompt == in.Prompt && len(in.Known.Crashes) > 0 {
+		p.mergeAndPublish(in.Known)
+	}
+}
+
 // handleTry decides whether a request may try a prompt.
 func (p *promptGuard) handleTry(_ context.Context, in link.PromptTry) (link.PromptTryReply, error) {
 	now := time.Now()
@@ -126,69 +130,22 @@
 
 // handleCleared records that a service answered a prompt.
 func (p *promptGuard) handleCleared(_ context.Context, in link.PromptAnswered) (link.Empty, error) {
-	p.registry.RecordAnswer(time.Now(), in.Prompt, in.Service)
-	p.queueAnsweredForKeepers(in)
+	now := time.Now()
+	before := p.registry.Known(now, in.Prompt)
+	if after, isNew := p.registry.AddAnswer(now, in.Prompt, in.Answer()); isNew && p.isOwner(in.Prompt) {
+		p.publish(before, after)
+	}
 	return link.Empty{}, nil
 }
 
-// handleList returns the evidence on all prompts.
+// handleList returns the evidence on all prompts with crashes.
 func (p *promptGuard) handleList(context.Context, link.Empty) ([]poison.Evidence, error) {
 	return p.registry.List(time.Now()), nil
 }
 
-// queueUpdate queues an update, or drops and counts it if the queue is full.
-func (p *promptGuard) queueUpdate(u promptUpdate) {
-	select {
-	case p.updates <- u:
-	default:
-		p.metrics.promptUpdateDropped()
-	}
-}
-
-// sendUpdates sends queued updates until the context ends.
-func (p *promptGuard) sendUpdates(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case u := <-p.updates:
-			if u.broadcast {
-				p.notifyAll(ctx, u)
-			} else {
-				p.notifyOwner(ctx, u)
-			}
-		}
-	}
-}
-
-// notifyOwner sends an update to the prompt's owner.
-func (p *promptGuard) notifyOwner(ctx context.Context, u promptUpdate) {
-	noop := func(context.Context, any) (link.Empty, error) { return link.Empty{}, nil }
-	if _, err := callOwner(ctx, p, u.prompt, u.method, u.message, noop); err != nil {
-		p.log.Warn().Err(err).Str("prompt", string(u.prompt)).Str("method", u.method).Msg("prompt_not_told")
-	}
-}
-
-// notifyAll sends an update to all other routers. One that misses it gets evidence from the crashes
-// under its own requests.
-func (p *promptGuard) notifyAll(ctx context.Context, u promptUpdate) {
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, maxParallelNotifies)
-	for vm, m := range p.members.Newest(prepaid.RoleRouter) {
-		if vm == p.vm {
-			continue
-		}
-		slots <- struct{}{}
-		wg.Go(func() {
-			defer func() { <-slots }()
-			callCtx, cancel := context.WithTimeout(ctx, promptCallTimeout)
-			defer cancel()
-			if err := p.links.Call(callCtx, m.Address, u.method, u.message, nil); err != nil {
-				p.log.Warn().Err(err).Str("router", vm).Str("method", u.method).Msg("prompt_not_told")
-			}
-		})
-	}
-	wg.Wait()
+// handleListAll returns the evidence on all prompts.
+func (p *promptGuard) handleListAll(context.Context, link.Empty) ([]poison.Evidence, error) {
+	return p.registry.ListAll(time.Now()), nil
 }
 
 // fetchInitialEvidence fetches the evidence on prompts from other processes: without it, a router that
@@ -234,7 +191,11 @@
 	ctx, cancel := context.WithTimeout(ctx, promptCallTimeout)
 	defer cancel()
 	var fetched []poison.Evidence
-	if p.links.Call(ctx, m.Address, link.MethodPromptList, link.Empty{}, &fetched) != nil {
+	err := p.links.Call(ctx, m.Address, link.MethodPromptEvidence, link.Empty{}, &fetched)
+	if errors.Is(err, link.ErrUnknownMethod) {
+		err = p.links.Call(ctx, m.Address, link.MethodPromptList, link.Empty{}, &fetched)
+	}
+	if err != nil {
 		return false
 	}
 	p.log.Info().Str("from", m.ID).Int("prompts", len(fetched)).Msg("prompts_learned")
--- a/lender/prompts.go
+++ b/lender/prompts.go
@@ -4,11 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/ctxlock"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/poison"
@@ -23,11 +24,9 @@
 	// storeInterval is the pause between two writes to the store. The requests that one engine's
 	// crash interrupts are reported within a shorter time, so they go into one write.
 	storeInterval = time.Second
-	// loadTimeout bounds the read of the store that a router's request waits for.
+	// loadTimeout bounds how long a router's request waits for a read of the store, and for another
+	// call of the store that is in progress.
 	loadTimeout = 100 * time.Millisecond
-	// maxUnstoredAnswers limits the answers kept for the next load: as many as a router queues
-	// between two messages.
-	maxUnstoredAnswers = 512
 )
 
 // errNotLoaded is returned if no prompts are recorded here and the store could not be read.
@@ -45,78 +44,71 @@
 	log              zerolog.Logger
 
 	// storeMu is held during calls of the store, so that one is made at a time.
-	storeMu sync.Mutex
+	storeMu ctxlock.Mutex
 	// loaded is set once the store's value was read, changed while the registry differs from the
 	// written value.
 	loaded, changed atomic.Bool
 	// revision is the one that a write replaces. It is guarded by storeMu.
 	revision store.Revision
-
-	unstoredMu sync.Mutex
-	// unstored holds the answers since this process last wrote to the store, oldest first. The
-	// store's value may hold crashes that they cleared.
-	unstored []link.PromptAnswered
 }
 
 // methods returns the handlers of messages from routers.
 func (k *promptKeeper) methods() map[string]link.Handler {
 	return map[string]link.Handler{
-		link.MethodPromptKeep: link.Handle(k.keep),
-		link.MethodPromptList: link.Handle(k.list),
+		link.MethodPromptKeep:     link.Handle(k.keep),
+		link.MethodPromptList:     link.Handle(k.list),
+		link.MethodPromptEvidence: link.Handle(k.listAll),
 	}
 }
 
-// keep records a router's evidence and returns the merged evidence.
+// keep records a router's evidence, and answers also to prompts that are not recorded yet. It returns all
+// evidence on these prompts, as far as there are crashes.
 func (k *promptKeeper) keep(_ context.Context, in link.PromptKeep) ([]poison.Evidence, error) {
 	now := time.Now()
-	for _, a := range in.Answered {
-		k.registry.RecordAnswer(now, a.Prompt, a.Service)
-	}
-	k.addUnstored(in.Answered)
-	merged := make([]poison.Evidence, 0, len(in.Known))
+	merged := map[poison.Prompt]poison.Evidence{}
 	added := 0
-	for _, e := range in.Known {
-		all, isNew := k.registry.Add(now, e)
-		merged = append(merged, all)
+	record := func(all poison.Evidence, isNew bool) {
+		merged[all.Prompt] = all
 		if isNew {
 			added++
 		}
 	}
-	if added+len(in.Answered) > 0 {
+	for _, a := range in.Answered {
+		record(k.registry.AddAnswer(now, a.Prompt, a.Answer()))
+	}
+	for _, e := range in.Known {
+		record(k.registry.Add(now, e))
+	}
+	if added > 0 {
 		k.changed.Store(true)
 	}
 	k.log.Info().Int("prompts", len(in.Known)).Int("news", added).Int("answered", len(in.Answered)).Msg("prompts_kept")
-	return merged, nil
-}
-
-// addUnstored keeps answers for the next load; beyond maxUnstoredAnswers the oldest are dropped.
-func (k *promptKeeper) addUnstored(answered []link.PromptAnswered) {
-	k.unstoredMu.Lock()
-	defer k.unstoredMu.Unlock()
-	k.unstored = append(k.unstored, answered...)
-	k.unstored = k.unstored[max(0, len(k.unstored)-maxUnstoredAnswers):]
+	maps.DeleteFunc(merged, func(_ poison.Prompt, e poison.Evidence) bool { return len(e.Crashes) == 0 })
+	return slices.AppendSeq(make([]poison.Evidence, 0, len(merged)), maps.Values(merged)), nil
 }
 
-// unstoredAnswers returns the answers that the store's value may lack.
-func (k *promptKeeper) unstoredAnswers() []link.PromptAnswered {
-	k.unstoredMu.Lock()
-	defer k.unstoredMu.Unlock()
-	return slices.Clone(k.unstored)
+// list returns the evidence on prompts with crashes to a router that has just started.
+func (k *promptKeeper) list(ctx context.Context, _ link.Empty) ([]poison.Evidence, error) {
+	if err := k.loadForList(ctx); err != nil {
+		return nil, err
+	}
+	return k.registry.List(time.Now()), nil
 }
 
-// removeUnstored removes the answers that a write has stored. Others may have been added meanwhile.
-func (k *promptKeeper) removeUnstored(stored []link.PromptAnswered) {
-	k.unstoredMu.Lock()
-	defer k.unstoredMu.Unlock()
-	k.unstored = slices.DeleteFunc(k.unstored, func(a link.PromptAnswered) bool { return slices.Contains(stored, a) })
+// listAll returns the evidence on all prompts to a router that has just started.
+func (k *promptKeeper) listAll(ctx context.Context, _ link.Empty) ([]poison.Evidence, error) {
+	if err := k.loadForList(ctx); err != nil {
+		return nil, err
+	}
+	return k.registry.ListAll(time.Now()), nil
 }
 
-// list returns all evidence to a router that has just started.
-func (k *promptKeeper) list(ctx context.Context, _ link.Empty) ([]poison.Evidence, error) {
+// loadForList loads the store's value. If that fails, the crashes recorded here must do.
+func (k *promptKeeper) loadForList(ctx context.Context) error {
 	if err := k.load(ctx); err != nil && k.registry.Empty() {
-		return nil, fmt.Errorf("%w: %w", errNotLoaded, err)
+		return fmt.Errorf("%w: %w", errNotLoaded, err)
 	}
-	return k.registry.List(time.Now()), nil
+	return nil
 }
 
 // load reads the store's value, once.
@@ -124,13 +116,16 @@
 	if k.loaded.Load() {
 		return nil
 	}
-	k.storeMu.Lock()
-	defer k.storeMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	if err := k.storeMu.Lock(ctx); err != nil {
+		return err
+	}
+	defer k.storeMu.Unlock()
 	return k.loadLocked(ctx)
 }
 
+// loadLocked reads the store's value and merges it, unless that was done since the last failed write.
 func (k *promptKeeper) loadLocked(ctx context.Context) error {
 	if k.loaded.Load() {
 		return nil
@@ -139,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	all := k.withoutAnswered(k.decode(item))
+	all := k.decode(item)
 	for _, e := range all {
 		k.registry.Add(time.Now(), e)
 	}
@@ -149,20 +144,6 @@
 	return nil
 }
 
-// withoutAnswered removes the crashes that answers received here have cleared: another keeper may
-// have written them before the answers.
-func (k *promptKeeper) withoutAnswered(all []poison.Evidence) []poison.Evidence {
-	var loaded poison.Registry
-	now := time.Now()
-	for _, e := range all {
-		loaded.Add(now, e)
-	}
-	for _, a := range k.unstoredAnswers() {
-		loaded.RecordAnswer(now, a.Prompt, a.Service)
-	}
-	return loaded.List(now)
-}
-
 // decode decodes the store's value. An undecodable value counts as empty, and the next write replaces it.
 func (k *promptKeeper) decode(item store.Item) []poison.Evidence {
 	if item.Revision == 0 {
@@ -181,7 +162,9 @@
 	if !k.changed.Load() || !k.isWriter() {
 		return
 	}
-	k.storeMu.Lock()
+	if k.storeMu.Lock(ctx) != nil {
+		return // the process stops
+	}
 	defer k.storeMu.Unlock()
 	k.changed.Store(false) // later changes may not be in the written value
 	if err := k.writeLocked(ctx); err != nil {
@@ -196,8 +179,7 @@
 		return err
 	}
 	now := time.Now()
-	answers := k.unstoredAnswers()
-	value, err := poison.Encode(now, k.registry.List(now))
+	value, err := poison.Encode(now, k.registry.ListAll(now))
 	if err != nil {
 		return err
 	}
@@ -206,7 +188,6 @@
 		return err
 	}
 	k.revision = revision
-	k.removeUnstored(answers)
 	k.log.Info().Int64("revision", int64(revision)).Int("bytes", len(value)).Msg("prompts_stored")
 	return nil
 }
--- a/link/link.go
+++ b/link/link.go
@@ -30,6 +30,8 @@
 	ErrDown = errs.New("link down")
 	// ErrUnauthorized means that the other process rejected our credentials.
 	ErrUnauthorized = errs.New("unauthorized")
+	// ErrUnknownMethod means that the other process has no such method.
+	ErrUnknownMethod = errs.New("unknown method")
 )
 
 // codes maps errors that callers handle to JSON-RPC codes and back.
@@ -48,6 +50,7 @@
 	{1009, relay.ErrUnknownPrefix},
 	{1010, relay.ErrTooManyFollowers},
 	{1011, relay.ErrStopping},
+	{jsonrpc2.CodeMethodNotFound, ErrUnknownMethod},
 }
 
 // Method names.
--- a/link/messages.go
+++ b/link/messages.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"time"
+
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 	"github.com/arbutusmill/arbutusmill/poison"
@@ -64,6 +66,9 @@
 	// MethodPromptList asks any router, or a process on an upstream's VM that stores them, for
 	// the prompts under which upstreams crashed: Empty, []poison.Evidence.
 	MethodPromptList = "prompt.list"
+	// MethodPromptEvidence asks the same processes also for the prompts that were only answered:
+	// Empty, []poison.Evidence. A process without it returns ErrUnknownMethod.
+	MethodPromptEvidence = "prompt.evidence"
 	// MethodPromptKeep stores the routers' evidence on prompts at a process on an upstream's VM:
 	// PromptKeep; the reply is all evidence there on these prompts, []poison.Evidence.
 	MethodPromptKeep = "prompt.keep"
@@ -73,7 +78,8 @@
 // rollout.Report, rollout.Directive.
 const MethodRollout = "rollout.report"
 
-// PromptKeep holds changes to store. Answered is applied before Known.
+// PromptKeep holds changes to store. Answered is applied before Known, since a process that does not
+// read the times of answers removes all crashes of the services in Answered.
 type PromptKeep struct {
 	Answered []PromptAnswered  `json:"answered,omitempty"`
 	Known    []poison.Evidence `json:"known,omitempty"`
@@ -84,6 +90,8 @@
 	Prompt  poison.Prompt `json:"prompt"`
 	Service string        `json:"service"`
 	Request string        `json:"request"`
+	// Known is the evidence of the router that asks, empty in messages of processes without this field.
+	Known poison.Evidence `json:"known"`
 }
 
 // PromptTryReply is the decision, with the evidence behind it.
@@ -96,6 +104,19 @@
 type PromptAnswered struct {
 	Prompt  poison.Prompt `json:"prompt"`
 	Service string        `json:"service"`
+	// Age and UnixMS are those of poison.Answer, 0 in messages of processes without these fields.
+	Age    time.Duration `json:"age_ns,omitempty"`
+	UnixMS int64         `json:"unix_ms,omitempty"`
+}
+
+// NewPromptAnswered returns the message about an answer.
+func NewPromptAnswered(p poison.Prompt, a poison.Answer) PromptAnswered {
+	return PromptAnswered{Prompt: p, Service: a.Service, Age: a.Age, UnixMS: a.UnixMS}
+}
+
+// Answer returns the answer in the form that a registry of prompts merges.
+func (a PromptAnswered) Answer() poison.Answer {
+	return poison.Answer{Service: a.Service, Age: a.Age, UnixMS: a.UnixMS}
 }
 
 // LimitReport is the rate limit in a response of one incarnation of an engine.
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -26,19 +26,36 @@
 // String returns the name used in logs.
 func (s Standing) String() string { return standingNames[s] }
 
-// Evidence lists the upstreams that crashed while running a prompt, with the age of each crash.
+// Evidence lists the upstreams that crashed while running a prompt, and the services that answered
+// it. Copies of it can be merged in any order: see Registry.
 type Evidence struct {
 	Prompt  Prompt  `json:"prompt"`
 	Crashes []Crash `json:"ends"`
-	// Answered lists the services that answered the prompt although upstreams of others crashed.
+	// Answered lists the services that have answered the prompt. It is the only form of answers that
+	// processes without Answers read; a service that is listed only here answered at an unknown time.
 	Answered []string `json:"answered,omitempty"`
+	Answers  []Answer `json:"answers,omitempty"`
 }
 
 // Crash is the crash of one incarnation of an upstream.
 type Crash struct {
-	Upstream string        `json:"upstream"`
-	Service  string        `json:"service"`
-	Age      time.Duration `json:"age_ns"`
+	Upstream string `json:"upstream"`
+	Service  string `json:"service"`
+	// Age is the time since the crash by the sender's clock.
+	Age time.Duration `json:"age_ns"`
+	// UnixMS is the wall-clock time of the crash in milliseconds, which the process that observed it
+	// assigned. It is 0 in messages of processes without this field.
+	UnixMS int64 `json:"unix_ms,omitempty"`
+}
+
+// Answer is the last answer of a service to a prompt.
+type Answer struct {
+	Service string `json:"service"`
+	// Age is the time since the answer by the sender's clock.
+	Age time.Duration `json:"age_ns"`
+	// UnixMS is the wall-clock time of the answer in milliseconds, which the router that forwarded it
+	// assigned.
+	UnixMS int64 `json:"unix_ms"`
 }
 
 // ForService returns the evidence that applies to requests to a service. Crashes count for all
@@ -63,6 +80,15 @@
 	return slices.MinFunc(e.Crashes, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) }).Age
 }
 
+// lastAnswerAge returns the age of the latest answer whose time is known, evidenceTTL if there is none.
+func (e Evidence) lastAnswerAge() time.Duration {
+	age := evidenceTTL
+	for _, a := range e.Answers {
+		age = min(age, a.Age)
+	}
+	return age
+}
+
 // standing returns the standing for a number of crashes and the time since the last one.
 func standing(crashes int, since time.Duration) Standing {
 	trials := crashes - provenThreshold
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,103 +26,97 @@
 	// maxPrompts limits the recorded prompts. A rack of engines that fails interrupts some
 	// thousand requests.
 	maxPrompts = 4096
-	// maxCrashesPerPrompt limits the crashes kept for one prompt.
+	// maxAnsweredPrompts is the share of maxPrompts that may hold answers only.
+	maxAnsweredPrompts = 1024
+	// maxCrashesPerPrompt limits the crashes of one service kept for one prompt.
 	maxCrashesPerPrompt = 8
 )
 
-// record holds the evidence on one prompt.
-type record struct {
-	// crashes holds the upstream crashes, by incarnation.
-	crashes map[string]crash
-	// answered are the services that have answered the prompt.
-	answered map[string]bool
-	// lastTrial is the time of the last request that was allowed to try the prompt, trialRequest
-	// its id.
-	lastTrial    time.Time
-	trialRequest string
-	// lastStanding is the standing at the last check for expired evidence.
-	lastStanding Standing
-}
-
-// crash is the time at which an upstream of a service crashed.
-type crash struct {
-	service string
-	at      time.Time
-}
-
-// lastCrash returns the time of the latest crash.
-func (r *record) lastCrash() (last time.Time) {
-	for _, c := range r.crashes {
-		if c.at.After(last) {
-			last = c.at
-		}
-	}
-	return last
-}
-
-// oldestCrash returns the upstream that crashed the longest ago.
-func (r *record) oldestCrash() string {
-	return slices.MinFunc(slices.Collect(maps.Keys(r.crashes)), func(a, b string) int {
-		return cmp.Or(r.crashes[a].at.Compare(r.crashes[b].at), cmp.Compare(a, b))
-	})
-}
-
-// add records the crash of an upstream and reports whether the number of crashes grew. Beyond
-// maxCrashesPerPrompt, the newest are kept.
-func (r *record) add(upstream string, c crash) bool {
-	if _, exists := r.crashes[upstream]; exists {
-		return false
-	}
-	if len(r.crashes) < maxCrashesPerPrompt {
-		r.crashes[upstream] = c
-		return true
-	}
-	if oldest := r.oldestCrash(); r.crashes[oldest].at.Before(c.at) {
-		delete(r.crashes, oldest)
-		r.crashes[upstream] = c
-	}
-	return false
-}
-
-// standing returns the standing for services that have not answered the prompt.
-func (r *record) standing(now time.Time) Standing {
-	return standing(len(r.crashes), now.Sub(r.lastCrash()))
-}
-
-// expired reports whether the last crash is old enough that the prompt counts as clear.
-func (r *record) expired(now time.Time) bool { return !now.Before(r.lastCrash().Add(evidenceTTL)) }
-
 // Registry holds one process's evidence on prompts that crash upstreams. An answer from a service
 // clears the prompt there: a prompt that crashes upstreams is never answered, while a harmless one
-// that many callers send coincides with a crash now and then. The zero value is empty. It is safe
-// for concurrent use.
+// that many callers send coincides with a crash now and then.
+//
+// A crash counts if it is not before the last answer of its service. The process that observes a crash or
+// an answer assigns its time, and copies carry that unchanged, so that copies with the same events agree.
+// The time of an answer is after all crashes that its observer had recorded, and that of a crash not
+// before the last recorded answer, whatever the clocks. Of events that were not recorded at their
+// observers yet, the clocks decide: a crash may not count that follows an answer of another router within the
+// difference of their clocks.
+//
+// The zero value is empty. It is safe for concurrent use.
 type Registry struct {
 	mu      sync.Mutex
 	records map[Prompt]*record
+	// crashed is the number of records with crashes; the others hold answers only.
+	crashed int
 }
 
-// Empty reports whether no prompt is recorded, so that requests need not be identified.
+// Empty reports whether no crash counts, so that requests need not be identified.
 func (r *Registry) Empty() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.records) == 0
+	return r.crashed == 0
+}
+
+// Len returns the number of recorded prompts.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.records)
 }
 
 // Add merges evidence. It returns all evidence on the prompt and whether any of it was new.
 func (r *Registry) Add(now time.Time, e Evidence) (all Evidence, added bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rec := r.recordLocked(now, e.Prompt)
-	for _, e := range e.Crashes {
-		added = rec.add(e.Upstream, crash{service: e.Service, at: now.Add(-e.Age)}) || added
+	return r.addLocked(now, e)
+}
+
+// AddAnswer merges an answer that another process observed. An answer without a time, from a process
+// that does not assign one, counts as observed now.
+func (r *Registry) AddAnswer(now time.Time, p Prompt, a Answer) (all Evidence, added bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.UnixMS == 0 {
+		a = Answer{Service: a.Service, UnixMS: now.UnixMilli()}
+		if rec := r.records[p]; rec != nil {
+			a.UnixMS = rec.answerTime(now, a.Service)
+		}
 	}
-	for _, service := range e.Answered {
-		rec.answered[service] = true
+	return r.addLocked(now, Evidence{Prompt: p, Answers: []Answer{a}})
+}
+
+func (r *Registry) addLocked(now time.Time, e Evidence) (all Evidence, added bool) {
+	rec := r.recordLocked(now, e.Prompt)
+	before := rec.standing(now)
+	r.changeLocked(rec, func() { added = rec.merge(now, e) })
+	if after := rec.standing(now); after < before {
+		rec.lastStanding = after // by an answer, not by time
+	} else {
+		rec.lastStanding = max(rec.lastStanding, after)
 	}
-	rec.lastStanding = max(rec.lastStanding, rec.standing(now))
+	r.trimLocked(now, e.Prompt)
 	return rec.evidence(now, e.Prompt), added
 }
 
+// changeLocked changes a record and updates the count of those with crashes.
+func (r *Registry) changeLocked(rec *record, change func()) {
+	had := len(rec.crashes) > 0
+	change()
+	switch has := len(rec.crashes) > 0; {
+	case has && !had:
+		r.crashed++
+	case had && !has:
+		r.crashed--
+	}
+}
+
+// deleteLocked removes a record.
+func (r *Registry) deleteLocked(p Prompt) {
+	r.changeLocked(r.records[p], func() { clear(r.records[p].crashes) })
+	delete(r.records, p)
+}
+
 // recordLocked returns the record of a prompt and creates it if there is none.
 func (r *Registry) recordLocked(now time.Time, p Prompt) *record {
 	r.dropExpiredLocked(now, p)
@@ -133,48 +126,47 @@
 	if r.records == nil {
 		r.records = map[Prompt]*record{}
 	}
-	if len(r.records) >= maxPrompts {
-		r.evictLocked()
-	}
-	rec := &record{crashes: map[string]crash{}, answered: map[string]bool{}}
+	rec := &record{crashes: map[string]crash{}, answers: map[string]int64{}}
 	r.records[p] = rec
 	return rec
 }
 
-// dropExpiredLocked removes a prompt whose evidence has expired.
+// dropExpiredLocked removes expired evidence on a prompt.
 func (r *Registry) dropExpiredLocked(now time.Time, p Prompt) {
-	if rec := r.records[p]; rec != nil && rec.expired(now) {
-		delete(r.records, p)
+	rec := r.records[p]
+	if rec == nil {
+		return
+	}
+	expired := false
+	r.changeLocked(rec, func() { expired = rec.dropExpired(now) })
+	if expired {
+		r.deleteLocked(p)
 	}
 }
 
-// evictLocked removes the prompt with the fewest crashes, and among these the one whose last crash
-// is the oldest. A flood of requests interrupted by other causes must not evict a proven prompt.
-func (r *Registry) evictLocked() {
+// trimLocked evicts prompts beyond the maximum numbers. A prompt that was just added is evicted only if it
+// has no crashes, and at once if it has no evidence at all.
+func (r *Registry) trimLocked(now time.Time, added Prompt) {
+	r.dropExpiredLocked(now, added)
+	if rec := r.records[added]; rec == nil || len(rec.crashes) == 0 {
+		added = ""
+	}
+	for len(r.records) > maxPrompts || len(r.records)-r.crashed > maxAnsweredPrompts {
+		r.evictLocked(added)
+	}
+}
+
+// evictLocked removes the weakest prompt apart from one. A flood of requests interrupted by other
+// causes must not evict a proven prompt, nor answered ones any that has crashes.
+func (r *Registry) evictLocked(except Prompt) {
 	var out Prompt
 	var least *record
 	for p, rec := range r.records {
-		if least == nil || rec.weakerThan(least) {
+		if p != except && (least == nil || rec.weakerThan(least)) {
 			out, least = p, rec
 		}
 	}
-	delete(r.records, out)
-}
-
-func (r *record) weakerThan(other *record) bool {
-	if len(r.crashes) != len(other.crashes) {
-		return len(r.crashes) < len(other.crashes)
-	}
-	return r.lastCrash().Before(other.lastCrash())
-}
-
-func (r *record) evidence(now time.Time, p Prompt) Evidence {
-	e := Evidence{Prompt: p, Answered: slices.Sorted(maps.Keys(r.answered))}
-	for _, upstream := range slices.Sorted(maps.Keys(r.crashes)) {
-		c := r.crashes[upstream]
-		e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Service: c.service, Age: now.Sub(c.at)})
-	}
-	return e
+	r.deleteLocked(out)
 }
 
 // Known returns the evidence on a prompt.
@@ -188,6 +180,14 @@
 	return Evidence{Prompt: p}
 }
 
+// Has reports whether any evidence on a prompt is recorded.
+func (r *Registry) Has(now time.Time, p Prompt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropExpiredLocked(now, p)
+	return r.records[p] != nil
+}
+
 // Allow reports whether the request with this id may send a prompt to a service now, and records
 // the trial if the prompt is on trial. Only the process that decides for the prompt calls it.
 func (r *Registry) Allow(now time.Time, p Prompt, service, request string) bool {
@@ -212,9 +212,9 @@
 	return true
 }
 
-// RecordAnswer records that a service answered a prompt, and returns the evidence that applied to
-// the service before. The service's own crashes no longer count; crashes of other services still
-// count, but not for this one.
+// RecordAnswer records that a service answered a prompt through this process now, and returns the evidence
+// that applied to the service before; without any, it records nothing. The service's own crashes no
+// longer count; crashes of other services still count, but not for this one.
 func (r *Registry) RecordAnswer(now time.Time, p Prompt, service string) Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -223,14 +223,28 @@
 		return Evidence{Prompt: p}
 	}
 	was := rec.evidence(now, p).ForService(service)
-	maps.DeleteFunc(rec.crashes, func(_ string, c crash) bool { return c.service == service })
-	rec.answered[service] = true
-	if len(rec.crashes) == 0 {
-		delete(r.records, p)
+	if len(was.Crashes) > 0 {
+		r.changeLocked(rec, func() {
+			rec.answers[service] = rec.answerTime(now, service)
+			rec.dropCleared()
+		})
+		rec.lastStanding = rec.standing(now)
+		r.trimLocked(now, p)
 	}
 	return was
 }
 
+// CrashTime returns the time of a crash of a service that this process observes now: not before the last
+// answer of the service that it has recorded, whatever the clock of the answer's observer.
+func (r *Registry) CrashTime(now time.Time, p Prompt, service string) (unixMS int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.records[p]; rec != nil {
+		return max(now.UnixMilli(), rec.answers[service])
+	}
+	return now.UnixMilli()
+}
+
 // StandingChange is a prompt whose standing improved because evidence expired.
 type StandingChange struct {
 	Prompt   Prompt
@@ -243,12 +257,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for p, rec := range r.records {
+		r.dropExpiredLocked(now, p)
 		c := StandingChange{Prompt: p, Was: rec.lastStanding, Now: rec.standing(now)}
 		rec.lastStanding = c.Now
-		if rec.expired(now) {
-			c.Now = Clear
-			delete(r.records, p)
-		}
 		if c.Was >= OnTrial && c.Now != c.Was {
 			changes = append(changes, c)
 		}
@@ -259,8 +270,12 @@
 // Restricted returns the prompts that are on trial or proven.
 func (r *Registry) Restricted(now time.Time) []Evidence { return r.atLeast(now, OnTrial) }
 
-// maxListedPrompts limits the prompts that one process sends another at once.
-const maxListedPrompts = 512
+const (
+	// maxListedPrompts limits the prompts with crashes that one process sends another at once.
+	maxListedPrompts = 512
+	// maxListedAnswered limits those with answers only.
+	maxListedAnswered = 256
+)
 
 // List returns the prompts with any crash, ordered by the number of crashes, then the newest crash
 // first; at most maxListedPrompts.
@@ -269,7 +284,30 @@
 	slices.SortFunc(all, func(a, b Evidence) int {
 		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.newestAge(), b.newestAge()), cmp.Compare(a.Prompt, b.Prompt))
 	})
-	return all[:min(len(all), maxListedPrompts)]
+	return limit(all, maxListedPrompts)
+}
+
+// limit returns the first prompts of a list, with at most maxCrashesPerPrompt crashes a prompt on average: a
+// prompt that several services run may have more.
+func limit(all []Evidence, prompts int) []Evidence {
+	all = all[:min(len(all), prompts)]
+	crashes := 0
+	for n, e := range all {
+		if crashes += len(e.Crashes); crashes > prompts*maxCrashesPerPrompt {
+			return all[:n]
+		}
+	}
+	return all
+}
+
+// ListAll returns the prompts of List, then those with answers only, the newest answer first; at most
+// maxListedAnswered of these.
+func (r *Registry) ListAll(now time.Time) []Evidence {
+	_, answered := split(r.atLeast(now, Clear))
+	slices.SortFunc(answered, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(a.lastAnswerAge(), b.lastAnswerAge()), cmp.Compare(a.Prompt, b.Prompt))
+	})
+	return append(r.List(now), answered[:min(len(answered), maxListedAnswered)]...)
 }
 
 func (r *Registry) atLeast(now time.Time, least Standing) (all []Evidence) {
