--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -78,8 +78,25 @@
 	// linkRate is the capacity of the routers' links in bytes/s; 0 means unlimited.
 	linkRate   int
 	storeConns sync.Map // numbers of the VMs by their net.Conn to the store
+	openConns  sync.Map // addresses by the routers' net.Conn to them
+	// dialDelays holds the time by which dials of an address are delayed.
+	dialDelays sync.Map
 }
 
+// cutLink closes the routers' connections to an address, and lets new dials block until joinLink.
+func (f *fleet) cutLink(address string) {
+	f.network.SetBlackholed(address, true)
+	f.openConns.Range(func(conn, to any) bool {
+		if to == address {
+			_ = conn.(net.Conn).Close() // the peer may have closed it
+		}
+		return true
+	})
+}
+
+// joinLink lets an address answer dials again.
+func (f *fleet) joinLink(address string) { f.network.SetBlackholed(address, false) }
+
 // disconnectFromStore closes a VM's connections to the store and refuses new ones.
 func (f *fleet) disconnectFromStore(vm int) {
 	f.disconnected.Store(vm, false)
@@ -237,10 +254,16 @@
 		if _, found := f.unreachable.Load(to); found {
 			return nil, memnet.ErrRefused
 		}
+		if delay, found := f.dialDelays.Load(to); found {
+			time.Sleep(delay.(time.Duration))
+		}
 		conn, err := f.network.Dial(ctx, network, to)
 		if err == nil && to == storeAddress {
 			f.storeConns.Store(conn, vm)
 		}
+		if err == nil {
+			f.openConns.Store(conn, to)
+		}
 		if err == nil && f.linkRate > 0 {
 			conn = newSlowConn(conn, f.linkRate)
 		}
--- a/gateway/promptdelivery.go
+++ b/gateway/promptdelivery.go
@@ -14,10 +14,13 @@
 	"github.com/arbutusmill/arbutusmill/prepaid"
 )
 
+// maxRouterBatch limits the prompts that are taken from the outbox at once, to be sent one after the other.
+const maxRouterBatch = 32
+
 // newRouterOutbox returns the outbox of the other routers.
 func (p *promptGuard) newRouterOutbox() *promptOutbox {
 	return &promptOutbox{
-		maxBatch: 1, slots: make(chan struct{}, maxParallelNotifies),
+		maxBatch: maxRouterBatch, slots: make(chan struct{}, maxParallelNotifies),
 		refresh: p.refreshRouters, list: p.listedPrompts, send: p.sendToRouter,
 		unreached: p.replaceOwner, overflowed: p.metrics.promptUpdateDropped,
 		wake: make(chan struct{}, 1),
@@ -73,16 +76,22 @@
 	for _, pending := range prompts {
 		if ranked := p.rankOwners(pending.prompt); len(ranked) > 0 && ranked[0].ID == peer {
 			p.keeperOutbox.add(pending.prompt, pending.answered)
-			p.notifyRouters(pending.prompt, pending.answered)
+			p.setRouterPeers(p.members.Newest(prepaid.RoleRouter))
+			p.routerOutbox.addForOthers(pending.prompt, pending.answered, peer)
 		}
 	}
 }
 
-// sendToRouter sends the evidence on a prompt to a router, and reports whether it replied. Expired
-// evidence counts as sent.
+// sendToRouter sends the evidence on prompts to a router, and reports whether it replied to all.
 func (p *promptGuard) sendToRouter(ctx context.Context, address, id string, batch []pendingPrompt) bool {
-	e := p.registry.Known(time.Now(), batch[0].prompt)
-	for _, a := range answersToSend(e, batch[0]) {
+	return !slices.ContainsFunc(batch, func(pending pendingPrompt) bool { return !p.sendPromptToRouter(ctx, address, id, pending) })
+}
+
+// sendPromptToRouter sends the evidence on a prompt to a router, and reports whether it replied. Expired
+// evidence counts as sent.
+func (p *promptGuard) sendPromptToRouter(ctx context.Context, address, id string, pending pendingPrompt) bool {
+	e := p.registry.Known(time.Now(), pending.prompt)
+	for _, a := range answersToSend(e, pending) {
 		if !p.callRouter(ctx, address, id, link.MethodPromptCleared, a, nil) {
 			return false
 		}
@@ -130,7 +139,7 @@
 			continue
 		}
 		if owner == p.vm || received[prompt] {
-			p.notifyOwner(prompt, true)
+			p.notifyOwner(prompt, false)
 		}
 	}
 }
--- a/gateway/promptkeepers.go
+++ b/gateway/promptkeepers.go
@@ -57,7 +57,7 @@
 	}
 	for _, prompt := range p.listedPrompts() {
 		if p.isOwner(prompt) {
-			p.keeperOutbox.add(prompt, true, added...)
+			p.keeperOutbox.add(prompt, false, added...)
 		}
 	}
 }
--- a/gateway/promptoutbox.go
+++ b/gateway/promptoutbox.go
@@ -103,6 +103,19 @@
 	o.wakeUp()
 }
 
+// addForOthers records a changed prompt for all peers but one, for which the prompt is pending already.
+func (o *promptOutbox) addForOthers(p poison.Prompt, answered bool, except string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sequence++
+	for id, peer := range o.peers {
+		if id != except {
+			o.addLocked(peer, p, answered)
+		}
+	}
+	o.wakeUp()
+}
+
 func (o *promptOutbox) addLocked(peer *promptPeer, p poison.Prompt, answered bool) {
 	earlier, exists := peer.pending[p]
 	switch {
@@ -188,7 +201,7 @@
 		peer.all = false
 		o.sequence++
 		for _, p := range o.list() {
-			peer.pending[p] = pendingPrompt{prompt: p, answered: true, sequence: o.sequence}
+			peer.pending[p] = pendingPrompt{prompt: p, sequence: o.sequence}
 		}
 	}
 	batch = slices.SortedFunc(maps.Values(peer.pending), func(a, b pendingPrompt) int {
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -45,6 +45,8 @@
 	metrics  *gatewayMetrics
 	log      zerolog.Logger
 	breaks   chan brokenAttempt
+	// probed holds the prompts of the breaks that wait for the result of a probe.
+	probed promptCounts
 	// keeperOutbox and routerOutbox hold the evidence that other processes have not acknowledged.
 	keeperOutbox, routerOutbox *promptOutbox
 
@@ -157,13 +159,16 @@
 
 // RecordAnswer implements serving.PromptGuard.
 func (p *promptGuard) RecordAnswer(r *serving.Request) {
-	if p.registry.Empty() {
+	if p.registry.Empty() && p.probed.none() {
 		return
 	}
 	prompt := poison.Identify(r)
 	service := r.Service.Name
 	before := p.registry.RecordAnswer(time.Now(), prompt, service)
 	if before.Standing() == poison.Clear {
+		if p.probed.has(prompt) { // the crash that the probe may find came before
+			p.registry.AddAnswer(time.Now(), prompt, poison.Answer{Service: service})
+		}
 		return
 	}
 	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("service", service).Str("was", before.Standing().String()).
@@ -181,6 +186,7 @@
 	prompt := poison.Identify(r)
 	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1], prompt: prompt,
 		at: p.registry.CrashTime(time.Now(), prompt, r.Service.Name)} // an answer may come during the probe
+	p.probed.add(prompt, 1)
 	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
 	if earlier || p.evidenceFor(r).Standing() > poison.Clear {
 		p.investigateBreak(ctx, b)
@@ -189,6 +195,7 @@
 	select {
 	case p.breaks <- b:
 	default:
+		p.probed.add(prompt, -1)
 		p.metrics.breakNotProbed()
 	}
 }
@@ -208,6 +215,7 @@
 // investigateBreak probes the upstream of a broken attempt. If the upstream is down, it records a crash
 // as evidence against the prompt and reports it to the prompt's owner.
 func (p *promptGuard) investigateBreak(ctx context.Context, b brokenAttempt) {
+	defer p.probed.add(b.prompt, -1)
 	state := probeUpstream(ctx, p.dial, b.attempt.Break.Address)
 	p.metrics.connectionBroken(b.request.Service.Name, state)
 	p.log.Info().Str("id", b.request.ID).Str("prompt", string(b.prompt)).Str("team", b.request.Team).
--- a/lender/prompts.go
+++ b/lender/prompts.go
@@ -24,6 +24,9 @@
 	// storeInterval is the pause between two writes to the store. The requests that one engine's
 	// crash interrupts are reported within a shorter time, so they go into one write.
 	storeInterval = time.Second
+	// writerTimeout is how long a keeper that is not the writer waits until its evidence is stored by the
+	// writer, which routers may not reach.
+	writerTimeout = 2 * storeInterval
 	// loadTimeout bounds how long a router's request waits for a read of the store, and for another
 	// call of the store that is in progress.
 	loadTimeout = 100 * time.Millisecond
@@ -50,6 +53,12 @@
 	loaded, changed atomic.Bool
 	// revision is the one that a write replaces. It is guarded by storeMu.
 	revision store.Revision
+	// readAt is the time of the last read of the store, changedAt that since which changed is set, in
+	// nanoseconds.
+	readAt, changedAt atomic.Int64
+	// complete is set if the store's value, when it was last read, had all that was recorded here. It is
+	// guarded by storeMu.
+	complete bool
 }
 
 // methods returns the handlers of messages from routers.
@@ -80,7 +89,7 @@
 		record(k.registry.Add(now, e))
 	}
 	if added > 0 {
-		k.changed.Store(true)
+		k.markChanged()
 	}
 	k.log.Info().Int("prompts", len(in.Known)).Int("news", added).Int("answered", len(in.Answered)).Msg("prompts_kept")
 	maps.DeleteFunc(merged, func(_ poison.Prompt, e poison.Evidence) bool { return len(e.Crashes) == 0 })
@@ -103,9 +112,14 @@
 	return k.registry.ListAll(time.Now()), nil
 }
 
-// loadForList loads the store's value. If that fails, the crashes recorded here must do.
+// loadForList loads the store's value, also if it was loaded before: another keeper may have stored evidence that
+// routers could not send here. If that fails, what is recorded here must do.
 func (k *promptKeeper) loadForList(ctx context.Context) error {
-	if err := k.load(ctx); err != nil && k.registry.Empty() {
+	wasLoaded := k.loaded.Load()
+	if wasLoaded && time.Since(time.Unix(0, k.readAt.Load())) >= storeInterval {
+		k.loaded.Store(false)
+	}
+	if err := k.load(ctx); err != nil && k.registry.Empty() && !wasLoaded {
 		return fmt.Errorf("%w: %w", errNotLoaded, err)
 	}
 	return nil
@@ -134,11 +148,20 @@
 	if err != nil {
 		return err
 	}
-	all := k.decode(item)
+	all, now := k.decode(item), time.Now()
+	var stored poison.Registry
+	for _, e := range all {
+		stored.Add(now, e)
+	}
+	k.complete = !slices.ContainsFunc(k.registry.ListAll(now), func(e poison.Evidence) bool {
+		_, lacks := stored.Add(now, e)
+		return lacks
+	})
 	for _, e := range all {
-		k.registry.Add(time.Now(), e)
+		k.registry.Add(now, e)
 	}
 	k.revision = item.Revision
+	k.readAt.Store(time.Now().UnixNano())
 	k.loaded.Store(true)
 	k.log.Info().Int("prompts", len(all)).Int64("revision", int64(item.Revision)).Msg("prompts_loaded")
 	return nil
@@ -157,27 +180,48 @@
 	return all
 }
 
-// write writes changes to the store if this process is the writer. The next call retries a failed write.
+// markChanged records that the registry differs from the written value.
+func (k *promptKeeper) markChanged() {
+	if !k.changed.Swap(true) {
+		k.changedAt.Store(time.Now().UnixNano())
+	}
+}
+
+// writerIsLate reports whether the writer had enough time to store the changes.
+func (k *promptKeeper) writerIsLate() bool {
+	return time.Since(time.Unix(0, k.changedAt.Load())) >= writerTimeout
+}
+
+// write writes changes to the store if this process is the writer, or if the writer has not stored them in
+// time. The next call retries a failed write.
 func (k *promptKeeper) write(ctx context.Context) {
-	if !k.changed.Load() || !k.isWriter() {
+	isWriter := k.isWriter()
+	if !k.changed.Load() || !isWriter && !k.writerIsLate() {
 		return
 	}
 	if k.storeMu.Lock(ctx) != nil {
 		return // the process stops
 	}
 	defer k.storeMu.Unlock()
+	if !isWriter {
+		k.loaded.Store(false)
+	}
 	k.changed.Store(false) // later changes may not be in the written value
-	if err := k.writeLocked(ctx); err != nil {
+	if err := k.writeLocked(ctx, isWriter); err != nil {
 		k.changed.Store(true)
 		k.loaded.Store(false) // another process may have written, or this write may take effect later
 		k.log.Warn().Err(err).Msg("prompts_not_stored")
 	}
 }
 
-func (k *promptKeeper) writeLocked(ctx context.Context) error {
+// writeLocked writes all evidence. A process that is not the writer writes only what the store lacks.
+func (k *promptKeeper) writeLocked(ctx context.Context, isWriter bool) error {
 	if err := k.loadLocked(ctx); err != nil {
 		return err
 	}
+	if !isWriter && k.complete {
+		return nil
+	}
 	now := time.Now()
 	value, err := poison.Encode(now, k.registry.ListAll(now))
 	if err != nil {
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -31,8 +31,9 @@
 type Evidence struct {
 	Prompt  Prompt  `json:"prompt"`
 	Crashes []Crash `json:"ends"`
-	// Answered lists the services that have answered the prompt. It is the only form of answers that
-	// processes without Answers read; a service that is listed only here answered at an unknown time.
+	// Answered lists the services that answered the prompt after upstreams of others had crashed. It is the
+	// only form of answers that processes without Answers read; a service that is listed only here answered
+	// at an unknown time.
 	Answered []string `json:"answered,omitempty"`
 	Answers  []Answer `json:"answers,omitempty"`
 }
@@ -59,8 +60,8 @@
 }
 
 // ForService returns the evidence that applies to requests to a service. Crashes count for all
-// services, since operators move and split routes. For a service that has answered the prompt
-// itself, only its own crashes count.
+// services, since operators move and split routes. For a service that answered the prompt although upstreams of
+// others had crashed under it, only its own crashes count.
 func (e Evidence) ForService(service string) Evidence {
 	if !slices.Contains(e.Answered, service) {
 		return e
--- a/poison/record.go
+++ b/poison/record.go
@@ -160,9 +160,26 @@
 	return standing(len(r.crashes), now.Sub(r.lastCrash()))
 }
 
+// limitToNow replaces times in the future by the current one. Such times were assigned before this process's
+// clock stepped back; no message has them.
+func (r *record) limitToNow(now time.Time) {
+	latest := now.Add(clockTolerance).UnixMilli()
+	for upstream, c := range r.crashes {
+		if c.at > latest {
+			r.crashes[upstream] = crash{service: c.service, at: now.UnixMilli()}
+		}
+	}
+	for service, at := range r.answers {
+		if at > latest {
+			r.answers[service] = now.UnixMilli()
+		}
+	}
+}
+
 // dropExpired drops crashes that no longer count because no other one followed, and reports whether
 // the whole record has expired.
 func (r *record) dropExpired(now time.Time) bool {
+	r.limitToNow(now)
 	if !now.Before(r.lastCrash().Add(evidenceTTL)) {
 		clear(r.crashes)
 	}
@@ -179,15 +196,29 @@
 }
 
 func (r *record) evidence(now time.Time, p Prompt) Evidence {
-	e := Evidence{Prompt: p, Answered: slices.Sorted(maps.Keys(r.answers))}
+	e := Evidence{Prompt: p}
 	for _, upstream := range slices.Sorted(maps.Keys(r.crashes)) {
 		c := r.crashes[upstream]
 		e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Service: c.service, Age: ageOf(now, c.at), UnixMS: c.at})
 	}
-	for _, service := range e.Answered {
-		if at := r.answers[service]; at > 0 {
+	for _, service := range slices.Sorted(maps.Keys(r.answers)) {
+		at := r.answers[service]
+		if at > 0 {
 			e.Answers = append(e.Answers, Answer{Service: service, Age: ageOf(now, at), UnixMS: at})
 		}
+		if at == 0 || r.crashedBefore(at, service) {
+			e.Answered = append(e.Answered, service)
+		}
 	}
 	return e
 }
+
+// crashedBefore reports whether an upstream of another service than the given one crashed before a time.
+func (r *record) crashedBefore(at int64, service string) bool {
+	for _, c := range r.crashes {
+		if c.service != service && c.at <= at {
+			return true
+		}
+	}
+	return false
+}
