Roll-outs: counts outlive the routers, too little known proves nothing, a conflict is not a lost store

Operators saw a good version completed up to 0.6 s after its deadline when all routers restarted during the roll-out, and 0.02 s late now and then without any trouble. Worse, found on the way: a slow version was completed after all routers had been down.

Cause: the decider's counts ended with the processes while the time of the order stayed, so rate, allowance and share were wrong. "Proven" held with nothing known, and the last step was taken without the comparison that precedes moved requests. A write that conflicts was handled like a lost store (0.3 s pause); it came about without trouble since a report in the instant of the order had age 0 ("was there at the start"), and since a report that the best candidate refused, having no order yet, made the next one take over.

Ruled out: the time in which routers start; a rate over the time counted without the counts (good versions were rolled back); more time before the deadline.

Change: the store's record holds the decider's sums, routers and moved routes, written at most sixteen times a roll-out; the next decider continues from them, and a router in the sums adds only what follows its first report. The larger sums stay, never both. Proven needs reports of half of the routers and requests counted for a quarter of the time; the comparison precedes each last step. A router that took over waits for as many routers as the record names. A conflict reads the record at once and decides from it. While an order is newer than 0.5 s only the best candidate gets reports. Records of processes of the code before, without sums, are read as before.

In TestAllRoutersDownUntilTheDeadline a good version must be rolled back: too little of it is known. In TestRestartsAtForcedMoments a version that turns bad in the last 0.7 s or later must only keep its bound.

--- /dev/null
+++ b/gateway/export_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/arbutusmill/arbutusmill/rollout"
+)
+
+// RolloutReport returns this router's report on a service's roll-out; false if it has no order.
+func (g *Gateway) RolloutReport(service string) (rollout.Report, bool) {
+	sr := (*g.rollouts.active.Load())[service]
+	if sr == nil {
+		return rollout.Report{}, false
+	}
+	return g.rollouts.newReport(sr), true
+}
+
+// ReceiveRolloutReport receives a report as from another router.
+func (g *Gateway) ReceiveRolloutReport(ctx context.Context, report rollout.Report) (rollout.Directive, error) {
+	return g.rollouts.deciders.handleReport(ctx, report)
+}
+
+// RolloutCandidates returns the incarnations that may decide on a service, best first.
+func (g *Gateway) RolloutCandidates(service string) (ids []string) {
+	for _, m := range g.rollouts.deciders.candidates(service) {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// OwnIncarnation returns the router's incarnation.
+func (g *Gateway) OwnIncarnation() string { return g.Incarnation }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
+	settingsfleet "github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/arbutusmill/arbutusmill/gateway"
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/memnet"
@@ -75,6 +76,8 @@
 	disconnected sync.Map
 	// unreachable holds the addresses that no process can connect to.
 	unreachable sync.Map
+	// notice is how long a stopping router still serves; 0 means the default.
+	notice time.Duration
 	// linkRate is the capacity of the routers' links in bytes/s; 0 means unlimited.
 	linkRate   int
 	storeConns sync.Map // numbers of the VMs by their net.Conn to the store
@@ -228,6 +231,9 @@
 		Admin: address(vm, adminPort), Link: address(vm, linkPort)}
 	s.Store.Address = storeAddress
 	s.Cold = settings.Cold{Overshoot: 1.5, Slack: 5}
+	if f.notice > 0 {
+		s.Stop.Notice = settingsfleet.Duration(f.notice)
+	}
 	return &s
 }
 
--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	// decideInterval is the time between two decisions on a roll-out.
+	// decideInterval is the time between two decisions on a roll-out, shortly before the deadline a rolloutTick.
 	decideInterval = 2 * rolloutTick
 	// storeLostAfter is how long a router may fail to write to the store, before others take another one as
 	// the decider: it may be cut from the store.
 	storeLostAfter = 600 * time.Millisecond
-	// rolloutStorePause is the pause after a call of the store that failed.
-	rolloutStorePause = 300 * time.Millisecond
+	// orderSpread is the time in which all routers receive an order.
+	orderSpread = 500 * time.Millisecond
 )
 
 // Errors of reports.
@@ -48,21 +48,22 @@
 
 // rolloutDecider is the decider of one order.
 type rolloutDecider struct {
-	order   rollout.Order
-	created time.Time
+	order rollout.Order
 
 	mu      sync.Mutex
 	decider rollout.Decider
+	// askedSince is the time since which routers report to this one.
+	askedSince time.Time
 	// decision is the last one; directives are answered from it.
 	decision  rollout.Decision
 	decidedAt time.Time
 	// record is the store's, read is set while it is known, and ended once it is final.
 	record      rollout.Record
 	read, ended bool
-	// calling is set during a call of the store, pausedUntil the time before which there is none, and
-	// failingSince the time since which calls have failed.
-	calling                   bool
-	pausedUntil, failingSince time.Time
+	// calling is set during a call of the store, pausedUntil the time before which there is none,
+	// failingSince the time since which calls have failed, and conflictAt that of the last conflict.
+	calling                               bool
+	pausedUntil, failingSince, conflictAt time.Time
 }
 
 // rankCanaries returns the n upstreams that test a service's version.
@@ -90,9 +91,14 @@
 	return out[:min(deciderCandidates, len(out))]
 }
 
-// callDecider reports to the first candidate that replies.
+// callDecider reports to the first candidate that replies. While the order is new only the best one is tried: it
+// may not have received the order yet, and the next one would take over.
 func (d *rolloutDeciders) callDecider(ctx context.Context, report rollout.Report) (directive rollout.Directive, from string, err error) {
-	for _, m := range d.candidates(report.Service) {
+	candidates := d.candidates(report.Service)
+	if 0 < report.Age && report.Age < orderSpread {
+		candidates = candidates[:min(1, len(candidates))]
+	}
+	for _, m := range candidates {
 		if m.ID == d.r.g.Incarnation {
 			directive, err = d.handleReport(ctx, report)
 		} else {
@@ -116,7 +122,11 @@
 	}
 	dec.mu.Lock()
 	defer dec.mu.Unlock()
-	dec.decider.Add(time.Now(), report)
+	now := time.Now()
+	if dec.decider.Silent(now) {
+		dec.askedSince = now
+	}
+	dec.decider.Add(now, report)
 	switch {
 	case dec.ended:
 	case dec.storeLostLocked():
@@ -134,7 +144,7 @@
 func (dec *rolloutDecider) storeLostLocked() bool {
 	since := dec.failingSince
 	if since.IsZero() && !dec.decider.Confirmed() {
-		since = dec.created
+		since = dec.askedSince
 	}
 	return !since.IsZero() && time.Since(since) > storeLostAfter
 }
@@ -150,7 +160,7 @@
 	defer d.mu.Unlock()
 	have := d.byService[service]
 	if have == nil || have.order != sr.order {
-		have = &rolloutDecider{order: sr.order, created: time.Now(), decider: rollout.Decider{Order: sr.order, Limits: d.r.limits()}}
+		have = &rolloutDecider{order: sr.order, askedSince: time.Now(), decider: rollout.Decider{Order: sr.order, Limits: d.r.limits()}}
 		if sr.order.Withdrawn {
 			have.decider.End(rollout.RolledBack, "the operator removed the order")
 		}
@@ -190,21 +200,38 @@
 	now := time.Now()
 	dec.mu.Lock()
 	defer dec.mu.Unlock()
-	if now.Sub(dec.decidedAt) < decideInterval || dec.ended {
+	interval := decideInterval
+	if dec.decision.Directive.Near {
+		interval = rolloutTick
+	}
+	if now.Sub(dec.decidedAt) < interval || dec.ended {
 		return !dec.ended
 	}
 	before := dec.decision
 	dec.decidedAt = now
 	dec.decider.Limits = d.r.limits()
+	d.suspendLocked(now, dec)
 	dec.decision = dec.decider.Decide(now, d.r.rolloutRouters())
 	d.logDecision(dec.order, before, dec.decision)
-	if write, due := dec.dueWriteLocked(now); due {
+	if call, due := dec.dueCallLocked(now); due {
 		dec.calling = true
-		d.tasks.Go(func(ctx context.Context) { d.updateStore(ctx, dec, write) })
+		d.tasks.Go(func(ctx context.Context) { d.callStore(ctx, dec, call) })
 	}
 	return true
 }
 
+// suspendLocked stops decisions while no router reports to this one. Another router decides meanwhile, so the
+// record is read again before this one goes on.
+func (d *rolloutDeciders) suspendLocked(now time.Time, dec *rolloutDecider) {
+	if !dec.decider.Confirmed() || !dec.decider.Silent(now) {
+		return
+	}
+	dec.decider.Suspend(now)
+	dec.read = false
+	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Int64("revision", int64(dec.record.Revision)).
+		Int64("asked_ms", now.Sub(dec.askedSince).Milliseconds()).Msg("rollout_suspended")
+}
+
 // logDecision logs a decision that differs from the one before.
 func (d *rolloutDeciders) logDecision(o rollout.Order, before, after rollout.Decision) {
 	was, is := before.Directive, after.Directive
@@ -212,116 +239,6 @@
 		return
 	}
 	d.r.g.Log.Info().Str("service", o.Service).Str("version", o.Version).Stringer("state", is.State).Strs("moved", is.Moved).Bool("finish", is.Finish).
-		Int64("elapsed_ms", after.Elapsed.Milliseconds()).Int("requests", after.Sent).Int("to_new", after.SentToNew).Int("answered", after.Answered).
+		Int64("elapsed_ms", after.Elapsed.Milliseconds()).Int64("counted_ms", after.Counted.Milliseconds()).Int("reporting", after.Reporting).Int("requests", after.Sent).Int("to_new", after.SentToNew).Int("answered", after.Answered).
 		Int("waiting", after.Waiting).Str("why", after.Reason).Msg("rollout_decision")
 }
-
-// dueWriteLocked returns the state to write to the store, if a call is due.
-func (dec *rolloutDecider) dueWriteLocked(now time.Time) (s rollout.State, due bool) {
-	if dec.calling || now.Before(dec.pausedUntil) {
-		return 0, false
-	}
-	switch {
-	case dec.decision.Directive.State == rollout.RolledBack:
-		return rollout.RolledBack, true
-	case dec.decision.Complete:
-		return rollout.Completed, true
-	}
-	return rollout.InProgress, !dec.read
-}
-
-// updateStore reads the record if it is not known, and writes the state.
-func (d *rolloutDeciders) updateStore(ctx context.Context, dec *rolloutDecider, state rollout.State) {
-	err := d.tryUpdateStore(ctx, dec, state)
-	dec.mu.Lock()
-	defer dec.mu.Unlock()
-	dec.calling = false
-	if err == nil {
-		dec.failingSince = time.Time{}
-		return
-	}
-	if dec.failingSince.IsZero() {
-		dec.failingSince = time.Now()
-	}
-	// The write may have taken effect, or another process may have written.
-	dec.read = false
-	dec.pausedUntil = time.Now().Add(rolloutStorePause)
-	d.r.g.Log.Warn().Err(err).Str("service", dec.order.Service).Stringer("state", state).Msg("rollout_not_stored")
-}
-
-func (d *rolloutDeciders) tryUpdateStore(ctx context.Context, dec *rolloutDecider, state rollout.State) error {
-	dec.mu.Lock()
-	record, read := dec.record, dec.read
-	dec.mu.Unlock()
-	if !read {
-		var err error
-		if record, err = d.r.g.Store.ReadRollout(ctx, dec.order.Service); err != nil && record.Revision == 0 {
-			return err
-		}
-		if err != nil {
-			d.r.g.RecordUnreadable("rollouts")
-			d.r.g.Log.Error().Err(err).Int64("revision", int64(record.Revision)).Msg("rollout_unreadable") // the write replaces it
-		}
-		if err == nil && dec.adopt(record) {
-			d.r.g.Log.Info().Str("service", dec.order.Service).Stringer("state", record.State).Int64("revision", int64(record.Revision)).Msg("rollout_known")
-			return nil
-		}
-	}
-	return d.writeRecord(ctx, dec, record, state)
-}
-
-// adopt applies a record that was read, and reports whether the roll-out has ended.
-func (dec *rolloutDecider) adopt(record rollout.Record) (ended bool) {
-	dec.mu.Lock()
-	defer dec.mu.Unlock()
-	if record.Order != dec.order.Revision {
-		return false
-	}
-	if record.State.Final() {
-		dec.endLocked(record)
-		return true
-	}
-	dec.decider.Confirm(record.Began)
-	return false
-}
-
-// endLocked ends the roll-out as the store says.
-func (dec *rolloutDecider) endLocked(record rollout.Record) {
-	dec.ended, dec.read, dec.record = true, true, record
-	dec.decision.Directive = rollout.Directive{Revision: dec.order.Revision, State: record.State, Ended: record.Revision}
-}
-
-// writeRecord writes a state. The write of InProgress makes this process the decider.
-func (d *rolloutDeciders) writeRecord(ctx context.Context, dec *rolloutDecider, record rollout.Record, state rollout.State) error {
-	dec.mu.Lock()
-	record.State, record.Began = state, dec.decider.Began()
-	dec.mu.Unlock()
-	written, err := d.r.g.Store.WriteRollout(ctx, dec.order, record)
-	if err != nil {
-		return err
-	}
-	dec.mu.Lock()
-	defer dec.mu.Unlock()
-	dec.record, dec.read = written, true
-	if state.Final() {
-		dec.endLocked(written)
-	} else {
-		dec.decider.Confirm(time.Time{})
-	}
-	d.r.g.metrics.rolloutStored(dec.order.Service, state)
-	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Stringer("state", state).
-		Int64("revision", int64(written.Revision)).Str("why", dec.decision.Reason).Msg("rollout_stored")
-	return nil
-}
-
-// readEnded returns the final directive of an order from the store, if it has ended. A router that sends
-// nothing to the previous version and reaches no decider needs it.
-func (r *rollouts) readEnded(ctx context.Context, o rollout.Order) (directive rollout.Directive, ended bool) {
-	record, err := r.g.Store.ReadRollout(ctx, o.Service)
-	if err != nil {
-		r.g.Log.Warn().Err(err).Str("service", o.Service).Msg("rollout_not_read") // asked again with the next report
-		return rollout.Directive{}, false
-	}
-	directive = rollout.Directive{Revision: o.Revision, State: record.State, Ended: record.Revision}
-	return directive, record.Order == o.Revision && record.State.Final()
-}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -272,9 +272,9 @@
 	defer sr.mu.Unlock()
 	report := rollout.Report{Router: r.g.Incarnation, Service: sr.order.Service, Order: sr.order.Revision,
 		Routes: map[string]rollout.RouteSamples{}, RunningOld: sr.runningOld, OldUpstreams: sr.oldUpstreams, NewUpstreams: sr.newUpstreams,
-		Finishing: sr.follower.Finishing(), RolledBack: sr.follower.State() == rollout.RolledBack}
+		Moved: sr.follower.Directive().Moved, Finishing: sr.follower.Finishing(), RolledBack: sr.follower.State() == rollout.RolledBack}
 	if !sr.follower.Since.IsZero() {
-		report.Age = time.Since(sr.follower.Since)
+		report.Age = max(1, time.Since(sr.follower.Since)) // 0 means that it was there when the router started
 	}
 	for name, s := range sr.routes {
 		copied := *s
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -22,6 +22,9 @@
 	drainMeans = 3
 	// minAnswers is the number of the new version's answers without which it is not proven.
 	minAnswers = 10
+	// minCountedPart is the part of the time since the order for which requests must have been counted: after all
+	// routers were down for most of it, too little is known of either version.
+	minCountedPart = 0.25
 )
 
 // demand is what the service got since the order.
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -78,14 +78,3 @@
 	// Near is set shortly before the deadline, when directives change within a fraction of a second.
 	Near bool `json:"near,omitempty"`
 }
-
-// Record is what the store holds on a service's roll-out.
-type Record struct {
-	// Order is the revision of the order; 0 if there is no record.
-	Order store.Revision
-	State State
-	// Began is the time of the order by the clock of the process that wrote the record first.
-	Began time.Time
-	// Revision is the record's revision in the store.
-	Revision store.Revision
-}
--- a/rollout/samples.go
+++ b/rollout/samples.go
@@ -139,6 +139,8 @@
 	// OldUpstreams and NewUpstreams are the upstreams of each version that accept requests.
 	OldUpstreams int `json:"old_upstreams"`
 	NewUpstreams int `json:"new_upstreams"`
+	// Moved are the routes whose requests the router sends to the new version.
+	Moved []string `json:"moved,omitempty"`
 	// Finishing is set if the router sends nothing to the previous version any more.
 	Finishing bool `json:"finishing,omitempty"`
 	// RolledBack is set if the router knows that the order was rolled back.
