Prompts: an answer is assigned a time not before recorded crashes of other services

The exemption of a service that answered after crashes of others compares times, and a crash may have been assigned a later one than the clock shows.

--- a/poison/exemption_test.go
+++ b/poison/exemption_test.go
@@ -84,3 +84,16 @@
 	}
 	require.Equal(t, Proven, r.Known(now, "p").ForService("chat").Standing())
 }
+
+// Guards against a prompt that stays suspect at a service that has just answered it, since a crash of another
+// service was assigned a later time than its clock shows.
+func TestAnswerFollowsRecordedCrashesOfOtherServices(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	var r Registry
+	crashNow(&r, now, "p", "chat", "i-1")
+	r.RecordAnswer(now, "p", "chat")
+	crashNow(&r, now, "p", "chat", "i-2")
+	r.RecordAnswer(now, "p", "code")
+	require.Equal(t, Clear, r.Known(now, "p").ForService("code").Standing())
+	require.Equal(t, Suspect, r.Known(now, "p").ForService("chat").Standing())
+}
--- a/poison/record.go
+++ b/poison/record.go
@@ -123,12 +123,14 @@
 }
 
 // answerTime returns the time of an answer of a service that this process observes now: later than all
-// recorded crashes of the service, whatever the clocks of their observers.
+// recorded crashes of the service and not before those of others, whatever the clocks of their observers.
 func (r *record) answerTime(now time.Time, service string) int64 {
 	at := max(now.UnixMilli(), r.answers[service])
 	for _, c := range r.crashes {
 		if c.service == service {
 			at = max(at, c.at+1)
+		} else {
+			at = max(at, c.at)
 		}
 	}
 	return at
