link: requests that are handled do not keep a connection from being read; the write timeout holds with TLS

The bound is on replies that wait to be written, which end with the connection. With TLS the write timeout took 8 s instead of 3 s, since Close wrote an alert first (TestWriteTimeoutEndsATLSConnection).

--- a/gateway/announce.go
+++ b/gateway/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -24,8 +25,14 @@
 	messages chan lenderMessage
 
 	mu sync.Mutex
-	// cooldownUntil is the end of the cooldown of lenders that failed to reply, by address.
-	cooldownUntil map[string]time.Time
+	// cooldowns are those of lenders that failed to reply, by address.
+	cooldowns map[string]cooldown
+}
+
+// cooldown is the time in which a lender is not called by callers that would not wait longer than it was waited for.
+type cooldown struct {
+	until  time.Time
+	waited time.Duration
 }
 
 // lenderMessage is an asynchronous message to the lender of the upstream at an address.
@@ -44,7 +51,7 @@
 
 func newLenderClient(members *member.Group, links *link.Pool, timeout time.Duration) *lenderClient {
 	return &lenderClient{members: members, links: links, timeout: timeout, messages: make(chan lenderMessage, maxQueuedMessages),
-		cooldownUntil: map[string]time.Time{}}
+		cooldowns: map[string]cooldown{}}
 }
 
 // run sends queued messages until the context ends.
@@ -94,31 +101,43 @@
 
 // call calls an upstream's lender and reports whether it replied within the timeout. Without a reply, the
 // pool chooses upstreams by this router's own data. A lender that did not reply before the caller's context
-// ended gets no cooldown: it may have had too little time.
+// ended is still called by callers with more time.
 func (c *lenderClient) call(caller context.Context, address, method string, in, out any) bool {
 	m, known := c.members.ByUpstream(address)
-	if !known || c.inCooldown(m.Address) || caller.Err() != nil {
+	wait := c.timeout
+	if deadline, ok := caller.Deadline(); ok {
+		wait = min(wait, time.Until(deadline))
+	}
+	if !known || c.inCooldown(m.Address, wait) || caller.Err() != nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(caller, c.timeout)
 	defer cancel()
 	err := c.links.Call(ctx, m.Address, method, in, out)
-	if err != nil && caller.Err() == nil {
-		c.startCooldown(m.Address)
+	switch {
+	case err == nil:
+		return true
+	case caller.Err() == nil:
+		c.startCooldown(m.Address, c.timeout)
+	case errors.Is(caller.Err(), context.DeadlineExceeded):
+		c.startCooldown(m.Address, wait)
 	}
-	return err == nil
+	return false
 }
 
-func (c *lenderClient) inCooldown(address string) bool {
+func (c *lenderClient) inCooldown(address string, wait time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Now().Before(c.cooldownUntil[address])
+	cd := c.cooldowns[address]
+	return wait <= cd.waited && time.Now().Before(cd.until)
 }
 
-func (c *lenderClient) startCooldown(address string) {
+func (c *lenderClient) startCooldown(address string, waited time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(c.cooldownUntil, func(_ string, until time.Time) bool { return now.After(until) })
-	c.cooldownUntil[address] = now.Add(lenderCooldown)
+	maps.DeleteFunc(c.cooldowns, func(_ string, cd cooldown) bool { return now.After(cd.until) })
+	if waited >= c.cooldowns[address].waited {
+		c.cooldowns[address] = cooldown{until: now.Add(lenderCooldown), waited: waited}
+	}
 }
--- a/gateway/announce_test.go
+++ b/gateway/announce_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -54,6 +55,7 @@
 		f.registerCold("i-1", "model", time.Minute)
 		f.settle()
 		kill()
+		synctest.Wait() // the router has observed that its connection was closed
 		short := chat("c-1")
 		short.deadline = 20 * time.Millisecond // half of a lender's timeout
 		require.NotEqual(t, 200, f.send(short).status)
--- a/link/conn.go
+++ b/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"time"
@@ -111,3 +112,11 @@
 	}
 	return written, err
 }
+
+// Close implements net.Conn. It sends no TLS alert, which would wait for a peer that does not read.
+func (w *timeoutWriter) Close() error {
+	if secure, ok := w.Conn.(*tls.Conn); ok {
+		_ = secure.NetConn().Close() // the error of the next line tells
+	}
+	return w.Conn.Close()
+}
--- a/link/link.go
+++ b/link/link.go
@@ -65,9 +65,9 @@
 	maxMissedHeartbeats = 3
 	// defaultHeartbeat is the interval that a Server assumes if none is set.
 	defaultHeartbeat = time.Second
-	// maxRequests bounds the requests of one connection that are handled at the same time. Further ones
-	// wait in the connection.
-	maxRequests = 1024
+	// maxReplies bounds the replies of one connection that wait to be written. While there are as many,
+	// further requests wait in the connection.
+	maxReplies = 1024
 	// minAcceptPause and maxAcceptPause bound the pause after a connection could not be accepted.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
@@ -143,7 +143,7 @@
 }
 
 func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
-	session := &session{server: s, handling: make(chan struct{}, maxRequests)}
+	session := &session{server: s, replies: make(chan struct{}, maxReplies)}
 	stream := newStream(nc, cmp.Or(s.Heartbeat, defaultHeartbeat))
 	conn := jsonrpc2.NewConn(ctx, stream, session, jsonrpc2.SetLogger(logFunc(s.Log)))
 	select {
@@ -166,31 +166,39 @@
 // session is one accepted connection.
 type session struct {
 	server *Server
-	// handling contains an element for each request that is being handled.
-	handling chan struct{}
+	// replies contains an element for each reply that waits or is being written.
+	replies chan struct{}
 	// replyMu is held during the write of a reply. The others wait for it until the connection ends.
 	replyMu       ctxlock.Mutex
 	mu            sync.Mutex
 	authenticated bool
 }
 
-// Handle implements jsonrpc2.Handler. The connection is not read until Handle returns.
+// Handle implements jsonrpc2.Handler. The connection is not read until Handle returns, so it waits for replies
+// only: these end with the connection. Requests that are handled may last, and must not delay heartbeats and
+// the detection that the connection has ended.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	select {
-	case s.handling <- struct{}{}:
+	case s.replies <- struct{}{}:
+		<-s.replies
+		go s.handle(ctx, conn, req)
 	case <-ctx.Done():
-		return
 	}
-	go func() {
-		defer func() { <-s.handling }()
-		s.handle(ctx, conn, req)
-	}()
 }
 
 // handle handles one request and writes the reply.
 func (s *session) handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	result, err := s.answer(ctx, req)
-	if req.Notif || s.replyMu.Lock(ctx) != nil {
+	if req.Notif {
+		return
+	}
+	select {
+	case s.replies <- struct{}{}:
+		defer func() { <-s.replies }()
+	case <-ctx.Done():
+		return
+	}
+	if s.replyMu.Lock(ctx) != nil {
 		return
 	}
 	defer s.replyMu.Unlock()
