--- a/gateway/rolloutstore.go
+++ b/gateway/rolloutstore.go
@@ -13,6 +13,9 @@
 // conflicts after which the record is read again at once.
 const rolloutStorePause = 300 * time.Millisecond
 
+// recordTimeout bounds the write of what was observed: the write of the end waits for it.
+const recordTimeout = 300 * time.Millisecond
+
 // storeCall is a call of the store for a roll-out.
 type storeCall struct {
 	state rollout.State
@@ -39,7 +42,7 @@
 // callStore makes one call. After a conflict it reads the record again at once, and decides from it: the store
 // has answered.
 func (d *rolloutDeciders) callStore(ctx context.Context, dec *rolloutDecider, c storeCall) {
-	err := d.tryCallStore(ctx, dec, c)
+	err := d.tryCallStoreInTime(ctx, dec, c)
 	if errors.Is(err, store.ErrConflict) && dec.mayReadAgain(time.Now()) {
 		defer d.decide(dec)
 		d.r.g.Log.Info().Str("service", dec.order.Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_conflict")
@@ -85,6 +88,16 @@
 	}
 }
 
+// tryCallStoreInTime bounds a call that records what was observed.
+func (d *rolloutDeciders) tryCallStoreInTime(ctx context.Context, dec *rolloutDecider, c storeCall) error {
+	if c.records {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+	}
+	return d.tryCallStore(ctx, dec, c)
+}
+
 // tryCallStore reads the record if it is not known, and writes the state. Completed is not written with what
 // the record says still to be considered.
 func (d *rolloutDeciders) tryCallStore(ctx context.Context, dec *rolloutDecider, c storeCall) error {
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -28,13 +28,15 @@
 	// are in it; nil until the first one after Resume.
 	resumed   *Observed
 	baselines map[string]map[string]RouteSamples
-	// recordedAt is the time of the last record since the order, recorded what it held.
+	// recordedAt is the time of the last record since the order.
 	recordedAt time.Duration
-	recorded   recordable
 	// countingSince is when the first report arrived, since Resume if that is later; countedBefore is for how
 	// long requests were counted before it.
 	countingSince time.Time
 	countedBefore time.Duration
+	// startedFleet is the number of routers in the record that this process read when it took over, at startedAt.
+	startedFleet int
+	startedAt    time.Time
 	// receivedOrder is the time of the order by the routers that received it, storedOrder the one in the store
 	// by another process's clock; zero if unknown.
 	receivedOrder, storedOrder time.Time
@@ -159,6 +161,7 @@
 
 // Decide returns what routers do now. routers are the incarnations of those that may send requests.
 func (d *Decider) Decide(now time.Time, routers []string) Decision {
+	d.keepLarger(now)
 	demand := d.demand(now)
 	reporting := d.reporting(now, routers)
 	most := reporting > 0 && 2*reporting >= len(routers)
@@ -226,16 +229,16 @@
 			received++
 		}
 	}
-	return 2*received >= len(routers) || d.countedTime(now) >= time.Duration(minCountedPart*float64(demand.elapsed))
+	return 2*received >= len(routers) || d.countedTime(now) >= time.Duration(minCountedPart*float64(min(demand.elapsed, demand.duration)))
 }
 
 // fleet returns the number of routers. A process that has taken over may have started together with most of
 // them, and list few of them yet.
 func (d *Decider) fleet(now time.Time, routers []string) int {
-	if d.resumed == nil || now.Sub(d.countingSince) > listTime {
+	if now.Sub(d.startedAt) > listTime {
 		return len(routers)
 	}
-	return max(len(routers), d.resumed.Fleet)
+	return max(len(routers), d.startedFleet)
 }
 
 // reporting counts the routers that report to this process. With few of them another process decides, or
@@ -299,11 +302,11 @@
 }
 
 // waiting counts the routers that may still send, or have requests running, at the previous version. A
-// router without recent reports, or one that is not listed yet, has probably ended, and is not waited for at the
-// deadline.
+// router without recent reports has probably ended, and is not waited for at the deadline. Nor is one
+// that is not listed yet, unless most are not: they have started together with this process.
 func (d *Decider) waiting(now time.Time, left time.Duration, routers []string) (n int) {
-	if left > d.Limits.Margin/4 {
-		n = d.fleet(now, routers) - len(routers)
+	if fleet := d.fleet(now, routers); left > d.Limits.Margin/4 || 2*len(routers) < fleet {
+		n = fleet - len(routers)
 	}
 	for _, id := range routers {
 		r, known := d.reports[id]
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -92,8 +92,12 @@
 		return false
 	}
 	d.recordMoved(o.Moved)
+	if !d.confirmed {
+		d.startedFleet, d.startedAt = o.Fleet, now
+	}
 	own := d.demand(now)
 	if sent, sentToNew, _ := o.Totals(); own.sent >= sent && own.sentToNew >= sentToNew {
+		d.countedBefore, d.countingSince = max(d.countedTime(now), o.Counted), now
 		return false
 	}
 	d.resumed, d.history = o, nil
@@ -105,6 +109,21 @@
 	return true
 }
 
+// keepLarger gives up what an earlier decider observed once the routers that report have counted more: they
+// have counted on since the record.
+func (d *Decider) keepLarger(now time.Time) {
+	if d.resumed == nil {
+		return
+	}
+	with, resumed, baselines := d.demand(now), d.resumed, d.baselines
+	d.resumed, d.baselines = nil, nil
+	if own := d.demand(now); own.sent >= with.sent && own.sentToNew >= with.sentToNew && own.answered() >= with.answered() {
+		d.history = nil
+		return
+	}
+	d.resumed, d.baselines = resumed, baselines
+}
+
 // Observed returns what the next decider needs. routers are the incarnations that are listed: others are left
 // out first if there are too many.
 func (d *Decider) Observed(now time.Time, routers []string) *Observed {
@@ -181,21 +200,13 @@
 // recordDue reports whether what was observed is to be recorded now. In the last part of the time the next
 // write is that of the end.
 func (d *Decider) recordDue(sum *demand) bool {
-	return sum.left() > d.Limits.Margin && sum.elapsed-d.recordedAt >= max(minRecordInterval, d.Order.Duration/maxRecords) &&
-		d.recorded != d.recordable(sum)
-}
-
-// recordable identifies what would be recorded: it differs once something has changed.
-type recordable struct{ sent, answered, moved int }
-
-func (d *Decider) recordable(sum *demand) recordable {
-	return recordable{sent: sum.sent, answered: sum.answered(), moved: len(d.moved)}
+	return sum.left() > d.Limits.Margin && sum.elapsed-d.recordedAt >= max(minRecordInterval, d.Order.Duration/maxRecords)
 }
 
 // RecordBegun notes that a write of what was observed begins, whether or not it succeeds.
 func (d *Decider) RecordBegun(now time.Time) {
 	sum := d.demand(now)
-	d.recordedAt, d.recorded = sum.elapsed, d.recordable(&sum)
+	d.recordedAt = sum.elapsed
 }
 
 // added returns what a router's report adds to the sums.
