--- a/gateway/rolloutrecords_test.go
+++ b/gateway/rolloutrecords_test.go
@@ -66,8 +66,7 @@
 	require.NoError(r.t, err)
 }
 
-// Guards against processes of the code before beside new ones: they write records without counts, and a good version
-// must be completed as before.
+// Guards against a good version that is not completed beside processes that write records without counts.
 func TestRecordsOfOlderProcesses(t *testing.T) {
 	withFleet(t, func(f *fleet) {
 		r := startRolloutFleet(f, 14, 5)
