Logs: versions of upstreams, streams that are taken up again, and headers of the platform that no code reads

upstream_changed has the version, a request line the attempt and the event that its caller names, each attempt the version of its upstream and the events of its stream. One counter for streams that go on within an answer, by whether the version stays. No change of what is sent where.

Response headers of the platform without a reader are logged once by name and counted: limits and two more words were said by engines for a while before anybody noticed.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -209,7 +209,7 @@
 // a log line. A change of the remaining cold time is not.
 func (u Upstream) differsFrom(other Upstream) bool {
 	cold := (u.Cold > 0) != (other.Cold > 0)
-	return cold || u.Service != other.Service || u.Address != other.Address || u.Datacentre != other.Datacentre ||
+	return cold || u.Service != other.Service || u.Version != other.Version || u.Address != other.Address || u.Datacentre != other.Datacentre ||
 		u.Slots != other.Slots || u.Leaving != other.Leaving
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -92,6 +93,9 @@
 		Arrived:  h.arrived,
 		Deadline: h.deadline(route),
 	}
+	if route.Kind == catalog.Streaming {
+		r.LastEvent, r.Resumes = h.headers.LastEvent, h.headers.Resumes
+	}
 	hop.CopyHeaders(r.Header, req.Header)
 	if team != nil {
 		r.Team, r.Prepaid = team.Name, team.Prepaid
@@ -102,7 +106,7 @@
 	}
 	if route.Generative || r.Service.Engine != nil {
 		r.Prompt, r.MaxOutput = h.headers.Prompt, h.headers.MaxOutput
-		r.Parts, r.LastEvent = h.headers.Parts, h.headers.LastEvent
+		r.Parts = h.headers.Parts
 		if r.Prepaid > 0 && r.MaxTokens() == 0 {
 			return contract.Refuse(contract.BadRequest, "the request does not say how many tokens it may take")
 		}
@@ -224,6 +228,9 @@
 		Str("service", r.Service.Name).Int64("version", r.Version).Int("status", status).
 		Int64("first_ms", timeToFirstChunk.Milliseconds()).Int64("took_ms", duration.Milliseconds()).Int64("left_ms", time.Until(r.Deadline).Milliseconds()).
 		Int64("reserved", r.MaxTokens()).Int64("used", outcome.Used).Bool("cut", outcome.Truncated)
+	if r.Resumes != "" || r.LastEvent != "" {
+		line = line.Str("resumes", abbreviate(r.Resumes)).Str("after_event", abbreviate(r.LastEvent))
+	}
 	line = line.Str("attempts", formatAttempts(outcome.Attempts))
 	if outcome.Refusal != nil {
 		line = line.Str("kind", string(outcome.Refusal.Kind)).Str("refusal", outcome.Refusal.Message).Str("asked", outcome.Refusal.Detail)
@@ -231,20 +238,29 @@
 	line.Msg("request")
 }
 
-// formatAttempts describes the attempts of a request in order: upstream, the expected time to the
-// first event and prompt tokens to prefill, result, the longest gap of a stream with this router's
-// load on the upstream at that time, and the detail of the result.
+// maxLoggedValue bounds the bytes of a caller's value in a log line.
+const maxLoggedValue = 64
+
+// abbreviate returns the beginning of a caller's value for the log.
+func abbreviate(value string) string { return value[:min(len(value), maxLoggedValue)] }
+
+// formatAttempts describes the attempts of a request in order: upstream and version, the expected time to
+// the first event and prompt tokens to prefill, result, the events of a stream, its longest gap with this
+// router's load on the upstream at that time, and the detail of the result.
 func formatAttempts(attempts []serving.Attempt) string {
 	var b strings.Builder
 	for i, a := range attempts {
 		if i > 0 {
 			b.WriteString("; ")
 		}
-		fmt.Fprintf(&b, "%s [%d ms, %d tokens] %s", a.Upstream, a.Cost.Milliseconds(), a.PendingPrefill, a.Result)
+		fmt.Fprintf(&b, "%s [%s, %d ms, %d tokens] %s", a.Upstream, cmp.Or(a.Version, "version unknown"), a.Cost.Milliseconds(), a.PendingPrefill, a.Result)
 		if gap := a.Gap; gap.Duration > 0 {
 			fmt.Fprintf(&b, ", longest pause %d ms beside %d requests with %d unread tokens",
 				gap.Duration.Milliseconds(), gap.ConcurrentLoad.Running, gap.ConcurrentLoad.PendingPrefill)
 		}
+		if a.Events > 0 {
+			fmt.Fprintf(&b, ", %d events", a.Events)
+		}
 		if a.Detail != "" {
 			b.WriteString(" (" + a.Detail + ")")
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -49,6 +50,17 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_broken_attempts_not_looked_at_total").Inc()
 }
 
+// headersNotRead counts a response with headers of the platform that no code reads.
+func (m *gatewayMetrics) headersNotRead() {
+	m.set.GetOrCreateCounter("arbutusmill_gateway_responses_with_unread_headers_total").Inc()
+}
+
+// streamContinued counts a stream that broke off and went on at another upstream within the same answer,
+// by whether that has the version of the upstream that sent the first event.
+func (m *gatewayMetrics) streamContinued(service string, sameVersion bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_continued_streams_total{service=%q,same_version=\"%t\"}", service, sameVersion)).Inc()
+}
+
 // limitUnparsable counts a response with a limit that cannot be parsed.
 func (m *gatewayMetrics) limitUnparsable() {
 	m.set.GetOrCreateCounter("arbutusmill_gateway_unreadable_limits_total").Inc()
@@ -79,12 +91,26 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_rollouts_stored_total{service=%q,state=%q}", service, s)).Inc()
 }
 
+// streamsContinued counts the attempts that continued a stream.
+func (m *gatewayMetrics) streamsContinued(service string, attempts []serving.Attempt) {
+	first := slices.IndexFunc(attempts, func(a serving.Attempt) bool { return a.Events > 0 })
+	if first < 0 {
+		return
+	}
+	for _, a := range attempts[first+1:] {
+		if a.Events > 0 {
+			m.streamContinued(service, a.Version == attempts[first].Version)
+		}
+	}
+}
+
 // requestEnded records the outcome of a request that was dispatched.
 func (m *gatewayMetrics) requestEnded(r *serving.Request, o serving.Outcome, duration time.Duration) {
 	service := r.Service.Name
 	if o.Refusal != nil {
 		m.refused(o.Refusal.Kind)
 	}
+	m.streamsContinued(service, o.Attempts)
 	for _, a := range o.Attempts {
 		m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_attempts_total{service=%q,result=%q}", service, a.Result)).Inc()
 		if a.Gap.Duration > 0 {
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -10,7 +10,7 @@
 
 // UpstreamChanged implements directory.Reporter.
 func (g *Gateway) UpstreamChanged(u directory.Upstream) {
-	g.Log.Info().Stringer("upstream", u.Incarnation).Str("service", u.Service).Str("address", u.Address).
+	g.Log.Info().Stringer("upstream", u.Incarnation).Str("service", u.Service).Str("version", u.Version).Str("address", u.Address).
 		Str("datacentre", u.Datacentre).Bool("leaving", u.Leaving).Dur("cold_ms", u.Cold).Msg("upstream_changed")
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -26,6 +26,7 @@
 type upstreams struct {
 	*pool.Pool
 	transport http.RoundTripper
+	unread    *unreadHeaders
 }
 
 func newTransport(n hosted.Network, s settings.Upstreams) *http.Transport {
@@ -53,6 +54,7 @@
 		return x.failedAttempt(tracker.Connected(), err)
 	}
 	defer resp.Body.Close()
+	u.unread.record(r.ID, t.Incarnation.String(), platform.UnreadResponseHeaders(resp.Header))
 	return x.handleResponse(resp)
 }
 
@@ -92,7 +94,7 @@
 }
 
 func (x *exchange) newAttempt(result serving.Result, format string, args ...any) serving.Attempt {
-	a := serving.Attempt{Upstream: x.target.Incarnation, Result: result, Detail: fmt.Sprintf(format, args...)}
+	a := serving.Attempt{Upstream: x.target.Incarnation, Result: result, Events: x.events, Detail: fmt.Sprintf(format, args...)}
 	if !result.NotRun() {
 		a.Began = true
 		a.Output = x.chargedOutput(result)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -248,7 +248,7 @@
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Deadline = now.Add(time.Duration(attemptTimeShare * float64(r.Deadline.Sub(now))))
 	}
-	att := &attempt{pool: p, upstream: u.Incarnation, address: u.Address, limitMark: s.limiter.State().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), gaps: p.gapsOf(r.Service.Name),
+	att := &attempt{pool: p, upstream: u.Incarnation, version: u.Version, address: u.Address, limitMark: s.limiter.State().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), gaps: p.gapsOf(r.Service.Name),
 		prefillRate: p.prefillRateOf(r.Service.Name), sent: now}
 	if p.Versions != nil {
 		perMs, _ := att.prefillRate.tokensPerMs(p.PrefillPerMs)
--- a/pool/run.go
+++ b/pool/run.go
@@ -13,7 +13,9 @@
 type attempt struct {
 	pool     *Pool
 	upstream directory.Incarnation
-	address  string
+	// version is the version of the upstream's software.
+	version string
+	address string
 	// limitMark identifies the state of the upstream's limit when the request was sent.
 	limitMark ratelimit.Mark
 	choice    placement.Choice
@@ -80,6 +82,7 @@
 	if att.versionDone != nil {
 		att.reportVersion(a.Result)
 	}
+	a.Version = att.version
 	a.Cost, a.PendingPrefill, a.Gap = att.choice.Cost, att.choice.PrefillTokens, att.longestGap
 	return a
 }
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -55,7 +55,11 @@
 // Attempt is one forwarding of a request to an upstream, and its outcome.
 type Attempt struct {
 	Upstream directory.Incarnation
-	Result   Result
+	// Version is the version of the upstream's software, "" if unknown.
+	Version string
+	Result  Result
+	// Events is the number of events of a stream that were forwarded to the caller.
+	Events int64
 	// Detail gives details for the log.
 	Detail string
 	// Cost and PendingPrefill are the estimates made when the upstream was chosen.
--- a/serving/request.go
+++ b/serving/request.go
@@ -46,6 +46,9 @@
 	Parts     []prefill.Part
 	// LastEvent is the id of the last event that the caller has, or "".
 	LastEvent string
+	// Resumes is the id of the attempt that brought the first event of the stream that the caller takes up
+	// again, or "".
+	Resumes string
 }
 
 // MaxTokens returns the maximum number of tokens that the request can use. An interrupted run may have
