Streams go on only at the software version that began them

Engines do not check that, and what two versions write does not fit together.

Ruled out as the only cause: outdated entries (streams far from any restart are concerned) and take-ups alone.

Change: the version is bound by the attempt that sent the first event; the router records it before that event leaves, and has it recorded by a lender, and by another router while there are several versions. Who takes up a stream asks these. Without a record the stream goes on only if the service had one version for as long as streams may be taken up, by a gapless view and a read of the store after the caller came; else the caller is refused at once. An unknown version is never guessed: an entry that changed its version, or an upstream whose lender knows another incarnation, has none.

--- a/contract/kind.go
+++ b/contract/kind.go
@@ -40,8 +40,12 @@
 	OutcomeUnknown      Kind = "outcome_unknown"
 	PromptEndsUpstreams Kind = "prompt_ends_upstreams"
 	PromptOnTrial       Kind = "prompt_on_trial"
-	TimedOut            Kind = "timed_out"
-	Internal            Kind = "internal"
+	// StreamUnknown means that this router cannot find out which version began the stream; another one may.
+	StreamUnknown Kind = "stream_unknown"
+	// NoStreamVersion means that no upstream of the version that began the stream takes requests.
+	NoStreamVersion Kind = "no_stream_version"
+	TimedOut        Kind = "timed_out"
+	Internal        Kind = "internal"
 )
 
 // Answer is what a caller gets for a kind.
@@ -85,6 +89,8 @@
 	OutcomeUnknown:      {Status: http.StatusBadGateway, RetryAfter: time.Second},
 	PromptEndsUpstreams: {Status: http.StatusUnprocessableEntity},
 	PromptOnTrial:       {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
+	StreamUnknown:       {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second},
+	NoStreamVersion:     {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second},
 	TimedOut:            {Status: http.StatusGatewayTimeout},
 	Internal:            {Status: http.StatusInternalServerError},
 }
--- a/coord/rendezvous/rendezvous.go
+++ b/coord/rendezvous/rendezvous.go
@@ -22,6 +22,31 @@
 	return ranked
 }
 
+// Top returns the n most preferred nodes for key in order of preference, as Rank does, in time proportional to
+// the number of nodes.
+func Top(key string, nodes []string, n int) []string {
+	type weighted struct {
+		node   string
+		weight uint64
+	}
+	top := make([]weighted, 0, n+1)
+	for _, node := range nodes {
+		w := weighted{node, weight(key, node)}
+		at, _ := slices.BinarySearchFunc(top, w, func(a, b weighted) int {
+			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
+		})
+		if at < n {
+			top = slices.Insert(top, at, w)
+			top = top[:min(n, len(top))]
+		}
+	}
+	out := make([]string, len(top))
+	for i, w := range top {
+		out[i] = w.node
+	}
+	return out
+}
+
 // Pick returns the most preferred node for key, or "" if there are no nodes.
 func Pick(key string, nodes []string) string {
 	best, top := "", uint64(0)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -19,6 +19,8 @@
 	Service string
 	// Version is the version of its software.
 	Version string
+	// VersionChanged is set by the directory if the entry of this incarnation has named another version before.
+	VersionChanged bool
 	// Registered is the revision at which its entry was created; set by the directory.
 	Registered store.Revision
 	Address    string
@@ -37,6 +39,15 @@
 	Returned time.Time
 }
 
+// StreamVersion returns the version of the software that begins streams at the upstream, or "" if it is not
+// known: an incarnation has one version, so one of two that its entry named is wrong.
+func (u Upstream) StreamVersion() string {
+	if u.VersionChanged {
+		return ""
+	}
+	return u.Version
+}
+
 // missingGrace is how long entries that disappeared around an outage of the store are kept. Leases
 // expire while their owners cannot renew them, and the platform guarantees that live owners
 // register again about two seconds after the store's return. Dropping the entries at once would
@@ -85,6 +96,7 @@
 	// lapseDetector decides whether entries that are missing after an outage have expired.
 	lapseDetector lapse.Detector
 	read          bool
+	history       versionHistory
 }
 
 type entry struct {
@@ -113,8 +125,14 @@
 	if d.outage {
 		d.lapseDetector.StartGrace(now, missingGrace)
 	}
+	if d.outage || !d.read {
+		d.history.since = now
+	}
 	d.outage, d.read = false, true
 	old := d.entries
+	for _, e := range old {
+		d.history.record(now, e.Upstream)
+	}
 	d.entries = map[string]*entry{}
 	listed := map[string]bool{}
 	for _, it := range items {
@@ -141,6 +159,9 @@
 	if have != nil && ev.Revision != 0 && ev.Revision < have.revision {
 		return // outdated event
 	}
+	if have != nil {
+		d.history.record(now, have.Upstream)
+	}
 	switch {
 	case !ev.Deleted:
 		d.putLocked(ev.Item, have)
@@ -184,12 +205,13 @@
 	case have == nil:
 	case have.Incarnation == u.Incarnation:
 		e.rejected, e.supersededBy = have.rejected, have.supersededBy
+		e.VersionChanged = have.VersionChanged || have.Version != u.Version
 	default:
 		d.Report.UpstreamGone(have.Upstream, "restarted under its id")
 	}
 	d.entries[it.Key] = e
 	if have == nil || have.Incarnation != u.Incarnation || have.differsFrom(u) {
-		d.Report.UpstreamChanged(u)
+		d.Report.UpstreamChanged(e.Upstream)
 	}
 }
 
--- a/directory/index.go
+++ b/directory/index.go
@@ -12,6 +12,7 @@
 		switch {
 		case missing && !now.Before(e.missingUntil):
 			delete(d.entries, key)
+			d.history.record(now, e.Upstream)
 			d.Report.UpstreamGone(e.Upstream, "entry did not return after the store could not be reached")
 			continue
 		case missing && !lapsed:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	retryBudgets   *retryBudgets
 	prompts        *promptGuard
 	rollouts       *rollouts
+	streams        *streamVersions
 	dispatcher     *serving.Dispatcher
 	metrics        *gatewayMetrics
 
@@ -104,6 +105,8 @@
 	g.rollouts = newRollouts(g)
 	methods := g.promptMethods()
 	maps.Copy(methods, g.rollouts.methods())
+	g.streams = newStreamVersions(g)
+	maps.Copy(methods, g.streams.methods())
 	g.Base = hosted.New(hosted.Parts{
 		Methods: methods,
 		Role:    prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
@@ -138,6 +141,7 @@
 		Budgets:     g.Budgets,
 		RetryBudget: g.retryBudgets,
 		PromptGuard: g.prompts,
+		Streams:     g.streams,
 		Now:         time.Now,
 	}
 	g.Admin.Dump = g.dump
@@ -276,6 +280,7 @@
 	tasks.Go(g.lenders.run)
 	g.prompts.start(tasks)
 	g.rollouts.start(tasks)
+	g.streams.start(tasks)
 	g.Start(tasks)
 	tasks.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
 	tasks.Every(expireInterval, func(context.Context) { g.directory.Expire() })
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -93,6 +93,7 @@
 		Arrived:  h.arrived,
 		Deadline: h.deadline(route),
 	}
+	r.CallerDeadline = h.arrived.Add(h.callerTimeout())
 	if route.Kind == catalog.Streaming {
 		r.LastEvent, r.Resumes = h.headers.LastEvent, h.headers.Resumes
 	}
@@ -150,16 +151,21 @@
 
 // deadline returns when the timeout of the caller or of the route ends, whichever is first.
 func (h *requestHandler) deadline(route *catalog.Route) time.Time {
-	timeout := defaultTimeout
-	if h.headers.Timeout > 0 {
-		timeout = h.headers.Timeout
-	}
+	timeout := h.callerTimeout()
 	if route.Timeout > 0 {
 		timeout = min(timeout, route.Timeout)
 	}
 	return h.arrived.Add(timeout)
 }
 
+// callerTimeout returns how long the caller waits.
+func (h *requestHandler) callerTimeout() time.Duration {
+	if h.headers.Timeout > 0 {
+		return h.headers.Timeout
+	}
+	return defaultTimeout
+}
+
 // readBody reads the complete body, so that the request can be retried and its length is known.
 func (h *requestHandler) readBody(w http.ResponseWriter, req *http.Request) *contract.Refusal {
 	if req.ContentLength == 0 {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -55,6 +55,17 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_responses_with_unread_headers_total").Inc()
 }
 
+// streamTakenUp counts a stream that its caller takes up, by where the version that began it was found.
+func (m *gatewayMetrics) streamTakenUp(service string, s versionSource) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_taken_up_streams_total{service=%q,version_from=%q}", service, s)).Inc()
+}
+
+// streamNotRecorded counts a stream whose version was not recorded at another process, or not at all of those
+// that should record it.
+func (m *gatewayMetrics) streamNotRecorded(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_streams_not_recorded_total{reason=%q}", reason)).Inc()
+}
+
 // streamContinued counts a stream that broke off and went on at another upstream within the same answer,
 // by whether that has the version of the upstream that sent the first event.
 func (m *gatewayMetrics) streamContinued(service string, sameVersion bool) {
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -26,6 +27,9 @@
 // Reset implements mirror.Reader.
 func (o *operatorReader) Reset(items []store.Item) {
 	o.g.configWatch.RecordSuccess(o.g.Log, "configuration")
+	if !slices.ContainsFunc(items, func(it store.Item) bool { return it.Key == platform.ConfigKey }) {
+		o.g.directory.NoRequestsUntil(time.Now()) // without a configuration no router serves
+	}
 	drained := map[string]store.Revision{}
 	for _, it := range items {
 		if _, ok := platform.DrainedDatacentre(it.Key); ok {
--- a/gateway/rolloutversions.go
+++ b/gateway/rolloutversions.go
@@ -26,7 +26,23 @@
 	if sr.awaitsStateLocked(time.Now()) {
 		return nil
 	}
-	return sr.selectLocked(sr.follower.Prefer(time.Now(), req.Route.Name, drawOf(req.ID), len(attempts) > 0), ups)
+	preference := sr.follower.Prefer(time.Now(), req.Route.Name, drawOf(req.ID), len(attempts) > 0)
+	if version, bound := req.BoundVersion(attempts); bound && sr.servesLocked(version, preference) {
+		return ups // the version at which a stream must go on is not a matter of preference
+	}
+	return sr.selectLocked(preference, ups)
+}
+
+// servesLocked reports whether upstreams of a version may continue streams that it began. Those of the new
+// version may not while it gets no other requests, since it may have proven bad.
+func (sr *serviceRollout) servesLocked(version string, p rollout.Preference) bool {
+	switch p {
+	case rollout.OnlyPrevious, rollout.OnlyNext:
+		return false
+	case rollout.Next, rollout.Canary:
+		return true
+	}
+	return version != sr.order.Version || sr.follower.Fresh(time.Now()) && sr.follower.Directive().Share > 0
 }
 
 // awaitsStateLocked reports whether the router has just started and does not know yet whether the upstreams
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -29,6 +29,7 @@
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/ratelimit"
 	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/arbutusmill/arbutusmill/streamversion"
 )
 
 // reloadableFields are the settings that a reload applies without a restart.
@@ -45,6 +46,8 @@
 	engine *prefill.Engine
 	// prompts stores the prompts that crash upstreams, as reported by routers.
 	prompts *promptKeeper
+	// streams holds records of the versions that began streams, as reported by routers.
+	streams streamversion.Registry
 	// loggedLimit is the last logged limit of the upstream, as the bits of a float64.
 	loggedLimit atomic.Uint64
 	// stopping is set when a planned stop begins.
@@ -57,6 +60,7 @@
 	l := &Lender{settings: s, engine: prefill.NewEngine(time.Now(), s.Upstream.PrefillPerMs)}
 	l.prompts = &promptKeeper{isWriter: l.isPromptWriter}
 	methods := l.prompts.methods()
+	maps.Copy(methods, hosted.StreamMethods(&l.streams))
 	maps.Copy(methods, map[string]link.Handler{
 		link.MethodAnnounce:      link.Handle(l.announce),
 		link.MethodWithdraw:      link.Handle(l.withdraw),
@@ -78,6 +82,7 @@
 	}
 	l.Admin.Dump = l.dump
 	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.registry.List(time.Now()))) })
+	l.Metrics.NewGauge("arbutusmill_lender_kept_streams", func() float64 { return float64(l.streams.Len()) })
 	l.Metrics.NewGauge("arbutusmill_lender_limit_per_second", func() float64 { return l.engine.State(time.Now()).Limit })
 	return l
 }
--- a/link/messages.go
+++ b/link/messages.go
@@ -78,6 +78,30 @@
 // rollout.Report, rollout.Directive.
 const MethodRollout = "rollout.report"
 
+// Methods for the versions that began streams.
+const (
+	// MethodStreamBegan records which version began a stream, at any process: streamversion.Record, Empty.
+	MethodStreamBegan = "stream.began"
+	// MethodStreamFind asks a process which version began a stream: streamversion.Stream, VersionReply.
+	MethodStreamFind = "stream.find"
+	// MethodSoleVersion asks a router whether all streams of a service that can still be taken up began at one
+	// version: SoleVersionRequest, VersionReply.
+	MethodSoleVersion = "stream.sole_version"
+)
+
+// VersionReply is a version of a service's software, if it is known.
+type VersionReply struct {
+	Version string `json:"version,omitempty"`
+	Known   bool   `json:"known,omitempty"`
+	// Age is the age of the record of that version.
+	Age time.Duration `json:"age_ns,omitempty"`
+}
+
+// SoleVersionRequest names a service.
+type SoleVersionRequest struct {
+	Service string `json:"service"`
+}
+
 // PromptKeep holds changes to store. Answered is applied before Known, since a process that does not
 // read the times of answers removes all crashes of the services in Answered.
 type PromptKeep struct {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -46,7 +46,7 @@
 func (p *Pool) beginAttempt(c *candidates, choice placement.Choice) (serving.Target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.beginAttemptLocked(p.Now(), c.r, c.ups, choice, c.admitted)
+	return p.beginAttemptLocked(p.Now(), c, choice)
 }
 
 // Serves reports whether any upstream may take the request, now or soon.
@@ -59,8 +59,11 @@
 	ups   []directory.Upstream
 	views []placement.Upstream
 	rates placement.Rates
-	// admitted is set when the chosen upstream's lender has admitted the prompt.
-	admitted bool
+	// bound is set if the request must go on at one version of the software.
+	bound bool
+	// admitted is set when the chosen upstream's lender has admitted the prompt, restarted when that lender
+	// knows another incarnation of the upstream.
+	admitted, restarted bool
 	// limited counts the upstreams excluded by limits, denied those among them whose lender denied
 	// the prompt.
 	limited LimitedChoice
@@ -70,17 +73,19 @@
 func (p *Pool) candidates(r *serving.Request, attempts []serving.Attempt) *candidates {
 	ups := p.eligible(r, attempts)
 	views, limited := p.views(r, ups)
-	return &candidates{pool: p, r: r, ups: ups, views: views, limited: limited, rates: p.rates(r)}
+	_, bound := r.BoundVersion(attempts)
+	return &candidates{pool: p, r: r, ups: ups, views: views, bound: bound, limited: limited, rates: p.rates(r)}
 }
 
 // eligible returns the upstreams of the request's service in its allowed versions and regions, without
-// those already tried.
+// those already tried. A stream that began is continued at its own version only.
 func (p *Pool) eligible(r *serving.Request, attempts []serving.Attempt) []directory.Upstream {
 	ups := p.Directory.ForService(r.Service.Name)
 	if p.Versions != nil {
 		ups = p.Versions.Eligible(r, attempts, ups)
 	}
-	if len(attempts) == 0 && r.Regions == nil {
+	version, bound := r.BoundVersion(attempts)
+	if len(attempts) == 0 && r.Regions == nil && !bound {
 		return ups
 	}
 	tried := map[directory.Incarnation]bool{}
@@ -89,6 +94,9 @@
 	}
 	var out []directory.Upstream
 	for _, u := range ups {
+		if bound && (version == "" || u.StreamVersion() != version) {
+			continue
+		}
 		if !tried[u.Incarnation] && r.Regions.Allow(p.Region(u.Datacentre)) {
 			out = append(out, u)
 		}
@@ -117,6 +125,7 @@
 	for range maxRedirects + maxDenials + 1 {
 		u, view := c.ups[choice.Index], &c.views[choice.Index]
 		reply, answered := c.pool.announce(c.r, u, choice)
+		c.restarted = !answered && reply.StartUnixMS != 0 && reply.StartUnixMS != u.StartUnixMS
 		if c.rejected(u, reply, answered) {
 			view.Excluded = true
 			next, ok := c.best()
@@ -144,8 +153,12 @@
 }
 
 // rejected reports whether an upstream must not get the prompt: its lender denied it, or did not
-// answer and the request needs its admission or exceeds this router's share of the limit.
+// answer and the request needs its admission or exceeds this router's share of the limit. A stream that must go
+// on at its version is not sent to an upstream that has restarted, maybe with another version.
 func (c *candidates) rejected(u directory.Upstream, reply prefill.AnnounceReply, answered bool) bool {
+	if c.bound && c.restarted {
+		return true
+	}
 	if !answered {
 		return c.pool.requiresAdmission(c.r, u) || c.pool.exceedsUnreachedLimit(c.r, u)
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -225,12 +225,13 @@
 	return s
 }
 
-// beginAttemptLocked begins an attempt at the chosen upstream. admitted is set if its lender has
-// admitted the request. It returns false if the upstream's limit has been used up since the choice.
-func (p *Pool) beginAttemptLocked(now time.Time, r *serving.Request, ups []directory.Upstream, c placement.Choice, admitted bool) (serving.Target, bool) {
+// beginAttemptLocked begins an attempt at the chosen upstream. It returns false if the upstream's limit has been
+// used up since the choice.
+func (p *Pool) beginAttemptLocked(now time.Time, candidates *candidates, c placement.Choice) (serving.Target, bool) {
+	r, ups := candidates.r, candidates.ups
 	u := ups[c.Index]
 	s := p.stateLocked(u.Incarnation)
-	if !admitted && !p.takeLimitLocked(now, r, u, s) {
+	if !candidates.admitted && !p.takeLimitLocked(now, r, u, s) {
 		return serving.Target{}, false
 	}
 	if p.cold(now, r, u) && !p.usesAdmission(r, u) {
@@ -241,14 +242,18 @@
 	if e := r.Service.Engine; e != nil {
 		s.cache.Add(r.Parts, int64(cacheShare*float64(e.CacheTokens)))
 	}
-	t := serving.Target{Incarnation: u.Incarnation, Address: u.Address, Deadline: r.Deadline}
+	version := u.StreamVersion()
+	if candidates.restarted {
+		version = ""
+	}
+	t := serving.Target{Incarnation: u.Incarnation, Address: u.Address, Version: version, Deadline: r.Deadline}
 	if c.FetchFrom >= 0 {
 		t.FetchFrom = ups[c.FetchFrom].Address
 	}
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Deadline = now.Add(time.Duration(attemptTimeShare * float64(r.Deadline.Sub(now))))
 	}
-	att := &attempt{pool: p, upstream: u.Incarnation, version: u.Version, address: u.Address, limitMark: s.limiter.State().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), gaps: p.gapsOf(r.Service.Name),
+	att := &attempt{pool: p, upstream: u.Incarnation, version: version, address: u.Address, limitMark: s.limiter.State().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), gaps: p.gapsOf(r.Service.Name),
 		prefillRate: p.prefillRateOf(r.Service.Name), sent: now}
 	if p.Versions != nil {
 		perMs, _ := att.prefillRate.tokensPerMs(p.PrefillPerMs)
--- a/serving/decide.go
+++ b/serving/decide.go
@@ -71,6 +71,9 @@
 	case declined:
 		return contract.Refuse(contract.Overloaded, "the upstreams of %s are full", r.Service.Name)
 	}
+	if r.StreamVersion != "" {
+		return contract.Refuse(contract.NoStreamVersion, "no upstream of %s has the version that began the stream", r.Service.Name)
+	}
 	return contract.Refuse(contract.NoUpstream, "no upstream of %s can be reached", r.Service.Name)
 }
 
--- a/serving/path.go
+++ b/serving/path.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/directory"
 )
@@ -28,6 +29,8 @@
 	Incarnation directory.Incarnation
 	// Address is host:port.
 	Address string
+	// Version is the version of the upstream's software, "" if unknown.
+	Version string
 	// FetchFrom is the address of an upstream that probably has more of the prompt cached, or "".
 	FetchFrom string
 	// Deadline is the deadline of this attempt. It is before the request's own deadline if another
@@ -93,6 +96,16 @@
 	TrackAttempt(ctx context.Context, r *Request) (tracked context.Context, began, done func())
 }
 
+// StreamVersions knows which software version of a service began each stream.
+type StreamVersions interface {
+	// Began records the version that began a request's stream. It is called before the first event is sent to
+	// the caller, and does not block. An unknown version is "".
+	Began(r *Request, version string)
+	// Find returns the version that began the stream which a request takes up, or the refusal of the request if
+	// that is not known.
+	Find(ctx context.Context, r *Request) (version string, refusal *contract.Refusal)
+}
+
 // ErrRecalled is the cause of a canceled attempt whose prompt was found to crash upstreams.
 var ErrRecalled = errors.New("the prompt was found to crash upstreams")
 
@@ -103,6 +116,8 @@
 	RetryBudget RetryBudget
 	// PromptGuard may be nil.
 	PromptGuard PromptGuard
+	// Streams may be nil: then streams continue at any version.
+	Streams StreamVersions
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -116,6 +131,9 @@
 	if refused := d.refusePoisoned(ctx, r); refused != nil {
 		return Outcome{Refusal: refused}
 	}
+	if refused := d.bindVersion(ctx, r); refused != nil {
+		return Outcome{Refusal: refused}
+	}
 	settle, refused := d.Budgets.Reserve(ctx, r)
 	if refused != nil {
 		return Outcome{Refusal: refused}
@@ -126,6 +144,16 @@
 	return outcome
 }
 
+// bindVersion sets the version at which a stream that is taken up must go on.
+func (d *Dispatcher) bindVersion(ctx context.Context, r *Request) *contract.Refusal {
+	if d.Streams == nil || !r.TakesUp() {
+		return nil
+	}
+	version, refusal := d.Streams.Find(ctx, r)
+	r.StreamVersion = version
+	return refusal
+}
+
 // run makes attempts until the request is answered or no further attempt is allowed.
 func (d *Dispatcher) run(ctx context.Context, r *Request, out Caller) Outcome {
 	var attempts []Attempt
@@ -143,19 +171,34 @@
 	}
 }
 
-// send makes one attempt, which can be recalled until its answer begins.
+// send makes one attempt, which can be recalled until its answer begins. The version that begins a stream is
+// recorded.
 func (d *Dispatcher) send(ctx context.Context, r *Request, t Target, out Caller) Attempt {
-	if d.PromptGuard == nil || out.Began() {
+	if out.Began() {
+		return d.Upstreams.Send(ctx, r, t, out)
+	}
+	if d.Streams != nil && r.Route.Kind == catalog.Streaming {
+		t.Event = beforeFirst(t.Event, func() { d.Streams.Began(r, t.Version) })
+	}
+	if d.PromptGuard == nil {
 		return d.Upstreams.Send(ctx, r, t, out)
 	}
 	ctx, began, done := d.PromptGuard.TrackAttempt(ctx, r)
 	defer done()
-	event := t.Event
-	t.Event = func(now time.Time) {
-		began()
+	t.Event = beforeFirst(t.Event, began)
+	return d.Upstreams.Send(ctx, r, t, out)
+}
+
+// beforeFirst returns a function that calls event, and do before the first call.
+func beforeFirst(event func(time.Time), do func()) func(time.Time) {
+	first := true
+	return func(now time.Time) {
+		if first {
+			first = false
+			do()
+		}
 		event(now)
 	}
-	return d.Upstreams.Send(ctx, r, t, out)
 }
 
 // refusePoisoned returns the refusal of a prompt that must not be sent now.
@@ -187,7 +230,7 @@
 		}
 	}
 	refusal := refusalFor(r, attempts, d.Now())
-	if refusal.Kind == contract.NoUpstream {
+	if refusal.Kind == contract.NoUpstream || refusal.Kind == contract.NoStreamVersion {
 		if limited := d.Upstreams.Limited(r, attempts); limited != nil {
 			return limited
 		}
--- a/serving/request.go
+++ b/serving/request.go
@@ -39,6 +39,8 @@
 	Arrived time.Time
 	// Deadline is the deadline of the caller or the route, whichever is earlier.
 	Deadline time.Time
+	// CallerDeadline is the time until which the caller waits, over all its attempts.
+	CallerDeadline time.Time
 
 	// Prompt and MaxOutput are in tokens; both are 0 for plain services.
 	Prompt    int64
@@ -49,6 +51,26 @@
 	// Resumes is the id of the attempt that brought the first event of the stream that the caller takes up
 	// again, or "".
 	Resumes string
+	// StreamVersion is the software version that began the stream which the caller takes up, "" if it begins
+	// one. Dispatcher sets it.
+	StreamVersion string
+}
+
+// TakesUp reports whether the caller takes up a stream that an earlier attempt began.
+func (r *Request) TakesUp() bool { return r.Resumes != "" || r.LastEvent != "" }
+
+// BoundVersion returns the software version at which the request must go on, since the caller has events of it;
+// bound is false if it has none. An unknown version is "": no upstream may continue such a stream.
+func (r *Request) BoundVersion(attempts []Attempt) (version string, bound bool) {
+	if r.StreamVersion != "" {
+		return r.StreamVersion, true
+	}
+	for _, a := range attempts {
+		if a.Events > 0 {
+			return a.Version, true
+		}
+	}
+	return "", false
 }
 
 // MaxTokens returns the maximum number of tokens that the request can use. An interrupted run may have
--- /dev/null
+++ b/streamversion/registry_test.go
@@ -0,0 +1,76 @@
+package streamversion_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/streamversion"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func began(attempt, version string) streamversion.Record {
+	return streamversion.Record{Stream: streamversion.Stream{Attempt: attempt, Team: "pilots", Service: "model"}, Version: version, TTL: 10 * time.Second}
+}
+
+func TestRecordIsFoundUntilItExpires(t *testing.T) {
+	var r streamversion.Registry
+	rec := began("a", "v1")
+	r.Add(start, rec)
+	version, age, found := r.Find(start.Add(9*time.Second), rec.Stream)
+	require.True(t, found)
+	require.Equal(t, "v1", version)
+	require.Equal(t, 9*time.Second, age)
+	_, _, found = r.Find(start.Add(10*time.Second), rec.Stream)
+	require.False(t, found)
+}
+
+// Guards against a team that learns which version began another team's stream, and against a stream of another
+// service with the same id.
+func TestRecordOfAnotherTeamOrServiceIsNotFound(t *testing.T) {
+	var r streamversion.Registry
+	rec := began("a", "v1")
+	r.Add(start, rec)
+	for _, s := range []streamversion.Stream{{Attempt: "a", Team: "skippers", Service: "model"}, {Attempt: "a", Team: "pilots", Service: "other"}} {
+		_, _, found := r.Find(start, s)
+		require.False(t, found)
+	}
+}
+
+// Guards against a guess when an attempt's id was used for streams of two versions.
+func TestContradictingRecordsAreNotUsed(t *testing.T) {
+	var r streamversion.Registry
+	rec := began("a", "v1")
+	r.Add(start, rec)
+	r.Add(start, began("a", "v2"))
+	r.Add(start, rec)
+	_, _, found := r.Find(start, rec.Stream)
+	require.False(t, found)
+}
+
+// Guards against records without a bound: of their number, of the time for which they are kept, and of their ids.
+func TestRecordsAreBounded(t *testing.T) {
+	var r streamversion.Registry
+	for n := range streamversion.MaxRecords + 10 {
+		r.Add(start, began(fmt.Sprint(n), "v1"))
+	}
+	require.Equal(t, streamversion.MaxRecords, r.Len())
+	_, _, found := r.Find(start, began(fmt.Sprint(streamversion.MaxRecords+9), "v1").Stream)
+	require.True(t, found, "the newest one is kept")
+
+	r = streamversion.Registry{}
+	long := began("long", "v1")
+	long.TTL = time.Hour
+	r.Add(start, long)
+	_, _, found = r.Find(start.Add(streamversion.MaxTTL), long.Stream)
+	require.False(t, found)
+	r.Add(start, began(strings.Repeat("x", streamversion.MaxAttemptLen+1), "v1"))
+	r.Add(start, began("", "v1"))
+	r.Add(start, began("no-version", ""))
+	require.Equal(t, 1, r.Len())
+	r.Add(start.Add(time.Hour), began("later", "v1"))
+	require.Equal(t, 1, r.Len(), "the expired one makes room")
+}
