Logs: upstreams that say they leave, or want to rest

What is new is logged as upstream_says with the request's id, counted, and shown in the dump. Nothing is decided by it yet.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,6 +128,7 @@
 		Withdraw:            g.lenders.withdraw,
 		ReportRemotePrefill: g.lenders.reportRemotePrefill,
 		OnStallProne:        g.logStallProne,
+		OnStatement:         g.logStatement,
 		Limits:              limits{g},
 		Region:              func(datacentre string) string { return s.Regions[datacentre] },
 		Cold:                warmup.Tolerance{Overshoot: s.Cold.Overshoot, Slack: s.Cold.Slack},
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -55,6 +55,15 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_responses_with_unread_headers_total").Inc()
 }
 
+// upstreamStated counts what is new in upstreams' answers about them.
+func (m *gatewayMetrics) upstreamStated(s serving.Statement) {
+	for word, said := range map[string]bool{"leaving": s.Leaving, "rest": s.Rest > 0, "invalid": s.Invalid != nil} {
+		if said {
+			m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_upstream_statements_total{word=%q}", word)).Inc()
+		}
+	}
+}
+
 // streamTakenUp counts a stream that its caller takes up, by where the version that began it was found.
 func (m *gatewayMetrics) streamTakenUp(service string, s versionSource) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_taken_up_streams_total{service=%q,version_from=%q}", service, s)).Inc()
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -76,6 +76,16 @@
 		Msg("engine_left_to_short_prompts")
 }
 
+// logStatement logs and counts what an upstream's answer says about it.
+func (g *Gateway) logStatement(incarnation directory.Incarnation, request string, s serving.Statement) {
+	g.metrics.upstreamStated(s)
+	line := g.Log.Info()
+	if s.Invalid != nil {
+		line = g.Log.Warn().Err(s.Invalid)
+	}
+	line.Stringer("upstream", incarnation).Str("id", request).Bool("leaving", s.Leaving).Int64("rest_ms", s.Rest.Milliseconds()).Msg("upstream_says")
+}
+
 // recordRetryDecision logs and counts whether a retry of a request was allowed, with the figures
 // that the decision is based on: the balance from requests at this router, the used part of this
 // router's share of the extra retries, the number of routers that share them, and since when.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -191,7 +191,7 @@
 		return x.newAttempt(serving.Unknown, "response to request %q", info.ID)
 	}
 	if !info.Misdirected {
-		x.target.Limit(info.Limit, info.LimitError)
+		x.target.Observe(info.Statement)
 	}
 	switch {
 	case info.Misdirected:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -64,6 +64,9 @@
 	OnStallProne func(incarnation directory.Incarnation, stallProne bool, gapShare, slowness float64)
 	// Limits divides and reports the limits that upstreams state.
 	Limits Limits
+	// OnStatement, if set, is called with an upstream's statement that it leaves or wants to rest, unless it is
+	// known, or that cannot be parsed, and the id of the answered request. It must not block.
+	OnStatement func(incarnation directory.Incarnation, request string, s serving.Statement)
 	// Region returns the region of a data centre, "" if unknown.
 	Region func(datacentre string) string
 	// Versions restricts requests to versions of their service; it may be nil.
@@ -111,6 +114,12 @@
 	limiter ratelimit.Limiter
 	// limitError is the parse error of the last stated limit, or "".
 	limitError string
+	// saysLeaving is set if an answer said that it leaves, restUntil is the end of the time for which it wants
+	// nothing from this router.
+	saysLeaving bool
+	restUntil   time.Time
+	// invalid is the error of the last of these statements that could not be parsed, or "".
+	invalid string
 	// denial is its lender's latest denial for that limit.
 	denial denial
 }
@@ -253,13 +262,13 @@
 	if r.Route.Idempotent() && r.Route.MaxRuns > 1 && r.Prompt <= 0 {
 		t.Deadline = now.Add(time.Duration(attemptTimeShare * float64(r.Deadline.Sub(now))))
 	}
-	att := &attempt{pool: p, upstream: u.Incarnation, version: version, address: u.Address, limitMark: s.limiter.State().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), gaps: p.gapsOf(r.Service.Name),
+	att := &attempt{pool: p, request: r.ID, upstream: u.Incarnation, version: version, address: u.Address, limitMark: s.limiter.State().Mark, choice: c, goal: r.Route.GapGoal, slowness: max(1, s.slowness), gaps: p.gapsOf(r.Service.Name),
 		prefillRate: p.prefillRateOf(r.Service.Name), sent: now}
 	if p.Versions != nil {
 		perMs, _ := att.prefillRate.tokensPerMs(p.PrefillPerMs)
 		att.versionDone = p.Versions.Begin(r, u, time.Duration(float64(c.PrefillTokens)/perMs*float64(time.Millisecond)))
 	}
-	t.Event, t.Limit, t.Done = att.event, att.limit, att.done
+	t.Event, t.Observe, t.Done = att.event, att.observe, att.done
 	return t, true
 }
 
@@ -358,6 +367,9 @@
 	StallProne     bool    `json:"left_to_short_prompts"`
 	// Limit is the requests per second that it accepts from all routers together, 0 if it states none.
 	Limit float64 `json:"limit_per_second,omitempty"`
+	// SaysLeaving is set if an answer said that it leaves; RestMS is how much longer it wants nothing from this router.
+	SaysLeaving bool  `json:"says_leaving,omitempty"`
+	RestMS      int64 `json:"rest_ms,omitempty"`
 }
 
 // States returns the state of all known upstreams.
@@ -369,7 +381,8 @@
 	for incarnation, s := range p.states {
 		out = append(out, State{Upstream: incarnation.String(), Running: s.running, PendingPrefill: s.pendingPrefill,
 			Cached: s.cache.Tokens(), Fails: s.fails, FailureShare: s.failureShare(now),
-			Slowness: s.slowness, StallProne: s.stallProne, Limit: s.limiter.State().PerSecond})
+			Slowness: s.slowness, StallProne: s.stallProne, Limit: s.limiter.State().PerSecond,
+			SaysLeaving: s.saysLeaving, RestMS: s.rests(now).Milliseconds()})
 	}
 	return out
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -11,7 +11,9 @@
 
 // attempt tracks one attempt from the choice of its upstream to its end. It is not safe for concurrent use.
 type attempt struct {
-	pool     *Pool
+	pool *Pool
+	// request is the id of the request.
+	request  string
 	upstream directory.Incarnation
 	// version is the version of the upstream's software.
 	version string
@@ -36,8 +38,11 @@
 	intervals  eventIntervals
 }
 
-// limit implements serving.Target's Limit.
-func (att *attempt) limit(perSecond float64, err error) { att.pool.observeLimit(att, perSecond, err) }
+// observe implements serving.Target's Observe.
+func (att *attempt) observe(s serving.Statement) {
+	att.pool.observeLimit(att, s.Limit, s.LimitError)
+	att.pool.recordStatement(att, s)
+}
 
 // event implements serving.Target's Event.
 func (att *attempt) event(now time.Time) {
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -84,6 +84,20 @@
 	Began bool
 }
 
+// Statement is what an upstream's answer says about the upstream.
+type Statement struct {
+	// Limit is the requests per second that it accepts from all routers together; 0 if the answer names no
+	// limit. LimitError is set if the limit is invalid.
+	Limit      float64
+	LimitError error
+	// Leaving is set if the upstream leaves and wants no new work.
+	Leaving bool
+	// Rest is the time for which it wants nothing from this router; 0 if it does not say.
+	Rest time.Duration
+	// Invalid is set if Leaving or Rest cannot be parsed.
+	Invalid error
+}
+
 // Break describes a connection that broke while the upstream had a request.
 type Break struct {
 	// Address is the address of the upstream.
--- a/serving/path.go
+++ b/serving/path.go
@@ -38,10 +38,8 @@
 	Deadline time.Time
 	// Event is called as each event of the answer arrives, or once with the complete answer.
 	Event func(now time.Time)
-	// Limit is called as soon as an answer of the upstream has begun, with the upstream's limit in
-	// requests per second for all routers together, 0 if the answer names no limit, or the error
-	// of parsing it.
-	Limit func(perSecond float64, err error)
+	// Observe is called as soon as an answer of the upstream has begun, with what it says about the upstream.
+	Observe func(s Statement)
 	// Done is called once with the attempt, and returns it with the chooser's data: its estimates
 	// and the gaps of the stream.
 	Done func(Attempt) Attempt
