--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -69,6 +69,8 @@
 	version   int
 	// template is the template of the configuration; configTemplate if empty.
 	template string
+	// upstreams holds the stand-ins that upstreamIn started, by id.
+	upstreams map[string]*standin.Upstream
 	// floodRequests is the number of requests sent by flood.
 	floodRequests int
 	// disconnected holds the VMs that cannot reach the store; the value is true for those that
@@ -183,7 +185,8 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: standin.NewStore(), log: &syncBuffer{}, gateways: map[int]*gatewayProcess{}}
+	f := &fleet{t: t, store: standin.NewStore(), log: &syncBuffer{}, gateways: map[int]*gatewayProcess{},
+		upstreams: map[string]*standin.Upstream{}}
 	f.serve(storeAddress, f.store.Handler())
 	return f
 }
@@ -225,6 +228,7 @@
 func (f *fleet) upstreamIn(datacentre, id, service string, events int) *standin.Upstream {
 	u := &standin.Upstream{ID: id, Events: events, Pause: 10 * time.Millisecond}
 	f.serve(upstreamAddress(id), u)
+	f.upstreams[id] = u
 	require.NoError(f.t, f.store.Register(id, service, upstreamAddress(id), datacentre, "ready", 6))
 	return u
 }
