Upstreams that say they leave get no new requests

Cause: hypothesis 1, nobody read the word: leaving was known from entries in the store alone.

Change: an answer's word is kept in the directory for the incarnation, from the head of the answer on, through entries that are written again, lapse and return, configurations and reloads. Lenders tell it with their replies to announcements, without a message more.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -97,6 +97,8 @@
 	lapseDetector lapse.Detector
 	read          bool
 	history       versionHistory
+	// leaving holds the incarnations that said that they leave, with the time at which they were last listed.
+	leaving map[Incarnation]time.Time
 }
 
 type entry struct {
@@ -131,7 +133,7 @@
 	d.outage, d.read = false, true
 	old := d.entries
 	for _, e := range old {
-		d.history.record(now, e.Upstream)
+		d.recordListedLocked(now, e.Upstream)
 	}
 	d.entries = map[string]*entry{}
 	listed := map[string]bool{}
@@ -160,7 +162,7 @@
 		return // outdated event
 	}
 	if have != nil {
-		d.history.record(now, have.Upstream)
+		d.recordListedLocked(now, have.Upstream)
 	}
 	switch {
 	case !ev.Deleted:
--- a/directory/index.go
+++ b/directory/index.go
@@ -12,13 +12,13 @@
 		switch {
 		case missing && !now.Before(e.missingUntil):
 			delete(d.entries, key)
-			d.history.record(now, e.Upstream)
+			d.recordListedLocked(now, e.Upstream)
 			d.Report.UpstreamGone(e.Upstream, "entry did not return after the store could not be reached")
 			continue
 		case missing && !lapsed:
 			continue
 		}
-		if e.Leaving || e.rejected || e.supersededBy != (Incarnation{}) || d.drained[e.Datacentre] || startTimesExpected && e.StartUnixMS == 0 {
+		if d.leavesLocked(e.Upstream) || e.rejected || e.supersededBy != (Incarnation{}) || d.drained[e.Datacentre] || startTimesExpected && e.StartUnixMS == 0 {
 			continue
 		}
 		e.Returned = d.undrainedAt[e.Datacentre]
--- a/directory/missing.go
+++ b/directory/missing.go
@@ -26,7 +26,7 @@
 	switch {
 	case now.Before(e.missingUntil):
 		d.entries[key] = e
-	case e.missingUntil.IsZero() && d.lapseDetector.InGrace(now) && !e.Leaving:
+	case e.missingUntil.IsZero() && d.lapseDetector.InGrace(now) && !d.leavesLocked(e.Upstream):
 		e.missingUntil = d.lapseDetector.GraceEnd()
 		d.entries[key] = e
 		d.lapseDetector.RecordMissing(e.survived)
--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -32,6 +32,8 @@
 	// startedAt is the upstream's start time by its last answer; answered is set if there was one.
 	startedAt int64
 	answered  bool
+	// leaving is set if the upstream said in its last answer that it leaves.
+	leaving bool
 }
 
 // observation is the result of one poll of the upstream.
@@ -60,6 +62,7 @@
 	out := observation{report: r, eligible: eligible, changed: eligible != m.eligible, reason: reason}
 	m.eligible = eligible
 	if err == nil {
+		m.leaving = r.SaysLeaving
 		out.restarted = m.answered && r.StartUnixMS != m.startedAt
 		m.answered, m.startedAt = true, r.StartUnixMS
 	}
@@ -106,6 +109,7 @@
 		l.Log.Info().Bool("home", o.eligible).Str("why", o.reason).Int64("born", l.upstream.startedAt).Bool("restarted", o.restarted).
 			Msg("upstream_beside")
 	}
+	l.engine.SetLeaving(l.upstream.leaving)
 	l.Members.SetWithdrawn(!o.eligible || l.stopping.Load())
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -162,6 +162,9 @@
 	if !answered {
 		return c.pool.requiresAdmission(c.r, u) || c.pool.exceedsUnreachedLimit(c.r, u)
 	}
+	if reply.Leaving {
+		return true // only for now: the lender may not know yet that another incarnation has started
+	}
 	c.pool.adoptLimit(u.Incarnation, reply.Limit)
 	if reply.Denied && reply.RetryAfter > 0 {
 		c.pool.recordDenial(u.Incarnation, c.r.Rank, reply.RetryAfter)
--- a/pool/statement.go
+++ b/pool/statement.go
@@ -25,6 +25,9 @@
 		s.restUntil = until
 	}
 	p.mu.Unlock()
+	if said.Leaving {
+		p.Directory.SaysLeaving(att.upstream)
+	}
 	if isNew && p.OnStatement != nil {
 		p.OnStatement(att.upstream, att.request, said)
 	}
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -43,6 +43,8 @@
 	// Denied is set if the prompt must not be sent: the last second's prompts have reached the
 	// bound for a cold engine, or the limit that the engine states.
 	Denied bool `json:"denied,omitempty"`
+	// Leaving is set if the engine leaves, which routers may not know from the store yet. Nothing is recorded then.
+	Leaving bool `json:"leaving,omitempty"`
 	// Limit is the engine's limit of requests per second. RetryAfter is the time until another prompt may
 	// be sent, if the prompt was denied for the limit.
 	Limit      ratelimit.State `json:"limit,omitzero"`
@@ -62,6 +64,7 @@
 	cache         Cache
 	cacheCapacity int64
 	startUnixMS   int64
+	leaving       bool
 	// remoteParts are the parts that other engines have cached.
 	remoteParts remoteParts
 	// recentPrompts counts the prompts of the last second, complete since countingSince.
@@ -98,6 +101,13 @@
 	e.cache.Add(cached, e.cacheCapacity)
 }
 
+// SetLeaving records whether the engine leaves.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
 // MarkUnused records that the engine has no cached parts and no requests, so it has had no prompt since
 // its start, and none before this process started can count towards the bound for a cold engine.
 // After a loss of all power every engine is cold and every lender new; without this, all prompts
@@ -112,7 +122,11 @@
 func (e *Engine) Announce(now time.Time, a Announcement) AnnounceReply {
 	e.mu.Lock()
 	e.limiter.ObserveReported(now, a.Limit)
-	reply := AnnounceReply{StartUnixMS: e.startUnixMS, Limit: e.limiter.State()}
+	reply := AnnounceReply{StartUnixMS: e.startUnixMS, Limit: e.limiter.State(), Leaving: e.leaving}
+	if reply.Leaving {
+		defer e.mu.Unlock()
+		return reply
+	}
 	if reply.Denied, reply.RetryAfter = e.denyLocked(now, a); reply.Denied {
 		defer e.mu.Unlock()
 		return reply
