--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -185,8 +185,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: standin.NewStore(), log: &syncBuffer{}, gateways: map[int]*gatewayProcess{},
-		upstreams: map[string]*standin.Upstream{}}
+	f := &fleet{t: t, store: standin.NewStore(), log: &syncBuffer{}, gateways: map[int]*gatewayProcess{}}
 	f.serve(storeAddress, f.store.Handler())
 	return f
 }
@@ -228,6 +227,9 @@
 func (f *fleet) upstreamIn(datacentre, id, service string, events int) *standin.Upstream {
 	u := &standin.Upstream{ID: id, Events: events, Pause: 10 * time.Millisecond}
 	f.serve(upstreamAddress(id), u)
+	if f.upstreams == nil {
+		f.upstreams = map[string]*standin.Upstream{}
+	}
 	f.upstreams[id] = u
 	require.NoError(f.t, f.store.Register(id, service, upstreamAddress(id), datacentre, "ready", 6))
 	return u
