Soak: engines of two versions, callers that take their streams up again, and a check over all routers

Callers of streams that may be resumed take them up through any router, and the check joins what they hold over all their attempts: each event once, all of one version. The events of the soak's engines name their version.

--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -57,7 +57,7 @@
 		u := &standin.Upstream{ID: id, Pause: 10*time.Millisecond + slowdown}
 		u.SetMode(mode)
 		r.serve(upstreamAddress(id), u)
-		require.NoError(r.t, r.store.RegisterVersion(id, "plain", upstreamAddress(id), "bergen", "v2", 6, 0))
+		require.NoError(r.t, r.store.RegisterVersion(id, "plain", upstreamAddress(id), "bergen", "ready", "v2", 6, 0))
 		r.new = append(r.new, u)
 	}
 	r.ordered = time.Now()
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -32,7 +32,7 @@
 }
 
 func (e *versionedEngine) register() {
-	require.NoError(e.f.t, e.f.store.RegisterVersion(e.ID, "model", upstreamAddress(e.ID), "bergen", e.Version, 64, e.StartUnixMS))
+	require.NoError(e.f.t, e.f.store.RegisterVersion(e.ID, "model", upstreamAddress(e.ID), "bergen", "ready", e.Version, 64, e.StartUnixMS))
 }
 
 func (e *versionedEngine) listen() {
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -27,6 +27,8 @@
 type outcome struct {
 	id, route, team, router string
 	startedAt               time.Time
+	// taken is the stream that the request takes up, nil if it begins one or is for another service.
+	taken *takenStream
 	// status is 0 if no response began.
 	status int
 	events int64
@@ -90,18 +92,26 @@
 	first := rng.IntN(len(routers))
 	o := g.send(client, routers[first], route, team, id)
 	if o.status == http.StatusTooManyRequests || o.status == http.StatusServiceUnavailable {
-		g.send(client, routers[(first+1)%len(routers)], route, team, id+"-again")
+		o = g.send(client, routers[(first+1)%len(routers)], route, team, id+"-again")
 	}
+	g.takeUp(client, rng, o)
 }
 
 // send sends one request and records its outcome.
 func (g *loadGenerator) send(client *http.Client, router *process, route, team, id string) outcome {
-	o := outcome{id: id, route: route, team: team, router: router.name, startedAt: time.Now()}
+	return g.sendAttempt(client, router, outcome{id: id, route: route, team: team})
+}
+
+// sendAttempt sends the request of an outcome and records it.
+func (g *loadGenerator) sendAttempt(client *http.Client, router *process, o outcome) outcome {
+	o.router, o.startedAt = router.name, time.Now()
+	route, team, id := o.route, o.team, o.id
 	g.fleet.record(&g.fleet.sent, requestRecord{service: serviceOf(route), id: id, at: o.startedAt})
 	ctx, cancel := context.WithTimeout(context.Background(), callerDeadline+time.Second)
 	defer cancel()
 	req, err := newRequest(ctx, router, route, team, id)
 	if err == nil {
+		o.taken.setHeaders(req.Header)
 		o.readResponse(client.Do(req))
 	} else {
 		o.err = err
@@ -147,9 +157,5 @@
 	if serviceOf(o.route) == "plain" {
 		return standin.PlainAnswer(o.id)
 	}
-	var b strings.Builder
-	for n := 1; n <= events; n++ {
-		b.WriteString(standin.Event(n))
-	}
-	return b.String()
+	return expectedEvents(o)
 }
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -99,7 +99,8 @@
 }
 
 func (tf *testFleet) startUpstream(service, id string, events int, pause time.Duration) *upstream {
-	u := &upstream{Upstream: &standin.Upstream{ID: id, Events: events, Pause: pause}, service: service}
+	version := versions[len(tf.upstreams)%len(versions)]
+	u := &upstream{Upstream: &standin.Upstream{ID: id, Version: version, Events: events, Pause: pause}, service: service}
 	address := tf.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if id := r.Header.Get(standin.HeaderID); id != "" {
 			tf.record(&tf.received, requestRecord{service: service, id: id, at: time.Now(), upstream: u.ID})
@@ -113,7 +114,7 @@
 }
 
 func (tf *testFleet) register(u *upstream, state string) {
-	require.NoError(tf.t, tf.store.Register(u.ID, u.service, u.proxy.address, "bergen", state, slots))
+	require.NoError(tf.t, tf.store.RegisterVersion(u.ID, u.service, u.proxy.address, "bergen", state, u.Version, slots, 0))
 }
 
 func (tf *testFleet) newProxy(target string) *proxy {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -147,6 +147,7 @@
 		}
 	}
 	tf.t.Logf("%d requests by status: %v, %d without a complete response", len(g.outcomes), byStatus, incomplete)
+	tf.checkStreams(g)
 	tf.checkSpend(g)
 	tf.checkLimits()
 	for _, service := range []string{"model", "plain"} {
