--- a/coord/rendezvous/rendezvous.go
+++ b/coord/rendezvous/rendezvous.go
@@ -32,6 +32,9 @@
 	top := make([]weighted, 0, n+1)
 	for _, node := range nodes {
 		w := weighted{node, weight(key, node)}
+		if len(top) == n && (n == 0 || w.weight < top[n-1].weight) {
+			continue
+		}
 		at, _ := slices.BinarySearchFunc(top, w, func(a, b weighted) int {
 			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
 		})
@@ -65,7 +68,8 @@
 }
 
 func weight(key, node string) uint64 {
-	d := xxhash.New()
+	var d xxhash.Digest
+	d.Reset()
 	_, _ = d.WriteString(key)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.WriteString(node)
--- a/coord/rendezvous/rendezvous_test.go
+++ b/coord/rendezvous/rendezvous_test.go
@@ -1,6 +1,7 @@
 package rendezvous_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
@@ -18,3 +19,14 @@
 		require.Equal(t, ranked[:min(n, len(ranked))], rendezvous.Top(key, nodes, n))
 	})
 }
+
+// BenchmarkTop chooses two of 1,300 nodes, as a router does for each stream that begins.
+func BenchmarkTop(b *testing.B) {
+	nodes := make([]string, 1300)
+	for n := range nodes {
+		nodes[n] = fmt.Sprint("side-bergen-hall-", n)
+	}
+	for n := range b.N {
+		rendezvous.Top(fmt.Sprint("attempt-", n), nodes, 2)
+	}
+}
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -354,6 +354,7 @@
 // began, and against that version being forgotten too early.
 func TestStreamThatBeganBeforeItsVersionWasReplaced(t *testing.T) {
 	withVersions(t, 2, []string{"v1"}, func(f *fleet, engines []*versionedEngine) {
+		time.Sleep(30 * time.Second)
 		c := &streamCaller{f: f, name: "s", key: "k1"}
 		c.attempt(1, 10)
 		for _, e := range engines {
@@ -372,6 +373,20 @@
 	})
 }
 
+// Guards against a router that goes by its own list of upstreams while another one may already have used a version that is
+// missing there.
+func TestStreamAtARouterWhoseViewLags(t *testing.T) {
+	withVersions(t, 2, []string{"v1"}, func(f *fleet, _ []*versionedEngine) {
+		time.Sleep(30 * time.Second)
+		c := &streamCaller{f: f, name: "s", key: "k1"}
+		c.attempt(1, 10)
+		f.store.SetWatchesStalled(true)
+		f.startVersioned("i-5", "v2", streamEvents)
+		c.first = ""
+		require.Equal(t, http.StatusServiceUnavailable, c.takeUp(2, all).status)
+	})
+}
+
 // Guards against a refusal of streams that are not taken up while two versions serve.
 func TestNewStreamsBeginAtAnyVersion(t *testing.T) {
 	withVersions(t, 1, []string{"v1", "v2"}, func(f *fleet, engines []*versionedEngine) {
--- a/streamversion/registry_test.go
+++ b/streamversion/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -74,3 +75,25 @@
 	r.Add(start.Add(time.Hour), began("later", "v1"))
 	require.Equal(t, 1, r.Len(), "the expired one makes room")
 }
+
+// Guards against a full registry that takes more than a few megabytes, a part of what a process may use.
+func TestSizeOfAFullRegistry(t *testing.T) {
+	const maxBytes = 4 << 20
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	r := &streamversion.Registry{}
+	for n := range streamversion.MaxRecords {
+		rec := began(fmt.Sprintf("%032x", n), "v1.1")
+		rec.Team, rec.Service = fmt.Sprint("team-", n), "tide-assist"
+		r.Add(start, rec)
+	}
+	size := heap() - before
+	require.Equal(t, streamversion.MaxRecords, r.Len())
+	t.Logf("%d records: %d bytes, %d each", streamversion.MaxRecords, size, size/streamversion.MaxRecords)
+	require.Less(t, size, uint64(maxBytes))
+}
