--- a/directory/versions.go
+++ b/directory/versions.go
@@ -8,8 +8,8 @@
 
 // versionHistory records which versions of each service were listed when.
 type versionHistory struct {
-	// lastListed holds, by service and version, when an entry was last known to be listed. Present entries are
-	// not in it.
+	// lastListed holds, by service and version, when an entry was last known to be listed. It may lack present
+	// entries, and versions that were listed before the window of a question.
 	lastListed map[string]map[string]time.Time
 	// since is the time since which no change was missed.
 	since time.Time
@@ -54,7 +54,9 @@
 	for v, last := range d.history.lastListed[service] {
 		if now.Sub(last) < window {
 			versions[v] = true
+			continue
 		}
+		delete(d.history.lastListed[service], v)
 	}
 	for _, e := range d.entries {
 		if e.Service == service {
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -88,11 +88,11 @@
 
 // Began implements serving.StreamVersions.
 func (s *streamVersions) Began(r *serving.Request, version string) {
-	now := time.Now()
-	rec := streamversion.Record{Stream: streamOf(r, r.ID), Version: version, TTL: r.CallerDeadline.Sub(now) + recordMargin}
 	if !r.Route.Resumable {
-		return
+		return // nobody takes it up
 	}
+	now := time.Now()
+	rec := streamversion.Record{Stream: streamOf(r, r.ID), Version: version, TTL: r.CallerDeadline.Sub(now) + recordMargin}
 	if version == "" || !rec.Valid() {
 		s.g.metrics.streamNotRecorded("not_identified")
 		return
