Link: a server that stops always closes its listener

Five of six routers ran, and 484 requests waited to connect to the sixth, whose other listeners were open. A restarted router opens its link address last; that fails while the one before it still has it open.

Cause: Serve returns when a connection was accepted as the context ended, and then cancels the function that would have closed the listener. In the product the process ends right after, so no caller is concerned.

--- a/link/link.go
+++ b/link/link.go
@@ -114,13 +114,15 @@
 	Methods map[string]Handler
 }
 
-// Serve accepts connections until the context ends or the listener is closed.
+// Serve accepts connections until the context ends or the listener is closed. It closes the listener.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) {
 	if s.Security.Server != nil {
 		ln = tls.NewListener(ln, s.Security.Server)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
+	// If a connection is accepted as the context ends, Serve returns before AfterFunc has closed the listener.
+	defer func() { _ = ln.Close() }()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	pause := backoff.New(minAcceptPause, maxAcceptPause)
