--- a/gateway/soleversions.go
+++ b/gateway/soleversions.go
@@ -24,8 +24,8 @@
 // soleVersions finds out whether all streams of a service that can still be taken up began at the same version,
 // which holds for a stream without a record. This router's own view may lag behind that of another one, which may
 // have sent events of a version that is new. So the entries are read from the store, after the stream was to be
-// taken up. The view must have been followed without a gap before; that it no longer is shows within the time for
-// which the entry of an upstream that has ended remains.
+// taken up. The view must have been followed without a gap before. A gap that has just begun hides no version: the
+// entry of an upstream that has ended remains for longer than the gap takes to be detected.
 type soleVersions struct {
 	g *Gateway
 	// reading is held during a read of the entries.
