Logs show from where, and how late, a configuration arrived

A late configuration could not be traced: the line said neither which relay it came from, how old that relay's copy was, how long the relay had had the change, nor how long the answer took on its way. Relays now send how long they have had the newest change, followers keep it with the age and the delay of the last answer, and the line configuration has all four. Request lines past their timeout show how far processor and link are behind.

No change of logic.

--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -165,6 +165,7 @@
 	hubConns   [][]*connection // by follower and hub
 	storeConns []*connection   // to the store: of the hubs, then of the followers
 	copies     []*copyReader
+	followers  []*Follower
 	wg         *sync.WaitGroup
 }
 
@@ -196,6 +197,7 @@
 			Sources: func() []Source {
 				return append(sources[n%relays:relays:relays], append(sources[:n%relays:n%relays], sources[relays])...)
 			}}
+		tc.followers = append(tc.followers, f)
 		tc.wg.Go(func() { f.Run(ctx) })
 	}
 	return tc
--- a/coord/relay/feed.go
+++ b/coord/relay/feed.go
@@ -34,6 +34,8 @@
 	at store.Revision
 	// lastContact is when the store last answered, or when the feed started.
 	lastContact time.Time
+	// lastChange is when the newest change, or the last read, became visible to followers.
+	lastChange time.Time
 	// lost is set while the store is not followed; outage, if it was not followed before the
 	// last read.
 	lost, outage bool
@@ -70,8 +72,12 @@
 		f.items, f.snapshot = f.snapshot, nil
 		f.changes, f.from, f.at = nil, at, at
 		f.outage, f.lost = f.lost, false
+		f.lastChange = f.lastContact
 		return
 	}
+	if len(f.pending) > 0 {
+		f.lastChange = f.lastContact
+	}
 	for _, c := range f.pending {
 		f.applyLocked(c)
 	}
@@ -135,7 +141,7 @@
 		u.Lost = p.Lost // the first read is in progress
 		return u, false
 	}
-	u.At = f.at
+	u.At, u.Held = f.at, f.now().Sub(f.lastChange)
 	if p.After == 0 || p.After < f.from {
 		u.Whole, u.AfterOutage, u.Changes = true, f.outage, f.allLocked()
 		return u, true
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -85,6 +85,10 @@
 	// LastReply is when a source last answered, and Age how old (ns) its data was then.
 	LastReply time.Time     `json:"heard"`
 	Age       time.Duration `json:"age_ns"`
+	// Held is how long (ns) the source had had the changes of its last answer, and Delay how much longer
+	// (ns) than the requested wait that answer took.
+	Held  time.Duration `json:"held_ns"`
+	Delay time.Duration `json:"delay_ns"`
 }
 
 // State returns the follower's current state.
@@ -94,15 +98,24 @@
 	return f.state
 }
 
-// recordState updates what State returns.
-func (f *Follower) recordState(age time.Duration) {
+// recordReply updates what State returns before a reply is applied, so that readers can log where their
+// changes come from.
+func (f *Follower) recordReply(source string, r Reply, delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Source, f.state.LastReply = source, f.Now()
+	f.state.Age, f.state.Held, f.state.Delay = r.age(), r.held(), max(0, delay)
+}
+
+// recordRevisions updates what State returns after a reply was applied.
+func (f *Follower) recordRevisions() {
 	revisions := map[string]store.Revision{}
 	for prefix, c := range f.progress {
 		revisions[prefix] = c.at
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state = FollowerState{Source: f.current, Revisions: revisions, LastReply: f.Now(), Age: age}
+	f.state.Revisions = revisions
 }
 
 // progress is the position of one reader.
@@ -189,16 +202,18 @@
 		wait = 0
 	}
 	pollCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	sent := f.Now()
 	reply, err := s.Follow(pollCtx, Request{Store: f.Store, Positions: f.positions(knownLost), Wait: wait})
 	cancel()
 	if err == nil {
+		f.recordReply(s.Name, reply, f.Now().Sub(sent)-wait)
 		err = f.applyReply(reply)
 	}
 	switch {
 	case ctx.Err() != nil:
 	case err == nil:
 		f.markAnswered(s.Name)
-		f.recordState(reply.age())
+		f.recordRevisions()
 	case errors.Is(err, ErrStoreLost):
 		f.leaveReason = err
 		cd := f.coolDown(s.Name, lostCooldown)
--- a/coord/relay/relay.go
+++ b/coord/relay/relay.go
@@ -78,6 +78,17 @@
 	return oldest
 }
 
+// held returns how long the relay has had the newest change of the reply, 0 without changes.
+func (r Reply) held() time.Duration {
+	var longest time.Duration
+	for _, u := range r.Updates {
+		if len(u.Changes) > 0 {
+			longest = max(longest, u.Held)
+		}
+	}
+	return longest
+}
+
 // Update holds the changes after one position.
 type Update struct {
 	Prefix string `json:"prefix"`
@@ -90,7 +101,9 @@
 	// Lost is set if the relay does not follow the store now; there are no changes then.
 	Lost bool `json:"lost,omitempty"`
 	// Age is the time (ns) since the store last answered the relay.
-	Age     time.Duration `json:"age"`
+	Age time.Duration `json:"age"`
+	// Held is how long (ns) the relay has had the newest of the changes.
+	Held    time.Duration `json:"held,omitempty"`
 	Changes []Change      `json:"changes,omitempty"`
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -228,15 +228,19 @@
 // logOutcome writes the request's log line: its outcome and the reasons for it.
 func (h *requestHandler) logOutcome(outcome serving.Outcome, status int, timeToFirstChunk time.Duration) {
 	g, r := h.gateway, h.request
-	duration := time.Since(r.Arrived)
+	duration, left := time.Since(r.Arrived), time.Until(r.Deadline)
 	g.metrics.requestEnded(r, outcome, duration)
 	line := g.Log.Info().Str("id", r.ID).Str("team", r.Team).Str("route", r.Route.Name).
 		Str("service", r.Service.Name).Int64("version", r.Version).Int("status", status).
-		Int64("first_ms", timeToFirstChunk.Milliseconds()).Int64("took_ms", duration.Milliseconds()).Int64("left_ms", time.Until(r.Deadline).Milliseconds()).
+		Int64("first_ms", timeToFirstChunk.Milliseconds()).Int64("took_ms", duration.Milliseconds()).Int64("left_ms", left.Milliseconds()).
 		Int64("reserved", r.MaxTokens()).Int64("used", outcome.Used).Bool("cut", outcome.Truncated)
 	if r.Resumes != "" || r.LastEvent != "" {
 		line = line.Str("resumes", abbreviate(r.Resumes)).Str("after_event", abbreviate(r.LastEvent))
 	}
+	if left < 0 {
+		line = line.Int64("processor_lag_ms", g.lag.Delay(time.Now()).Milliseconds()).
+			Int64("link_lag_ms", g.meter.outbound.Delay(time.Now()).Milliseconds())
+	}
 	line = line.Str("attempts", formatAttempts(outcome.Attempts))
 	if outcome.Refusal != nil {
 		line = line.Str("kind", string(outcome.Refusal.Kind)).Str("refusal", outcome.Refusal.Message).Str("asked", outcome.Refusal.Detail)
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -186,6 +186,8 @@
 		o.g.Log.Error().Err(problem).Int64("version", config.Version).Msg("region_unknown")
 	}
 	activated := o.g.catalog.UpdateIfNewer(catalog.NewTable(config))
+	from := o.g.Follower.State()
 	o.g.Log.Info().Int64("version", config.Version).Int64("revision", int64(it.Revision)).Bool("taken", activated).
-		Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Msg("configuration")
+		Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Str("source", from.Source).
+		Int64("age_ms", from.Age.Milliseconds()).Int64("held_ms", from.Held.Milliseconds()).Int64("delay_ms", from.Delay.Milliseconds()).Msg("configuration")
 }
