--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
@@ -110,8 +111,12 @@
 	store.Store
 	disconnected, unresponsive atomic.Bool
 	reads                      atomic.Int64 // snapshots, failed ones included
+	// delay (ns) is added to each answer.
+	delay atomic.Int64
 }
 
+func (c *connection) setDelay(d time.Duration) { c.delay.Store(int64(d)) }
+
 func (c *connection) check(ctx context.Context) error {
 	if c.unresponsive.Load() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -122,6 +127,17 @@
 	if c.disconnected.Load() {
 		return store.Error.Wrap(store.ErrUnknown)
 	}
+	if err := backoff.Sleep(ctx, time.Duration(c.delay.Load())); err != nil {
+		return store.Error.Wrap(err)
+	}
+	return nil
+}
+
+// checkRequest is check for a request whose answer is checked as well; only the answer is delayed.
+func (c *connection) checkRequest(ctx context.Context) error {
+	if c.unresponsive.Load() || c.disconnected.Load() {
+		return c.check(ctx)
+	}
 	return nil
 }
 
@@ -213,7 +229,7 @@
 
 func (tc *testCluster) followThrough(conn *connection, h *Hub) func(context.Context, Request) (Reply, error) {
 	return func(ctx context.Context, r Request) (Reply, error) {
-		if err := conn.check(ctx); err != nil {
+		if err := conn.checkRequest(ctx); err != nil {
 			return Reply{}, err
 		}
 		reply, err := h.Follow(ctx, r)
