Relay: sources are polled at the same time, and late answers count

Callers would see: a configuration that was confirmed is not in force seconds later at a router that is calm and connected, while its relays fail one after the other; or at a router whose own link or processor delays each message by .4 s, for as long as that lasts.

Cause: a follower waited for one source after the other, each with a bound of its own (1.1 s, 0.4 s, a probe of 0.3 s, cooldowns of 1 to 8 s), and gave up what had not answered by then. So the bounds added up, and a delay of the process itself was taken for a failure of all its sources. Now the next source is polled too when an answer is late, and the late answer is still used; patience grows with the delay of recent answers; a source that failed is probed beside the one that is followed; a relay says by when the store owes it an answer, and is asked again by then. The store itself is polled last, and not while a relay's store may only be slow.

--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -98,11 +98,25 @@
 func (nopReporter) SourceChanged(string, error) {}
 func (nopReporter) SourceRefused(string, error) {}
 
+// ownHubReleaser releases a follower's own hub once it follows a relay.
+type ownHubReleaser struct{ own *Hub }
+
+func (r ownHubReleaser) SourceChanged(source string, _ error) {
+	if source != "own" {
+		r.own.ReleaseLocal()
+	}
+}
+func (ownHubReleaser) SourceRefused(string, error) {}
+
 // callTimeout bounds a store call that is not answered, and watchDelay bounds the delay between a
-// change and the store's next answer.
+// change and the store's next answer. watchPause is the pause of a watch after changes, staleAfter and
+// overdueAfter are those of a prefix with that pause and calls of one second.
 const (
-	callTimeout = 1500 * time.Millisecond
-	watchDelay  = 1100 * time.Millisecond
+	callTimeout  = 1500 * time.Millisecond
+	watchDelay   = 1100 * time.Millisecond
+	watchPause   = 300 * time.Millisecond
+	staleAfter   = 1800 * time.Millisecond
+	overdueAfter = 1500 * time.Millisecond
 )
 
 // connection is a connection to a store or relay that tests can interrupt: disconnected fails
@@ -149,7 +163,9 @@
 	return c.Store.Snapshot(ctx, prefix)
 }
 
-// Watch ends when the connection is disconnected; an unresponsive one delivers no more events.
+// Watch ends when the connection is disconnected; an unresponsive one delivers no more events. Like the
+// platform's client it delivers changes at once, with the revision up to which they are complete, but pauses
+// after that.
 func (c *connection) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
 	in, err := c.Store.Watch(ctx, prefix, after)
 	if err != nil {
@@ -159,12 +175,15 @@
 	go func() {
 		defer close(out)
 		for e := range in {
-			if err := c.check(ctx); err != nil {
+			batch := append([]store.Event{e}, buffered(in)...)
+			last := batch[len(batch)-1]
+			if !last.Progress && last.Err == nil {
+				batch = append(batch, store.Event{Item: store.Item{Revision: last.Revision}, Progress: true})
+			}
+			if c.check(ctx) != nil || !sendAll(ctx, out, batch) {
 				return
 			}
-			select {
-			case out <- e:
-			case <-ctx.Done():
+			if len(batch) > 1 && backoff.Sleep(ctx, watchPause) != nil {
 				return
 			}
 		}
@@ -172,12 +191,39 @@
 	return out, nil
 }
 
+// buffered returns the events that a channel holds now.
+func buffered(in <-chan store.Event) (events []store.Event) {
+	for {
+		select {
+		case e, ok := <-in:
+			if !ok {
+				return events
+			}
+			events = append(events, e)
+		default:
+			return events
+		}
+	}
+}
+
+func sendAll(ctx context.Context, out chan<- store.Event, events []store.Event) bool {
+	for _, e := range events {
+		select {
+		case out <- e:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // testCluster is a store with relays and followers whose connections can be interrupted.
 type testCluster struct {
 	t          *testing.T
 	ctx        context.Context
 	store      *memstore.Store
 	hubs       []*Hub
+	ownHubs    []*Hub          // of the followers
 	hubConns   [][]*connection // by follower and hub
 	storeConns []*connection   // to the store: of the hubs, then of the followers
 	copies     []*copyReader
@@ -194,6 +240,7 @@
 	}
 	for n := range followers {
 		local := tc.newHub()
+		tc.ownHubs = append(tc.ownHubs, local)
 		conns := make([]*connection, relays)
 		sources := []Source{}
 		for i := range conns {
@@ -209,7 +256,7 @@
 		}})
 		c := newCopy()
 		tc.copies = append(tc.copies, c)
-		f := &Follower{Store: "s", Readers: map[string]mirror.Reader{keys: c}, Report: nopReporter{}, Now: time.Now,
+		f := &Follower{Store: "s", Readers: map[string]mirror.Reader{keys: c}, Report: ownHubReleaser{local}, Now: time.Now,
 			Sources: func() []Source {
 				return append(sources[n%relays:relays:relays], append(sources[:n%relays:n%relays], sources[relays])...)
 			}}
@@ -222,7 +269,7 @@
 func (tc *testCluster) newHub() *Hub {
 	conn := &connection{Store: tc.store}
 	tc.storeConns = append(tc.storeConns, conn)
-	h := &Hub{Store: "s", Prefixes: []Prefix{{Name: keys, Store: conn, StaleAfter: 1600 * time.Millisecond}}, MaxFollowers: 10, Now: time.Now}
+	h := &Hub{Store: "s", Prefixes: []Prefix{{Name: keys, Store: conn, StaleAfter: staleAfter, OverdueAfter: overdueAfter}}, MaxFollowers: 10, Now: time.Now}
 	tc.wg.Go(func() { h.Run(tc.ctx) })
 	return h
 }
--- a/coord/relay/feed.go
+++ b/coord/relay/feed.go
@@ -23,6 +23,8 @@
 	// Without it, a call that is never answered would leave followers without changes until
 	// that call times out.
 	staleAfter time.Duration
+	// overdueAfter is how long after the store's last answer the next one is overdue.
+	overdueAfter time.Duration
 	// notify is called, without the lock held, when there may be updates for followers.
 	notify func()
 
@@ -141,6 +143,8 @@
 		u.Lost = p.Lost // the first read is in progress
 		return u, false
 	}
+	u.Due = f.overdueAfter - u.Age
+	u.Overdue = u.Due <= 0
 	u.At, u.Held = f.at, f.now().Sub(f.lastChange)
 	if p.After == 0 || p.After < f.from {
 		u.Whole, u.AfterOutage, u.Changes = true, f.outage, f.allLocked()
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -8,28 +8,23 @@
 	"sync"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
 const (
 	// pollWait is how long a relay waits for changes before it answers without any. Together
-	// with answerSlack it bounds how long a follower takes to detect that its relay stopped
+	// with minPatience it bounds how long a follower takes to detect that its relay stopped
 	// answering, which must stay well below the seconds in which changes must take effect.
 	pollWait = 700 * time.Millisecond
-	// answerSlack is what an answer may take beyond its wait: many times the latency between
-	// two VMs, so that a link that is briefly saturated does not count as a dead relay.
-	answerSlack = 400 * time.Millisecond
-	// lostCooldown is how long a source that lost the store is not polled while another source
-	// still follows it.
-	lostCooldown = time.Second
+	// answerTimeout is how long an answer may take beyond its wait. It exceeds the patience: another source
+	// is polled meanwhile, and the late answer is still used. A link or processor that
+	// is behind delays the answers of all sources alike.
+	answerTimeout = 2 * time.Second
 	// noSourcePause is the pause before the next attempt when there is no source to poll.
 	noSourcePause = 100 * time.Millisecond
-	// cooldownMin and cooldownMax bound how long a source that did not answer is not polled; the
-	// pause doubles with each failure. Each attempt delays followers by up to answerSlack.
-	cooldownMin = time.Second
-	cooldownMax = 8 * time.Second
+	// lostAfter is how long no source has answered before readers are told that the store is lost.
+	lostAfter = 2 * time.Second
 )
 
 // Source serves followers: a relay, or this process's own Hub.
@@ -38,7 +33,8 @@
 	Name   string
 	Follow func(ctx context.Context, r Request) (Reply, error)
 	// Usable, if set, is called before the source is polled, for sources whose use adds load
-	// to the store. Nil means always usable.
+	// to the store: they are polled only if no other source follows the store. Nil means
+	// always usable.
 	Usable func(ctx context.Context) bool
 }
 
@@ -63,13 +59,17 @@
 	// Now returns the current time.
 	Now func() time.Time
 
-	progress  map[string]*progress
-	cooldowns map[string]*cooldown // by source name
+	progress map[string]*progress
+	sources  map[string]*sourceState // by name
+	// results receives the outcomes of polls.
+	results chan pollResult
 	// current is the source that answered last; leaveReason is why the previous one was left.
 	current     string
 	leaveReason error
-	// failing is set if the source polled last did not answer.
-	failing bool
+	// lastAnswer is when a source that follows the store last answered.
+	lastAnswer time.Time
+	// delay is how much longer than their waits recent answers took.
+	delay time.Duration
 
 	mu sync.Mutex
 	// state is returned by State.
@@ -100,11 +100,11 @@
 
 // recordReply updates what State returns before a reply is applied, so that readers can log where their
 // changes come from.
-func (f *Follower) recordReply(source string, r Reply, delay time.Duration) {
+func (f *Follower) recordReply(p *poll, r Reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.state.Source, f.state.LastReply = source, f.Now()
-	f.state.Age, f.state.Held, f.state.Delay = r.age(), r.held(), max(0, delay)
+	f.state.Source, f.state.LastReply = p.source.Name, f.Now()
+	f.state.Age, f.state.Held, f.state.Delay = r.age(), r.held(), max(0, f.Now().Sub(p.sent)-p.wait)
 }
 
 // recordRevisions updates what State returns after a reply was applied.
@@ -128,141 +128,119 @@
 	lossReported bool
 }
 
-// cooldown keeps a source that failed from being polled for a while.
-type cooldown struct {
-	until    time.Time
-	failures int
-	// storeLost is set if the source answered, but has lost the store.
-	storeLost bool
-}
-
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.progress, f.cooldowns = map[string]*progress{}, map[string]*cooldown{}
+	f.progress, f.sources = map[string]*progress{}, map[string]*sourceState{}
+	f.results, f.lastAnswer = make(chan pollResult), f.Now()
 	for prefix := range f.Readers {
 		f.progress[prefix] = &progress{}
 	}
+	var polls sync.WaitGroup
+	defer polls.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for ctx.Err() == nil {
-		sources := f.Sources()
-		f.pruneCooldowns(sources)
-		if s, ok := f.nextSource(ctx, sources); ok {
-			f.poll(ctx, s, false)
-			continue
-		}
-		f.waitForStore(ctx, sources)
+		wake := f.startPolls(ctx, &polls, f.Sources())
+		f.awaitResult(ctx, wake)
 	}
 }
 
-// waitForStore waits while no source follows the store. It polls a source that answers when it
-// reaches the store again, so that hundreds of followers need not poll the store for that.
-// Prefixes that this source still follows are kept up to date.
-func (f *Follower) waitForStore(ctx context.Context, sources []Source) {
-	for _, s := range sources {
-		if cd := f.cooldowns[s.Name]; cd != nil && cd.storeLost {
-			f.reportLost(func(c *progress) bool { return c.outageSeen })
-			f.poll(ctx, s, true)
-			return
-		}
+// awaitResult handles the outcome of the next poll, or returns at wake.
+func (f *Follower) awaitResult(ctx context.Context, wake time.Time) {
+	t := time.NewTimer(max(0, wake.Sub(f.Now())))
+	defer t.Stop()
+	select {
+	case r := <-f.results:
+		f.handleResult(r)
+	case <-t.C:
+	case <-ctx.Done():
 	}
-	f.reportLost(func(*progress) bool { return true })
-	_ = backoff.Sleep(ctx, noSourcePause) // ends early only with the context
 }
 
-// nextSource returns the first usable source that is not in cooldown.
-func (f *Follower) nextSource(ctx context.Context, sources []Source) (Source, bool) {
-	for _, s := range sources {
-		if cd := f.cooldowns[s.Name]; cd != nil && f.Now().Before(cd.until) {
-			continue
-		}
-		if s.Usable == nil || s.Usable(ctx) {
-			return s, true
-		}
-		f.coolDown(s.Name, cooldownMin).storeLost = false
-	}
-	return Source{}, false
-}
-
-// pruneCooldowns removes the cooldowns of sources that no longer exist.
-func (f *Follower) pruneCooldowns(sources []Source) {
-	for name := range f.cooldowns {
-		if !slices.ContainsFunc(sources, func(s Source) bool { return s.Name == name }) {
-			delete(f.cooldowns, name)
-		}
+// handleResult applies the outcome of a poll.
+func (f *Follower) handleResult(r pollResult) {
+	state := f.sources[r.poll.source.Name]
+	if state == nil || state.poll != r.poll {
+		return // the source is no longer listed
 	}
-}
-
-// poll polls a source once. A source that failed before, or that comes after one that did not
-// answer, is polled without a wait, so that it delays changes by no more than answerSlack if it does
-// not answer either. Otherwise relays that lose power together would use up the seconds in which
-// changes must take effect. If knownLost is set, the source has reported the loss of the store: it
-// answers when it reaches the store again, or after the wait.
-func (f *Follower) poll(ctx context.Context, s Source, knownLost bool) {
-	wait := pollWait
-	if cd := f.cooldowns[s.Name]; cd != nil && cd.failures > 0 || f.failing && !knownLost {
-		wait = 0
-	}
-	pollCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
-	sent := f.Now()
-	reply, err := s.Follow(pollCtx, Request{Store: f.Store, Positions: f.positions(knownLost), Wait: wait})
-	cancel()
+	state.poll = nil
+	err := r.err
 	if err == nil {
-		f.recordReply(s.Name, reply, f.Now().Sub(sent)-wait)
-		err = f.applyReply(reply)
+		f.recordDelay(r.poll)
+		f.recordReply(r.poll, r.reply)
+		err = f.applyReply(r.reply, r.poll.asked)
 	}
 	switch {
-	case ctx.Err() != nil:
 	case err == nil:
-		f.markAnswered(s.Name)
-		f.recordRevisions()
+		state.markAnswered(f.Now(), r.reply)
+		f.markFollowed(r.poll.source.Name)
+	case errors.Is(err, ErrNotUsable):
+		state.markUnusable(f.Now())
 	case errors.Is(err, ErrStoreLost):
 		f.leaveReason = err
-		cd := f.coolDown(s.Name, lostCooldown)
-		cd.storeLost, cd.failures = true, 0 // the source did answer
+		state.markStoreLost(f.Now())
 	default:
-		f.markFailed(s.Name, err)
+		f.markFailed(r.poll.source.Name, state, err)
 	}
 }
 
-func (f *Follower) markAnswered(source string) {
-	delete(f.cooldowns, source)
+// markFollowed records an answer of a source that follows the store.
+func (f *Follower) markFollowed(source string) {
 	if source != f.current {
 		f.Report.SourceChanged(source, f.leaveReason)
 	}
-	f.current, f.leaveReason, f.failing = source, nil, false
+	f.current, f.leaveReason, f.lastAnswer = source, nil, f.Now()
+	f.recordRevisions()
+	f.cancelStorePolls(source)
+}
+
+// cancelStorePolls cancels the polls of other sources whose use adds load to the store.
+func (f *Follower) cancelStorePolls(except string) {
+	for name, state := range f.sources {
+		if name != except && state.poll != nil && state.poll.source.Usable != nil {
+			state.poll.cancel()
+			state.poll = nil
+		}
+	}
 }
 
-func (f *Follower) markFailed(source string, err error) {
-	f.leaveReason, f.failing = err, true
-	cd := f.coolDown(source, 0)
-	cd.until = f.Now().Add(backoff.Jitter(min(cooldownMax, cooldownMin<<min(cd.failures, 8))))
-	cd.failures, cd.storeLost = cd.failures+1, false
+func (f *Follower) markFailed(source string, state *sourceState, err error) {
+	f.leaveReason = err
+	state.markFailed(f.Now(), f.followsOther(source))
 	if errors.Is(err, ErrInvalidReply) || errors.Is(err, ErrMissingUpdate) || errors.Is(err, ErrOtherStore) {
 		f.Report.SourceRefused(source, err)
 	}
 }
 
-func (f *Follower) coolDown(source string, pause time.Duration) *cooldown {
-	cd := f.cooldowns[source]
-	if cd == nil {
-		cd = &cooldown{}
-		f.cooldowns[source] = cd
+// recordDelay updates the delay of answers that took longer than their wait. A relay that has changes answers
+// before the wait is over, which says nothing about the delay.
+func (f *Follower) recordDelay(p *poll) {
+	if delay := f.Now().Sub(p.sent) - p.wait; delay >= 0 && p.source.Usable == nil {
+		f.delay = max(delay, f.delay/2)
 	}
-	cd.until = f.Now().Add(pause)
-	return cd
 }
 
-// positions returns the positions of all readers. A reader whose loss was reported gets all keys
+// asked is what a follower had when it sent a request.
+type asked struct {
+	positions []Position
+	// revisions are those up to which the readers had all changes. A position after which nothing is known
+	// is lower: all keys are requested again.
+	revisions map[string]store.Revision
+}
+
+// ask returns the positions of all readers. A reader whose loss was reported gets all keys
 // again.
-func (f *Follower) positions(knownLost bool) []Position {
-	out := make([]Position, 0, len(f.progress))
+func (f *Follower) ask(knownLost bool) asked {
+	out := asked{revisions: map[string]store.Revision{}}
 	for prefix, c := range f.progress {
 		p := Position{Prefix: prefix, After: c.at, Lost: knownLost && c.outageSeen}
 		if c.lossReported {
 			p.After = 0
 		}
-		out = append(out, p)
+		out.positions = append(out.positions, p)
+		out.revisions[prefix] = c.at
 	}
-	slices.SortFunc(out, func(a, b Position) int { return strings.Compare(a.Prefix, b.Prefix) })
+	slices.SortFunc(out.positions, func(a, b Position) int { return strings.Compare(a.Prefix, b.Prefix) })
 	return out
 }
 
@@ -280,16 +258,26 @@
 	f.state.Source = ""
 }
 
-// applyReply validates a reply and passes it to the readers. An invalid reply is rejected as a
-// whole.
-func (f *Follower) applyReply(r Reply) error {
-	for prefix := range f.progress {
-		if !slices.ContainsFunc(r.Updates, func(u Update) bool { return u.Prefix == prefix }) {
+// applyReply validates the reply to a request and passes it to the readers. An invalid reply is rejected
+// as a whole. The readers may have more than when it was sent, since another source may have answered
+// meanwhile: only what is new to them is passed on.
+func (f *Follower) applyReply(r Reply, request asked) error {
+	after := map[string]store.Revision{}
+	for _, p := range request.positions {
+		after[p.Prefix] = p.After
+		if !slices.ContainsFunc(r.Updates, func(u Update) bool { return u.Prefix == p.Prefix }) {
 			return Error.Wrap(ErrMissingUpdate)
 		}
 	}
 	for _, u := range r.Updates {
-		if err := f.validate(u); err != nil {
+		position, ok := after[u.Prefix]
+		switch {
+		case !ok:
+			return Error.Wrap(ErrUnknownPrefix)
+		case u.Whole && u.At < request.revisions[u.Prefix]:
+			return Error.Wrap(ErrBehind)
+		}
+		if err := validate(u, position); err != nil {
 			return err
 		}
 	}
@@ -305,23 +293,18 @@
 	return lost
 }
 
-// validate rejects an update that would take a reader back to an older revision, or that a relay
-// never sends.
-func (f *Follower) validate(u Update) error {
-	c := f.progress[u.Prefix]
+// validate rejects an update that a relay never sends for the revision after which changes were
+// requested.
+func validate(u Update, after store.Revision) error {
 	switch {
-	case c == nil:
-		return Error.Wrap(ErrUnknownPrefix)
 	case u.Lost:
 		return nil
-	case u.Whole && u.At < c.at:
-		return Error.Wrap(ErrBehind)
 	case u.At == 0 && len(u.Changes) > 0:
 		return Error.Wrap(ErrInvalidReply)
 	}
-	last := c.at
+	last := after
 	for _, ch := range u.Changes {
-		inOrder := u.Whole || ch.Revision >= last && ch.Revision > c.at
+		inOrder := u.Whole || ch.Revision >= last && ch.Revision > after
 		if !strings.HasPrefix(ch.Key, u.Prefix) || ch.Revision <= 0 || !inOrder || u.Whole && ch.Removed {
 			return Error.Wrap(ErrInvalidReply)
 		}
@@ -333,17 +316,21 @@
 // applyUpdate passes an update to its reader.
 func (f *Follower) applyUpdate(u Update) {
 	c, r := f.progress[u.Prefix], f.Readers[u.Prefix]
-	if u.Whole {
+	switch {
+	case u.At < c.at:
+		return // the reader has all of it
+	case u.Whole:
 		f.resetReader(c, r, u)
 		return
-	}
-	if c.lossReported || u.At == 0 {
+	case c.lossReported || u.At == 0:
 		return // the relay has not read anything yet
 	}
 	for _, ch := range u.Changes {
-		r.Changed(store.Event{Item: ch.item(), Deleted: ch.Removed})
+		if ch.Revision > c.at {
+			r.Changed(store.Event{Item: ch.item(), Deleted: ch.Removed})
+		}
 	}
-	c.at = max(c.at, u.At)
+	c.at = u.At
 	c.outageSeen = false
 }
 
--- a/coord/relay/hub.go
+++ b/coord/relay/hub.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -29,6 +30,9 @@
 	// StaleAfter is how long after the store's last answer its copy counts as not followed.
 	// It is longer than a watch call and the pause after it.
 	StaleAfter time.Duration
+	// OverdueAfter is how long after the store's last answer the next one is overdue: followers ask the relay
+	// again by then, and look for another one before this one counts as lost. 0 stands for StaleAfter.
+	OverdueAfter time.Duration
 }
 
 // Hub is a relay: it follows prefixes of the store as long as they are requested. It is safe
@@ -252,13 +256,21 @@
 		u, hasNew := feeds[i].since(p)
 		out.Updates = append(out.Updates, u)
 		out.hasNew = out.hasNew || hasNew
-		if at := feeds[i].staleAt(); !p.Lost && (next.staleAt.IsZero() || at.Before(next.staleAt)) {
-			next.staleAt = at
+		if at := feeds[i].staleAt(); !p.Lost {
+			next.staleAt = earliest(next.staleAt, at)
 		}
 	}
 	return out, next, nil
 }
 
+// earliest returns the earlier time; a zero time stands for none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // feedsFor returns the feeds of the positions, and starts to follow prefixes that are not followed
 // yet.
 func (h *Hub) feedsFor(positions []Position, remote bool) ([]*feed, <-chan struct{}, error) {
@@ -298,7 +310,7 @@
 func (h *Hub) startLocked(p Prefix) *followedPrefix {
 	ctx, end := context.WithCancel(context.Background())
 	f := &followedPrefix{
-		feed:   &feed{now: h.Now, staleAfter: p.StaleAfter, notify: h.notifyFollowers, lastContact: h.Now()},
+		feed:   &feed{now: h.Now, staleAfter: p.StaleAfter, overdueAfter: cmp.Or(p.OverdueAfter, p.StaleAfter), notify: h.notifyFollowers, lastContact: h.Now()},
 		prefix: p, ctx: ctx, end: end,
 	}
 	h.feeds[p.Name] = f
--- /dev/null
+++ b/coord/relay/polls.go
@@ -0,0 +1,263 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
+)
+
+const (
+	// minPatience and maxPatience bound how much longer than its wait an answer may take before the next
+	// source is polled too. Within them the patience is twice the delay of recent answers, so that
+	// a process whose link or processor is behind does not poll further sources each time.
+	minPatience = 150 * time.Millisecond
+	maxPatience = 500 * time.Millisecond
+	// overduePatience is how long a follower waits for a relay to which the store's answer is overdue before it
+	// follows the store itself.
+	overduePatience = 300 * time.Millisecond
+	// lostCooldown is how long a source that lost the store is not polled while another source
+	// still follows it.
+	lostCooldown = time.Second
+	// minCooldown and maxCooldown bound how long a source that did not answer is not polled; the
+	// pause doubles with each failure while another source answers.
+	minCooldown = time.Second
+	maxCooldown = 8 * time.Second
+)
+
+// sourceState is what a follower knows of a source.
+type sourceState struct {
+	// poll is the poll whose answer is outstanding, nil if there is none.
+	poll *poll
+	// notBefore is the end of the cooldown.
+	notBefore time.Time
+	failures  int
+	// storeLost is set if the source answered, but has lost the store.
+	storeLost bool
+	// overdueSince is when the source first answered that the store's answer to it is overdue, zero if it
+	// is not. dueAt is when it will be, zero if that is not known.
+	overdueSince time.Time
+	dueAt        time.Time
+}
+
+func (s *sourceState) markAnswered(now time.Time, r Reply) {
+	overdueSince := s.overdueSince
+	*s = sourceState{}
+	if r.overdue() {
+		s.overdueSince = firstTime(overdueSince, now)
+	} else if due, known := r.due(); known {
+		s.dueAt = now.Add(due)
+	}
+}
+
+// firstTime returns the time at which a state began: before, or now if that is zero.
+func firstTime(before, now time.Time) time.Time {
+	if before.IsZero() {
+		return now
+	}
+	return before
+}
+
+func (s *sourceState) overdue() bool { return !s.overdueSince.IsZero() }
+
+func (s *sourceState) markStoreLost(now time.Time) {
+	*s = sourceState{storeLost: true, notBefore: now.Add(lostCooldown)}
+}
+
+func (s *sourceState) markUnusable(now time.Time) { *s = sourceState{notBefore: now.Add(minCooldown)} }
+
+// markFailed starts the cooldown after a failed poll. It grows only while another source answers.
+func (s *sourceState) markFailed(now time.Time, otherAnswers bool) {
+	pause := minCooldown
+	if otherAnswers {
+		pause = min(maxCooldown, minCooldown<<min(s.failures, 8))
+	}
+	*s = sourceState{failures: s.failures + 1, notBefore: now.Add(backoff.Jitter(pause))}
+}
+
+// poll is one request to a source.
+type poll struct {
+	source Source
+	asked  asked
+	wait   time.Duration
+	sent   time.Time
+	// patientUntil is when the next source is polled too.
+	patientUntil time.Time
+	cancel       context.CancelFunc
+}
+
+// pollResult is the outcome of a poll.
+type pollResult struct {
+	poll  *poll
+	reply Reply
+	err   error
+}
+
+// startPolls polls the sources in order until it reaches one whose answer is worth waiting for, and returns
+// when to look again if no answer arrives before. A source that does not answer, or whose store does not, thus
+// delays changes by the patience with it, whatever the sources before and after it do: the polls run at
+// the same time.
+func (f *Follower) startPolls(ctx context.Context, polls *sync.WaitGroup, sources []Source) (wake time.Time) {
+	f.forgetUnlisted(sources)
+	now := f.Now()
+	wake = now.Add(pollWait)
+	for i, s := range sources {
+		state := f.sources[s.Name]
+		switch {
+		case state.poll != nil:
+		case now.Before(state.notBefore):
+			wake = earliest(wake, state.notBefore)
+			continue
+		case s.Usable != nil && now.Before(f.overdueUntil(sources[:i])):
+			wake = earliest(wake, f.overdueUntil(sources[:i]))
+			continue
+		default:
+			f.startPoll(ctx, polls, s, f.wait(s.Name, state), f.patience(s.Name, state), false)
+		}
+		if now.Before(state.poll.patientUntil) {
+			return earliest(wake, state.poll.patientUntil)
+		}
+		f.noteOverdue(s.Name, state)
+	}
+	return earliest(wake, f.waitForStore(ctx, polls, sources))
+}
+
+// forgetUnlisted drops the sources that are no longer listed, and their polls.
+func (f *Follower) forgetUnlisted(sources []Source) {
+	for name, state := range f.sources {
+		if slices.ContainsFunc(sources, func(s Source) bool { return s.Name == name }) {
+			continue
+		}
+		if state.poll != nil {
+			state.poll.cancel()
+		}
+		delete(f.sources, name)
+	}
+	for _, s := range sources {
+		if f.sources[s.Name] == nil {
+			f.sources[s.Name] = &sourceState{}
+		}
+	}
+}
+
+// wait returns how long a source is to wait for changes. One that is not followed now answers at once, and
+// a relay answers by the time at which the store's answer to it is overdue: changes that a relay does not receive
+// would else be missed until it has failed to answer as well.
+func (f *Follower) wait(name string, state *sourceState) time.Duration {
+	switch {
+	case name != f.current || state.failures > 0 || state.storeLost:
+		return 0
+	case state.dueAt.IsZero():
+		return pollWait
+	}
+	return min(pollWait, max(0, state.dueAt.Sub(f.Now())))
+}
+
+// patience returns how long after a poll of a source the next source is polled too.
+func (f *Follower) patience(name string, state *sourceState) time.Duration {
+	switch {
+	case state.overdue(), f.followsOther(name):
+		return 0
+	case !f.hasCopy():
+		return f.wait(name, state) + maxPatience
+	}
+	return f.wait(name, state) + min(maxPatience, max(minPatience, 2*f.delay))
+}
+
+// followsOther reports whether another source than the named one is followed and its answers are in time.
+func (f *Follower) followsOther(name string) bool {
+	state := f.sources[f.current]
+	if state == nil || f.current == name || state.failures > 0 || state.storeLost || state.overdue() {
+		return false
+	}
+	return state.poll == nil || f.Now().Before(state.poll.patientUntil)
+}
+
+// hasCopy reports whether all readers have a copy.
+func (f *Follower) hasCopy() bool {
+	for _, c := range f.progress {
+		if c.at == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// overdueUntil returns until when one of the sources may follow the store although the store's answer to it is
+// overdue, as that of a slow store is. It is zero if none does.
+func (f *Follower) overdueUntil(sources []Source) (until time.Time) {
+	for _, s := range sources {
+		if state := f.sources[s.Name]; state.poll != nil && state.overdue() {
+			if at := state.overdueSince.Add(overduePatience); at.After(until) {
+				until = at
+			}
+		}
+	}
+	return until
+}
+
+// noteOverdue records why the next source is polled.
+func (f *Follower) noteOverdue(name string, state *sourceState) {
+	if name != f.current {
+		return
+	}
+	if f.leaveReason = Error.Wrap(ErrNoAnswer); state.overdue() {
+		f.leaveReason = Error.Wrap(ErrStale)
+	}
+}
+
+// waitForStore is called if no source's answer is worth waiting for, and returns when to look again. If a
+// source answers that it has lost the store, it is polled for the store's return, so that hundreds of
+// followers need not poll the store for that. Prefixes that this source still follows are kept up to
+// date.
+func (f *Follower) waitForStore(ctx context.Context, polls *sync.WaitGroup, sources []Source) time.Time {
+	now := f.Now()
+	var lost []Source
+	waiting := false
+	for _, s := range sources {
+		state := f.sources[s.Name]
+		switch {
+		case state.storeLost:
+			lost = append(lost, s)
+			waiting = waiting || state.poll != nil
+		case state.poll != nil && now.Before(state.poll.sent.Add(state.poll.wait+maxPatience)):
+			return state.poll.sent.Add(state.poll.wait + maxPatience)
+		}
+	}
+	switch {
+	case len(lost) > 0:
+		f.reportLost(func(c *progress) bool { return c.outageSeen })
+		if !waiting {
+			f.startPoll(ctx, polls, lost[0], pollWait, 0, true)
+		}
+	case now.Sub(f.lastAnswer) >= lostAfter:
+		f.reportLost(func(*progress) bool { return true })
+	}
+	return now.Add(noSourcePause)
+}
+
+// startPoll polls a source. If knownLost is set, the source has reported the loss of the store: it
+// answers when it reaches the store again, or after the wait.
+func (f *Follower) startPoll(ctx context.Context, polls *sync.WaitGroup, s Source, wait, patience time.Duration, knownLost bool) {
+	now := f.Now()
+	pollCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	p := &poll{source: s, asked: f.ask(knownLost), wait: wait, sent: now, patientUntil: now.Add(patience), cancel: cancel}
+	f.sources[s.Name].poll = p
+	polls.Go(func() {
+		defer cancel()
+		reply, err := p.run(pollCtx, f.Store)
+		select {
+		case f.results <- pollResult{poll: p, reply: reply, err: err}:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (p *poll) run(ctx context.Context, storeName string) (Reply, error) {
+	if p.source.Usable != nil && !p.source.Usable(ctx) {
+		return Reply{}, Error.Wrap(ErrNotUsable)
+	}
+	return p.source.Follow(ctx, Request{Store: storeName, Positions: p.asked.positions, Wait: p.wait})
+}
--- a/coord/relay/relay.go
+++ b/coord/relay/relay.go
@@ -15,6 +15,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -41,6 +42,10 @@
 	ErrInvalidReply = errs.New("invalid reply from the relay")
 	// ErrStoreLost is returned while the store cannot be followed.
 	ErrStoreLost = errs.New("the store is not followed now")
+	// ErrNoAnswer is the reason for polling another source while an answer is late.
+	ErrNoAnswer = errs.New("the relay has not answered in time")
+	// ErrNotUsable is returned for a source that must not be polled now; see Source.Usable.
+	ErrNotUsable = errs.New("the source is not usable now")
 	// ErrMissingUpdate is returned for a reply without an update for a requested prefix.
 	ErrMissingUpdate = errs.New("the reply lacks a requested prefix")
 )
@@ -89,6 +94,22 @@
 	return longest
 }
 
+// overdue reports whether the store's answer to the relay is overdue for one of the prefixes.
+func (r Reply) overdue() bool {
+	return slices.ContainsFunc(r.Updates, func(u Update) bool { return u.Overdue })
+}
+
+// due returns the time after which the store's answer to the relay is overdue for one of the prefixes, if
+// that is known.
+func (r Reply) due() (due time.Duration, known bool) {
+	for _, u := range r.Updates {
+		if u.Due > 0 && (!known || u.Due < due) {
+			due, known = u.Due, true
+		}
+	}
+	return due, known
+}
+
 // Update holds the changes after one position.
 type Update struct {
 	Prefix string `json:"prefix"`
@@ -100,6 +121,10 @@
 	AfterOutage bool `json:"after_outage,omitempty"`
 	// Lost is set if the relay does not follow the store now; there are no changes then.
 	Lost bool `json:"lost,omitempty"`
+	// Due is the time (ns) after which the store's next answer to the relay is overdue; 0 if the relay does not
+	// say. Overdue is set if it is.
+	Due     time.Duration `json:"due,omitempty"`
+	Overdue bool          `json:"overdue,omitempty"`
 	// Age is the time (ns) since the store last answered the relay.
 	Age time.Duration `json:"age"`
 	// Held is how long (ns) the relay has had the newest of the changes.
--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -87,6 +87,32 @@
 	})
 }
 
+// Guards against calls of the store by a process whose relay is only late: its own hub was polled too, and
+// must be released for good when the relay answers.
+func TestOwnHubIsReleasedWhenALateRelayAnswers(t *testing.T) {
+	withCluster(t, 1, 1, func(tc *testCluster) {
+		time.Sleep(5 * time.Second)
+		tc.hubConns[0][0].setDelay(1200 * time.Millisecond)
+		time.Sleep(1600 * time.Millisecond)
+		require.NotEmpty(t, tc.ownHubs[0].State().Feeds)
+		tc.hubConns[0][0].setDelay(0)
+		time.Sleep(2 * time.Second)
+		require.Empty(t, tc.ownHubs[0].State().Feeds)
+	})
+}
+
+// Guards against polls in a tight loop: a relay whose copy is older than that of its follower, which requests
+// all keys after an outage, must be left.
+func TestRelayBehindItsFollowerIsLeft(t *testing.T) {
+	f := &Follower{progress: map[string]*progress{keys: {at: 5, lossReported: true}}, Readers: map[string]mirror.Reader{keys: newCopy()}}
+	behind := Reply{Updates: []Update{{Prefix: keys, At: 4, Whole: true}}}
+	require.ErrorIs(t, f.applyReply(behind, f.ask(false)), ErrBehind)
+	request := f.ask(false)
+	f.progress[keys].at = 9 // another source has answered meanwhile
+	require.NoError(t, f.applyReply(Reply{Updates: []Update{{Prefix: keys, At: 7, Whole: true}}}, request))
+	require.EqualValues(t, 9, f.progress[keys].at)
+}
+
 // Guards against a follower that depends on its own connection to the store: it loses the store,
 // the relays do not, and it must still receive changes.
 func TestFollowerWithoutTheStore(t *testing.T) {
@@ -160,12 +186,12 @@
 // store, and a follower misses the outage since it was between two polls. It must report the loss
 // before it applies the copy that lacks the keys.
 func TestCopyAfterAnOutageReportsIt(t *testing.T) {
-	f := &Follower{progress: map[string]*progress{keys: {at: 5}}, cooldowns: map[string]*cooldown{}, Report: nopReporter{}, Now: time.Now}
+	f := &Follower{progress: map[string]*progress{keys: {at: 5}}, Report: nopReporter{}, Now: time.Now}
 	c := newCopy()
 	f.Readers = map[string]mirror.Reader{keys: c}
-	require.NoError(t, f.applyReply(Reply{Updates: []Update{{Prefix: keys, At: 9, Whole: true, AfterOutage: true}}}))
+	require.NoError(t, f.applyReply(Reply{Updates: []Update{{Prefix: keys, At: 9, Whole: true, AfterOutage: true}}}, f.ask(false)))
 	require.Equal(t, 1, c.losses)
-	require.NoError(t, f.applyReply(Reply{Updates: []Update{{Prefix: keys, At: 12, Whole: true}}}))
+	require.NoError(t, f.applyReply(Reply{Updates: []Update{{Prefix: keys, At: 12, Whole: true}}}, f.ask(false)))
 	require.Equal(t, 1, c.losses, "a compacted history is not an outage")
 }
 
@@ -205,12 +231,12 @@
 			c := newCopy()
 			f := &Follower{progress: map[string]*progress{keys: {at: 5}}, Readers: map[string]mirror.Reader{keys: c}}
 			good := Update{Prefix: keys, At: 8, Changes: []Change{change("k/good", 8)}}
-			require.Error(t, f.applyReply(Reply{Updates: []Update{good, u}}))
+			require.Error(t, f.applyReply(Reply{Updates: []Update{good, u}}, f.ask(false)))
 			require.Empty(t, c.values())
 		})
 	}
 	f := &Follower{progress: map[string]*progress{keys: {}}}
-	require.ErrorIs(t, f.applyReply(Reply{}), ErrMissingUpdate)
+	require.ErrorIs(t, f.applyReply(Reply{}, f.ask(false)), ErrMissingUpdate)
 }
 
 // Guards against the loss of one prefix affecting another: a relay loses one of two prefixes and
--- a/coord/relay/worstorder_test.go
+++ b/coord/relay/worstorder_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // applyWithin is the time within which a process that reaches the store must have a change, whatever
@@ -15,31 +17,33 @@
 
 // relayFault is a fault of one relay, as its followers observe it.
 type relayFault struct {
-	name  string
-	apply func(tc *testCluster, relay int)
+	name string
+	set  func(tc *testCluster, relay int, on bool)
 }
 
 var relayFaults = []relayFault{
-	{"none", func(*testCluster, int) {}},
-	{"unresponsive", func(tc *testCluster, relay int) {
+	{"none", func(*testCluster, int, bool) {}},
+	{"unresponsive", func(tc *testCluster, relay int, on bool) {
 		for _, conns := range tc.hubConns {
-			conns[relay].unresponsive.Store(true)
+			conns[relay].unresponsive.Store(on)
 		}
 	}},
-	{"disconnected", func(tc *testCluster, relay int) {
+	{"disconnected", func(tc *testCluster, relay int, on bool) {
 		for _, conns := range tc.hubConns {
-			conns[relay].disconnected.Store(true)
+			conns[relay].disconnected.Store(on)
 		}
 	}},
-	{"store silent", func(tc *testCluster, relay int) { tc.storeConns[relay].unresponsive.Store(true) }},
-	{"store refuses", func(tc *testCluster, relay int) { tc.storeConns[relay].disconnected.Store(true) }},
+	{"store silent", func(tc *testCluster, relay int, on bool) { tc.storeConns[relay].unresponsive.Store(on) }},
+	{"store refuses", func(tc *testCluster, relay int, on bool) { tc.storeConns[relay].disconnected.Store(on) }},
 }
 
 // changeLog checks that followers receive changes in time.
 type changeLog struct {
 	tc   *testCluster
-	last store.Revision
 	puts []putChange
+	// checked is the number of changes that were checked, late lists those that a follower lacked.
+	checked int
+	late    []string
 }
 
 type putChange struct {
@@ -55,19 +59,25 @@
 	l.puts = append(l.puts, putChange{item.Revision, time.Now()})
 }
 
-// run writes a change each interval for a while, and fails the test for each follower that lacks a
-// change when it must have it.
+// run writes a change each interval for a while, and records each follower that lacks a change when it
+// must have it.
 func (l *changeLog) run(d, interval time.Duration) {
 	const step = 50 * time.Millisecond
-	checked := 0
 	for end, next := time.Now().Add(d), time.Now(); time.Now().Before(end); time.Sleep(step) {
 		if !time.Now().Before(next) {
 			l.put()
 			next = next.Add(interval)
 		}
-		for ; checked < len(l.puts) && time.Since(l.puts[checked].at) >= applyWithin; checked++ {
-			for i, c := range l.tc.copies {
-				assert.GreaterOrEqual(l.tc.t, c.revision("a"), l.puts[checked].revision, "follower %d, change %d of %d", i, checked, len(l.puts))
+		l.check()
+	}
+}
+
+// check checks the changes that followers must have by now.
+func (l *changeLog) check() {
+	for ; l.checked < len(l.puts) && time.Since(l.puts[l.checked].at) >= applyWithin; l.checked++ {
+		for i, c := range l.tc.copies {
+			if have, want := c.revision("a"), l.puts[l.checked].revision; have < want {
+				l.late = append(l.late, fmt.Sprintf("follower %d has revision %d, change %d of %d is %d", i, have, l.checked, len(l.puts), want))
 			}
 		}
 	}
@@ -91,10 +101,11 @@
 						withCluster(t, 2, followers, func(tc *testCluster) {
 							l := &changeLog{tc: tc}
 							l.run(5*time.Second, time.Second)
-							first.apply(tc, 0)
+							first.set(tc, 0, true)
 							l.run(offset, 500*time.Millisecond)
-							second.apply(tc, 1)
+							second.set(tc, 1, true)
 							l.run(8*time.Second, 500*time.Millisecond)
+							assert.Empty(t, l.late, "second fault after %s", offset)
 						})
 					}
 				})
@@ -115,6 +126,7 @@
 					conn.setDelay(delay * time.Millisecond)
 				}
 				l.run(15*time.Second, 500*time.Millisecond)
+				assert.Empty(t, l.late)
 				_, losses := tc.copies[0].lossState()
 				assert.Zero(t, losses)
 			})
@@ -139,3 +151,38 @@
 		}
 	})
 }
+
+// Guards against late changes at a process that reaches the store all the while, whatever its relays do: they
+// fail and recover in any order, in each of the ways of relayFaults.
+func TestChangesArriveInTimeBesideRelaysThatComeAndGo(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type step struct {
+			fault int
+			relay int
+			end   bool
+			pause time.Duration
+		}
+		steps := make([]step, rapid.IntRange(5, 30).Draw(rt, "steps"))
+		for i := range steps {
+			steps[i] = step{
+				fault: rapid.IntRange(1, len(relayFaults)-1).Draw(rt, "fault"),
+				relay: rapid.IntRange(0, 1).Draw(rt, "relay"),
+				end:   rapid.Bool().Draw(rt, "end"),
+				pause: time.Duration(rapid.IntRange(0, 2500).Draw(rt, "pause ms")) * time.Millisecond,
+			}
+		}
+		followers := rapid.IntRange(1, 2).Draw(rt, "followers")
+		var late []string
+		withCluster(t, 2, followers, func(tc *testCluster) {
+			l := &changeLog{tc: tc}
+			l.run(5*time.Second, time.Second)
+			for _, s := range steps {
+				relayFaults[s.fault].set(tc, s.relay, !s.end)
+				l.run(s.pause, 300*time.Millisecond)
+			}
+			l.run(applyWithin, time.Second)
+			late = l.late
+		})
+		require.Empty(rt, late)
+	})
+}
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -22,6 +22,9 @@
 	// staleSlack is how much longer than its wait a watch call may take before a relay reports the
 	// store as unreachable: a store that is slow by a factor of 100 still answers within it.
 	staleSlack = 500 * time.Millisecond
+	// overdueSlack is how much longer than its wait a watch call may take before followers ask another
+	// relay too.
+	overdueSlack = 200 * time.Millisecond
 	// processesPerRelay is how many processes one relay serves. On the VM of an upstream, with
 	// a third of a core, their requests take a hundredth of it.
 	processesPerRelay = 100
@@ -56,7 +59,8 @@
 }
 
 func relayPrefix(prefix string, s *platform.Store) relay.Prefix {
-	return relay.Prefix{Name: prefix, Store: s, StaleAfter: s.WatchWait + s.WatchPause + staleSlack}
+	answered := s.WatchWait + s.WatchPause
+	return relay.Prefix{Name: prefix, Store: s, StaleAfter: answered + staleSlack, OverdueAfter: answered + overdueSlack}
 }
 
 // withSlowWatches returns a store whose watches make fewer calls, for changes that are not urgent.
