Relay: a relay that has read nothing is not followed; a late answer does not change the source

Callers would see a configuration that is late after the relays of a data centre were replaced, or lost the store one after the other.

Cause: a hub counted as in contact with the store from the moment at which it began to follow a prefix, and answered "nothing new" until its first read ended. Followers took that for a good answer with an age near 0 and stayed. Now it says that it has not read yet; a follower with a copy waits 0.3 s for it and then polls the next source too, one without a copy as before.

Patience is 0.25 s at rest, and a better relay stays followed.

--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -108,11 +108,12 @@
 }
 func (ownHubReleaser) SourceRefused(string, error) {}
 
-// callTimeout bounds a store call that is not answered, and watchDelay bounds the delay between a
+// callTimeout and watchTimeout bound a store call and a watch that are not answered, and watchDelay bounds the delay between a
 // change and the store's next answer. watchPause is the pause of a watch after changes, staleAfter and
 // overdueAfter are those of a prefix with that pause and calls of one second.
 const (
 	callTimeout  = 1500 * time.Millisecond
+	watchTimeout = 2500 * time.Millisecond
 	watchDelay   = 1100 * time.Millisecond
 	watchPause   = 300 * time.Millisecond
 	staleAfter   = 1800 * time.Millisecond
@@ -131,9 +132,11 @@
 
 func (c *connection) setDelay(d time.Duration) { c.delay.Store(int64(d)) }
 
-func (c *connection) check(ctx context.Context) error {
+func (c *connection) check(ctx context.Context) error { return c.checkWithin(ctx, callTimeout) }
+
+func (c *connection) checkWithin(ctx context.Context, timeout time.Duration) error {
 	if c.unresponsive.Load() {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		<-ctx.Done()
 		return store.Error.Wrap(store.ErrUnknown)
@@ -180,7 +183,7 @@
 			if !last.Progress && last.Err == nil {
 				batch = append(batch, store.Event{Item: store.Item{Revision: last.Revision}, Progress: true})
 			}
-			if c.check(ctx) != nil || !sendAll(ctx, out, batch) {
+			if c.checkWithin(ctx, watchTimeout) != nil || !sendAll(ctx, out, batch) {
 				return
 			}
 			if len(batch) > 1 && backoff.Sleep(ctx, watchPause) != nil {
--- a/coord/relay/feed.go
+++ b/coord/relay/feed.go
@@ -140,11 +140,10 @@
 		return u, !p.Lost
 	}
 	if f.at == 0 || f.at < f.consistentAt {
-		u.Lost = p.Lost // the first read is in progress
+		u.Lost, u.Unread = p.Lost, !p.Lost
 		return u, false
 	}
-	u.Due = f.overdueAfter - u.Age
-	u.Overdue = u.Due <= 0
+	u.Due = cmp.Or(f.overdueAfter-u.Age, -1)
 	u.At, u.Held = f.at, f.now().Sub(f.lastChange)
 	if p.After == 0 || p.After < f.from {
 		u.Whole, u.AfterOutage, u.Changes = true, f.outage, f.allLocked()
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -61,6 +61,8 @@
 
 	progress map[string]*progress
 	sources  map[string]*sourceState // by name
+	// order lists the names of the sources, best first.
+	order []string
 	// results receives the outcomes of polls.
 	results chan pollResult
 	// current is the source that answered last; leaveReason is why the previous one was left.
@@ -68,6 +70,9 @@
 	leaveReason error
 	// lastAnswer is when a source that follows the store last answered.
 	lastAnswer time.Time
+	// dueAt is when the store's answer to the source that answered last is overdue, zero if that is not
+	// known.
+	dueAt time.Time
 	// delay is how much longer than their waits recent answers took.
 	delay time.Duration
 
@@ -101,6 +106,9 @@
 // recordReply updates what State returns before a reply is applied, so that readers can log where their
 // changes come from.
 func (f *Follower) recordReply(p *poll, r Reply) {
+	if r.unread() {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.state.Source, f.state.LastReply = p.source.Name, f.Now()
@@ -171,9 +179,16 @@
 		err = f.applyReply(r.reply, r.poll.asked)
 	}
 	switch {
+	case err == nil && r.reply.unread():
+		state.markUnread(f.Now())
 	case err == nil:
 		state.markAnswered(f.Now(), r.reply)
-		f.markFollowed(r.poll.source.Name)
+		f.lastAnswer = f.Now()
+		f.recordRevisions()
+		if !f.followsBetter(r.poll.source.Name) {
+			f.markFollowed(r.poll.source.Name)
+			f.dueAt = state.dueAt
+		}
 	case errors.Is(err, ErrNotUsable):
 		state.markUnusable(f.Now())
 	case errors.Is(err, ErrStoreLost):
@@ -184,14 +199,13 @@
 	}
 }
 
-// markFollowed records an answer of a source that follows the store.
+// markFollowed makes a source that has answered the one that is followed.
 func (f *Follower) markFollowed(source string) {
+	f.cancelStorePolls(source)
 	if source != f.current {
 		f.Report.SourceChanged(source, f.leaveReason)
 	}
-	f.current, f.leaveReason, f.lastAnswer = source, nil, f.Now()
-	f.recordRevisions()
-	f.cancelStorePolls(source)
+	f.current, f.leaveReason = source, nil
 }
 
 // cancelStorePolls cancels the polls of other sources whose use adds load to the store.
@@ -216,7 +230,7 @@
 // before the wait is over, which says nothing about the delay.
 func (f *Follower) recordDelay(p *poll) {
 	if delay := f.Now().Sub(p.sent) - p.wait; delay >= 0 && p.source.Usable == nil {
-		f.delay = max(delay, f.delay/2)
+		f.delay = max(delay, f.delay*3/4)
 	}
 }
 
@@ -317,7 +331,7 @@
 func (f *Follower) applyUpdate(u Update) {
 	c, r := f.progress[u.Prefix], f.Readers[u.Prefix]
 	switch {
-	case u.At < c.at:
+	case u.Unread || u.At < c.at:
 		return // the reader has all of it
 	case u.Whole:
 		f.resetReader(c, r, u)
--- a/coord/relay/hub.go
+++ b/coord/relay/hub.go
@@ -191,14 +191,14 @@
 	defer h.release()
 	until := h.Now().Add(min(max(0, r.Wait), maxWait))
 	for {
+		if ctx.Err() != nil {
+			return Reply{}, Error.Wrap(ctx.Err())
+		}
 		reply, next, err := h.readPositions(r, remote)
 		if err != nil || reply.hasNew || !h.Now().Before(until) {
 			return reply.Reply, err
 		}
 		next.wait(ctx, h.Now(), until)
-		if ctx.Err() != nil {
-			return Reply{}, Error.Wrap(ctx.Err())
-		}
 	}
 }
 
--- a/coord/relay/polls.go
+++ b/coord/relay/polls.go
@@ -12,9 +12,14 @@
 const (
 	// minPatience and maxPatience bound how much longer than its wait an answer may take before the next
 	// source is polled too. Within them the patience is twice the delay of recent answers, so that
-	// a process whose link or processor is behind does not poll further sources each time.
-	minPatience = 150 * time.Millisecond
-	maxPatience = 500 * time.Millisecond
+	// a process whose link or processor is behind does not poll further sources each time. shortPatience
+	// replaces them when the store's answer to the source that is followed is almost due.
+	minPatience   = 250 * time.Millisecond
+	shortPatience = 150 * time.Millisecond
+	maxPatience   = 500 * time.Millisecond
+	// readPatience is how long a follower that has a copy waits for a relay that has just begun to read
+	// the store before it polls the next source too.
+	readPatience = 300 * time.Millisecond
 	// overduePatience is how long a follower waits for a relay to which the store's answer is overdue before it
 	// follows the store itself.
 	overduePatience = 300 * time.Millisecond
@@ -36,32 +41,29 @@
 	failures  int
 	// storeLost is set if the source answered, but has lost the store.
 	storeLost bool
-	// overdueSince is when the source first answered that the store's answer to it is overdue, zero if it
-	// is not. dueAt is when it will be, zero if that is not known.
-	overdueSince time.Time
-	dueAt        time.Time
+	// dueAt is when the store's answer to the source is overdue, zero if that is not known. overdue is set if
+	// it was when the source answered last.
+	dueAt   time.Time
+	overdue bool
+	// unreadSince is when the source first answered that it has not read the store yet, zero if it has.
+	unreadSince time.Time
 }
 
 func (s *sourceState) markAnswered(now time.Time, r Reply) {
-	overdueSince := s.overdueSince
 	*s = sourceState{}
-	if r.overdue() {
-		s.overdueSince = firstTime(overdueSince, now)
-	} else if due, known := r.due(); known {
-		s.dueAt = now.Add(due)
+	if due, known := r.due(); known {
+		s.dueAt, s.overdue = now.Add(due), due < 0
 	}
 }
 
-// firstTime returns the time at which a state began: before, or now if that is zero.
-func firstTime(before, now time.Time) time.Time {
-	if before.IsZero() {
-		return now
+func (s *sourceState) markUnread(now time.Time) {
+	since := s.unreadSince
+	if since.IsZero() {
+		since = now
 	}
-	return before
+	*s = sourceState{unreadSince: since}
 }
 
-func (s *sourceState) overdue() bool { return !s.overdueSince.IsZero() }
-
 func (s *sourceState) markStoreLost(now time.Time) {
 	*s = sourceState{storeLost: true, notBefore: now.Add(lostCooldown)}
 }
@@ -135,7 +137,9 @@
 		}
 		delete(f.sources, name)
 	}
+	f.order = f.order[:0]
 	for _, s := range sources {
+		f.order = append(f.order, s.Name)
 		if f.sources[s.Name] == nil {
 			f.sources[s.Name] = &sourceState{}
 		}
@@ -147,9 +151,11 @@
 // would else be missed until it has failed to answer as well.
 func (f *Follower) wait(name string, state *sourceState) time.Duration {
 	switch {
+	case !state.unreadSince.IsZero():
+		return pollWait
 	case name != f.current || state.failures > 0 || state.storeLost:
 		return 0
-	case state.dueAt.IsZero():
+	case state.dueAt.IsZero(), state.overdue:
 		return pollWait
 	}
 	return min(pollWait, max(0, state.dueAt.Sub(f.Now())))
@@ -158,23 +164,44 @@
 // patience returns how long after a poll of a source the next source is polled too.
 func (f *Follower) patience(name string, state *sourceState) time.Duration {
 	switch {
-	case state.overdue(), f.followsOther(name):
+	case state.overdue, f.followsOther(name):
 		return 0
 	case !f.hasCopy():
-		return f.wait(name, state) + maxPatience
+		return pollWait + maxPatience
+	case !state.unreadSince.IsZero():
+		return max(0, f.shortened(readPatience)-f.Now().Sub(state.unreadSince))
 	}
-	return f.wait(name, state) + min(maxPatience, max(minPatience, 2*f.delay))
+	return f.wait(name, state) + f.slack()
+}
+
+// slack returns how much longer than its wait an answer may take before the next source is polled too.
+func (f *Follower) slack() time.Duration {
+	return min(maxPatience, max(f.shortened(minPatience), 2*f.delay))
+}
+
+// shortened returns a patience, or shortPatience if the copy will soon be older than it may be.
+func (f *Follower) shortened(patience time.Duration) time.Duration {
+	if !f.dueAt.IsZero() && f.Now().After(f.dueAt.Add(-pollWait)) {
+		return min(patience, shortPatience)
+	}
+	return patience
 }
 
 // followsOther reports whether another source than the named one is followed and its answers are in time.
 func (f *Follower) followsOther(name string) bool {
 	state := f.sources[f.current]
-	if state == nil || f.current == name || state.failures > 0 || state.storeLost || state.overdue() {
+	if state == nil || f.current == name || state.failures > 0 || state.storeLost || state.overdue {
 		return false
 	}
 	return state.poll == nil || f.Now().Before(state.poll.patientUntil)
 }
 
+// followsBetter reports whether a source that ranks before the named one is followed and its answers are in
+// time. The late answer of another one is used, but it is not followed.
+func (f *Follower) followsBetter(name string) bool {
+	return f.followsOther(name) && slices.Index(f.order, f.current) < slices.Index(f.order, name)
+}
+
 // hasCopy reports whether all readers have a copy.
 func (f *Follower) hasCopy() bool {
 	for _, c := range f.progress {
@@ -189,8 +216,8 @@
 // overdue, as that of a slow store is. It is zero if none does.
 func (f *Follower) overdueUntil(sources []Source) (until time.Time) {
 	for _, s := range sources {
-		if state := f.sources[s.Name]; state.poll != nil && state.overdue() {
-			if at := state.overdueSince.Add(overduePatience); at.After(until) {
+		if state := f.sources[s.Name]; state.poll != nil && state.overdue {
+			if at := state.dueAt.Add(overduePatience); at.After(until) {
 				until = at
 			}
 		}
@@ -203,7 +230,7 @@
 	if name != f.current {
 		return
 	}
-	if f.leaveReason = Error.Wrap(ErrNoAnswer); state.overdue() {
+	if f.leaveReason = Error.Wrap(ErrNoAnswer); state.overdue {
 		f.leaveReason = Error.Wrap(ErrStale)
 	}
 }
--- a/coord/relay/relay.go
+++ b/coord/relay/relay.go
@@ -94,16 +94,16 @@
 	return longest
 }
 
-// overdue reports whether the store's answer to the relay is overdue for one of the prefixes.
-func (r Reply) overdue() bool {
-	return slices.ContainsFunc(r.Updates, func(u Update) bool { return u.Overdue })
+// unread reports whether the relay has not read one of the prefixes yet.
+func (r Reply) unread() bool {
+	return slices.ContainsFunc(r.Updates, func(u Update) bool { return u.Unread })
 }
 
 // due returns the time after which the store's answer to the relay is overdue for one of the prefixes, if
 // that is known.
 func (r Reply) due() (due time.Duration, known bool) {
 	for _, u := range r.Updates {
-		if u.Due > 0 && (!known || u.Due < due) {
+		if u.Due != 0 && (!known || u.Due < due) {
 			due, known = u.Due, true
 		}
 	}
@@ -121,11 +121,13 @@
 	AfterOutage bool `json:"after_outage,omitempty"`
 	// Lost is set if the relay does not follow the store now; there are no changes then.
 	Lost bool `json:"lost,omitempty"`
-	// Due is the time (ns) after which the store's next answer to the relay is overdue; 0 if the relay does not
-	// say. Overdue is set if it is.
-	Due     time.Duration `json:"due,omitempty"`
-	Overdue bool          `json:"overdue,omitempty"`
-	// Age is the time (ns) since the store last answered the relay.
+	// Unread is set if the relay has just begun to follow the prefix and has not read it yet; there are no
+	// changes then, and At says nothing about the store.
+	Unread bool `json:"unread,omitempty"`
+	// Due is the time (ns) after which the store's next answer to the relay is overdue. It is negative if it
+	// is overdue, and 0 if the relay does not say.
+	Due time.Duration `json:"due,omitempty"`
+	// Age is the time (ns) since the store last answered the relay, or since it began to read the prefix.
 	Age time.Duration `json:"age"`
 	// Held is how long (ns) the relay has had the newest of the changes.
 	Held    time.Duration `json:"held,omitempty"`
--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -37,7 +37,7 @@
 }
 
 // Guards against followers that stay with a relay which stops answering without a connection
-// reset: they must receive changes from the other relay within 1.5 s, without a reported loss of
+// reset: they must receive changes from the other relay within 1.4 s, without a reported loss of
 // the store.
 func TestUnresponsiveRelayIsAbandoned(t *testing.T) {
 	withCluster(t, 2, 2, func(tc *testCluster) {
@@ -47,7 +47,7 @@
 			conns[0].unresponsive.Store(true)
 		}
 		tc.put("a", "2")
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(1400 * time.Millisecond)
 		tc.requireConverged()
 		for _, c := range tc.copies {
 			_, losses := c.lossState()
@@ -91,6 +91,7 @@
 // must be released for good when the relay answers.
 func TestOwnHubIsReleasedWhenALateRelayAnswers(t *testing.T) {
 	withCluster(t, 1, 1, func(tc *testCluster) {
+		tc.put("a", "1")
 		time.Sleep(5 * time.Second)
 		tc.hubConns[0][0].setDelay(1200 * time.Millisecond)
 		time.Sleep(1600 * time.Millisecond)
--- a/coord/relay/worstorder_test.go
+++ b/coord/relay/worstorder_test.go
@@ -125,7 +125,8 @@
 				for _, conn := range append(tc.hubConns[0], tc.storeConns[2]) {
 					conn.setDelay(delay * time.Millisecond)
 				}
-				l.run(15*time.Second, 500*time.Millisecond)
+				l.run(10*time.Second, 500*time.Millisecond)
+				l.run(20*time.Second, 3*time.Second)
 				assert.Empty(t, l.late)
 				_, losses := tc.copies[0].lossState()
 				assert.Zero(t, losses)
