--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -220,7 +220,8 @@
 	p.metrics.connectionBroken(b.request.Service.Name, state)
 	p.log.Info().Str("id", b.request.ID).Str("prompt", string(b.prompt)).Str("team", b.request.Team).
 		Str("service", b.request.Service.Name).Stringer("upstream", b.attempt.Upstream).Str("state", string(state)).
-		Int64("events", b.attempt.Break.Events).Int64("running_ms", b.attempt.Break.Running.Milliseconds()).Msg("upstream_broke_off")
+		Int64("events", b.attempt.Break.Events).Int64("running_ms", b.attempt.Break.Running.Milliseconds()).
+		Strs("parts", partNames(b.request)).Msg("upstream_broke_off")
 	if state != upstreamDown {
 		return
 	}
@@ -250,6 +251,18 @@
 	p.addEvidence(merged)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partNames returns the ids of a prompt's first parts for the log.
+func partNames(r *serving.Request) []string {
+	names := make([]string, 0, maxLoggedParts)
+	for _, part := range r.Parts[:min(len(r.Parts), maxLoggedParts)] {
+		names = append(names, abbreviate(part.ID))
+	}
+	return names
+}
+
 // expire removes expired evidence.
 func (p *promptGuard) expire(now time.Time) {
 	for _, c := range p.registry.Expire(now) {
