Evidence on parts of prompts: one part that crashes upstreams is refused at all routers

Cause: poison.Identify hashes all parts and the output limit, so prompts that share a part share no evidence. Now a crash before the first event is evidence against each part but the last that was not answered through the observing router; evidence on a part has the same owner, keepers, trials and routers as that on a prompt. An answer that begins clears all its parts for good: the part would have crashed that upstream. A harmless part that was in all crashes is not refused for good: what else may be the cause counts, and a prompt without that may try. A trial whose upstream crashed is not repeated by the same request.

TestPromptOwnerReportsItsOwnObservations now has its common part answered first: unanswered, it was in all six crashes and is suspected, which the test is not about. Its assertion is unchanged.

--- a/gateway/partcrash_test.go
+++ b/gateway/partcrash_test.go
@@ -1,8 +1,12 @@
 package gateway_test
 
 import (
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -43,6 +47,7 @@
 					require.LessOrEqual(t, countCrashed(engines), 3)
 					require.Equal(t, http.StatusUnprocessableEntity, last.status)
 					require.Empty(t, last.header.Get("Retry-After"), "a retry would not help")
+					require.Equal(t, 200, f.send(harmlessPrompt("harmless", 1)).status, "its parts were in all crashes and in no answer")
 				})
 			})
 		}
@@ -130,3 +135,79 @@
 		wg.Wait()
 	})
 }
+
+var (
+	partsFirst = flag.Uint64("parts.first", 1, "first seed of TestRandomPartsThatCrashEngines")
+	partsSeeds = flag.Uint64("parts.seeds", 4, "number of seeds of TestRandomPartsThatCrashEngines")
+	partsFleet = flag.Int("parts.routers", 4, "routers of TestRandomPartsThatCrashEngines")
+)
+
+// Guards against parts that are not found, and against harmless ones that are refused, whatever the prompts:
+// several parts crash engines, at any place but the last, beside engines that crash by chance.
+func TestRandomPartsThatCrashEngines(t *testing.T) {
+	for seed := *partsFirst; seed < *partsFirst+*partsSeeds; seed++ {
+		for _, routers := range slices.Compact([]int{1, *partsFleet}) {
+			t.Run(fmt.Sprintf("seed %d, %d routers", seed, routers), func(t *testing.T) {
+				withFleet(t, func(f *fleet) { playRandomParts(f, rand.New(rand.NewPCG(seed, uint64(routers))), routers) })
+			})
+		}
+	}
+}
+
+// playRandomParts sends 200 prompts within 20 s and checks what becomes of them.
+func playRandomParts(f *fleet, random *rand.Rand, routers int) {
+	const prompts, chanceCrashes, maxCrashesOfAPart = 200, 4, 5
+	f.putConfig(0, "k1")
+	engines := f.startFragileEngines(40)
+	f.startRouters(routers)
+	guilty := 1 + random.IntN(3)
+	var wg sync.WaitGroup
+	for n := range prompts {
+		req, part := randomParts(random, fmt.Sprint("r-", n), guilty)
+		req.vm = 1 + random.IntN(routers)
+		wg.Go(func() {
+			time.Sleep(time.Duration(n) * 100 * time.Millisecond)
+			status := f.send(req).status
+			if part == "" {
+				require.NotEqual(f.t, http.StatusUnprocessableEntity, status, "harmless prompt %s", req.parts)
+				return
+			}
+			require.NotEqual(f.t, http.StatusOK, status)
+			if n > prompts*3/4 {
+				require.Equal(f.t, http.StatusUnprocessableEntity, status, "late prompt %s", req.parts)
+			}
+		})
+	}
+	for range chanceCrashes {
+		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+		engines[random.IntN(len(engines))].crash()
+	}
+	wg.Wait()
+	crashes := map[string]int{}
+	for _, e := range engines {
+		if part := e.cause.Load(); part != nil {
+			crashes[*part]++
+		}
+	}
+	for part, n := range crashes {
+		require.LessOrEqual(f.t, n, maxCrashesOfAPart, "part %s of %v", part, crashes)
+	}
+}
+
+// randomParts returns a request with some of six shared parts and a last part of its own. A third of them have a
+// part that crashes engines, whose name is returned.
+func randomParts(random *rand.Rand, id string, guilty int) (req request, part string) {
+	var parts []string
+	for n := range 6 {
+		if random.IntN(3) == 0 {
+			parts = append(parts, fmt.Sprintf("shared-%d:100", n))
+		}
+	}
+	if random.IntN(3) == 0 {
+		part = fmt.Sprint(crashingPart, random.IntN(guilty))
+		parts = slices.Insert(parts, random.IntN(len(parts)+1), part+":100")
+	}
+	req = review(id)
+	req.parts = strings.Join(append(parts, "own-"+id+":200"), ",")
+	return req, part
+}
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -22,12 +22,17 @@
 	*standin.Upstream
 	server  *http.Server
 	crashed atomic.Bool
+	// cause is the part of the prompt that crashed the engine, nil if none did.
+	cause atomic.Pointer[string]
 }
 
 // ServeHTTP implements http.Handler.
 func (e *fragileEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.Contains(r.Header.Get(standin.HeaderParts), crashingPart) {
+	if _, rest, crashes := strings.Cut(r.Header.Get(standin.HeaderParts), crashingPart); crashes {
 		time.Sleep(50 * time.Millisecond)
+		number, _, _ := strings.Cut(rest, ":")
+		part := crashingPart + number
+		e.cause.CompareAndSwap(nil, &part)
 		e.crash()
 	}
 	e.Upstream.ServeHTTP(w, r)
@@ -329,6 +334,9 @@
 		f.putConfig(0, "k1")
 		f.startFragileEngines(20)
 		f.startRouters(2)
+		harmless := review("harmless") // an answer: their common part is not to blame
+		harmless.parts, harmless.vm = "aa:600,own:400", 1
+		require.Equal(t, 200, f.send(harmless).status)
 		const prompts = 6
 		for n := range prompts {
 			req := review(fmt.Sprint("d-", n))
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -45,6 +46,8 @@
 	metrics  *gatewayMetrics
 	log      zerolog.Logger
 	breaks   chan brokenAttempt
+	// answeredParts holds the parts of prompts that upstreams answered through this router.
+	answeredParts answeredParts
 	// probed holds the prompts of the breaks that wait for the result of a probe.
 	probed promptCounts
 	// keeperOutbox and routerOutbox hold the evidence that other processes have not acknowledged.
@@ -89,34 +92,53 @@
 	tasks.Every(promptExpireInterval, func(context.Context) { p.expire(time.Now()) })
 }
 
-// evidenceFor returns the evidence on a request's prompt that counts for its service. While there is
-// no evidence at all, it doesn't identify the prompt, which would hash a part of every request.
-func (p *promptGuard) evidenceFor(r *serving.Request) poison.Evidence {
+// evidenceFor returns the evidence on a request's prompt and on its parts that counts for its service, the
+// strongest first. While there is no evidence at all, it doesn't identify them, which would hash the parts
+// of every request.
+func (p *promptGuard) evidenceFor(r *serving.Request) []poison.Evidence {
 	if p.registry.Empty() {
-		return poison.Evidence{}
+		return nil
+	}
+	now, service := time.Now(), r.Service.Name
+	var all []poison.Evidence
+	whole, parts := poison.Identify(r), poison.IdentifyParts(r)
+	if e := p.registry.Known(now, whole).ForService(service); e.Standing() > poison.Clear {
+		all = append(all, e)
+	}
+	for _, part := range parts {
+		e := p.registry.Known(now, part).ForService(service)
+		if e.Standing() > poison.Clear && !p.answeredParts.has(part, service) {
+			e.Explained = e.Standing() == poison.Proven && p.registry.Explained(e, append(parts, whole))
+			all = append(all, e)
+		}
 	}
-	return p.registry.Known(time.Now(), poison.Identify(r)).ForService(r.Service.Name)
+	slices.SortStableFunc(all, func(a, b poison.Evidence) int {
+		return cmp.Or(cmp.Compare(b.Standing(), a.Standing()), cmp.Compare(len(b.Crashes), len(a.Crashes)))
+	})
+	return all
 }
 
 // Refuse implements serving.PromptGuard.
 func (p *promptGuard) Refuse(ctx context.Context, r *serving.Request) *contract.Refusal {
-	evidence := p.evidenceFor(r)
-	switch evidence.Standing() {
-	case poison.Proven:
-		return provenRefusal(evidence)
-	case poison.OnTrial:
-		return p.requestTrial(ctx, r, evidence)
+	for _, evidence := range p.evidenceFor(r) {
+		switch evidence.Standing() {
+		case poison.Proven:
+			return provenRefusal(evidence)
+		case poison.OnTrial:
+			if refusal := p.requestTrial(ctx, r, evidence); refusal != nil {
+				return refusal
+			}
+		}
 	}
 	return nil
 }
 
 // Proven implements serving.PromptGuard.
 func (p *promptGuard) Proven(r *serving.Request) *contract.Refusal {
-	evidence := p.evidenceFor(r)
-	if evidence.Standing() != poison.Proven {
-		return nil
+	if all := p.evidenceFor(r); len(all) > 0 && all[0].Standing() == poison.Proven {
+		return provenRefusal(all[0])
 	}
-	return provenRefusal(evidence)
+	return nil
 }
 
 func provenRefusal(evidence poison.Evidence) *contract.Refusal {
@@ -138,7 +160,8 @@
 // requestTrial requests the owner's permission to send a prompt that is on trial, and returns a
 // refusal if the owner denies it.
 func (p *promptGuard) requestTrial(ctx context.Context, r *serving.Request, evidence poison.Evidence) *contract.Refusal {
-	trial := link.PromptTry{Prompt: evidence.Prompt, Service: r.Service.Name, Request: r.ID, Known: p.registry.Known(time.Now(), evidence.Prompt)}
+	trial := link.PromptTry{Prompt: evidence.Prompt, Service: r.Service.Name, Request: r.ID,
+		Known: p.registry.Known(time.Now(), evidence.Prompt), Explained: evidence.Explained}
 	reply, _, err := callOwner(ctx, p, evidence.Prompt, link.MethodPromptTry, trial, p.handleTry)
 	if err != nil {
 		reply, _ = p.handleTry(ctx, trial) // decides by local evidence; never returns an error
@@ -149,7 +172,9 @@
 	if reply.Allowed {
 		return nil
 	}
-	if relevant := reply.Known.ForService(r.Service.Name); relevant.Standing() == poison.Proven {
+	relevant := reply.Known.ForService(r.Service.Name)
+	relevant.Explained = evidence.Explained
+	if relevant.Standing() == poison.Proven {
 		return provenRefusal(relevant)
 	}
 	refusal := contract.Refuse(contract.PromptOnTrial, "upstreams ended under this prompt, and another request is trying it")
@@ -163,21 +188,26 @@
 		return
 	}
 	prompt := poison.Identify(r)
-	service := r.Service.Name
+	if !p.clear(prompt, r.Service.Name) && p.probed.has(prompt) { // the crash that the probe may find came before
+		p.registry.AddAnswer(time.Now(), prompt, poison.Answer{Service: r.Service.Name})
+	}
+}
+
+// clear records that a service answered a prompt or a part of prompts, and distributes that. It reports
+// whether there was evidence on it.
+func (p *promptGuard) clear(prompt poison.Prompt, service string) bool {
 	before := p.registry.RecordAnswer(time.Now(), prompt, service)
 	if before.Standing() == poison.Clear {
-		if p.probed.has(prompt) { // the crash that the probe may find came before
-			p.registry.AddAnswer(time.Now(), prompt, poison.Answer{Service: service})
-		}
-		return
+		return false
 	}
-	p.log.Info().Str("id", r.ID).Str("prompt", string(prompt)).Str("service", service).Str("was", before.Standing().String()).
+	p.log.Info().Str("prompt", string(prompt)).Str("service", service).Str("was", before.Standing().String()).
 		Str("evidence", describeEvidence(before)).Msg("prompt_cleared")
 	p.received.add(prompt)
 	p.notifyOwner(prompt, true)
 	if before.Standing() >= poison.OnTrial {
 		p.notifyRouters(prompt, true)
 	}
+	return true
 }
 
 // ConnectionBroken implements serving.PromptGuard. It does not wait for the investigation of the
@@ -188,7 +218,7 @@
 		at: p.registry.CrashTime(time.Now(), prompt, r.Service.Name)} // an answer may come during the probe
 	p.probed.add(prompt, 1)
 	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
-	if earlier || p.evidenceFor(r).Standing() > poison.Clear {
+	if earlier || len(p.evidenceFor(r)) > 0 {
 		p.investigateBreak(ctx, b)
 		return
 	}
@@ -225,6 +255,7 @@
 	if state != upstreamDown {
 		return
 	}
+	p.blameParts(b)
 	now := time.Now()
 	before := p.registry.Known(now, b.prompt)
 	local, isNew := p.addEvidence(poison.Evidence{Prompt: b.prompt, Crashes: []poison.Crash{{
--- a/gateway/promptupdates.go
+++ b/gateway/promptupdates.go
@@ -115,7 +115,7 @@
 // handleTry decides whether a request may try a prompt.
 func (p *promptGuard) handleTry(_ context.Context, in link.PromptTry) (link.PromptTryReply, error) {
 	now := time.Now()
-	allowed := p.registry.Allow(now, in.Prompt, in.Service, in.Request)
+	allowed := p.registry.AllowTrial(now, in.Prompt, in.Service, in.Request, in.Explained)
 	return link.PromptTryReply{Allowed: allowed, Known: p.registry.Known(now, in.Prompt)}, nil
 }
 
--- a/gateway/recall.go
+++ b/gateway/recall.go
@@ -22,7 +22,8 @@
 // upstreams.
 type trackedAttempt struct {
 	request *serving.Request
-	prompt  poison.Prompt
+	// prompts are the identities of the prompt and of its parts.
+	prompts []poison.Prompt
 	cancel  context.CancelCauseFunc
 	removed atomic.Bool
 }
@@ -33,10 +34,12 @@
 	if t.byPrompt == nil {
 		t.byPrompt = map[poison.Prompt]map[*trackedAttempt]struct{}{}
 	}
-	if t.byPrompt[a.prompt] == nil {
-		t.byPrompt[a.prompt] = map[*trackedAttempt]struct{}{}
+	for _, prompt := range a.prompts {
+		if t.byPrompt[prompt] == nil {
+			t.byPrompt[prompt] = map[*trackedAttempt]struct{}{}
+		}
+		t.byPrompt[prompt][a] = struct{}{}
 	}
-	t.byPrompt[a.prompt][a] = struct{}{}
 }
 
 // remove removes an attempt. It is called for each event of a response; calls after the first do
@@ -47,13 +50,15 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.byPrompt[a.prompt], a)
-	if len(t.byPrompt[a.prompt]) == 0 {
-		delete(t.byPrompt, a.prompt)
+	for _, prompt := range a.prompts {
+		delete(t.byPrompt[prompt], a)
+		if len(t.byPrompt[prompt]) == 0 {
+			delete(t.byPrompt, prompt)
+		}
 	}
 }
 
-// forPrompt returns the tracked attempts of a prompt.
+// forPrompt returns the tracked attempts of a prompt, or of prompts with a part.
 func (t *trackedAttempts) forPrompt(prompt poison.Prompt) (out []*trackedAttempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -69,9 +74,13 @@
 		return ctx, func() {}, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &trackedAttempt{request: r, prompt: poison.Identify(r), cancel: cancel}
+	parts := poison.IdentifyParts(r)
+	a := &trackedAttempt{request: r, prompts: append([]poison.Prompt{poison.Identify(r)}, parts...), cancel: cancel}
 	p.attempts.add(a)
-	began = func() { p.attempts.remove(a) }
+	began = func() {
+		p.attempts.remove(a)
+		p.recordPartsAnswered(r, parts)
+	}
 	return ctx, began, func() {
 		p.attempts.remove(a)
 		cancel(nil)
@@ -82,6 +91,9 @@
 // the prompt is now proven to crash upstreams, it cancels the prompt's tracked attempts.
 func (p *promptGuard) addEvidence(e poison.Evidence) (merged poison.Evidence, isNew bool) {
 	merged, isNew = p.registry.Add(time.Now(), e)
+	if isNew && p.clearAnswered(merged) {
+		return p.registry.Known(time.Now(), e.Prompt), isNew
+	}
 	if !isNew || merged.Standing() < poison.Proven {
 		return merged, isNew
 	}
--- a/link/messages.go
+++ b/link/messages.go
@@ -116,6 +116,9 @@
 	Request string        `json:"request"`
 	// Known is the evidence of the router that asks, empty in messages of processes without this field.
 	Known poison.Evidence `json:"known"`
+	// Explained is set if another part of prompts, which the request does not have, may have caused all crashes
+	// of this part.
+	Explained bool `json:"explained,omitempty"`
 }
 
 // PromptTryReply is the decision, with the evidence behind it.
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -36,6 +36,9 @@
 	// at an unknown time.
 	Answered []string `json:"answered,omitempty"`
 	Answers  []Answer `json:"answers,omitempty"`
+	// Explained is set if another part may have caused all crashes: the part is on trial then, but not
+	// proven. It depends on the request and is not sent.
+	Explained bool `json:"-"`
 }
 
 // Crash is the crash of one incarnation of an upstream.
@@ -71,7 +74,13 @@
 }
 
 // Standing returns the standing that the evidence implies.
-func (e Evidence) Standing() Standing { return standing(len(e.Crashes), e.newestAge()) }
+func (e Evidence) Standing() Standing {
+	s := standing(len(e.Crashes), e.newestAge())
+	if e.Explained {
+		s = min(s, OnTrial)
+	}
+	return s
+}
 
 // newestAge returns the age of the latest crash, 0 if there is none.
 func (e Evidence) newestAge() time.Duration {
--- a/poison/prompt.go
+++ b/poison/prompt.go
@@ -7,14 +7,23 @@
 	"encoding/binary"
 	"encoding/hex"
 	"io"
+	"slices"
+	"strings"
 
 	"github.com/arbutusmill/arbutusmill/serving"
 )
 
 // Prompt identifies the work requested from an upstream, independent of the caller: a caller's
-// retry has a new request id but the same prompt.
+// retry has a new request id but the same prompt. It may also identify a part that prompts share, since a
+// part may crash upstreams whatever the rest of the prompt holds.
 type Prompt string
 
+// partPrefix begins the identities of parts.
+const partPrefix = "part-"
+
+// IsPart reports whether the identity is that of a part.
+func (p Prompt) IsPart() bool { return strings.HasPrefix(string(p), partPrefix) }
+
 // identityBytes is the length of an identity, long enough to avoid collisions among billions of
 // prompts.
 const identityBytes = 12
@@ -40,3 +49,23 @@
 	}
 	return Prompt(hex.EncodeToString(h.Sum(nil)[:identityBytes]))
 }
+
+// IdentifyParts returns the identities of the parts of a request's prompt, each once, without the last part: that
+// belongs to the request or its session. A part is the same whatever its number of tokens and the case
+// of its id.
+func IdentifyParts(r *serving.Request) []Prompt {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	out := make([]Prompt, 0, len(r.Parts)-1)
+	for _, part := range r.Parts[:len(r.Parts)-1] {
+		if part.ID == "" {
+			continue
+		}
+		sum := sha256.Sum256([]byte(strings.ToLower(part.ID)))
+		if p := Prompt(partPrefix + hex.EncodeToString(sum[:identityBytes])); !slices.Contains(out, p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/poison/record.go
+++ b/poison/record.go
@@ -19,6 +19,9 @@
 
 // record holds the evidence on one prompt. Times are wall-clock times in milliseconds.
 type record struct {
+	// part is set for a part of prompts. An answer clears a part for good, since one that crashes upstreams
+	// crashes each of them before it begins to answer.
+	part bool
 	// crashes holds the upstream crashes, by incarnation.
 	crashes map[string]crash
 	// answers holds the time of the last answer by service, 0 if it is unknown.
@@ -100,9 +103,13 @@
 	}
 }
 
-// dropCleared drops the crashes before the last answer of their service.
+// dropCleared drops the crashes before the last answer of their service, those of a part whatever their
+// time.
 func (r *record) dropCleared() {
-	maps.DeleteFunc(r.crashes, func(_ string, c crash) bool { return c.at < r.answers[c.service] })
+	maps.DeleteFunc(r.crashes, func(_ string, c crash) bool {
+		answer, answered := r.answers[c.service]
+		return c.at < answer || r.part && answered
+	})
 }
 
 // dropOldest keeps the newest maxCrashesPerPrompt crashes of each service. The bound is one for each
@@ -122,6 +129,11 @@
 	}
 }
 
+// without returns the crashes that the record does not have.
+func (r *record) without(crashes []Crash) []Crash {
+	return slices.DeleteFunc(crashes, func(c Crash) bool { _, has := r.crashes[c.Upstream]; return has })
+}
+
 // answerTime returns the time of an answer of a service that this process observes now: later than all
 // recorded crashes of the service and not before those of others, whatever the clocks of their observers.
 func (r *record) answerTime(now time.Time, service string) int64 {
@@ -208,7 +220,7 @@
 		if at > 0 {
 			e.Answers = append(e.Answers, Answer{Service: service, Age: ageOf(now, at), UnixMS: at})
 		}
-		if at == 0 || r.crashedBefore(at, service) {
+		if at == 0 || r.part || r.crashedBefore(at, service) {
 			e.Answered = append(e.Answered, service)
 		}
 	}
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -13,6 +13,11 @@
 	trialThreshold = 2
 	// provenThreshold is the number of crashes that prove that the prompt causes them.
 	provenThreshold = 3
+	// ambiguousThreshold is the number of crashes from which a part is not tried only because other parts
+	// with few crashes may be the cause.
+	ambiguousThreshold = 5
+	// maxUnexplained is the number of crashes of such a part that may have happened by chance.
+	maxUnexplained = 1
 	// maxTrials limits how often a proven prompt is tried again.
 	maxTrials = 3
 	// trialInterval is the time between the starts of two requests that try a prompt on trial:
@@ -32,7 +37,7 @@
 	maxCrashesPerPrompt = 8
 )
 
-// Registry holds one process's evidence on prompts that crash upstreams. An answer from a service
+// Registry holds one process's evidence on prompts, and on parts of prompts, that crash upstreams. An answer from a service
 // clears the prompt there: a prompt that crashes upstreams is never answered, while a harmless one
 // that many callers send coincides with a crash now and then.
 //
@@ -126,7 +131,7 @@
 	if r.records == nil {
 		r.records = map[Prompt]*record{}
 	}
-	rec := &record{crashes: map[string]crash{}, answers: map[string]int64{}}
+	rec := &record{part: p.IsPart(), crashes: map[string]crash{}, answers: map[string]int64{}}
 	r.records[p] = rec
 	return rec
 }
@@ -180,6 +185,29 @@
 	return Evidence{Prompt: p}
 }
 
+// Explained reports whether other parts or whole prompts than the given ones may have caused all crashes of a
+// part. Prompts that crash upstreams share harmless parts with many others, and only an answer tells these
+// from the cause: a prompt without what may be the cause is allowed to try the others. Parts and whole
+// prompts with provenThreshold crashes may be the cause. Below ambiguousThreshold crashes any other part may,
+// and an upstream may also have crashed by chance.
+func (r *Registry) Explained(e Evidence, except []Prompt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byAny, byProven := slices.Clone(e.Crashes), slices.Clone(e.Crashes)
+	for p, rec := range r.records {
+		if len(rec.crashes) == 0 || p == e.Prompt || slices.Contains(except, p) {
+			continue
+		}
+		if rec.part {
+			byAny = rec.without(byAny)
+		}
+		if len(rec.crashes) >= provenThreshold {
+			byProven = rec.without(byProven)
+		}
+	}
+	return len(byProven) == 0 || len(byAny) <= maxUnexplained && len(e.Crashes) < ambiguousThreshold
+}
+
 // Has reports whether any evidence on a prompt is recorded.
 func (r *Registry) Has(now time.Time, p Prompt) bool {
 	r.mu.Lock()
@@ -191,6 +219,11 @@
 // Allow reports whether the request with this id may send a prompt to a service now, and records
 // the trial if the prompt is on trial. Only the process that decides for the prompt calls it.
 func (r *Registry) Allow(now time.Time, p Prompt, service, request string) bool {
+	return r.AllowTrial(now, p, service, request, false)
+}
+
+// AllowTrial is Allow for a request for which a proven part is on trial if explained is set; see Explained.
+func (r *Registry) AllowTrial(now time.Time, p Prompt, service, request string, explained bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropExpiredLocked(now, p)
@@ -198,12 +231,14 @@
 	if rec == nil {
 		return true
 	}
-	switch standing := rec.evidence(now, p).ForService(service).Standing(); {
+	e := rec.evidence(now, p).ForService(service)
+	e.Explained = explained
+	switch standing := e.Standing(); {
 	case standing < OnTrial:
 		return true
 	case standing == Proven:
 		return false
-	case rec.trialRequest == request:
+	case rec.trialRequest == request && !rec.lastCrash().After(rec.lastTrial):
 		return true // the first upstream chosen for it could not be reached
 	case now.Sub(rec.lastTrial) < trialInterval:
 		return false
