--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -234,7 +234,7 @@
 	}
 }
 
-// asked is what a follower had when it sent a request.
+// asked is what a follower had when it sent a request, and what it requested.
 type asked struct {
 	positions []Position
 	// revisions are those up to which the readers had all changes. A position after which nothing is known
@@ -332,7 +332,7 @@
 	c, r := f.progress[u.Prefix], f.Readers[u.Prefix]
 	switch {
 	case u.Unread || u.At < c.at:
-		return // the reader has all of it
+		return // nothing new for the reader
 	case u.Whole:
 		f.resetReader(c, r, u)
 		return
--- a/coord/relay/relay.go
+++ b/coord/relay/relay.go
@@ -10,8 +10,8 @@
 // revision, a follower sends the revision up to which it has all changes, and accepts nothing
 // older from any relay. A stale
 // copy is always detected: a relay reports when it lost the store and how long ago the store
-// last answered, and a follower that gets no answer in time polls another relay, and finally
-// the store itself.
+// last answered, and a follower that gets no answer in time polls another relay too, and finally
+// the store itself, without giving up the first one: its late answer still counts.
 package relay
 
 import (
