Relay: a second relay is asked as late as before at rest, and released after a second

At rest the next source is polled after 0.4 s now, as before this work; the patience shrinks only so far that it ends shortly after the store's answer to the followed relay is due. A prefix that was only requested without a wait is followed for one second.

--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -14,7 +14,7 @@
 
 const (
 	// pollWait is how long a relay waits for changes before it answers without any. Together
-	// with minPatience it bounds how long a follower takes to detect that its relay stopped
+	// with patience it bounds how long a follower takes to detect that its relay stopped
 	// answering, which must stay well below the seconds in which changes must take effect.
 	pollWait = 700 * time.Millisecond
 	// answerTimeout is how long an answer may take beyond its wait. It exceeds the patience: another source
--- a/coord/relay/hub.go
+++ b/coord/relay/hub.go
@@ -17,6 +17,9 @@
 	// follower between two requests. Following for longer would cost the store more calls than the
 	// read for a follower that returns later.
 	idleTimeout = 3 * time.Second
+	// briefIdleTimeout replaces idleTimeout for a prefix that was only requested without a wait: followers of
+	// another relay, whose answer was late, do that once.
+	briefIdleTimeout = time.Second
 	// idleCheckInterval is the interval between two checks for idle prefixes.
 	idleCheckInterval = time.Second
 )
@@ -63,8 +66,9 @@
 // followedPrefix is a prefix that the hub currently follows.
 type followedPrefix struct {
 	*feed
-	prefix      Prefix
-	lastRequest time.Time
+	prefix Prefix
+	// idleAt is when the prefix is no longer followed unless it is requested again.
+	idleAt time.Time
 	// lastRemote is the time of the last request of another process, zero if there was none.
 	lastRemote time.Time
 	ctx        context.Context
@@ -157,7 +161,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, f := range h.feeds {
-		if h.Now().Sub(f.lastRequest) > idleTimeout {
+		if h.Now().After(f.idleAt) {
 			f.end()
 			delete(h.feeds, name)
 		}
@@ -247,7 +251,7 @@
 
 // readPositions returns the changes after each of a request's positions.
 func (h *Hub) readPositions(r Request, remote bool) (out readResult, next nextCheck, err error) {
-	feeds, updated, err := h.feedsFor(r.Positions, remote)
+	feeds, updated, err := h.feedsFor(r, remote)
 	if err != nil {
 		return readResult{}, nextCheck{}, err
 	}
@@ -271,16 +275,21 @@
 	return a
 }
 
-// feedsFor returns the feeds of the positions, and starts to follow prefixes that are not followed
+// feedsFor returns the feeds of a request's positions, and starts to follow prefixes that are not followed
 // yet.
-func (h *Hub) feedsFor(positions []Position, remote bool) ([]*feed, <-chan struct{}, error) {
+func (h *Hub) feedsFor(r Request, remote bool) ([]*feed, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.stopping {
 		return nil, nil, Error.Wrap(ErrStopping)
 	}
-	out := make([]*feed, len(positions))
-	for i, p := range positions {
+	idle := idleTimeout
+	if r.Wait <= 0 {
+		idle = briefIdleTimeout
+	}
+	now := h.Now()
+	out := make([]*feed, len(r.Positions))
+	for i, p := range r.Positions {
 		f := h.feeds[p.Prefix]
 		if f == nil {
 			prefix, ok := h.prefix(p.Prefix)
@@ -289,9 +298,11 @@
 			}
 			f = h.startLocked(prefix)
 		}
-		f.lastRequest = h.Now()
+		if at := now.Add(idle); at.After(f.idleAt) {
+			f.idleAt = at
+		}
 		if remote {
-			f.lastRemote = f.lastRequest
+			f.lastRemote = now
 		}
 		out[i] = f.feed
 	}
--- a/coord/relay/polls.go
+++ b/coord/relay/polls.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// minPatience and maxPatience bound how much longer than its wait an answer may take before the next
-	// source is polled too. Within them the patience is twice the delay of recent answers, so that
-	// a process whose link or processor is behind does not poll further sources each time. shortPatience
-	// replaces them when the store's answer to the source that is followed is almost due.
-	minPatience   = 250 * time.Millisecond
+	// patience and maxPatience bound how much longer than its wait an answer may take before the next
+	// source is polled too. Within them that is twice the delay of recent answers, so that
+	// a process whose link or processor is behind does not poll further sources each time. It is less, but
+	// at least shortPatience, if the store's answer to the source that is followed is due before.
+	patience      = 400 * time.Millisecond
 	shortPatience = 150 * time.Millisecond
 	maxPatience   = 500 * time.Millisecond
 	// readPatience is how long a follower that has a copy waits for a relay that has just begun to read
@@ -116,7 +116,7 @@
 			wake = earliest(wake, f.overdueUntil(sources[:i]))
 			continue
 		default:
-			f.startPoll(ctx, polls, s, f.wait(s.Name, state), f.patience(s.Name, state), false)
+			f.startPoll(ctx, polls, s, f.wait(s.Name, state), f.patienceWith(s.Name, state), false)
 		}
 		if now.Before(state.poll.patientUntil) {
 			return earliest(wake, state.poll.patientUntil)
@@ -161,30 +161,28 @@
 	return min(pollWait, max(0, state.dueAt.Sub(f.Now())))
 }
 
-// patience returns how long after a poll of a source the next source is polled too.
-func (f *Follower) patience(name string, state *sourceState) time.Duration {
+// patienceWith returns how long after a poll of a source the next source is polled too.
+func (f *Follower) patienceWith(name string, state *sourceState) time.Duration {
 	switch {
 	case state.overdue, f.followsOther(name):
 		return 0
 	case !f.hasCopy():
 		return pollWait + maxPatience
 	case !state.unreadSince.IsZero():
-		return max(0, f.shortened(readPatience)-f.Now().Sub(state.unreadSince))
+		return max(0, f.limitToDue(0, readPatience)-f.Now().Sub(state.unreadSince))
 	}
-	return f.wait(name, state) + f.slack()
+	wait := f.wait(name, state)
+	return wait + min(maxPatience, max(f.limitToDue(wait, patience), 2*f.delay))
 }
 
-// slack returns how much longer than its wait an answer may take before the next source is polled too.
-func (f *Follower) slack() time.Duration {
-	return min(maxPatience, max(f.shortened(minPatience), 2*f.delay))
-}
-
-// shortened returns a patience, or shortPatience if the copy will soon be older than it may be.
-func (f *Follower) shortened(patience time.Duration) time.Duration {
-	if !f.dueAt.IsZero() && f.Now().After(f.dueAt.Add(-pollWait)) {
-		return min(patience, shortPatience)
+// limitToDue returns a patience after a wait, limited so that it ends shortly after the store's answer to the
+// source that is followed is due.
+func (f *Follower) limitToDue(wait, patience time.Duration) time.Duration {
+	if f.dueAt.IsZero() {
+		return patience
 	}
-	return patience
+	untilDue := f.dueAt.Sub(f.Now()) - wait
+	return min(patience, max(0, untilDue)+shortPatience)
 }
 
 // followsOther reports whether another source than the named one is followed and its answers are in time.
--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -322,6 +322,24 @@
 	})
 }
 
+// Guards against load on the store from relays that were only asked because another one was late: a prefix that
+// was requested without a wait is followed for a second only.
+func TestPrefixThatWasRequestedOnceIsDroppedSoon(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := &Hub{Store: "s", Prefixes: []Prefix{{Name: keys, Store: memstore.New(), StaleAfter: time.Minute}}, MaxFollowers: 1, Now: time.Now}
+		done := make(chan struct{})
+		go func() { defer close(done); h.Run(ctx) }()
+		_, err := h.Serve(ctx, Request{Store: "s", Positions: []Position{{Prefix: keys}}})
+		require.NoError(t, err)
+		require.Len(t, h.State().Feeds, 1)
+		time.Sleep(briefIdleTimeout + 3*idleCheckInterval/2)
+		require.Empty(t, h.State().Feeds)
+		cancel()
+		<-done
+	})
+}
+
 // A fleet of hundreds of processes must use one relay for each hundred, all processes the same
 // relays, with the followers spread over them.
 func TestRankRelays(t *testing.T) {
