Relay: relays that a fleet has just chosen are waited for while the copy is fresh

When members settle, all followers move to newly chosen relays at once, which must read the store first. Now such a relay is waited for up to a second, as long as the copy does not become too old by it.

--- a/coord/relay/polls.go
+++ b/coord/relay/polls.go
@@ -18,8 +18,9 @@
 	shortPatience = 150 * time.Millisecond
 	maxPatience   = 500 * time.Millisecond
 	// readPatience is how long a follower that has a copy waits for a relay that has just begun to read
-	// the store before it polls the next source too.
-	readPatience = 300 * time.Millisecond
+	// the store before it polls the next source too, unless the copy would become too old. When a fleet chooses
+	// other relays, all followers wait for these reads.
+	readPatience = time.Second
 	// overduePatience is how long a follower waits for a relay to which the store's answer is overdue before it
 	// follows the store itself.
 	overduePatience = 300 * time.Millisecond
