--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -56,7 +56,7 @@
 	}
 	for _, c := range e.Crashes {
 		if p.answeredParts.has(e.Prompt, c.Service) {
-			cleared = p.clear(e.Prompt, c.Service) || cleared
+			cleared = p.clear("", e.Prompt, c.Service) || cleared
 		}
 	}
 	return cleared
@@ -68,7 +68,7 @@
 	for _, part := range parts {
 		p.answeredParts.add(part, service)
 		if !p.registry.Empty() {
-			p.clear(part, service)
+			p.clear(r.ID, part, service)
 		}
 	}
 }
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -188,19 +188,19 @@
 		return
 	}
 	prompt := poison.Identify(r)
-	if !p.clear(prompt, r.Service.Name) && p.probed.has(prompt) { // the crash that the probe may find came before
+	if !p.clear(r.ID, prompt, r.Service.Name) && p.probed.has(prompt) { // the crash that the probe may find came before
 		p.registry.AddAnswer(time.Now(), prompt, poison.Answer{Service: r.Service.Name})
 	}
 }
 
 // clear records that a service answered a prompt or a part of prompts, and distributes that. It reports
-// whether there was evidence on it.
-func (p *promptGuard) clear(prompt poison.Prompt, service string) bool {
+// whether there was evidence on it. The request that was answered is "" if that was earlier.
+func (p *promptGuard) clear(request string, prompt poison.Prompt, service string) bool {
 	before := p.registry.RecordAnswer(time.Now(), prompt, service)
 	if before.Standing() == poison.Clear {
 		return false
 	}
-	p.log.Info().Str("prompt", string(prompt)).Str("service", service).Str("was", before.Standing().String()).
+	p.log.Info().Str("id", request).Str("prompt", string(prompt)).Str("service", service).Str("was", before.Standing().String()).
 		Str("evidence", describeEvidence(before)).Msg("prompt_cleared")
 	p.received.add(prompt)
 	p.notifyOwner(prompt, true)
