The store's era, and sources that are refused as older, show in logs and metrics

Now each process logs store_era at each rise that its own calls show, source_behind with both revisions when a source is first refused as older, and counts answers with an invalid era. No change of logic.

--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -98,6 +98,8 @@
 func (nopReporter) SourceChanged(string, error) {}
 func (nopReporter) SourceRefused(string, error) {}
 
+func (nopReporter) SourceBehind(string, store.Revision, store.Revision) {}
+
 // ownHubReleaser releases a follower's own hub once it follows a relay.
 type ownHubReleaser struct{ own *Hub }
 
@@ -108,6 +110,8 @@
 }
 func (ownHubReleaser) SourceRefused(string, error) {}
 
+func (ownHubReleaser) SourceBehind(string, store.Revision, store.Revision) {}
+
 // callTimeout and watchTimeout bound a store call and a watch that are not answered, and watchDelay bounds the delay between a
 // change and the store's next answer. watchPause is the pause of a watch after changes, staleAfter and
 // overdueAfter are those of a prefix with that pause and calls of one second.
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -44,6 +44,9 @@
 	SourceChanged(source string, reason error)
 	// SourceRefused is called for each invalid answer.
 	SourceRefused(source string, reason error)
+	// SourceBehind is called when the copy of a source is older than the follower's, once until another
+	// source is followed or this one answers with a newer copy.
+	SourceBehind(source string, has, want store.Revision)
 }
 
 // Follower keeps readers up to date with the changes that relays send.
@@ -61,6 +64,8 @@
 
 	progress map[string]*progress
 	sources  map[string]*sourceState // by name
+	// behind holds the sources that were reported as behind.
+	behind map[string]bool
 	// order lists the names of the sources, best first.
 	order []string
 	// results receives the outcomes of polls.
@@ -138,7 +143,7 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	f.progress, f.sources = map[string]*progress{}, map[string]*sourceState{}
+	f.progress, f.sources, f.behind = map[string]*progress{}, map[string]*sourceState{}, map[string]bool{}
 	f.results, f.lastAnswer = make(chan pollResult), f.Now()
 	for prefix := range f.Readers {
 		f.progress[prefix] = &progress{}
@@ -199,9 +204,25 @@
 	}
 }
 
+// behindError is ErrBehind with the revisions of the source's copy and the follower's.
+type behindError struct{ has, want store.Revision }
+
+func (e *behindError) Error() string { return Error.Wrap(ErrBehind).Error() }
+func (e *behindError) Unwrap() error { return Error.Wrap(ErrBehind) }
+
+// noteBehind reports a source whose copy is older than the follower's, once.
+func (f *Follower) noteBehind(source string, err error) {
+	var behind *behindError
+	if errors.As(err, &behind) && !f.behind[source] {
+		f.behind[source] = true
+		f.Report.SourceBehind(source, behind.has, behind.want)
+	}
+}
+
 // markFollowed makes a source that has answered the one that is followed.
 func (f *Follower) markFollowed(source string) {
 	f.cancelStorePolls(source)
+	clear(f.behind)
 	if source != f.current {
 		f.Report.SourceChanged(source, f.leaveReason)
 	}
@@ -220,6 +241,7 @@
 
 func (f *Follower) markFailed(source string, state *sourceState, err error) {
 	f.leaveReason = err
+	f.noteBehind(source, err)
 	state.markFailed(f.Now(), f.followsOther(source))
 	if errors.Is(err, ErrInvalidReply) || errors.Is(err, ErrMissingUpdate) || errors.Is(err, ErrOtherStore) {
 		f.Report.SourceRefused(source, err)
@@ -289,7 +311,7 @@
 		case !ok:
 			return Error.Wrap(ErrUnknownPrefix)
 		case u.Whole && u.At < request.revisions[u.Prefix]:
-			return Error.Wrap(ErrBehind)
+			return &behindError{has: u.At, want: request.revisions[u.Prefix]}
 		}
 		if err := validate(u, position); err != nil {
 			return err
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -41,6 +41,13 @@
 // Revision is the number of a write to the store; 0 stands for an absent key.
 type Revision int64
 
+// Era counts how often the store was restored from an older copy of itself, which loses acknowledged
+// writes and leases, and gives out their revisions again.
+type Era int64
+
+// MaxEra bounds eras.
+const MaxEra Era = 1<<22 - 1
+
 // LeaseID identifies a lease; 0 stands for no lease.
 type LeaseID int64
 
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -9,6 +9,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -97,6 +98,8 @@
 	// seenVersion is the last version of the members, seenSince the time since which it is current.
 	seenVersion uint64
 	seenSince   time.Time
+	// eraProblems holds the names of the calls of which a problem with the store's era was logged.
+	eraProblems sync.Map
 	// memberEntries is the store's list of members, ownEntry this process's entry in it.
 	memberEntries, ownEntry Dependency
 }
@@ -113,7 +116,7 @@
 	b.Admin.Metrics = b.Metrics
 	b.Log = p.Log.With().Str("life", b.Incarnation).Logger()
 	b.Store = newStore(p.Store, p.Network)
-	b.Store.OnCallEnd = b.recordStoreCall
+	b.Store.OnCallEnd, b.Store.Eras = b.recordStoreCall, b
 	b.Members = &member.Group{
 		Store:    b.Store,
 		Prefix:   memberPrefix,
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -59,6 +59,7 @@
 	m.NewGauge("arbutusmill_members", func() float64 { return float64(len(b.Members.Members())) })
 	m.NewGauge("arbutusmill_relay_followers", func() float64 { return float64(b.Hub.State().Waiting) })
 	m.NewGauge("arbutusmill_followed_age_seconds", func() float64 { return b.FollowedAge().Seconds() })
+	m.NewGauge("arbutusmill_store_era", func() float64 { return float64(b.Store.Era()) })
 	return m
 }
 
@@ -70,3 +71,16 @@
 	}
 	return time.Since(s.LastReply) + s.Age
 }
+
+// EraChanged implements platform.EraReporter.
+func (b *Base) EraChanged(from, to store.Era, first bool, call string) {
+	b.Log.Info().Int64("from", int64(from)).Int64("era", int64(to)).Bool("first", first).Str("call", call).Msg("store_era")
+}
+
+// EraInvalid implements platform.EraReporter. It logs the first problem of each call and counts all of them.
+func (b *Base) EraInvalid(problem, call string) {
+	b.Metrics.GetOrCreateCounter("arbutusmill_store_era_invalid_total").Inc()
+	if _, logged := b.eraProblems.LoadOrStore(call, true); !logged {
+		b.Log.Error().Str("problem", problem).Str("call", call).Msg("store_era_invalid")
+	}
+}
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -8,6 +8,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/relay"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/prepaid"
@@ -15,7 +16,7 @@
 )
 
 const (
-	// memberWait and memberPause are the wait and pause of watches of members. A member list that
+	// memberWait and memberPause are the wait and pause of watches of members, whose changes are not urgent. A member list that
 	// is seconds old is harmless, and when a fleet starts each new member would end a waiting call.
 	memberWait  = 3 * time.Second
 	memberPause = time.Second
@@ -51,7 +52,7 @@
 		Prefixes: []relay.Prefix{
 			relayPrefix(platform.OperatorPrefix, b.Store),
 			relayPrefix(platform.UpstreamPrefix, b.Store),
-			relayPrefix(memberPrefix, withSlowWatches(b.Store)),
+			relayPrefix(memberPrefix, b.Store.WithWatches(memberWait, memberPause)),
 		},
 		MaxFollowers: maxFollowers,
 		Now:          time.Now,
@@ -63,13 +64,6 @@
 	return relay.Prefix{Name: prefix, Store: s, StaleAfter: answered + staleSlack, OverdueAfter: answered + overdueSlack}
 }
 
-// withSlowWatches returns a store whose watches make fewer calls, for changes that are not urgent.
-func withSlowWatches(s *platform.Store) *platform.Store {
-	slow := *s
-	slow.WatchWait, slow.WatchPause = memberWait, memberPause
-	return &slow
-}
-
 // newFollower returns a follower of the members and of the process's other readers.
 func (b *Base) newFollower(address string, readers map[string]mirror.Reader) *relay.Follower {
 	all := map[string]mirror.Reader{memberPrefix: b.Members}
@@ -213,3 +207,8 @@
 func (b *Base) SourceRefused(source string, reason error) {
 	b.Log.Warn().Err(reason).Str("source", source).Msg("answer_of_relay_refused")
 }
+
+// SourceBehind implements relay.Reporter.
+func (b *Base) SourceBehind(source string, has, want store.Revision) {
+	b.Log.Warn().Str("source", source).Int64("revision", int64(has)).Int64("own_revision", int64(want)).Msg("source_behind")
+}
