--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -54,6 +54,7 @@
 // Store is an in-memory store.Store. New creates one; the zero value is not usable.
 type Store struct {
 	mu       sync.Mutex
+	era      store.Era
 	rev      store.Revision
 	entries  map[string]entry
 	keys     []string // sorted
--- a/coord/store/memstore/watch.go
+++ b/coord/store/memstore/watch.go
@@ -25,7 +25,8 @@
 const maxHistoryEvents = 4096
 
 // Watch implements store.Store. It starts with the events after the given revision; if
-// these are no longer in the history, the watch ends with store.ErrCompacted.
+// these are no longer in the history, or the store does not have the revision, the watch ends
+// with store.ErrCompacted.
 func (s *Store) Watch(ctx context.Context, prefix string, after store.Revision) (<-chan store.Event, error) {
 	if err := s.beginCall(ctx, func(c *Calls) { c.Watches++ }); err != nil {
 		return nil, err
@@ -38,7 +39,7 @@
 	for _, e := range replay {
 		s.sendLocked(w, e)
 	}
-	if after < s.compacted {
+	if after < s.compacted || after > s.rev {
 		s.sendLocked(w, store.Event{Err: store.Error.Wrap(store.ErrCompacted)})
 		s.closeWatchLocked(w)
 	}
