Revisions consist of the store's era and its number: changes arrive after the store was restored from an older copy

What callers saw: requests reached an upstream 2.45 s after the store had accepted that it leaves; no process took any change for more than 6 s after the store's return.

Cause: the store was restored from an older copy, and its revisions went back. A follower accepts nothing older than what it has, and compared numbers only, so it refused every source until the counter had passed where it was. Where the counter passed it before anybody looked, watches went on from a number that stood for another write, and changes were skipped in silence. The class: a number that identifies something only together with who gave it out, and when.

Change: store.Revision is the era and the number. All comparisons (followers, relays, directory, orders, members, cached pages) order by era first without a change of their own. Relays pass the whole copy on; followers report a loss before, since owners of missing entries may be alive. Followers of an earlier version get plain numbers.

--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -100,6 +100,8 @@
 
 func (nopReporter) SourceBehind(string, store.Revision, store.Revision) {}
 
+func (nopReporter) Restored(store.Era) {}
+
 // ownHubReleaser releases a follower's own hub once it follows a relay.
 type ownHubReleaser struct{ own *Hub }
 
@@ -112,6 +114,8 @@
 
 func (ownHubReleaser) SourceBehind(string, store.Revision, store.Revision) {}
 
+func (ownHubReleaser) Restored(store.Era) {}
+
 // callTimeout and watchTimeout bound a store call and a watch that are not answered, and watchDelay bounds the delay between a
 // change and the store's next answer. watchPause is the pause of a watch after changes, staleAfter and
 // overdueAfter are those of a prefix with that pause and calls of one second.
--- a/coord/relay/feed.go
+++ b/coord/relay/feed.go
@@ -118,10 +118,10 @@
 	f.pending = append(f.pending, c)
 }
 
-// Lost implements mirror.Reader. A compacted history is not an outage: the keys are read
-// again at once, and the copy stays valid until then.
+// Lost implements mirror.Reader. A compacted history is not an outage, nor is a store that was restored: it
+// answers, and the keys are read again at once. The copy stays valid until then.
 func (f *feed) Lost(err error) {
-	if errors.Is(err, store.ErrCompacted) {
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRestored) {
 		return
 	}
 	f.mu.Lock()
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -44,6 +44,9 @@
 	SourceChanged(source string, reason error)
 	// SourceRefused is called for each invalid answer.
 	SourceRefused(source string, reason error)
+	// Restored is called when a source shows a later era of the store than known before, before the
+	// changes are passed on.
+	Restored(era store.Era)
 	// SourceBehind is called when the copy of a source is older than the follower's, once until another
 	// source is followed or this one answers with a newer copy.
 	SourceBehind(source string, has, want store.Revision)
@@ -310,7 +313,7 @@
 		switch {
 		case !ok:
 			return Error.Wrap(ErrUnknownPrefix)
-		case u.Whole && u.At < request.revisions[u.Prefix]:
+		case isBehind(u, request.revisions[u.Prefix]):
 			return &behindError{has: u.At, want: request.revisions[u.Prefix]}
 		}
 		if err := validate(u, position); err != nil {
@@ -329,13 +332,25 @@
 	return lost
 }
 
+// isBehind reports whether an update comes from a copy that does not reach the follower's revision and cannot
+// catch up by further changes: another read of the store, or one of an earlier era.
+func isBehind(u Update, revision store.Revision) bool {
+	switch {
+	case u.Whole:
+		return u.At < revision
+	case u.Lost || u.Unread:
+		return false
+	}
+	return u.At.Era() < revision.Era()
+}
+
 // validate rejects an update that a relay never sends for the revision after which changes were
 // requested.
 func validate(u Update, after store.Revision) error {
 	switch {
 	case u.Lost:
 		return nil
-	case u.At == 0 && len(u.Changes) > 0:
+	case u.At == 0 && len(u.Changes) > 0, !u.Whole && !u.Unread && after != 0 && u.At.Era() > after.Era():
 		return Error.Wrap(ErrInvalidReply)
 	}
 	last := after
@@ -371,9 +386,13 @@
 }
 
 // resetReader passes a whole copy to a reader. After an outage it calls Lost first, if it has not
-// yet: the owners of entries that the copy lacks may still be alive.
+// yet: the owners of entries that the copy lacks may still be alive. So they may be if the store was restored.
 func (f *Follower) resetReader(c *progress, r mirror.Reader, u Update) {
-	if !c.lossReported && (c.outageSeen || u.AfterOutage) {
+	switch {
+	case c.at != 0 && u.At.Era() > c.at.Era():
+		f.Report.Restored(u.At.Era())
+		r.Lost(store.Error.Wrap(store.ErrRestored))
+	case !c.lossReported && (c.outageSeen || u.AfterOutage):
 		r.Lost(store.Error.Wrap(ErrStoreLost))
 	}
 	items := make([]store.Item, len(u.Changes))
--- a/coord/relay/pack.go
+++ b/coord/relay/pack.go
@@ -59,11 +59,18 @@
 
 // Serve is Follow for followers in other processes: it compresses large values.
 func (h *Hub) Serve(ctx context.Context, r Request) (Reply, error) {
+	if !r.Eras {
+		h.addEras(r.Positions)
+	}
 	reply, err := h.follow(ctx, r, true)
-	if err == nil {
-		h.packer.pack(reply)
+	if err != nil {
+		return reply, err
+	}
+	if !r.Eras {
+		reply.removeEras()
 	}
-	return reply, err
+	h.packer.pack(reply)
+	return reply, nil
 }
 
 // Unpack decompresses the values of a reply of Serve. An error wraps ErrInvalidReply.
--- a/coord/relay/polls.go
+++ b/coord/relay/polls.go
@@ -285,5 +285,5 @@
 	if p.source.Usable != nil && !p.source.Usable(ctx) {
 		return Reply{}, Error.Wrap(ErrNotUsable)
 	}
-	return p.source.Follow(ctx, Request{Store: storeName, Positions: p.asked.positions, Wait: p.wait})
+	return p.source.Follow(ctx, Request{Store: storeName, Positions: p.asked.positions, Eras: true, Wait: p.wait})
 }
--- a/coord/relay/relay.go
+++ b/coord/relay/relay.go
@@ -8,7 +8,8 @@
 //
 // A follower's copy never returns to an older revision: each change carries the store's
 // revision, a follower sends the revision up to which it has all changes, and accepts nothing
-// older from any relay. A stale
+// older from any relay. If the store was restored from an older copy, its next revisions are of another era, and
+// higher for that reason; each relay reads all keys again, and passes them on as a whole. A stale
 // copy is always detected: a relay reports when it lost the store and how long ago the store
 // last answered, and a follower that gets no answer in time polls another relay too, and finally
 // the store itself, without giving up the first one: its late answer still counts.
@@ -65,6 +66,8 @@
 	// Store is the name of the store to follow, the same in the whole fleet.
 	Store     string     `json:"store"`
 	Positions []Position `json:"positions"`
+	// Eras is set by followers that know that revisions have eras; see store.Revision. Others get the store's numbers.
+	Eras bool `json:"eras,omitempty"`
 	// Wait is how long (ns) the relay waits for the first change.
 	Wait time.Duration `json:"wait"`
 }
--- a/coord/relay/restored_test.go
+++ b/coord/relay/restored_test.go
@@ -5,7 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/mirror"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // restoredCase is a store that loses its newest writes.
@@ -73,3 +77,97 @@
 		})
 	}
 }
+
+// Guards against late changes at a process that reaches the store, whatever its relays do and however often the
+// store is restored from an older copy.
+func TestChangesArriveInTimeBesideRestoredStores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		type step struct {
+			restore bool
+			restoredCase
+			fault, relay int
+			end          bool
+			pause        time.Duration
+		}
+		steps := make([]step, rapid.IntRange(3, 16).Draw(rt, "steps"))
+		for i := range steps {
+			steps[i] = step{
+				restore: rapid.Bool().Draw(rt, "restore"),
+				restoredCase: restoredCase{lost: rapid.IntRange(0, 20).Draw(rt, "lost"), rewritten: rapid.IntRange(0, 40).Draw(rt, "rewritten"),
+					absence: time.Duration(rapid.IntRange(0, 2000).Draw(rt, "absence ms")) * time.Millisecond},
+				fault: rapid.IntRange(1, len(relayFaults)-1).Draw(rt, "fault"),
+				relay: rapid.IntRange(0, 1).Draw(rt, "relay"),
+				end:   rapid.Bool().Draw(rt, "end"),
+				pause: time.Duration(rapid.IntRange(0, 2500).Draw(rt, "pause ms")) * time.Millisecond,
+			}
+		}
+		followers := rapid.IntRange(1, 2).Draw(rt, "followers")
+		var late []string
+		withCluster(t, 2, followers, func(tc *testCluster) {
+			l := &changeLog{tc: tc}
+			l.run(4*time.Second, time.Second)
+			for _, s := range steps {
+				if s.restore {
+					s.restoredCase.restore(tc)
+					l.checked = len(l.puts) // what was written before may be late while the store was away
+				} else {
+					relayFaults[s.fault].set(tc, s.relay, !s.end)
+				}
+				l.run(s.pause, 300*time.Millisecond)
+			}
+			l.run(applyWithin, time.Second)
+			late = l.late
+			for _, follower := range tc.copies {
+				require.Empty(rt, follower.wentBack())
+			}
+		})
+		require.Empty(rt, late)
+	})
+}
+
+// Guards against revisions with eras at a follower that knows none, as the processes of an earlier version: its next
+// relay of that version would count as older.
+func TestFollowerWithoutErasGetsTheStoresNumbers(t *testing.T) {
+	withCluster(t, 1, 1, func(tc *testCluster) {
+		tc.put("a", "before")
+		older := tc.store.Copy()
+		tc.put("a", "lost")
+		tc.store.Restore(older)
+		tc.put("b", "after")
+		time.Sleep(2 * time.Second)
+		ask := func(after store.Revision) Update {
+			reply, err := tc.hubs[0].Serve(tc.ctx, Request{Store: "s", Positions: []Position{{Prefix: keys, After: after}}})
+			require.NoError(t, err)
+			return reply.Updates[0]
+		}
+		all := ask(0)
+		require.Equal(t, tc.store.Revision().Number(), int64(all.At))
+		require.Len(t, all.Changes, 2)
+		require.Zero(t, all.Changes[0].Revision.Era())
+		require.Equal(t, Update{Prefix: keys, At: all.At}, withoutTimes(ask(all.At)), "nothing new, and no whole copy")
+		tc.put("c", "next")
+		time.Sleep(time.Second)
+		next := ask(all.At)
+		require.False(t, next.Whole)
+		require.Len(t, next.Changes, 1)
+	})
+}
+
+func withoutTimes(u Update) Update {
+	u.Due, u.Age, u.Held = 0, 0, 0
+	return u
+}
+
+// Guards against a follower that takes "nothing new" from a relay of an earlier era for good news: such a relay never
+// catches up by further changes.
+func TestRelayOfAnEarlierEraIsLeft(t *testing.T) {
+	earlier, later := store.NewRevision(1, 9), store.NewRevision(2, 4)
+	answer := func(own, after, at store.Revision) error {
+		f := &Follower{Readers: map[string]mirror.Reader{keys: newCopy()}, Report: nopReporter{}, progress: map[string]*progress{keys: {at: own}}}
+		return f.applyReply(Reply{Updates: []Update{{Prefix: keys, At: at}}},
+			asked{positions: []Position{{Prefix: keys, After: after}}, revisions: map[string]store.Revision{keys: own}})
+	}
+	require.NoError(t, answer(earlier, earlier, earlier))
+	require.ErrorIs(t, answer(later, later, earlier), ErrBehind)
+	require.ErrorIs(t, answer(earlier, earlier, later), ErrInvalidReply, "a later era without all keys")
+}
--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -38,12 +38,23 @@
 
 type entry struct {
 	value        []byte
-	rev, created store.Revision
+	rev, created int64
 	lease        store.LeaseID
 }
 
-func (e entry) item(key string) store.Item {
-	return store.Item{Key: key, Value: e.value, Revision: e.rev, Created: e.created}
+func (e entry) item(key string, era store.Era) store.Item {
+	return store.Item{Key: key, Value: e.value, Revision: store.NewRevision(era, e.rev), Created: store.NewRevision(era, e.created)}
+}
+
+// change is one write or removal of a key.
+type change struct {
+	key string
+	entry
+	deleted bool
+}
+
+func (c change) event(era store.Era) store.Event {
+	return store.Event{Item: c.item(c.key, era), Deleted: c.deleted}
 }
 
 type lease struct {
@@ -55,15 +66,15 @@
 type Store struct {
 	mu       sync.Mutex
 	era      store.Era
-	rev      store.Revision
+	rev      int64 // number of the last write
 	entries  map[string]entry
 	keys     []string // sorted
 	leases   map[store.LeaseID]*lease
 	watchers map[*watcher]struct{}
-	// history holds the newest events, oldest first. Events up to revision
+	// history holds the newest writes, oldest first. Those up to number
 	// compacted are discarded.
-	history   []store.Event
-	compacted store.Revision
+	history   []change
+	compacted int64
 	faults    Faults
 	calls     Calls
 }
@@ -142,7 +153,7 @@
 	defer s.mu.Unlock()
 	e := s.entries[key]
 	s.calls.ReadBytes += int64(len(e.value))
-	return e.item(key), nil
+	return e.item(key, s.era), nil
 }
 
 // List implements store.Store.
@@ -160,7 +171,7 @@
 		}
 		e := s.entries[k]
 		s.calls.ReadBytes += int64(len(e.value))
-		items = append(items, e.item(k))
+		items = append(items, e.item(k, s.era))
 	}
 	return items, nil
 }
@@ -183,7 +194,14 @@
 func (s *Store) Revision() store.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rev
+	return s.revisionLocked()
+}
+
+func (s *Store) revisionLocked() store.Revision { return store.NewRevision(s.era, s.rev) }
+
+// isAtLocked reports whether a key is at a revision.
+func (s *Store) isAtLocked(key string, expect store.Revision) bool {
+	return store.NewRevision(s.era, s.entries[key].rev) == expect
 }
 
 // CompareAndSwap implements store.Store.
@@ -196,7 +214,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.entries[key].rev != expect {
+	if !s.isAtLocked(key, expect) {
 		return 0, store.Error.Wrap(store.ErrConflict)
 	}
 	if id != 0 && s.leases[id] == nil {
@@ -206,7 +224,7 @@
 	if s.loseResponseLocked() {
 		return 0, store.Error.Wrap(store.ErrUnknown)
 	}
-	return s.rev, nil
+	return s.revisionLocked(), nil
 }
 
 // Commit writes all items if every condition's key is at its revision, and returns the new revision of
@@ -218,7 +236,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range conditions {
-		if s.entries[c.Key].rev != c.Revision {
+		if !s.isAtLocked(c.Key, c.Revision) {
 			return 0, store.Error.Wrap(store.ErrConflict)
 		}
 	}
@@ -229,7 +247,7 @@
 	if s.loseResponseLocked() {
 		return 0, store.Error.Wrap(store.ErrUnknown)
 	}
-	return s.rev, nil
+	return s.revisionLocked(), nil
 }
 
 // Delete implements store.Store.
@@ -239,7 +257,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.entries[key].rev != expect {
+	if !s.isAtLocked(key, expect) {
 		return store.Error.Wrap(store.ErrConflict)
 	}
 	s.deleteLocked(key)
@@ -261,7 +279,7 @@
 	}
 	e := entry{value: append([]byte(nil), value...), rev: s.rev, created: old.created, lease: id}
 	s.entries[key] = e
-	s.notifyLocked(store.Event{Item: e.item(key)})
+	s.notifyLocked(change{key: key, entry: e})
 }
 
 func (s *Store) deleteLocked(key string) {
@@ -272,5 +290,5 @@
 	delete(s.entries, key)
 	i := sort.SearchStrings(s.keys, key)
 	s.keys = append(s.keys[:i], s.keys[i+1:]...)
-	s.notifyLocked(store.Event{Item: store.Item{Key: key, Revision: s.rev}, Deleted: true})
+	s.notifyLocked(change{key: key, entry: entry{rev: s.rev}, deleted: true})
 }
--- a/coord/store/memstore/restore.go
+++ b/coord/store/memstore/restore.go
@@ -11,11 +11,11 @@
 // Copy is the state of a store at one moment; see Restore.
 type Copy struct {
 	taken     time.Time
-	rev       store.Revision
+	rev       int64
 	entries   map[string]entry
 	leases    map[store.LeaseID]lease
-	history   []store.Event
-	compacted store.Revision
+	history   []change
+	compacted int64
 }
 
 // Copy returns a copy of the store's state.
@@ -32,9 +32,8 @@
 }
 
 // Restore replaces the store's state by an older copy of it. What was written since then is lost, leases too, and
-// its revisions and lease numbers are given out again. The leases of the copy have the time left that they had
-// when it was taken. All watches end; one from a revision that the store does not have yet ends with
-// store.ErrCompacted, but one from a revision that was given out again continues without any sign of the loss.
+// its numbers of writes and leases are given out again. The leases of the copy have the time left that they had
+// when it was taken. All watches end.
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/coord/store/memstore/watch.go
+++ b/coord/store/memstore/watch.go
@@ -33,29 +33,41 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	replay := s.eventsAfterLocked(prefix, after)
+	number := after.Number()
+	replay := s.eventsAfterLocked(prefix, number)
 	w := &watcher{prefix: prefix, events: make(chan store.Event, len(replay)+watchBuffer)}
 	s.watchers[w] = struct{}{}
 	for _, e := range replay {
 		s.sendLocked(w, e)
 	}
-	if after < s.compacted || after > s.rev {
-		s.sendLocked(w, store.Event{Err: store.Error.Wrap(store.ErrCompacted)})
+	if err := s.checkWatchLocked(after); err != nil {
+		s.sendLocked(w, store.Event{Err: store.Error.Wrap(err)})
 		s.closeWatchLocked(w)
 	}
 	go s.sendProgressUntilDone(ctx, w)
 	return w.events, nil
 }
 
-// eventsAfterLocked returns the events of a prefix in the history after a revision.
-func (s *Store) eventsAfterLocked(prefix string, after store.Revision) []store.Event {
-	if after < s.compacted {
+// checkWatchLocked returns an error for a revision from which the store cannot continue a watch.
+func (s *Store) checkWatchLocked(after store.Revision) error {
+	switch number := after.Number(); {
+	case after != 0 && after.Era() != s.era:
+		return store.ErrRestored
+	case number < s.compacted || number > s.rev:
+		return store.ErrCompacted
+	}
+	return nil
+}
+
+// eventsAfterLocked returns the events of a prefix in the history after the write with a number.
+func (s *Store) eventsAfterLocked(prefix string, number int64) []store.Event {
+	if number < s.compacted {
 		return nil
 	}
 	var out []store.Event
-	for _, e := range s.history {
-		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-			out = append(out, e)
+	for _, c := range s.history {
+		if c.rev > number && strings.HasPrefix(c.key, prefix) {
+			out = append(out, c.event(s.era))
 		}
 	}
 	return out
@@ -96,19 +108,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked(time.Now())
-	s.sendLocked(w, store.Event{Item: store.Item{Revision: s.rev}, Progress: true})
+	s.sendLocked(w, store.Event{Item: store.Item{Revision: s.revisionLocked()}, Progress: true})
 	return !w.closed
 }
 
-func (s *Store) notifyLocked(ev store.Event) {
-	s.history = append(s.history, ev)
+func (s *Store) notifyLocked(c change) {
+	s.history = append(s.history, c)
 	if over := len(s.history) - maxHistoryEvents; over > 0 {
-		s.compacted = s.history[over-1].Revision
-		s.history = append([]store.Event(nil), s.history[over:]...)
+		s.compacted = s.history[over-1].rev
+		s.history = append([]change(nil), s.history[over:]...)
 	}
 	for w := range s.watchers {
-		if strings.HasPrefix(ev.Key, w.prefix) {
-			s.sendLocked(w, ev)
+		if strings.HasPrefix(c.key, w.prefix) {
+			s.sendLocked(w, c.event(s.era))
 		}
 	}
 }
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -1,7 +1,7 @@
 // Package store defines the interface between the coordination library and the
 // platform's key-value service: compare-and-swap, leases and watches.
 //
-// Every value has a revision, the number of the write that stored it. A key
+// Every value has a revision, which identifies the write that stored it. A key
 // that does not exist has revision 0.
 package store
 
@@ -33,19 +33,42 @@
 	ErrCompacted = errs.New("history was compacted")
 	// ErrNoLease means that the lease expired or never existed.
 	ErrNoLease = errs.New("no such lease")
+	// ErrRestored means that the store was restored from an older copy since the revision,
+	// the lease or the call that the error is about. A call whose error also wraps ErrUnknown may
+	// have taken effect before or after that.
+	ErrRestored = errs.New("the store was restored from an older copy")
 )
 
 // MaxValueBytes is the maximum size of a value in the platform's service.
 const MaxValueBytes = 1 << 20
 
-// Revision is the number of a write to the store; 0 stands for an absent key.
+// Revision identifies a write to the store; 0 stands for an absent key. It consists of the store's
+// era and the write's number within it, since a store that was restored from an older copy gives out
+// numbers again: revisions of two eras are never equal, and those of the later era are higher.
 type Revision int64
 
+// numberBits is the size of a write's number in a Revision. It lasts for a year at 30,000 writes a second.
+const numberBits = 40
+
+// NewRevision returns the revision of a write by its number; 0 stands for an absent key in any era.
+func NewRevision(era Era, number int64) Revision {
+	if number == 0 {
+		return 0
+	}
+	return Revision(era)<<numberBits | Revision(number)
+}
+
+// Era returns the store's era in which the revision was given out.
+func (r Revision) Era() Era { return Era(r >> numberBits) }
+
+// Number returns the number that the store gave to the write.
+func (r Revision) Number() int64 { return int64(r & (1<<numberBits - 1)) }
+
 // Era counts how often the store was restored from an older copy of itself, which loses acknowledged
 // writes and leases, and gives out their revisions again.
 type Era int64
 
-// MaxEra bounds eras.
+// MaxEra bounds eras, so that a Revision holds them.
 const MaxEra Era = 1<<22 - 1
 
 // LeaseID identifies a lease; 0 stands for no lease.
@@ -94,13 +117,14 @@
 	StaleSnapshot(ctx context.Context, prefix string) ([]Item, error)
 	// CompareAndSwap writes value if the key is still at revision expect, and
 	// returns the new revision. If lease is not 0, the key is removed when the
-	// lease ends.
+	// lease ends. A revision of an earlier era conflicts.
 	CompareAndSwap(ctx context.Context, key string, expect Revision, value []byte, lease LeaseID) (Revision, error)
 	// Delete removes the key if it is still at revision expect.
 	Delete(ctx context.Context, key string, expect Revision) error
 	// Watch sends the events of all keys with the prefix after the given
 	// revision, interleaved with progress events. The channel is closed when the
-	// context ends or the connection is lost.
+	// context ends or the connection is lost. A watch from a revision of an
+	// earlier era ends with ErrRestored.
 	Watch(ctx context.Context, prefix string, after Revision) (<-chan Event, error)
 	// GrantLease creates a lease that expires after ttl without KeepAlive.
 	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -80,7 +80,7 @@
 	order, err := platform.DecodeRolloutOrder(it)
 	if err != nil {
 		o.g.RecordUnreadable("orders")
-		o.g.Log.Error().Err(err).Int64("revision", int64(it.Revision)).Msg("order_unreadable")
+		o.g.Log.Error().Err(err).Int64("revision", it.Revision.Number()).Msg("order_unreadable")
 		return o.rollouts[service]
 	}
 	return order
@@ -141,7 +141,7 @@
 	datacentre, err := platform.DecodeDrainOrder(it, o.g.settings.Regions)
 	if have, known := o.drained[datacentre]; err != nil && !(known && have == it.Revision) {
 		o.g.RecordUnreadable("orders")
-		o.g.Log.Error().Err(err).Int64("revision", int64(it.Revision)).Msg("order_unreadable")
+		o.g.Log.Error().Err(err).Int64("revision", it.Revision.Number()).Msg("order_unreadable")
 	}
 	return datacentre
 }
@@ -166,7 +166,7 @@
 // logDrain logs that a data centre is drained, or no longer. The revision is that of the order, the
 // age the time since the last contact with the store.
 func (o *operatorReader) logDrain(datacentre string, drained bool, revision store.Revision) {
-	o.g.Log.Info().Str("datacentre", datacentre).Bool("emptied", drained).Int64("revision", int64(revision)).
+	o.g.Log.Info().Str("datacentre", datacentre).Bool("emptied", drained).Int64("revision", revision.Number()).
 		Dur("age_ms", o.g.Follower.State().Age).Int("upstreams", o.g.directory.CountInDatacentre(datacentre)).Msg("datacentre_emptied")
 }
 
@@ -187,7 +187,7 @@
 	}
 	activated := o.g.catalog.UpdateIfNewer(catalog.NewTable(config))
 	from := o.g.Follower.State()
-	o.g.Log.Info().Int64("version", config.Version).Int64("revision", int64(it.Revision)).Bool("taken", activated).
+	o.g.Log.Info().Int64("version", config.Version).Int64("revision", it.Revision.Number()).Bool("taken", activated).
 		Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Str("source", from.Source).
 		Int64("age_ms", from.Age.Milliseconds()).Int64("held_ms", from.Held.Milliseconds()).Int64("delay_ms", from.Delay.Milliseconds()).Msg("configuration")
 }
--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -228,7 +228,7 @@
 	}
 	dec.decider.Suspend(now)
 	dec.read = false
-	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Int64("revision", int64(dec.record.Revision)).
+	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Int64("revision", dec.record.Revision.Number()).
 		Int64("asked_ms", now.Sub(dec.askedSince).Milliseconds()).Msg("rollout_suspended")
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -136,7 +136,7 @@
 		}
 		next[service] = r.newServiceRollout(order, live)
 		r.g.Log.Info().Str("service", service).Str("version", order.Version).Dur("within_ms", order.Duration).
-			Int64("revision", int64(order.Revision)).Bool("live", live).Bool("withdrawn", order.Withdrawn).Msg("rollout_ordered")
+			Int64("revision", order.Revision.Number()).Bool("live", live).Bool("withdrawn", order.Withdrawn).Msg("rollout_ordered")
 	}
 	r.active.Store(&next)
 	signal(r.ordered)
--- a/gateway/rolloutstore.go
+++ b/gateway/rolloutstore.go
@@ -126,7 +126,7 @@
 	}
 	if err != nil {
 		d.r.g.RecordUnreadable("rollouts")
-		d.r.g.Log.Error().Err(err).Int64("revision", int64(record.Revision)).Msg("rollout_unreadable")
+		d.r.g.Log.Error().Err(err).Int64("revision", record.Revision.Number()).Msg("rollout_unreadable")
 	}
 	dec.mu.Lock()
 	defer dec.mu.Unlock()
@@ -143,7 +143,7 @@
 	}
 	if record.State.Final() {
 		dec.endLocked(record)
-		d.r.g.Log.Info().Str("service", dec.order.Service).Stringer("state", record.State).Int64("revision", int64(record.Revision)).Msg("rollout_known")
+		d.r.g.Log.Info().Str("service", dec.order.Service).Stringer("state", record.State).Int64("revision", record.Revision.Number()).Msg("rollout_known")
 		return
 	}
 	now := time.Now()
@@ -158,7 +158,7 @@
 	o := record.Observed
 	sent, sentToNew, answered := o.Totals()
 	age := now.Sub(dec.decider.Began()) - o.Elapsed
-	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Int64("revision", int64(record.Revision)).
+	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Int64("revision", record.Revision.Number()).
 		Int64("age_ms", age.Milliseconds()).Int("routers", len(o.Routers)).Int("requests", sent).Int("to_new", sentToNew).
 		Int("answered", answered).Strs("moved", o.Moved).Msg("rollout_resumed")
 }
@@ -203,7 +203,7 @@
 		d.r.g.metrics.rolloutStored(dec.order.Service, c.state)
 	}
 	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Stringer("state", c.state).
-		Int64("revision", int64(written.Revision)).Int("requests", dec.decision.Sent).Int("to_new", dec.decision.SentToNew).
+		Int64("revision", written.Revision.Number()).Int("requests", dec.decision.Sent).Int("to_new", dec.decision.SentToNew).
 		Str("why", dec.decision.Reason).Msg(event)
 }
 
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -208,7 +208,11 @@
 	b.Log.Warn().Err(reason).Str("source", source).Msg("answer_of_relay_refused")
 }
 
+// Restored implements relay.Reporter.
+func (b *Base) Restored(era store.Era) { b.Store.ObserveEra(era) }
+
 // SourceBehind implements relay.Reporter.
 func (b *Base) SourceBehind(source string, has, want store.Revision) {
-	b.Log.Warn().Str("source", source).Int64("revision", int64(has)).Int64("own_revision", int64(want)).Msg("source_behind")
+	b.Log.Warn().Str("source", source).Int64("revision", has.Number()).Int64("era", int64(has.Era())).
+		Int64("own_revision", want.Number()).Int64("own_era", int64(want.Era())).Msg("source_behind")
 }
--- a/lender/prompts.go
+++ b/lender/prompts.go
@@ -163,7 +163,7 @@
 	k.revision = item.Revision
 	k.readAt.Store(time.Now().UnixNano())
 	k.loaded.Store(true)
-	k.log.Info().Int("prompts", len(all)).Int64("revision", int64(item.Revision)).Msg("prompts_loaded")
+	k.log.Info().Int("prompts", len(all)).Int64("revision", item.Revision.Number()).Msg("prompts_loaded")
 	return nil
 }
 
@@ -175,7 +175,7 @@
 	all, err := poison.Decode(time.Now(), item.Value)
 	if err != nil {
 		k.recordUnreadable("prompts")
-		k.log.Error().Err(err).Str("key", promptsKey).Int64("revision", int64(item.Revision)).Msg("prompts_unreadable")
+		k.log.Error().Err(err).Str("key", promptsKey).Int64("revision", item.Revision.Number()).Msg("prompts_unreadable")
 	}
 	return all
 }
@@ -232,7 +232,7 @@
 		return err
 	}
 	k.revision = revision
-	k.log.Info().Int64("revision", int64(revision)).Int("bytes", len(value)).Msg("prompts_stored")
+	k.log.Info().Int64("revision", revision.Number()).Int("bytes", len(value)).Msg("prompts_stored")
 	return nil
 }
 
