Directory: a restored store is no news about upstreams

What callers would see: requests to upstreams that had left. After a restoration from an older copy an entry that had said leaving says ready again, one that had been removed is listed again, an entry that the copy lacks counts as removed although its upstream lives, and an ended incarnation of an address outranks the live one, since the copy is read in a later era.

Cause: entries counted for what they say now; only what an upstream said in its own answers was final.

Change: an incarnation that has said that it leaves, in its entry too, gets no requests any more. An entry that is the same creation keeps its place in the order, and its cold time.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -62,6 +62,9 @@
 	// live reports whether the missing upstreams are treated as live for a while, which depends on
 	// how many entries are missing and how many survived the loss.
 	UpstreamMissing(u Upstream, live bool, missing, surviving int)
+	// UpstreamReappeared is called for an entry that had been removed and is listed again because the store was restored from
+	// an older copy. It is not used for the time of the doubt, unless it is written again.
+	UpstreamReappeared(u Upstream, doubt time.Duration)
 	// UpstreamGone is called when an upstream is no longer treated as live.
 	UpstreamGone(u Upstream, reason string)
 	// DirectoryLost is called when the watch of the entries fails, DirectoryRead when all of them
@@ -91,14 +94,16 @@
 	// drains of others were canceled.
 	drained     map[string]bool
 	undrainedAt map[string]time.Time
-	// outage reports whether the store failed since the last Reset.
-	outage bool
+	// outage reports whether the store failed since the last Reset, restored whether it was restored from an
+	// older copy.
+	outage, restored bool
 	// lapseDetector decides whether entries that are missing after an outage have expired.
 	lapseDetector lapse.Detector
 	read          bool
 	history       versionHistory
-	// leaving holds the incarnations that said that they leave, with the time at which they were last listed.
-	leaving map[Incarnation]time.Time
+	// leaving holds the incarnations that said that they leave, or whose entries did, with the time at which they were
+	// last listed. removed holds those whose entries were removed, with the time of that.
+	leaving, removed map[Incarnation]time.Time
 }
 
 type entry struct {
@@ -108,8 +113,12 @@
 	revision, created store.Revision
 	// survived reports whether the entry existed both before and after the last loss of the store.
 	survived bool
-	// missingUntil is the time at which a missing entry is dropped; zero for present ones.
+	// missingUntil is the time at which a missing entry is dropped; zero for present ones. lostByStore
+	// reports whether the entry is missing because the store was restored.
 	missingUntil time.Time
+	lostByStore  bool
+	// doubtfulUntil is the time until which an entry that reappeared is not used; zero if it did not.
+	doubtfulUntil time.Time
 	// rejected reports whether another process answered at the address.
 	rejected bool
 	// supersededBy is the incarnation that registered at the same address later; zero if there is
@@ -130,7 +139,8 @@
 	if d.outage || !d.read {
 		d.history.since = now
 	}
-	d.outage, d.read = false, true
+	restored := d.restored
+	d.outage, d.restored, d.read = false, false, true
 	old := d.entries
 	for _, e := range old {
 		d.recordListedLocked(now, e.Upstream)
@@ -140,10 +150,12 @@
 	for _, it := range items {
 		listed[it.Key] = true
 		d.putLocked(it, old[it.Key])
+		d.noteListedAgainLocked(now, it.Key, restored)
 	}
 	d.countSurvivorsLocked(old)
 	for key, e := range old {
 		if !listed[key] {
+			e.lostByStore = e.lostByStore || restored
 			d.handleMissingLocked(now, key, e)
 		}
 	}
@@ -167,6 +179,7 @@
 	switch {
 	case !ev.Deleted:
 		d.putLocked(ev.Item, have)
+		d.noteListedAgainLocked(now, ev.Key, false)
 	case have != nil:
 		delete(d.entries, ev.Key)
 		d.handleMissingLocked(now, ev.Key, have)
@@ -184,6 +197,7 @@
 	if !errors.Is(err, store.ErrCompacted) {
 		d.outage = true
 	}
+	d.restored = d.restored || errors.Is(err, store.ErrRestored)
 	d.Report.DirectoryLost(err)
 }
 
@@ -207,23 +221,32 @@
 	case have == nil:
 	case have.Incarnation == u.Incarnation:
 		e.rejected, e.supersededBy = have.rejected, have.supersededBy
+		if e.created.Number() == have.created.Number() {
+			e.created = have.created // the same creation, read in a later era
+		}
+		if e.revision == have.revision {
+			e.doubtfulUntil = have.doubtfulUntil
+		}
 		e.VersionChanged = have.VersionChanged || have.Version != u.Version
 	default:
 		d.Report.UpstreamGone(have.Upstream, "restarted under its id")
 	}
 	d.entries[it.Key] = e
+	if u.Leaving {
+		d.recordLeavingLocked(u.Incarnation)
+	}
 	if have == nil || have.Incarnation != u.Incarnation || have.differsFrom(u) {
 		d.Report.UpstreamChanged(e.Upstream)
 	}
 }
 
 // coldUntil returns the time until which the entry's upstream is cold. Reading an unchanged entry
-// again does not extend it.
+// again does not extend it, nor does reading it in a later era of the store.
 func (d *Directory) coldUntil(u Upstream, it store.Item, have *entry) time.Time {
 	switch {
 	case u.Cold <= 0:
 		return time.Time{}
-	case have != nil && have.Incarnation == u.Incarnation && have.revision == it.Revision && it.Revision != 0:
+	case have != nil && have.Incarnation == u.Incarnation && have.revision.Number() == it.Revision.Number() && it.Revision != 0:
 		return have.ColdUntil
 	}
 	return d.Now().Add(u.Cold)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -17,9 +17,11 @@
 func (noopReporter) UpstreamChanged(Upstream)                 {}
 func (noopReporter) UpstreamGone(Upstream, string)            {}
 func (noopReporter) UpstreamMissing(Upstream, bool, int, int) {}
-func (noopReporter) DirectoryLost(error)                      {}
-func (noopReporter) DirectoryRead(int)                        {}
-func (noopReporter) UpstreamUnreadable(error)                 {}
+
+func (noopReporter) UpstreamReappeared(Upstream, time.Duration) {}
+func (noopReporter) DirectoryLost(error)                        {}
+func (noopReporter) DirectoryRead(int)                          {}
+func (noopReporter) UpstreamUnreadable(error)                   {}
 
 func entryOf(id, state string) store.Item {
 	return store.Item{Key: "u/" + id, Value: []byte(state), Revision: 1}
--- a/directory/index.go
+++ b/directory/index.go
@@ -15,10 +15,13 @@
 			d.recordListedLocked(now, e.Upstream)
 			d.Report.UpstreamGone(e.Upstream, "entry did not return after the store could not be reached")
 			continue
-		case missing && !lapsed:
+		case missing && !lapsed && !e.lostByStore:
 			continue
 		}
-		if d.leavesLocked(e.Upstream) || e.rejected || e.supersededBy != (Incarnation{}) || d.drained[e.Datacentre] || startTimesExpected && e.StartUnixMS == 0 {
+		if isOver(now, e.doubtfulUntil) {
+			e.doubtfulUntil = time.Time{}
+		}
+		if d.leavesLocked(e.Upstream) || !e.doubtfulUntil.IsZero() || e.rejected || e.supersededBy != (Incarnation{}) || d.drained[e.Datacentre] || startTimesExpected && e.StartUnixMS == 0 {
 			continue
 		}
 		e.Returned = d.undrainedAt[e.Datacentre]
--- a/directory/leaving.go
+++ b/directory/leaving.go
@@ -14,21 +14,36 @@
 func (d *Directory) SaysLeaving(incarnation Incarnation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordLeavingLocked(incarnation)
+	d.rebuildIndexLocked(d.Now())
+}
+
+// recordLeavingLocked records that an incarnation leaves. A later entry that says otherwise is outdated: it was read from a
+// stale source, or from a store that was restored from an older copy.
+func (d *Directory) recordLeavingLocked(incarnation Incarnation) {
 	now := d.Now()
 	if d.leaving == nil {
 		d.leaving = map[Incarnation]time.Time{}
 	}
 	d.leaving[incarnation] = now
 	d.forgetLeftLocked(now)
-	d.rebuildIndexLocked(now)
 }
 
-// leavesLocked reports whether an upstream leaves, by its entry or its own answers.
+// leavesLocked reports whether an upstream leaves, by its entries so far or its own answers.
 func (d *Directory) leavesLocked(u Upstream) bool {
 	_, says := d.leaving[u.Incarnation]
 	return u.Leaving || says
 }
 
+// recordRemovedLocked records that an entry was removed.
+func (d *Directory) recordRemovedLocked(now time.Time, u Upstream) {
+	if d.removed == nil {
+		d.removed = map[Incarnation]time.Time{}
+	}
+	d.removed[u.Incarnation] = now
+	d.forgetLeftLocked(now)
+}
+
 // recordListedLocked records that an entry was listed until now.
 func (d *Directory) recordListedLocked(now time.Time, u Upstream) {
 	d.history.record(now, u)
@@ -37,10 +52,12 @@
 	}
 }
 
-// forgetLeftLocked drops the incarnations that have not been listed for long.
+// forgetLeftLocked drops the incarnations that have not been listed for long, and those whose removal is long ago.
 func (d *Directory) forgetLeftLocked(now time.Time) {
 	for _, e := range d.entries {
 		d.recordListedLocked(now, e.Upstream)
 	}
-	maps.DeleteFunc(d.leaving, func(_ Incarnation, last time.Time) bool { return now.Sub(last) > leavingMemory })
+	old := func(_ Incarnation, last time.Time) bool { return now.Sub(last) > leavingMemory }
+	maps.DeleteFunc(d.leaving, old)
+	maps.DeleteFunc(d.removed, old)
 }
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -14,6 +14,11 @@
 		Str("datacentre", u.Datacentre).Bool("leaving", u.Leaving).Dur("cold_ms", u.Cold).Msg("upstream_changed")
 }
 
+// UpstreamReappeared implements directory.Reporter.
+func (g *Gateway) UpstreamReappeared(u directory.Upstream, doubt time.Duration) {
+	g.Log.Warn().Str("upstream", u.ID).Str("service", u.Service).Int64("not_used_ms", doubt.Milliseconds()).Msg("upstream_reappeared")
+}
+
 // UpstreamMissing implements directory.Reporter.
 func (g *Gateway) UpstreamMissing(u directory.Upstream, live bool, missing, surviving int) {
 	g.Log.Warn().Stringer("upstream", u.Incarnation).Str("service", u.Service).Bool("believed", live).
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -21,9 +21,11 @@
 func (ignoreReports) UpstreamChanged(directory.Upstream)                 {}
 func (ignoreReports) UpstreamGone(directory.Upstream, string)            {}
 func (ignoreReports) UpstreamMissing(directory.Upstream, bool, int, int) {}
-func (ignoreReports) DirectoryLost(error)                                {}
-func (ignoreReports) DirectoryRead(int)                                  {}
-func (ignoreReports) UpstreamUnreadable(error)                           {}
+
+func (ignoreReports) UpstreamReappeared(directory.Upstream, time.Duration) {}
+func (ignoreReports) DirectoryLost(error)                                  {}
+func (ignoreReports) DirectoryRead(int)                                    {}
+func (ignoreReports) UpstreamUnreadable(error)                             {}
 
 // poolOf returns a pool with the upstreams a and b of service s.
 func poolOf(now *time.Time) *Pool {
