Members: a restored store is no news about members

What would be seen: members that the copy lacks vanish from all views, and some are never listed again, since their lease is in the copy or its number was given out again; an ended incarnation of a VM counts as newer than the live one, so that a live lender would be taken for replaced; a planned stop ends another process's lease.

Cause: the order of entries and the validity of a lease were taken from numbers that a restored store gives out again.

A mirror reports the restoration before it passes the keys of a later era.

Positions keep their era also at number 0: an empty copy is a restoration too.

--- a/coord/member/lease.go
+++ b/coord/member/lease.go
@@ -135,7 +135,7 @@
 	if g.Withdrawn() {
 		return g.withdraw(ctx)
 	}
-	if id := g.currentLease(); id != 0 {
+	if id, void := g.currentLease(); id != 0 && !void {
 		err := g.Store.KeepAlive(ctx, id)
 		if !errors.Is(err, store.ErrNoLease) {
 			return err
@@ -158,7 +158,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lease, g.registered = id, time.Now()
+	g.lease, g.leaseVoid, g.registered = id, false, time.Now()
 	return nil
 }
 
@@ -178,10 +178,12 @@
 	return err
 }
 
-func (g *Group) currentLease() store.LeaseID {
+// currentLease returns the lease of this process's entry, 0 if there is none. It is void if the store was restored
+// since it was granted.
+func (g *Group) currentLease() (id store.LeaseID, void bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.lease
+	return g.lease, g.leaseVoid
 }
 
 // Withdrawn reports whether this process has withdrawn from the list; see SetWithdrawn.
@@ -204,9 +206,21 @@
 
 // Leave ends the lease, so that this process leaves the views of others at once.
 func (g *Group) Leave(ctx context.Context) error {
-	id := g.currentLease()
-	if id == 0 {
+	switch id, void := g.currentLease(); {
+	case id == 0:
 		return nil
+	case void:
+		return g.removeEntry(ctx)
+	default:
+		return g.Store.EndLease(ctx, id)
 	}
-	return g.Store.EndLease(ctx, id)
+}
+
+// removeEntry removes this process's entry, which may still be listed under a lease from before a restoration.
+func (g *Group) removeEntry(ctx context.Context) error {
+	own, err := g.Store.Get(ctx, g.Prefix+g.Self.ID)
+	if err != nil || own.Revision == 0 {
+		return err
+	}
+	return g.Store.Delete(ctx, own.Key, own.Revision)
 }
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -69,6 +69,9 @@
 	// missing holds members that are no longer listed after a loss of the store. They stay in
 	// the view as long as they count as lapsed.
 	missing map[string]Member
+	// lostByStore holds the keys of those that are missing because the store was restored from an older copy; their
+	// owners register again.
+	lostByStore map[string]bool
 	// survivors holds the keys of members whose leases outlasted the last loss of the store.
 	survivors     map[string]bool
 	lapseDetector lapse.Detector
@@ -77,8 +80,11 @@
 	registered time.Time
 	// withdrawn is set if this process must not be listed.
 	withdrawn bool
-	// lost is set while the members are not followed.
-	lost bool
+	// lost is set while the members are not followed, restored from a restoration of the store until the
+	// members are read again.
+	lost, restored bool
+	// leaseVoid is set once the store was restored: the lease may be lost, or its number another process's.
+	leaseVoid bool
 }
 
 var _ mirror.Reader = (*Group)(nil)
--- a/coord/member/member_test.go
+++ b/coord/member/member_test.go
@@ -118,7 +118,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		for _, g := range groups {
-			require.NoError(t, g.Store.EndLease(ctx, g.currentLease()))
+			require.NoError(t, g.Store.EndLease(ctx, g.lease))
 		}
 		time.Sleep(2 * time.Second)
 		items, _, err = s.Snapshot(ctx, "m/")
--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -39,16 +39,21 @@
 	g.Report.MembersRead()
 	g.update(time.Now(), func(now time.Time) {
 		if g.members == nil {
-			g.members, g.former, g.missing = map[string]Member{}, map[string]formerMember{}, map[string]Member{}
+			g.members, g.former, g.missing, g.lostByStore = map[string]Member{}, map[string]formerMember{}, map[string]Member{}, map[string]bool{}
 		}
+		restored := g.restored
 		if g.lost {
-			g.lost = false
+			g.lost, g.restored = false, false
 			g.lapseDetector.StartGrace(now, returnGrace)
 		}
+		if restored {
+			g.matchEarlierLocked(listed)
+		}
 		g.recordReadLocked(listed)
 		for key := range g.members {
 			if _, ok := listed[key]; !ok {
 				g.markMissingLocked(now, key)
+				g.lostByStore[key] = g.lostByStore[key] || restored
 			}
 		}
 		for key, m := range listed {
@@ -68,10 +73,30 @@
 	}
 }
 
+// matchEarlierLocked compares the entries of a store that was restored from an older copy with those known before. An
+// unchanged entry keeps its place in the order: otherwise one of an ended incarnation would count as newer than the
+// live one, which the copy lacks. A member that had left stays away until it writes its entry again.
+func (g *Group) matchEarlierLocked(listed map[string]Member) {
+	for key, m := range listed {
+		have, known := g.members[key]
+		_, left := g.former[key]
+		switch {
+		case left:
+			delete(listed, key)
+		case known && have.revision.Number() == m.revision.Number():
+			m.revision, m.created = have.revision, have.created
+			listed[key] = m
+		}
+	}
+}
+
 // Lost implements mirror.Reader.
 func (g *Group) Lost(err error) {
+	restored := errors.Is(err, store.ErrRestored)
 	g.mu.Lock()
 	g.lost = true
+	g.restored = g.restored || restored
+	g.leaseVoid = g.leaseVoid || restored
 	g.mu.Unlock()
 	g.Report.MembersLost(err)
 }
@@ -134,6 +159,7 @@
 	}
 	g.members[key] = m
 	delete(g.missing, key)
+	delete(g.lostByStore, key)
 	delete(g.former, key)
 }
 
@@ -176,7 +202,7 @@
 func (g *Group) resolveMissingLocked(now time.Time) {
 	lapsed, over := g.lapseDetector.Lapsed(now), !g.lapseDetector.InGrace(now)
 	for key, m := range g.missing {
-		if lapsed {
+		if lapsed || g.lostByStore[key] && !over {
 			g.members[key] = m
 			delete(g.former, key)
 			continue
@@ -186,6 +212,7 @@
 		}
 		if over {
 			delete(g.missing, key)
+			delete(g.lostByStore, key)
 		}
 	}
 }
--- a/coord/mirror/mirror.go
+++ b/coord/mirror/mirror.go
@@ -23,7 +23,8 @@
 	// event may repeat the content of a Reset or of an earlier event.
 	Changed(e store.Event)
 	// Lost reports that the copy is not followed now; it stays unchanged until the
-	// next Reset. It is called once for each failed attempt.
+	// next Reset. It is called once for each failed attempt, and with store.ErrRestored before a
+	// Reset with the keys of a later era of the store.
 	Lost(err error)
 }
 
@@ -43,6 +44,9 @@
 	// OnProgress, if set, is called after each answer of the store with the revision up to
 	// which the Reader has all changes.
 	OnProgress func(at store.Revision)
+
+	// at is the revision up to which the Reader has all changes.
+	at store.Revision
 }
 
 // Run follows the prefix until the context ends.
@@ -64,6 +68,9 @@
 	if err != nil {
 		return err
 	}
+	if m.at != 0 && revision.Era() > m.at.Era() {
+		m.Reader.Lost(store.Error.Wrap(store.ErrRestored))
+	}
 	m.Reader.Reset(items)
 	m.complete(revision)
 	answered()
@@ -85,6 +92,7 @@
 }
 
 func (m *Mirror) complete(at store.Revision) {
+	m.at = at
 	if m.OnProgress != nil {
 		m.OnProgress(at)
 	}
--- a/coord/store/memstore/memstore.go
+++ b/coord/store/memstore/memstore.go
@@ -43,6 +43,9 @@
 }
 
 func (e entry) item(key string, era store.Era) store.Item {
+	if e.rev == 0 {
+		return store.Item{Key: key}
+	}
 	return store.Item{Key: key, Value: e.value, Revision: store.NewRevision(era, e.rev), Created: store.NewRevision(era, e.created)}
 }
 
@@ -201,7 +204,7 @@
 
 // isAtLocked reports whether a key is at a revision.
 func (s *Store) isAtLocked(key string, expect store.Revision) bool {
-	return store.NewRevision(s.era, s.entries[key].rev) == expect
+	return s.entries[key].item(key, s.era).Revision == expect
 }
 
 // CompareAndSwap implements store.Store.
--- a/coord/store/store.go
+++ b/coord/store/store.go
@@ -50,13 +50,8 @@
 // numberBits is the size of a write's number in a Revision. It lasts for a year at 30,000 writes a second.
 const numberBits = 40
 
-// NewRevision returns the revision of a write by its number; 0 stands for an absent key in any era.
-func NewRevision(era Era, number int64) Revision {
-	if number == 0 {
-		return 0
-	}
-	return Revision(era)<<numberBits | Revision(number)
-}
+// NewRevision returns the revision with a number in an era.
+func NewRevision(era Era, number int64) Revision { return Revision(era)<<numberBits | Revision(number) }
 
 // Era returns the store's era in which the revision was given out.
 func (r Revision) Era() Era { return Era(r >> numberBits) }
