--- a/coord/account/account.go
+++ b/coord/account/account.go
@@ -70,8 +70,11 @@
 	// and Version the configuration version that last changed it.
 	Prepaid int64 `json:"prepaid,omitempty"`
 	Version int64 `json:"version,omitempty"`
-	// RemovedSettled is the settled total of rows that were removed.
-	RemovedSettled int64 `json:"folded,omitempty"`
+	// RemovedSettled is the settled total of rows that were removed. Removed lists the newest of them, oldest first.
+	RemovedSettled int64        `json:"folded,omitempty"`
+	Removed        []RemovedRow `json:"removed,omitempty"`
+	// Deficit is by how much holders were found to have more than the credit after the store was restored.
+	Deficit int64 `json:"deficit,omitempty"`
 	// Forfeited is what recovery could not prove unspent; it is never granted.
 	Forfeited int64 `json:"forfeited,omitempty"`
 	// Released maps the ID of each operator's release order to the forfeited
@@ -104,7 +107,7 @@
 
 // Free is what may be granted.
 func (a *Account) Free() int64 {
-	return a.Credit() - a.Settled() - a.Outstanding() - a.Forfeited
+	return a.Credit() + a.Deficit - a.Settled() - a.Outstanding() - a.Forfeited
 }
 
 // Unspent is what is left of the budget, free or outstanding, without forfeits.
@@ -113,7 +116,7 @@
 // Check verifies the invariant: settled + outstanding + forfeited <= credits,
 // and no amount negative or too large.
 func (a *Account) Check() error {
-	amounts := []int64{a.Credit(), a.Prepaid, a.RemovedSettled, a.Forfeited, a.Free()}
+	amounts := []int64{a.Credit(), a.Prepaid, a.RemovedSettled, a.Deficit, a.Forfeited, a.Free()}
 	for _, r := range a.Rows {
 		amounts = append(amounts, r.Granted, r.Returned, r.Settled, r.Through, r.Balance())
 	}
@@ -157,6 +160,7 @@
 		return false
 	}
 	a.Prepaid = max(n, a.Prepaid-max(0, a.Free()))
+	a.takeFromDeficit()
 	return true
 }
 
@@ -196,6 +200,7 @@
 		return false
 	}
 	a.RemovedSettled += r.Settled
+	a.recordRemoved(holder, r.Settled)
 	delete(a.Rows, holder)
 	return true
 }
@@ -215,6 +220,7 @@
 	forfeit = min(forfeit, r.Balance()-used)
 	rest := r.Balance() - used - forfeit
 	a.RemovedSettled += r.Settled + used
+	a.recordRemoved(holder, r.Settled+used)
 	a.Forfeited += forfeit
 	delete(a.Rows, holder)
 	return rest, nil
--- a/coord/account/page.go
+++ b/coord/account/page.go
@@ -25,6 +25,9 @@
 
 // Page is the set of accounts that share one value in the store.
 type Page struct {
+	// Era is the store's era in which the page is known to hold all grants and all use. In a later era it may have been read from
+	// an older copy: it is closed until all holders have confirmed their rows.
+	Era      store.Era           `json:"era,omitempty"`
 	Accounts map[string]*Account `json:"accounts"`
 }
 
@@ -69,6 +72,9 @@
 	return b, Error.Wrap(err)
 }
 
+// Closed reports whether tokens must not be granted from the page in an era.
+func (p *Page) Closed(era store.Era) bool { return p.Era < era }
+
 func (p *Page) check() error {
 	for id, a := range p.Accounts {
 		if a == nil {
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -54,6 +54,10 @@
 	// MaxFreshAge is how old a cached page may be to decide that tokens are insufficient. It
 	// bounds the reads of a budget near its end; otherwise each request would cause one.
 	MaxFreshAge time.Duration
+	// Era returns the store's newest known era; nil stands for a store that is never restored.
+	Era func() store.Era
+	// OnClosed, if set, is called for each attempt to use a closed page; see account.Page.Closed.
+	OnClosed func(key string)
 	// Now returns the current time.
 	Now func() time.Time
 
@@ -224,6 +228,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if page.Closed(max(old.Revision.Era(), g.era())) {
+			return nil, Error.Wrap(ErrPageClosed)
+		}
 		prepared := g.Prepare != nil && g.Prepare(key, page)
 		commits, write, err = g.Holder.plan(g.Now(), g.Timing, key, old.Revision, page)
 		if err != nil {
@@ -234,6 +241,9 @@
 		}
 		return page.Encode()
 	})
+	if errors.Is(err, ErrPageClosed) && g.OnClosed != nil {
+		g.OnClosed(key)
+	}
 	if err != nil {
 		return false, err
 	}
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -27,6 +27,8 @@
 	disowned map[Part]struct{}
 	// excluded are holders that were declared dead; see ExcludeHolder.
 	excluded map[string]struct{}
+	// removedSettled is what the holder used under rows that were removed, by budget.
+	removedSettled map[string]int64
 	// lenders is the use of closed lots by lender; lendersIncomplete is set once a lender was
 	// omitted because of maxLenders.
 	lenders           map[string]*lenderUse
@@ -67,17 +69,18 @@
 // NewHolder returns an empty holder. The id must be unique to the incarnation.
 func NewHolder(id string, layout account.Layout, policy Policy) *Holder {
 	return &Holder{
-		id:           id,
-		policy:       policy,
-		budgets:      map[string]*localBudget{},
-		returns:      map[Part]LotReturn{},
-		disowned:     map[Part]struct{}{},
-		excluded:     map[string]struct{}{},
-		lenders:      map[string]*lenderUse{},
-		otherHolders: map[string]struct{}{},
-		demandWindow: defaultDemandWindow,
-		pageOf:       layout.Key,
-		pages:        map[string]map[string]*localBudget{},
+		id:             id,
+		policy:         policy,
+		budgets:        map[string]*localBudget{},
+		returns:        map[Part]LotReturn{},
+		disowned:       map[Part]struct{}{},
+		excluded:       map[string]struct{}{},
+		removedSettled: map[string]int64{},
+		lenders:        map[string]*lenderUse{},
+		otherHolders:   map[string]struct{}{},
+		demandWindow:   defaultDemandWindow,
+		pageOf:         layout.Key,
+		pages:          map[string]map[string]*localBudget{},
 	}
 }
 
--- a/coord/grant/localbudget.go
+++ b/coord/grant/localbudget.go
@@ -77,15 +77,16 @@
 	lastSync       time.Time
 	lowBackoff     time.Duration // between syncs while tokens run low
 	exhaustedUntil time.Time
-	absent         bool // the page has no account for it
-	insufficient   bool // the page had too little for all waiting requests
-	removalPending bool // a write that removes the row was sent
+	absent         bool  // the page has no account for it
+	insufficient   bool  // the page had too little for all waiting requests
+	removalPending bool  // a write that removes the row was sent
+	removedSettled int64 // settled by the row that is being removed
 }
 
 // reset clears the row's totals after the row was removed from the page.
 func (b *localBudget) reset() {
 	b.granted, b.returned, b.settled, b.settledThrough = 0, 0, 0, 0
-	b.durableThrough, b.removalPending = b.through, false
+	b.durableThrough, b.removalPending, b.removedSettled = b.through, false, 0
 }
 
 // waiting returns the total that waiting requests need.
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -138,9 +138,9 @@
 	// then resumed: its row is gone, and further spending would be overspend. Only
 	// this holder or a recovery removes the row.
 	if row == nil && b.removalPending {
-		b.reset() // the row was removed and the answer lost
+		h.resetRowLocked(b) // the answer was lost
 	}
-	if row == nil && b.granted > 0 {
+	if row == nil && b.granted > 0 || row != nil && row.Granted < b.granted {
 		h.fenced = true
 		return commit{}, Error.Wrap(ErrFenced)
 	}
@@ -217,7 +217,7 @@
 
 // removeRowLocked returns the whole balance to the pool and removes the row.
 func (h *Holder) removeRowLocked(a *account.Account, b *localBudget) bool {
-	b.removalPending = true
+	b.removalPending, b.removedSettled = true, b.settled
 	b.returned += b.available()
 	if err := a.Report(h.id, h.reportLocked(b.lastUse, b)); err != nil {
 		return false
@@ -275,12 +275,20 @@
 // rowRemovedLocked resets a local budget whose row is gone. A request that came in after
 // the removal was planned finds it empty.
 func (h *Holder) rowRemovedLocked(b *localBudget) {
-	b.reset()
+	h.resetRowLocked(b)
 	if b.idle() {
 		h.removeBudgetLocked(b)
 	}
 }
 
+// resetRowLocked begins a local budget's row anew, and records what was used under the old one.
+func (h *Holder) resetRowLocked(b *localBudget) {
+	if b.removedSettled > 0 {
+		h.removedSettled[b.name] += b.removedSettled
+	}
+	b.reset()
+}
+
 // Due lists the pages to sync now: those with a budget below its low-water mark, or
 // one not synced for the rebalance interval.
 func (h *Holder) Due(now time.Time) []string {
--- a/coord/grant/reservation.go
+++ b/coord/grant/reservation.go
@@ -31,6 +31,9 @@
 	// ErrFenced says that this incarnation was presumed dead and its grants were
 	// recovered. It must not spend any more and must restart as a new incarnation.
 	ErrFenced = errs.New("holder is fenced")
+	// ErrPageClosed says that the page may lack grants, since the store was restored from an older copy, and
+	// that its holders have not confirmed their rows yet.
+	ErrPageClosed = errs.New("the budget's page is not confirmed since the store was restored")
 	// ErrNoBudget says that the budget does not exist.
 	ErrNoBudget = errs.New("no such budget")
 )
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -146,6 +146,17 @@
 	return m, ok
 }
 
+// Former lists the members that left the list lately.
+func (g *Group) Former() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]Member, 0, len(g.former))
+	for _, m := range g.former {
+		out = append(out, m.Member)
+	}
+	return out
+}
+
 // Address returns where a member accepts messages, also for one that left the list recently: a
 // process that stops still takes back what it lent.
 func (g *Group) Address(id string) (string, bool) {
--- a/coord/settlement/borrowers.go
+++ b/coord/settlement/borrowers.go
@@ -16,6 +16,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 
@@ -44,6 +45,9 @@
 	// that there are none.
 	Witnesses []string `json:"witnesses,omitempty"`
 	Term      int64    `json:"term,omitempty"`
+	// Era is the store's era in which the list was written last. In a later one it may have been read from an older copy, and
+	// may lack borrowers.
+	Era store.Era `json:"era,omitempty"`
 }
 
 func decodeBorrowerList(value []byte) (borrowerList, error) {
@@ -59,11 +63,25 @@
 	Store store.Store
 	// Key is the store key of the list: the settler's prefix and the lender's incarnation.
 	Key string
+	// Era returns the store's newest known era; nil stands for a store that is never restored.
+	Era func() store.Era
 
 	writeMu ctxlock.Mutex // serializes writes to the store
 	last    store.Item    // as last written; guarded by writeMu
-	mu      sync.Mutex
-	stored  map[string]bool
+	// witnesses and term are those of the last appointment; guarded by writeMu.
+	witnesses []string
+	term      int64
+	mu        sync.Mutex
+	// stored holds the borrowers that the store has in storedEra. In a later era it may lack them.
+	stored    map[string]bool
+	storedEra store.Era
+}
+
+func (r *BorrowerRegistry) era() store.Era {
+	if r.Era == nil {
+		return 0
+	}
+	return r.Era()
 }
 
 // Admit adds borrowers to the list and returns nil once the store durably has all the names. Its
@@ -79,11 +97,12 @@
 	if r.Has(borrowers...) {
 		return nil
 	}
+	borrowers = append(r.names(), borrowers...) // a restored store may lack earlier ones
 	updated, err := r.writeLocked(ctx, func(l *borrowerList) { l.Borrowers = sortedUnion(l.Borrowers, borrowers) })
 	if err != nil {
 		return err
 	}
-	r.setStored(updated.Borrowers)
+	r.setStored(updated)
 	return nil
 }
 
@@ -97,6 +116,9 @@
 		l.Witnesses = witnesses
 		l.Term++
 	})
+	if err == nil {
+		r.witnesses, r.term = updated.Witnesses, updated.Term
+	}
 	return updated.Term, err
 }
 
@@ -119,7 +141,11 @@
 		if updated.Sealed {
 			return nil, Error.Wrap(ErrSealed)
 		}
+		if updated.Term < r.term { // read from an older copy
+			updated.Witnesses, updated.Term = r.witnesses, r.term
+		}
 		change(&updated)
+		updated.Era = max(old.Revision.Era(), r.era())
 		return json.Marshal(updated)
 	})
 	if err != nil {
@@ -136,6 +162,19 @@
 	return len(r.stored) > 0
 }
 
+// Outdated reports whether the list has to be written again, since the store was restored.
+func (r *BorrowerRegistry) Outdated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.stored) > 0 && r.storedEra < r.era()
+}
+
+func (r *BorrowerRegistry) names() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.stored))
+}
+
 // Remove deletes the list of a lender that has given everything back.
 func (r *BorrowerRegistry) Remove(ctx context.Context) error {
 	item, err := r.Store.Get(ctx, r.Key)
@@ -149,14 +188,17 @@
 func (r *BorrowerRegistry) Has(names ...string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.storedEra < r.era() {
+		return false
+	}
 	return !slices.ContainsFunc(names, func(name string) bool { return !r.stored[name] })
 }
 
-func (r *BorrowerRegistry) setStored(names []string) {
+func (r *BorrowerRegistry) setStored(l borrowerList) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stored = map[string]bool{}
-	for _, name := range names {
+	r.stored, r.storedEra = map[string]bool{}, l.Era
+	for _, name := range l.Borrowers {
 		r.stored[name] = true
 	}
 }
--- a/coord/settlement/settler.go
+++ b/coord/settlement/settler.go
@@ -23,6 +23,9 @@
 	AskWitness func(ctx context.Context, witness, lender string, term int64) (WitnessAnswer, error)
 	// Ended reports whether the incarnation of a borrower or witness has certainly ended.
 	Ended func(incarnation string) bool
+	// Routers lists all processes that may have borrowed. It replaces lists of borrowers that may have been read from an
+	// older copy of the store.
+	Routers func() []string
 	// Answers caches the answers of borrowers and witnesses between attempts.
 	Answers *AnswerCache
 }
@@ -169,6 +172,9 @@
 			return nil, err
 		}
 		sealed.Sealed = true
+		if sealed.Era < old.Revision.Era() && s.Routers != nil {
+			sealed.Borrowers = sortedUnion(sealed.Borrowers, s.Routers())
+		}
 		return json.Marshal(sealed)
 	})
 	return sealed, err
@@ -183,6 +189,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if p.Closed(old.Revision.Era()) {
+			return nil, Error.Wrap(ErrUsagePending) // the rows may lack grants
+		}
 		result = Settlement{Used: map[string]int64{}, Freed: map[string]int64{}}
 		for budget, a := range p.Accounts {
 			row := a.Rows[lender]
--- a/coord/settlement/witness.go
+++ b/coord/settlement/witness.go
@@ -31,10 +31,14 @@
 	Limits grant.ExposureLimits `json:"limits"`
 }
 
+// AnyTerm requests the limits of a witness's last term of a lender.
+const AnyTerm = 0
+
 // WitnessAnswer is a witness's answer about a lender.
 type WitnessAnswer struct {
-	// Known is set when the witness has all the lender's limits in the requested term.
+	// Known is set when the witness has all the lender's limits in the requested term, which is Term.
 	Known  bool                 `json:"known"`
+	Term   int64                `json:"term,omitempty"`
 	Limits grant.ExposureLimits `json:"limits,omitempty"`
 }
 
@@ -77,15 +81,15 @@
 	return nil
 }
 
-// Limits returns the limits of a lender in a term.
+// Limits returns the limits of a lender in a term, or in AnyTerm.
 func (w *Witness) Limits(lender string, term int64) WitnessAnswer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	entry := w.byLender[lender]
-	if entry == nil || entry.term != term {
+	if entry == nil || term != AnyTerm && entry.term != term {
 		return WitnessAnswer{}
 	}
-	return WitnessAnswer{Known: true, Limits: entry.limits.Clone()}
+	return WitnessAnswer{Known: true, Term: entry.term, Limits: entry.limits.Clone()}
 }
 
 // Forget drops the lenders whose last notice came before the given time and for which gone is true.
--- a/coord/settlement/witness_test.go
+++ b/coord/settlement/witness_test.go
@@ -241,7 +241,7 @@
 	require.NoError(t, w.Apply(now, notice(2, true, 20)))
 	require.ErrorIs(t, w.Apply(now, notice(1, true, 50)), settlement.ErrNotAppointed)
 	require.ErrorIs(t, w.Apply(now, notice(3, false, 50)), settlement.ErrNotAppointed)
-	require.Equal(t, settlement.WitnessAnswer{Known: true, Limits: notice(2, true, 30).Limits}, w.Limits("lender/1", 2))
+	require.Equal(t, settlement.WitnessAnswer{Known: true, Term: 2, Limits: notice(2, true, 30).Limits}, w.Limits("lender/1", 2))
 	require.Equal(t, settlement.WitnessAnswer{}, w.Limits("lender/1", 3))
 	w.Forget(now, func(string) bool { return true })
 	require.True(t, w.Limits("lender/1", 2).Known, "its last notice is recent")
--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &lenderProcess{stop: cancel, done: make(chan error, 1)}
 	dial := func(ctx context.Context, network, to string) (net.Conn, error) {
-		if p.disconnected.Load() {
+		if _, cut := f.disconnected.Load(vm); p.disconnected.Load() || cut && to == storeAddress {
 			return nil, memnet.ErrRefused
 		}
 		conn, err := f.network.Dial(ctx, network, to)
--- a/gateway/restoredbudget_test.go
+++ b/gateway/restoredbudget_test.go
@@ -24,11 +24,15 @@
 	engine *standin.Upstream
 	// stops and kills end lenders, by the numbers of their VMs.
 	stops, kills map[int]func()
+	// cutVM is the VM that was cut off from the store.
+	cutVM int
+	// callersAt is the first of the two routers' VMs.
+	callersAt int
 }
 
 func startRestoredFleet(f *fleet, lenders int) *restoredFleet {
 	f.putConfig(restoredBudget, "k1")
-	r := &restoredFleet{fleet: f, engine: f.upstream("i-1", "model", 5), stops: map[int]func(){}, kills: map[int]func(){}}
+	r := &restoredFleet{fleet: f, engine: f.upstream("i-1", "model", 5), stops: map[int]func(){}, kills: map[int]func(){}, callersAt: 1}
 	for n := range lenders {
 		r.stops[firstLender+n], r.kills[firstLender+n] = f.startLender(firstLender+n, "")
 	}
@@ -44,7 +48,7 @@
 	for i := range n {
 		wg.Go(func() {
 			req := chat("c")
-			req.vm = 1 + i%2
+			req.vm = r.callersAt + i%2
 			r.send(req)
 		})
 	}
@@ -136,3 +140,138 @@
 		})
 	}
 }
+
+// aroundRestoration is something that happens while the store is restored.
+type aroundRestoration struct {
+	name string
+	// before happens after the copy was made, after once the store is back.
+	before, after func(r *restoredFleet)
+	// losesTokens is set if tokens of processes that have ended may be lost.
+	losesTokens bool
+}
+
+// primary returns the number of the VM of the budget's primary lender.
+func (r *restoredFleet) primary() int {
+	for vm := range r.kills {
+		if r.tookTokens(fmt.Sprint("engine-", vm)) {
+			return vm
+		}
+	}
+	r.t.Fatal("no lender took tokens")
+	return 0
+}
+
+// restartPrimary ends the primary at once, and starts its next incarnation.
+func (r *restoredFleet) restartPrimary() {
+	vm := r.primary()
+	r.kills[vm]()
+	r.stops[vm+10], r.kills[vm+10] = r.startLenderAs(fmt.Sprint("engine-", vm), vm+10, "")
+}
+
+var aroundRestorations = []aroundRestoration{
+	{name: "primary restarts before", before: (*restoredFleet).restartPrimary},
+	{name: "primary restarts after", after: (*restoredFleet).restartPrimary},
+	{name: "primary stops before", before: func(r *restoredFleet) { r.stops[r.primary()]() }},
+	{name: "primary stops after", after: func(r *restoredFleet) { r.stops[r.primary()]() }},
+	{name: "router restarts before", before: func(r *restoredFleet) { r.stopVM(2); r.startVM(2) }},
+	{name: "router dies before", before: func(r *restoredFleet) { r.kill(2); r.startVMAs("router-2", 12) }},
+	{name: "router and primary restart before", losesTokens: true, before: func(r *restoredFleet) {
+		r.kill(2)
+		r.restartPrimary()
+		r.startVMAs("router-2", 12)
+	}},
+	{name: "primary is cut off from the store", before: func(r *restoredFleet) {
+		r.cutVM = r.primary()
+		r.disconnectFromStore(r.cutVM)
+	}, after: func(r *restoredFleet) {
+		r.spendFor(4 * time.Second)
+		r.reconnect(r.cutVM)
+	}},
+	{name: "router is cut off from the store", before: func(r *restoredFleet) { r.disconnectFromStore(2) },
+		after: func(r *restoredFleet) {
+			r.spendFor(4 * time.Second)
+			r.reconnect(2)
+		}},
+	{name: "lender starts", after: func(r *restoredFleet) {
+		r.stops[firstLender+9], r.kills[firstLender+9] = r.startLender(firstLender+9, "")
+	}},
+	{name: "all processes restart before", losesTokens: true, before: func(r *restoredFleet) {
+		for n := range 3 {
+			r.kills[firstLender+n]()
+		}
+		r.kill(1)
+		r.kill(2)
+	}, after: func(r *restoredFleet) {
+		for n := range 3 {
+			vm := firstLender + n
+			r.stops[vm+10], r.kills[vm+10] = r.startLenderAs(fmt.Sprint("engine-", vm), vm+10, "")
+		}
+		r.startVMAs("router-1", 11)
+		r.startVMAs("router-2", 12)
+		r.callersAt = 11
+		time.Sleep(time.Second)
+	}},
+	{name: "all lenders restart", losesTokens: true, after: func(r *restoredFleet) {
+		for n := range 3 {
+			vm := firstLender + n
+			r.kills[vm]()
+			r.stops[vm+10], r.kills[vm+10] = r.startLenderAs(fmt.Sprint("engine-", vm), vm+10, "")
+		}
+	}},
+}
+
+// Guards against an exceeded budget, or one that cannot be spent any more, when processes end, start or are cut off around a
+// restoration of the store.
+func TestBudgetBesideEndsAroundARestoration(t *testing.T) {
+	for _, c := range aroundRestorations {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				r := startRestoredFleet(f, 3)
+				r.spendFor(time.Second)
+				older := f.store.Copy()
+				r.spendFor(1500 * time.Millisecond)
+				if c.before != nil {
+					c.before(r)
+				}
+				r.spendFor(500 * time.Millisecond)
+				r.restore(older, 500*time.Millisecond)
+				if c.after != nil {
+					c.after(r)
+				}
+				r.spendRest()
+				r.spendRest()
+				if c.losesTokens {
+					require.LessOrEqual(t, r.used(), restoredBudget)
+					return
+				}
+				r.requireSpent()
+			})
+		})
+	}
+}
+
+// Guards against an exceeded budget when a router, which no lender can reach, takes tokens from the store itself and
+// ends before it can say so, while the store is restored: nobody else knows of them.
+func TestTokensOfARouterThatEndedUnseenAfterARestoration(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRestoredFleet(f, 2)
+		r.spendFor(time.Second)
+		older := f.store.Copy()
+		for n := range 2 {
+			f.cut(linkEnds{2, address(firstLender+n, linkPort)})
+		}
+		for range 10 {
+			req := chat("c")
+			req.vm = 2
+			r.send(req)
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.True(t, f.tookTokens("router-2"))
+		r.kill(2)
+		r.restore(older, 500*time.Millisecond)
+		r.startVMAs("router-2", 12)
+		r.spendRest()
+		r.spendRest()
+		require.LessOrEqual(t, r.used(), restoredBudget)
+	})
+}
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -129,7 +129,7 @@
 	b.Follower = b.newFollower(p.Store.Address, p.Readers)
 	b.Links = &link.Pool{From: b.Incarnation, Security: internalSecurity, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
 		Log: b.Log.Printf, Dial: p.Network.Dial}
-	b.Budgets = prepaid.New(prepaid.Parts{Incarnation: b.Incarnation, Settings: p.Budgets, Store: b.Store, Members: b.Members,
+	b.Budgets = prepaid.New(prepaid.Parts{Incarnation: b.Incarnation, Settings: p.Budgets, Store: b.Store, Members: b.Members, Era: b.Store.Era, ObserveEra: b.Store.ObserveEra,
 		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Log: b.Log})
 	return b
 }
@@ -182,6 +182,7 @@
 	if err := b.Budgets.ReturnTokens(returnCtx); err != nil {
 		b.Log.Warn().Err(err).Msg("tokens_not_given_back")
 	}
+	b.Budgets.AnnounceEnd(ctx)
 	if err := b.Members.Leave(ctx); err != nil {
 		b.Log.Warn().Err(err).Msg("lease_not_ended")
 	}
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -75,6 +75,9 @@
 // EraChanged implements platform.EraReporter.
 func (b *Base) EraChanged(from, to store.Era, first bool, call string) {
 	b.Log.Info().Int64("from", int64(from)).Int64("era", int64(to)).Bool("first", first).Str("call", call).Msg("store_era")
+	if !first {
+		b.Budgets.EraChanged()
+	}
 }
 
 // EraInvalid implements platform.EraReporter. It logs the first problem of each call and counts all of them.
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -84,6 +84,21 @@
 	return e.Holder.BorrowedFrom(in.Lender), nil
 }
 
+// AskConfirmation asks a process at an address to confirm what it holds. The address is passed because the process may not be
+// listed any more.
+func (e *Endpoint) AskConfirmation(ctx context.Context, address string, in link.ConfirmRequest) (link.ConfirmReply, error) {
+	var out link.ConfirmReply
+	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+	defer cancel()
+	err := e.Links.Call(ctx, address, link.MethodConfirm, in, &out)
+	return out, err
+}
+
+// AnnounceEnd tells the process at an address that this process ends.
+func (e *Endpoint) AnnounceEnd(ctx context.Context, address string) error {
+	return e.Links.Call(ctx, address, link.MethodEnded, link.EndedNotice{Holder: e.Holder.ID()}, &link.Empty{})
+}
+
 // AskBorrowed requests a borrower's final usage report on a dead lender.
 func (e *Endpoint) AskBorrowed(ctx context.Context, borrower, lender string) (grant.Borrowed, error) {
 	var out grant.Borrowed
--- a/link/messages.go
+++ b/link/messages.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/poison"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/ratelimit"
@@ -26,6 +29,10 @@
 	// MethodWitnessLimits asks a witness for a dead lender's exposure limits: LimitsRequest,
 	// settlement.WitnessAnswer.
 	MethodWitnessLimits = "budget.testify"
+	// MethodConfirm asks what a process holds on pages of budgets after the store was restored: ConfirmRequest, ConfirmReply.
+	MethodConfirm = "budget.confirm"
+	// MethodEnded says that a process ends, and lends and spends nothing any more: EndedNotice, Empty.
+	MethodEnded = "budget.ended"
 	// MethodWatermarks asks for the durable watermarks of rows: WatermarkRequest,
 	// WatermarkReply.
 	MethodWatermarks = "budget.watermarks"
@@ -231,6 +238,35 @@
 	Term int64 `json:"term"`
 }
 
+// ConfirmRequest asks a process to confirm its rows on pages that are closed since the store was restored from an older copy.
+type ConfirmRequest struct {
+	// Holder is the incarnation that must answer.
+	Holder string `json:"holder"`
+	// Era is the store's era in which the pages are to be opened.
+	Era   store.Era `json:"era"`
+	Pages []string  `json:"pages"`
+	// AllMembers asks for all members that the process knows, not only those that are not listed any more.
+	AllMembers bool `json:"all_members,omitempty"`
+}
+
+// EndedNotice says that an incarnation ends.
+type EndedNotice struct {
+	Holder string `json:"holder"`
+}
+
+// ConfirmReply is what a process holds. Its tokens do not become more until the pages are open.
+type ConfirmReply struct {
+	// Known is set if the incarnation that was asked has answered.
+	Known bool `json:"known"`
+	// ViewSince is the store's era since which the process has had the list of members, once ViewKnown is set.
+	ViewSince store.Era `json:"view_since"`
+	ViewKnown bool      `json:"view_known"`
+	// Rows are its rows by page and budget.
+	Rows map[string]map[string]account.Confirmation `json:"rows,omitempty"`
+	// Members are the members that it has known lately and that are not listed any more, or all that it knows.
+	Members []member.Member `json:"members,omitempty"`
+}
+
 // AppendRequest holds charges to append to one shard.
 type AppendRequest struct {
 	Shard   int             `json:"shard"`
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -155,6 +155,12 @@
 	// answers caches the borrowers' reports about dead lenders.
 	answers   settlement.AnswerCache
 	unsettled nameSet
+	// era returns the store's newest known era; observeEra records one that another process has seen.
+	era        func() store.Era
+	observeEra func(store.Era)
+	reopening  reopening
+	// endedLately records the processes that said that they end.
+	endedLately recentTimes
 	// latePeers are the peers whose replies came too late since the last probes.
 	latePeers nameSet
 }
@@ -168,6 +174,10 @@
 	Members     *member.Group
 	Links       lending.Caller
 	Limits      Limits
+	// Era returns the store's newest known era, ObserveEra records one that another process has seen. nil stands for a store that is
+	// never restored.
+	Era        func() store.Era
+	ObserveEra func(store.Era)
 	// LendsOnly is set if the process spends no tokens itself, so that it can be settled
 	// from its borrowers' reports when it dies.
 	LendsOnly bool
@@ -184,6 +194,10 @@
 		timeout: time.Duration(s.StoreWait),
 		wait:    time.Duration(s.Wait),
 		log:     p.Log,
+		era:     p.Era, observeEra: p.ObserveEra,
+	}
+	if b.era == nil {
+		b.era, b.observeEra = func() store.Era { return 0 }, func(store.Era) {}
 	}
 	b.holder = grant.NewHolder(p.Incarnation, b.layout, grant.HorizonPolicy{
 		Horizon: time.Duration(s.Horizon), LargestRequests: largestRequests, Share: maxHeldShare, Slack: heldSlack,
@@ -195,11 +209,12 @@
 		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout,
 		CallTimeout: callTimeout, SyncTimeout: syncTimeout, Now: time.Now, Prepare: b.prepare,
 		PageCacheTTL: pageCacheTTL, MaxFreshAge: maxFreshAge, OnTransfer: b.logTransfer, OnExhausted: b.logExhausted, OnSyncEnd: b.syncEnded,
+		Era: b.era, OnClosed: b.reopening.closed.add,
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			RemoveIdleAfter: removeIdleAfter, ExhaustedBackoff: exhaustedBackoff, LowBackoff: lowBackoff},
 	}
 	if p.LendsOnly {
-		b.registry = &settlement.BorrowerRegistry{Store: p.Store, Key: lendsPrefix + p.Incarnation}
+		b.registry = &settlement.BorrowerRegistry{Store: p.Store, Key: lendsPrefix + p.Incarnation, Era: b.era}
 		b.exposure = b.newExposure()
 	}
 	b.endpoint = &lending.Endpoint{
@@ -215,6 +230,7 @@
 // Start starts a goroutine for each periodic task.
 func (b *Budgets) Start(tasks *process.TaskGroup) {
 	tasks.Every(syncInterval, b.syncOrProbe)
+	tasks.Every(reopenInterval, b.openPages)
 	tasks.Every(lotReturnInterval, b.returnLots)
 	tasks.Every(auditInterval, b.endpoint.AuditLots)
 	tasks.Every(auditInterval, b.settleAbsentBorrowers)
--- /dev/null
+++ b/prepaid/census.go
@@ -0,0 +1,294 @@
+package prepaid
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/settlement"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/link"
+)
+
+// census is what all processes hold of some closed pages.
+type census struct {
+	era   store.Era
+	pages []string
+	// oldest is the oldest era in which one of the pages was open.
+	oldest store.Era
+
+	mu sync.Mutex // guards the fields below while processes are asked
+	// processes are all that may hold tokens of the pages, by incarnation.
+	processes map[string]member.Member
+	replies   map[string]link.ConfirmReply
+	// ended are the processes that have certainly ended; used is what lenders among them lent and was used, by budget.
+	ended map[string]member.Member
+	used  map[string]map[string]int64
+	// pending lists the processes that must still answer.
+	pending []string
+	// unknown says why the use of a process that has ended is not known, "" if all is known.
+	unknown string
+}
+
+// takeCensus asks all processes what they hold of the pages.
+func (b *Budgets) takeCensus(ctx context.Context, pages []closedPage) *census {
+	c := &census{era: b.era(), oldest: store.MaxEra, processes: b.reopening.processes(b.members),
+		replies: map[string]link.ConfirmReply{}, ended: map[string]member.Member{}, used: map[string]map[string]int64{}}
+	for _, p := range pages {
+		c.pages = append(c.pages, p.item.Key)
+		c.oldest = min(c.oldest, p.page.Era)
+	}
+	own, err := b.confirm(ctx, link.ConfirmRequest{Holder: b.holder.ID(), Era: c.era, Pages: c.pages})
+	if err != nil {
+		c.pending = []string{b.holder.ID()}
+		return c
+	}
+	c.replies[b.holder.ID()] = own
+	b.askAll(ctx, c)
+	if c.addMembers() {
+		b.askAll(ctx, c)
+	}
+	if len(c.pending) == 0 && !c.knewMembers(own) {
+		b.askForMembers(ctx, c)
+	}
+	if len(c.pending) == 0 {
+		b.findUse(ctx, c)
+	}
+	slices.Sort(c.pending)
+	return c
+}
+
+// askAll asks the processes that have not answered yet.
+func (b *Budgets) askAll(ctx context.Context, c *census) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, maxConcurrentConfirms)
+	for _, m := range b.unanswered(c) {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			b.ask(ctx, c, m)
+		})
+	}
+	wg.Wait()
+}
+
+// unanswered lists the processes to ask, and records those that have ended.
+func (b *Budgets) unanswered(c *census) (out []member.Member) {
+	for id, m := range c.processes {
+		_, answered := c.replies[id]
+		_, ended := c.ended[id]
+		switch {
+		case answered || ended:
+		case b.isDead(id) || b.endedLately.within(id, recentRetention):
+			c.ended[id] = m
+		default:
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// ask asks one process. If another incarnation answers, the one that was asked has ended.
+func (b *Budgets) ask(ctx context.Context, c *census, m member.Member) {
+	reply, err := b.endpoint.AskConfirmation(ctx, m.Address, link.ConfirmRequest{Holder: m.ID, Era: c.era, Pages: c.pages})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil:
+		c.pending = append(c.pending, m.ID)
+	case !reply.Known:
+		c.ended[m.ID] = m
+	default:
+		c.replies[m.ID] = reply
+	}
+}
+
+// addMembers adds the processes that others have named, and reports whether there are new ones: those that ended lately may be
+// known only to processes that have run for longer.
+func (c *census) addMembers() (added bool) {
+	for _, reply := range c.replies {
+		for _, m := range reply.Members {
+			if _, known := c.processes[m.ID]; !known {
+				c.processes[m.ID], added = m, true
+			}
+		}
+	}
+	return added
+}
+
+// knewMembers reports whether the process of a reply has had the list of members since all the pages were open.
+func (c *census) knewMembers(r link.ConfirmReply) bool { return r.ViewKnown && r.ViewSince <= c.oldest }
+
+// askForMembers asks a process that has had the list of members since the pages were open for all that it knows, and asks
+// these as well: the store may lack them. If there is none, nobody knows who held tokens.
+func (b *Budgets) askForMembers(ctx context.Context, c *census) {
+	for id, reply := range c.replies {
+		if !c.knewMembers(reply) {
+			continue
+		}
+		in := link.ConfirmRequest{Holder: id, Era: c.era, Pages: c.pages, AllMembers: true}
+		reply, err := b.endpoint.AskConfirmation(ctx, c.processes[id].Address, in)
+		if err != nil || !reply.Known {
+			c.pending = append(c.pending, id)
+			return
+		}
+		c.replies[id] = reply
+		c.addMembers()
+		b.askAll(ctx, c)
+		return
+	}
+	c.unknown = "no process has run since the pages were open"
+}
+
+// findUse finds out what was used of the tokens of processes that have ended.
+func (b *Budgets) findUse(ctx context.Context, c *census) {
+	var lenders, routers []string
+	for id, m := range c.ended {
+		if m.Role == RoleLender {
+			lenders = append(lenders, id)
+		} else {
+			routers = append(routers, id)
+		}
+	}
+	for _, lender := range lenders {
+		b.sumUse(ctx, c, lender)
+		if len(routers) > 0 && len(c.pending) == 0 {
+			b.addLimits(ctx, c, lender, routers)
+		}
+	}
+	if len(routers) > 0 && !c.hasLenders() && c.unknown == "" {
+		c.unknown = "a router that may have held tokens has ended"
+	}
+}
+
+func (c *census) hasLenders() bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(c.processes)), func(m member.Member) bool { return m.Role == RoleLender })
+}
+
+// sumUse adds up what the running borrowers of a lender that has ended used.
+func (b *Budgets) sumUse(ctx context.Context, c *census, lender string) {
+	c.used[lender] = map[string]int64{}
+	for id := range c.replies {
+		report, err := b.borrowedFrom(ctx, id, lender)
+		switch {
+		case err != nil:
+			c.pending = append(c.pending, id)
+		case !report.Known:
+			c.unknown = "the record of a borrower is incomplete"
+		}
+		for budget, n := range report.Used {
+			c.used[lender][budget] += n
+		}
+	}
+}
+
+// addLimits adds the most that routers that have ended can have used of a lender's tokens, which is known to the lender's
+// witnesses. All of them have answered if no other lender has ended, or if as many as there can be know the last term.
+func (b *Budgets) addLimits(ctx context.Context, c *census, lender string, routers []string) {
+	var newest settlement.WitnessAnswer
+	limits, witnesses, lenders, asked := grant.ExposureLimits{}, 0, 0, 0
+	for id, m := range c.processes {
+		if m.Role != RoleLender || id == lender {
+			continue
+		}
+		lenders++
+		if _, answered := c.replies[id]; !answered {
+			continue
+		}
+		asked++
+		answer, err := b.queryWitness(ctx, id, lender, settlement.AnyTerm)
+		switch {
+		case err != nil:
+			c.pending = append(c.pending, id)
+			return
+		case !answer.Known:
+			continue
+		case answer.Term > newest.Term:
+			newest, witnesses = answer, 0
+		}
+		limits.Merge(answer.Limits)
+		if answer.Term == newest.Term {
+			witnesses++
+		}
+	}
+	if witnesses == 0 || asked < lenders && witnesses < maxWitnesses {
+		c.unknown = "a lender and a router have ended, and so may have a witness"
+		return
+	}
+	for budget, byBorrower := range limits {
+		for _, router := range routers {
+			c.used[lender][budget] += byBorrower[router]
+		}
+	}
+}
+
+// borrowedFrom asks a process, which may be this one, for its final use of a lender's tokens.
+func (b *Budgets) borrowedFrom(ctx context.Context, borrower, lender string) (grant.Borrowed, error) {
+	if borrower == b.holder.ID() {
+		return b.holder.BorrowedFrom(lender), nil
+	}
+	return b.endpoint.AskBorrowed(ctx, borrower, lender)
+}
+
+// apply writes what the processes hold to a page.
+func (c *census) apply(key string, page *account.Page) {
+	for id, reply := range c.replies {
+		for budget := range reply.Rows[key] {
+			accountOf(page, budget)
+		}
+		for budget, a := range page.Accounts {
+			_, listed := a.Rows[id]
+			if confirmation, holds := reply.Rows[key][budget]; holds || listed {
+				a.Confirm(id, confirmation)
+			}
+		}
+	}
+	for id := range c.ended {
+		c.applyEnded(id, page)
+	}
+	for _, a := range page.Accounts {
+		a.CoverDeficit()
+	}
+}
+
+// applyEnded writes what a process that has ended used. The rows of others than lenders stay as they are.
+func (c *census) applyEnded(id string, page *account.Page) {
+	used, known := c.used[id]
+	if !known {
+		return
+	}
+	for budget, a := range page.Accounts {
+		_, listed := a.Rows[id]
+		if n, lent := used[budget]; lent || listed {
+			a.ConfirmEnded(id, n)
+		}
+	}
+}
+
+// accountOf returns a budget's account on a page, which the copy may lack.
+func accountOf(page *account.Page, budget string) *account.Account {
+	a := page.Accounts[budget]
+	if a == nil {
+		a = &account.Account{Team: budget}
+		page.Accounts[budget] = a
+	}
+	return a
+}
+
+// forfeit forfeits a page's free tokens if somebody may have been granted them, and returns how many. A page that does not exist was never
+// granted from.
+func (c *census) forfeit(p closedPage) (total int64) {
+	if c.unknown == "" || p.item.Revision == 0 {
+		return 0
+	}
+	for _, a := range p.page.Accounts {
+		total += a.ForfeitFree()
+	}
+	return total
+}
+
+func (c *census) endedNames() []string { return slices.Sorted(maps.Keys(c.ended)) }
--- a/prepaid/outage.go
+++ b/prepaid/outage.go
@@ -196,6 +196,19 @@
 	return ok
 }
 
+func (s *nameSet) remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.names, name)
+}
+
+// list returns the names in order.
+func (s *nameSet) list() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.names))
+}
+
 // retain removes the names that are not listed.
 func (s *nameSet) retain(listed []string) {
 	s.mu.Lock()
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -57,6 +57,8 @@
 // Methods returns the handlers of messages from other processes.
 func (b *Budgets) Methods() map[string]link.Handler {
 	m := b.endpoint.Methods()
+	m[link.MethodConfirm] = link.Handle(b.confirm)
+	m[link.MethodEnded] = link.Handle(b.recordEnded)
 	m[link.MethodLimits] = link.Handle(b.applyWitnessNotice)
 	m[link.MethodWitnessLimits] = link.Handle(b.answerLimits)
 	lend := m[link.MethodLend]
--- /dev/null
+++ b/prepaid/reopen.go
@@ -0,0 +1,257 @@
+package prepaid
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/link"
+)
+
+// A store that was restored from an older copy lacks grants that processes are spending. All pages are closed then: nobody takes
+// tokens from them, and requests are served from what processes hold. The primary of a page asks every process that may hold tokens
+// of it what it holds, writes that, and opens the page. A process that does not answer keeps it closed until it answers or
+// has certainly ended. What a lender that ended used is known to its borrowers. Where nobody knows, all free
+// tokens are forfeited: somebody may be spending them.
+
+const (
+	// reopenInterval is the pause between two checks for closed pages, reopenPauseMax the longest pause between two attempts.
+	reopenInterval = 100 * time.Millisecond
+	reopenPauseMax = time.Second
+	// maxConcurrentConfirms bounds the processes that are asked at the same time.
+	maxConcurrentConfirms = 32
+)
+
+// reopening is the state of the pages that a restoration of the store closed.
+type reopening struct {
+	closed nameSet // pages
+
+	mu sync.Mutex
+	// viewSince is the store's era in which this process first had the list of members, once viewKnown is set.
+	viewSince store.Era
+	viewKnown bool
+	// earlier are the members known at the restorations since pages were last open, by incarnation.
+	earlier map[string]member.Member
+	// nextAttempt is when closed pages are tried again, pause the current pause between attempts.
+	nextAttempt time.Time
+	pause       time.Duration
+	// waitingFor are the processes that kept pages closed at the last attempt.
+	waitingFor []string
+}
+
+// EraChanged closes all pages when the store was restored. The members of before are remembered: the store may lack them.
+func (b *Budgets) EraChanged() {
+	r := &b.reopening
+	r.mu.Lock()
+	if r.earlier == nil {
+		r.earlier = map[string]member.Member{}
+	}
+	for _, m := range append(b.members.Members(), b.members.Former()...) {
+		r.earlier[m.ID] = m
+	}
+	r.pause, r.nextAttempt = 0, time.Time{}
+	r.mu.Unlock()
+	for n := range b.layout.Pages {
+		r.closed.add(b.layout.PageKey(n))
+	}
+}
+
+// noteView records the era in which this process first has the list of members.
+func (r *reopening) noteView(members *member.Group, era store.Era) {
+	if _, known := r.view(); known {
+		return
+	}
+	_, known := members.Count(RoleLender)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.viewSince, r.viewKnown = era, known
+}
+
+// view returns the era since which this process has had the list of members.
+func (r *reopening) view() (since store.Era, known bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.viewSince, r.viewKnown
+}
+
+// due reports whether closed pages are tried now.
+func (r *reopening) due(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !now.Before(r.nextAttempt)
+}
+
+// attempted records an attempt, and reports whether the processes that were waited for have changed.
+func (r *reopening) attempted(now time.Time, waitingFor []string) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pause = min(reopenPauseMax, max(reopenInterval, 2*r.pause))
+	r.nextAttempt = now.Add(r.pause)
+	changed = !slices.Equal(r.waitingFor, waitingFor)
+	r.waitingFor = waitingFor
+	return changed
+}
+
+// opened forgets the members of before once no page is closed.
+func (r *reopening) opened() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.earlier, r.waitingFor = nil, nil
+}
+
+// processes lists the members known now, lately and at the restorations, by incarnation.
+func (r *reopening) processes(members *member.Group) map[string]member.Member {
+	out := r.unlisted(members)
+	for _, m := range members.Members() {
+		out[m.ID] = m
+	}
+	return out
+}
+
+// unlisted lists the members known lately and at the restorations that are not listed now, by incarnation.
+func (r *reopening) unlisted(members *member.Group) map[string]member.Member {
+	r.mu.Lock()
+	out := maps.Clone(r.earlier)
+	r.mu.Unlock()
+	if out == nil {
+		out = map[string]member.Member{}
+	}
+	for _, m := range members.Former() {
+		out[m.ID] = m
+	}
+	for _, m := range members.Members() {
+		delete(out, m.ID)
+	}
+	return out
+}
+
+// openPages opens closed pages of which this process is the primary, or is asked for tokens.
+func (b *Budgets) openPages(ctx context.Context) {
+	b.reopening.noteView(b.members, b.era())
+	if !b.reopening.due(time.Now()) || b.storeOutage.ongoing() {
+		return
+	}
+	var keys []string
+	for _, key := range b.reopening.closed.list() {
+		if role := b.pageRole(key); role == grant.RolePrimary || role == grant.RoleStandby {
+			keys = append(keys, key)
+		}
+	}
+	pages := b.readClosed(ctx, keys)
+	if len(pages) == 0 {
+		return
+	}
+	c := b.takeCensus(ctx, pages)
+	if b.reopening.attempted(time.Now(), c.pending) && len(c.pending) > 0 {
+		b.log.Warn().Int64("era", int64(c.era)).Int("pages", len(pages)).Strs("waiting_for", c.pending).Msg("pages_closed")
+	}
+	if len(c.pending) > 0 {
+		return
+	}
+	for _, p := range pages {
+		b.openPage(ctx, c, p)
+	}
+	if len(b.reopening.closed.list()) == 0 {
+		b.reopening.opened()
+	}
+}
+
+// closedPage is a closed page as it was read before anybody was asked: it is written only if nobody wrote it since.
+type closedPage struct {
+	item store.Item
+	page *account.Page
+}
+
+// readClosed reads the pages, and returns those that are closed.
+func (b *Budgets) readClosed(ctx context.Context, keys []string) (out []closedPage) {
+	for _, key := range keys {
+		item, page, err := b.pages.ReadPage(ctx, key)
+		switch {
+		case err != nil:
+			b.recordOutage(&b.storeOutage, "store", "", err, store.ErrUnknown)
+			b.log.Warn().Err(err).Str("page", key).Msg("page_not_read")
+		case page.Closed(max(item.Revision.Era(), b.era())):
+			out = append(out, closedPage{item, page})
+		default:
+			b.reopening.closed.remove(key)
+		}
+	}
+	return out
+}
+
+// openPage writes what the census says and opens the page.
+func (b *Budgets) openPage(ctx context.Context, c *census, p closedPage) {
+	b.prepare(p.item.Key, p.page)
+	c.apply(p.item.Key, p.page)
+	forfeited := c.forfeit(p)
+	p.page.Era = c.era
+	if err := b.pages.WritePage(ctx, p.item, p.page); err != nil {
+		b.log.Warn().Err(err).Str("page", p.item.Key).Int64("era", int64(c.era)).Msg("page_not_opened") // tried again
+		return
+	}
+	b.reopening.closed.remove(p.item.Key)
+	b.log.Info().Str("page", p.item.Key).Int64("era", int64(c.era)).Int("holders", len(c.replies)).Strs("ended", c.endedNames()).
+		Int64("forfeited", forfeited).Str("why_forfeited", c.unknown).Msg("page_opened")
+}
+
+// confirm answers what this process holds. Its tokens do not become more until the pages are open, since it knows the era.
+func (b *Budgets) confirm(ctx context.Context, in link.ConfirmRequest) (link.ConfirmReply, error) {
+	if in.Holder != b.holder.ID() {
+		return link.ConfirmReply{}, nil
+	}
+	b.observeEra(in.Era)
+	out := link.ConfirmReply{Known: true, Rows: map[string]map[string]account.Confirmation{}}
+	out.ViewSince, out.ViewKnown = b.reopening.view()
+	for _, key := range in.Pages {
+		rows, err := b.pages.Confirm(ctx, key)
+		if err != nil {
+			return link.ConfirmReply{}, err
+		}
+		if len(rows) > 0 {
+			out.Rows[key] = rows
+		}
+	}
+	out.Members = slices.Collect(maps.Values(b.reopening.unlisted(b.members)))
+	if in.AllMembers {
+		out.Members = append(out.Members, b.members.Members()...)
+	}
+	return out, nil
+}
+
+// announceTimeout bounds the messages of a process that ends.
+const announceTimeout = 100 * time.Millisecond
+
+// AnnounceEnd tells those that may open the pages next that this process ends, so that they need not wait for it. It is called when
+// nothing is lent or spent any more.
+func (b *Budgets) AnnounceEnd(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	told := map[string]member.Member{}
+	for n := range b.layout.Pages {
+		ranked := b.rankedLenders(b.layout.PageKey(n))
+		for _, m := range ranked[:min(maxQueriedLenders, len(ranked))] {
+			told[m.ID] = m
+		}
+	}
+	delete(told, b.holder.ID())
+	var wg sync.WaitGroup
+	for _, m := range told {
+		wg.Go(func() {
+			if err := b.endpoint.AnnounceEnd(ctx, m.Address); err != nil {
+				b.log.Warn().Err(err).Str("member", m.ID).Msg("end_not_announced") // the lease shows it later
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (b *Budgets) recordEnded(_ context.Context, in link.EndedNotice) (link.Empty, error) {
+	b.endedLately.record(in.Holder)
+	return link.Empty{}, nil
+}
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
@@ -64,9 +65,8 @@
 	b.startAdmission(borrower)
 }
 
-// admitListed registers the borrower and all routers that are listed.
-func (b *Budgets) admitListed(borrower string) error {
-	names := []string{borrower}
+// admitListed registers borrowers and all routers that are listed.
+func (b *Budgets) admitListed(names ...string) error {
 	for _, m := range b.members.Members() {
 		if m.Role == RoleRouter && !b.isDead(m.ID) {
 			names = append(names, m.ID)
@@ -82,7 +82,7 @@
 		b.stopPresumedDead(err)
 		return grant.Error.Wrap(grant.ErrFenced)
 	}
-	b.log.Warn().Err(err).Str("borrower", borrower).Msg("borrower_not_admitted")
+	b.log.Warn().Err(err).Str("borrower", strings.Join(names, ",")).Msg("borrower_not_admitted")
 	return grant.Error.Wrap(grant.ErrUnreachable)
 }
 
@@ -99,6 +99,10 @@
 	if b.registry == nil || !b.registry.HasBorrowers() || b.storeOutage.ongoing() {
 		return
 	}
+	if b.registry.Outdated() {
+		_ = b.admitListed() // it logs errors, and the next run retries
+		return
+	}
 	for _, m := range b.members.Members() {
 		if m.Role == RoleRouter && !b.registry.Has(m.ID) && !b.isDead(m.ID) {
 			_ = b.admitListed(m.ID) // it logs errors, and the next run retries
@@ -110,7 +114,7 @@
 // newSettler returns a settler of dead lenders.
 func (b *Budgets) newSettler() *settlement.Settler {
 	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Answers: &b.answers, Ended: b.isDead, AskBorrower: b.endpoint.AskBorrowed,
-		AskWitness: b.queryWitness}
+		AskWitness: b.queryWitness, Routers: b.knownRouters}
 }
 
 // settleDeadLenders settles the rows of dead lenders on the pages of which this process is the primary.
@@ -172,3 +176,18 @@
 	}
 	return true
 }
+
+// knownRouters lists the routers that are listed or were lately.
+func (b *Budgets) knownRouters() (out []string) {
+	for id, m := range b.reopening.processes(b.members) {
+		if m.Role == RoleRouter {
+			out = append(out, id)
+		}
+	}
+	for _, m := range b.members.Former() {
+		if m.Role == RoleRouter {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
