Prompts: evidence is stored again after a restoration of the store

The copy may lack evidence that was stored seconds before; nobody wrote it again, so that it was lost with the keepers' processes. The test failed before (no method; without it the restarted keeper lists nothing).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -213,7 +213,6 @@
 	delete(d.unreadable, it.Key)
 	e := &entry{Upstream: u, revision: it.Revision, created: it.Created}
 	e.ColdUntil = d.coldUntil(u, it, have)
-	e.Registered = it.Created
 	if have != nil {
 		e.survived = have.survived
 	}
@@ -231,6 +230,7 @@
 	default:
 		d.Report.UpstreamGone(have.Upstream, "restarted under its id")
 	}
+	e.Registered = e.created
 	d.entries[it.Key] = e
 	if u.Leaving {
 		d.recordLeavingLocked(u.Incarnation)
--- a/directory/restored_test.go
+++ b/directory/restored_test.go
@@ -101,6 +101,7 @@
 	require.Equal(t, []string{"new"}, ids(d))
 	restored(d, writtenAt("old", "ready@1", 2, 3, 3))
 	require.Equal(t, []string{"new"}, ids(d), "the copy is older than the new incarnation")
+	require.Equal(t, store.NewRevision(1, 9), d.ForService("s")[0].Registered)
 	d.Changed(store.Event{Item: writtenAt("new", "ready@2", 2, 5, 5)})
 	require.Equal(t, []string{"new"}, ids(d))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -284,7 +284,10 @@
 	g.streams.start(tasks)
 	g.Start(tasks)
 	tasks.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
-	tasks.Every(expireInterval, func(context.Context) { g.directory.Expire() })
+	tasks.Every(expireInterval, func(context.Context) {
+		g.directory.Expire()
+		g.operatorReader.applyUncertain()
+	})
 	tasks.Every(pruneInterval, func(context.Context) { g.pool.Prune() })
 }
 
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
@@ -17,6 +19,14 @@
 // implements mirror.Reader; its methods are called from one goroutine.
 type operatorReader struct {
 	g *Gateway
+
+	mu sync.Mutex
+	// restored is set from a restoration of the store until the entries are read again. uncertain holds the orders of that read that
+	// differ from those known before, by key: the copy may lack what operators wrote, and they write it again.
+	restored  bool
+	uncertain map[string]uncertainOrder
+	// endedDrains holds the revisions of drain orders that were removed, by data centre.
+	endedDrains map[string]store.Revision
 	// drained are the drained data centres, with the revisions of their orders.
 	drained map[string]store.Revision
 	// rollouts are the roll-out orders by service; read is set after the first read.
@@ -26,6 +36,8 @@
 
 // Reset implements mirror.Reader.
 func (o *operatorReader) Reset(items []store.Item) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.g.configWatch.RecordSuccess(o.g.Log, "configuration")
 	if !slices.ContainsFunc(items, func(it store.Item) bool { return it.Key == platform.ConfigKey }) {
 		o.g.directory.NoRequestsUntil(time.Now()) // without a configuration no router serves
@@ -36,8 +48,14 @@
 			drained[o.decodeDrain(it)] = it.Revision
 		}
 	}
+	rollouts := o.decodeRollouts(items)
+	if o.restored {
+		o.keepDrained(drained)
+		o.keepRollouts(rollouts)
+	}
+	o.restored = false
 	o.setDrained(drained)
-	o.setRollouts(o.decodeRollouts(items))
+	o.setRollouts(rollouts)
 	o.read = true
 	for _, it := range items {
 		o.applyConfig(it)
@@ -46,6 +64,13 @@
 
 // Changed implements mirror.Reader. The configuration is never removed.
 func (o *operatorReader) Changed(e store.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.uncertain, e.Key)
+	o.changed(e)
+}
+
+func (o *operatorReader) changed(e store.Event) {
 	if datacentre, ok := platform.DrainedDatacentre(e.Key); ok {
 		o.applyDrain(datacentre, e)
 		return
@@ -102,6 +127,9 @@
 	} else {
 		order = o.decodeRollout(service, e.Item)
 	}
+	if order.IsAgain(have) && !have.Withdrawn {
+		order.Earlier = have.Revision
+	}
 	if order.Version != "" {
 		next[service] = order
 	}
@@ -117,6 +145,9 @@
 
 // Lost implements mirror.Reader. The last known state stays active.
 func (o *operatorReader) Lost(err error) {
+	o.mu.Lock()
+	o.restored = o.restored || errors.Is(err, store.ErrRestored)
+	o.mu.Unlock()
 	o.g.configWatch.RecordFailure(o.g.Log, "configuration", err)
 }
 
@@ -129,6 +160,7 @@
 	next := maps.Clone(o.drained)
 	if e.Deleted {
 		delete(next, datacentre)
+		o.recordEndedDrain(datacentre, have)
 	} else {
 		next[o.decodeDrain(e.Item)] = e.Revision
 	}
--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/member"
@@ -48,7 +49,7 @@
 
 // rolloutDecider is the decider of one order.
 type rolloutDecider struct {
-	order rollout.Order
+	current atomic.Pointer[rollout.Order]
 
 	mu      sync.Mutex
 	decider rollout.Decider
@@ -57,9 +58,10 @@
 	// decision is the last one; directives are answered from it.
 	decision  rollout.Decision
 	decidedAt time.Time
-	// record is the store's, read is set while it is known, and ended once it is final.
-	record      rollout.Record
-	read, ended bool
+	// record is the store's, read is set while it is known, and ended once it is final. endLost is set while a store that was
+	// restored may lack the end.
+	record               rollout.Record
+	read, ended, endLost bool
 	// calling is set during a call of the store, pausedUntil the time before which there is none,
 	// failingSince the time since which calls have failed, and conflictAt that of the last conflict.
 	calling                               bool
@@ -117,7 +119,7 @@
 // handleReport adds a router's report and returns the current directive.
 func (d *rolloutDeciders) handleReport(_ context.Context, report rollout.Report) (rollout.Directive, error) {
 	dec := d.deciderFor(report.Service)
-	if dec == nil || dec.order.Revision != report.Order {
+	if dec == nil || dec.order().Revision != report.Order {
 		return rollout.Directive{}, fmt.Errorf("%w: service %q, order %d", errOrderUnknown, report.Service, report.Order)
 	}
 	dec.mu.Lock()
@@ -132,10 +134,10 @@
 	case dec.storeLostLocked():
 		return rollout.Directive{}, errStoreLost
 	case !dec.decider.Confirmed():
-		return rollout.Directive{Revision: dec.order.Revision, Pending: true}, nil
+		return rollout.Directive{Revision: dec.order().Revision, Pending: true}, nil
 	}
 	directive := dec.decision.Directive
-	directive.Revision = dec.order.Revision
+	directive.Revision = dec.order().Revision
 	return directive, nil
 }
 
@@ -159,17 +161,65 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	have := d.byService[service]
-	if have == nil || have.order != sr.order {
-		have = &rolloutDecider{order: sr.order, askedSince: time.Now(), decider: rollout.Decider{Order: sr.order, Limits: d.r.limits()}}
-		if sr.order.Withdrawn {
-			have.decider.End(rollout.RolledBack, "the operator removed the order")
-		}
+	order := sr.order()
+	switch {
+	case have != nil && have.order() == order:
+		return have
+	case have != nil && order.Earlier != 0 && have.order().Revision == order.Earlier && have.order().Withdrawn == order.Withdrawn:
+		have.rename(order)
+	default:
+		have = newRolloutDecider(sr, d.r.limits())
 		d.byService[service] = have
-		signal(d.created)
 	}
+	signal(d.created)
 	return have
 }
 
+func newRolloutDecider(sr *serviceRollout, limits rollout.Limits) *rolloutDecider {
+	order := sr.order()
+	dec := &rolloutDecider{askedSince: time.Now(), decider: rollout.Decider{Order: order, Limits: limits}}
+	dec.current.Store(&order)
+	if order.Withdrawn {
+		dec.decider.End(rollout.RolledBack, "the operator removed the order")
+	}
+	if state, final := sr.finalState(); final && order.Earlier != 0 {
+		dec.knownLocked(state)
+	}
+	return dec
+}
+
+func (dec *rolloutDecider) order() rollout.Order { return *dec.current.Load() }
+
+// rename continues with the same order under another revision. The store may lack what was written.
+func (dec *rolloutDecider) rename(order rollout.Order) {
+	dec.mu.Lock()
+	defer dec.mu.Unlock()
+	dec.current.Store(&order)
+	dec.decider.Order = order
+	dec.read = false
+	if dec.ended {
+		dec.knownLocked(dec.decision.Directive.State)
+	}
+}
+
+// knownLocked records the end of the roll-out, which a restored store may lack: it is written again.
+func (dec *rolloutDecider) knownLocked(state rollout.State) {
+	dec.ended, dec.endLost = true, true
+	dec.decision.Directive = rollout.Directive{Revision: dec.order().Revision, State: state}
+}
+
+// rename continues with a service's order under another revision. The router that ranks first writes the end of a roll-out again that the
+// store may lack; no other one reports.
+func (d *rolloutDeciders) rename(service string) {
+	d.mu.Lock()
+	decides := d.byService[service] != nil
+	d.mu.Unlock()
+	first := d.candidates(service)
+	if decides || len(first) > 0 && first[0].ID == d.r.g.Incarnation {
+		d.deciderFor(service)
+	}
+}
+
 // decision returns the last decision on a service, nil if this router does not decide on it.
 func (d *rolloutDeciders) decision(service string) *rollout.Decision {
 	d.mu.Lock()
@@ -204,15 +254,19 @@
 	if dec.decision.Directive.Near {
 		interval = rolloutTick
 	}
-	if now.Sub(dec.decidedAt) < interval || dec.ended {
-		return !dec.ended
+	if dec.ended {
+		d.writeEndAgainLocked(now, dec)
+		return dec.endLost
+	}
+	if now.Sub(dec.decidedAt) < interval {
+		return true
 	}
 	before := dec.decision
 	dec.decidedAt = now
 	dec.decider.Limits = d.r.limits()
 	d.suspendLocked(now, dec)
 	dec.decision = dec.decider.Decide(now, d.r.rolloutRouters())
-	d.logDecision(dec.order, before, dec.decision)
+	d.logDecision(dec.order(), before, dec.decision)
 	if call, due := dec.dueCallLocked(now); due {
 		dec.calling = true
 		d.tasks.Go(func(ctx context.Context) { d.callStore(ctx, dec, call) })
@@ -228,7 +282,7 @@
 	}
 	dec.decider.Suspend(now)
 	dec.read = false
-	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Int64("revision", dec.record.Revision.Number()).
+	d.r.g.Log.Info().Str("service", dec.order().Service).Str("version", dec.order().Version).Int64("revision", dec.record.Revision.Number()).
 		Int64("asked_ms", now.Sub(dec.askedSince).Milliseconds()).Msg("rollout_suspended")
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -54,7 +54,8 @@
 
 // serviceRollout is this router's part of one roll-out.
 type serviceRollout struct {
-	order rollout.Order
+	// current is the order; it is replaced when the store was restored and the order has another revision.
+	current atomic.Pointer[rollout.Order]
 	// stateUntil is the time until which the state is awaited; zero if the router has seen the order
 	// arrive.
 	stateUntil time.Time
@@ -129,22 +130,51 @@
 func (r *rollouts) setOrders(orders map[string]rollout.Order, live bool) {
 	before := *r.active.Load()
 	next := map[string]*serviceRollout{}
+	var renamed []string
 	for service, order := range orders {
-		if have := before[service]; have != nil && have.order == order {
+		have := before[service]
+		if have != nil && have.order() == order {
 			next[service] = have
 			continue
 		}
+		if have != nil && order.Earlier != 0 && have.order().Revision == order.Earlier && have.order().Withdrawn == order.Withdrawn {
+			have.rename(order)
+			next[service] = have
+			renamed = append(renamed, service)
+			continue
+		}
 		next[service] = r.newServiceRollout(order, live)
 		r.g.Log.Info().Str("service", service).Str("version", order.Version).Dur("within_ms", order.Duration).
 			Int64("revision", order.Revision.Number()).Bool("live", live).Bool("withdrawn", order.Withdrawn).Msg("rollout_ordered")
 	}
 	r.active.Store(&next)
 	signal(r.ordered)
+	for _, service := range renamed {
+		r.deciders.rename(service)
+	}
+}
+
+func (sr *serviceRollout) order() rollout.Order { return *sr.current.Load() }
+
+// rename continues with the same order under another revision. The router reports again until the store holds the end of the
+// roll-out.
+func (sr *serviceRollout) rename(order rollout.Order) {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.current.Store(&order)
+	sr.follower.Rename(order)
+}
+
+// finalState returns the final state of the roll-out, if the router knows it.
+func (sr *serviceRollout) finalState() (state rollout.State, final bool) {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	return sr.follower.State(), sr.follower.State().Final()
 }
 
 func (r *rollouts) newServiceRollout(order rollout.Order, live bool) *serviceRollout {
-	sr := &serviceRollout{order: order, routes: map[string]*rollout.RouteSamples{},
-		follower: rollout.Follower{Order: order, Limits: r.limits()}}
+	sr := &serviceRollout{routes: map[string]*rollout.RouteSamples{}, follower: rollout.Follower{Order: order, Limits: r.limits()}}
+	sr.current.Store(&order)
 	if live {
 		sr.follower.Since = time.Now()
 	} else {
@@ -224,7 +254,7 @@
 	sr.selections = nil
 	sr.canaries = map[directory.Incarnation]bool{}
 	n := max(minCanaries, int(sr.follower.Directive().Share*float64(len(warm))))
-	for _, name := range rankCanaries(sr.order.Service, slices.Collect(maps.Keys(warm)), n) {
+	for _, name := range rankCanaries(sr.order().Service, slices.Collect(maps.Keys(warm)), n) {
 		sr.canaries[warm[name]] = true
 	}
 }
@@ -233,10 +263,10 @@
 func (r *rollouts) report(ctx context.Context, sr *serviceRollout) {
 	directive, from, err := r.deciders.callDecider(ctx, r.newReport(sr))
 	if err != nil {
-		r.g.Log.Warn().Err(err).Str("service", sr.order.Service).Msg("rollout_not_reported")
+		r.g.Log.Warn().Err(err).Str("service", sr.order().Service).Msg("rollout_not_reported")
 		var ended bool
 		if sr.needsStore(time.Now()) {
-			directive, ended = r.readEnded(ctx, sr.order)
+			directive, ended = r.readEnded(ctx, sr.order())
 		}
 		if !ended {
 			return
@@ -254,7 +284,7 @@
 	}
 	sr.mu.Unlock()
 	if before.State != after.State || before.Finish != after.Finish || len(before.Moved) != len(after.Moved) || (before.Share > 0) != (after.Share > 0) {
-		r.g.Log.Info().Str("service", sr.order.Service).Str("version", sr.order.Version).Stringer("state", after.State).Float64("share", after.Share).
+		r.g.Log.Info().Str("service", sr.order().Service).Str("version", sr.order().Version).Stringer("state", after.State).Float64("share", after.Share).
 			Strs("moved", after.Moved).Bool("finish", after.Finish).Str("from", from).Msg("rollout_directive")
 	}
 }
@@ -270,7 +300,7 @@
 func (r *rollouts) newReport(sr *serviceRollout) rollout.Report {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	report := rollout.Report{Router: r.g.Incarnation, Service: sr.order.Service, Order: sr.order.Revision,
+	report := rollout.Report{Router: r.g.Incarnation, Service: sr.order().Service, Order: sr.order().Revision,
 		Routes: map[string]rollout.RouteSamples{}, RunningOld: sr.runningOld, OldUpstreams: sr.oldUpstreams, NewUpstreams: sr.newUpstreams,
 		Moved: sr.follower.Directive().Moved, Finishing: sr.follower.Finishing(), RolledBack: sr.follower.State() == rollout.RolledBack}
 	if !sr.follower.Since.IsZero() {
@@ -301,7 +331,7 @@
 func (r *rollouts) state() []rolloutState {
 	var out []rolloutState
 	for service, sr := range *r.active.Load() {
-		s := rolloutState{Service: service, Version: sr.order.Version, Order: sr.order.Revision, Report: r.newReport(sr),
+		s := rolloutState{Service: service, Version: sr.order().Version, Order: sr.order().Revision, Report: r.newReport(sr),
 			Decision: r.deciders.decision(service)}
 		sr.mu.Lock()
 		s.Directive, s.Fresh = sr.follower.Directive(), sr.follower.Fresh(time.Now())
--- a/gateway/rolloutstore.go
+++ b/gateway/rolloutstore.go
@@ -45,7 +45,7 @@
 	err := d.tryCallStoreInTime(ctx, dec, c)
 	if errors.Is(err, store.ErrConflict) && dec.mayReadAgain(time.Now()) {
 		defer d.decide(dec)
-		d.r.g.Log.Info().Str("service", dec.order.Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_conflict")
+		d.r.g.Log.Info().Str("service", dec.order().Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_conflict")
 		err = d.readRecord(ctx, dec)
 	}
 	dec.mu.Lock()
@@ -55,10 +55,49 @@
 		dec.failingSince = time.Time{}
 		return
 	}
-	d.r.g.Log.Warn().Err(err).Str("service", dec.order.Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_not_stored")
+	d.r.g.Log.Warn().Err(err).Str("service", dec.order().Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_not_stored")
 	dec.failedLocked(time.Now(), c, errors.Is(err, store.ErrConflict))
 }
 
+// writeEndAgainLocked writes the end of a roll-out that a restored store may lack.
+func (d *rolloutDeciders) writeEndAgainLocked(now time.Time, dec *rolloutDecider) {
+	if !dec.endLost || dec.calling || now.Before(dec.pausedUntil) {
+		return
+	}
+	dec.calling = true
+	state := dec.decision.Directive.State
+	d.tasks.Go(func(ctx context.Context) {
+		err := d.tryWriteEndAgain(ctx, dec, state)
+		dec.mu.Lock()
+		defer dec.mu.Unlock()
+		dec.calling = false
+		if err != nil {
+			dec.pausedUntil = time.Now().Add(rolloutStorePause)
+			d.r.g.Log.Warn().Err(err).Str("service", dec.order().Service).Stringer("state", state).Msg("rollout_not_stored")
+		}
+	})
+}
+
+func (d *rolloutDeciders) tryWriteEndAgain(ctx context.Context, dec *rolloutDecider, state rollout.State) error {
+	order := dec.order()
+	record, err := d.r.g.Store.ReadRollout(ctx, order.Service)
+	if err != nil && record.Revision == 0 {
+		return err
+	}
+	if record.Order != order.Revision || record.State != state {
+		record.State, record.Observed = state, nil
+		if record, err = d.r.g.Store.WriteRollout(ctx, order, record); err != nil {
+			return err
+		}
+	}
+	dec.mu.Lock()
+	defer dec.mu.Unlock()
+	dec.endLost = false
+	dec.endLocked(record)
+	d.logStored(dec, storeCall{state: state}, record)
+	return nil
+}
+
 // mayReadAgain reports whether the record may be read again without a pause, and records the conflict: two
 // routers that both decide must not call the store without end.
 func (dec *rolloutDecider) mayReadAgain(now time.Time) bool {
@@ -120,7 +159,7 @@
 
 // readRecord reads the record and applies it. One that cannot be decoded is replaced by the next write.
 func (d *rolloutDeciders) readRecord(ctx context.Context, dec *rolloutDecider) error {
-	record, err := d.r.g.Store.ReadRollout(ctx, dec.order.Service)
+	record, err := d.r.g.Store.ReadRollout(ctx, dec.order().Service)
 	if err != nil && record.Revision == 0 {
 		return err
 	}
@@ -138,12 +177,12 @@
 
 // adoptLocked applies a record of this order.
 func (d *rolloutDeciders) adoptLocked(dec *rolloutDecider, record rollout.Record) {
-	if record.Order != dec.order.Revision {
+	if !record.IsOf(dec.order()) {
 		return
 	}
 	if record.State.Final() {
 		dec.endLocked(record)
-		d.r.g.Log.Info().Str("service", dec.order.Service).Stringer("state", record.State).Int64("revision", record.Revision.Number()).Msg("rollout_known")
+		d.r.g.Log.Info().Str("service", dec.order().Service).Stringer("state", record.State).Int64("revision", record.Revision.Number()).Msg("rollout_known")
 		return
 	}
 	now := time.Now()
@@ -158,7 +197,7 @@
 	o := record.Observed
 	sent, sentToNew, answered := o.Totals()
 	age := now.Sub(dec.decider.Began()) - o.Elapsed
-	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Int64("revision", record.Revision.Number()).
+	d.r.g.Log.Info().Str("service", dec.order().Service).Str("version", dec.order().Version).Int64("revision", record.Revision.Number()).
 		Int64("age_ms", age.Milliseconds()).Int("routers", len(o.Routers)).Int("requests", sent).Int("to_new", sentToNew).
 		Int("answered", answered).Strs("moved", o.Moved).Msg("rollout_resumed")
 }
@@ -166,7 +205,7 @@
 // endLocked ends the roll-out as the store says.
 func (dec *rolloutDecider) endLocked(record rollout.Record) {
 	dec.ended, dec.read, dec.record = true, true, record
-	dec.decision.Directive = rollout.Directive{Revision: dec.order.Revision, State: record.State, Ended: record.Revision}
+	dec.decision.Directive = rollout.Directive{Revision: dec.order().Revision, State: record.State, Ended: record.Revision}
 }
 
 // writeRecord writes a state. The write of InProgress makes this process the decider.
@@ -180,7 +219,7 @@
 		dec.decider.RecordBegun(now)
 	}
 	dec.mu.Unlock()
-	written, err := d.r.g.Store.WriteRollout(ctx, dec.order, record)
+	written, err := d.r.g.Store.WriteRollout(ctx, dec.order(), record)
 	if err != nil {
 		return err
 	}
@@ -200,9 +239,9 @@
 	event := "rollout_recorded"
 	if !c.records {
 		event = "rollout_stored"
-		d.r.g.metrics.rolloutStored(dec.order.Service, c.state)
+		d.r.g.metrics.rolloutStored(dec.order().Service, c.state)
 	}
-	d.r.g.Log.Info().Str("service", dec.order.Service).Str("version", dec.order.Version).Stringer("state", c.state).
+	d.r.g.Log.Info().Str("service", dec.order().Service).Str("version", dec.order().Version).Stringer("state", c.state).
 		Int64("revision", written.Revision.Number()).Int("requests", dec.decision.Sent).Int("to_new", dec.decision.SentToNew).
 		Str("why", dec.decision.Reason).Msg(event)
 }
@@ -216,5 +255,5 @@
 		return rollout.Directive{}, false
 	}
 	directive = rollout.Directive{Revision: o.Revision, State: record.State, Ended: record.Revision}
-	return directive, record.Order == o.Revision && record.State.Final()
+	return directive, record.IsOf(o) && record.State.Final()
 }
--- a/gateway/rolloutversions.go
+++ b/gateway/rolloutversions.go
@@ -42,7 +42,7 @@
 	case rollout.Next, rollout.Canary:
 		return true
 	}
-	return version != sr.order.Version || sr.follower.Fresh(time.Now()) && sr.follower.Directive().Share > 0
+	return version != sr.order().Version || sr.follower.Fresh(time.Now()) && sr.follower.Directive().Share > 0
 }
 
 // awaitsStateLocked reports whether the router has just started and does not know yet whether the upstreams
@@ -116,7 +116,7 @@
 // withLaterLocked adds upstreams of other versions that registered after the roll-out was complete; the
 // earlier ones have stopped, although their entries may remain for seconds.
 func (sr *serviceRollout) withLaterLocked(next, others []directory.Upstream) []directory.Upstream {
-	ended := sr.follower.Directive().Ended
+	ended := sr.follower.EndedAt()
 	for _, u := range others {
 		if ended > 0 && u.Registered > ended {
 			next = append(next, u)
@@ -125,7 +125,7 @@
 	return next
 }
 
-func (sr *serviceRollout) isNew(u directory.Upstream) bool { return u.Version == sr.order.Version }
+func (sr *serviceRollout) isNew(u directory.Upstream) bool { return u.Version == sr.order().Version }
 
 // Begin implements pool.Versions.
 func (r *rollouts) Begin(req *serving.Request, u directory.Upstream, prefill time.Duration) func(serving.Result, time.Duration, time.Duration) {
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -64,11 +64,13 @@
 	Readers map[string]mirror.Reader
 	// CanRelay is set if the VM has the resources to relay the store's changes.
 	CanRelay bool
-	Store    settings.HostedStore
-	Budgets  settings.HostedBudgets
-	Limits   prepaid.Limits
-	Network  Network
-	Log      zerolog.Logger
+	// OnRestored, if set, is called when the store was restored from an older copy. It must not block.
+	OnRestored func()
+	Store      settings.HostedStore
+	Budgets    settings.HostedBudgets
+	Limits     prepaid.Limits
+	Network    Network
+	Log        zerolog.Logger
 	// LogDropped returns the number of lines that the log writer dropped.
 	LogDropped func() uint64
 }
@@ -89,7 +91,8 @@
 	Admin    *observe.Admin
 	Metrics  *metrics.Set
 
-	methods map[string]link.Handler
+	methods    map[string]link.Handler
+	onRestored func()
 	// relaySources are the relays for the follower, computed from relaySourcesVersion of the members at
 	// relaySourcesSince.
 	relaySources        []relay.Source
@@ -111,6 +114,7 @@
 		Network:     p.Network,
 		Admin:       &observe.Admin{},
 		methods:     p.Methods,
+		onRestored:  p.OnRestored,
 	}
 	b.Metrics = b.newMetrics(p.LogDropped)
 	b.Admin.Metrics = b.Metrics
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -75,8 +75,12 @@
 // EraChanged implements platform.EraReporter.
 func (b *Base) EraChanged(from, to store.Era, first bool, call string) {
 	b.Log.Info().Int64("from", int64(from)).Int64("era", int64(to)).Bool("first", first).Str("call", call).Msg("store_era")
-	if !first {
-		b.Budgets.EraChanged()
+	if first {
+		return
+	}
+	b.Budgets.EraChanged()
+	if b.onRestored != nil {
+		b.onRestored()
 	}
 }
 
--- a/lender/prompts.go
+++ b/lender/prompts.go
@@ -187,6 +187,16 @@
 	}
 }
 
+// storeRestored makes the writer compare the store's value with what is recorded here: a store that was restored from an older copy may
+// lack some of it.
+func (k *promptKeeper) storeRestored() {
+	if len(k.registry.ListAll(time.Now())) == 0 {
+		return
+	}
+	k.loaded.Store(false)
+	k.markChanged()
+}
+
 // writerIsLate reports whether the writer had enough time to store the changes.
 func (k *promptKeeper) writerIsLate() bool {
 	return time.Since(time.Unix(0, k.changedAt.Load())) >= writerTimeout
--- a/lender/prompts_test.go
+++ b/lender/prompts_test.go
@@ -160,3 +160,25 @@
 	}
 	return e
 }
+
+// Guards against evidence that is lost with all processes: the store was restored from an older copy that lacks it, and nobody
+// writes it again.
+func TestEvidenceIsStoredAgainAfterARestoration(t *testing.T) {
+	ctx := context.Background()
+	s := memstore.New()
+	older := s.Copy()
+	k := newPromptKeeper(s)
+	_, err := k.keep(ctx, link.PromptKeep{Known: []poison.Evidence{crashed(otherPrompt)}})
+	require.NoError(t, err)
+	k.write(ctx)
+	s.Restore(older)
+	k.storeRestored()
+	k.write(ctx)
+	all, err := newPromptKeeper(s).list(ctx, link.Empty{})
+	require.NoError(t, err)
+	require.Len(t, all, 1)
+	writes := s.Calls().Writes
+	newPromptKeeper(s).storeRestored()
+	k.write(ctx)
+	require.Equal(t, writes, s.Calls().Writes, "nothing is written at rest")
+}
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
 // Preference is which upstreams a request may be sent to.
@@ -32,6 +34,8 @@
 
 	directive Directive
 	heard     time.Time
+	// endedAt is the first known revision at which the store held the final state.
+	endedAt store.Revision
 	// finishing is set once the router has sent everything to the new version. From then on the
 	// upstreams of the previous version may stop at any time.
 	finishing bool
@@ -44,13 +48,29 @@
 		return
 	}
 	f.directive, f.heard = d, now
+	if f.endedAt == 0 {
+		f.endedAt = d.Ended
+	}
 	f.finishing = f.finishing && !d.State.Final() || d.Finish
 }
 
+// Rename continues with an order that was read again after the store was restored. What the store holds of its end may be lost.
+func (f *Follower) Rename(o Order) {
+	if f.directive.Revision == f.Order.Revision {
+		f.directive.Revision = o.Revision
+	}
+	f.Order = o
+	f.directive.Ended = 0
+}
+
 // Ended reports whether the store holds the final state. Until then the router goes on reporting: the
 // decider may end before it has written it.
 func (f *Follower) Ended() bool { return f.directive.State.Final() && f.directive.Ended > 0 }
 
+// EndedAt returns the first known revision at which the store held the final state, 0 if there is none. It stays when the end is
+// written again to a restored store.
+func (f *Follower) EndedAt() store.Revision { return f.endedAt }
+
 // State returns the state of the roll-out, as far as the router knows.
 func (f *Follower) State() State { return f.directive.State }
 
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -25,9 +25,12 @@
 
 // Record is what the store holds on a service's roll-out.
 type Record struct {
-	// Order is the revision of the order; 0 if there is no record.
-	Order store.Revision
-	State State
+	// Order is the revision of the order; 0 if there is no record. Version and Duration are those of the order, "" and 0 in
+	// records of earlier processes.
+	Order    store.Revision
+	Version  string
+	Duration time.Duration
+	State    State
 	// Began is the time of the order by the clock of the process that wrote the record first.
 	Began time.Time
 	// Observed is what the decider had observed; nil if the roll-out has ended, or if the process that
@@ -37,6 +40,18 @@
 	Revision store.Revision
 }
 
+// IsOf reports whether the record is of an order. In a later era of the store the order has another revision; a process that does not
+// know the earlier one compares what is ordered.
+func (r Record) IsOf(o Order) bool {
+	switch {
+	case r.Order == o.Revision || o.Earlier != 0 && r.Order == o.Earlier:
+		return true
+	case o.Earlier != 0 || r.Order == 0 || r.Version == "":
+		return false
+	}
+	return r.Order.Era() < o.Revision.Era() && r.Version == o.Version && r.Duration == o.Duration
+}
+
 // Observed is what a decider has observed since the order. Another one continues with it, also if no router
 // is left whose requests it counts.
 type Observed struct {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -20,12 +20,19 @@
 	Version string
 	// Duration is the time from the order to its deadline.
 	Duration time.Duration
-	// Revision is that of the order's entry in the store; a later order has a higher one.
-	Revision store.Revision
+	// Revision is that of the order's entry in the store; a later order has a higher one. Earlier is the one that the same order had
+	// before the store was restored, 0 if it is not known.
+	Revision, Earlier store.Revision
 	// Withdrawn is set if the operator has removed the order.
 	Withdrawn bool
 }
 
+// IsAgain reports whether an order is the same one, read again after the store was restored from an older copy: operators write
+// theirs again, with another revision.
+func (o Order) IsAgain(before Order) bool {
+	return o.Revision.Era() > before.Revision.Era() && o.Service == before.Service && o.Version == before.Version && o.Duration == before.Duration
+}
+
 // State is the state of a roll-out.
 type State int
 
