Soak: the store is restored from a copy up to four seconds older

An upstream that had left and is ready again is a new incarnation now, as on the platform: leaving is final.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -75,11 +75,25 @@
 		{name: "crash " + u.ID, do: u.proxy.crash, undo: func() { _ = u.proxy.listen() }}, // fails if it already listens again
 		{name: "store does not respond", do: func() { tf.store.SetUnresponsive(true) }, undo: func() { tf.store.SetUnresponsive(false) }},
 		{name: "compact store", do: func() { tf.store.Compact() }},
+		tf.restoreStore(rng),
 		{name: "drain " + u.ID, do: func() { tf.register(u, "draining") }, undo: func() { tf.register(u, "ready") }},
 	}
 	return candidates[rng.IntN(len(candidates))]
 }
 
+// restoreStore lets the store be away, and come back with an older copy.
+func (tf *testFleet) restoreStore(rng *rand.Rand) fault {
+	lost, absence := time.Duration(rng.Int64N(int64(4*time.Second))), time.Duration(rng.Int64N(int64(2*time.Second)))
+	return fault{name: fmt.Sprintf("restore the store, %s lost, away for %s", lost, absence), do: func() {
+		older := tf.store.Copy()
+		time.Sleep(lost)
+		tf.store.SetUnresponsive(true)
+		time.Sleep(absence)
+		tf.restore(older)
+		tf.store.SetUnresponsive(false)
+	}}
+}
+
 // sameService returns all upstreams of an upstream's service.
 func (tf *testFleet) sameService(u *upstream) (all []*upstream) {
 	for _, other := range tf.upstreams {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/goccy/go-yaml"
 	"github.com/stretchr/testify/require"
@@ -63,6 +64,10 @@
 	*standin.Upstream
 	service string
 	proxy   *proxy
+	// entry guards starts, the number of its incarnation, and state, that of its entry.
+	entry  sync.Mutex
+	starts int64
+	state  string
 	// limit is the stated limit in requests per second until limitEnded; 0 means no limit.
 	limit      float64
 	limitEnded time.Time
@@ -113,8 +118,32 @@
 	return u
 }
 
+// register writes an upstream's entry. One that left and is ready again is a new incarnation: leaving is final.
 func (tf *testFleet) register(u *upstream, state string) {
-	require.NoError(tf.t, tf.store.RegisterVersion(u.ID, u.service, u.proxy.address, "bergen", state, u.Version, slots, 0))
+	u.entry.Lock()
+	defer u.entry.Unlock()
+	if state == "ready" && u.state != "ready" {
+		u.starts++
+	}
+	u.state = state
+	tf.writeEntryLocked(u)
+}
+
+func (tf *testFleet) writeEntryLocked(u *upstream) {
+	require.NoError(tf.t, tf.store.RegisterVersion(u.ID, u.service, u.proxy.address, "bergen", u.state, u.Version, slots, u.starts))
+}
+
+// restore replaces the store's state by an older copy. Operators and upstreams write theirs again.
+func (tf *testFleet) restore(older memstore.Copy) {
+	tf.mu.Lock()
+	defer tf.mu.Unlock()
+	tf.store.Restore(older)
+	tf.configure()
+	for _, u := range tf.upstreams {
+		u.entry.Lock()
+		tf.writeEntryLocked(u)
+		u.entry.Unlock()
+	}
 }
 
 func (tf *testFleet) newProxy(target string) *proxy {
