--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -57,3 +57,24 @@
 		}
 	}
 }
+
+// Guards against an older configuration at a router that starts right after a restoration of the store, before operators have written
+// theirs again: the other routers have the newest one.
+func TestRouterThatStartsAfterARestorationHasTheNewestConfiguration(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1", "k2")
+		f.upstream("i-1", "plain", 0)
+		f.start()
+		older := f.store.Copy()
+		f.putConfig(0, "k1")
+		f.settle()
+		f.store.Restore(older)
+		f.startVM(2)
+		time.Sleep(time.Second)
+		for vm := 1; vm <= 2; vm++ {
+			req := level("r")
+			req.vm, req.key = vm, "k2"
+			assert.Equal(t, 401, f.send(req).status, "the key was removed, router %d", vm)
+		}
+	})
+}
