Configuration: a router that starts asks others for a newer one than the store has

What would be seen: a router that starts right after a restoration of the store serves a key that was removed, until operators have written their configuration again. Cause: it knows only what the store has; versions only rise within one process. Change: each router keeps the document of its active configuration, and one that starts asks two others, with its own version, once: an empty reply where there is nothing newer.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/hosted"
+	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/pool"
@@ -71,6 +72,7 @@
 
 	catalog        catalog.Current
 	operatorReader *operatorReader
+	activeConfig   activeConfig
 	directory      *directory.Directory
 	pool           *pool.Pool
 	lenders        *lenderClient
@@ -107,6 +109,7 @@
 	maps.Copy(methods, g.rollouts.methods())
 	g.streams = newStreamVersions(g)
 	maps.Copy(methods, g.streams.methods())
+	methods[link.MethodConfig] = link.Handle(g.activeConfig.newerThan)
 	g.Base = hosted.New(hosted.Parts{
 		Methods: methods,
 		Role:    prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Link: s.Listen.Link,
@@ -282,6 +285,7 @@
 	g.prompts.start(tasks)
 	g.rollouts.start(tasks)
 	g.streams.start(tasks)
+	tasks.Go(g.fetchNewerConfig)
 	g.Start(tasks)
 	tasks.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
 	tasks.Every(expireInterval, func(context.Context) {
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -218,6 +218,9 @@
 		o.g.Log.Error().Err(problem).Int64("version", config.Version).Msg("region_unknown")
 	}
 	activated := o.g.catalog.UpdateIfNewer(catalog.NewTable(config))
+	if activated {
+		o.g.activeConfig.record(config.Version, it.Value)
+	}
 	from := o.g.Follower.State()
 	o.g.Log.Info().Int64("version", config.Version).Int64("revision", it.Revision.Number()).Bool("taken", activated).
 		Int("routes", len(config.Routes)).Int("teams", len(config.Teams)).Str("source", from.Source).
--- a/link/messages.go
+++ b/link/messages.go
@@ -73,6 +73,8 @@
 	// MethodPromptList asks any router, or a process on an upstream's VM that stores them, for
 	// the prompts under which upstreams crashed: Empty, []poison.Evidence.
 	MethodPromptList = "prompt.list"
+	// MethodConfig asks any router for its configuration if it is newer: ConfigRequest, ConfigReply.
+	MethodConfig = "config.newer"
 	// MethodPromptEvidence asks the same processes also for the prompts that were only answered:
 	// Empty, []poison.Evidence. A process without it returns ErrUnknownMethod.
 	MethodPromptEvidence = "prompt.evidence"
@@ -249,6 +251,17 @@
 	AllMembers bool `json:"all_members,omitempty"`
 }
 
+// ConfigRequest asks for the active configuration if its version is higher.
+type ConfigRequest struct {
+	Version int64 `json:"version"`
+}
+
+// ConfigReply is the active configuration as operators wrote it; Version is 0 if it is not newer.
+type ConfigReply struct {
+	Version  int64  `json:"version,omitempty"`
+	Document []byte `json:"document,omitempty"`
+}
+
 // EndedNotice says that an incarnation ends.
 type EndedNotice struct {
 	Holder string `json:"holder"`
