Budgets: a router tells two others what it took from the store before it uses it

Lenders spend nothing themselves, so their borrowers know what was used; of what a router took nobody knew. Now it says so between the write and the first use, at most 0.1 s, and only routers do. A census counts the most that an ended router can have used.

--- a/coord/account/restored.go
+++ b/coord/account/restored.go
@@ -40,6 +40,14 @@
 	Removed int64 `json:"removed,omitempty"`
 }
 
+// Most returns the most that the holder can have used if nothing more is known of it.
+func (c Confirmation) Most() int64 {
+	if c.Row == nil {
+		return c.Removed
+	}
+	return c.Removed + c.Row.Granted - c.Row.Returned
+}
+
 // Confirm replaces what a page that was read from an older copy says of a running holder.
 func (a *Account) Confirm(holder string, c Confirmation) {
 	delete(a.Rows, holder)
--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -43,6 +43,8 @@
 	// OnTransfer, if set, is called for tokens that were taken or given back, once that is
 	// durable, with the view that the decision is based on.
 	OnTransfer func(d Decision, v View)
+	// OnTake, if set, is called after tokens were taken from a page and before they are used, with the holder's rows of these budgets.
+	OnTake func(ctx context.Context, key string, rows map[string]account.Confirmation)
 	// OnExhausted, if set, is called when a budget has too little left for any of the waiting requests.
 	OnExhausted func(v View)
 	// OnSyncEnd, if set, is called with the duration and the error of each sync.
@@ -261,6 +263,9 @@
 			}
 		}
 	}
+	if took := g.Holder.taken(commits); write && len(took) > 0 && g.OnTake != nil {
+		g.OnTake(ctx, key, took)
+	}
 	if fresh || !insufficient || write {
 		g.Holder.commit(g.Now(), g.Timing, item.Revision, commits, write)
 	}
--- a/coord/grant/restored.go
+++ b/coord/grant/restored.go
@@ -82,3 +82,18 @@
 	}
 	return out
 }
+
+// taken returns the holder's rows of the budgets of which it has just taken tokens, as they will be.
+func (h *Holder) taken(commits []commit) map[string]account.Confirmation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]account.Confirmation{}
+	for _, c := range commits {
+		if c.tookTokens && !c.rowRemoved {
+			row := c.row
+			row.Granted = c.granted
+			out[c.budget.name] = account.Confirmation{Row: &row, Removed: h.removedSettled[c.budget.name]}
+		}
+	}
+	return out
+}
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -94,6 +94,13 @@
 	return out, err
 }
 
+// AnnounceHoldings tells the process at an address what this one holds.
+func (e *Endpoint) AnnounceHoldings(ctx context.Context, address string, in link.HoldingsNotice, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return e.Links.Call(ctx, address, link.MethodHoldings, in, &link.Empty{})
+}
+
 // AnnounceEnd tells the process at an address that this process ends.
 func (e *Endpoint) AnnounceEnd(ctx context.Context, address string) error {
 	return e.Links.Call(ctx, address, link.MethodEnded, link.EndedNotice{Holder: e.Holder.ID()}, &link.Empty{})
--- a/link/messages.go
+++ b/link/messages.go
@@ -33,6 +33,8 @@
 	MethodConfirm = "budget.confirm"
 	// MethodEnded says that a process ends, and lends and spends nothing any more: EndedNotice, Empty.
 	MethodEnded = "budget.ended"
+	// MethodHoldings tells a router what another one holds, before that uses it: HoldingsNotice, Empty.
+	MethodHoldings = "budget.holdings"
 	// MethodWatermarks asks for the durable watermarks of rows: WatermarkRequest,
 	// WatermarkReply.
 	MethodWatermarks = "budget.watermarks"
@@ -262,6 +264,13 @@
 	Document []byte `json:"document,omitempty"`
 }
 
+// HoldingsNotice says what a router holds of budgets of a page.
+type HoldingsNotice struct {
+	Holder string                          `json:"holder"`
+	Page   string                          `json:"page"`
+	Rows   map[string]account.Confirmation `json:"rows"`
+}
+
 // EndedNotice says that an incarnation ends.
 type EndedNotice struct {
 	Holder string `json:"holder"`
@@ -276,6 +285,8 @@
 	ViewKnown bool      `json:"view_known"`
 	// Rows are its rows by page and budget.
 	Rows map[string]map[string]account.Confirmation `json:"rows,omitempty"`
+	// Held is the most that other routers can have used, as they said, by router, page and budget.
+	Held map[string]map[string]map[string]int64 `json:"held,omitempty"`
 	// Members are the members that it has known lately and that are not listed any more, or all that it knows.
 	Members []member.Member `json:"members,omitempty"`
 }
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -159,6 +159,7 @@
 	era        func() store.Era
 	observeEra func(store.Era)
 	reopening  reopening
+	holdings   holdings
 	// endedLately records the processes that said that they end.
 	endedLately recentTimes
 	// latePeers are the peers whose replies came too late since the last probes.
@@ -213,6 +214,9 @@
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			RemoveIdleAfter: removeIdleAfter, ExhaustedBackoff: exhaustedBackoff, LowBackoff: lowBackoff},
 	}
+	if !p.LendsOnly {
+		b.pages.OnTake = b.announceHoldings
+	}
 	if p.LendsOnly {
 		b.registry = &settlement.BorrowerRegistry{Store: p.Store, Key: lendsPrefix + p.Incarnation, Era: b.era}
 		b.exposure = b.newExposure()
--- a/prepaid/census.go
+++ b/prepaid/census.go
@@ -28,6 +28,8 @@
 	// ended are the processes that have certainly ended; used is what lenders among them lent and was used, by budget.
 	ended map[string]member.Member
 	used  map[string]map[string]int64
+	// held is the most that routers among them can have used of what they took themselves, by page and budget.
+	held map[string]map[string]map[string]int64
 	// pending lists the processes that must still answer.
 	pending []string
 	// unknown says why the use of a process that has ended is not known, "" if all is known.
@@ -37,7 +39,7 @@
 // takeCensus asks all processes what they hold of the pages.
 func (b *Budgets) takeCensus(ctx context.Context, pages []closedPage) *census {
 	c := &census{era: b.era(), oldest: store.MaxEra, processes: b.reopening.processes(b.members),
-		replies: map[string]link.ConfirmReply{}, ended: map[string]member.Member{}, used: map[string]map[string]int64{}}
+		replies: map[string]link.ConfirmReply{}, ended: map[string]member.Member{}, used: map[string]map[string]int64{}, held: map[string]map[string]map[string]int64{}}
 	for _, p := range pages {
 		c.pages = append(c.pages, p.item.Key)
 		c.oldest = min(c.oldest, p.page.Era)
@@ -160,8 +162,22 @@
 			b.addLimits(ctx, c, lender, routers)
 		}
 	}
-	if len(routers) > 0 && !c.hasLenders() && c.unknown == "" {
-		c.unknown = "a router that may have held tokens has ended"
+	c.addHeld(routers)
+	if len(routers) > 1 && !c.hasLenders() && c.unknown == "" {
+		c.unknown = "routers that may have held tokens have ended, and so may have those that they told"
+	}
+}
+
+// addHeld adds the most that routers which have ended can have used of what they took from the store themselves.
+func (c *census) addHeld(routers []string) {
+	for _, reply := range c.replies {
+		for _, router := range routers {
+			for page, budgets := range reply.Held[router] {
+				for budget, most := range budgets {
+					addMost(c.held, router, page, budget, most)
+				}
+			}
+		}
 	}
 }
 
@@ -249,6 +265,9 @@
 	}
 	for id := range c.ended {
 		c.applyEnded(id, page)
+		for budget, most := range c.held[id][key] {
+			accountOf(page, budget).ConfirmEnded(id, most)
+		}
 	}
 	for _, a := range page.Accounts {
 		a.CoverDeficit()
--- /dev/null
+++ b/prepaid/holdings.go
@@ -0,0 +1,128 @@
+package prepaid
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/link"
+)
+
+// A lender spends nothing itself: if it ends, its borrowers know what was used. Nobody knows what a router used that took tokens from
+// the store itself, because it reaches no lender or there is none. So it tells two others what it holds before it uses what it took.
+
+const (
+	// holdingsTimeout bounds the messages about tokens that were taken; after it they are used nevertheless.
+	holdingsTimeout = 100 * time.Millisecond
+	// holdingsKeepers is how many processes are told.
+	holdingsKeepers = 2
+	// holdingsRetention is how long holdings of others are kept: longer than copies of the store are old.
+	holdingsRetention = 10 * time.Minute
+)
+
+// heldTokens are what one router said that it holds, by page and budget.
+type heldTokens struct {
+	at   time.Time
+	rows map[string]map[string]account.Confirmation
+}
+
+// holdings keeps what routers said that they hold. It is safe for concurrent use; the zero value is empty.
+type holdings struct {
+	mu       sync.Mutex
+	byHolder map[string]*heldTokens
+}
+
+func (h *holdings) record(now time.Time, in link.HoldingsNotice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.byHolder == nil {
+		h.byHolder = map[string]*heldTokens{}
+	}
+	maps.DeleteFunc(h.byHolder, func(_ string, held *heldTokens) bool { return now.Sub(held.at) > holdingsRetention })
+	held := h.byHolder[in.Holder]
+	if held == nil {
+		held = &heldTokens{rows: map[string]map[string]account.Confirmation{}}
+		h.byHolder[in.Holder] = held
+	}
+	held.at = now
+	if held.rows[in.Page] == nil {
+		held.rows[in.Page] = map[string]account.Confirmation{}
+	}
+	for budget, c := range in.Rows {
+		if c.Most() > held.rows[in.Page][budget].Most() {
+			held.rows[in.Page][budget] = c
+		}
+	}
+}
+
+// list returns the most that each router can have used, by page and budget.
+func (h *holdings) list(pages []string) map[string]map[string]map[string]int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string]map[string]map[string]int64{}
+	for holder, held := range h.byHolder {
+		for _, page := range pages {
+			for budget, c := range held.rows[page] {
+				addMost(out, holder, page, budget, c.Most())
+			}
+		}
+	}
+	return out
+}
+
+// addMost raises the most that a holder can have used of a budget.
+func addMost(all map[string]map[string]map[string]int64, holder, page, budget string, most int64) {
+	if all[holder] == nil {
+		all[holder] = map[string]map[string]int64{}
+	}
+	if all[holder][page] == nil {
+		all[holder][page] = map[string]int64{}
+	}
+	all[holder][page][budget] = max(all[holder][page][budget], most)
+}
+
+// announceHoldings tells other routers what this one holds of a page, and returns once one of them knows, or after a while.
+func (b *Budgets) announceHoldings(ctx context.Context, page string, rows map[string]account.Confirmation) {
+	ctx, cancel := context.WithTimeout(ctx, holdingsTimeout)
+	defer cancel()
+	notice := link.HoldingsNotice{Holder: b.holder.ID(), Page: page, Rows: rows}
+	keepers := b.holdingsKeepers()
+	known := make(chan bool, len(keepers))
+	for _, m := range keepers {
+		go func() {
+			err := b.endpoint.AnnounceHoldings(context.WithoutCancel(ctx), m.Address, notice, holdingsTimeout)
+			if err != nil {
+				b.log.Warn().Err(err).Str("member", m.ID).Str("page", page).Msg("holdings_not_announced") // another one may know
+			}
+			known <- err == nil
+		}()
+	}
+	for range keepers {
+		select {
+		case ok := <-known:
+			if ok {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// holdingsKeepers returns the routers that this one tells what it holds.
+func (b *Budgets) holdingsKeepers() (out []member.Member) {
+	for _, m := range b.members.Rank(b.holder.ID(), RoleRouter) {
+		if m.VM != b.members.Self.VM && !b.isUnreachable(m.ID) && len(out) < holdingsKeepers {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func (b *Budgets) recordHoldings(_ context.Context, in link.HoldingsNotice) (link.Empty, error) {
+	b.holdings.record(time.Now(), in)
+	return link.Empty{}, nil
+}
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -58,6 +58,7 @@
 func (b *Budgets) Methods() map[string]link.Handler {
 	m := b.endpoint.Methods()
 	m[link.MethodConfirm] = link.Handle(b.confirm)
+	m[link.MethodHoldings] = link.Handle(b.recordHoldings)
 	m[link.MethodEnded] = link.Handle(b.recordEnded)
 	m[link.MethodLimits] = link.Handle(b.applyWitnessNotice)
 	m[link.MethodWitnessLimits] = link.Handle(b.answerLimits)
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -217,6 +217,7 @@
 			out.Rows[key] = rows
 		}
 	}
+	out.Held = b.holdings.list(in.Pages)
 	out.Members = slices.Collect(maps.Values(b.reopening.unlisted(b.members)))
 	if in.AllMembers {
 		out.Members = append(out.Members, b.members.Members()...)
