--- a/hosted/base.go
+++ b/hosted/base.go
@@ -186,7 +186,9 @@
 	if err := b.Budgets.ReturnTokens(returnCtx); err != nil {
 		b.Log.Warn().Err(err).Msg("tokens_not_given_back")
 	}
-	b.Budgets.AnnounceEnd(ctx)
+	var announced sync.WaitGroup
+	defer announced.Wait()
+	announced.Go(func() { b.Budgets.AnnounceEnd(ctx) })
 	if err := b.Members.Leave(ctx); err != nil {
 		b.Log.Warn().Err(err).Msg("lease_not_ended")
 	}
--- a/prepaid/census.go
+++ b/prepaid/census.go
@@ -14,7 +14,7 @@
 	"github.com/arbutusmill/arbutusmill/link"
 )
 
-// census is what all processes hold of some closed pages.
+// census collects the holdings of all processes of some closed pages.
 type census struct {
 	era   store.Era
 	pages []string
@@ -25,18 +25,18 @@
 	// processes are all that may hold tokens of the pages, by incarnation.
 	processes map[string]member.Member
 	replies   map[string]link.ConfirmReply
-	// ended are the processes that have certainly ended; used is what lenders among them lent and was used, by budget.
+	// ended are the processes that have certainly ended; used is the use of what lenders among them lent, by budget.
 	ended map[string]member.Member
 	used  map[string]map[string]int64
-	// held is the most that routers among them can have used of what they took themselves, by page and budget.
+	// held bounds the use of what routers among them took from the store themselves, by page and budget.
 	held map[string]map[string]map[string]int64
 	// pending lists the processes that must still answer.
 	pending []string
-	// unknown says why the use of a process that has ended is not known, "" if all is known.
+	// unknown is the reason why the use of a process that has ended is not known, "" if all is known.
 	unknown string
 }
 
-// takeCensus asks all processes what they hold of the pages.
+// takeCensus asks all processes for their holdings of the pages.
 func (b *Budgets) takeCensus(ctx context.Context, pages []closedPage) *census {
 	c := &census{era: b.era(), oldest: store.MaxEra, processes: b.reopening.processes(b.members),
 		replies: map[string]link.ConfirmReply{}, ended: map[string]member.Member{}, used: map[string]map[string]int64{}, held: map[string]map[string]map[string]int64{}}
@@ -146,7 +146,7 @@
 	c.unknown = "no process has run since the pages were open"
 }
 
-// findUse finds out what was used of the tokens of processes that have ended.
+// findUse determines the use of the tokens of processes that have ended.
 func (b *Budgets) findUse(ctx context.Context, c *census) {
 	var lenders, routers []string
 	for id, m := range c.ended {
@@ -168,7 +168,7 @@
 	}
 }
 
-// addHeld adds the most that routers which have ended can have used of what they took from the store themselves.
+// addHeld adds the bounds on the use of routers that have ended, as they sent them to others.
 func (c *census) addHeld(routers []string) {
 	for _, reply := range c.replies {
 		for _, router := range routers {
@@ -250,7 +250,7 @@
 	return b.endpoint.AskBorrowed(ctx, borrower, lender)
 }
 
-// apply writes what the processes hold to a page.
+// apply writes the holdings to a page.
 func (c *census) apply(key string, page *account.Page) {
 	for id, reply := range c.replies {
 		for budget := range reply.Rows[key] {
@@ -274,7 +274,7 @@
 	}
 }
 
-// applyEnded writes what a process that has ended used. The rows of others than lenders stay as they are.
+// applyEnded writes the use of a lender that has ended. Rows of other processes stay as they are.
 func (c *census) applyEnded(id string, page *account.Page) {
 	used, known := c.used[id]
 	if !known {
@@ -298,8 +298,8 @@
 	return a
 }
 
-// forfeit forfeits a page's free tokens if somebody may have been granted them, and returns how many. A page that does not exist was never
-// granted from.
+// forfeit forfeits a page's free tokens if they may have been granted, and returns how many. Nothing was ever granted from a page
+// that does not exist.
 func (c *census) forfeit(p closedPage) (total int64) {
 	if c.unknown == "" || p.item.Revision == 0 {
 		return 0
--- a/prepaid/holdings.go
+++ b/prepaid/holdings.go
@@ -11,25 +11,27 @@
 	"github.com/arbutusmill/arbutusmill/link"
 )
 
-// A lender spends nothing itself: if it ends, its borrowers know what was used. Nobody knows what a router used that took tokens from
-// the store itself, because it reaches no lender or there is none. So it tells two others what it holds before it uses what it took.
+// The use of a lender that has ended is reported by its borrowers. A router that takes tokens from the store itself, because it
+// reaches no lender or there is none, has no borrowers. It sends its holdings to two other routers before it uses them, so
+// that they are known if it ends and the store loses the grant.
 
 const (
-	// holdingsTimeout bounds the messages about tokens that were taken; after it they are used nevertheless.
+	// holdingsTimeout bounds the messages; the tokens are used after it in any case, since a router that reaches nobody still has to
+	// serve.
 	holdingsTimeout = 100 * time.Millisecond
-	// holdingsKeepers is how many processes are told.
+	// holdingsKeepers is the number of routers that receive the holdings of one.
 	holdingsKeepers = 2
 	// holdingsRetention is how long holdings of others are kept: longer than copies of the store are old.
 	holdingsRetention = 10 * time.Minute
 )
 
-// heldTokens are what one router said that it holds, by page and budget.
+// heldTokens are the holdings that one router has sent, by page and budget.
 type heldTokens struct {
 	at   time.Time
 	rows map[string]map[string]account.Confirmation
 }
 
-// holdings keeps what routers said that they hold. It is safe for concurrent use; the zero value is empty.
+// holdings keeps the holdings that other routers have sent. It is safe for concurrent use; the zero value is empty.
 type holdings struct {
 	mu       sync.Mutex
 	byHolder map[string]*heldTokens
@@ -84,25 +86,26 @@
 	all[holder][page][budget] = max(all[holder][page][budget], most)
 }
 
-// announceHoldings tells other routers what this one holds of a page, and returns once one of them knows, or after a while.
+// announceHoldings sends this router's holdings of a page to others, and returns once one of them has accepted them, or after
+// holdingsTimeout.
 func (b *Budgets) announceHoldings(ctx context.Context, page string, rows map[string]account.Confirmation) {
 	ctx, cancel := context.WithTimeout(ctx, holdingsTimeout)
 	defer cancel()
 	notice := link.HoldingsNotice{Holder: b.holder.ID(), Page: page, Rows: rows}
 	keepers := b.holdingsKeepers()
-	known := make(chan bool, len(keepers))
+	accepted := make(chan bool, len(keepers))
 	for _, m := range keepers {
 		go func() {
 			err := b.endpoint.AnnounceHoldings(context.WithoutCancel(ctx), m.Address, notice, holdingsTimeout)
 			if err != nil {
-				b.log.Warn().Err(err).Str("member", m.ID).Str("page", page).Msg("holdings_not_announced") // another one may know
+				b.log.Warn().Err(err).Str("member", m.ID).Str("page", page).Msg("holdings_not_announced") // the other one may have accepted them
 			}
-			known <- err == nil
+			accepted <- err == nil
 		}()
 	}
 	for range keepers {
 		select {
-		case ok := <-known:
+		case ok := <-accepted:
 			if ok {
 				return
 			}
@@ -112,7 +115,7 @@
 	}
 }
 
-// holdingsKeepers returns the routers that this one tells what it holds.
+// holdingsKeepers returns the routers that receive this one's holdings.
 func (b *Budgets) holdingsKeepers() (out []member.Member) {
 	for _, m := range b.members.Rank(b.holder.ID(), RoleRouter) {
 		if m.VM != b.members.Self.VM && !b.isUnreachable(m.ID) && len(out) < holdingsKeepers {
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -14,11 +14,11 @@
 	"github.com/arbutusmill/arbutusmill/link"
 )
 
-// A store that was restored from an older copy lacks grants that processes are spending. All pages are closed then: nobody takes
-// tokens from them, and requests are served from what processes hold. The primary of a page asks every process that may hold tokens
-// of it what it holds, writes that, and opens the page. A process that does not answer keeps it closed until it answers or
-// has certainly ended. What a lender that ended used is known to its borrowers. Where nobody knows, all free
-// tokens are forfeited: somebody may be spending them.
+// A store that was restored from an older copy lacks grants that processes are spending. All pages are closed then: no tokens are
+// granted from them, and requests are served from what processes hold. The primary of a page collects a confirmation of the
+// holdings from every process that may have some, writes them, and opens the page. A process without an answer keeps the page closed
+// until it answers or has certainly ended. Borrowers and witnesses report the use of lenders that have ended. If some use
+// remains unknown, all free tokens are forfeited, because they may be in use.
 
 const (
 	// reopenInterval is the pause between two checks for closed pages, reopenPauseMax the longest pause between two attempts.
@@ -45,7 +45,7 @@
 	waitingFor []string
 }
 
-// EraChanged closes all pages when the store was restored. The members of before are remembered: the store may lack them.
+// EraChanged closes all pages when the store was restored. It records the members known so far, since the store may lack them.
 func (b *Budgets) EraChanged() {
 	r := &b.reopening
 	r.mu.Lock()
@@ -168,7 +168,7 @@
 	page *account.Page
 }
 
-// readClosed reads the pages, and returns those that are closed.
+// readClosed returns the pages that are closed.
 func (b *Budgets) readClosed(ctx context.Context, keys []string) (out []closedPage) {
 	for _, key := range keys {
 		item, page, err := b.pages.ReadPage(ctx, key)
@@ -185,7 +185,7 @@
 	return out
 }
 
-// openPage writes what the census says and opens the page.
+// openPage writes the result of a census to a page and opens it.
 func (b *Budgets) openPage(ctx context.Context, c *census, p closedPage) {
 	b.prepare(p.item.Key, p.page)
 	c.apply(p.item.Key, p.page)
@@ -200,7 +200,8 @@
 		Int64("forfeited", forfeited).Str("why_forfeited", c.unknown).Msg("page_opened")
 }
 
-// confirm answers what this process holds. Its tokens do not become more until the pages are open, since it knows the era.
+// confirm returns the holdings of this process. They do not grow until the pages are open: from now on the era is known here, and
+// the pages count as closed.
 func (b *Budgets) confirm(ctx context.Context, in link.ConfirmRequest) (link.ConfirmReply, error) {
 	if in.Holder != b.holder.ID() {
 		return link.ConfirmReply{}, nil
@@ -228,21 +229,21 @@
 // announceTimeout bounds the messages of a process that ends.
 const announceTimeout = 100 * time.Millisecond
 
-// AnnounceEnd tells those that may open the pages next that this process ends, so that they need not wait for it. It is called when
-// nothing is lent or spent any more.
+// AnnounceEnd notifies the processes that may open pages next that this one ends, so that they do not wait for its confirmation. It is
+// called when nothing is lent or spent any more.
 func (b *Budgets) AnnounceEnd(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	told := map[string]member.Member{}
+	notified := map[string]member.Member{}
 	for n := range b.layout.Pages {
 		ranked := b.rankedLenders(b.layout.PageKey(n))
 		for _, m := range ranked[:min(maxQueriedLenders, len(ranked))] {
-			told[m.ID] = m
+			notified[m.ID] = m
 		}
 	}
-	delete(told, b.holder.ID())
+	delete(notified, b.holder.ID())
 	var wg sync.WaitGroup
-	for _, m := range told {
+	for _, m := range notified {
 		wg.Go(func() {
 			if err := b.endpoint.AnnounceEnd(ctx, m.Address); err != nil {
 				b.log.Warn().Err(err).Str("member", m.ID).Msg("end_not_announced") // the lease shows it later
