--- a/coord/settlement/restored_test.go
+++ b/coord/settlement/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
@@ -52,10 +53,13 @@
 	}
 	write(0)
 	s.Restore(s.Copy())
+	var mu sync.Mutex
 	asked := map[string]int{}
 	settler := settlement.Settler{Store: s, Prefix: "lends/", Answers: &settlement.AnswerCache{}, Ended: func(string) bool { return false },
 		Routers: func() []string { return []string{"a", "c"} },
 		AskBorrower: func(_ context.Context, borrower, _ string) (grant.Borrowed, error) {
+			mu.Lock()
+			defer mu.Unlock()
 			asked[borrower]++
 			return grant.Borrowed{Known: true, Used: map[string]int64{"b": 100}}, nil
 		}}
