Known red: a lender that has withdrawn counts as replaced while an earlier incarnation of its VM is listed

The entry of the killed incarnation is still listed.

Cause: Replaced compares revisions and takes 0 for a member that is not listed, so any listed incarnation counts as newer. Whether a budget can be exceeded this way is not shown, either way.

--- a/coord/member/restored_test.go
+++ b/coord/member/restored_test.go
@@ -117,3 +117,17 @@
 		require.Equal(t, "m/r2/1", listed[0].Key)
 	})
 }
+
+// Guards against a live process that counts as ended: it has withdrawn from the list, and an earlier incarnation of its VM, which
+// was killed, is still listed.
+func TestIncarnationThatWithdrewIsNotReplacedByAnEarlierOne(t *testing.T) {
+	entry := func(id string, at store.Revision) store.Item {
+		value := fmt.Sprintf(`{"id":%q,"role":"lender","vm":"l1","address":"l1:1"}`, id)
+		return store.Item{Key: "m/" + id, Value: []byte(value), Revision: at, Created: at}
+	}
+	g := newTestGroup(memstore.New(), "r1", "router")
+	g.Reset([]store.Item{entry("l1/1", 3), entry("l1/2", 9)})
+	require.True(t, g.Replaced("l1/1", "l1"))
+	g.Changed(store.Event{Item: store.Item{Key: "m/l1/2", Revision: 10}, Deleted: true})
+	require.False(t, g.Replaced("l1/2", "l1"))
+}
