Known red: tokens are forfeited after a restoration when a router and a lender that lent nothing have ended

By their logs one of the lenders that ended had appointed no witnesses: it had lent nothing. Nobody knows it, and the census takes that for a witness that has ended, even if all other lenders have answered.

--- a/gateway/restoredbudget_test.go
+++ b/gateway/restoredbudget_test.go
@@ -275,3 +275,35 @@
 		require.LessOrEqual(t, r.used(), restoredBudget)
 	})
 }
+
+// otherLender returns the number of the VM of a lender that took no tokens, and so lent none.
+func (r *restoredFleet) otherLender() int {
+	for vm := range r.kills {
+		if !r.tookTokens(fmt.Sprint("engine-", vm)) {
+			return vm
+		}
+	}
+	r.t.Fatal("all lenders took tokens")
+	return 0
+}
+
+// Guards against a budget that cannot be spent any more after a restoration, because a router and a lender that lent nothing
+// have ended: no other lender has, so the lender's witnesses would have answered if there were any.
+func TestTokensStayWhenARouterAndALenderThatLentNothingEnd(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRestoredFleet(f, 3)
+		r.spendFor(time.Second)
+		older := f.store.Copy()
+		r.spendFor(1500 * time.Millisecond)
+		vm := r.otherLender()
+		r.kills[vm]()
+		r.stops[vm+10], r.kills[vm+10] = f.startLenderAs(fmt.Sprint("engine-", vm), vm+10, "")
+		f.kill(2)
+		f.startVMAs("router-2", 12)
+		r.spendFor(500 * time.Millisecond)
+		r.restore(older, 500*time.Millisecond)
+		r.spendRest()
+		r.spendRest()
+		r.requireSpent()
+	})
+}
