Members: a process that leaves the list does not register again

Cause, by reading, shown by the mend: since the announcement of the end runs beside the end of the membership, the process waits up to 0.1 s for a dead lender after its lease has ended. Its own view shows that it is no longer listed, and it registers again at once. Leave now withdraws the process for good.

--- a/coord/member/lease.go
+++ b/coord/member/lease.go
@@ -195,7 +195,7 @@
 
 // withdraw ends the lease if there is one.
 func (g *Group) withdraw(ctx context.Context) error {
-	if err := g.Leave(ctx); err != nil {
+	if err := g.endLease(ctx); err != nil {
 		return err
 	}
 	g.mu.Lock()
@@ -204,8 +204,15 @@
 	return nil
 }
 
-// Leave ends the lease, so that this process leaves the views of others at once.
+// Leave ends the lease, so that this process leaves the views of others at once, and keeps it from registering again.
 func (g *Group) Leave(ctx context.Context) error {
+	g.mu.Lock()
+	g.withdrawn = true
+	g.mu.Unlock()
+	return g.withdraw(ctx)
+}
+
+func (g *Group) endLease(ctx context.Context) error {
 	switch id, void := g.currentLease(); {
 	case id == 0:
 		return nil
