Members: an incarnation that left the list lately is compared by the revision that it had

A live lender that has withdrawn, as it does while its upstream does not answer, counted as replaced while an earlier, killed incarnation of its VM was still listed: an unlisted member had revision 0, and any listed one counted as newer. Still taken for replaced: an incarnation that this process has never seen, while an earlier one is listed.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -185,7 +185,10 @@
 func (g *Group) Replaced(id, vm string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	old := g.members[g.Prefix+id] // revision 0 if not listed
+	old, listed := g.members[g.Prefix+id]
+	if !listed {
+		old = g.former[g.Prefix+id].Member // revision 0 if it was not listed lately
+	}
 	for _, m := range g.members {
 		if m.VM == vm && m.revision > old.revision {
 			return true
