Budgets: processes that ended between two restorations are not counted after the second

Members known at a restoration were forgotten only by a process that is primary of all pages, so never in fleets with several lenders. After the next restoration all that had ended since counted as holders: one question to each running process for each of them. Members are now recorded with the era that the store had reached, and a census takes those of eras after the one in which its pages were last open. TestProcessesThatEndedBetweenRestorationsAreNotCounted failed before (two lenders that had stopped as planned three minutes before were counted). Lists of borrowers are completed in the same way; knownRouters listed members that left twice.

--- a/coord/settlement/restored_test.go
+++ b/coord/settlement/restored_test.go
@@ -56,7 +56,7 @@
 	var mu sync.Mutex
 	asked := map[string]int{}
 	settler := settlement.Settler{Store: s, Prefix: "lends/", Answers: &settlement.AnswerCache{}, Ended: func(string) bool { return false },
-		Routers: func() []string { return []string{"a", "c"} },
+		Routers: func(store.Era) []string { return []string{"a", "c"} },
 		AskBorrower: func(_ context.Context, borrower, _ string) (grant.Borrowed, error) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/coord/settlement/settler.go
+++ b/coord/settlement/settler.go
@@ -23,9 +23,9 @@
 	AskWitness func(ctx context.Context, witness, lender string, term int64) (WitnessAnswer, error)
 	// Ended reports whether the incarnation of a borrower or witness has certainly ended.
 	Ended func(incarnation string) bool
-	// Routers lists all processes that may have borrowed. It replaces lists of borrowers that may have been read from an
-	// older copy of the store.
-	Routers func() []string
+	// Routers lists all processes that may have borrowed and were known when the store was restored after an era, or since. It
+	// completes lists of borrowers that were written in that era: they may have been read from an older copy of the store.
+	Routers func(since store.Era) []string
 	// Answers caches the answers of borrowers and witnesses between attempts.
 	Answers *AnswerCache
 }
@@ -173,7 +173,7 @@
 		}
 		sealed.Sealed = true
 		if sealed.Era < old.Revision.Era() && s.Routers != nil {
-			sealed.Borrowers = sortedUnion(sealed.Borrowers, s.Routers())
+			sealed.Borrowers = sortedUnion(sealed.Borrowers, s.Routers(sealed.Era))
 		}
 		return json.Marshal(sealed)
 	})
--- a/gateway/restoredbudget_test.go
+++ b/gateway/restoredbudget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -307,3 +308,30 @@
 		r.requireSpent()
 	})
 }
+
+// Guards against work after a restoration that grows with all processes that ended since the one before: those that ended when the
+// pages had been opened again, and left no tokens behind, are not counted.
+func TestProcessesThatEndedBetweenRestorationsAreNotCounted(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRestoredFleet(f, 3)
+		r.restore(f.store.Copy(), 500*time.Millisecond)
+		r.spendFor(3 * time.Second)
+		for n := range 2 {
+			vm := firstLender + n
+			r.stops[vm]()
+			r.stops[vm+10], r.kills[vm+10] = f.startLenderAs(fmt.Sprint("engine-", vm), vm+10, "")
+		}
+		time.Sleep(3 * time.Minute)
+		opened := strings.Count(f.log.String(), `"event":"page_opened"`)
+		r.restore(f.store.Copy(), 500*time.Millisecond)
+		r.spendFor(3 * time.Second)
+		require.Greater(t, strings.Count(f.log.String(), `"event":"page_opened"`), opened)
+		for _, line := range strings.Split(f.log.String(), "\n") {
+			if strings.Contains(line, `"event":"page_opened"`) && strings.Contains(line, `"era":2`) {
+				require.Contains(t, line, `"ended":[]`)
+			}
+		}
+		r.spendRest()
+		r.requireSpent()
+	})
+}
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -78,7 +78,7 @@
 	if first {
 		return
 	}
-	b.Budgets.EraChanged()
+	b.Budgets.EraChanged(to)
 	if b.onRestored != nil {
 		b.onRestored()
 	}
--- a/link/messages.go
+++ b/link/messages.go
@@ -246,8 +246,10 @@
 type ConfirmRequest struct {
 	// Holder is the incarnation that must answer.
 	Holder string `json:"holder"`
-	// Era is the store's era in which the pages are to be opened.
+	// Era is the store's era in which the pages are to be opened, Since the oldest one in which one of them was open. Processes that
+	// ended before a restoration up to Since do not count.
 	Era   store.Era `json:"era"`
+	Since store.Era `json:"since,omitempty"`
 	Pages []string  `json:"pages"`
 	// AllMembers asks for all members that the process knows, not only those that are not listed any more.
 	AllMembers bool `json:"all_members,omitempty"`
--- a/prepaid/census.go
+++ b/prepaid/census.go
@@ -38,13 +38,14 @@
 
 // takeCensus asks all processes for their holdings of the pages.
 func (b *Budgets) takeCensus(ctx context.Context, pages []closedPage) *census {
-	c := &census{era: b.era(), oldest: store.MaxEra, processes: b.reopening.processes(b.members),
+	c := &census{era: b.era(), oldest: store.MaxEra,
 		replies: map[string]link.ConfirmReply{}, ended: map[string]member.Member{}, used: map[string]map[string]int64{}, held: map[string]map[string]map[string]int64{}}
 	for _, p := range pages {
 		c.pages = append(c.pages, p.item.Key)
 		c.oldest = min(c.oldest, p.page.Era)
 	}
-	own, err := b.confirm(ctx, link.ConfirmRequest{Holder: b.holder.ID(), Era: c.era, Pages: c.pages})
+	c.processes = b.reopening.processes(b.members, c.oldest)
+	own, err := b.confirm(ctx, c.request(b.holder.ID()))
 	if err != nil {
 		c.pending = []string{b.holder.ID()}
 		return c
@@ -64,6 +65,11 @@
 	return c
 }
 
+// request returns the question to a process.
+func (c *census) request(holder string) link.ConfirmRequest {
+	return link.ConfirmRequest{Holder: holder, Era: c.era, Since: c.oldest, Pages: c.pages}
+}
+
 // askAll asks the processes that have not answered yet.
 func (b *Budgets) askAll(ctx context.Context, c *census) {
 	var wg sync.WaitGroup
@@ -96,7 +102,7 @@
 
 // ask asks one process. If another incarnation answers, the one that was asked has ended.
 func (b *Budgets) ask(ctx context.Context, c *census, m member.Member) {
-	reply, err := b.endpoint.AskConfirmation(ctx, m.Address, link.ConfirmRequest{Holder: m.ID, Era: c.era, Pages: c.pages})
+	reply, err := b.endpoint.AskConfirmation(ctx, m.Address, c.request(m.ID))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -132,7 +138,8 @@
 		if !c.knewMembers(reply) {
 			continue
 		}
-		in := link.ConfirmRequest{Holder: id, Era: c.era, Pages: c.pages, AllMembers: true}
+		in := c.request(id)
+		in.AllMembers = true
 		reply, err := b.endpoint.AskConfirmation(ctx, c.processes[id].Address, in)
 		if err != nil || !reply.Known {
 			c.pending = append(c.pending, id)
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -36,8 +36,8 @@
 	// viewSince is the store's era in which this process first had the list of members, once viewKnown is set.
 	viewSince store.Era
 	viewKnown bool
-	// earlier are the members known at the restorations since pages were last open, by incarnation.
-	earlier map[string]member.Member
+	// earlier are the members known at restorations of the store, by incarnation.
+	earlier map[string]earlierMember
 	// nextAttempt is when closed pages are tried again, pause the current pause between attempts.
 	nextAttempt time.Time
 	pause       time.Duration
@@ -45,15 +45,22 @@
 	waitingFor []string
 }
 
-// EraChanged closes all pages when the store was restored. It records the members known so far, since the store may lack them.
-func (b *Budgets) EraChanged() {
+// earlierMember is a member that was known when the store reached an era.
+type earlierMember struct {
+	member.Member
+	era store.Era
+}
+
+// EraChanged closes all pages when the store was restored and has reached an era. It records the members known so far, since the
+// store may lack them.
+func (b *Budgets) EraChanged(era store.Era) {
 	r := &b.reopening
 	r.mu.Lock()
 	if r.earlier == nil {
-		r.earlier = map[string]member.Member{}
+		r.earlier = map[string]earlierMember{}
 	}
 	for _, m := range append(b.members.Members(), b.members.Former()...) {
-		r.earlier[m.ID] = m
+		r.earlier[m.ID] = earlierMember{m, era}
 	}
 	r.pause, r.nextAttempt = 0, time.Time{}
 	r.mu.Unlock()
@@ -98,30 +105,25 @@
 	return changed
 }
 
-// opened forgets the members of before once no page is closed.
-func (r *reopening) opened() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.earlier, r.waitingFor = nil, nil
-}
-
-// processes lists the members known now, lately and at the restorations, by incarnation.
-func (r *reopening) processes(members *member.Group) map[string]member.Member {
-	out := r.unlisted(members)
+// processes lists the members known now, lately and at the restorations after an era, by incarnation.
+func (r *reopening) processes(members *member.Group, since store.Era) map[string]member.Member {
+	out := r.unlisted(members, since)
 	for _, m := range members.Members() {
 		out[m.ID] = m
 	}
 	return out
 }
 
-// unlisted lists the members known lately and at the restorations that are not listed now, by incarnation.
-func (r *reopening) unlisted(members *member.Group) map[string]member.Member {
+// unlisted lists the members known lately and at the restorations after an era that are not listed now, by incarnation.
+func (r *reopening) unlisted(members *member.Group, since store.Era) map[string]member.Member {
+	out := map[string]member.Member{}
 	r.mu.Lock()
-	out := maps.Clone(r.earlier)
-	r.mu.Unlock()
-	if out == nil {
-		out = map[string]member.Member{}
+	for id, m := range r.earlier {
+		if m.era > since {
+			out[id] = m.Member
+		}
 	}
+	r.mu.Unlock()
 	for _, m := range members.Former() {
 		out[m.ID] = m
 	}
@@ -157,9 +159,6 @@
 	for _, p := range pages {
 		b.openPage(ctx, c, p)
 	}
-	if len(b.reopening.closed.list()) == 0 {
-		b.reopening.opened()
-	}
 }
 
 // closedPage is a closed page as it was read before anybody was asked: it is written only if nobody wrote it since.
@@ -219,7 +218,7 @@
 		}
 	}
 	out.Held = b.holdings.list(in.Pages)
-	out.Members = slices.Collect(maps.Values(b.reopening.unlisted(b.members)))
+	out.Members = slices.Collect(maps.Values(b.reopening.unlisted(b.members, in.Since)))
 	if in.AllMembers {
 		out.Members = append(out.Members, b.members.Members()...)
 	}
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -8,6 +8,7 @@
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/settlement"
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -177,17 +178,12 @@
 	return true
 }
 
-// knownRouters lists the routers that are listed or were lately.
-func (b *Budgets) knownRouters() (out []string) {
-	for id, m := range b.reopening.processes(b.members) {
+// knownRouters lists the routers that are listed, or were lately or at the restorations of the store after an era.
+func (b *Budgets) knownRouters(since store.Era) (out []string) {
+	for id, m := range b.reopening.processes(b.members, since) {
 		if m.Role == RoleRouter {
 			out = append(out, id)
 		}
 	}
-	for _, m := range b.members.Former() {
-		if m.Role == RoleRouter {
-			out = append(out, m.ID)
-		}
-	}
 	return out
 }
