--- a/prepaid/census.go
+++ b/prepaid/census.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"maps"
 	"slices"
 	"sync"
@@ -72,13 +73,18 @@
 
 // askAll asks the processes that have not answered yet.
 func (b *Budgets) askAll(ctx context.Context, c *census) {
+	concurrently(slices.Values(b.unanswered(c)), func(m member.Member) { b.ask(ctx, c, m) })
+}
+
+// concurrently calls ask for all processes, for maxConcurrentQuestions at a time.
+func concurrently[T any](processes iter.Seq[T], ask func(T)) {
 	var wg sync.WaitGroup
-	slots := make(chan struct{}, maxConcurrentConfirms)
-	for _, m := range b.unanswered(c) {
+	slots := make(chan struct{}, maxConcurrentQuestions)
+	for p := range processes {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			b.ask(ctx, c, m)
+			ask(p)
 		})
 	}
 	wg.Wait()
@@ -195,8 +201,10 @@
 // sumUse adds up what the running borrowers of a lender that has ended used.
 func (b *Budgets) sumUse(ctx context.Context, c *census, lender string) {
 	c.used[lender] = map[string]int64{}
-	for id := range c.replies {
+	concurrently(maps.Keys(c.replies), func(id string) {
 		report, err := b.borrowedFrom(ctx, id, lender)
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		switch {
 		case err != nil:
 			c.pending = append(c.pending, id)
@@ -206,47 +214,76 @@
 		for budget, n := range report.Used {
 			c.used[lender][budget] += n
 		}
-	}
+	})
 }
 
 // addLimits adds the most that routers that have ended can have used of a lender's tokens, which is known to the lender's
 // witnesses. All of them have answered if no other lender has ended, or if as many as there can be know the last term.
 func (b *Budgets) addLimits(ctx context.Context, c *census, lender string, routers []string) {
-	var newest settlement.WitnessAnswer
-	limits, witnesses, lenders, asked := grant.ExposureLimits{}, 0, 0, 0
+	running, ended := c.otherLenders(lender)
+	answers, ok := b.askWitnesses(ctx, c, lender, running)
+	if !ok {
+		return
+	}
+	limits, witnesses := mergeLimits(answers)
+	if witnesses == 0 || ended > 0 && witnesses < maxWitnesses {
+		c.unknown = "a lender and a router have ended, and so may have a witness"
+		return
+	}
+	for budget, byBorrower := range limits {
+		for _, router := range routers {
+			c.used[lender][budget] += byBorrower[router]
+		}
+	}
+}
+
+// otherLenders lists the lenders that have answered, but for one, and counts those that have ended.
+func (c *census) otherLenders(lender string) (running []string, ended int) {
 	for id, m := range c.processes {
 		if m.Role != RoleLender || id == lender {
 			continue
 		}
-		lenders++
-		if _, answered := c.replies[id]; !answered {
-			continue
+		if _, answered := c.replies[id]; answered {
+			running = append(running, id)
+		} else {
+			ended++
 		}
-		asked++
+	}
+	return running, ended
+}
+
+// askWitnesses asks lenders for the limits of one that has ended, and returns the answers of those that know some. It fails if one does
+// not answer.
+func (b *Budgets) askWitnesses(ctx context.Context, c *census, lender string, witnesses []string) (known []settlement.WitnessAnswer, ok bool) {
+	ok = true
+	concurrently(slices.Values(witnesses), func(id string) {
 		answer, err := b.queryWitness(ctx, id, lender, settlement.AnyTerm)
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		switch {
 		case err != nil:
-			c.pending = append(c.pending, id)
-			return
-		case !answer.Known:
-			continue
-		case answer.Term > newest.Term:
-			newest, witnesses = answer, 0
-		}
-		limits.Merge(answer.Limits)
-		if answer.Term == newest.Term {
-			witnesses++
+			c.pending, ok = append(c.pending, id), false
+		case answer.Known:
+			known = append(known, answer)
 		}
+	})
+	return known, ok
+}
+
+// mergeLimits merges the limits of all terms, and counts the witnesses of the last one.
+func mergeLimits(answers []settlement.WitnessAnswer) (limits grant.ExposureLimits, witnesses int) {
+	limits = grant.ExposureLimits{}
+	var last int64
+	for _, a := range answers {
+		last = max(last, a.Term)
+		limits.Merge(a.Limits)
 	}
-	if witnesses == 0 || asked < lenders && witnesses < maxWitnesses {
-		c.unknown = "a lender and a router have ended, and so may have a witness"
-		return
-	}
-	for budget, byBorrower := range limits {
-		for _, router := range routers {
-			c.used[lender][budget] += byBorrower[router]
+	for _, a := range answers {
+		if a.Term == last {
+			witnesses++
 		}
 	}
+	return limits, witnesses
 }
 
 // borrowedFrom asks a process, which may be this one, for its final use of a lender's tokens.
--- /dev/null
+++ b/prepaid/census_internal_test.go
@@ -0,0 +1,56 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
+	"github.com/arbutusmill/arbutusmill/link"
+	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// distantCaller answers each call after a while.
+type distantCaller time.Duration
+
+// Call implements lending.Caller.
+func (d distantCaller) Call(context.Context, string, string, any, any) error {
+	time.Sleep(time.Duration(d))
+	return nil
+}
+
+// Guards against pages that stay closed for the sum of the times in which all processes answer: a lender ended around a restoration
+// in a fleet of 984 processes.
+func TestProcessesAreAskedForTheirUseAtTheSameTime(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		members := &member.Group{Store: memstore.New(), Prefix: "m/", Report: nopReporter{}}
+		b := New(Parts{Incarnation: "lender/1", Settings: settings.DefaultGateway().Budgets, Store: members.Store, Members: members,
+			Links: distantCaller(20 * time.Millisecond), Limits: &ReportedLimits{}, Log: zerolog.New(io.Discard)})
+		c := &census{replies: map[string]link.ConfirmReply{}, used: map[string]map[string]int64{}}
+		var items []store.Item
+		for i := range 984 {
+			id := fmt.Sprintf("router-%d/1", i)
+			c.replies[id] = link.ConfirmReply{Known: true}
+			value := fmt.Sprintf(`{"id":%q,"role":"router","vm":"router-%d","address":"router-%d:1"}`, id, i, i)
+			items = append(items, store.Item{Key: "m/" + id, Value: []byte(value), Revision: store.Revision(i + 1)})
+		}
+		members.Reset(items)
+		began := time.Now()
+		b.sumUse(t.Context(), c, "lender/0")
+		require.Empty(t, c.pending)
+		require.Less(t, time.Since(began), time.Second)
+		began = time.Now()
+		_, ok := b.askWitnesses(t.Context(), c, "lender/0", slices.Collect(maps.Keys(c.replies)))
+		require.True(t, ok)
+		require.Less(t, time.Since(began), time.Second)
+	})
+}
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -24,8 +24,8 @@
 	// reopenInterval is the pause between two checks for closed pages, reopenPauseMax the longest pause between two attempts.
 	reopenInterval = 100 * time.Millisecond
 	reopenPauseMax = time.Second
-	// maxConcurrentConfirms bounds the processes that are asked at the same time.
-	maxConcurrentConfirms = 32
+	// maxConcurrentQuestions bounds the processes that are asked at the same time.
+	maxConcurrentQuestions = 32
 )
 
 // reopening is the state of the pages that a restoration of the store closed.
