Budgets: holdings of other routers are forgotten one by one

A router that takes tokens from the store itself tells two others. These forgot it only after it had sent nothing for ten minutes, so they kept every budget that it had ever taken tokens of. An older row is in every copy of the store.

--- a/prepaid/holdings.go
+++ b/prepaid/holdings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,42 +22,41 @@
 	holdingsTimeout = 100 * time.Millisecond
 	// holdingsKeepers is the number of routers that receive the holdings of one.
 	holdingsKeepers = 2
-	// holdingsRetention is how long holdings of others are kept: longer than copies of the store are old.
-	holdingsRetention = 10 * time.Minute
+	// holdingsRetention is how long holdings of others are kept: longer than copies of the store are old. holdingsPruneInterval is
+	// the pause between two looks for older ones.
+	holdingsRetention     = 10 * time.Minute
+	holdingsPruneInterval = time.Minute
 )
 
-// heldTokens are the holdings that one router has sent, by page and budget.
+// heldKey names what a router holds of one budget.
+type heldKey struct{ holder, page, budget string }
+
+// heldTokens is the most that the router can have used.
 type heldTokens struct {
 	at   time.Time
-	rows map[string]map[string]account.Confirmation
+	most int64
 }
 
 // holdings keeps the holdings that other routers have sent. It is safe for concurrent use; the zero value is empty.
 type holdings struct {
-	mu       sync.Mutex
-	byHolder map[string]*heldTokens
+	mu     sync.Mutex
+	byKey  map[heldKey]heldTokens
+	pruned time.Time
 }
 
 func (h *holdings) record(now time.Time, in link.HoldingsNotice) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.byHolder == nil {
-		h.byHolder = map[string]*heldTokens{}
-	}
-	maps.DeleteFunc(h.byHolder, func(_ string, held *heldTokens) bool { return now.Sub(held.at) > holdingsRetention })
-	held := h.byHolder[in.Holder]
-	if held == nil {
-		held = &heldTokens{rows: map[string]map[string]account.Confirmation{}}
-		h.byHolder[in.Holder] = held
+	if h.byKey == nil {
+		h.byKey = map[heldKey]heldTokens{}
 	}
-	held.at = now
-	if held.rows[in.Page] == nil {
-		held.rows[in.Page] = map[string]account.Confirmation{}
+	if now.Sub(h.pruned) >= holdingsPruneInterval {
+		maps.DeleteFunc(h.byKey, func(_ heldKey, held heldTokens) bool { return now.Sub(held.at) > holdingsRetention })
+		h.pruned = now
 	}
 	for budget, c := range in.Rows {
-		if c.Most() > held.rows[in.Page][budget].Most() {
-			held.rows[in.Page][budget] = c
-		}
+		key := heldKey{in.Holder, in.Page, budget}
+		h.byKey[key] = heldTokens{now, max(c.Most(), h.byKey[key].most)}
 	}
 }
 
@@ -65,11 +65,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := map[string]map[string]map[string]int64{}
-	for holder, held := range h.byHolder {
-		for _, page := range pages {
-			for budget, c := range held.rows[page] {
-				addMost(out, holder, page, budget, c.Most())
-			}
+	for key, held := range h.byKey {
+		if slices.Contains(pages, key.page) {
+			addMost(out, key.holder, key.page, key.budget, held.most)
 		}
 	}
 	return out
