--- a/coord/member/restored_test.go
+++ b/coord/member/restored_test.go
@@ -131,3 +131,21 @@
 	g.Changed(store.Event{Item: store.Item{Key: "m/l1/2", Revision: 10}, Deleted: true})
 	require.False(t, g.Replaced("l1/2", "l1"))
 }
+
+// Guards against a process that is listed again after it left for good: its renewals go on while it stops.
+func TestProcessThatLeftDoesNotRegisterAgain(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		s := memstore.New()
+		g := newTestGroup(s, "r1", "router")
+		run(ctx, s, g)
+		time.Sleep(5 * time.Second)
+		require.NoError(t, g.Leave(ctx))
+		time.Sleep(3 * g.Interval)
+		listed, err := s.List(ctx, "m/", "", 9)
+		require.NoError(t, err)
+		require.Empty(t, listed)
+	})
+}
--- a/prepaid/census.go
+++ b/prepaid/reconcile.go
@@ -15,8 +15,8 @@
 	"github.com/arbutusmill/arbutusmill/link"
 )
 
-// census collects the holdings of all processes of some closed pages.
-type census struct {
+// reconciliation collects the holdings of all processes of some closed pages.
+type reconciliation struct {
 	era   store.Era
 	pages []string
 	// oldest is the oldest era in which one of the pages was open.
@@ -37,43 +37,43 @@
 	unknown string
 }
 
-// takeCensus asks all processes for their holdings of the pages.
-func (b *Budgets) takeCensus(ctx context.Context, pages []closedPage) *census {
-	c := &census{era: b.era(), oldest: store.MaxEra,
+// reconcile asks all processes for their holdings of the pages.
+func (b *Budgets) reconcile(ctx context.Context, pages []closedPage) *reconciliation {
+	r := &reconciliation{era: b.era(), oldest: store.MaxEra,
 		replies: map[string]link.ConfirmReply{}, ended: map[string]member.Member{}, used: map[string]map[string]int64{}, held: map[string]map[string]map[string]int64{}}
 	for _, p := range pages {
-		c.pages = append(c.pages, p.item.Key)
-		c.oldest = min(c.oldest, p.page.Era)
+		r.pages = append(r.pages, p.item.Key)
+		r.oldest = min(r.oldest, p.page.Era)
 	}
-	c.processes = b.reopening.processes(b.members, c.oldest)
-	own, err := b.confirm(ctx, c.request(b.holder.ID()))
+	r.processes = b.reopening.processes(b.members, r.oldest)
+	own, err := b.confirm(ctx, r.request(b.holder.ID()))
 	if err != nil {
-		c.pending = []string{b.holder.ID()}
-		return c
+		r.pending = []string{b.holder.ID()}
+		return r
 	}
-	c.replies[b.holder.ID()] = own
-	b.askAll(ctx, c)
-	if c.addMembers() {
-		b.askAll(ctx, c)
+	r.replies[b.holder.ID()] = own
+	b.askAll(ctx, r)
+	if r.addMembers() {
+		b.askAll(ctx, r)
 	}
-	if len(c.pending) == 0 && !c.knewMembers(own) {
-		b.askForMembers(ctx, c)
+	if len(r.pending) == 0 && !r.knewMembers(own) {
+		b.askForMembers(ctx, r)
 	}
-	if len(c.pending) == 0 {
-		b.findUse(ctx, c)
+	if len(r.pending) == 0 {
+		b.findUse(ctx, r)
 	}
-	slices.Sort(c.pending)
-	return c
+	slices.Sort(r.pending)
+	return r
 }
 
 // request returns the question to a process.
-func (c *census) request(holder string) link.ConfirmRequest {
-	return link.ConfirmRequest{Holder: holder, Era: c.era, Since: c.oldest, Pages: c.pages}
+func (r *reconciliation) request(holder string) link.ConfirmRequest {
+	return link.ConfirmRequest{Holder: holder, Era: r.era, Since: r.oldest, Pages: r.pages}
 }
 
 // askAll asks the processes that have not answered yet.
-func (b *Budgets) askAll(ctx context.Context, c *census) {
-	concurrently(slices.Values(b.unanswered(c)), func(m member.Member) { b.ask(ctx, c, m) })
+func (b *Budgets) askAll(ctx context.Context, r *reconciliation) {
+	concurrently(slices.Values(b.unanswered(r)), func(m member.Member) { b.ask(ctx, r, m) })
 }
 
 // concurrently calls ask for all processes, for maxConcurrentQuestions at a time.
@@ -91,14 +91,14 @@
 }
 
 // unanswered lists the processes to ask, and records those that have ended.
-func (b *Budgets) unanswered(c *census) (out []member.Member) {
-	for id, m := range c.processes {
-		_, answered := c.replies[id]
-		_, ended := c.ended[id]
+func (b *Budgets) unanswered(r *reconciliation) (out []member.Member) {
+	for id, m := range r.processes {
+		_, answered := r.replies[id]
+		_, ended := r.ended[id]
 		switch {
 		case answered || ended:
 		case b.isDead(id) || b.endedLately.within(id, recentRetention):
-			c.ended[id] = m
+			r.ended[id] = m
 		default:
 			out = append(out, m)
 		}
@@ -107,27 +107,27 @@
 }
 
 // ask asks one process. If another incarnation answers, the one that was asked has ended.
-func (b *Budgets) ask(ctx context.Context, c *census, m member.Member) {
-	reply, err := b.endpoint.AskConfirmation(ctx, m.Address, c.request(m.ID))
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (b *Budgets) ask(ctx context.Context, r *reconciliation, m member.Member) {
+	reply, err := b.endpoint.AskConfirmation(ctx, m.Address, r.request(m.ID))
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	switch {
 	case err != nil:
-		c.pending = append(c.pending, m.ID)
+		r.pending = append(r.pending, m.ID)
 	case !reply.Known:
-		c.ended[m.ID] = m
+		r.ended[m.ID] = m
 	default:
-		c.replies[m.ID] = reply
+		r.replies[m.ID] = reply
 	}
 }
 
 // addMembers adds the processes that others have named, and reports whether there are new ones: those that ended lately may be
 // known only to processes that have run for longer.
-func (c *census) addMembers() (added bool) {
-	for _, reply := range c.replies {
+func (r *reconciliation) addMembers() (added bool) {
+	for _, reply := range r.replies {
 		for _, m := range reply.Members {
-			if _, known := c.processes[m.ID]; !known {
-				c.processes[m.ID], added = m, true
+			if _, known := r.processes[m.ID]; !known {
+				r.processes[m.ID], added = m, true
 			}
 		}
 	}
@@ -135,34 +135,34 @@
 }
 
 // knewMembers reports whether the process of a reply has had the list of members since all the pages were open.
-func (c *census) knewMembers(r link.ConfirmReply) bool { return r.ViewKnown && r.ViewSince <= c.oldest }
+func (r *reconciliation) knewMembers(reply link.ConfirmReply) bool { return reply.ViewKnown && reply.ViewSince <= r.oldest }
 
 // askForMembers asks a process that has had the list of members since the pages were open for all that it knows, and asks
 // these as well: the store may lack them. If there is none, nobody knows who held tokens.
-func (b *Budgets) askForMembers(ctx context.Context, c *census) {
-	for id, reply := range c.replies {
-		if !c.knewMembers(reply) {
+func (b *Budgets) askForMembers(ctx context.Context, r *reconciliation) {
+	for id, reply := range r.replies {
+		if !r.knewMembers(reply) {
 			continue
 		}
-		in := c.request(id)
+		in := r.request(id)
 		in.AllMembers = true
-		reply, err := b.endpoint.AskConfirmation(ctx, c.processes[id].Address, in)
+		reply, err := b.endpoint.AskConfirmation(ctx, r.processes[id].Address, in)
 		if err != nil || !reply.Known {
-			c.pending = append(c.pending, id)
+			r.pending = append(r.pending, id)
 			return
 		}
-		c.replies[id] = reply
-		c.addMembers()
-		b.askAll(ctx, c)
+		r.replies[id] = reply
+		r.addMembers()
+		b.askAll(ctx, r)
 		return
 	}
-	c.unknown = "no process has run since the pages were open"
+	r.unknown = "no process has run since the pages were open"
 }
 
 // findUse determines the use of the tokens of processes that have ended.
-func (b *Budgets) findUse(ctx context.Context, c *census) {
+func (b *Budgets) findUse(ctx context.Context, r *reconciliation) {
 	var lenders, routers []string
-	for id, m := range c.ended {
+	for id, m := range r.ended {
 		if m.Role == RoleLender {
 			lenders = append(lenders, id)
 		} else {
@@ -170,80 +170,80 @@
 		}
 	}
 	for _, lender := range lenders {
-		b.sumUse(ctx, c, lender)
-		if len(routers) > 0 && len(c.pending) == 0 {
-			b.addLimits(ctx, c, lender, routers)
+		b.sumUse(ctx, r, lender)
+		if len(routers) > 0 && len(r.pending) == 0 {
+			b.addLimits(ctx, r, lender, routers)
 		}
 	}
-	c.addHeld(routers)
-	if len(routers) > 1 && !c.hasLenders() && c.unknown == "" {
-		c.unknown = "routers that may have held tokens have ended, and so may have those that they told"
+	r.addHeld(routers)
+	if len(routers) > 1 && !r.hasLenders() && r.unknown == "" {
+		r.unknown = "routers that may have held tokens have ended, and so may have those that they told"
 	}
 }
 
 // addHeld adds the bounds on the use of routers that have ended, as they sent them to others.
-func (c *census) addHeld(routers []string) {
-	for _, reply := range c.replies {
+func (r *reconciliation) addHeld(routers []string) {
+	for _, reply := range r.replies {
 		for _, router := range routers {
 			for page, budgets := range reply.Held[router] {
 				for budget, most := range budgets {
-					addMost(c.held, router, page, budget, most)
+					addMost(r.held, router, page, budget, most)
 				}
 			}
 		}
 	}
 }
 
-func (c *census) hasLenders() bool {
-	return slices.ContainsFunc(slices.Collect(maps.Values(c.processes)), func(m member.Member) bool { return m.Role == RoleLender })
+func (r *reconciliation) hasLenders() bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(r.processes)), func(m member.Member) bool { return m.Role == RoleLender })
 }
 
 // sumUse adds up what the running borrowers of a lender that has ended used.
-func (b *Budgets) sumUse(ctx context.Context, c *census, lender string) {
-	c.used[lender] = map[string]int64{}
-	concurrently(maps.Keys(c.replies), func(id string) {
+func (b *Budgets) sumUse(ctx context.Context, r *reconciliation, lender string) {
+	r.used[lender] = map[string]int64{}
+	concurrently(maps.Keys(r.replies), func(id string) {
 		report, err := b.borrowedFrom(ctx, id, lender)
-		c.mu.Lock()
-		defer c.mu.Unlock()
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		switch {
 		case err != nil:
-			c.pending = append(c.pending, id)
+			r.pending = append(r.pending, id)
 		case !report.Known:
-			c.unknown = "the record of a borrower is incomplete"
+			r.unknown = "the record of a borrower is incomplete"
 		}
 		for budget, n := range report.Used {
-			c.used[lender][budget] += n
+			r.used[lender][budget] += n
 		}
 	})
 }
 
 // addLimits adds the most that routers that have ended can have used of a lender's tokens, which is known to the lender's
 // witnesses. All of them have answered if no other lender has ended, or if as many as there can be know the last term.
-func (b *Budgets) addLimits(ctx context.Context, c *census, lender string, routers []string) {
-	running, ended := c.otherLenders(lender)
-	answers, ok := b.askWitnesses(ctx, c, lender, running)
+func (b *Budgets) addLimits(ctx context.Context, r *reconciliation, lender string, routers []string) {
+	running, ended := r.otherLenders(lender)
+	answers, ok := b.askWitnesses(ctx, r, lender, running)
 	if !ok {
 		return
 	}
 	limits, witnesses := mergeLimits(answers)
 	if witnesses == 0 || ended > 0 && witnesses < maxWitnesses {
-		c.unknown = "a lender and a router have ended, and so may have a witness"
+		r.unknown = "a lender and a router have ended, and so may have a witness"
 		return
 	}
 	for budget, byBorrower := range limits {
 		for _, router := range routers {
-			c.used[lender][budget] += byBorrower[router]
+			r.used[lender][budget] += byBorrower[router]
 		}
 	}
 }
 
 // otherLenders lists the lenders that have answered, but for one, and counts those that have ended.
-func (c *census) otherLenders(lender string) (running []string, ended int) {
-	for id, m := range c.processes {
+func (r *reconciliation) otherLenders(lender string) (running []string, ended int) {
+	for id, m := range r.processes {
 		if m.Role != RoleLender || id == lender {
 			continue
 		}
-		if _, answered := c.replies[id]; answered {
+		if _, answered := r.replies[id]; answered {
 			running = append(running, id)
 		} else {
 			ended++
@@ -254,15 +254,15 @@
 
 // askWitnesses asks lenders for the limits of one that has ended, and returns the answers of those that know some. It fails if one does
 // not answer.
-func (b *Budgets) askWitnesses(ctx context.Context, c *census, lender string, witnesses []string) (known []settlement.WitnessAnswer, ok bool) {
+func (b *Budgets) askWitnesses(ctx context.Context, r *reconciliation, lender string, witnesses []string) (known []settlement.WitnessAnswer, ok bool) {
 	ok = true
 	concurrently(slices.Values(witnesses), func(id string) {
 		answer, err := b.queryWitness(ctx, id, lender, settlement.AnyTerm)
-		c.mu.Lock()
-		defer c.mu.Unlock()
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		switch {
 		case err != nil:
-			c.pending, ok = append(c.pending, id), false
+			r.pending, ok = append(r.pending, id), false
 		case answer.Known:
 			known = append(known, answer)
 		}
@@ -295,8 +295,8 @@
 }
 
 // apply writes the holdings to a page.
-func (c *census) apply(key string, page *account.Page) {
-	for id, reply := range c.replies {
+func (r *reconciliation) apply(key string, page *account.Page) {
+	for id, reply := range r.replies {
 		for budget := range reply.Rows[key] {
 			accountOf(page, budget)
 		}
@@ -307,9 +307,9 @@
 			}
 		}
 	}
-	for id := range c.ended {
-		c.applyEnded(id, page)
-		for budget, most := range c.held[id][key] {
+	for id := range r.ended {
+		r.applyEnded(id, page)
+		for budget, most := range r.held[id][key] {
 			accountOf(page, budget).ConfirmEnded(id, most)
 		}
 	}
@@ -319,8 +319,8 @@
 }
 
 // applyEnded writes the use of a lender that has ended. Rows of other processes stay as they are.
-func (c *census) applyEnded(id string, page *account.Page) {
-	used, known := c.used[id]
+func (r *reconciliation) applyEnded(id string, page *account.Page) {
+	used, known := r.used[id]
 	if !known {
 		return
 	}
@@ -344,8 +344,8 @@
 
 // forfeit forfeits a page's free tokens if they may have been granted, and returns how many. Nothing was ever granted from a page
 // that does not exist.
-func (c *census) forfeit(p closedPage) (total int64) {
-	if c.unknown == "" || p.item.Revision == 0 {
+func (r *reconciliation) forfeit(p closedPage) (total int64) {
+	if r.unknown == "" || p.item.Revision == 0 {
 		return 0
 	}
 	for _, a := range p.page.Accounts {
@@ -354,4 +354,4 @@
 	return total
 }
 
-func (c *census) endedNames() []string { return slices.Sorted(maps.Keys(c.ended)) }
+func (r *reconciliation) endedNames() []string { return slices.Sorted(maps.Keys(r.ended)) }
--- a/prepaid/census_internal_test.go
+++ b/prepaid/reconcile_internal_test.go
@@ -35,21 +35,21 @@
 		members := &member.Group{Store: memstore.New(), Prefix: "m/", Report: nopReporter{}}
 		b := New(Parts{Incarnation: "lender/1", Settings: settings.DefaultGateway().Budgets, Store: members.Store, Members: members,
 			Links: distantCaller(20 * time.Millisecond), Limits: &ReportedLimits{}, Log: zerolog.New(io.Discard)})
-		c := &census{replies: map[string]link.ConfirmReply{}, used: map[string]map[string]int64{}}
+		r := &reconciliation{replies: map[string]link.ConfirmReply{}, used: map[string]map[string]int64{}}
 		var items []store.Item
 		for i := range 984 {
 			id := fmt.Sprintf("router-%d/1", i)
-			c.replies[id] = link.ConfirmReply{Known: true}
+			r.replies[id] = link.ConfirmReply{Known: true}
 			value := fmt.Sprintf(`{"id":%q,"role":"router","vm":"router-%d","address":"router-%d:1"}`, id, i, i)
 			items = append(items, store.Item{Key: "m/" + id, Value: []byte(value), Revision: store.Revision(i + 1)})
 		}
 		members.Reset(items)
 		began := time.Now()
-		b.sumUse(t.Context(), c, "lender/0")
-		require.Empty(t, c.pending)
+		b.sumUse(t.Context(), r, "lender/0")
+		require.Empty(t, r.pending)
 		require.Less(t, time.Since(began), time.Second)
 		began = time.Now()
-		_, ok := b.askWitnesses(t.Context(), c, "lender/0", slices.Collect(maps.Keys(c.replies)))
+		_, ok := b.askWitnesses(t.Context(), r, "lender/0", slices.Collect(maps.Keys(r.replies)))
 		require.True(t, ok)
 		require.Less(t, time.Since(began), time.Second)
 	})
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -149,15 +149,15 @@
 	if len(pages) == 0 {
 		return
 	}
-	c := b.takeCensus(ctx, pages)
-	if b.reopening.attempted(time.Now(), c.pending) && len(c.pending) > 0 {
-		b.log.Warn().Int64("era", int64(c.era)).Int("pages", len(pages)).Strs("waiting_for", c.pending).Msg("pages_closed")
+	found := b.reconcile(ctx, pages)
+	if b.reopening.attempted(time.Now(), found.pending) && len(found.pending) > 0 {
+		b.log.Warn().Int64("era", int64(found.era)).Int("pages", len(pages)).Strs("waiting_for", found.pending).Msg("pages_closed")
 	}
-	if len(c.pending) > 0 {
+	if len(found.pending) > 0 {
 		return
 	}
 	for _, p := range pages {
-		b.openPage(ctx, c, p)
+		b.openPage(ctx, found, p)
 	}
 }
 
@@ -184,19 +184,19 @@
 	return out
 }
 
-// openPage writes the result of a census to a page and opens it.
-func (b *Budgets) openPage(ctx context.Context, c *census, p closedPage) {
+// openPage writes what was found to a page and opens it.
+func (b *Budgets) openPage(ctx context.Context, found *reconciliation, p closedPage) {
 	b.prepare(p.item.Key, p.page)
-	c.apply(p.item.Key, p.page)
-	forfeited := c.forfeit(p)
-	p.page.Era = c.era
+	found.apply(p.item.Key, p.page)
+	forfeited := found.forfeit(p)
+	p.page.Era = found.era
 	if err := b.pages.WritePage(ctx, p.item, p.page); err != nil {
-		b.log.Warn().Err(err).Str("page", p.item.Key).Int64("era", int64(c.era)).Msg("page_not_opened") // tried again
+		b.log.Warn().Err(err).Str("page", p.item.Key).Int64("era", int64(found.era)).Msg("page_not_opened") // tried again
 		return
 	}
 	b.reopening.closed.remove(p.item.Key)
-	b.log.Info().Str("page", p.item.Key).Int64("era", int64(c.era)).Int("holders", len(c.replies)).Strs("ended", c.endedNames()).
-		Int64("forfeited", forfeited).Str("why_forfeited", c.unknown).Msg("page_opened")
+	b.log.Info().Str("page", p.item.Key).Int64("era", int64(found.era)).Int("holders", len(found.replies)).Strs("ended", found.endedNames()).
+		Int64("forfeited", forfeited).Str("why_forfeited", found.unknown).Msg("page_opened")
 }
 
 // confirm returns the holdings of this process. They do not grow until the pages are open: from now on the era is known here, and
