--- a/prepaid/reconcile.go
+++ b/prepaid/reconcile.go
@@ -135,7 +135,9 @@
 }
 
 // knewMembers reports whether the process of a reply has had the list of members since all the pages were open.
-func (r *reconciliation) knewMembers(reply link.ConfirmReply) bool { return reply.ViewKnown && reply.ViewSince <= r.oldest }
+func (r *reconciliation) knewMembers(reply link.ConfirmReply) bool {
+	return reply.ViewKnown && reply.ViewSince <= r.oldest
+}
 
 // askForMembers asks a process that has had the list of members since the pages were open for all that it knows, and asks
 // these as well: the store may lack them. If there is none, nobody knows who held tokens.
