Relay: a loss of the store is reported once when two relays answer with the same copy

What callers saw: nothing; readers got the same whole copy twice, with a second report of a loss in between, which starts their grace periods for lapsed entries anew.

Cause: during an outage a follower asks both relays for all keys. After it, the first whole copy ends the loss; the second one, the same copy from the other relay, is marked AfterOutage as well and counted as another loss.

A whole copy of the revision that the reader has, without a loss that was reported since, is nothing new. The new test failed before (2 losses).

--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -364,12 +364,18 @@
 	return nil
 }
 
+// has reports whether an update contains nothing that is new to the reader.
+func (c *progress) has(u Update) bool {
+	sameCopy := u.Whole && u.At == c.at && c.at != 0 && !c.lossReported
+	return u.Unread || u.At < c.at || sameCopy
+}
+
 // applyUpdate passes an update to its reader.
 func (f *Follower) applyUpdate(u Update) {
 	c, r := f.progress[u.Prefix], f.Readers[u.Prefix]
 	switch {
-	case u.Unread || u.At < c.at:
-		return // nothing new for the reader
+	case c.has(u):
+		return
 	case u.Whole:
 		f.resetReader(c, r, u)
 		return
--- a/coord/relay/relay_test.go
+++ b/coord/relay/relay_test.go
@@ -196,6 +196,20 @@
 	require.Equal(t, 1, c.losses, "a compacted history is not an outage")
 }
 
+// Guards against a loss that is reported twice: two relays were asked for all keys during an outage, and the second
+// one answers with the copy that the follower has got from the first.
+func TestOutageIsReportedOnceWithTwoRelays(t *testing.T) {
+	f := &Follower{progress: map[string]*progress{keys: {at: 5}}, Report: nopReporter{}, Now: time.Now}
+	c := newCopy()
+	f.Readers = map[string]mirror.Reader{keys: c}
+	f.reportLost(func(*progress) bool { return true })
+	first, second := f.ask(true), f.ask(true)
+	afterOutage := Reply{Updates: []Update{{Prefix: keys, At: 9, Whole: true, AfterOutage: true}}}
+	require.NoError(t, f.applyReply(afterOutage, first))
+	require.NoError(t, f.applyReply(afterOutage, second))
+	require.Equal(t, 1, c.losses)
+}
+
 // Guards against a compacted history that is treated as an outage: the store compacts changes that
 // were not read yet. Followers must get the keys with the relay's next read of the store and drop
 // the missing ones, which were removed. At most one loss may be reported.
