Budgets: witnesses are appointed before a lender lends for the first time

Callers of all prepaid teams were refused after a restoration of the store beside the end of a router and of a lender that had lent nothing.

Cause: witnesses were appointed up to a second after the first loan. The reconciliation asks the running lenders for the limits of one that has ended. If none knows it, it cannot tell a lender without loans from one whose witnesses have ended, and forfeits. Ruled out: reading no answer as no loans (a lender whose witnesses all ended looks the same).

Now a lender appoints witnesses when it knows the members, in memory and without a call of the store; it tells them that nothing is lent, and again when one is replaced or missed it. The admission of the first borrower writes them to its list, which saves the write of the first appointment. Before any loan a limit must have been accepted, as after the first second until now.

'router dies before' has a dead router now too; its last request comes a minute later, when the lots of the dead count as used (45 s after the lease), and requires the same.

--- a/coord/settlement/borrowers.go
+++ b/coord/settlement/borrowers.go
@@ -106,12 +106,17 @@
 	return nil
 }
 
-// appoint records the witnesses in the list under a new term, which it returns. Its errors are those of Admit.
+// appoint records the witnesses under a new term, which it returns: in the list, or before the first borrower in memory, from where
+// the admission of that borrower takes them to the list. Its errors are those of Admit.
 func (r *BorrowerRegistry) appoint(ctx context.Context, witnesses []string) (term int64, err error) {
 	if err := r.lockWrites(ctx); err != nil {
 		return 0, err
 	}
 	defer r.writeMu.Unlock()
+	if !r.HasBorrowers() {
+		r.witnesses, r.term = witnesses, r.term+1
+		return r.term, nil
+	}
 	updated, err := r.writeLocked(ctx, func(l *borrowerList) {
 		l.Witnesses = witnesses
 		l.Term++
@@ -141,7 +146,7 @@
 		if updated.Sealed {
 			return nil, Error.Wrap(ErrSealed)
 		}
-		if updated.Term < r.term { // read from an older copy
+		if updated.Term < r.term { // not written yet, or read from an older copy
 			updated.Witnesses, updated.Term = r.witnesses, r.term
 		}
 		change(&updated)
--- a/coord/settlement/exposure.go
+++ b/coord/settlement/exposure.go
@@ -73,6 +73,19 @@
 	return nil
 }
 
+// Inform sends all limits to the witnesses that do not have them yet, at first none: a witness that knows a lender can tell that it
+// lent nothing. Its errors are those of Notify.
+func (e *Exposure) Inform(ctx context.Context) error {
+	term, witnesses := e.currentTerm()
+	var failures []error
+	for _, witness := range witnesses {
+		if !e.isNotified(witness, term) {
+			failures = append(failures, e.notify(ctx, witness, term, nil))
+		}
+	}
+	return errors.Join(failures...)
+}
+
 // RaiseLimits raises the limits that are nearly exhausted.
 func (e *Exposure) RaiseLimits(ctx context.Context) error {
 	wanted := e.Holder.ExposureWanted(e.Now(), e.Lookahead)
--- a/coord/settlement/witness_test.go
+++ b/coord/settlement/witness_test.go
@@ -196,6 +196,48 @@
 	})
 }
 
+// Guards against a lender that lent nothing of which no witness can tell that: it looks like one whose witnesses have ended. The
+// store is not called for it.
+func TestWitnessKnowsALenderThatLentNothing(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newWitnessFixture(t)
+		f.unreachable["lender/3"] = true
+		require.NoError(t, f.exposure.Appoint(t.Context(), "lender/2", "lender/3"))
+		require.ErrorIs(t, f.exposure.Inform(t.Context()), errNoAnswer)
+		require.True(t, f.witnesses["lender/2"].Limits("lender/1", settlement.AnyTerm).Known)
+		require.False(t, f.witnesses["lender/3"].Limits("lender/1", settlement.AnyTerm).Known)
+		f.unreachable["lender/3"] = false
+		require.NoError(t, f.exposure.Inform(t.Context()))
+		answer := f.witnesses["lender/3"].Limits("lender/1", settlement.AnyTerm)
+		require.True(t, answer.Known)
+		require.Empty(t, answer.Limits)
+		item, err := f.store.Get(t.Context(), prefix+"lender/1")
+		require.NoError(t, err)
+		require.Zero(t, item.Revision)
+	})
+}
+
+// Guards against lots of which no witness knows: witnesses that were appointed before the first borrower are missing from the list,
+// or accept no limits.
+func TestWitnessesAppointedBeforeTheFirstBorrower(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newWitnessFixture(t)
+		require.NoError(t, f.exposure.Appoint(t.Context(), "lender/3"))
+		require.NoError(t, f.exposure.Appoint(t.Context(), "lender/2"))
+		f.unreachable["lender/2"] = true
+		require.ErrorIs(t, f.use("router/1", 20, 20), settlement.ErrNoWitness)
+		f.unreachable["lender/2"] = false
+		require.NoError(t, f.use("router/1", 20, 20))
+		item, err := f.store.Get(t.Context(), prefix+"lender/1")
+		require.NoError(t, err)
+		require.JSONEq(t, `{"borrowers":["router/1"],"witnesses":["lender/2"],"term":2}`, string(item.Value))
+		f.kill("router/1")
+		used, err := f.settle()
+		require.NoError(t, err)
+		require.EqualValues(t, 20, used)
+	})
+}
+
 // Guards against lending beyond a limit that no witness has accepted.
 func TestNoLendingBeyondUnacceptedLimit(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -83,7 +83,7 @@
 	// linkRate is the capacity of the routers' links in bytes/s; 0 means unlimited.
 	linkRate   int
 	storeConns sync.Map // numbers of the VMs by their net.Conn to the store
-	openConns  sync.Map // addresses by the routers' net.Conn to them
+	openConns  sync.Map // addresses by the processes' net.Conn to them
 	// dialDelays holds the time by which dials of an address are delayed.
 	dialDelays sync.Map
 	// cutLinks holds the linkEnds between which no connection can be opened.
@@ -92,7 +92,7 @@
 	linkConns sync.Map
 }
 
-// cutLink closes the routers' connections to an address, and lets new dials block until joinLink.
+// cutLink closes all connections to an address, and lets new dials block until joinLink.
 func (f *fleet) cutLink(address string) {
 	f.network.SetBlackholed(address, true)
 	f.openConns.Range(func(conn, to any) bool {
--- a/gateway/lender_test.go
+++ b/gateway/lender_test.go
@@ -58,6 +58,9 @@
 		if err == nil && to == storeAddress {
 			f.storeConns.Store(conn, vm)
 		}
+		if err == nil {
+			f.openConns.Store(conn, to)
+		}
 		return conn, err
 	}
 	listen := func(network, address string) (net.Listener, error) {
--- a/gateway/restoredbudget_test.go
+++ b/gateway/restoredbudget_test.go
@@ -29,6 +29,8 @@
 	cutVM int
 	// callersAt is the first of the two routers' VMs.
 	callersAt int
+	// restartedVM is the VM of a router that was killed and runs on a VM whose number is higher by ten, 0 if there is none.
+	restartedVM int
 }
 
 func startRestoredFleet(f *fleet, lenders int) *restoredFleet {
@@ -50,12 +52,22 @@
 		wg.Go(func() {
 			req := chat("c")
 			req.vm = r.callersAt + i%2
+			if req.vm == r.restartedVM {
+				req.vm += 10
+			}
 			r.send(req)
 		})
 	}
 	wg.Wait()
 }
 
+// restartRouter kills the second router and starts it again on another VM.
+func (r *restoredFleet) restartRouter() {
+	r.restartedVM = r.callersAt + 1
+	r.kill(r.restartedVM)
+	r.startVMAs("router-2", r.restartedVM+10)
+}
+
 // spendFor sends a few requests each 200 ms.
 func (r *restoredFleet) spendFor(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
@@ -149,6 +161,8 @@
 	before, after func(r *restoredFleet)
 	// losesTokens is set if tokens of processes that have ended may be lost.
 	losesTokens bool
+	// wait is the time until tokens of processes that have ended count as used.
+	wait time.Duration
 }
 
 // primary returns the number of the VM of the budget's primary lender.
@@ -175,7 +189,7 @@
 	{name: "primary stops before", before: func(r *restoredFleet) { r.stops[r.primary()]() }},
 	{name: "primary stops after", after: func(r *restoredFleet) { r.stops[r.primary()]() }},
 	{name: "router restarts before", before: func(r *restoredFleet) { r.stopVM(2); r.startVM(2) }},
-	{name: "router dies before", before: func(r *restoredFleet) { r.kill(2); r.startVMAs("router-2", 12) }},
+	{name: "router dies before", wait: time.Minute, before: (*restoredFleet).restartRouter},
 	{name: "router and primary restart before", losesTokens: true, before: func(r *restoredFleet) {
 		r.kill(2)
 		r.restartPrimary()
@@ -245,6 +259,7 @@
 					require.LessOrEqual(t, r.used(), restoredBudget)
 					return
 				}
+				time.Sleep(c.wait)
 				r.requireSpent()
 			})
 		})
@@ -296,11 +311,11 @@
 		r.spendFor(time.Second)
 		older := f.store.Copy()
 		r.spendFor(1500 * time.Millisecond)
+		time.Sleep(2 * time.Second) // the router returns its lots, which it may have used otherwise
 		vm := r.otherLender()
 		r.kills[vm]()
 		r.stops[vm+10], r.kills[vm+10] = f.startLenderAs(fmt.Sprint("engine-", vm), vm+10, "")
-		f.kill(2)
-		f.startVMAs("router-2", 12)
+		r.restartRouter()
 		r.spendFor(500 * time.Millisecond)
 		r.restore(older, 500*time.Millisecond)
 		r.spendRest()
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -280,6 +281,12 @@
 	f.disconnect(vm)
 	f.network.SetBlackholed(address(vm, linkPort), true)
 	f.cutLink(address(vm, linkPort))
+	f.linkConns.Range(func(conn, of any) bool {
+		if of.(linkEnds).from == vm {
+			_ = conn.(net.Conn).Close() // the peer may have closed it
+		}
+		return true
+	})
 }
 
 // Guards against streams that go on at another version when their callers take them up again at another
--- a/prepaid/exposure.go
+++ b/prepaid/exposure.go
@@ -41,7 +41,7 @@
 	every(forgetInterval, b.forgetLimits)
 	if b.exposure != nil {
 		every(exposureInterval, b.raiseExposureLimits)
-		every(appointInterval, b.appointWitnesses)
+		every(appointInterval, b.keepWitnesses)
 	}
 }
 
@@ -94,9 +94,15 @@
 	})
 }
 
-// appointWitnesses appoints witnesses once something is lent, and replaces those that are gone.
+// keepWitnesses appoints witnesses, replaces those that are gone, and sends them the limits that they do not have yet.
+func (b *Budgets) keepWitnesses(ctx context.Context) {
+	b.appointWitnesses(ctx)
+	_ = b.exposure.Inform(ctx) // notifyWitness logs the witnesses that do not answer
+}
+
+// appointWitnesses appoints witnesses before anything is lent, and replaces those that are gone.
 func (b *Budgets) appointWitnesses(ctx context.Context) {
-	if !b.registry.HasBorrowers() || b.storeOutage.ongoing() {
+	if b.storeOutage.ongoing() {
 		return
 	}
 	now := b.exposure.Witnesses()
