Budgets: a witness that stops as planned hands over the limits of lenders that have ended

Callers of all prepaid teams were refused with 402 after a restoration of the store: two lenders had been restarted as planned within the minute before, one of them a witness of the other, and a router had ended. A fleet that is restarted in turn comes to this with any restoration: each lender has two witnesses, and both must answer.

Cause: a witness takes what it knows with it. Ruled out: that the witnesses answer too late (they have ended), and one witness as enough (a limit is in force once one of the two has it).

A witness that stops accepts no more limits, and then sends those of lenders that have ended to another lender, with the names of the witnesses whose limits these are. The reconciliation counts the names, so that limits that were sent twice count once. Lenders that still run appoint others, as before.

--- a/coord/settlement/witness_test.go
+++ b/coord/settlement/witness_test.go
@@ -217,6 +217,35 @@
 	})
 }
 
+// Guards against limits that end with a planned stop of their witness, that count as those of the witness that took them over, or that
+// are handed over while the lender still raises them.
+func TestWitnessThatEndsHandsItsLimitsOver(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newWitnessFixture(t)
+		require.NoError(t, f.exposure.Appoint(t.Context(), "lender/2", "lender/3"))
+		require.NoError(t, f.use("router/1", 20, 20))
+		for id, w := range f.witnesses {
+			w.ID = id
+		}
+		notices := f.witnesses["lender/3"].Close(func(string) bool { return true })
+		require.Len(t, notices, 1)
+		require.Equal(t, []string{"lender/3"}, notices[0].Of)
+		require.ErrorIs(t, f.witnesses["lender/3"].Apply(time.Now(), settlement.Notice{Lender: "lender/1", Term: 1, Full: true}), settlement.ErrWitnessEnds)
+		require.NoError(t, f.witnesses["lender/2"].Apply(time.Now(), notices[0]))
+		require.Equal(t, []string{"lender/3", "lender/2"}, f.witnesses["lender/2"].Limits("lender/1", settlement.AnyTerm).Of)
+		other := settlement.Witness{ID: "lender/4"}
+		require.NoError(t, other.Apply(time.Now(), notices[0]))
+		answer := other.Limits("lender/1", settlement.AnyTerm)
+		require.Equal(t, []string{"lender/3"}, answer.Of)
+		require.EqualValues(t, 20, answer.Limits[budget]["router/1"])
+		require.False(t, other.Limits("lender/1", 1).Known, "the lender has sent it nothing")
+		changed := settlement.Notice{Lender: "lender/1", Term: 1}
+		require.ErrorIs(t, other.Apply(time.Now(), changed), settlement.ErrNotAppointed)
+		require.NoError(t, other.Apply(time.Now(), settlement.Notice{Lender: "lender/1", Term: 2, Full: true}))
+		require.Empty(t, other.Limits("lender/1", settlement.AnyTerm).Of, "its own of a later term")
+	})
+}
+
 // Guards against lots of which no witness knows: witnesses that were appointed before the first borrower are missing from the list,
 // or accept no limits.
 func TestWitnessesAppointedBeforeTheFirstBorrower(t *testing.T) {
--- a/gateway/restoredbudget_test.go
+++ b/gateway/restoredbudget_test.go
@@ -17,6 +17,8 @@
 	restoredUse     = 1015
 	restoredReserve = 1060
 	restoredBudget  = 60_000
+	// restoredLimits is by how much a lender's limits for a router may exceed its use: 0.2 s of its five requests a second.
+	restoredLimits = restoredReserve
 )
 
 // restoredFleet spends a budget through two routers while the store is restored.
@@ -324,6 +326,29 @@
 	})
 }
 
+// Guards against a budget that cannot be spent any more after a restoration, because two lenders, one of them a witness of the other,
+// were restarted as planned, one after the other, and a router has ended: what the witness knew must be known to a process that runs.
+func TestTokensStayWhenALenderItsWitnessAndARouterEnd(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		r := startRestoredFleet(f, 3)
+		r.spendFor(time.Second)
+		older := f.store.Copy()
+		r.spendFor(1500 * time.Millisecond)
+		for n := range 2 {
+			vm := firstLender + n
+			r.stops[vm]()
+			r.stops[vm+10], r.kills[vm+10] = f.startLenderAs(fmt.Sprint("engine-", vm), vm+10, "")
+			time.Sleep(3 * time.Second) // the router returns its lots, which it may have used otherwise
+		}
+		r.restartRouter()
+		r.restore(older, 500*time.Millisecond)
+		r.spendRest()
+		r.spendRest()
+		require.LessOrEqual(t, r.used(), restoredBudget)
+		require.Greater(t, r.used()+restoredReserve+restoredLimits, restoredBudget, "the budget is left unspent")
+	})
+}
+
 // Guards against work after a restoration that grows with all processes that ended since the one before: those that ended when the
 // pages had been opened again, and left no tokens behind, are not counted.
 func TestProcessesThatEndedBetweenRestorationsAreNotCounted(t *testing.T) {
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -204,6 +204,7 @@
 		Horizon: time.Duration(s.Horizon), LargestRequests: largestRequests, Share: maxHeldShare, Slack: heldSlack,
 		MaxLoss: s.MaxLoss, StoreDegraded: b.storeDegraded, Refill: refillStep, Recovering: b.recovering, Role: b.role, StandbyHorizon: standbyHorizon, UsingStore: b.storeRequests.has,
 	})
+	b.witness.ID = p.Incarnation
 	b.holder.SetDemandWindow(time.Duration(s.DemandWindow))
 	b.holder.UseMinimalRows(b.isDead)
 	b.pages = &grant.StoreGranter{
--- a/prepaid/exposure.go
+++ b/prepaid/exposure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/member"
@@ -83,15 +84,51 @@
 	return b.witness.Limits(in.Lender, in.Term), nil
 }
 
+// handOverLimits sends the limits of lenders that have ended to another lender: if one of a lender's witnesses is missing after a
+// restoration of the store, nobody can tell what routers that have ended used.
+func (b *Budgets) handOverLimits(ctx context.Context) {
+	var sent sync.WaitGroup
+	for _, notice := range b.witness.Close(b.hasEnded) {
+		sent.Go(func() { b.handOver(ctx, notice) })
+	}
+	sent.Wait()
+}
+
+// handOver sends limits to the first lender that accepts them.
+func (b *Budgets) handOver(ctx context.Context, notice settlement.Notice) {
+	ranked := b.members.Rank(notice.Lender, RoleLender)
+	for _, m := range ranked[:min(maxQueriedLenders, len(ranked))] {
+		if m.VM == b.members.Self.VM || m.ID == notice.Lender || b.isUnreachable(m.ID) {
+			continue
+		}
+		if err := b.sendLimits(ctx, m.ID, notice); err != nil {
+			b.log.Warn().Err(err).Str("lender", notice.Lender).Str("witness", m.ID).Msg("limits_not_sent") // the next one gets them
+			continue
+		}
+		b.log.Info().Str("lender", notice.Lender).Str("witness", m.ID).Strs("of", notice.Of).Msg("limits_handed_over")
+		return
+	}
+	b.log.Warn().Str("lender", notice.Lender).Msg("limits_not_handed_over") // they count as unknown
+}
+
+func (b *Budgets) sendLimits(ctx context.Context, witness string, notice settlement.Notice) error {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	return b.endpoint.SendLimits(ctx, witness, notice)
+}
+
+// hasEnded reports whether a lender has left the list, was replaced or has announced its end.
+func (b *Budgets) hasEnded(id string) bool {
+	_, listed := b.members.Get(id)
+	return !listed || b.isDead(id) || b.endedLately.within(id, recentRetention)
+}
+
 // forgetLimits drops the limits of lenders that are long gone.
 func (b *Budgets) forgetLimits(context.Context) {
 	if b.storeOutage.ongoing() {
 		return // missing members cannot be detected without the store
 	}
-	b.witness.Forget(time.Now().Add(-limitsRetention), func(lender string) bool {
-		_, listed := b.members.Get(lender)
-		return !listed
-	})
+	b.witness.Forget(time.Now().Add(-limitsRetention), b.hasEnded)
 }
 
 // keepWitnesses appoints witnesses, replaces those that are gone, and sends them the limits that they do not have yet.
--- a/prepaid/reconcile.go
+++ b/prepaid/reconcile.go
@@ -266,6 +266,9 @@
 		case err != nil:
 			r.pending, ok = append(r.pending, id), false
 		case answer.Known:
+			if len(answer.Of) == 0 {
+				answer.Of = []string{id}
+			}
 			known = append(known, answer)
 		}
 	})
@@ -280,12 +283,15 @@
 		last = max(last, a.Term)
 		limits.Merge(a.Limits)
 	}
+	ofLast := map[string]bool{}
 	for _, a := range answers {
-		if a.Term == last {
-			witnesses++
+		for _, witness := range a.Of {
+			if a.Term == last {
+				ofLast[witness] = true
+			}
 		}
 	}
-	return limits, witnesses
+	return limits, len(ofLast)
 }
 
 // borrowedFrom asks a process, which may be this one, for its final use of a lender's tokens.
--- a/prepaid/reconcile_internal_test.go
+++ b/prepaid/reconcile_internal_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/member"
+	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
@@ -54,3 +56,15 @@
 		require.Less(t, time.Since(began), time.Second)
 	})
 }
+
+// Guards against limits of one witness that count as those of two: it ended and handed them over to two others.
+func TestLimitsThatWereHandedOverTwiceCountOnce(t *testing.T) {
+	limits := func(n int64) grant.ExposureLimits { return grant.ExposureLimits{"team": {"router/1": n}} }
+	merged, witnesses := mergeLimits([]settlement.WitnessAnswer{
+		{Known: true, Term: 2, Limits: limits(20), Of: []string{"lender/3"}},
+		{Known: true, Term: 2, Limits: limits(30), Of: []string{"lender/3"}},
+		{Known: true, Term: 1, Limits: limits(10), Of: []string{"lender/4"}},
+	})
+	require.Equal(t, 1, witnesses)
+	require.Equal(t, limits(30), merged)
+}
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -228,9 +228,17 @@
 // announceTimeout bounds the messages of a process that ends.
 const announceTimeout = 100 * time.Millisecond
 
-// AnnounceEnd notifies the processes that may open pages next that this one ends, so that they do not wait for its confirmation. It is
-// called when nothing is lent or spent any more.
+// AnnounceEnd notifies others that this process ends, and hands over what it knows of lenders that have ended. It is called when
+// nothing is lent or spent any more.
 func (b *Budgets) AnnounceEnd(ctx context.Context) {
+	var handedOver sync.WaitGroup
+	handedOver.Go(func() { b.handOverLimits(ctx) })
+	b.notifyOpeners(ctx)
+	handedOver.Wait()
+}
+
+// notifyOpeners notifies the processes that may open pages next, so that they do not wait for this one's confirmation.
+func (b *Budgets) notifyOpeners(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	notified := map[string]member.Member{}
