Members: a ranking computes the weights of the nodes once, and the candidates once for all keys

Found when the whole change was read once more: since pages may be closed, every process ranks the lenders for all 64 pages after each change of a member. Most of it was the selection of the newest members, repeated for each page, and two hashes for each comparison.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -64,6 +64,8 @@
 	reportedCount int
 	// rankings caches the results of Rank for this view; the slices are never modified.
 	rankings map[rankingKey][]Member
+	// candidates caches the members of a role that are ranked, in this view; they are never modified.
+	candidates map[string]candidates
 	// version counts the changes of the view.
 	version uint64
 	// missing holds members that are no longer listed after a loss of the store. They stay in
--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -137,7 +137,7 @@
 	g.mu.Lock()
 	change(now)
 	g.resolveMissingLocked(now)
-	g.byUpstream, g.rankings = nil, nil
+	g.byUpstream, g.rankings, g.candidates = nil, nil, nil
 	g.version++
 	_, missing := g.missing[g.Prefix+g.Self.ID]
 	unlisted := g.lease != 0 && !g.withdrawn && (missing || g.wasListedLocked())
--- a/coord/rendezvous/rendezvous.go
+++ b/coord/rendezvous/rendezvous.go
@@ -10,44 +10,51 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// weighted is a node with its weight for a key.
+type weighted struct {
+	node   string
+	weight uint64
+}
+
+// compare orders nodes by preference.
+func compare(a, b weighted) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
+}
+
+func names(ranked []weighted) []string {
+	out := make([]string, len(ranked))
+	for i, w := range ranked {
+		out[i] = w.node
+	}
+	return out
+}
+
 // Rank returns the nodes in order of preference for key.
 func Rank(key string, nodes []string) []string {
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b string) int {
-		if c := cmp.Compare(weight(key, b), weight(key, a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
-	return ranked
+	ranked := make([]weighted, len(nodes))
+	for i, node := range nodes {
+		ranked[i] = weighted{node, weight(key, node)}
+	}
+	slices.SortFunc(ranked, compare)
+	return names(ranked)
 }
 
 // Top returns the n most preferred nodes for key in order of preference, as Rank does, in time proportional to
 // the number of nodes.
 func Top(key string, nodes []string, n int) []string {
-	type weighted struct {
-		node   string
-		weight uint64
-	}
 	top := make([]weighted, 0, n+1)
 	for _, node := range nodes {
 		w := weighted{node, weight(key, node)}
 		if len(top) == n && (n == 0 || w.weight < top[n-1].weight) {
 			continue
 		}
-		at, _ := slices.BinarySearchFunc(top, w, func(a, b weighted) int {
-			return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
-		})
+		at, _ := slices.BinarySearchFunc(top, w, compare)
 		if at < n {
 			top = slices.Insert(top, at, w)
 			top = top[:min(n, len(top))]
 		}
 	}
-	out := make([]string, len(top))
-	for i, w := range top {
-		out[i] = w.node
-	}
-	return out
+	return names(top)
 }
 
 // Pick returns the most preferred node for key, or "" if there are no nodes.
--- a/coord/rendezvous/rendezvous_test.go
+++ b/coord/rendezvous/rendezvous_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
@@ -20,6 +21,21 @@
 	})
 }
 
+// Guards against processes that choose different nodes for a key because one ranks all nodes and another one picks the
+// first one, and the next one once that is gone.
+func TestRankingIsTheOrderOfPicks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfNDistinct(rapid.StringN(1, -1, -1), 0, 20, rapid.ID[string]).Draw(t, "nodes")
+		key := rapid.String().Draw(t, "key")
+		rest := slices.Clone(nodes)
+		for _, node := range rendezvous.Rank(key, nodes) {
+			require.Equal(t, rendezvous.Pick(key, rest), node)
+			rest = slices.DeleteFunc(rest, func(n string) bool { return n == node })
+		}
+		require.Empty(t, rest)
+	})
+}
+
 // BenchmarkTop chooses two of 1,300 nodes, as a router does for each stream that begins.
 func BenchmarkTop(b *testing.B) {
 	nodes := make([]string, 1300)
