Budgets: closed pages of others are dropped two minutes after a restoration

Found when the whole change was read once more: a process that is not the primary of a page never learned that it was opened, and ranked the lenders of all pages after each change of a member for good. A later primary finds a page closed when it is asked for tokens (OnClosed).

--- a/prepaid/reconcile_internal_test.go
+++ b/prepaid/reconcile_internal_test.go
@@ -98,3 +98,18 @@
 	require.Len(t, reply.Members, 1)
 	require.Equal(t, ids[0], reply.Members[0].ID)
 }
+
+// Guards against work for each change of a member that goes on for good after a restoration: every process ranks the lenders of all pages
+// that it takes for closed.
+func TestClosedPagesOfOthersAreDropped(t *testing.T) {
+	members := &member.Group{Self: member.Member{ID: "router-0/1", VM: "router-0", Role: RoleRouter}, Store: memstore.New(), Prefix: "m/", Report: nopReporter{}}
+	b := New(Parts{Incarnation: "router-0/1", Settings: settings.DefaultGateway().Budgets, Store: members.Store, Members: members,
+		Limits: &ReportedLimits{}, Log: zerolog.New(io.Discard)})
+	members.Reset([]store.Item{{Key: "m/lender/1", Revision: 1, Value: []byte(`{"id":"lender/1","role":"lender","vm":"lender","address":"lender:1"}`)}})
+	b.EraChanged(1)
+	now := time.Now()
+	require.Empty(t, b.closedPages(now))
+	require.Len(t, b.reopening.closed.list(), b.layout.Pages)
+	require.Empty(t, b.closedPages(now.Add(othersClosedRetention)))
+	require.Empty(t, b.reopening.closed.list())
+}
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -24,6 +24,10 @@
 	// reopenInterval is the pause between two checks for closed pages, reopenPauseMax the longest pause between two attempts.
 	reopenInterval = 100 * time.Millisecond
 	reopenPauseMax = time.Second
+	// othersClosedRetention is how long a process keeps track of closed pages of which it is not the primary. It outlasts the lease of a
+	// primary that has ended, and the time after which it counts as ended. A later primary finds a page closed when it is asked for
+	// tokens.
+	othersClosedRetention = 2 * time.Minute
 	// maxConcurrentQuestions bounds the processes that are asked at the same time.
 	maxConcurrentQuestions = 32
 )
@@ -33,6 +37,8 @@
 	closed nameSet // pages
 
 	mu sync.Mutex
+	// changed is when the store's era changed last.
+	changed time.Time
 	// viewSince is the store's era in which this process first had the list of members, once viewKnown is set.
 	viewSince store.Era
 	viewKnown bool
@@ -62,7 +68,7 @@
 	for _, m := range append(b.members.Members(), b.members.Former()...) {
 		r.earlier[m.ID] = earlierMember{m, era}
 	}
-	r.pause, r.nextAttempt = 0, time.Time{}
+	r.pause, r.nextAttempt, r.changed = 0, time.Time{}, time.Now()
 	r.mu.Unlock()
 	for n := range b.layout.Pages {
 		r.closed.add(b.layout.PageKey(n))
@@ -87,6 +93,13 @@
 	return r.viewSince, r.viewKnown
 }
 
+// unchangedFor returns the time since the store's era changed last.
+func (r *reopening) unchangedFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.changed)
+}
+
 // due reports whether closed pages are tried now.
 func (r *reopening) due(now time.Time) bool {
 	r.mu.Lock()
@@ -139,13 +152,7 @@
 	if !b.reopening.due(time.Now()) || b.storeOutage.ongoing() {
 		return
 	}
-	var keys []string
-	for _, key := range b.reopening.closed.list() {
-		if role := b.pageRole(key); role == grant.RolePrimary || role == grant.RoleStandby {
-			keys = append(keys, key)
-		}
-	}
-	pages := b.readClosed(ctx, keys)
+	pages := b.readClosed(ctx, b.closedPages(time.Now()))
 	if len(pages) == 0 {
 		return
 	}
@@ -161,6 +168,19 @@
 	}
 }
 
+// closedPages lists the closed pages of which this process is the primary, or is asked for tokens.
+func (b *Budgets) closedPages(now time.Time) (keys []string) {
+	for _, key := range b.reopening.closed.list() {
+		switch role := b.pageRole(key); {
+		case role == grant.RolePrimary || role == grant.RoleStandby:
+			keys = append(keys, key)
+		case b.reopening.unchangedFor(now) >= othersClosedRetention:
+			b.reopening.closed.remove(key)
+		}
+	}
+	return keys
+}
+
 // closedPage is a closed page as it was read before anybody was asked: it is written only if nobody wrote it since.
 type closedPage struct {
 	item store.Item
