--- a/coord/account/restored.go
+++ b/coord/account/restored.go
@@ -32,7 +32,7 @@
 	return 0
 }
 
-// Confirmation is what a holder knows of its rows of one budget.
+// Confirmation is what a holder has of its rows of one budget.
 type Confirmation struct {
 	// Row is its current row, nil if it has none.
 	Row *Row `json:"row,omitempty"`
@@ -48,7 +48,7 @@
 	return c.Removed + c.Row.Granted - c.Row.Returned
 }
 
-// Confirm replaces what a page that was read from an older copy says of a running holder.
+// Confirm replaces the row of a running holder on a page that was read from an older copy.
 func (a *Account) Confirm(holder string, c Confirmation) {
 	delete(a.Rows, holder)
 	if lost := c.Removed - a.removedBy(holder); lost > 0 {
--- a/coord/relay/eras.go
+++ b/coord/relay/eras.go
@@ -2,7 +2,7 @@
 
 import "github.com/arbutusmill/arbutusmill/coord/store"
 
-// addEras completes the positions of a follower that knows no eras: its revisions count as those of the era that
+// addEras completes the positions of a follower without eras: its revisions count as those of the era that
 // the relay follows.
 func (h *Hub) addEras(positions []Position) {
 	h.init()
--- a/coord/relay/relay.go
+++ b/coord/relay/relay.go
@@ -66,7 +66,7 @@
 	// Store is the name of the store to follow, the same in the whole fleet.
 	Store     string     `json:"store"`
 	Positions []Position `json:"positions"`
-	// Eras is set by followers that know that revisions have eras; see store.Revision. Others get the store's numbers.
+	// Eras is set by followers whose revisions have eras; see store.Revision. Others get the store's numbers.
 	Eras bool `json:"eras,omitempty"`
 	// Wait is how long (ns) the relay waits for the first change.
 	Wait time.Duration `json:"wait"`
--- a/coord/settlement/exposure.go
+++ b/coord/settlement/exposure.go
@@ -73,8 +73,8 @@
 	return nil
 }
 
-// Inform sends all limits to the witnesses that do not have them yet, at first none: a witness that knows a lender can tell that it
-// lent nothing. Its errors are those of Notify.
+// Inform sends all limits to the witnesses that do not have them yet, also while there are none: the witnesses of a lender that lent
+// nothing are found by that. Its errors are those of Notify.
 func (e *Exposure) Inform(ctx context.Context) error {
 	term, witnesses := e.currentTerm()
 	var failures []error
--- a/coord/settlement/witness_test.go
+++ b/coord/settlement/witness_test.go
@@ -196,8 +196,8 @@
 	})
 }
 
-// Guards against a lender that lent nothing of which no witness can tell that: it looks like one whose witnesses have ended. The
-// store is not called for it.
+// Guards against a lender that lent nothing and has no witness: it looks like one whose witnesses have ended. The store is not
+// called for it.
 func TestWitnessKnowsALenderThatLentNothing(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		f := newWitnessFixture(t)
@@ -246,7 +246,7 @@
 	})
 }
 
-// Guards against lots of which no witness knows: witnesses that were appointed before the first borrower are missing from the list,
+// Guards against lots that no witness has: witnesses that were appointed before the first borrower are missing from the list,
 // or accept no limits.
 func TestWitnessesAppointedBeforeTheFirstBorrower(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
--- a/gateway/restoredorders.go
+++ b/gateway/restoredorders.go
@@ -8,7 +8,7 @@
 	"github.com/arbutusmill/arbutusmill/rollout"
 )
 
-// restoredGrace is how long what is known of orders goes before what a restored store says of them: operators write theirs again
+// restoredGrace is how long known orders are used rather than those of a restored store: operators write theirs again
 // within moments.
 const restoredGrace = 5 * time.Second
 
@@ -61,7 +61,7 @@
 	}
 }
 
-// doubt records what a restored store says of an order that is known otherwise.
+// doubt records the entry of a restored store that differs from the known order.
 func (o *operatorReader) doubt(e store.Event) {
 	if o.uncertain == nil {
 		o.uncertain = map[string]uncertainOrder{}
@@ -84,7 +84,7 @@
 	}
 }
 
-// knownRevision returns the revision of the known order under a key, so that what the store says is not taken for outdated.
+// knownRevision returns the revision of the known order under a key, so that the store's entry does not count as outdated.
 func (o *operatorReader) knownRevision(key string) store.Revision {
 	if service, ok := platform.RolloutService(key); ok {
 		return o.rollouts[service].Revision
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -94,14 +94,14 @@
 	return out, err
 }
 
-// AnnounceHoldings tells the process at an address what this one holds.
+// AnnounceHoldings sends what this process holds to the one at an address.
 func (e *Endpoint) AnnounceHoldings(ctx context.Context, address string, in link.HoldingsNotice, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return e.Links.Call(ctx, address, link.MethodHoldings, in, &link.Empty{})
 }
 
-// AnnounceEnd tells the process at an address that this process ends.
+// AnnounceEnd announces to the process at an address that this one ends.
 func (e *Endpoint) AnnounceEnd(ctx context.Context, address string) error {
 	return e.Links.Call(ctx, address, link.MethodEnded, link.EndedNotice{Holder: e.Holder.ID()}, &link.Empty{})
 }
--- a/link/messages.go
+++ b/link/messages.go
@@ -31,9 +31,9 @@
 	MethodWitnessLimits = "budget.testify"
 	// MethodConfirm asks what a process holds on pages of budgets after the store was restored: ConfirmRequest, ConfirmReply.
 	MethodConfirm = "budget.confirm"
-	// MethodEnded says that a process ends, and lends and spends nothing any more: EndedNotice, Empty.
+	// MethodEnded announces that a process ends, and lends and spends nothing any more: EndedNotice, Empty.
 	MethodEnded = "budget.ended"
-	// MethodHoldings tells a router what another one holds, before that uses it: HoldingsNotice, Empty.
+	// MethodHoldings sends a router what another one holds, before that uses it: HoldingsNotice, Empty.
 	MethodHoldings = "budget.holdings"
 	// MethodWatermarks asks for the durable watermarks of rows: WatermarkRequest,
 	// WatermarkReply.
@@ -268,14 +268,14 @@
 	Document []byte `json:"document,omitempty"`
 }
 
-// HoldingsNotice says what a router holds of budgets of a page.
+// HoldingsNotice is what a router holds of budgets of a page.
 type HoldingsNotice struct {
 	Holder string                          `json:"holder"`
 	Page   string                          `json:"page"`
 	Rows   map[string]account.Confirmation `json:"rows"`
 }
 
-// EndedNotice says that an incarnation ends.
+// EndedNotice announces that an incarnation ends.
 type EndedNotice struct {
 	Holder string `json:"holder"`
 }
@@ -289,7 +289,7 @@
 	ViewKnown bool      `json:"view_known"`
 	// Rows are its rows by page and budget.
 	Rows map[string]map[string]account.Confirmation `json:"rows,omitempty"`
-	// Held is the most that other routers can have used, as they said, by router, page and budget.
+	// Held is the most that other routers can have used, by their notices, by router, page and budget.
 	Held map[string]map[string]map[string]int64 `json:"held,omitempty"`
 	// Members are the members that were listed lately and are not any more, or all of them, without those that the caller counts.
 	Members []member.Member `json:"members,omitempty"`
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -160,7 +160,7 @@
 	observeEra func(store.Era)
 	reopening  reopening
 	holdings   holdings
-	// endedLately records the processes that said that they end.
+	// endedLately records the processes that have announced their end.
 	endedLately recentTimes
 	// latePeers are the peers whose replies came too late since the last probes.
 	latePeers nameSet
--- a/prepaid/exposure.go
+++ b/prepaid/exposure.go
@@ -84,11 +84,11 @@
 	return b.witness.Limits(in.Lender, in.Term), nil
 }
 
-// handOverLimits sends the limits of lenders that have ended to another lender: if one of a lender's witnesses is missing after a
-// restoration of the store, nobody can tell what routers that have ended used.
+// handOverLimits sends the limits of lenders that have left to another lender: if those of one of a lender's witnesses are missing after a
+// restoration of the store, the use of routers that have ended is unknown.
 func (b *Budgets) handOverLimits(ctx context.Context) {
 	var sent sync.WaitGroup
-	for _, notice := range b.witness.Close(b.hasEnded) {
+	for _, notice := range b.witness.Close(b.hasLeft) {
 		sent.Go(func() { b.handOver(ctx, notice) })
 	}
 	sent.Wait()
@@ -108,7 +108,7 @@
 		b.log.Info().Str("lender", notice.Lender).Str("witness", m.ID).Strs("of", notice.Of).Msg("limits_handed_over")
 		return
 	}
-	b.log.Warn().Str("lender", notice.Lender).Msg("limits_not_handed_over") // they count as unknown
+	b.log.Warn().Str("lender", notice.Lender).Msg("limits_not_handed_over") // the lender's limits count as unknown
 }
 
 func (b *Budgets) sendLimits(ctx context.Context, witness string, notice settlement.Notice) error {
@@ -117,8 +117,8 @@
 	return b.endpoint.SendLimits(ctx, witness, notice)
 }
 
-// hasEnded reports whether a lender has left the list, was replaced or has announced its end.
-func (b *Budgets) hasEnded(id string) bool {
+// hasLeft reports whether a lender has left the list, was replaced or has announced its end.
+func (b *Budgets) hasLeft(id string) bool {
 	_, listed := b.members.Get(id)
 	return !listed || b.isDead(id) || b.endedLately.within(id, recentRetention)
 }
@@ -128,7 +128,7 @@
 	if b.storeOutage.ongoing() {
 		return // missing members cannot be detected without the store
 	}
-	b.witness.Forget(time.Now().Add(-limitsRetention), b.hasEnded)
+	b.witness.Forget(time.Now().Add(-limitsRetention), b.hasLeft)
 }
 
 // keepWitnesses appoints witnesses, replaces those that are gone, and sends them the limits that they do not have yet.
--- a/prepaid/reconcile.go
+++ b/prepaid/reconcile.go
@@ -142,8 +142,8 @@
 	return reply.ViewKnown && reply.ViewSince <= r.oldest
 }
 
-// askForMembers asks a process that has had the list of members since the pages were open for all that it knows, and asks
-// these as well: the store may lack them. If there is none, nobody knows who held tokens.
+// askForMembers asks a process that has had the list of members since the pages were open for all of them, and asks these as
+// well: the store may lack them. If there is none, the holders of tokens are unknown.
 func (b *Budgets) askForMembers(ctx context.Context, r *reconciliation) {
 	for id, reply := range r.replies {
 		if !r.knewMembers(reply) {
@@ -223,7 +223,7 @@
 }
 
 // addLimits adds the most that routers that have ended can have used of a lender's tokens, which is known to the lender's
-// witnesses. All of them have answered if no other lender has ended, or if as many as there can be know the last term.
+// witnesses. All of them have answered if no other lender has ended, or if as many as there can be have those of the last term.
 func (b *Budgets) addLimits(ctx context.Context, r *reconciliation, lender string, routers []string) {
 	running, ended := r.otherLenders(lender)
 	answers, ok := b.askWitnesses(ctx, r, lender, running)
@@ -257,7 +257,7 @@
 	return running, ended
 }
 
-// askWitnesses asks lenders for the limits of one that has ended, and returns the answers of those that know some. It fails if one does
+// askWitnesses asks lenders for the limits of one that has ended, and returns the answers of those that have some. It fails if one does
 // not answer.
 func (b *Budgets) askWitnesses(ctx context.Context, r *reconciliation, lender string, witnesses []string) (known []settlement.WitnessAnswer, ok bool) {
 	ok = true
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -258,7 +258,7 @@
 // announceTimeout bounds the messages of a process that ends.
 const announceTimeout = 100 * time.Millisecond
 
-// AnnounceEnd notifies others that this process ends, and hands over what it knows of lenders that have ended. It is called when
+// AnnounceEnd notifies others that this process ends, and hands over the limits of lenders that have left. It is called when
 // nothing is lent or spent any more.
 func (b *Budgets) AnnounceEnd(ctx context.Context) {
 	var handedOver sync.WaitGroup
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -44,7 +44,7 @@
 		faults = append(faults, f)
 	}
 	if slices.ContainsFunc(faults, func(f fault) bool { return f.endsAll }) {
-		// Where all processes end around a restoration nobody knows what was used, and all free tokens are forfeited: then the
+		// Where all processes end around a restoration the use is unknown, and all free tokens are forfeited: then the
 		// fleet must not serve as before.
 		faults = slices.DeleteFunc(faults, func(f fault) bool { return f.restores })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,8 +56,8 @@
 // regressionSeeds are seeds that failed before, each with a comment on the cause.
 var regressionSeeds = []uint64{
 	6309, // a stated limit outlived its upstream's incarnation: the entry named another start time than its reports
-	6407, // a lender and its witness stopped as planned before a restoration: nobody knew the lender's limits
-	6422, // a lender that had lent nothing was killed before a restoration: no witness knew it
+	6407, // a lender and its witness stopped as planned before a restoration: no process had the lender's limits
+	6422, // a lender that had lent nothing was killed before a restoration: it had no witness
 	6427, // a live lender that had withdrawn counted as replaced after a restoration
 }
 
