Settings: regions for lenders, and a section that says how work waits

Cause: two new customers. One has a fleet in three regions, the other bounds on bad versions; both lose most where work waits or is turned away. The parts that answer this need to know the regions in lenders too, and a switch each.

--- a/datacentre/datacentre.go
+++ b/datacentre/datacentre.go
@@ -43,6 +43,21 @@
 	return dc
 }
 
+// SpansRegions reports whether the data centres lie in more than one named region.
+func (t Topology) SpansRegions() bool {
+	first := ""
+	for _, r := range t.Regions {
+		if r != "" && first != "" && r != first {
+			return true
+		}
+		first = cmp.Or(first, r)
+	}
+	return false
+}
+
+// Region returns the region of a data centre.
+func (t Topology) Region(dc string) string { return t.region(dc) }
+
 // SortByDistance returns the VMs ordered by distance, and at equal distance by rendezvous hashing
 // of key, so that all processes of a data centre use the same VM for a key.
 func (t Topology) SortByDistance(key string, vms []vm.VM) []vm.VM {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -80,6 +80,8 @@
 	unreachable sync.Map
 	// notice is how long a stopping router still serves; 0 means the default.
 	notice time.Duration
+	// queueing makes work wait for room; see settings.Queueing.
+	queueing bool
 	// linkRate is the capacity of the routers' links in bytes/s; 0 means unlimited.
 	linkRate   int
 	storeConns sync.Map // numbers of the VMs by their net.Conn to the store
@@ -261,6 +263,7 @@
 		Admin: address(vm, adminPort), Link: address(vm, linkPort)}
 	s.Store.Address = storeAddress
 	s.Cold = settings.Cold{Overshoot: 1.5, Slack: 5}
+	s.Queueing.Enabled = &f.queueing
 	if f.notice > 0 {
 		s.Stop.Notice = settingsfleet.Duration(f.notice)
 	}
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -16,6 +16,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/relay"
+	"github.com/arbutusmill/arbutusmill/datacentre"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
 	"github.com/arbutusmill/arbutusmill/platform"
@@ -53,6 +54,8 @@
 	Role       string
 	VM         string
 	Datacentre string
+	// Regions maps each data centre to its region.
+	Regions map[string]string
 	// Link is the address (host:port) for control messages of other members.
 	Link string
 	// UpstreamAddress is the address of the upstream on the same VM, "" if there is none.
@@ -79,12 +82,14 @@
 type Base struct {
 	// Incarnation names this incarnation of the process.
 	Incarnation string
-	Log         zerolog.Logger
-	Network     Network
-	Store       *platform.Store
-	Members     *member.Group
-	Links       *link.Pool
-	Budgets     *prepaid.Budgets
+	// Topology tells how far the process is from each data centre.
+	Topology datacentre.Topology
+	Log      zerolog.Logger
+	Network  Network
+	Store    *platform.Store
+	Members  *member.Group
+	Links    *link.Pool
+	Budgets  *prepaid.Budgets
 	// Hub relays the store's changes to other processes; Follower follows relays.
 	Hub      *relay.Hub
 	Follower *relay.Follower
@@ -111,6 +116,7 @@
 func New(p Parts) *Base {
 	b := &Base{
 		Incarnation: p.VM + "/" + rand.Text()[:incarnationSuffixLen],
+		Topology:    datacentre.Topology{Local: p.Datacentre, Regions: p.Regions},
 		Network:     p.Network,
 		Admin:       &observe.Admin{},
 		methods:     p.Methods,
--- a/localfleet/fleet.go
+++ b/localfleet/fleet.go
@@ -181,7 +181,7 @@
 
 func (f *Fleet) lenderVM(dc, engine string) *vm {
 	s := settings.DefaultLender()
-	s.VM, s.Datacentre = dc+"-engine", dc
+	s.VM, s.Datacentre, s.Regions = dc+"-engine", dc, f.regions
 	s.Listen = settings.LenderListen{Admin: f.reservePort(), Link: f.reservePort()}
 	s.Store.Address, s.Upstream.Address = f.StoreAddress, engine
 	s.Stop.Grace = fleet.Duration(stopGrace)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -24,6 +24,7 @@
 	Upstreams Upstreams         `yaml:"upstreams"`
 	Cold      Cold              `yaml:"cold"`
 	Rollouts  Rollouts          `yaml:"rollouts"`
+	Queueing  Queueing          `yaml:"queueing"`
 	Limits    GatewayLimits     `yaml:"limits"`
 	Stop      Stop              `yaml:"stop"`
 }
--- a/settings/lender.go
+++ b/settings/lender.go
@@ -13,15 +13,18 @@
 // Lender holds the settings of a process that holds budgets on the VM of an upstream. The
 // platform fills them in from the template in deploy/.
 type Lender struct {
-	VM         string        `yaml:"vm"`
-	Datacentre string        `yaml:"datacentre"`
-	Listen     LenderListen  `yaml:"listen"`
-	Store      HostedStore   `yaml:"store"`
-	Log        Log           `yaml:"log"`
-	Budgets    HostedBudgets `yaml:"budgets"`
-	Upstream   LocalUpstream `yaml:"upstream"`
-	Limits     LenderLimits  `yaml:"limits"`
-	Stop       LenderStop    `yaml:"stop"`
+	VM         string `yaml:"vm"`
+	Datacentre string `yaml:"datacentre"`
+	// Regions maps each data centre to its region.
+	Regions  map[string]string `yaml:"regions"`
+	Listen   LenderListen      `yaml:"listen"`
+	Store    HostedStore       `yaml:"store"`
+	Log      Log               `yaml:"log"`
+	Budgets  HostedBudgets     `yaml:"budgets"`
+	Upstream LocalUpstream     `yaml:"upstream"`
+	Queueing Queueing          `yaml:"queueing"`
+	Limits   LenderLimits      `yaml:"limits"`
+	Stop     LenderStop        `yaml:"stop"`
 }
 
 // LenderListen holds the addresses (host:port) that a lender listens on.
