Routers: a crowded one hands callers over while others have capacity

Cause: the connections of a large team meet at one small VM. Ruled out: the outbound link (its estimated wait was 0 to 7 ms), the engines (idle), the balancer (it hashes callers, and open connections stay). Change: the wait of heartbeats, the share of work that lenders count and add to their replies, and a decision on both: not ready, reconnect, and the excess refused at once with Retry-After below 50 ms.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/arbutusmill/arbutusmill/rollout"
 )
@@ -30,3 +31,6 @@
 
 // OwnIncarnation returns the router's incarnation.
 func (g *Gateway) OwnIncarnation() string { return g.Incarnation }
+
+// ObserveHeartbeat records the round trip of a heartbeat to another process.
+func (g *Gateway) ObserveHeartbeat(took time.Duration) { g.Links.OnHeartbeat(took) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,9 @@
 	current  atomic.Pointer[settings.Gateway]
 	meter    linkMeter
 	lag      *admission.Lag
+	crowding admission.Crowding
+	// roundTrip is the wait of messages to other processes and their replies.
+	roundTrip admission.RoundTrip
 
 	catalog        catalog.Current
 	operatorReader *operatorReader
@@ -118,6 +121,7 @@
 		CanRelay: s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= minRelayMbps,
 		Network:  meteredNetwork(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
+	g.Links.OnHeartbeat = func(took time.Duration) { g.roundTrip.Observe(time.Now(), took) }
 	g.metrics = newMetrics(g)
 	g.prompts = newPromptGuard(g)
 	g.retryBudgets = &retryBudgets{rule: g.retryRule, share: g.fleetShare, onDecision: g.recordRetryDecision}
@@ -138,6 +142,7 @@
 		Versions:            g.rollouts,
 		HasLender:           g.lenders.hasLender,
 		ColdShare:           g.coldShare,
+		MeasureWork:         g.handsOver(),
 		Now:                 time.Now,
 	}
 	g.dispatcher = &serving.Dispatcher{
@@ -201,9 +206,9 @@
 
 // ready reports whether the balancer should send callers here. A router that lost its
 // connection to the store continues with its last copy; one that never read the store cannot serve.
-// A router with an overloaded link serves its present callers better if it gets no new ones.
+// A router with an overloaded link, or one that is crowded, serves its present callers better if it gets no new ones.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && !g.linkOverloaded() && g.catalog.Load() != nil && g.directory.Read() && g.rollouts.ready()
+	return !g.stopping.Load() && !g.linkOverloaded() && !g.crowding.Crowded(time.Now()) && g.catalog.Load() != nil && g.directory.Read() && g.rollouts.ready()
 }
 
 // linkOverloaded reports whether this VM's link has been overloaded for some time.
@@ -287,7 +292,7 @@
 	g.streams.start(tasks)
 	tasks.Go(g.fetchNewerConfig)
 	g.Start(tasks)
-	tasks.Every(lagPeriod, func(context.Context) { g.lag.Tick(time.Now()) })
+	tasks.Every(lagPeriod, func(context.Context) { g.tickLag(time.Now()) })
 	tasks.Every(expireInterval, func(context.Context) {
 		g.directory.Expire()
 		g.operatorReader.applyUncertain()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -359,8 +359,10 @@
 	body   string
 	// truncated reports whether the body was incomplete.
 	truncated bool
-	elapsed   time.Duration
-	err       error
+	// closes reports whether the router closes the connection.
+	closes  bool
+	elapsed time.Duration
+	err     error
 }
 
 // client returns a caller with its own connections.
@@ -402,7 +404,7 @@
 	}
 	defer func() { _ = httpResp.Body.Close() }()
 	body, err := io.ReadAll(httpResp.Body)
-	return response{status: httpResp.StatusCode, header: httpResp.Header, body: string(body), truncated: err != nil, elapsed: time.Since(start)}
+	return response{status: httpResp.StatusCode, header: httpResp.Header, body: string(body), truncated: err != nil, closes: httpResp.Close, elapsed: time.Since(start)}
 }
 
 // alert returns a request that must not run twice.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -28,7 +28,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	headers := platform.ReadCallerHeaders(req.Header)
 	h := requestHandler{gateway: g, headers: headers, arrived: time.Now()}
-	if g.stopping.Load() || g.linkOverloaded() {
+	if g.closesConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	if !g.beginRequest() {
@@ -38,7 +38,7 @@
 	defer g.endRequest()
 	refusal := h.resolve(req)
 	if refusal == nil {
-		refusal = h.admit(req)
+		refusal = h.admit(w, req)
 	}
 	if refusal == nil {
 		refusal = h.readBody(w, req)
@@ -119,13 +119,16 @@
 // admit refuses a request that no upstream would accept, and any request while work waits too
 // long for this VM's link or processor. It does so before the body is read; the caller's retry
 // reaches another router.
-func (h *requestHandler) admit(req *http.Request) *contract.Refusal {
+func (h *requestHandler) admit(w http.ResponseWriter, req *http.Request) *contract.Refusal {
 	if !h.gateway.pool.Serves(h.request) {
 		refusal := contract.Refuse(contract.NoUpstream, "no upstream of %s takes requests now", h.request.Service.Name)
 		refusal.Detail = fmt.Sprintf("drained data centres %v, allowed regions %v", h.gateway.directory.Drained(), h.request.Regions)
 		return refusal
 	}
 	link, cpu := h.gateway.meter.outbound.Delay(h.arrived), h.gateway.lag.Delay(h.arrived)
+	if refusal := h.sendElsewhere(w); refusal != nil {
+		return refusal
+	}
 	delay := max(link, cpu)
 	if admission.Admit(delay, h.request.Rank, req.ContentLength) {
 		return nil
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,7 @@
 	m.set.NewGauge("arbutusmill_gateway_prompts_that_end_upstreams", func() float64 {
 		return float64(len(g.prompts.registry.Restricted(time.Now())))
 	})
+	m.set.NewGauge("arbutusmill_gateway_work_ratio", func() float64 { return g.pool.WorkRatio() })
 	m.set.NewGauge("arbutusmill_gateway_routers", func() float64 {
 		n, _ := g.Members.Count(prepaid.RoleRouter)
 		return float64(n)
@@ -35,6 +36,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_refused_requests_total{kind=%q}", k)).Inc()
 }
 
+// sentElsewhere counts a request that was refused since another router can serve it in time.
+func (m *gatewayMetrics) sentElsewhere() {
+	m.set.GetOrCreateCounter("arbutusmill_gateway_requests_sent_elsewhere_total").Inc()
+}
+
 // retryDecided counts a decision on a retry of a request.
 func (m *gatewayMetrics) retryDecided(service string, allowed bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_repeats_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
--- a/link/link.go
+++ b/link/link.go
@@ -293,6 +293,8 @@
 	Log func(format string, args ...any)
 	// Dial opens a connection; nil means TCP. It is not used with TLS.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnHeartbeat, if set, is called with the time that each answered heartbeat took. It must not block.
+	OnHeartbeat func(took time.Duration)
 
 	mu     sync.Mutex
 	conns  map[string]*peerConn
@@ -418,7 +420,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxMissedHeartbeats*p.Heartbeat)
 	defer cancel()
-	return response.Wait(ctx, nil)
+	sent := time.Now()
+	err = response.Wait(ctx, nil)
+	if err == nil && p.OnHeartbeat != nil {
+		p.OnHeartbeat(time.Since(sent))
+	}
+	return err
 }
 
 // Close closes all connections and aborts those being opened. Later calls fail with ErrDown.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -35,6 +35,9 @@
 		}
 		if target, ok := p.beginAttempt(c, choice); ok {
 			c.notifyPreferred(choice)
+			if p.MeasureWork && c.r.Prompt > 0 {
+				p.work.record(p.Now(), c.enginePrompts)
+			}
 			c.reportLimited(&target.Incarnation)
 			return target, true
 		}
@@ -64,6 +67,9 @@
 	// admitted is set when the chosen upstream's lender has admitted the prompt, restarted when that lender
 	// knows another incarnation of the upstream.
 	admitted, restarted bool
+	// enginePrompts is the number of prompts that the chosen engine got from all routers in the last second, by its
+	// lender; 0 is unknown.
+	enginePrompts int
 	// limited counts the upstreams excluded by limits, denied those among them whose lender denied
 	// the prompt.
 	limited LimitedChoice
@@ -136,6 +142,7 @@
 			continue
 		}
 		c.admitted = answered
+		c.enginePrompts = reply.Prompts
 		if !answered || redirects == maxRedirects {
 			return choice, true
 		}
@@ -240,7 +247,7 @@
 func (p *Pool) announcement(r *serving.Request, u directory.Upstream, c placement.Choice) prefill.Announcement {
 	a := prefill.Announcement{Prompt: r.Prompt, Parts: r.Parts, Fetched: c.Fetched,
 		MaxPerSecond: p.Cold.MaxRequests(r.Service.Cold.PerSecond), Cold: p.cold(p.Now(), r, u),
-		Rank: r.Rank, Limit: p.currentLimit(u.Incarnation)}
+		Rank: r.Rank, Limit: p.currentLimit(u.Incarnation), CountPrompts: p.MeasureWork}
 	if rate, known := p.prefillRateOf(r.Service.Name).tokensPerMs(p.PrefillPerMs); known {
 		a.PrefillPerMs = rate
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -79,12 +79,17 @@
 	// ColdShare returns this router's share of maxRequests, the number of requests per second that a
 	// cold upstream can take. It applies to upstreams without a lender.
 	ColdShare func(upstream string, maxRequests int) int
+	// MeasureWork makes WorkRatio available.
+	MeasureWork bool
 	// Now returns the current time.
 	Now func() time.Time
 
 	mu     sync.Mutex
 	states map[directory.Incarnation]*state
 
+	// work is this router's share of the prompts of all routers.
+	work workRatio
+
 	// gaps and prefillRates are keyed by service.
 	gaps         sync.Map // string to *serviceGaps
 	prefillRates sync.Map // string to *prefillRate
--- a/prefill/engine.go
+++ b/prefill/engine.go
@@ -27,6 +27,8 @@
 	Rank int `json:"rank,omitempty"`
 	// Limit is the engine's limit of requests per second, as known to the router.
 	Limit ratelimit.State `json:"limit,omitzero"`
+	// CountPrompts asks for AnnounceReply.Prompts.
+	CountPrompts bool `json:"count,omitempty"`
 }
 
 // AnnounceReply is the reply of an engine's lender to an Announcement.
@@ -53,6 +55,9 @@
 	// to the lender, and RemoteTokens their number; 0 is none.
 	RemoteEngine directory.Incarnation `json:"elsewhere,omitzero"`
 	RemoteTokens int64                 `json:"elsewhere_tokens,omitempty"`
+	// Prompts is the number of prompts that all routers sent to the engine in the last second, this one included; 0
+	// unless the announcement asked for it.
+	Prompts int `json:"prompts,omitempty"`
 }
 
 // Engine models one engine for its lender, to which routers announce every prompt sent there.
@@ -70,6 +75,8 @@
 	// recentPrompts counts the prompts of the last second, complete since countingSince.
 	recentPrompts warmup.Window
 	countingSince time.Time
+	// allPrompts counts the prompts of the last second.
+	allPrompts warmup.Window
 	// coldReportedAt is when a router last considered the engine cold.
 	coldReportedAt time.Time
 	// limiter limits the prompts of all routers together to the rate that the engine states.
@@ -136,6 +143,10 @@
 		reply.RemoteEngine, reply.RemoteTokens = engine, tokens
 	}
 	e.cache.Add(a.Parts, e.cacheCapacity)
+	e.allPrompts.Count(now)
+	if a.CountPrompts {
+		reply.Prompts = e.allPrompts.Len(now)
+	}
 	e.mu.Unlock()
 	e.queue.ObserveRate(a.PrefillPerMs)
 	// A router that gets RemoteTokens has the engine fetch the parts from there.
@@ -213,6 +224,7 @@
 	if reply.StartUnixMS != e.startUnixMS {
 		return
 	}
+	e.allPrompts.Return()
 	e.limiter.Return(fullShare)
 	e.queue.Add(now, -reply.PrefillTokens)
 	e.cache.Forget(partsAfter(a.Parts, reply.Cached))
--- a/warmup/warmup.go
+++ b/warmup/warmup.go
@@ -65,6 +65,12 @@
 	w.times = append(w.times, now)
 }
 
+// Len returns the number of requests that were counted in the last second.
+func (w *Window) Len(now time.Time) int {
+	w.Trim(now)
+	return len(w.times)
+}
+
 // Return removes the newest request, which was sent elsewhere.
 func (w *Window) Return() {
 	if n := len(w.times); n > 0 {
