Budgets: requests wait for reserved tokens at the primary lender, in the order of their ranks

Cause: near the end of a budget all that is left is reserved, and most of it comes back within a second. A primary refused what came in that moment, a router kept the unused rest of a lot for a second, and requests of one router took each other's lots. Change: with settings.Queueing a primary keeps a bounded queue for each budget (coord/grant/queue.go, queued.go). Tokens that come back go to its first request; budget.lend carries rank and wait_ms, its refusal when reservations end. A lot is reserved for the request that it was lent for (claim.go). Lots of scarce budgets go back 20 ms after a request, and budget.cancel ends a request whose caller left. Off, decisions and messages are those of before. Tests pass: coord/grant, coord/settlement, coord/internal/lab, prepaid, link, lender, hosted, settings. Not run: gateway, soak, the race detector, the guards.

--- a/coord/grant/acquirer.go
+++ b/coord/grant/acquirer.go
@@ -15,6 +15,11 @@
 	// Exposer is required for holders with exposure limits.
 	Exposer Exposer
 	Now     func() time.Time
+	// Queueing makes peers' requests wait for tokens that are reserved, and reserves tokens that were obtained for a request
+	// for that request only.
+	Queueing bool
+	// OnWaited, if set, is called when a request has waited in the queue.
+	OnWaited func(WaitEnd)
 }
 
 // Acquire reserves n tokens of the budget. Its errors are ErrExhausted,
@@ -24,6 +29,9 @@
 	if err == nil || !errors.Is(err, ErrInsufficientTokens) {
 		return r, err
 	}
+	if q.Queueing && n > 0 {
+		return q.acquireClaimed(ctx, budget, n)
+	}
 	defer q.Holder.addWaiting(budget, n)()
 	return q.obtain(ctx, budget, n)
 }
@@ -32,6 +40,9 @@
 // need. It lends at least need or nothing: a peer that got less would have to ask other
 // peers, and the tokens would be missing here meanwhile.
 func (q *Acquirer) Lend(ctx context.Context, budget, id, borrower string, need, want int64) (Lot, error) {
+	if q.Queueing {
+		return q.lendQueued(ctx, budget, id, borrower, need, want)
+	}
 	for fetches := 0; ; {
 		l, err := q.Holder.lend(q.Now(), budget, id, borrower, need, need, want)
 		switch {
@@ -119,3 +130,55 @@
 	q.Holder.scheduleSync(budget)
 	return Reservation{}, refusal
 }
+
+// acquireClaimed reserves for the request what the holder has, and calls the granters in order for the rest; what they provide
+// is reserved for it at once. Refusals are those of obtain.
+func (q *Acquirer) acquireClaimed(ctx context.Context, budget string, n int64) (Reservation, error) {
+	c := &claim{budget: budget, need: n}
+	if err := q.Holder.extendClaim(q.Now(), c); err != nil {
+		return Reservation{}, err
+	}
+	defer q.Holder.addWaiting(budget, c.missing())()
+	err := q.obtainClaimed(withClaim(ctx, c), c)
+	if err == nil {
+		return q.Holder.completeClaim(q.Now(), c), nil
+	}
+	q.Holder.releaseClaim(q.Now(), c)
+	q.Holder.scheduleSync(budget)
+	return Reservation{}, err
+}
+
+// obtainClaimed calls the granters in order until the claim lacks nothing.
+func (q *Acquirer) obtainClaimed(ctx context.Context, c *claim) error {
+	for _, g := range q.Chain {
+		if q.Holder.shortage(q.Now(), c.budget, c.need).exhausted {
+			return Error.Wrap(ErrExhausted)
+		}
+		err := q.obtainFrom(ctx, g, c)
+		switch {
+		case err == nil, errors.Is(err, ErrNoBudget), errors.Is(err, ErrFenced), errors.Is(err, ErrExhausted):
+			return err
+		case errors.Is(err, ErrAllReserved):
+			q.Holder.noteReserved(c.budget)
+			return Error.Wrap(errors.Join(ErrUnreachable, err))
+		}
+	}
+	return Error.Wrap(ErrUnreachable)
+}
+
+// obtainFrom obtains what a claim lacks from one granter. Other requests may take tokens of the holder's own row before the
+// claim has them.
+func (q *Acquirer) obtainFrom(ctx context.Context, g Granter, c *claim) error {
+	for try := 1; ; try++ {
+		obtainErr := g.Obtain(ctx, c.budget, c.missing())
+		if err := q.Holder.extendClaim(q.Now(), c); err != nil || c.missing() <= 0 {
+			return err
+		}
+		if obtainErr != nil {
+			return obtainErr
+		}
+		if try == maxFetches {
+			return Error.Wrap(ErrInsufficientTokens)
+		}
+	}
+}
--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -64,6 +64,8 @@
 type Lot struct {
 	Part    Part  `json:"part"`
 	Through int64 `json:"through"`
+	// Scarce says that requests wait for tokens of the budget, or soon will: what is not used should be returned at once.
+	Scarce bool `json:"scarce,omitempty"`
 }
 
 // NewHolder returns an empty holder. The id must be unique to the incarnation.
@@ -197,6 +199,7 @@
 	if !h.minimalRows {
 		b.recordUse(now, min(used, r.Tokens()))
 	}
+	h.serveQueueLocked(now, b)
 }
 
 // settleLot settles a reservation's part from a borrowed lot.
@@ -317,6 +320,11 @@
 	Lent      int     `json:"lent"`
 	Through   int64   `json:"through"`
 	Demand    float64 `json:"demand_tokens_per_second"`
+	// Waiting is the number of peers' requests that wait for reserved tokens, LotMS how long lent lots stay open on average
+	// (ms). Scarce is set if lenders of the own lots have none left.
+	Waiting int   `json:"waiting_requests,omitempty"`
+	LotMS   int64 `json:"lot_ms,omitempty"`
+	Scarce  bool  `json:"scarce,omitempty"`
 }
 
 // State lists the local state of all budgets.
@@ -329,6 +337,7 @@
 			Budget: b.name, Granted: b.granted, Returned: b.returned, Settled: b.settled,
 			Reserved: b.reserved, Available: b.available(), Spendable: b.spendable(),
 			Lots: len(b.lots), Lent: len(b.lent), Through: b.through, Demand: b.currentDemand(now),
+			Waiting: len(b.waiters.waiters), LotMS: b.lotTime.Milliseconds(), Scarce: b.scarce,
 		})
 	}
 	return out
--- a/coord/grant/lenders_property_test.go
+++ b/coord/grant/lenders_property_test.go
@@ -47,6 +47,9 @@
 	// dead.
 	settleLenders bool
 	freed         int64
+	// queueing makes requests wait for reserved tokens; waiting holds those that wait.
+	queueing bool
+	waiting  waitingRequests
 	// witnesses store the lenders' exposure limits; nil disables them.
 	witnesses []*process
 	// delayed are duplicates of messages to witnesses, delivered later; guarded by mu.
@@ -149,7 +152,7 @@
 		}}
 	peers := &grant.PeerGranter{Holder: l.holder, Lender: l, Timeout: 100 * time.Millisecond, Now: time.Now,
 		Peers: func(string) []string { return []string{f.lenders[0].id, f.lenders[1].id} }}
-	l.acquirer = &grant.Acquirer{Holder: l.holder, Now: time.Now, Chain: []grant.Granter{peers, l}}
+	l.acquirer = &grant.Acquirer{Holder: l.holder, Now: time.Now, Chain: []grant.Granter{peers, l}, Queueing: f.queueing}
 	return l
 }
 
@@ -169,9 +172,10 @@
 		if p.fleet.settleLenders && lender.registry.Admit(ctx, p.id) != nil {
 			return grant.Lot{}, errLost
 		}
-		own := &grant.Acquirer{Holder: lender.holder, Now: time.Now, Chain: []grant.Granter{lender}, Exposer: &lender.exposure}
+		own := &grant.Acquirer{Holder: lender.holder, Now: time.Now, Chain: []grant.Granter{lender}, Exposer: &lender.exposure, Queueing: p.fleet.queueing}
 		lot, err := own.Lend(ctx, budget, id, p.id, need, want)
 		if p.fleet.loseAnswers {
+			p.fleet.cancelLost(lender, id, p.id)
 			return grant.Lot{}, errLost
 		}
 		return lot, err
--- a/coord/grant/localbudget.go
+++ b/coord/grant/localbudget.go
@@ -44,6 +44,9 @@
 	part          Part
 	borrower      string
 	sinceRevision int64
+	at            time.Time
+	// requestedAgain is set if the borrower repeated its request, and may have the lot.
+	requestedAgain bool
 }
 
 // localBudget is one holder's state of one budget, guarded by the Holder's lock.
@@ -65,6 +68,11 @@
 	lent           map[string]*lentLot // by request id
 	waitingAmounts []int64             // tokens that each waiting request needs
 	largestRecent  int64               // the largest recent reservation
+	waiters        lendQueue           // requests of peers that wait for reserved tokens
+	lastReserved   time.Time           // when a peer's request last found all tokens reserved
+	poolFree       int64               // what the page had free at the last sync
+	lotTime        time.Duration       // average time for which lent lots stay open; 0 is unknown
+	scarce         bool                // lenders of the own lots have none left
 
 	minimalRows    bool          // copy of Holder.minimalRows
 	demandWindow   time.Duration // time constant of demand
@@ -237,7 +245,7 @@
 
 // idle reports whether the budget has no open reservations, lots or waiting requests.
 func (b *localBudget) idle() bool {
-	return b.reserved == 0 && len(b.queue) == 0 && len(b.lots) == 0 && len(b.waitingAmounts) == 0
+	return b.reserved == 0 && len(b.queue) == 0 && len(b.lots) == 0 && len(b.waitingAmounts) == 0 && len(b.waiters.waiters) == 0
 }
 
 // ownRowIdle reports whether the holder's own row has no open reservations.
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -14,6 +14,10 @@
 func (h *Holder) lend(now time.Time, budget, id, borrower string, least, need, want int64) (Lot, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.lendNowLocked(now, budget, id, borrower, least, need, want)
+}
+
+func (h *Holder) lendNowLocked(now time.Time, budget, id, borrower string, least, need, want int64) (Lot, error) {
 	if h.fenced {
 		return Lot{}, Error.Wrap(ErrFenced)
 	}
@@ -30,6 +34,7 @@
 	b.largestRecent = max(need, b.largestRecent-b.largestRecent/largestRecentDecay)
 	b.lastUse = now
 	if have := b.lent[id]; have != nil {
+		have.requestedAgain = true
 		return Lot{Part: have.part, Through: b.durableThrough}, nil
 	}
 	lendable := h.lendableLocked(b, borrower)
@@ -44,42 +49,48 @@
 		b.recordUse(now, n)
 	}
 	b.exposureOf(borrower).addLot(now, n)
-	return h.lendLocked(b, id, borrower, n), nil
+	return h.lendLocked(now, b, id, borrower, n), nil
 }
 
-func (h *Holder) lendLocked(b *localBudget, id, borrower string, n int64) Lot {
+func (h *Holder) lendLocked(now time.Time, b *localBudget, id, borrower string, n int64) Lot {
 	h.seq++
 	b.reserve(h.seq, n, h.revision)
 	if b.lent == nil {
 		b.lent = map[string]*lentLot{}
 	}
 	p := Part{Holder: h.id, Seq: h.seq, Tokens: n}
-	b.lent[id] = &lentLot{part: p, borrower: borrower, sinceRevision: h.revision}
-	return Lot{Part: p, Through: b.durableThrough}
+	b.lent[id] = &lentLot{part: p, borrower: borrower, sinceRevision: h.revision, at: now}
+	return Lot{Part: p, Through: b.durableThrough, Scarce: b.isScarce(now)}
 }
 
 // Borrow adds a peer's lot. A lot that the holder already has is not added again.
 func (h *Holder) Borrow(now time.Time, budget string, l Lot) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.borrowLocked(now, budget, l)
+}
+
+// borrowLocked returns the budget of a lot, nil if the lot must not be used.
+func (h *Holder) borrowLocked(now time.Time, budget string, l Lot) *localBudget {
 	if _, closed := h.returns[l.Part]; closed || l.Part.Holder == h.id {
-		return
+		return nil
 	}
 	// An answer that arrives after Disown reported the lot as missing must not
 	// add it: the lender may already have spent it again.
 	if _, gone := h.disowned[l.Part]; gone {
-		return
+		return nil
 	}
 	if _, dead := h.excluded[l.Part.Holder]; dead {
-		return
+		return nil
 	}
 	b := h.budgetLocked(budget)
 	for _, have := range b.lots {
 		if have.Holder == l.Part.Holder && have.Seq == l.Part.Seq {
-			return
+			return b
 		}
 	}
 	b.lots = append(b.lots, &lot{Part: l.Part, through: l.Through, lastUse: now})
+	return b
 }
 
 // TakeBack settles a lot that this holder lent. Settling it again has no effect.
@@ -90,6 +101,16 @@
 	if b == nil {
 		return
 	}
+	for _, l := range b.lent {
+		if l.part.Seq == r.Seq {
+			b.recordLotTime(now.Sub(l.at))
+		}
+	}
+	h.takeBackLocked(now, b, r)
+	h.serveQueueLocked(now, b)
+}
+
+func (h *Holder) takeBackLocked(now time.Time, b *localBudget, r LotReturn) {
 	lentTokens := b.tokensOf(r.Seq)
 	if b.settle(r.Seq, r.Used) {
 		b.recordLotUse(now, lentTokens, r.Used)
@@ -105,14 +126,14 @@
 // TakeBackLost settles, as unused, a lot that its borrower never received.
 func (h *Holder) TakeBackLost(now time.Time, p Part) {
 	h.mu.Lock()
-	budget := ""
+	defer h.mu.Unlock()
 	for _, b := range h.budgets {
 		if b.find(p.Seq) >= 0 {
-			budget = b.name
+			h.takeBackLocked(now, b, LotReturn{Seq: p.Seq})
+			h.serveQueueLocked(now, b)
+			return
 		}
 	}
-	h.mu.Unlock()
-	h.TakeBack(now, LotReturn{Lender: h.id, Budget: budget, Seq: p.Seq})
 }
 
 // LentTo lists a borrower's open lots, for recovery after its death.
@@ -148,6 +169,10 @@
 	for _, b := range h.budgets {
 		b.lots = h.closeLotsLocked(b, idleSince)
 	}
+	return h.returnsLocked()
+}
+
+func (h *Holder) returnsLocked() []LotReturn {
 	out := make([]LotReturn, 0, len(h.returns))
 	for _, r := range h.returns {
 		out = append(out, r)
--- a/coord/grant/peergranter.go
+++ b/coord/grant/peergranter.go
@@ -20,7 +20,7 @@
 	Lender Lender
 	// Peers lists the peers to ask for the budget, in order.
 	Peers func(budget string) []string
-	// Timeout bounds one call.
+	// Timeout bounds one call, in addition to the time that the request may wait at the peer.
 	Timeout time.Duration
 	Now     func() time.Time
 
@@ -44,7 +44,7 @@
 			}
 			continue
 		}
-		g.Holder.Borrow(g.Now(), budget, l)
+		g.Holder.borrow(ctx, g.Now(), budget, l)
 		if shortfall -= l.Part.Tokens; shortfall <= 0 {
 			return nil
 		}
@@ -55,7 +55,7 @@
 }
 
 func (g *PeerGranter) ask(ctx context.Context, peer, budget string, need, want int64) (Lot, error) {
-	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, g.Timeout+UrgencyOf(ctx).Wait)
 	defer cancel()
 	id := fmt.Sprintf("%s/%d", g.Holder.ID(), g.ids.Add(1))
 	return g.Lender.Lend(ctx, peer, budget, id, need, want)
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -251,6 +251,7 @@
 	for _, c := range commits {
 		b := c.budget
 		b.lastSync, b.insufficient = now, c.insufficient
+		b.poolFree = c.view.Free - c.decision.Take + c.decision.Give
 		b.lowBackoff = min(max(t.LowBackoff, 2*b.lowBackoff), t.Rebalance)
 		if c.tookTokens {
 			b.lowBackoff = t.LowBackoff
@@ -258,6 +259,7 @@
 		b.nextSync = now.Add(t.Rebalance - h.syncOffset(b.name, t.Rebalance/4))
 		if c.exhausted {
 			b.exhaustedUntil = now.Add(t.ExhaustedBackoff)
+			h.refuseExhaustedLocked(b, c.view.Unspent)
 		}
 		if !wrote {
 			continue
@@ -269,6 +271,7 @@
 		b.granted = c.granted
 		b.durableThrough = c.row.Through
 		b.lastReport = now
+		h.serveQueueLocked(now, b)
 	}
 }
 
@@ -391,6 +394,7 @@
 	h.stopping = true
 	for _, b := range h.budgets {
 		b.nextSync = time.Time{}
+		h.refuseWaitingLocked(b, ErrInsufficientTokens)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 		Role:    prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Regions: s.Regions, Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.ConfiguredLimits{Catalog: &g.catalog},
 		Readers:  map[string]mirror.Reader{platform.OperatorPrefix: g.operatorReader, platform.UpstreamPrefix: g.directory},
+		Queueing: s.Queueing.On(s.Queueing.Budgets, s.Regions),
 		CanRelay: s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= minRelayMbps,
 		Network:  meteredNetwork(network, meter), Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -67,6 +67,8 @@
 	Readers map[string]mirror.Reader
 	// CanRelay is set if the VM has the resources to relay the store's changes.
 	CanRelay bool
+	// Queueing makes requests wait for tokens that are reserved.
+	Queueing bool
 	// OnRestored, if set, is called when the store was restored from an older copy. It must not block.
 	OnRestored func()
 	Store      settings.HostedStore
@@ -140,7 +142,7 @@
 	b.Links = &link.Pool{From: b.Incarnation, Security: internalSecurity, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
 		Log: b.Log.Printf, Dial: p.Network.Dial}
 	b.Budgets = prepaid.New(prepaid.Parts{Incarnation: b.Incarnation, Settings: p.Budgets, Store: b.Store, Members: b.Members, Era: b.Store.Era, ObserveEra: b.Store.ObserveEra,
-		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Log: b.Log})
+		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Queueing: p.Queueing, Metrics: b.Metrics, Log: b.Log})
 	return b
 }
 
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -71,7 +71,8 @@
 		Role: prepaid.RoleLender, VM: s.VM, Datacentre: s.Datacentre, Regions: s.Regions, Link: s.Listen.Link, UpstreamAddress: s.Upstream.Address, CanRelay: true,
 		Methods: methods, OnRestored: l.prompts.storeRestored,
 		Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.ReportedLimits{},
-		Network: network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
+		Queueing: s.Queueing.On(s.Queueing.Budgets, s.Regions),
+		Network:  network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
 	l.prompts.store, l.prompts.recordUnreadable, l.prompts.log = l.Store, l.RecordUnreadable, l.Log
 	l.current.Store(s)
--- a/lending/lending.go
+++ b/lending/lending.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
@@ -40,16 +41,18 @@
 // Methods returns the handlers of messages from other processes.
 func (e *Endpoint) Methods() map[string]link.Handler {
 	return map[string]link.Handler{
-		link.MethodLend:     link.Handle(e.lend),
-		link.MethodReturn:   link.Handle(e.takeBack),
-		link.MethodDisown:   link.Handle(e.disown),
-		link.MethodBorrowed: link.Handle(e.borrowed),
+		link.MethodLend:       link.Handle(e.lend),
+		link.MethodCancelLend: link.Handle(e.cancelLend),
+		link.MethodReturn:     link.Handle(e.takeBack),
+		link.MethodDisown:     link.Handle(e.disown),
+		link.MethodBorrowed:   link.Handle(e.borrowed),
 	}
 }
 
 func (e *Endpoint) lend(ctx context.Context, in link.LendRequest) (grant.Lot, error) {
 	if e.Acquirer != nil {
-		ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+		u := urgencyOf(in)
+		ctx, cancel := context.WithTimeout(grant.WithUrgency(ctx, u), e.Timeout+u.Wait)
 		defer cancel()
 		return e.Acquirer.Lend(ctx, in.Budget, in.ID, in.Borrower, in.Need, in.Want)
 	}
@@ -132,11 +135,16 @@
 		return grant.Lot{}, link.Error.Wrap(link.ErrDown)
 	}
 	in := link.LendRequest{Borrower: e.Holder.ID(), Budget: budget, ID: id, Need: need, Want: want}
+	u := grant.UrgencyOf(ctx)
+	in.Rank, in.WaitMS = u.Rank, u.Wait.Milliseconds()
 	if e.Limit != nil {
 		in.Version, in.Limit = e.Limit(budget)
 	}
 	var out grant.Lot
 	err := e.Links.Call(ctx, addr, link.MethodLend, in, &out)
+	if u.Wait > 0 && errors.Is(err, link.ErrDown) {
+		go e.sendCancel(context.WithoutCancel(ctx), addr, in)
+	}
 	return out, err
 }
 
@@ -153,17 +161,8 @@
 // ReturnLots settles the lots that were not used for the idle time with their lenders, with
 // one message to each lender. Lots whose message fails are sent again by the next call.
 func (e *Endpoint) ReturnLots(ctx context.Context, idle time.Duration) {
-	byLender := map[string][]grant.LotReturn{}
-	for _, r := range e.Holder.CloseLots(e.Now().Add(-idle)) {
-		byLender[r.Lender] = append(byLender[r.Lender], r)
-	}
-	for lender, lots := range byLender {
-		if e.call(ctx, lender, link.MethodReturn, link.ReturnRequest{Lots: lots}, nil) != nil {
-			continue // sent again by the next call
-		}
-		for _, r := range lots {
-			e.Holder.Acknowledge(r)
-		}
+	for lender, lots := range byLender(e.Holder.CloseLots(e.Now().Add(-idle))) {
+		e.returnTo(ctx, lender, lots)
 	}
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -261,7 +261,11 @@
 	}
 	for _, c := range codes {
 		if errors.Is(err, c.err) {
-			return &jsonrpc2.Error{Code: c.code, Message: err.Error()}
+			out := &jsonrpc2.Error{Code: c.code, Message: err.Error()}
+			if d := grant.RetryAfter(err); d > 0 {
+				out.SetError(reservedData{RetryAfterMS: d.Milliseconds()})
+			}
+			return out
 		}
 	}
 	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
@@ -274,12 +278,22 @@
 	}
 	for _, c := range codes {
 		if rpc.Code == c.code {
-			return Error.Wrap(c.err)
+			return Error.Wrap(withData(c.err, rpc.Data))
 		}
 	}
 	return Error.Wrap(rpc)
 }
 
+// withData returns an error with the data that was sent with it. Data that cannot be decoded is ignored: the error says
+// enough.
+func withData(err error, data *json.RawMessage) error {
+	var d reservedData
+	if !errors.Is(err, grant.ErrAllReserved) || data == nil || json.Unmarshal(*data, &d) != nil || d.RetryAfterMS <= 0 {
+		return err
+	}
+	return &grant.ReservedError{RetryAfter: time.Duration(d.RetryAfterMS) * time.Millisecond}
+}
+
 // Pool holds one connection to each process that was called.
 type Pool struct {
 	// From is this process's incarnation.
--- a/link/messages.go
+++ b/link/messages.go
@@ -17,6 +17,8 @@
 const (
 	// MethodLend requests a lot: LendRequest, grant.Lot.
 	MethodLend = "budget.lend"
+	// MethodCancelLend ends a request for a lot whose caller is gone: CancelLendRequest, Empty.
+	MethodCancelLend = "budget.cancel"
 	// MethodReturn settles lots: ReturnRequest, Empty.
 	MethodReturn = "budget.return"
 	// MethodDisown asks which lots the other side does not have: DisownRequest, DisownReply.
@@ -207,6 +209,23 @@
 	// are 0 where the lender reads the configuration itself.
 	Limit   int64 `json:"limit,omitempty"`
 	Version int64 `json:"version,omitempty"`
+	// Rank is the request's priority, and WaitMS how long it may wait (ms) while all that is left is reserved. Processes
+	// without these fields send none and are answered at once.
+	Rank   int   `json:"rank,omitempty"`
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
+
+// CancelLendRequest ends a LendRequest whose reply is not used.
+type CancelLendRequest struct {
+	Borrower string `json:"borrower"`
+	Budget   string `json:"budget"`
+	// ID is that of the LendRequest.
+	ID string `json:"id"`
+}
+
+// reservedData is sent with grant.ErrAllReserved.
+type reservedData struct {
+	RetryAfterMS int64 `json:"retry_after_ms"`
 }
 
 // ReturnRequest settles lots of one lender.
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
@@ -162,6 +163,10 @@
 	holdings   holdings
 	// endedLately records the processes that have announced their end.
 	endedLately recentTimes
+	// queueing makes requests wait for reserved tokens. scarceLots has an element when returnScarceLots is due.
+	queueing   bool
+	scarceLots chan struct{}
+	metrics    *metrics.Set
 	// latePeers are the peers whose replies came too late since the last probes.
 	latePeers nameSet
 }
@@ -182,7 +187,11 @@
 	// LendsOnly is set if the process spends no tokens itself, so that it can be settled
 	// from its borrowers' reports when it dies.
 	LendsOnly bool
-	Log       zerolog.Logger
+	// Queueing makes requests wait for tokens that are reserved, in the order of their ranks.
+	Queueing bool
+	// Metrics receives the counters of waiting requests; it may be nil.
+	Metrics *metrics.Set
+	Log     zerolog.Logger
 }
 
 // New returns the budgets of a process; it makes no calls to other processes.
@@ -196,6 +205,10 @@
 		wait:    time.Duration(s.Wait),
 		log:     p.Log,
 		era:     p.Era, observeEra: p.ObserveEra,
+		queueing: p.Queueing, scarceLots: make(chan struct{}, 1), metrics: p.Metrics,
+	}
+	if b.metrics == nil {
+		b.metrics = metrics.NewSet()
 	}
 	if b.era == nil {
 		b.era, b.observeEra = func() store.Era { return 0 }, func(store.Era) {}
@@ -224,11 +237,16 @@
 	}
 	b.endpoint = &lending.Endpoint{
 		Holder: b.holder, Links: p.Links, Address: b.addressOf, Timeout: time.Duration(s.PeerWait), Now: time.Now,
-		Limit:    p.Limits.Get,
-		Acquirer: &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}, Exposer: b.exposure},
+		Limit: p.Limits.Get,
+		Acquirer: &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}, Exposer: b.exposure,
+			Queueing: b.queueing, OnWaited: b.recordWait},
 	}
 	peers := &grant.PeerGranter{Holder: b.holder, Lender: b, Peers: b.lendersFor, Timeout: time.Duration(s.PeerWait), Now: time.Now}
 	b.acquirer = &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{peers, b}}
+	b.acquirer.Queueing = b.queueing
+	if b.queueing {
+		b.metrics.NewGauge("arbutusmill_budget_waiting_requests", func() float64 { return float64(b.holder.WaitingRequests()) })
+	}
 	return b
 }
 
@@ -243,6 +261,7 @@
 	tasks.Every(settleInterval, b.settleDeadLenders)
 	tasks.Every(settleInterval, b.admitNewRouters)
 	b.startExposure(tasks.Every)
+	b.startQueueing(tasks)
 }
 
 // State returns the tokens that the process holds, for dumps.
@@ -254,16 +273,24 @@
 	if maxTokens == 0 || r.Prepaid == 0 {
 		return func(int64) {}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, b.wait)
+	var u grant.Urgency
+	if b.queueing {
+		u = urgency(time.Now(), r)
+	}
+	ctx, cancel := context.WithTimeout(grant.WithUrgency(ctx, u), b.wait+u.Wait)
 	defer cancel()
 	trace := &grant.Trace{}
 	res, err := b.acquirer.Acquire(grant.WithTrace(ctx, trace), r.Team, maxTokens)
 	if err != nil {
+		b.requestEnded(r.Team)
 		refusal := budgetRefusal(r.Team, maxTokens, err)
 		refusal.Detail = trace.String()
 		return nil, refusal
 	}
-	return func(used int64) { b.holder.Settle(time.Now(), res, used) }, nil
+	return func(used int64) {
+		b.holder.Settle(time.Now(), res, used)
+		b.requestEnded(r.Team)
+	}, nil
 }
 
 func budgetRefusal(team string, maxTokens int64, err error) *contract.Refusal {
@@ -273,5 +300,9 @@
 	case errors.Is(err, grant.ErrFenced):
 		return contract.Refuse(contract.Fenced, "this router was replaced")
 	}
-	return contract.Refuse(contract.BudgetUnreachable, "the tokens of %s cannot be reached now", team)
+	refusal := contract.Refuse(contract.BudgetUnreachable, "the tokens of %s cannot be reached now", team)
+	if d := grant.RetryAfter(err); d > 0 {
+		return refusal.WithRetryAfter(min(max(d, minRetryAfter), maxRetryAfter))
+	}
+	return refusal
 }
