Budgets: a primary lender in each region

Cause: each page of accounts has one primary in the whole fleet. In three regions two of three requests for tokens cross a region, and a region that is cut off has no primary for most teams.

Ruled out on paper (docs/design/regional-budgets.md): larger lots of one primary, and regional lenders that lend on from lots.

Change: with several regions in the settings the lender of a region that ranks first for a page takes grants from the page itself; routers ask it first, then the next of their region, then the primaries of others. Primaries send each other written pages. Witnesses lie in two regions.

Before and after: not measured in a fleet.

Conclusion: a first working state.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -27,6 +27,8 @@
 	Store  store.Store
 	Layout account.Layout
 	Timing Timing
+	// TimingOf, if set, returns the timing of one page in place of Timing.
+	TimingOf func(key string) Timing
 	// Timeout bounds how long one request waits for the store. It must leave time for
 	// peers: an unreachable store is tried until the bound, and a request that spent all
 	// its time there would be refused although a peer has tokens.
@@ -45,6 +47,8 @@
 	OnTransfer func(d Decision, v View)
 	// OnTake, if set, is called after tokens were taken from a page and before they are used, with the holder's rows of these budgets.
 	OnTake func(ctx context.Context, key string, rows map[string]account.Confirmation)
+	// OnWrite, if set, is called with each page that was written. It must not block.
+	OnWrite func(page store.Item)
 	// OnExhausted, if set, is called when a budget has too little left for any of the waiting requests.
 	OnExhausted func(v View)
 	// OnSyncEnd, if set, is called with the duration and the error of each sync.
@@ -67,6 +71,8 @@
 	mu        sync.Mutex
 	syncCalls map[string]*syncCall
 	pageCache map[string]cachedPage
+	// plannedRevisions are the newest revisions that the holder has planned on, by page.
+	plannedRevisions map[string]store.Revision
 }
 
 // cachedPage is a page as last read or written.
@@ -221,7 +227,8 @@
 // insufficient is true for a page that is not fresh, the caller must read it again.
 func (g *StoreGranter) apply(ctx context.Context, key string, known store.Item, fresh bool) (insufficient bool, err error) {
 	var commits []commit
-	var write bool
+	var write, prepared bool
+	timing := g.timing(key)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	bounded := &boundedStore{Store: g.Store, callTimeout: cmp.Or(g.CallTimeout, g.Timeout), cancelSync: cancel}
@@ -233,8 +240,9 @@
 		if page.Closed(max(old.Revision.Era(), g.era())) {
 			return nil, Error.Wrap(ErrPageClosed)
 		}
-		prepared := g.Prepare != nil && g.Prepare(key, page)
-		commits, write, err = g.Holder.plan(g.Now(), g.Timing, key, old.Revision, page)
+		g.recordPlanned(key, old.Revision)
+		prepared = g.Prepare != nil && g.Prepare(key, page)
+		commits, write, err = g.Holder.plan(g.Now(), timing, key, old.Revision, page)
 		if err != nil {
 			return nil, err
 		}
@@ -249,7 +257,11 @@
 	if err != nil {
 		return false, err
 	}
+	g.recordPlanned(key, item.Revision)
 	g.cachePage(key, item, known.Revision == item.Revision)
+	if (write || prepared) && g.OnWrite != nil {
+		g.OnWrite(item)
+	}
 	for _, c := range commits {
 		insufficient = insufficient || c.insufficient
 		if c.exhausted && fresh && g.OnExhausted != nil {
@@ -267,11 +279,47 @@
 		g.OnTake(ctx, key, took)
 	}
 	if fresh || !insufficient || write {
-		g.Holder.commit(g.Now(), g.Timing, item.Revision, commits, write)
+		g.Holder.commit(g.Now(), timing, item.Revision, commits, write)
 	}
 	return insufficient, nil
 }
 
+func (g *StoreGranter) timing(key string) Timing {
+	if g.TimingOf == nil {
+		return g.Timing
+	}
+	return g.TimingOf(key)
+}
+
+// recordPlanned records that the holder has planned on a page at a revision.
+func (g *StoreGranter) recordPlanned(key string, rev store.Revision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.plannedRevisions == nil {
+		g.plannedRevisions = map[string]store.Revision{}
+	}
+	g.plannedRevisions[key] = max(g.plannedRevisions[key], rev)
+}
+
+// ObservePage caches a page that another holder wrote, so that the next sync neither reads it nor
+// conflicts with that write. It counts as not fresh: only a page that this process read or wrote itself
+// proves a shortfall. One that is older than what this process planned on is ignored: the holder would
+// miss grants of its own in it and count itself as fenced.
+func (g *StoreGranter) ObservePage(item store.Item) {
+	if g.PageCacheTTL == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if max(g.plannedRevisions[item.Key], g.pageCache[item.Key].item.Revision) >= item.Revision {
+		return
+	}
+	if g.pageCache == nil {
+		g.pageCache = map[string]cachedPage{}
+	}
+	g.pageCache[item.Key] = cachedPage{item: item, readAt: g.Now().Add(-g.MaxFreshAge)}
+}
+
 // lookupPage returns the cached page, with revision 0 if there is none, and whether it is
 // fresh.
 func (g *StoreGranter) lookupPage(key string) (item store.Item, fresh bool) {
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -51,6 +51,8 @@
 	// Slack is the tolerated deviation from the target (0..1). When the page is written for
 	// another budget, all of its budgets are brought to their targets.
 	Slack float64
+	// Regional is set if the lenders lie in several regions.
+	Regional *RegionalPolicy
 }
 
 // Role is a holder's role for a budget.
@@ -64,6 +66,9 @@
 	RoleStandby
 	// RoleBorrower takes only what its requests wait for and gives the rest back at once.
 	RoleBorrower
+	// RoleRegional is the primary lender of one region, beside those of other regions. The page's
+	// first lender of all regions has RolePrimary.
+	RoleRegional
 )
 
 // Decide implements Policy.
@@ -114,10 +119,13 @@
 		return int64(v.Demand * p.StandbyHorizon.Seconds())
 	}
 	wanted := v.Demand*p.Horizon.Seconds() + p.LargestRequests*float64(v.LargestRecent)
-	rest := float64(v.Unspent)
-	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit)))
+	if p.Regional != nil && p.Regional.isNeededElsewhere(v) {
+		wanted = v.Demand * p.Regional.KeptHorizon.Seconds()
+	}
+	rest, share := float64(v.Unspent), p.Regional.shareOf(v)
+	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit))) * share
 	if p.MaxLoss > 0 && !p.StoreDegraded() {
-		bound = min(bound, max(p.MaxLoss*rest, float64(v.LargestRecent)))
+		bound = min(bound, max(p.MaxLoss*rest*share, float64(v.LargestRecent)))
 	}
 	return int64(min(wanted, bound))
 }
@@ -134,7 +142,7 @@
 
 // LowWater implements Policy.
 func (p HorizonPolicy) LowWater(budget string, demand float64, largestRecent int64) int64 {
-	if p.role(budget) != RolePrimary {
+	if role := p.role(budget); role != RolePrimary && role != RoleRegional {
 		return 0
 	}
 	return int64(demand*p.Horizon.Seconds()*(1-p.Slack)) + largestRecent
--- a/coord/grant/lenders_property_test.go
+++ b/coord/grant/lenders_property_test.go
@@ -52,6 +52,8 @@
 	// delayed are duplicates of messages to witnesses, delivered later; guarded by mu.
 	delayed []func()
 	mu      sync.Mutex
+	// regions is set if each lender is the primary of a region of its own.
+	regions *lenderRegions
 	// freedByWitnesses is what was freed although a borrower died with its lender.
 	freedByWitnesses int64
 }
@@ -128,10 +130,14 @@
 		if f.lenders[0] == l {
 			return grant.RolePrimary
 		}
+		if f.regions != nil {
+			return grant.RoleRegional
+		}
 		return grant.RoleStandby
 	}
 	l.holder = grant.NewHolder(l.id, f.layout, grant.HorizonPolicy{Horizon: 4 * time.Second, StandbyHorizon: 2 * time.Second,
-		LargestRequests: 1, Share: 0.9, Slack: 0.25, Role: role, UsingStore: func(string) bool { return l.usingStore }})
+		LargestRequests: 1, Share: 0.9, Slack: 0.25, Role: role, UsingStore: func(string) bool { return l.usingStore },
+		Regional: f.regions.policy()})
 	l.exposure.Holder = l.holder
 	l.holder.SetDemandWindow(10 * time.Second)
 	l.holder.UseMinimalRows(func(id string) bool { return f.dead[id] })
@@ -149,6 +155,7 @@
 		}}
 	peers := &grant.PeerGranter{Holder: l.holder, Lender: l, Timeout: 100 * time.Millisecond, Now: time.Now,
 		Peers: func(string) []string { return []string{f.lenders[0].id, f.lenders[1].id} }}
+	f.regions.use(l, peers)
 	l.acquirer = &grant.Acquirer{Holder: l.holder, Now: time.Now, Chain: []grant.Granter{peers, l}}
 	return l
 }
--- a/coord/grant/peergranter.go
+++ b/coord/grant/peergranter.go
@@ -20,6 +20,9 @@
 	Lender Lender
 	// Peers lists the peers to ask for the budget, in order.
 	Peers func(budget string) []string
+	// OtherRegions, if set, lists the peers of each other region to ask, nearest first. A peer that has
+	// checked the whole budget then answers only for the tokens that its own region can reach.
+	OtherRegions func(budget string) [][]string
 	// Timeout bounds one call.
 	Timeout time.Duration
 	Now     func() time.Time
@@ -27,31 +30,66 @@
 	ids atomic.Int64
 }
 
+// peerSearch is the search for tokens of one request.
+type peerSearch struct {
+	budget    string
+	shortfall int64
+	want      int64
+	// refusal is the result if no peer lends.
+	refusal error
+}
+
 // Obtain implements Granter.
 func (g *PeerGranter) Obtain(ctx context.Context, budget string, shortfall int64) error {
-	want := g.Holder.wantedLotSize(g.Now(), budget)
-	refusal := Error.Wrap(ErrInsufficientTokens)
-	for _, peer := range g.Peers(budget) {
+	s := &peerSearch{budget: budget, shortfall: shortfall, want: g.Holder.wantedLotSize(g.Now(), budget), refusal: Error.Wrap(ErrInsufficientTokens)}
+	var others [][]string
+	if g.OtherRegions != nil {
+		others = g.OtherRegions(budget)
+	}
+	checked, ended, err := g.askRegion(ctx, s, g.Peers(budget))
+	if ended || checked && len(others) == 0 {
+		return err
+	}
+	allReserved := checked
+	for _, peers := range others {
+		if checked, ended, err = g.askRegion(ctx, s, peers); ended {
+			return err
+		}
+		allReserved = allReserved || checked
+	}
+	// The borrowed lots do not suffice; they go back with the next returns.
+	g.Holder.ReleaseLots(budget)
+	if allReserved {
+		// One of them has checked the page: the store has nothing more.
+		return Error.Wrap(ErrAllReserved)
+	}
+	return s.refusal
+}
+
+// askRegion asks the peers of one region in order, until one of them has checked the page. ended is
+// set once the whole search has its result.
+func (g *PeerGranter) askRegion(ctx context.Context, s *peerSearch, peers []string) (checked, ended bool, err error) {
+	for _, peer := range peers {
 		began := g.Now()
-		l, err := g.ask(ctx, peer, budget, shortfall, want)
+		l, err := g.ask(ctx, peer, s.budget, s.shortfall, s.want)
 		NoteAsked(ctx, peer, g.Now().Sub(began), err)
-		if errors.Is(err, ErrExhausted) || errors.Is(err, ErrNoBudget) || errors.Is(err, ErrAllReserved) {
-			return err // the peer has just checked the whole budget
-		}
-		if err != nil {
+		switch {
+		case errors.Is(err, ErrExhausted) || errors.Is(err, ErrNoBudget):
+			return true, true, err // the peer has just checked the whole budget
+		case errors.Is(err, ErrAllReserved):
+			return true, false, err
+		case err != nil:
 			if !errors.Is(err, ErrInsufficientTokens) {
-				refusal = Error.Wrap(ErrUnreachable)
+				s.refusal = Error.Wrap(ErrUnreachable)
 			}
 			continue
 		}
-		g.Holder.Borrow(g.Now(), budget, l)
-		if shortfall -= l.Part.Tokens; shortfall <= 0 {
-			return nil
+		g.Holder.Borrow(g.Now(), s.budget, l)
+		if s.shortfall -= l.Part.Tokens; s.shortfall <= 0 {
+			return false, true, nil
 		}
 	}
-	// The borrowed lots do not suffice; they go back with the next returns.
-	g.Holder.ReleaseLots(budget)
-	return refusal
+	return false, false, nil
 }
 
 func (g *PeerGranter) ask(ctx context.Context, peer, budget string, need, want int64) (Lot, error) {
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -140,7 +140,7 @@
 	b.Links = &link.Pool{From: b.Incarnation, Security: internalSecurity, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
 		Log: b.Log.Printf, Dial: p.Network.Dial}
 	b.Budgets = prepaid.New(prepaid.Parts{Incarnation: b.Incarnation, Settings: p.Budgets, Store: b.Store, Members: b.Members, Era: b.Store.Era, ObserveEra: b.Store.ObserveEra,
-		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Log: b.Log})
+		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Topology: b.Topology, Metrics: b.Metrics, Log: b.Log})
 	return b
 }
 
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -99,8 +99,10 @@
 	Incarnation string `json:"life"`
 	Withdrawn   bool   `json:"aside"`
 	Budgets     any    `json:"budgets"`
-	Engine      any    `json:"engine"`
-	Members     any    `json:"members"`
+	// Regions are the primaries of each page of budgets by region, in a fleet of several regions.
+	Regions any `json:"regions,omitempty"`
+	Engine  any `json:"engine"`
+	Members any `json:"members"`
 	// Followed is the relay that the process follows, Relay what it relays to others.
 	Followed any `json:"followed"`
 	Relay    any `json:"relay"`
@@ -109,7 +111,7 @@
 }
 
 func (l *Lender) dump() any {
-	return state{Incarnation: l.Incarnation, Withdrawn: l.Members.Withdrawn(), Engine: l.engine.State(time.Now()), Budgets: l.Budgets.State(), Members: l.Members.Members(),
+	return state{Incarnation: l.Incarnation, Withdrawn: l.Members.Withdrawn(), Engine: l.engine.State(time.Now()), Budgets: l.Budgets.State(), Regions: l.Budgets.Regions(), Members: l.Members.Members(),
 		Followed: l.Follower.State(), Relay: l.Hub.State(), Prompts: l.prompts.registry.List(time.Now())}
 }
 
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -3,16 +3,19 @@
 package prepaid
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/datacentre"
 	"github.com/arbutusmill/arbutusmill/lending"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/serving"
@@ -115,7 +118,8 @@
 // the lenders, or among the routers where there are no lenders. The primary takes grants
 // from the store and reports use; all others borrow from it for each request. So one
 // process holds a budget's tokens whatever the number of routers, a page has one writer,
-// and while the store is unreachable routers still reach the primary.
+// and while the store is unreachable routers still reach the primary. If the settings name several
+// regions, each region has a primary.
 type Budgets struct {
 	holder   *grant.Holder
 	pages    *grant.StoreGranter
@@ -162,6 +166,15 @@
 	holdings   holdings
 	// endedLately records the processes that have announced their end.
 	endedLately recentTimes
+	// regions are the lenders by region. lacking records when a lender of this region could not lend to another one, by
+	// budget; returned when its tokens were last returned for that reason.
+	regions           regionSet
+	lacking, returned recentTimes
+	// pageNotices are written pages to send to other regions, noticedPages the pages that others have sent.
+	pageNotices   pageNotices
+	noticedPages  nameSet
+	regionalLends regionalLends
+	metrics       *metrics.Set
 	// latePeers are the peers whose replies came too late since the last probes.
 	latePeers nameSet
 }
@@ -182,7 +195,11 @@
 	// LendsOnly is set if the process spends no tokens itself, so that it can be settled
 	// from its borrowers' reports when it dies.
 	LendsOnly bool
-	Log       zerolog.Logger
+	// Topology names the regions of the fleet's data centres.
+	Topology datacentre.Topology
+	// Metrics receives the counters; nil stands for a set of its own.
+	Metrics *metrics.Set
+	Log     zerolog.Logger
 }
 
 // New returns the budgets of a process; it makes no calls to other processes.
@@ -196,6 +213,7 @@
 		wait:    time.Duration(s.Wait),
 		log:     p.Log,
 		era:     p.Era, observeEra: p.ObserveEra,
+		regions: newRegionSet(p.Topology, p.Members), metrics: cmp.Or(p.Metrics, metrics.NewSet()), pageNotices: newPageNotices(),
 	}
 	if b.era == nil {
 		b.era, b.observeEra = func() store.Era { return 0 }, func(store.Era) {}
@@ -203,6 +221,7 @@
 	b.holder = grant.NewHolder(p.Incarnation, b.layout, grant.HorizonPolicy{
 		Horizon: time.Duration(s.Horizon), LargestRequests: largestRequests, Share: maxHeldShare, Slack: heldSlack,
 		MaxLoss: s.MaxLoss, StoreDegraded: b.storeDegraded, Refill: refillStep, Recovering: b.recovering, Role: b.role, StandbyHorizon: standbyHorizon, UsingStore: b.storeRequests.has,
+		Regional: b.regionalPolicy(),
 	})
 	b.witness.ID = p.Incarnation
 	b.holder.SetDemandWindow(time.Duration(s.DemandWindow))
@@ -215,6 +234,7 @@
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			RemoveIdleAfter: removeIdleAfter, ExhaustedBackoff: exhaustedBackoff, LowBackoff: lowBackoff},
 	}
+	b.useRegions()
 	if !p.LendsOnly {
 		b.pages.OnTake = b.announceHoldings
 	}
@@ -228,6 +248,9 @@
 		Acquirer: &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{b}, Exposer: b.exposure},
 	}
 	peers := &grant.PeerGranter{Holder: b.holder, Lender: b, Peers: b.lendersFor, Timeout: time.Duration(s.PeerWait), Now: time.Now}
+	if b.regions.several {
+		peers.OtherRegions = b.lendersElsewhere
+	}
 	b.acquirer = &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{peers, b}}
 	return b
 }
@@ -243,6 +266,7 @@
 	tasks.Every(settleInterval, b.settleDeadLenders)
 	tasks.Every(settleInterval, b.admitNewRouters)
 	b.startExposure(tasks.Every)
+	b.startRegional(tasks)
 }
 
 // State returns the tokens that the process holds, for dumps.
--- a/prepaid/exposure.go
+++ b/prepaid/exposure.go
@@ -143,7 +143,7 @@
 		return
 	}
 	now := b.exposure.Witnesses()
-	next := chooseWitnesses(b.members.Self, b.reachableWitnesses(now), b.members.Rank(b.holder.ID(), RoleLender), b.isUnreachable)
+	next := b.nextWitnesses(b.reachableWitnesses(now), b.members.Rank(b.holder.ID(), RoleLender))
 	if len(next) == 0 || slices.Equal(now, next) && !b.reappoint {
 		return
 	}
@@ -202,10 +202,5 @@
 	add(local)
 	add(remote)
 	add(func(m member.Member) bool { return !slices.Contains(chosen, m) })
-	out := make([]string, 0, len(chosen))
-	for _, m := range chosen {
-		out = append(out, m.ID)
-	}
-	slices.Sort(out)
-	return out
+	return sortedIDs(chosen)
 }
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -67,7 +67,8 @@
 
 // logTransfer logs tokens that this process took or returned.
 func (b *Budgets) logTransfer(d grant.Decision, v grant.View) {
-	b.log.Info().Str("budget", v.Budget).Bool("home", b.role(v.Budget) == grant.RolePrimary).Int64("took", d.Take).Int64("gave", d.Give).
+	role := b.role(v.Budget)
+	b.log.Info().Str("budget", v.Budget).Bool("home", role == grant.RolePrimary || role == grant.RoleRegional).Int64("took", d.Take).Int64("gave", d.Give).
 		Int64("free", v.Free).Int64("unspent", v.Unspent).Int64("available", v.Available).Int64("reserved", v.Reserved).
 		Int64("waiting", v.Waiting).Int64("largest", v.LargestRecent).Int64("demand_per_s", int64(v.Demand)).Msg("tokens_moved")
 }
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -40,6 +40,8 @@
 		return grant.RoleBorrower
 	case len(ranked) > 0 && ranked[0].VM == b.members.Self.VM:
 		return grant.RolePrimary
+	case b.regions.isPrimary(page):
+		return grant.RoleRegional
 	case b.lendRequests.within(page, standbyDuration):
 		return grant.RoleStandby
 	}
@@ -77,7 +79,12 @@
 				return nil, err
 			}
 		}
-		return lend(ctx, params)
+		lot, err := lend(ctx, params)
+		b.recordRegionalLend(in, lot, err)
+		return lot, err
+	}
+	if b.regions.several {
+		m[link.MethodPage] = link.Handle(b.observePage)
 	}
 	return m
 }
@@ -85,6 +92,10 @@
 // lendersFor lists the processes to ask for tokens of a budget. It is empty for the primary,
 // which calls the store itself.
 func (b *Budgets) lendersFor(budget string) []string {
+	if regions := b.regions.of(b.layout.Key(budget)); len(regions) > 0 {
+		local, _ := queriedLenders(b.regions.own(), regions)
+		return local
+	}
 	ranked := b.rankedLenders(b.layout.Key(budget))
 	var out []string
 	for _, m := range ranked[:min(maxQueriedLenders, len(ranked))] {
--- a/prepaid/reopen.go
+++ b/prepaid/reopen.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
-	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/link"
@@ -171,8 +170,8 @@
 // closedPages lists the closed pages of which this process is the primary, or is asked for tokens.
 func (b *Budgets) closedPages(now time.Time) (keys []string) {
 	for _, key := range b.reopening.closed.list() {
-		switch role := b.pageRole(key); {
-		case role == grant.RolePrimary || role == grant.RoleStandby:
+		switch {
+		case b.opens(key):
 			keys = append(keys, key)
 		case b.reopening.unchangedFor(now) >= othersClosedRetention:
 			b.reopening.closed.remove(key)
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -135,7 +135,7 @@
 func (b *Budgets) settleLender(ctx context.Context, lender string) {
 	waitForRunning := b.settling.heldFor(time.Now(), lender, true) < settleWait
 	complete := true
-	for _, page := range b.holder.Pages() {
+	for _, page := range b.settledPages() {
 		if b.pageRole(page) == grant.RolePrimary {
 			complete = b.settlePage(ctx, lender, page, waitForRunning) && complete
 		}
