--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -3,6 +3,7 @@
 package prepaid
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/settlement"
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/datacentre"
 	"github.com/arbutusmill/arbutusmill/lending"
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/serving"
@@ -116,7 +118,8 @@
 // the lenders, or among the routers where there are no lenders. The primary takes grants
 // from the store and reports use; all others borrow from it for each request. So one
 // process holds a budget's tokens whatever the number of routers, a page has one writer,
-// and while the store is unreachable routers still reach the primary.
+// and while the store is unreachable routers still reach the primary. If the settings name several
+// regions, each region has a primary.
 type Budgets struct {
 	holder   *grant.Holder
 	pages    *grant.StoreGranter
@@ -166,7 +169,15 @@
 	// queueing makes requests wait for reserved tokens. scarceLots has an element when returnScarceLots is due.
 	queueing   bool
 	scarceLots chan struct{}
-	metrics    *metrics.Set
+	// regions are the lenders by region. lacking records when a lender of this region could not lend to another one, by
+	// budget; returned when its tokens were last returned for that reason.
+	regions           regionSet
+	lacking, returned recentTimes
+	// pageNotices are written pages to send to other regions, noticedPages the pages that others have sent.
+	pageNotices   pageNotices
+	noticedPages  nameSet
+	regionalLends regionalLends
+	metrics       *metrics.Set
 	// latePeers are the peers whose replies came too late since the last probes.
 	latePeers nameSet
 }
@@ -189,7 +200,9 @@
 	LendsOnly bool
 	// Queueing makes requests wait for tokens that are reserved, in the order of their ranks.
 	Queueing bool
-	// Metrics receives the counters of waiting requests; it may be nil.
+	// Topology names the regions of the fleet's data centres.
+	Topology datacentre.Topology
+	// Metrics receives the counters; nil stands for a set of its own.
 	Metrics *metrics.Set
 	Log     zerolog.Logger
 }
@@ -205,10 +218,8 @@
 		wait:    time.Duration(s.Wait),
 		log:     p.Log,
 		era:     p.Era, observeEra: p.ObserveEra,
-		queueing: p.Queueing, scarceLots: make(chan struct{}, 1), metrics: p.Metrics,
-	}
-	if b.metrics == nil {
-		b.metrics = metrics.NewSet()
+		regions: newRegionSet(p.Topology, p.Members), metrics: cmp.Or(p.Metrics, metrics.NewSet()), pageNotices: newPageNotices(),
+		queueing: p.Queueing, scarceLots: make(chan struct{}, 1),
 	}
 	if b.era == nil {
 		b.era, b.observeEra = func() store.Era { return 0 }, func(store.Era) {}
@@ -216,6 +227,7 @@
 	b.holder = grant.NewHolder(p.Incarnation, b.layout, grant.HorizonPolicy{
 		Horizon: time.Duration(s.Horizon), LargestRequests: largestRequests, Share: maxHeldShare, Slack: heldSlack,
 		MaxLoss: s.MaxLoss, StoreDegraded: b.storeDegraded, Refill: refillStep, Recovering: b.recovering, Role: b.role, StandbyHorizon: standbyHorizon, UsingStore: b.storeRequests.has,
+		Regional: b.regionalPolicy(),
 	})
 	b.witness.ID = p.Incarnation
 	b.holder.SetDemandWindow(time.Duration(s.DemandWindow))
@@ -228,6 +240,7 @@
 		Timing: grant.Timing{Rebalance: time.Duration(s.Report), Report: time.Duration(s.Report),
 			RemoveIdleAfter: removeIdleAfter, ExhaustedBackoff: exhaustedBackoff, LowBackoff: lowBackoff},
 	}
+	b.useRegions()
 	if !p.LendsOnly {
 		b.pages.OnTake = b.announceHoldings
 	}
@@ -242,6 +255,9 @@
 			Queueing: b.queueing, OnWaited: b.recordWait},
 	}
 	peers := &grant.PeerGranter{Holder: b.holder, Lender: b, Peers: b.lendersFor, Timeout: time.Duration(s.PeerWait), Now: time.Now}
+	if b.regions.several {
+		peers.OtherRegions = b.lendersElsewhere
+	}
 	b.acquirer = &grant.Acquirer{Holder: b.holder, Now: time.Now, Chain: []grant.Granter{peers, b}}
 	b.acquirer.Queueing = b.queueing
 	if b.queueing {
@@ -262,6 +278,7 @@
 	tasks.Every(settleInterval, b.admitNewRouters)
 	b.startExposure(tasks.Every)
 	b.startQueueing(tasks)
+	b.startRegional(tasks)
 }
 
 // State returns the tokens that the process holds, for dumps.
