Distances: nearer regions first, one relay a hundred processes of a region

Cause: regions were a permission only. Placement charged each other data centre the same 3 ms, shared parts had one preferred engine for the fleet, and each data centre had a relay of the store's changes with three waiting calls of the store. Change: datacentre.Topology says how far two data centres are apart (setting distances.between_regions, 20 ms). In a fleet of several regions upstreams cost that, each region has its preferred engine, cached parts cross only if known and worth it, relays are those of a region, and a relay of another region is polled after the own call of the store. Conclusion: routing and relays know distances; budgets of regions are another part.

--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -244,15 +244,16 @@
 
 const keys = "k/"
 
-func newTestCluster(ctx context.Context, t *testing.T, relays, followers int) *testCluster {
+// newTestCluster returns a cluster whose followers poll the relays, then their own hubs, then the far relays.
+func newTestCluster(ctx context.Context, t *testing.T, relays, far, followers int) *testCluster {
 	tc := &testCluster{t: t, ctx: ctx, store: memstore.New(), wg: &sync.WaitGroup{}}
-	for range relays {
+	for range relays + far {
 		tc.hubs = append(tc.hubs, tc.newHub())
 	}
 	for n := range followers {
 		local := tc.newHub()
 		tc.ownHubs = append(tc.ownHubs, local)
-		conns := make([]*connection, relays)
+		conns := make([]*connection, relays+far)
 		sources := []Source{}
 		for i := range conns {
 			conns[i] = &connection{}
@@ -269,7 +270,8 @@
 		tc.copies = append(tc.copies, c)
 		f := &Follower{Store: "s", Readers: map[string]mirror.Reader{keys: c}, Report: ownHubReleaser{local}, Now: time.Now,
 			Sources: func() []Source {
-				return append(sources[n%relays:relays:relays], append(sources[:n%relays:n%relays], sources[relays])...)
+				near, others, own := sources[n%relays:relays:relays], sources[:n%relays:n%relays], sources[relays+far]
+				return append(append(append(near, others...), own), sources[relays:relays+far]...)
 			}}
 		tc.followers = append(tc.followers, f)
 		tc.wg.Go(func() { f.Run(ctx) })
@@ -325,9 +327,14 @@
 
 // withCluster runs a test on a testCluster in virtual time.
 func withCluster(t *testing.T, relays, followers int, test func(tc *testCluster)) {
+	withFarRelays(t, relays, 0, followers, test)
+}
+
+// withFarRelays runs a test on a testCluster with relays that are polled after the followers' own hubs.
+func withFarRelays(t *testing.T, relays, far, followers int, test func(tc *testCluster)) {
 	virtualtime.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		tc := newTestCluster(ctx, t, relays, followers)
+		tc := newTestCluster(ctx, t, relays, far, followers)
 		defer tc.wg.Wait()
 		defer cancel()
 		test(tc)
--- a/coord/relay/rank.go
+++ b/coord/relay/rank.go
@@ -14,16 +14,28 @@
 // Each follower starts at a relay chosen by its own name and continues with those after it, so
 // that the followers of a relay that ends are spread over the others. limit bounds the list.
 func RankRelays(follower string, candidates []string, processes, maxFollowers, limit int) []string {
+	used, others := SplitRelays(candidates, processes, maxFollowers)
+	out := append(StartingWith(follower, used), others...)
+	return out[:min(limit, len(out))]
+}
+
+// SplitRelays returns the relays in use, one for each maxFollowers of the processes, and the other candidates in the
+// order in which they replace them. All processes with the same view find the same ones.
+func SplitRelays(candidates []string, processes, maxFollowers int) (used, others []string) {
 	ranked := rendezvous.Rank(rankKey, candidates)
-	used := min(len(ranked), max(1, (processes+maxFollowers-1)/maxFollowers))
-	if used == 0 {
-		return nil
+	n := min(len(ranked), max(1, (processes+maxFollowers-1)/maxFollowers))
+	return ranked[:n], ranked[n:]
+}
+
+// StartingWith returns the relays in the same circular order, beginning with one that the follower's name chooses.
+func StartingWith(follower string, relays []string) []string {
+	out := make([]string, 0, len(relays))
+	if len(relays) == 0 {
+		return out
 	}
-	first := rendezvous.Bucket(follower, used)
-	out := make([]string, 0, limit)
-	for i := range used {
-		out = append(out, ranked[(first+i)%used])
+	first := rendezvous.Bucket(follower, len(relays))
+	for i := range relays {
+		out = append(out, relays[(first+i)%len(relays)])
 	}
-	out = append(out, ranked[used:]...)
-	return out[:min(limit, len(out))]
+	return out
 }
--- a/datacentre/datacentre.go
+++ b/datacentre/datacentre.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
 	"github.com/arbutusmill/arbutusmill/vm"
@@ -16,8 +17,18 @@
 	// Regions maps a data centre to its region; a data centre that is missing
 	// forms its own region.
 	Regions map[string]string
+	// BetweenRegions is the round trip between two regions; 0 means DefaultBetweenRegions.
+	BetweenRegions time.Duration
 }
 
+// Assumed round trips between VMs, each with what the charge for their traffic is worth in time.
+const (
+	// WithinRegion is the round trip between two data centres of a region.
+	WithinRegion = 3 * time.Millisecond
+	// DefaultBetweenRegions is the round trip between two regions.
+	DefaultBetweenRegions = 20 * time.Millisecond
+)
+
 // Distances, in increasing order.
 const (
 	sameDatacentre = iota
@@ -55,6 +66,26 @@
 	return false
 }
 
+// RoundTrip returns the assumed round trip between Local and a data centre.
+func (t Topology) RoundTrip(dc string) time.Duration { return t.Between(t.Local, dc) }
+
+// Between returns the assumed round trip between two data centres. Unless the topology spans several regions, all
+// data centres are equally far from each other.
+func (t Topology) Between(a, b string) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case t.Crosses(a, b):
+		return cmp.Or(t.BetweenRegions, DefaultBetweenRegions)
+	}
+	return WithinRegion
+}
+
+// Crosses reports whether two data centres lie in different regions, in a topology that spans several.
+func (t Topology) Crosses(a, b string) bool {
+	return t.region(a) != t.region(b) && t.SpansRegions()
+}
+
 // Region returns the region of a data centre.
 func (t Topology) Region(dc string) string { return t.region(dc) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,7 +112,7 @@
 	methods[link.MethodConfig] = link.Handle(g.activeConfig.newerThan)
 	g.Base = hosted.New(hosted.Parts{
 		Methods: methods,
-		Role:    prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Regions: s.Regions, Link: s.Listen.Link,
+		Role:    prepaid.RoleRouter, VM: s.VM, Topology: s.Distances.Topology(s.Datacentre, s.Regions), Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.ConfiguredLimits{Catalog: &g.catalog},
 		Readers:  map[string]mirror.Reader{platform.OperatorPrefix: g.operatorReader, platform.UpstreamPrefix: g.directory},
 		CanRelay: s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= minRelayMbps,
@@ -127,6 +127,7 @@
 		PrefillPerMs:        s.Upstreams.PrefillPerMs,
 		Routers:             g.routerCount,
 		Datacentre:          s.Datacentre,
+		Topology:            g.severalRegions(),
 		Announce:            g.lenders.announce,
 		Withdraw:            g.lenders.withdraw,
 		ReportRemotePrefill: g.lenders.reportRemotePrefill,
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -241,7 +241,7 @@
 		line = line.Int64("processor_lag_ms", g.lag.Delay(time.Now()).Milliseconds()).
 			Int64("link_lag_ms", g.meter.outbound.Delay(time.Now()).Milliseconds())
 	}
-	line = line.Str("attempts", formatAttempts(outcome.Attempts))
+	line = logCrossing(line.Str("attempts", formatAttempts(outcome.Attempts)), outcome.Attempts)
 	if outcome.Refusal != nil {
 		line = line.Str("kind", string(outcome.Refusal.Kind)).Str("refusal", outcome.Refusal.Message).Str("asked", outcome.Refusal.Detail)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -132,6 +132,7 @@
 	}
 	m.streamsContinued(service, o.Attempts)
 	for _, a := range o.Attempts {
+		m.crossed(service, a.Crossing)
 		m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_attempts_total{service=%q,result=%q}", service, a.Result)).Inc()
 		if a.Gap.Duration > 0 {
 			m.set.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_gateway_longest_pause_seconds{service=%q}", service)).Update(a.Gap.Duration.Seconds())
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -51,11 +51,10 @@
 // Parts are the settings and dependencies of a Base.
 type Parts struct {
 	// Role is prepaid.RoleRouter or prepaid.RoleLender.
-	Role       string
-	VM         string
-	Datacentre string
-	// Regions maps each data centre to its region.
-	Regions map[string]string
+	Role string
+	VM   string
+	// Topology tells in which data centre the process runs and how far it is from others.
+	Topology datacentre.Topology
 	// Link is the address (host:port) for control messages of other members.
 	Link string
 	// UpstreamAddress is the address of the upstream on the same VM, "" if there is none.
@@ -116,7 +115,7 @@
 func New(p Parts) *Base {
 	b := &Base{
 		Incarnation: p.VM + "/" + rand.Text()[:incarnationSuffixLen],
-		Topology:    datacentre.Topology{Local: p.Datacentre, Regions: p.Regions},
+		Topology:    p.Topology,
 		Network:     p.Network,
 		Admin:       &observe.Admin{},
 		methods:     p.Methods,
@@ -133,7 +132,7 @@
 		TTL:      time.Duration(p.Store.MemberTTL),
 		Interval: time.Duration(p.Store.MemberInterval),
 		Report:   b,
-		Self:     member.Member{ID: b.Incarnation, Role: p.Role, VM: p.VM, Datacentre: p.Datacentre, Address: p.Link, UpstreamAddress: p.UpstreamAddress, CanRelay: p.CanRelay},
+		Self:     member.Member{ID: b.Incarnation, Role: p.Role, VM: p.VM, Datacentre: p.Topology.Local, Address: p.Link, UpstreamAddress: p.UpstreamAddress, CanRelay: p.CanRelay},
 	}
 	b.Hub = b.newHub(p.Store)
 	b.Follower = b.newFollower(p.Store.Address, p.Readers)
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -111,11 +111,25 @@
 }
 
 // findRelaySources returns the relays for this process, followed by its own hub. If this process is
-// one of those relays, its own hub takes its rank and ends the list.
+// one of those relays, its own hub takes its rank and ends the list. In a fleet of several regions a relay of another
+// region follows.
 func (b *Base) findRelaySources() []relay.Source {
 	candidates := b.relayCandidates()
+	if !b.Topology.SpansRegions() {
+		return b.sourcesOf(b.rankRelays(candidates), candidates)
+	}
+	relays := b.rankRegionalRelays(candidates)
+	out := b.sourcesOf(relays.near, candidates)
+	if relays.far != "" {
+		out = append(out, relay.Source{Name: relays.far, Follow: b.followAcross(candidates[relays.far], storeNotReachedHere)})
+	}
+	return out
+}
+
+// sourcesOf returns the sources of ranked VMs and this process's own hub.
+func (b *Base) sourcesOf(ranked []string, candidates map[string]member.Member) []relay.Source {
 	var out []relay.Source
-	for _, vm := range b.rankRelays(candidates) {
+	for _, vm := range ranked {
 		if vm == b.Members.Self.VM {
 			return append(out, relay.Source{Name: ownHub, Follow: b.Hub.Follow})
 		}
@@ -171,6 +185,9 @@
 }
 
 func (b *Base) remoteSource(m member.Member) relay.Source {
+	if b.Topology.Crosses(b.Topology.Local, m.Datacentre) {
+		return relay.Source{Name: m.VM, Follow: b.followAcross(m, noRelayHere)}
+	}
 	return relay.Source{Name: m.VM, Follow: func(ctx context.Context, r relay.Request) (out relay.Reply, err error) {
 		if err = b.Links.Call(ctx, m.Address, link.MethodFollow, r, &out); err != nil {
 			return out, err
@@ -200,7 +217,11 @@
 	if source != ownHub {
 		b.Hub.ReleaseLocal()
 	}
-	b.Log.Info().Str("source", source).AnErr("left", reason).Msg("changes_followed_at")
+	line := b.Log.Info().Str("source", source).AnErr("left", reason)
+	if region := b.crossedRegion(source); region != "" {
+		line = line.Str("region", region)
+	}
+	line.Msg("changes_followed_at")
 }
 
 // SourceRefused implements relay.Reporter.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/rendezvous"
+	"github.com/arbutusmill/arbutusmill/datacentre"
 	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/prefill"
 	"github.com/arbutusmill/arbutusmill/serving"
@@ -56,6 +57,8 @@
 	Routers int
 	// Datacentre is the router's data centre.
 	Datacentre string
+	// Topology tells how far the router is from each data centre; nil if the fleet does not span several regions.
+	Topology *datacentre.Topology
 }
 
 // Weights of the cost estimate.
@@ -63,10 +66,6 @@
 	// occupancyCost is scaled by the square of the estimated share of taken slots:
 	// a batch slows down each of its requests, and a full one makes the next wait.
 	occupancyCost = 200 * time.Millisecond
-	// remoteCost prefers an upstream of the router's data centre when all else is
-	// equal: about two one-way network delays, and traffic between data centres
-	// is charged.
-	remoteCost = 3 * time.Millisecond
 	// failureCost is scaled by the share of failures.
 	failureCost = 2 * time.Second
 	// MinFetchTokens is the minimum number of tokens for a transfer; below it the
@@ -97,9 +96,11 @@
 	// Backlog is the backlog of the chosen upstream in tokens, as reported by its lender; -1 if
 	// not reported.
 	Backlog int64
-	// Preferred is the index of the preferred upstream for the prompt's shared parts, -1 if it
-	// has none.
+	// Preferred is the index of the preferred upstream for the prompt's shared parts in the region of the chosen
+	// one, -1 if it has none.
 	Preferred int
+	// Crossing is what crosses to another region.
+	Crossing serving.Crossing
 }
 
 // AffinityKey returns the ID of the part by which requests are grouped: the last one that other
@@ -128,10 +129,16 @@
 	if len(usable) == 0 {
 		return Choice{}, false
 	}
+	var c Choice
 	if r.Prompt == 0 {
-		return chooseForPlain(ups, usable, rates, tie), true
+		c = chooseForPlain(ups, usable, rates, tie)
+	} else {
+		c = chooseForPrompt(r, ups, usable, rates, tie)
 	}
-	return chooseForPrompt(r, ups, usable, rates, tie), true
+	if rates.Topology != nil {
+		c.Crossing.Region, c.Crossing.Reason = crossing(r, ups, usable, ups[c.Index].Datacentre, *rates.Topology)
+	}
+	return c, true
 }
 
 func usableIndexes(ups []Upstream) []int {
@@ -197,10 +204,7 @@
 	taken := avg.streams(u, rates) / float64(max(1, u.Slots))
 	c := time.Duration(float64(occupancyCost) * taken * taken)
 	c += time.Duration(float64(failureCost) * u.FailureShare)
-	if u.Datacentre != rates.Datacentre {
-		c += remoteCost
-	}
-	return c
+	return c + rates.distanceCost(u.Datacentre)
 }
 
 // backlog estimates the tokens that an engine prefills before a new prompt.
@@ -222,31 +226,24 @@
 func chooseForPrompt(r *serving.Request, ups []Upstream, usable []int, rates Rates, tie func(int) int) Choice {
 	avg := averageOf(ups, usable)
 	sep := separate(r, ups, usable, rates)
-	preferred := preferredEngine(r, ups, sep.preferable)
-	source, sourceTokens := largestCache(r, ups, usable, preferred)
+	regions := groupByRegion(r, ups, usable, sep.preferable, rates)
 	best := Choice{Index: -1}
 	start := tie(len(usable))
 	for k := range usable {
 		i := usable[(start+k)%len(usable)]
-		u := ups[i]
+		u, preferred := ups[i], regions.of(i).preferred
 		cached := cachedTokens(r, ups, i, i == preferred)
-		pendingPrefill := max(0, r.Prompt-cached)
-		from := -1
-		waitTokens := float64(pendingPrefill)
-		var fetched int64
-		if more := sourceTokens - cached; i != source && more >= MinFetchTokens {
-			from, fetched = source, sourceTokens
-			waitTokens += float64(more) * (rates.PrefillPerMs/rates.FetchPerMs - 1)
-			pendingPrefill -= more
-		}
+		f := regions.fetch(i, cached, rates)
+		waitTokens := float64(max(0, r.Prompt-cached)) + f.waitTokens + regions.lacking(r, i, cached, f, rates)
 		if i != preferred {
-			waitTokens += duplicateWeight * float64(max(0, sharedTokens(r.Parts)-max(cached, fetched)))
+			waitTokens += duplicateWeight * float64(max(0, sharedTokens(r.Parts)-max(cached, f.leading)))
 		}
 		waitTokens += u.backlog(avg, rates)
 		c := baseCost(u, avg, rates) + time.Duration(waitTokens/rates.PrefillPerMs*float64(time.Millisecond))
 		c += sep.cost(r, u, avg.streams(u, rates))
 		if best.Index < 0 || c < best.Cost {
-			best = Choice{Index: i, FetchFrom: from, Fetched: fetched, PrefillTokens: pendingPrefill, Cost: c, Backlog: u.reportedBacklog(), Preferred: preferred}
+			best = Choice{Index: i, FetchFrom: f.from, Fetched: f.leading, PrefillTokens: max(0, r.Prompt-cached) - f.tokens, Cost: c,
+				Backlog: u.reportedBacklog(), Preferred: preferred, Crossing: serving.Crossing{Fetched: f.crossing}}
 		}
 	}
 	return best
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/datacentre"
 	"github.com/arbutusmill/arbutusmill/directory"
 	"github.com/arbutusmill/arbutusmill/placement"
 	"github.com/arbutusmill/arbutusmill/prefill"
@@ -51,6 +52,8 @@
 	Routers func() int
 	// Datacentre is the router's data centre.
 	Datacentre string
+	// Topology tells how far the router is from each data centre; nil if the fleet does not span several regions.
+	Topology *datacentre.Topology
 	// Announce announces a prompt to an engine's lender; it returns false without an answer, at the
 	// request's deadline at the latest. Withdraw revokes an announcement. Both may be nil.
 	Announce func(deadline time.Time, address string, a prefill.Announcement) (prefill.AnnounceReply, bool)
@@ -205,6 +208,7 @@
 		FetchPerMs:   perMs,
 		Routers:      p.Routers(),
 		Datacentre:   p.Datacentre,
+		Topology:     p.Topology,
 	}
 	if e := r.Service.Engine; e != nil && e.BytesPerToken > 0 && e.LinkMbps > 0 {
 		bytesPerMs := e.LinkMbps * 1e6 / 8 / 1e3
--- a/pool/run.go
+++ b/pool/run.go
@@ -89,6 +89,7 @@
 	}
 	a.Version = att.version
 	a.Cost, a.PendingPrefill, a.Gap = att.choice.Cost, att.choice.PrefillTokens, att.longestGap
+	a.Crossing = att.choice.Crossing
 	return a
 }
 
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -65,6 +65,8 @@
 	// Cost and PendingPrefill are the estimates made when the upstream was chosen.
 	Cost           time.Duration
 	PendingPrefill int64
+	// Crossing is what crossed to another region.
+	Crossing Crossing
 	// Gap is the longest gap between two events.
 	Gap Gap
 	// Answer is the upstream's failure response, for Failed; it is passed on unless the request is
@@ -84,6 +86,28 @@
 	Began bool
 }
 
+// Crossing is what of an attempt crossed between regions, in a fleet of several.
+type Crossing struct {
+	// Region is the region of the upstream if it is not the router's, and Reason why the request was sent there.
+	Region string
+	Reason CrossingReason
+	// Fetched is the number of cached tokens that the upstream was told to fetch from another region.
+	Fetched int64
+}
+
+// CrossingReason is why a request was sent to another region.
+type CrossingReason string
+
+// The reasons.
+const (
+	// NotAllowedHere means that the request must not be served in the router's region.
+	NotAllowedHere CrossingReason = "not_allowed_here"
+	// NoneHere means that no upstream in the router's region takes requests.
+	NoneHere CrossingReason = "none_here"
+	// FasterThere means that upstreams in the router's region would take longer.
+	FasterThere CrossingReason = "faster_there"
+)
+
 // Statement is what an upstream's answer says about the upstream.
 type Statement struct {
 	// Limit is the requests per second that it accepts from all routers together; 0 if the answer names no
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,6 +16,7 @@
 	Datacentre string `yaml:"datacentre"`
 	// Regions maps each data centre to its region.
 	Regions   map[string]string `yaml:"regions"`
+	Distances Distances         `yaml:"distances"`
 	Listen    GatewayListen     `yaml:"listen"`
 	Store     HostedStore       `yaml:"store"`
 	Log       Log               `yaml:"log"`
@@ -144,7 +145,8 @@
 // DefaultGateway returns the default values. A file overrides them field by field.
 func DefaultGateway() Gateway {
 	return Gateway{
-		Log: Log{Level: "info"},
+		Distances: defaultDistances(),
+		Log:       Log{Level: "info"},
 		Store: HostedStore{
 			// A call takes a few milliseconds; a store that is 80 times slower
 			// still responds within the timeout.
@@ -228,6 +230,7 @@
 	c.address("listen.admin", s.Listen.Admin)
 	c.address("listen.link", s.Listen.Link)
 	c.hosted(s.Store, s.Budgets, s.Log)
+	c.positive("distances.between_regions", s.Distances.BetweenRegions)
 	c.require(s.Retries.Ratio >= 0, "repeats.ratio", "must not be negative")
 	c.require(s.Retries.Extra >= 0, "repeats.extra", "must not be negative")
 	c.require(s.Cold.Overshoot >= 1, "cold.overshoot", "must be 1 or more")
--- a/settings/lender.go
+++ b/settings/lender.go
@@ -16,15 +16,16 @@
 	VM         string `yaml:"vm"`
 	Datacentre string `yaml:"datacentre"`
 	// Regions maps each data centre to its region.
-	Regions  map[string]string `yaml:"regions"`
-	Listen   LenderListen      `yaml:"listen"`
-	Store    HostedStore       `yaml:"store"`
-	Log      Log               `yaml:"log"`
-	Budgets  HostedBudgets     `yaml:"budgets"`
-	Upstream LocalUpstream     `yaml:"upstream"`
-	Queueing Queueing          `yaml:"queueing"`
-	Limits   LenderLimits      `yaml:"limits"`
-	Stop     LenderStop        `yaml:"stop"`
+	Regions   map[string]string `yaml:"regions"`
+	Distances Distances         `yaml:"distances"`
+	Listen    LenderListen      `yaml:"listen"`
+	Store     HostedStore       `yaml:"store"`
+	Log       Log               `yaml:"log"`
+	Budgets   HostedBudgets     `yaml:"budgets"`
+	Upstream  LocalUpstream     `yaml:"upstream"`
+	Queueing  Queueing          `yaml:"queueing"`
+	Limits    LenderLimits      `yaml:"limits"`
+	Stop      LenderStop        `yaml:"stop"`
 }
 
 // LenderListen holds the addresses (host:port) that a lender listens on.
@@ -62,9 +63,10 @@
 func DefaultLender() Lender {
 	g := DefaultGateway()
 	s := Lender{
-		Log:     g.Log,
-		Store:   g.Store,
-		Budgets: g.Budgets,
+		Log:       g.Log,
+		Distances: g.Distances,
+		Store:     g.Store,
+		Budgets:   g.Budgets,
 		// An upstream that leaves keeps running for two seconds or more after it
 		// reports so. Queries on the same VM cost nothing.
 		Upstream: LocalUpstream{
@@ -115,6 +117,7 @@
 	c.address("listen.admin", s.Listen.Admin)
 	c.address("listen.link", s.Listen.Link)
 	c.hosted(s.Store, s.Budgets, s.Log)
+	c.positive("distances.between_regions", s.Distances.BetweenRegions)
 	if s.Upstream.Address != "" {
 		c.address("upstream.address", s.Upstream.Address)
 	}
