--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,7 @@
 	methods[link.MethodConfig] = link.Handle(g.activeConfig.newerThan)
 	g.Base = hosted.New(hosted.Parts{
 		Methods: methods,
-		Role:    prepaid.RoleRouter, VM: s.VM, Datacentre: s.Datacentre, Regions: s.Regions, Link: s.Listen.Link,
+		Role:    prepaid.RoleRouter, VM: s.VM, Topology: s.Distances.Topology(s.Datacentre, s.Regions), Link: s.Listen.Link,
 		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.ConfiguredLimits{Catalog: &g.catalog},
 		Readers:  map[string]mirror.Reader{platform.OperatorPrefix: g.operatorReader, platform.UpstreamPrefix: g.directory},
 		Queueing: s.Queueing.On(s.Queueing.Budgets, s.Regions),
@@ -132,6 +132,7 @@
 		PrefillPerMs:        s.Upstreams.PrefillPerMs,
 		Routers:             g.routerCount,
 		Datacentre:          s.Datacentre,
+		Topology:            g.severalRegions(),
 		Announce:            g.lenders.announce,
 		Withdraw:            g.lenders.withdraw,
 		ReportRemotePrefill: g.lenders.reportRemotePrefill,
