Budgets: only lots of a queueing lender say that tokens are scarce

Cause: read again: every lender set the new field of its lots, also without queueing, where messages must be those of before. Change: the field is set where requests queue (lendToLocked). The test of a repeated request asks for the time of the refusal; its guard passed without.

--- a/coord/grant/lenders_property_test.go
+++ b/coord/grant/lenders_property_test.go
@@ -73,9 +73,9 @@
 	// usingStore is the number of Obtain calls on the store in progress.
 	usingStore atomic.Int64
 	open       []openRequest
-	registry                         settlement.BorrowerRegistry
-	exposure                         settlement.Exposure
-	witness                          settlement.Witness
+	registry   settlement.BorrowerRegistry
+	exposure   settlement.Exposure
+	witness    settlement.Witness
 }
 
 type openRequest struct {
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -60,7 +60,7 @@
 	}
 	p := Part{Holder: h.id, Seq: h.seq, Tokens: n}
 	b.lent[id] = &lentLot{part: p, borrower: borrower, sinceRevision: h.revision, at: now}
-	return Lot{Part: p, Through: b.durableThrough, Scarce: b.isScarce(now)}
+	return Lot{Part: p, Through: b.durableThrough}
 }
 
 // Borrow adds a peer's lot. A lot that the holder already has is not added again.
--- a/coord/grant/queued.go
+++ b/coord/grant/queued.go
@@ -122,7 +122,7 @@
 	defer h.mu.Unlock()
 	b := h.budgetLocked(w.budget)
 	if head := b.waiters.head(now); b.lent[w.id] != nil || head == nil || w.precedes(head, now) {
-		l, err := h.lendNowLocked(now, w.budget, w.id, w.borrower, w.need, w.need, want)
+		l, err := h.lendToLocked(now, b, w, want)
 		switch {
 		case errors.Is(err, ErrExposureLimit):
 			w.exposureLimited <- struct{}{}
@@ -140,6 +140,15 @@
 	return Lot{}, errEnqueued
 }
 
+// lendToLocked lends to a request if the tokens suffice, and says whether they are scarce.
+func (h *Holder) lendToLocked(now time.Time, b *localBudget, w *waiter, want int64) (Lot, error) {
+	l, err := h.lendNowLocked(now, b.name, w.id, w.borrower, w.need, w.need, want)
+	if err == nil {
+		l.Scarce = b.isScarce(now)
+	}
+	return l, err
+}
+
 // mayLendLocked reports whether the holder lends to a borrower at all.
 func (h *Holder) mayLendLocked(borrower string) bool {
 	_, dead := h.excluded[borrower]
@@ -159,7 +168,7 @@
 // them: otherwise a large request would never be served.
 func (h *Holder) serveQueueLocked(now time.Time, b *localBudget) {
 	for w := b.waiters.head(now); w != nil; w = b.waiters.head(now) {
-		l, err := h.lendNowLocked(now, b.name, w.id, w.borrower, w.need, w.need, 0)
+		l, err := h.lendToLocked(now, b, w, 0)
 		switch {
 		case errors.Is(err, ErrExposureLimit):
 			select {
--- a/coord/grant/queued_test.go
+++ b/coord/grant/queued_test.go
@@ -75,6 +75,25 @@
 
 const lendWait = 300 * time.Millisecond
 
+// Guards against a router that keeps the unused rest of its lots while others wait for it, and against a new field in the messages
+// of a fleet without queueing.
+func TestLotsOfAScarceBudgetSaySo(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		l := newQueueingLender(t)
+		l.takeBack(l.all, 0)
+		for n, c := range []struct {
+			need             int64
+			queueing, scarce bool
+		}{{600, false, false}, {600, true, true}, {400, true, false}} {
+			l.acquirer.Queueing = c.queueing
+			lot, err := l.acquirer.Lend(t.Context(), "team", fmt.Sprint(n), "router/2", c.need, 0)
+			require.NoError(t, err)
+			require.Equal(t, c.scarce, lot.Scarce, "%d of 1000 tokens lent", c.need)
+			l.takeBack(lot, 0)
+		}
+	})
+}
+
 // Guards against refusals although reservations that end soon free enough tokens, and against an order by chance.
 func TestReturnedTokensGoToTheMostUrgentRequest(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
@@ -195,9 +214,11 @@
 		replies := make(chan reply, 8)
 		l.request(t.Context(), replies, "same", 0, 400, lendWait)
 		l.request(t.Context(), replies, "same", 0, 400, lendWait)
-		require.Error(t, (<-replies).err, "the first one was replaced")
-		l.takeBack(l.all, 0)
 		r := <-replies
+		require.Error(t, r.err, "the first one was replaced")
+		require.Zero(t, r.took)
+		l.takeBack(l.all, 0)
+		r = <-replies
 		require.NoError(t, r.err)
 		l.request(t.Context(), replies, "same", 0, 400, lendWait)
 		require.Equal(t, r.lot.Part, (<-replies).lot.Part)
