--- a/coord/grant/queued_test.go
+++ b/coord/grant/queued_test.go
@@ -415,7 +415,13 @@
 				lent.Add(1)
 				return l.acquirer.Lend(ctx, "team", id, "router/2", need, 0)
 			})}
-		a := &grant.Acquirer{Holder: router, Now: time.Now, Chain: []grant.Granter{peers}, Queueing: true}
+		others := granterFunc(func(ctx context.Context, shortfall int64) error {
+			err := peers.Obtain(ctx, "team", shortfall)
+			_, taken := router.Reserve(time.Now(), "team", 100)
+			require.ErrorIs(t, taken, grant.ErrInsufficientTokens, "a later request took the lot")
+			return err
+		})
+		a := &grant.Acquirer{Holder: router, Now: time.Now, Chain: []grant.Granter{others}, Queueing: true}
 		var served sync.WaitGroup
 		for range 10 {
 			served.Go(func() {
@@ -432,6 +438,13 @@
 	})
 }
 
+type granterFunc func(ctx context.Context, shortfall int64) error
+
+// Obtain implements grant.Granter.
+func (f granterFunc) Obtain(ctx context.Context, _ string, shortfall int64) error {
+	return f(ctx, shortfall)
+}
+
 type lendFunc func(ctx context.Context, id string, need int64) (grant.Lot, error)
 
 // Lend implements grant.Lender.
