--- a/hosted/base.go
+++ b/hosted/base.go
@@ -141,10 +141,18 @@
 	b.Links = &link.Pool{From: b.Incarnation, Security: internalSecurity, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
 		Log: b.Log.Printf, Dial: p.Network.Dial}
 	b.Budgets = prepaid.New(prepaid.Parts{Incarnation: b.Incarnation, Settings: p.Budgets, Store: b.Store, Members: b.Members, Era: b.Store.Era, ObserveEra: b.Store.ObserveEra,
-		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Topology: b.Topology, Queueing: p.Queueing, Metrics: b.Metrics, Log: b.Log})
+		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Topology: b.budgetTopology(p.Budgets), Queueing: p.Queueing, Metrics: b.Metrics, Log: b.Log})
 	return b
 }
 
+// budgetTopology returns the regions that the budgets are divided by: none unless the settings say so.
+func (b *Base) budgetTopology(s settings.HostedBudgets) datacentre.Topology {
+	if !s.Regional {
+		return datacentre.Topology{Local: b.Topology.Local}
+	}
+	return b.Topology
+}
+
 func newStore(s settings.HostedStore, n Network) *platform.Store {
 	return &platform.Store{
 		Address: s.Address,
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -80,6 +80,9 @@
 	StoreWait fleet.Duration `yaml:"store_wait"`
 	PeerWait  fleet.Duration `yaml:"peer_wait"`
 	Wait      fleet.Duration `yaml:"wait"`
+	// Regional gives each region of a fleet its own primary lender of each page; it has no effect in a fleet of one region.
+	// It is the same for the whole fleet.
+	Regional bool `yaml:"regional"`
 }
 
 // Retries limits the retries of requests, for the whole fleet.
