--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -123,7 +123,8 @@
 		wanted = v.Demand * p.Regional.KeptHorizon.Seconds()
 	}
 	rest, share := float64(v.Unspent), p.Regional.shareOf(v)
-	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit))) * share
+	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit)))
+	bound = min(bound, max(bound*share, float64(v.LargestRecent)))
 	if p.MaxLoss > 0 && !p.StoreDegraded() {
 		bound = min(bound, max(p.MaxLoss*rest*share, float64(v.LargestRecent)))
 	}
--- a/prepaid/regional.go
+++ b/prepaid/regional.go
@@ -172,9 +172,9 @@
 		Lacking: func(budget string) bool { return b.lacking.within(budget, lackDuration) }}
 }
 
-// timingOf returns the timing of a page. The primaries that are not the page's first lender report and rebalance less often, the
-// less so the more regions there are: together they write less than the first one. While one of the others
-// does not answer, its writes arrive neither, and the page is looked at as often as by the first.
+// timingOf returns the timing of a page. The primaries that are not the page's first lender report and rebalance less often, by the
+// number of regions: otherwise each region would cost as many writes as a fleet of one region. While one of the others
+// does not answer, its writes do not arrive either, and the page is looked at as often as by the first.
 func (b *Budgets) timingOf(page string) grant.Timing {
 	t := b.pages.Timing
 	if b.pageRole(page) != grant.RoleRegional || b.isCutOff(page) {
