Budgets: a region keeps no part of a budget that is enough for no request

Ruled out: lost lots (none lent), a wait of the lenders for each other (the log shows that they were asked each half second and gave nothing). Change: half a second of demand is kept only if it covers a large request; a lender gives back while requests wait if neither it nor the page can serve them and another region lacks tokens.

--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -86,7 +86,7 @@
 	case v.Waiting > 0 && v.Free+v.Available < v.SmallestWaiting:
 		// An amount that suffices for no waiting request would be missing for a
 		// smaller one elsewhere.
-		return Decision{}
+		return Decision{Give: p.Regional.unusable(v, target)}
 	case need > 0 || v.Available < target-slack:
 		return Decision{Take: max(0, min(v.Free, max(need, p.refillAmount(v, target))))}
 	case v.Available > target+slack:
@@ -120,7 +120,7 @@
 	}
 	wanted := v.Demand*p.Horizon.Seconds() + p.LargestRequests*float64(v.LargestRecent)
 	if p.Regional != nil && p.Regional.isNeededElsewhere(v) {
-		wanted = v.Demand * p.Regional.KeptHorizon.Seconds()
+		wanted = p.Regional.kept(v)
 	}
 	rest, share := float64(v.Unspent), p.Regional.shareOf(v)
 	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit)))
--- a/coord/grant/regional.go
+++ b/coord/grant/regional.go
@@ -24,6 +24,25 @@
 	return p.Lacking(v.Budget) || v.Free <= 0 && v.IdleFor > p.IdleAfter
 }
 
+// kept returns what a holder keeps then: nothing if it is too little for a large request. Parts of which none is enough would
+// otherwise stay in each region at the end of a budget.
+func (p *RegionalPolicy) kept(v View) float64 {
+	kept := v.Demand * p.KeptHorizon.Seconds()
+	if kept < float64(v.LargestRecent) {
+		return 0
+	}
+	return kept
+}
+
+// unusable returns what a holder gives back although requests wait: they need more than it and the page have, and so do those of another
+// region. Where requests always wait, nothing would be given back otherwise.
+func (p *RegionalPolicy) unusable(v View, target int64) int64 {
+	if p == nil || !p.Lacking(v.Budget) {
+		return 0
+	}
+	return max(0, v.Available-target)
+}
+
 // shareOf returns the holder's share (0..1) of what one primary lender would hold. The primaries of
 // all regions together then risk no more tokens than one would.
 func (p *RegionalPolicy) shareOf(v View) float64 {
