--- a/prepaid/regional_test.go
+++ b/prepaid/regional_test.go
@@ -25,7 +25,7 @@
 		for region, a := range got {
 			require.Zero(t, a.refused+a.exhausted, region)
 		}
-		require.Zero(t, f.messages[link.MethodLend], "requests for tokens between regions")
+		require.Zero(t, f.sent()[link.MethodLend], "requests for tokens between regions")
 		f.requireWithin(1_000_000)
 	})
 }
@@ -90,7 +90,7 @@
 		f.requireWithin(limit)
 		var used int64
 		for _, p := range f.all() {
-			used += p.served
+			used += p.served.Load()
 		}
 		require.Greater(t, used, int64(limit-100), "all of it is in use in the end")
 	})
@@ -145,10 +145,10 @@
 		f.limits.Record("team", 1, 1_000_000)
 		require.NoError(t, f.request(f.router("b"), "team", 100))
 		f.kill(f.first("team"))
-		before := f.messages[link.MethodLend]
+		before := f.sent()[link.MethodLend]
 		got := f.load(10*time.Second, 100*time.Millisecond, "team", 100, "b")
 		require.LessOrEqual(t, got["b"].lastRefused, 2*time.Second)
-		require.Greater(t, f.messages[link.MethodLend]-before, got["b"].served, "lenders serve it, not the store")
+		require.Greater(t, f.sent()[link.MethodLend]-before, got["b"].served, "lenders serve it, not the store")
 		f.requireWithin(1_000_000)
 	})
 }
@@ -167,10 +167,10 @@
 		require.LessOrEqual(t, got["a"].lastRefused, 2*time.Second)
 		require.Zero(t, got["b"].refused+got["c"].refused)
 		f.list()
-		before := f.messages[link.MethodLend]
+		before := f.sent()[link.MethodLend]
 		got = f.load(10*time.Second, 100*time.Millisecond, "team", 100, "a", "b", "c")
 		require.Zero(t, got["a"].refused+got["b"].refused+got["c"].refused)
-		require.Equal(t, got["a"].served, f.messages[link.MethodLend]-before, "lenders serve it, not the store")
+		require.Equal(t, got["a"].served, f.sent()[link.MethodLend]-before, "lenders serve it, not the store")
 		f.requireWithin(1_000_000)
 	})
 }
@@ -225,7 +225,7 @@
 			load(time.Minute)
 			after := f.store.Calls()
 			calls[n] = after.Reads - before.Reads + after.Writes - before.Writes
-			t.Logf("%d regions: %d reads and %d writes a minute, messages between regions %v", n, after.Reads-before.Reads, after.Writes-before.Writes, f.messages)
+			t.Logf("%d regions: %d reads and %d writes a minute, messages between regions %v", n, after.Reads-before.Reads, after.Writes-before.Writes, f.sent())
 		})
 	}
 	const eachFurther = 0.6 // of the calls of one region
--- a/prepaid/regionfleet_test.go
+++ b/prepaid/regionfleet_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,7 +57,7 @@
 	tasks   *process.TaskGroup
 	end     context.CancelFunc
 	// served is what was used of its requests.
-	served int64
+	served atomic.Int64
 }
 
 // nobody is the number of lenders of a region that the settings name and that has no processes.
@@ -143,7 +145,7 @@
 func (f *regionFleet) list(except ...string) {
 	var items []store.Item
 	for i, p := range f.all() {
-		if p.dead {
+		if p.hasEnded() {
 			continue
 		}
 		value, err := json.Marshal(p.self)
@@ -151,7 +153,7 @@
 		items = append(items, store.Item{Key: "m/" + p.self.ID, Value: value, Revision: store.Revision(i + 1), Created: store.Revision(i + 1)})
 	}
 	for _, p := range f.all() {
-		if p.dead || slices.Contains(except, p.region) {
+		if p.hasEnded() || slices.Contains(except, p.region) {
 			continue
 		}
 		p.members.Reset(items)
@@ -173,7 +175,7 @@
 
 func (f *regionFleet) of(role, region string) (out []*regionProcess) {
 	for _, p := range f.all() {
-		if p.self.Role == role && p.region == region && !p.dead {
+		if p.self.Role == role && p.region == region && !p.hasEnded() {
 			out = append(out, p)
 		}
 	}
@@ -227,6 +229,13 @@
 	}
 }
 
+// sent returns the number of messages between regions, by method.
+func (f *regionFleet) sent() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.messages)
+}
+
 func (f *regionFleet) setStoreCut(region string, lost bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -248,7 +257,7 @@
 		return err
 	}
 	p.holder.Settle(time.Now(), res, n)
-	p.served += n
+	p.served.Add(n)
 	return nil
 }
 
@@ -302,7 +311,7 @@
 func (f *regionFleet) requireWithin(limit int64) {
 	var used int64
 	for _, p := range f.all() {
-		used += p.served
+		used += p.served.Load()
 	}
 	require.LessOrEqual(f.t, used, limit, "use of the whole budget")
 }
