--- a/prepaid/regionfleet_test.go
+++ b/prepaid/regionfleet_test.go
@@ -1,14 +1,15 @@
 package prepaid
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,7 +42,6 @@
 	cut      map[[2]string]bool
 	storeCut map[string]bool
 	messages map[string]int // by method, between regions
-	log      bytes.Buffer
 	limits   ReportedLimits
 }
 
@@ -57,7 +57,7 @@
 	tasks   *process.TaskGroup
 	end     context.CancelFunc
 	// served is what was used of its requests.
-	served int64
+	served atomic.Int64
 }
 
 // nobody is the number of lenders of a region that the settings name and that has no processes.
@@ -109,7 +109,7 @@
 	group := &member.Group{Store: st, Prefix: "m/", TTL: time.Hour, Interval: time.Second, Report: nopReporter{}, Self: p.self}
 	p.Budgets = New(Parts{Incarnation: p.self.ID, Settings: s, Store: st, Members: group, Links: regionLinks{p}, Limits: limits,
 		LendsOnly: role == RoleLender, Topology: datacentre.Topology{Local: p.self.Datacentre, Regions: f.regions},
-		Log: zerolog.New(&lockedWriter{f: f}).With().Str("vm", vm).Logger()})
+		Log: zerolog.Nop()})
 	f.mu.Lock()
 	f.byAddr[p.self.Address] = p
 	f.mu.Unlock()
@@ -118,22 +118,6 @@
 	return p
 }
 
-// lockedWriter writes log lines of all processes to one buffer.
-type lockedWriter struct{ f *regionFleet }
-
-// Write implements io.Writer.
-func (w *lockedWriter) Write(b []byte) (int, error) {
-	w.f.mu.Lock()
-	defer w.f.mu.Unlock()
-	return w.f.log.Write(b)
-}
-
-func (f *regionFleet) logged(event string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return strings.Count(f.log.String(), `"message":"`+event+`"`)
-}
-
 func (f *regionFleet) stop() {
 	for _, p := range f.all() {
 		p.end()
@@ -161,7 +145,7 @@
 func (f *regionFleet) list(except ...string) {
 	var items []store.Item
 	for i, p := range f.all() {
-		if p.dead {
+		if p.hasEnded() {
 			continue
 		}
 		value, err := json.Marshal(p.self)
@@ -169,7 +153,7 @@
 		items = append(items, store.Item{Key: "m/" + p.self.ID, Value: value, Revision: store.Revision(i + 1), Created: store.Revision(i + 1)})
 	}
 	for _, p := range f.all() {
-		if p.dead || slices.Contains(except, p.region) {
+		if p.hasEnded() || slices.Contains(except, p.region) {
 			continue
 		}
 		p.members.Reset(items)
@@ -191,7 +175,7 @@
 
 func (f *regionFleet) of(role, region string) (out []*regionProcess) {
 	for _, p := range f.all() {
-		if p.self.Role == role && p.region == region && !p.dead {
+		if p.self.Role == role && p.region == region && !p.hasEnded() {
 			out = append(out, p)
 		}
 	}
@@ -245,6 +229,13 @@
 	}
 }
 
+// sent returns the number of messages between regions, by method.
+func (f *regionFleet) sent() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.messages)
+}
+
 func (f *regionFleet) setStoreCut(region string, lost bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -266,7 +257,7 @@
 		return err
 	}
 	p.holder.Settle(time.Now(), res, n)
-	p.served += n
+	p.served.Add(n)
 	return nil
 }
 
@@ -320,7 +311,7 @@
 func (f *regionFleet) requireWithin(limit int64) {
 	var used int64
 	for _, p := range f.all() {
-		used += p.served
+		used += p.served.Load()
 	}
 	require.LessOrEqual(f.t, used, limit, "use of the whole budget")
 }
