Distances: a choice in one region costs what it did

Change: without a topology all upstreams form one group that shares the lists of the choice; with one, what the own region saves is computed once a choice.

--- a/datacentre/datacentre.go
+++ b/datacentre/datacentre.go
@@ -83,6 +83,9 @@
 
 // Crosses reports whether two data centres lie in different regions, in a topology that spans several.
 func (t Topology) Crosses(a, b string) bool {
+	if ra, rb := t.Regions[a], t.Regions[b]; ra != "" && rb != "" {
+		return ra != rb
+	}
 	return t.region(a) != t.region(b) && t.SpansRegions()
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -234,7 +234,7 @@
 		u, preferred := ups[i], regions.of(i).preferred
 		cached := cachedTokens(r, ups, i, i == preferred)
 		f := regions.fetch(i, cached, rates)
-		waitTokens := float64(max(0, r.Prompt-cached)) + f.waitTokens + regions.lacking(r, i, cached, f, rates)
+		waitTokens := float64(max(0, r.Prompt-cached)) + f.waitTokens + regions.lacking(r, i, cached, f)
 		if i != preferred {
 			waitTokens += duplicateWeight * float64(max(0, sharedTokens(r.Parts)-max(cached, f.leading)))
 		}
--- a/placement/regions.go
+++ b/placement/regions.go
@@ -47,58 +47,76 @@
 	knownTokens int64
 }
 
-// regionGroups holds the usable upstreams by region; without a topology all of them form one group.
+// regionGroups holds the usable upstreams by region.
 type regionGroups struct {
 	ups    []Upstream
 	groups []*regionGroup
 	// local is the group of the router's region, nil if that has no usable upstream.
 	local *regionGroup
-	// byUpstream is the group of each upstream, nil for those that are not usable.
+	// byUpstream is the group of each usable upstream; without a topology it is empty, and all of them are local.
 	byUpstream []*regionGroup
+	// localSaved is how many tokens of prefill the shared parts save at the preferred upstream of the router's region.
+	localSaved float64
 }
 
 func groupByRegion(r *serving.Request, ups []Upstream, usable, preferable []int, rates Rates) regionGroups {
+	if rates.Topology == nil {
+		return singleGroup(r, ups, usable, preferable)
+	}
 	out := regionGroups{ups: ups, byUpstream: make([]*regionGroup, len(ups))}
 	for _, i := range usable {
-		g := out.group(rates.region(ups[i].Datacentre))
+		g := out.group(rates.Topology.Region(ups[i].Datacentre), len(usable))
 		g.usable, out.byUpstream[i] = append(g.usable, i), g
 	}
 	for _, i := range preferable {
 		g := out.byUpstream[i]
 		g.preferable = append(g.preferable, i)
 	}
+	own := rates.Topology.Region(rates.Datacentre)
 	for _, g := range out.groups {
-		if g.name == rates.region(rates.Datacentre) {
+		if g.name == own {
 			out.local = g
 		}
-		g.preferred = preferredEngine(r, ups, g.preferable)
-		g.source, g.sourceTokens = largestCache(r, ups, g.usable, g.preferred)
-		g.known, g.knownTokens = g.source, g.sourceTokens
-		if rates.Topology != nil {
-			g.known, g.knownTokens = largestCache(r, ups, g.usable, -1)
-		}
+		g.findSources(r, ups)
+		g.known, g.knownTokens = largestCache(r, ups, g.usable, -1)
+	}
+	if out.local != nil && out.local.preferred >= 0 {
+		cached := cachedTokens(r, ups, out.local.preferred, true)
+		out.localSaved = savedTokens(r, cached, out.fetch(out.local.preferred, cached, rates))
 	}
 	return out
 }
 
-// region returns the region of a data centre, "" without a topology.
-func (r Rates) region(dc string) string {
-	if r.Topology == nil {
-		return ""
-	}
-	return r.Topology.Region(dc)
+// singleGroup returns all upstreams as one group.
+func singleGroup(r *serving.Request, ups []Upstream, usable, preferable []int) regionGroups {
+	g := &regionGroup{usable: usable, preferable: preferable}
+	g.findSources(r, ups)
+	return regionGroups{ups: ups, groups: []*regionGroup{g}, local: g}
 }
 
-func (g *regionGroups) group(name string) *regionGroup {
+// findSources finds the group's preferred upstream and its source of cached tokens.
+func (g *regionGroup) findSources(r *serving.Request, ups []Upstream) {
+	g.preferred = preferredEngine(r, ups, g.preferable)
+	g.source, g.sourceTokens = largestCache(r, ups, g.usable, g.preferred)
+}
+
+// group returns the group of a region, created on first use with space for size upstreams.
+func (g *regionGroups) group(name string, size int) *regionGroup {
 	if i := slices.IndexFunc(g.groups, func(o *regionGroup) bool { return o.name == name }); i >= 0 {
 		return g.groups[i]
 	}
-	added := &regionGroup{name: name}
+	added := &regionGroup{name: name, usable: make([]int, 0, size), preferable: make([]int, 0, size)}
 	g.groups = append(g.groups, added)
 	return added
 }
 
-func (g *regionGroups) of(i int) *regionGroup { return g.byUpstream[i] }
+// of returns the group of a usable upstream.
+func (g *regionGroups) of(i int) *regionGroup {
+	if g.byUpstream == nil {
+		return g.local
+	}
+	return g.byUpstream[i]
+}
 
 // fetch is a transfer of cached tokens to an upstream.
 type fetch struct {
@@ -138,13 +156,11 @@
 // it has more of the shared parts cached or can fetch them. That does not count in favour of the other region: the first
 // request would be answered sooner there, but so would each later one, and all of them would cross. Once prefilled in the
 // router's region, none does.
-func (g *regionGroups) lacking(r *serving.Request, i int, cached int64, f fetch, rates Rates) float64 {
+func (g *regionGroups) lacking(r *serving.Request, i int, cached int64, f fetch) float64 {
 	if g.local == nil || g.of(i) == g.local || g.local.preferred < 0 {
 		return 0
 	}
-	local := g.local.preferred
-	localCached := cachedTokens(r, g.ups, local, true)
-	return max(0, savedTokens(r, cached, f)-savedTokens(r, localCached, g.fetch(local, localCached, rates)))
+	return max(0, savedTokens(r, cached, f)-g.localSaved)
 }
 
 // savedTokens returns how many tokens of prefill a prompt's cached and fetched shared parts save.
