Settings files: SIGHUP during a planned stop does not end the process

Cause: the watcher of the settings file removed its handler of SIGHUP when the planned stop began, so a reload that came later ended the process, with the requests that the stop waits for.

Change: the handler stays until the process has ended, and a reload during the stop is taken.

TestHangupAfterTheWatcherEndedIsHandled was seen failing without the change.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -58,7 +58,8 @@
 	out, dropped := observe.Stdout()
 	g := gateway.New(s, hosted.TCP(), out, dropped)
 	captureLibraryLog(g.Log)
-	go watcher.run(ctx, func() {
+	// ctx ends when a planned stop begins; a signal may also come later.
+	go watcher.run(context.WithoutCancel(ctx), func() {
 		s, err := settings.LoadGateway(c.config)
 		if err != nil {
 			g.ReloadRefused(err)
--- a/daemon/lender.go
+++ b/daemon/lender.go
@@ -54,7 +54,8 @@
 	out, dropped := observe.Stdout()
 	l := lender.New(s, hosted.TCP(), out, dropped)
 	captureLibraryLog(l.Log)
-	go watcher.run(ctx, func() {
+	// ctx ends when a planned stop begins; a signal may also come later.
+	go watcher.run(context.WithoutCancel(ctx), func() {
 		s, err := settings.LoadLender(c.config)
 		if err != nil {
 			l.ReloadRefused(err)
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -22,7 +22,7 @@
 }
 
 // newFileWatcher must be called before the settings are first loaded, and before the process takes
-// work: later changes are detected, and SIGHUP does not terminate the process.
+// work: later changes are detected, and SIGHUP does not terminate the process until it has ended.
 func newFileWatcher(path string) *fileWatcher {
 	w := &fileWatcher{path: path, hangup: make(chan os.Signal, 1)}
 	signal.Notify(w.hangup, syscall.SIGHUP)
@@ -32,7 +32,6 @@
 
 // run calls changed on SIGHUP, and when the file's content has changed, until the context ends.
 func (w *fileWatcher) run(ctx context.Context, changed func()) {
-	defer signal.Stop(w.hangup)
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
 	for {
--- a/daemon/watch_test.go
+++ b/daemon/watch_test.go
@@ -46,3 +46,16 @@
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	<-watchFile(t, watcher)
 }
+
+// Guards against a SIGHUP that terminates a process whose watcher has ended, with the requests that a planned stop
+// waits for.
+func TestHangupAfterTheWatcherEndedIsHandled(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(path, []byte("one"), 0o600))
+	watcher := newFileWatcher(path)
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	watcher.run(ctx, func() {})
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	<-watcher.hangup
+}
