Roll-outs: earlier orders are remembered, the end is written in time, streams go on until it is stored

Causes, each with a test seen failing on (gateway tests of this commit on that code): - A version whose order was rolled back or replaced was a previous version of the next order, and got requests without a bound; under an order that followed a completed one, requests went to the upstreams that had stopped (TestOrderReplacedByOneOfAnotherVersion, 10 of 10 cases; TestOrderReplacedByOneOfAnotherDuration, 3 of 6).

Ruled out: that the margin of a short order is too small: the bound, not the margin, decides when its last requests move.

Change: rollout.Earlier, in the record and in directives; no roll-out is completed without an upstream of the version; bound streams continue until the store holds the end, a quarter of roll_back at most; the completing write is given up and repeated; routes leave enough of the bound for later ones; routers confirm the move at once, and the decider decides once all have; reports on one service do not wait for those on another.

The harness of the roll-out tests got a field for the ordered version; what it checks is unchanged.

--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -58,6 +58,8 @@
 	// decision is the last one; directives are answered from it.
 	decision  rollout.Decision
 	decidedAt time.Time
+	// confirmations counts the reports since then of routers that send nothing to the previous version.
+	confirmations int
 	// record is the store's, read is set while it is known, and ended once it is final. endLost is set while a store that was
 	// restored may lack the end.
 	record               rollout.Record
@@ -66,6 +68,9 @@
 	// failingSince the time since which calls have failed, and conflictAt that of the last conflict.
 	calling                               bool
 	pausedUntil, failingSince, conflictAt time.Time
+	// lastCallTook is the duration of the last call, endsFailed how many completing writes have failed since one succeeded.
+	lastCallTook time.Duration
+	endsFailed   int
 }
 
 // rankCanaries returns the n upstreams that test a service's version.
@@ -129,6 +134,9 @@
 		dec.askedSince = now
 	}
 	dec.decider.Add(now, report)
+	if report.Finishing && report.RunningOld == 0 {
+		d.decideIfFinishedLocked(now, dec)
+	}
 	switch {
 	case dec.ended:
 	case dec.storeLostLocked():
@@ -137,7 +145,7 @@
 		return rollout.Directive{Revision: dec.order().Revision, Pending: true}, nil
 	}
 	directive := dec.decision.Directive
-	directive.Revision = dec.order().Revision
+	directive.Revision, directive.Earlier = dec.order().Revision, dec.record.Earlier
 	return directive, nil
 }
 
@@ -258,10 +266,23 @@
 		d.writeEndAgainLocked(now, dec)
 		return dec.endLost
 	}
-	if now.Sub(dec.decidedAt) < interval {
-		return true
+	if now.Sub(dec.decidedAt) >= interval {
+		d.decideLocked(now, dec)
+	}
+	return true
+}
+
+// decideIfFinishedLocked decides at once if as many routers have confirmed the move as the last decision waited for: shortly before
+// the deadline each tick counts.
+func (d *rolloutDeciders) decideIfFinishedLocked(now time.Time, dec *rolloutDecider) {
+	if dec.confirmations++; !dec.ended && dec.decision.Waiting > 0 && dec.confirmations >= dec.decision.Waiting {
+		d.decideLocked(now, dec)
 	}
+}
+
+func (d *rolloutDeciders) decideLocked(now time.Time, dec *rolloutDecider) {
 	before := dec.decision
+	dec.confirmations = 0
 	dec.decidedAt = now
 	dec.decider.Limits = d.r.limits()
 	d.suspendLocked(now, dec)
@@ -271,7 +292,6 @@
 		dec.calling = true
 		d.tasks.Go(func(ctx context.Context) { d.callStore(ctx, dec, call) })
 	}
-	return true
 }
 
 // suspendLocked stops decisions while no router reports to this one. Another router decides meanwhile, so the
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -68,10 +68,15 @@
 	// selections caches the upstreams that each preference allows.
 	selections map[rollout.Preference]selection
 	runningOld int
+	// earlier is what the orders before this one say. earlierUncertain is set if the one before was about to be completed when this
+	// one came, until the decider knows.
+	earlier          rollout.Earlier
+	earlierUncertain bool
 	// oldUpstreams and newUpstreams are those of each version that accept requests.
 	oldUpstreams, newUpstreams int
-	// reportedAt is the time of the last report.
+	// reportedAt is the time of the last report, and reporting is set while one is on its way.
 	reportedAt time.Time
+	reporting  bool
 }
 
 func newRollouts(g *Gateway) *rollouts {
@@ -137,6 +142,11 @@
 			next[service] = have
 			continue
 		}
+		if have != nil && have.withdrawnAfterCompletion(order) {
+			have.current.Store(&order)
+			next[service] = have
+			continue
+		}
 		if have != nil && order.Earlier != 0 && have.order().Revision == order.Earlier && have.order().Withdrawn == order.Withdrawn {
 			have.rename(order)
 			next[service] = have
@@ -144,6 +154,9 @@
 			continue
 		}
 		next[service] = r.newServiceRollout(order, live)
+		if have != nil {
+			next[service].follow(have)
+		}
 		r.g.Log.Info().Str("service", service).Str("version", order.Version).Dur("within_ms", order.Duration).
 			Int64("revision", order.Revision.Number()).Bool("live", live).Bool("withdrawn", order.Withdrawn).Msg("rollout_ordered")
 	}
@@ -200,13 +213,17 @@
 	return true
 }
 
-// reportAll reports on each roll-out whose report is due, and returns whether any has not ended.
-func (r *rollouts) reportAll(ctx context.Context) (open bool) {
+// reportAll reports on each roll-out whose report is due, and returns whether any has not ended. One whose decider does not reply
+// delays no other one.
+func (r *rollouts) reportAll(context.Context) (open bool) {
 	now, interval := time.Now(), r.reportInterval()
 	for service, sr := range *r.active.Load() {
 		if sr.due(now, interval) {
 			sr.countUpstreams(r.g.directory.ForService(service), now)
-			r.report(ctx, sr)
+			r.deciders.tasks.Go(func(ctx context.Context) {
+				defer sr.reported()
+				r.report(ctx, sr)
+			})
 		}
 		open = open || !sr.ended()
 	}
@@ -227,13 +244,20 @@
 	if sr.follower.Finishing() || sr.follower.Directive().Near {
 		interval /= 2
 	}
-	if sr.follower.Ended() || now.Sub(sr.reportedAt) < interval {
+	if sr.reporting || sr.follower.Ended() || now.Sub(sr.reportedAt) < interval {
 		return false
 	}
-	sr.reportedAt = now
+	sr.reportedAt, sr.reporting = now, true
 	return true
 }
 
+// reported records that the report that was due has been sent, or given up.
+func (sr *serviceRollout) reported() {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sr.reporting = false
+}
+
 // countUpstreams counts the upstreams of each version, and chooses the canaries of the new one: as many
 // as get the usual load from their share of the requests, the same at all routers.
 func (sr *serviceRollout) countUpstreams(ups []directory.Upstream, now time.Time) {
@@ -243,6 +267,7 @@
 	warm := map[string]directory.Incarnation{}
 	for _, u := range ups {
 		switch {
+		case sr.isOutLocked(u):
 		case !sr.isNew(u):
 			sr.oldUpstreams++
 		case now.Before(u.ColdUntil):
@@ -259,8 +284,16 @@
 	}
 }
 
-// report sends a report to the router that decides, and applies its directive.
+// report sends a report to the router that decides, and applies its directive. The end waits for this router's confirmation, so that
+// is sent at once.
 func (r *rollouts) report(ctx context.Context, sr *serviceRollout) {
+	if r.reportOnce(ctx, sr) {
+		r.reportOnce(ctx, sr)
+	}
+}
+
+// reportOnce sends one report, and reports whether the router has to confirm the directive.
+func (r *rollouts) reportOnce(ctx context.Context, sr *serviceRollout) (confirm bool) {
 	directive, from, err := r.deciders.callDecider(ctx, r.newReport(sr))
 	if err != nil {
 		r.g.Log.Warn().Err(err).Str("service", sr.order().Service).Msg("rollout_not_reported")
@@ -269,7 +302,7 @@
 			directive, ended = r.readEnded(ctx, sr.order())
 		}
 		if !ended {
-			return
+			return false
 		}
 		from = "store"
 	}
@@ -277,16 +310,19 @@
 	before := sr.follower.Directive()
 	sr.follower.Limits = r.limits()
 	sr.follower.Apply(time.Now(), directive)
+	sr.applyEarlierLocked(directive)
 	sr.selections = nil
 	after := sr.follower.Directive()
-	if after.Finish && !before.Finish {
-		sr.reportedAt = time.Time{} // the end waits for this router's confirmation
+	confirm = after.Finish && !before.Finish
+	if confirm {
+		sr.reportedAt = time.Time{} // requests may still run at the previous version: again at the next tick
 	}
 	sr.mu.Unlock()
 	if before.State != after.State || before.Finish != after.Finish || len(before.Moved) != len(after.Moved) || (before.Share > 0) != (after.Share > 0) {
 		r.g.Log.Info().Str("service", sr.order().Service).Str("version", sr.order().Version).Stringer("state", after.State).Float64("share", after.Share).
 			Strs("moved", after.Moved).Bool("finish", after.Finish).Str("from", from).Msg("rollout_directive")
 	}
+	return confirm
 }
 
 // needsStore reports whether the router has to ask the store how the roll-out ended: it sends nothing to
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/store"
 	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
@@ -21,6 +22,9 @@
 	old, new []*standin.Upstream
 	ordered  time.Time
 	duration time.Duration
+	// version is the one that is ordered, replacedAt the revision of its order if it replaced another one.
+	version    string
+	replacedAt store.Revision
 	// stopping are the routers that restart, by VM.
 	stopping map[int]*gatewayProcess
 
@@ -40,7 +44,7 @@
 )
 
 func startRolloutFleet(f *fleet, seed uint64, routers int) *rolloutFleet {
-	r := &rolloutFleet{fleet: f, rng: rand.New(rand.NewPCG(seed, 2)), routers: routers, duration: rolloutDuration, statuses: map[int]int{}, stopping: map[int]*gatewayProcess{}}
+	r := &rolloutFleet{fleet: f, rng: rand.New(rand.NewPCG(seed, 2)), routers: routers, duration: rolloutDuration, version: "v2", statuses: map[int]int{}, stopping: map[int]*gatewayProcess{}}
 	f.putConfig(0, "k1")
 	for n := range rolloutUpstreams {
 		r.old = append(r.old, f.upstream(fmt.Sprint("i-", n+1), "plain", 0))
@@ -102,10 +106,10 @@
 func (r *rolloutFleet) observeState() {
 	state, version, err := r.store.RolloutStatus("plain")
 	require.NoError(r.t, err)
-	if state == r.state {
+	if state == r.state || r.isOfReplacedOrder() {
 		return
 	}
-	require.Equal(r.t, "v2", version)
+	require.Equal(r.t, r.version, version)
 	require.NotContains(r.t, []string{"completed", "rolled_back"}, r.state, "a final state stays")
 	r.state = state
 	if state != "in_progress" {
--- a/gateway/rolloutstore.go
+++ b/gateway/rolloutstore.go
@@ -16,6 +16,16 @@
 // recordTimeout bounds the write of what was observed: the write of the end waits for it.
 const recordTimeout = 300 * time.Millisecond
 
+// The completing write is short of time: an attempt is given up after minEndTimeout, or endTimeoutFactor times what the last call
+// took if that is more, and repeated after endPause. Each further attempt gets twice the time, and twice the pause.
+const (
+	minEndTimeout    = 200 * time.Millisecond
+	endTimeoutFactor = 3
+	endPause         = rolloutTick
+	// maxEndDoublings is the number of attempts after which the end has the timeout of any call.
+	maxEndDoublings = 3
+)
+
 // storeCall is a call of the store for a roll-out.
 type storeCall struct {
 	state rollout.State
@@ -42,7 +52,11 @@
 // callStore makes one call. After a conflict it reads the record again at once, and decides from it: the store
 // has answered.
 func (d *rolloutDeciders) callStore(ctx context.Context, dec *rolloutDecider, c storeCall) {
+	began := time.Now()
 	err := d.tryCallStoreInTime(ctx, dec, c)
+	if c.state != rollout.Completed {
+		dec.recordTook(time.Since(began))
+	}
 	if errors.Is(err, store.ErrConflict) && dec.mayReadAgain(time.Now()) {
 		defer d.decide(dec)
 		d.r.g.Log.Info().Str("service", dec.order().Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_conflict")
@@ -52,7 +66,7 @@
 	defer dec.mu.Unlock()
 	dec.calling = false
 	if err == nil {
-		dec.failingSince = time.Time{}
+		dec.failingSince, dec.endsFailed = time.Time{}, 0
 		return
 	}
 	d.r.g.Log.Warn().Err(err).Str("service", dec.order().Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_not_stored")
@@ -85,7 +99,7 @@
 		return err
 	}
 	if record.Order != order.Revision || record.State != state {
-		record.State, record.Observed = state, nil
+		record.State, record.Observed, record.Earlier = state, nil, record.EarlierOf(order)
 		if record, err = d.r.g.Store.WriteRollout(ctx, order, record); err != nil {
 			return err
 		}
@@ -119,6 +133,10 @@
 	// The write may have taken effect, or another process may have written.
 	dec.read = false
 	dec.pausedUntil = now.Add(rolloutStorePause)
+	if c.state == rollout.Completed {
+		dec.pausedUntil = now.Add(min(rolloutStorePause, endPause<<min(dec.endsFailed, maxEndDoublings)))
+		dec.endsFailed++
+	}
 	switch {
 	case conflict:
 		dec.failingSince = time.Time{}
@@ -127,16 +145,36 @@
 	}
 }
 
-// tryCallStoreInTime bounds a call that records what was observed.
+// recordTook records the duration of a call, also of one that failed.
+func (dec *rolloutDecider) recordTook(took time.Duration) {
+	dec.mu.Lock()
+	defer dec.mu.Unlock()
+	dec.lastCallTook = took
+}
+
+// tryCallStoreInTime bounds a call that records what was observed, and one that completes.
 func (d *rolloutDeciders) tryCallStoreInTime(ctx context.Context, dec *rolloutDecider, c storeCall) error {
-	if c.records {
+	if timeout := dec.timeout(c); timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, recordTimeout)
+		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
 	return d.tryCallStore(ctx, dec, c)
 }
 
+// timeout returns the timeout of a call, 0 for that of the store's client.
+func (dec *rolloutDecider) timeout(c storeCall) time.Duration {
+	dec.mu.Lock()
+	defer dec.mu.Unlock()
+	switch {
+	case c.records:
+		return recordTimeout
+	case c.state == rollout.Completed && dec.endsFailed <= maxEndDoublings:
+		return max(minEndTimeout<<dec.endsFailed, endTimeoutFactor*dec.lastCallTook)
+	}
+	return 0
+}
+
 // tryCallStore reads the record if it is not known, and writes the state. Completed is not written with what
 // the record says still to be considered.
 func (d *rolloutDeciders) tryCallStore(ctx context.Context, dec *rolloutDecider, c storeCall) error {
@@ -169,6 +207,7 @@
 	}
 	dec.mu.Lock()
 	defer dec.mu.Unlock()
+	record.Earlier = record.EarlierOf(dec.order())
 	dec.record, dec.read = record, true
 	dec.decidedAt = time.Time{} // decide from the record at once
 	d.adoptLocked(dec, record)
@@ -255,5 +294,6 @@
 		return rollout.Directive{}, false
 	}
 	directive = rollout.Directive{Revision: o.Revision, State: record.State, Ended: record.Revision}
+	directive.Earlier = record.EarlierOf(o)
 	return directive, record.IsOf(o) && record.State.Final()
 }
--- a/gateway/rolloutversions.go
+++ b/gateway/rolloutversions.go
@@ -34,14 +34,20 @@
 }
 
 // servesLocked reports whether upstreams of a version may continue streams that it began. Those of the new
-// version may not while it gets no other requests, since it may have proven bad.
+// version may not while it gets no other requests, since it may have proven bad; until the store holds that, they
+// continue what they began: no other upstream can.
 func (sr *serviceRollout) servesLocked(version string, p rollout.Preference) bool {
 	switch p {
-	case rollout.OnlyPrevious, rollout.OnlyNext:
+	case rollout.OnlyPrevious:
+		return version == sr.order().Version && sr.follower.EndPending(time.Now())
+	case rollout.OnlyNext:
 		return false
 	case rollout.Next, rollout.Canary:
 		return true
 	}
+	if sr.earlier.Rejects(version) {
+		return false
+	}
 	return version != sr.order().Version || sr.follower.Fresh(time.Now()) && sr.follower.Directive().Share > 0
 }
 
@@ -80,9 +86,14 @@
 }
 
 func (sr *serviceRollout) filterLocked(p rollout.Preference, ups []directory.Upstream) []directory.Upstream {
-	var previous, next, test []directory.Upstream
+	var previous, next, test, uncertain []directory.Upstream
 	for _, u := range ups {
 		switch {
+		case sr.isOutLocked(u):
+			if sr.earlierUncertain && !sr.earlier.Rejects(u.Version) {
+				uncertain = append(uncertain, u)
+			}
+			continue
 		case !sr.isNew(u):
 			previous = append(previous, u)
 			continue
@@ -93,15 +104,18 @@
 	}
 	switch p {
 	case rollout.OnlyPrevious:
+		if len(previous) == 0 && sr.earlier.Completed == sr.order().Version {
+			return next // it had served alone before it was ordered again
+		}
 		return previous
 	case rollout.OnlyNext:
 		return sr.withLaterLocked(next, previous)
 	case rollout.Canary:
-		return firstNonEmpty(test, previous, next)
+		return firstNonEmpty(test, previous, next, uncertain)
 	case rollout.Next:
-		return firstNonEmpty(next, previous)
+		return firstNonEmpty(next, previous, uncertain)
 	}
-	return firstNonEmpty(previous, next)
+	return firstNonEmpty(previous, next, uncertain)
 }
 
 func firstNonEmpty(lists ...[]directory.Upstream) []directory.Upstream {
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -165,7 +165,7 @@
 	demand := d.demand(now)
 	reporting := d.reporting(now, routers)
 	most := reporting > 0 && 2*reporting >= len(routers)
-	proven := demand.proven() && d.countedEnough(now, &demand, routers)
+	proven := demand.proven() && d.countedEnough(now, &demand, routers) && d.versionListed()
 	d.judge(&demand, reporting, most, proven)
 	out := Decision{Directive: Directive{Revision: d.Order.Revision, State: d.state}, Reason: d.reason, Reporting: reporting,
 		Sent: demand.sent, SentToNew: demand.sentToNew, Answered: demand.answered(), Elapsed: demand.elapsed, Counted: d.countedTime(now)}
@@ -269,7 +269,10 @@
 	late := demand.elapsed >= demand.duration+overtime
 	if d.confirmed && demand.left() == 0 && !proven && (most || late) {
 		reason := "too few answers of the version before the deadline"
-		if demand.proven() {
+		switch {
+		case !d.versionListed():
+			reason = "no upstream of the version accepts requests at the deadline"
+		case demand.proven():
 			reason = "requests were counted for too little of the time before the deadline"
 		}
 		d.End(RolledBack, reason)
@@ -321,6 +324,16 @@
 	return n
 }
 
+// versionListed reports whether any router has an upstream of the new version: the previous ones stop once it is completed.
+func (d *Decider) versionListed() bool {
+	for _, r := range d.reports {
+		if r.NewUpstreams > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // oldVersionLeft reports whether any router has an upstream of another version, while there are some of
 // the new one.
 func (d *Decider) oldVersionLeft() bool {
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -67,6 +67,12 @@
 // decider may end before it has written it.
 func (f *Follower) Ended() bool { return f.directive.State.Final() && f.directive.Ended > 0 }
 
+// EndPending reports whether the router has heard of the end a moment ago, and the store may not hold it yet: operators still see the
+// roll-out in progress.
+func (f *Follower) EndPending(now time.Time) bool {
+	return f.directive.State.Final() && !f.Ended() && f.Fresh(now)
+}
+
 // EndedAt returns the first known revision at which the store held the final state, 0 if there is none. It stays when the end is
 // written again to a restored store.
 func (f *Follower) EndedAt() store.Revision { return f.endedAt }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -20,6 +20,8 @@
 	// drainMeans is how many mean run times the requests at the previous version get to end: 95 in
 	// 100 end within it if run times are exponentially distributed.
 	drainMeans = 3
+	// lastPart is the part of the margin that the last move needs: directives, confirmations and the write.
+	lastPart = 0.35
 	// minAnswers is the number of the new version's answers without which it is not proven.
 	minAnswers = 10
 	// minCountedPart is the part of the time since the order for which requests must have been counted: after all
@@ -66,13 +68,14 @@
 
 // moved returns the routes whose requests all go to the new version from now on. Even if the version
 // turned bad now, it would get no more than allowed until the deadline. Routes whose requests can't
-// be interrupted are moved earlier, by the time that these run.
+// be interrupted are moved earlier, by the time that these run, but leave enough for the others to move in time.
 func (d *demand) moved(l Limits) (routes []string) {
 	left := d.left()
 	rest := d.allowance(l) - float64(d.sentToNew)
-	for _, name := range d.byDrain() {
+	names := d.byDrain()
+	for n, name := range names {
 		rest -= d.expected(d.routes[name].sent(), left)
-		if rest < 0 || left > l.Margin+d.drain(name) {
+		if rest < d.lastNeed(names[n+1:], l) || left > l.Margin+d.drain(name) {
 			break
 		}
 		routes = append(routes, name)
@@ -80,6 +83,15 @@
 	return routes
 }
 
+// lastNeed returns how many requests some routes get if they move as late as is still in time.
+func (d *demand) lastNeed(routes []string, l Limits) (need float64) {
+	within := min(d.left(), time.Duration(lastPart*float64(l.Margin)))
+	for _, name := range routes {
+		need += d.expected(d.routes[name].sent(), within)
+	}
+	return need
+}
+
 // byDrain returns the routes by drain time, the longest first.
 func (d *demand) byDrain() []string {
 	return slices.SortedFunc(maps.Keys(d.routes), func(a, b string) int {
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -36,6 +36,8 @@
 	// Observed is what the decider had observed; nil if the roll-out has ended, or if the process that
 	// wrote the record does not record it.
 	Observed *Observed
+	// Earlier is what the orders before this one say.
+	Earlier Earlier
 	// Revision is the record's revision in the store.
 	Revision store.Revision
 }
@@ -52,6 +54,14 @@
 	return r.Order.Era() < o.Revision.Era() && r.Version == o.Version && r.Duration == o.Duration
 }
 
+// EarlierOf returns what the record says of the orders before an order.
+func (r Record) EarlierOf(o Order) Earlier {
+	if r.Order == 0 || r.IsOf(o) || r.Version == "" {
+		return r.Earlier
+	}
+	return r.Earlier.Next(r.Version, r.State, r.Revision, o.Version)
+}
+
 // Observed is what a decider has observed since the order. Another one continues with it, also if no router
 // is left whose requests it counts.
 type Observed struct {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -82,6 +82,8 @@
 	// Moved are the routes whose requests all go to the new version, Finish moves all routes.
 	Moved  []string `json:"moved,omitempty"`
 	Finish bool     `json:"finish,omitempty"`
+	// Earlier is what the orders before this one say.
+	Earlier Earlier `json:"earlier,omitzero"`
 	// Near is set shortly before the deadline, when directives change within a fraction of a second.
 	Near bool `json:"near,omitempty"`
 }
