Roll-outs: a decider that is cut from the store hands over before the end; two services at once are played

Cause: the writes of what was observed may fail, so a decider that reached the routers but not the store for five seconds was found out only by its completing write: 8.22 and 8.72 s of 8 s (TestTwoServicesAtOnce, two services, the first one's decider cut from the store; 2 of 8 cases failed on and on, traced in the log). Ruled out: that reports of one service wait for the other's decider; sending them side by side left it at 8.22 s. Change: within two seconds of the deadline, two such writes that failed one after the other count as a lost store.

--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -24,6 +24,8 @@
 	// storeLostAfter is how long a router may fail to write to the store, before others take another one as
 	// the decider: it may be cut from the store.
 	storeLostAfter = 600 * time.Millisecond
+	// storeLostRecords is how many writes of what was observed may fail one after the other before the same holds.
+	storeLostRecords = 2
 	// orderSpread is the time in which all routers receive an order.
 	orderSpread = 500 * time.Millisecond
 )
@@ -71,6 +73,8 @@
 	// lastCallTook is the duration of the last call, endsFailed how many completing writes have failed since one succeeded.
 	lastCallTook time.Duration
 	endsFailed   int
+	// recordsFailed is how many writes of what was observed have failed since one succeeded.
+	recordsFailed int
 }
 
 // rankCanaries returns the n upstreams that test a service's version.
@@ -150,8 +154,12 @@
 }
 
 // storeLostLocked reports whether the store has not taken this router as the decider, or what it decided, for
-// some time: another router may reach the store.
+// some time: another router may reach the store. Shortly before the deadline writes of what was observed count too: the one that
+// completes would be late.
 func (dec *rolloutDecider) storeLostLocked() bool {
+	if dec.decision.Directive.Near && dec.recordsFailed >= storeLostRecords {
+		return true
+	}
 	since := dec.failingSince
 	if since.IsZero() && !dec.decider.Confirmed() {
 		since = dec.askedSince
--- a/gateway/rolloutstore.go
+++ b/gateway/rolloutstore.go
@@ -66,7 +66,7 @@
 	defer dec.mu.Unlock()
 	dec.calling = false
 	if err == nil {
-		dec.failingSince, dec.endsFailed = time.Time{}, 0
+		dec.failingSince, dec.endsFailed, dec.recordsFailed = time.Time{}, 0, 0
 		return
 	}
 	d.r.g.Log.Warn().Err(err).Str("service", dec.order().Service).Stringer("state", c.state).Bool("records", c.records).Msg("rollout_not_stored")
@@ -128,6 +128,7 @@
 // next write conflicts.
 func (dec *rolloutDecider) failedLocked(now time.Time, c storeCall, conflict bool) {
 	if c.records && !conflict {
+		dec.recordsFailed++
 		return
 	}
 	// The write may have taken effect, or another process may have written.
