Roll-outs: streams of a version go on when its canaries have had their part of the bound

Cause: a router refused to continue a stream of the new version as soon as the share of canaries was 0, which also says that their part of the bound is spent, while the roll-out is in progress and no other upstream can continue it (TestStreamKeepsItsVersionDuringARollOut; traced: the last directive before the refusal has share 0 and state in_progress). Change: a fresh directive in progress suffices. Such streams count as requests to the version, so they leave less for its canaries.

--- a/gateway/rolloutversions.go
+++ b/gateway/rolloutversions.go
@@ -34,8 +34,8 @@
 }
 
 // servesLocked reports whether upstreams of a version may continue streams that it began. Those of the new
-// version may not while it gets no other requests, since it may have proven bad; until the store holds that, they
-// continue what they began: no other upstream can.
+// version may while the router would learn that it is bad, also if its canaries have had their part of the bound, and until the
+// store holds that it is: no other upstream can.
 func (sr *serviceRollout) servesLocked(version string, p rollout.Preference) bool {
 	switch p {
 	case rollout.OnlyPrevious:
@@ -48,7 +48,7 @@
 	if sr.earlier.Rejects(version) {
 		return false
 	}
-	return version != sr.order().Version || sr.follower.Fresh(time.Now()) && sr.follower.Directive().Share > 0
+	return version != sr.order().Version || sr.follower.Fresh(time.Now())
 }
 
 // awaitsStateLocked reports whether the router has just started and does not know yet whether the upstreams
