--- a/gateway/rolloutdeciders.go
+++ b/gateway/rolloutdeciders.go
@@ -24,6 +24,8 @@
 	// storeLostAfter is how long a router may fail to write to the store, before others take another one as
 	// the decider: it may be cut from the store.
 	storeLostAfter = 600 * time.Millisecond
+	// storeLostRecords is how many writes of what was observed may fail one after the other before the same holds.
+	storeLostRecords = 2
 	// orderSpread is the time in which all routers receive an order.
 	orderSpread = 500 * time.Millisecond
 )
@@ -58,6 +60,8 @@
 	// decision is the last one; directives are answered from it.
 	decision  rollout.Decision
 	decidedAt time.Time
+	// confirmations counts the reports since then of routers that send nothing to the previous version.
+	confirmations int
 	// record is the store's, read is set while it is known, and ended once it is final. endLost is set while a store that was
 	// restored may lack the end.
 	record               rollout.Record
@@ -66,6 +70,11 @@
 	// failingSince the time since which calls have failed, and conflictAt that of the last conflict.
 	calling                               bool
 	pausedUntil, failingSince, conflictAt time.Time
+	// lastCallTook is the duration of the last call, endsFailed how many completing writes have failed since one succeeded.
+	lastCallTook time.Duration
+	endsFailed   int
+	// recordsFailed is how many writes of what was observed have failed since one succeeded.
+	recordsFailed int
 }
 
 // rankCanaries returns the n upstreams that test a service's version.
@@ -129,6 +138,9 @@
 		dec.askedSince = now
 	}
 	dec.decider.Add(now, report)
+	if report.Finishing && report.RunningOld == 0 {
+		d.decideIfFinishedLocked(now, dec)
+	}
 	switch {
 	case dec.ended:
 	case dec.storeLostLocked():
@@ -137,13 +149,17 @@
 		return rollout.Directive{Revision: dec.order().Revision, Pending: true}, nil
 	}
 	directive := dec.decision.Directive
-	directive.Revision = dec.order().Revision
+	directive.Revision, directive.Earlier = dec.order().Revision, dec.record.Earlier
 	return directive, nil
 }
 
 // storeLostLocked reports whether the store has not taken this router as the decider, or what it decided, for
-// some time: another router may reach the store.
+// some time: another router may reach the store. Shortly before the deadline writes of what was observed count too: the one that
+// completes would be late.
 func (dec *rolloutDecider) storeLostLocked() bool {
+	if dec.decision.Directive.Near && dec.recordsFailed >= storeLostRecords {
+		return true
+	}
 	since := dec.failingSince
 	if since.IsZero() && !dec.decider.Confirmed() {
 		since = dec.askedSince
@@ -258,10 +274,23 @@
 		d.writeEndAgainLocked(now, dec)
 		return dec.endLost
 	}
-	if now.Sub(dec.decidedAt) < interval {
-		return true
+	if now.Sub(dec.decidedAt) >= interval {
+		d.decideLocked(now, dec)
 	}
+	return true
+}
+
+// decideIfFinishedLocked decides at once if as many routers have confirmed the move as the last decision waited for: shortly before
+// the deadline each tick counts.
+func (d *rolloutDeciders) decideIfFinishedLocked(now time.Time, dec *rolloutDecider) {
+	if dec.confirmations++; !dec.ended && dec.decision.Waiting > 0 && dec.confirmations >= dec.decision.Waiting {
+		d.decideLocked(now, dec)
+	}
+}
+
+func (d *rolloutDeciders) decideLocked(now time.Time, dec *rolloutDecider) {
 	before := dec.decision
+	dec.confirmations = 0
 	dec.decidedAt = now
 	dec.decider.Limits = d.r.limits()
 	d.suspendLocked(now, dec)
@@ -271,7 +300,6 @@
 		dec.calling = true
 		d.tasks.Go(func(ctx context.Context) { d.callStore(ctx, dec, call) })
 	}
-	return true
 }
 
 // suspendLocked stops decisions while no router reports to this one. Another router decides meanwhile, so the
