Budgets: a request that needs more than is left no longer refuses smaller ones for good

Cause: a request for more than is left marked the budget as exhausted for 300 ms, and all other requests that lacked tokens in that time were told so, whatever their size. Change: the mark has the amount that was left, and counts for requests that need more. Ruled out: nothing else sets it. How many of the 402 it explains is not measured apart.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -95,22 +95,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
 	defer cancel()
+	need := shortfall + max(0, -g.Holder.shortage(g.Now(), budget, 0).shortfall)
 	for try := 1; ; try++ {
 		if err := g.Sync(ctx, g.Layout.Key(budget)); err != nil {
 			return err
 		}
-		again, err := g.syncOutcome(budget, shortfall)
+		again, err := g.syncOutcome(budget, shortfall, need)
 		if !again || try == maxFetches {
 			return err
 		}
 	}
 }
 
-// syncOutcome returns the result of the last sync for the budget. again is true if the page had
+// syncOutcome returns the result of the last sync for a request for need tokens that lacked shortfall of them. again is true if the page had
 // enough for all waiting requests: later requests then took it, and another sync may help.
-func (g *StoreGranter) syncOutcome(budget string, shortfall int64) (again bool, err error) {
-	s := g.Holder.shortage(g.Now(), budget, 0)
-	spendable := -s.shortfall
+func (g *StoreGranter) syncOutcome(budget string, shortfall, need int64) (again bool, err error) {
+	s := g.Holder.shortage(g.Now(), budget, need)
+	spendable := need - s.shortfall
 	switch {
 	case s.absent:
 		return false, Error.Wrap(ErrNoBudget)
--- a/coord/grant/localbudget.go
+++ b/coord/grant/localbudget.go
@@ -84,7 +84,9 @@
 	nextSync       time.Time
 	lastSync       time.Time
 	lowBackoff     time.Duration // between syncs while tokens run low
-	exhaustedUntil time.Time
+	// exhaustedUntil is until when requests for more than exhaustedUnspent, what was left at that sync, are refused.
+	exhaustedUntil   time.Time
+	exhaustedUnspent int64
 	absent         bool  // the page has no account for it
 	insufficient   bool  // the page had too little for all waiting requests
 	removalPending bool  // a write that removes the row was sent
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -258,7 +258,7 @@
 		}
 		b.nextSync = now.Add(t.Rebalance - h.syncOffset(b.name, t.Rebalance/4))
 		if c.exhausted {
-			b.exhaustedUntil = now.Add(t.ExhaustedBackoff)
+			b.exhaustedUntil, b.exhaustedUnspent = now.Add(t.ExhaustedBackoff), c.view.Unspent
 			h.refuseExhaustedLocked(b, c.view.Unspent)
 		}
 		if !wrote {
@@ -357,7 +357,7 @@
 // shortage describes a budget for a waiting request.
 type shortage struct {
 	shortfall int64 // tokens missing for the reservation; negative if more are spendable
-	exhausted bool  // a recent sync found the budget exhausted
+	exhausted bool  // a recent sync found that less than the reservation is left of the budget
 	absent    bool  // the budget's page has no account for it
 	// insufficient says that the page, at the last sync, had too little for all waiting requests.
 	insufficient bool
@@ -367,7 +367,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b := h.budgetLocked(budget)
-	return shortage{shortfall: n - b.spendable(), exhausted: now.Before(b.exhaustedUntil), absent: b.absent, insufficient: b.insufficient}
+	exhausted := now.Before(b.exhaustedUntil) && n > b.exhaustedUnspent
+	return shortage{shortfall: n - b.spendable(), exhausted: exhausted, absent: b.absent, insufficient: b.insufficient}
 }
 
 // ownShortfall returns how many of n tokens the holder's own row does not have available.
