--- a/coord/grant/localbudget.go
+++ b/coord/grant/localbudget.go
@@ -74,23 +74,23 @@
 	lotTime        time.Duration       // average time for which lent lots stay open; 0 is unknown
 	scarce         bool                // lenders of the own lots have none left
 
-	minimalRows    bool          // copy of Holder.minimalRows
-	demandWindow   time.Duration // time constant of demand
-	demand         float64       // tokens a second, as of demandAt
-	demandAt       time.Time
-	firstUse       time.Time
-	lastUse        time.Time
-	lastReport     time.Time
-	nextSync       time.Time
-	lastSync       time.Time
-	lowBackoff     time.Duration // between syncs while tokens run low
+	minimalRows  bool          // copy of Holder.minimalRows
+	demandWindow time.Duration // time constant of demand
+	demand       float64       // tokens a second, as of demandAt
+	demandAt     time.Time
+	firstUse     time.Time
+	lastUse      time.Time
+	lastReport   time.Time
+	nextSync     time.Time
+	lastSync     time.Time
+	lowBackoff   time.Duration // between syncs while tokens run low
 	// exhaustedUntil is until when requests for more than exhaustedUnspent, what was left at that sync, are refused.
 	exhaustedUntil   time.Time
 	exhaustedUnspent int64
-	absent         bool  // the page has no account for it
-	insufficient   bool  // the page had too little for all waiting requests
-	removalPending bool  // a write that removes the row was sent
-	removedSettled int64 // settled by the row that is being removed
+	absent           bool  // the page has no account for it
+	insufficient     bool  // the page had too little for all waiting requests
+	removalPending   bool  // a write that removes the row was sent
+	removedSettled   int64 // settled by the row that is being removed
 }
 
 // reset clears the row's totals after the row was removed from the page.
