--- a/gateway/rolloutearlier.go
+++ b/gateway/rolloutearlier.go
@@ -28,14 +28,6 @@
 	sr.earlier = sr.earlier.Merge(d.Earlier, sr.order().Version)
 }
 
-// withdrawnAfterCompletion reports whether operators have removed the order after it was completed: nothing changes, the upstreams
-// of the previous version have stopped.
-func (sr *serviceRollout) withdrawnAfterCompletion(order rollout.Order) bool {
-	sr.mu.Lock()
-	defer sr.mu.Unlock()
-	return order.Withdrawn && order.Revision == sr.order().Revision && sr.follower.State() == rollout.Completed
-}
-
 // isOutLocked reports whether an upstream gets no requests because of an earlier order: its version was rejected, or it has stopped.
 func (sr *serviceRollout) isOutLocked(u directory.Upstream) bool {
 	return !sr.isNew(u) && (sr.earlier.Rejects(u.Version) || sr.earlier.Stopped(u.Version, u.Registered))
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -142,11 +142,6 @@
 			next[service] = have
 			continue
 		}
-		if have != nil && have.withdrawnAfterCompletion(order) {
-			have.current.Store(&order)
-			next[service] = have
-			continue
-		}
 		if have != nil && order.Earlier != 0 && have.order().Revision == order.Earlier && have.order().Withdrawn == order.Withdrawn {
 			have.rename(order)
 			next[service] = have
