--- a/settings/queueing.go
+++ b/settings/queueing.go
@@ -10,9 +10,6 @@
 	Enabled *bool `yaml:"enabled"`
 	// Budgets makes requests wait for tokens that other requests have reserved.
 	Budgets Switch `yaml:"budgets"`
-	// Upstreams makes requests wait for a place at a plain upstream, and refuses prompts that no engine can
-	// begin to answer in time.
-	Upstreams Switch `yaml:"upstreams"`
 	// Connections makes a router with more than its share of the callers hand connections back.
 	Connections Switch `yaml:"connections"`
 }
