--- a/gateway/crowding.go
+++ b/gateway/crowding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -20,6 +21,9 @@
 	return g.settings.Queueing.On(g.settings.Queueing.Connections, g.settings.Regions)
 }
 
+// lastWorkRatio returns the pool's WorkRatio at the last tick: it counts all upstreams, too much for each request.
+func (g *Gateway) lastWorkRatio() float64 { return math.Float64frombits(g.workRatio.Load()) }
+
 // tickLag records that the timer that measures the wait for the processor fired, and whether this router is crowded.
 func (g *Gateway) tickLag(now time.Time) {
 	g.lag.Tick(now)
@@ -27,6 +31,7 @@
 		return
 	}
 	was, wait, ratio := g.crowding.Crowded(now), g.wait(now), g.pool.WorkRatio()
+	g.workRatio.Store(math.Float64bits(ratio))
 	if crowded := g.crowding.Observe(now, wait, ratio); crowded != was {
 		g.Log.Info().Bool("crowded", crowded).Int64("wait_ms", wait.Milliseconds()).Float64("work_ratio", ratio).
 			Int64("active", g.activeRequests.Load()).Msg("router_crowded")
@@ -50,7 +55,7 @@
 	if !g.handsOver() {
 		return nil
 	}
-	a := admission.Arrival{Wait: g.wait(h.arrived), Ratio: g.pool.WorkRatio(), Turns: turnsOf(h.request),
+	a := admission.Arrival{Wait: g.wait(h.arrived), Ratio: g.lastWorkRatio(), Turns: turnsOf(h.request),
 		Goal: h.request.Route.Goal, Rank: h.request.Rank}
 	if !admission.FasterElsewhere(a, rand.Float64()) {
 		return nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 	crowding admission.Crowding
 	// roundTrip is the wait of messages to other processes and their replies.
 	roundTrip admission.RoundTrip
+	// workRatio is the share of the work at the last tick, as the bits of a float64.
+	workRatio atomic.Uint64
 
 	catalog        catalog.Current
 	operatorReader *operatorReader
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,7 +23,7 @@
 	m.set.NewGauge("arbutusmill_gateway_prompts_that_end_upstreams", func() float64 {
 		return float64(len(g.prompts.registry.Restricted(time.Now())))
 	})
-	m.set.NewGauge("arbutusmill_gateway_work_ratio", func() float64 { return g.pool.WorkRatio() })
+	m.set.NewGauge("arbutusmill_gateway_work_ratio", g.lastWorkRatio)
 	m.set.NewGauge("arbutusmill_gateway_routers", func() float64 {
 		n, _ := g.Members.Count(prepaid.RoleRouter)
 		return float64(n)
