Reserved tokens: requests for one budget are ordered by the ranks of their routes

Cause: a team's own rank goes before the route's, so all requests of such a team had one rank in its budget, and waited by size alone.

--- a/gateway/rolloutversions.go
+++ b/gateway/rolloutversions.go
@@ -34,8 +34,8 @@
 }
 
 // servesLocked reports whether upstreams of a version may continue streams that it began. Those of the new
-// version may while the router would learn that it is bad, also if its canaries have had their part of the bound, and until the
-// store holds that it is: no other upstream can.
+// version may while directives are fresh, so that the router learns in time that the version is bad, also if its canaries have had
+// their part of the bound, and until the store holds that it is bad: no other upstream can.
 func (sr *serviceRollout) servesLocked(version string, p rollout.Preference) bool {
 	switch p {
 	case rollout.OnlyPrevious:
--- a/prepaid/queueing.go
+++ b/prepaid/queueing.go
@@ -25,7 +25,7 @@
 )
 
 // urgency returns how a request waits for reserved tokens: not longer than a share of its route's goal and of the time that its
-// caller still waits.
+// caller still waits. The rank is the route's: a team's own rank is the same for all requests of its budget.
 func urgency(now time.Time, r *serving.Request) grant.Urgency {
 	wait := maxTokenWait
 	if r.Route.Goal > 0 {
@@ -34,7 +34,7 @@
 	if !r.Deadline.IsZero() {
 		wait = min(wait, r.Deadline.Sub(now)/goalsPerWait)
 	}
-	return grant.Urgency{Rank: r.Rank, Wait: max(0, wait)}
+	return grant.Urgency{Rank: r.Route.Rank, Wait: max(0, wait)}
 }
 
 // startQueueing starts the return of scarce lots.
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -67,7 +67,7 @@
 // decider may end before it has written it.
 func (f *Follower) Ended() bool { return f.directive.State.Final() && f.directive.Ended > 0 }
 
-// EndPending reports whether the router has heard of the end a moment ago, and the store may not hold it yet: operators still see the
+// EndPending reports whether the router has just received the end, and the store may not hold it yet: operators still see the
 // roll-out in progress.
 func (f *Follower) EndPending(now time.Time) bool {
 	return f.directive.State.Final() && !f.Ended() && f.Fresh(now)
