--- a/gateway/crowding.go
+++ b/gateway/crowding.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// crowdingState is what a dump has of the decision to hand callers over.
+type crowdingState struct {
+	Crowded bool  `json:"crowded"`
+	WaitMS  int64 `json:"wait_ms"`
+	// WorkRatio is this router's work relative to the mean of all routers; 0 is unknown.
+	WorkRatio float64 `json:"work_ratio"`
+}
+
+// crowdingState returns the state for a dump, nil if callers are never handed over.
+func (g *Gateway) crowdingState(now time.Time) *crowdingState {
+	if !g.handsOver() {
+		return nil
+	}
+	return &crowdingState{Crowded: g.crowding.Crowded(now), WaitMS: g.wait(now).Milliseconds(), WorkRatio: g.lastWorkRatio()}
+}
+
 // wait returns how long work waits for this VM's processor or link.
 func (g *Gateway) wait(now time.Time) time.Duration {
 	return max(g.lag.Delay(now), g.roundTrip.Delay(now))
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -64,6 +64,8 @@
 	Prompts any `json:"prompts"`
 	// Rollouts are the moves of services to new versions.
 	Rollouts any `json:"rollouts"`
+	// Crowding is nil unless the settings let a crowded router hand callers over.
+	Crowding *crowdingState `json:"crowding,omitempty"`
 }
 
 func (g *Gateway) dump() any {
@@ -72,6 +74,7 @@
 		Version: g.configVersion(), Budgets: g.Budgets.State(), Upstreams: g.directory.All(), Drained: g.directory.Drained(),
 		Pool: g.pool.States(), Members: g.Members.Members(), Followed: g.Follower.State(), Relay: g.Hub.State(),
 		Prompts: g.prompts.registry.Restricted(time.Now()), Rollouts: g.rollouts.state(),
+		Crowding: g.crowdingState(time.Now()),
 	}
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -69,7 +69,7 @@
 	selections map[rollout.Preference]selection
 	runningOld int
 	// earlier is what the orders before this one say. earlierUncertain is set if the one before was about to be completed when this
-	// one came, until the decider knows.
+	// one came, until a directive says.
 	earlier          rollout.Earlier
 	earlierUncertain bool
 	// oldUpstreams and newUpstreams are those of each version that accept requests.
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -53,7 +53,7 @@
 	// Role is prepaid.RoleRouter or prepaid.RoleLender.
 	Role string
 	VM   string
-	// Topology tells in which data centre the process runs and how far it is from others.
+	// Topology has the data centre of the process and its distances from others.
 	Topology datacentre.Topology
 	// Link is the address (host:port) for control messages of other members.
 	Link string
@@ -83,7 +83,7 @@
 type Base struct {
 	// Incarnation names this incarnation of the process.
 	Incarnation string
-	// Topology tells how far the process is from each data centre.
+	// Topology has the distance of the process from each data centre.
 	Topology datacentre.Topology
 	Log      zerolog.Logger
 	Network  Network
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -57,7 +57,7 @@
 	Routers int
 	// Datacentre is the router's data centre.
 	Datacentre string
-	// Topology tells how far the router is from each data centre; nil if the fleet does not span several regions.
+	// Topology has the distance of the router from each data centre; nil if the fleet does not span several regions.
 	Topology *datacentre.Topology
 }
 
--- a/placement/regions_test.go
+++ b/placement/regions_test.go
@@ -272,10 +272,10 @@
 // what its engines have to do.
 func TestBusyRegionSpillsOverByDegrees(t *testing.T) {
 	before, steps := 0, 0
-	for _, backlog := range []int64{0, 2_000, 4_000, 6_000, 8_000, 12_000, 16_000, 24_000, 40_000, 80_000, 200_000} {
+	for backlog := int64(0); backlog <= 200_000; backlog += 1_000 {
 		crossed, most := spill(t, func(router int) string { return fmt.Sprint("s", router) }, backlog, func(ups []Upstream) []Upstream { return ups })
 		t.Logf("%d tokens at each engine of the region: %d of 30 cross, at most %d at one engine", backlog, crossed, most)
-		require.LessOrEqual(t, crossed-before, 20)
+		require.LessOrEqual(t, crossed-before, 15, "half of the routers")
 		if crossed > before {
 			steps++
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -52,7 +52,7 @@
 	Routers func() int
 	// Datacentre is the router's data centre.
 	Datacentre string
-	// Topology tells how far the router is from each data centre; nil if the fleet does not span several regions.
+	// Topology has the distance of the router from each data centre; nil if the fleet does not span several regions.
 	Topology *datacentre.Topology
 	// Announce announces a prompt to an engine's lender; it returns false without an answer, at the
 	// request's deadline at the latest. Withdraw revokes an announcement. Both may be nil.
--- a/rollout/earlier_test.go
+++ b/rollout/earlier_test.go
@@ -23,7 +23,7 @@
 	require.False(t, Earlier{}.Stopped("v1", 0))
 }
 
-// Guards against a router that goes by what it knew itself before it heard how the earlier order ended.
+// Guards against a router that keeps its own state of the earlier order after a directive says how that ended.
 func TestEarlierOrdersAsTheStoreHasThem(t *testing.T) {
 	own := Earlier{}.Next("v2", InProgress, 0, "v3")
 	merged := own.Merge(Earlier{Completed: "v2", CompletedAt: 9, Rejected: []string{"v0"}}, "v3")
