Retries: an upstream that cannot be reached uses up no retry

What callers saw: 502 after an upstream had crashed, although the retry budget had room for one more attempt of each request. Several of a service's upstreams crash; an interrupted request is sent again to another one that has crashed as well and is still listed, and then to a third one: two of the budget's retries for one request that arrives.

Cause: each attempt after the first that reached an upstream was counted, also if it follows one for which the budget had given its permission and that got no connection. The budget bounds arrivals at upstreams; an attempt without a connection is none, and its permission is still unused.

Ruled out: too small a share of the budget (12 a router; the requests of a router needed 9).

Change: the attempt that follows an unreached one goes on with that one's permission. The first attempt never needed one.

--- a/serving/decide.go
+++ b/serving/decide.go
@@ -45,7 +45,7 @@
 	if reached >= maxReached || unreached >= maxUnreached || runs >= r.maxRuns() {
 		return retryDecision{}
 	}
-	return retryDecision{retry: true, countsAsRetry: reached > 0}
+	return retryDecision{retry: true, countsAsRetry: reached > 0 && last.Result != Unreached}
 }
 
 // refusalFor returns the refusal of a request without an answer. It states that the request did
--- a/serving/decide_test.go
+++ b/serving/decide_test.go
@@ -43,6 +43,7 @@
 		{"unsafe is not retried after a failure", unsafe, []Result{Failed}, false, false},
 		{"unsafe is retried after a proof that it did not run", unsafe, []Result{Declined}, true, true},
 		{"another attempt after an unreached upstream is no retry", unsafe, []Result{Unreached}, true, false},
+		{"an unreached upstream does not use up the permission to retry", review, []Result{Broken, Unreached}, true, false},
 		{"unsafe is not retried after a decline and a run", unsafe, []Result{Declined, Unknown}, false, false},
 		{"safe is retried once", safe, []Result{Failed}, true, true},
 		{"safe is retried once only", safe, []Result{Failed, Unknown}, false, false},
