Prompts: crashes of one outage are no proof against what their upstreams were reading

Cause: three crashes under a prompt or a part proved that it causes them, also if they happened at once. An outage gives as many crashes as it hits upstreams, and everything that was being read there is in all of them. The proof then canceled the attempts at the sound engines, whose answers would have cleared the part, and kept all later ones away.

Ruled out: answers at other routers that were not asked for (there were none); wrong probes (the engines were down).

Change: a crash has a generation, one more than the independent crashes that its router had recorded when it sent the prompt. After an outage one request at a time tries the part; other attempts are recalled, as far as they may be repeated and the retry budget permits, and wait for the trial together with the requests that the outage interrupted. The first answer clears the part. This works since the causes differ in what follows: a sound engine answers the trial, and one that the part crashes does not, whenever it is asked. The same for whole prompts, evidence of other routers and from the store, which share the count.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,8 +126,8 @@
 	})
 	g.Links.OnHeartbeat = func(took time.Duration) { g.roundTrip.Observe(time.Now(), took) }
 	g.metrics = newMetrics(g)
-	g.prompts = newPromptGuard(g)
 	g.retryBudgets = &retryBudgets{rule: g.retryRule, share: g.fleetShare, onDecision: g.recordRetryDecision}
+	g.prompts = newPromptGuard(g)
 	g.lenders = newLenderClient(g.Members, g.Links, time.Duration(s.Upstreams.AnnounceTimeout))
 	g.pool = &pool.Pool{
 		Directory:           g.directory,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -97,7 +97,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_held_by_limits_total{service=%q,served=\"%t\"}", service, served)).Inc()
 }
 
-// attemptRecalled counts an attempt canceled because its prompt was found to crash upstreams.
+// trialAwaited counts an interrupted request that waited for another request's trial of its prompt, by whether it
+// may be sent then.
+func (m *gatewayMetrics) trialAwaited(service string, allowed bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_trial_waits_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
+}
+
+// trialNotAwaited counts an interrupted request that did not wait since too many others did.
+func (m *gatewayMetrics) trialNotAwaited() {
+	m.set.GetOrCreateCounter("arbutusmill_gateway_trial_waits_full_total").Inc()
+}
+
+// attemptRecalled counts an attempt canceled because other upstreams crashed under its prompt.
 func (m *gatewayMetrics) attemptRecalled(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_recalled_sends_total{service=%q}", service)).Inc()
 }
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -22,6 +22,9 @@
 	*standin.Upstream
 	server  *http.Server
 	crashed atomic.Bool
+	// got is the number of requests that it has got, and reading holds the ids of those that it reads.
+	got     atomic.Int64
+	reading sync.Map
 	// cause is the part of the prompt that crashed the engine, nil if none did.
 	cause atomic.Pointer[string]
 }
--- a/gateway/promptdelivery.go
+++ b/gateway/promptdelivery.go
@@ -45,7 +45,7 @@
 	})
 	p.keeperOutbox.add(after.Prompt, answered)
 	if after.Standing() >= poison.OnTrial && !answered {
-		p.log.Warn().Str("prompt", string(after.Prompt)).Str("standing", after.Standing().String()).
+		p.log.Warn().Str("prompt", string(after.Prompt)).Str("standing", after.Standing().String()).Int("independent", after.Independent()).
 			Str("evidence", describeEvidence(after)).Msg("prompt_ends_upstreams")
 	}
 	if max(before.Standing(), after.Standing()) >= poison.OnTrial {
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,14 @@
 	}
 }
 
+// hasUnansweredPart reports whether a part of a request's prompt was not answered through this router yet. An outage of
+// several upstreams puts it on trial.
+func (p *promptGuard) hasUnansweredPart(r *serving.Request) bool {
+	return slices.ContainsFunc(poison.IdentifyParts(r), func(part poison.Prompt) bool {
+		return !p.answeredParts.has(part, r.Service.Name)
+	})
+}
+
 // blameParts records the crash of a broken attempt's upstream as evidence against the parts of its prompt. An
 // attempt whose answer had begun is no evidence, and neither is a part that was answered through this
 // router.
@@ -86,7 +95,8 @@
 			continue
 		}
 		before := p.registry.Known(time.Now(), part)
-		after, isNew := p.addEvidence(poison.Evidence{Prompt: part, Crashes: []poison.Crash{{Upstream: upstream, Service: service, UnixMS: b.at}}})
+		after, isNew := p.addEvidence(poison.Evidence{Prompt: part, Crashes: []poison.Crash{{Upstream: upstream, Service: service, UnixMS: b.at,
+			Generation: p.registry.Generation(part, b.attempt.Break.Sent)}}})
 		if !isNew || len(after.Crashes) == 0 {
 			continue
 		}
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -33,7 +33,8 @@
 //
 // A crash of an upstream during a request is reported to the router that owns the prompt, chosen by
 // rendezvous hashing. From the second crash on the owner notifies all routers and allows only an
-// occasional request to try the prompt; after the third one no router sends it. A router that
+// occasional request to try the prompt; after three independent crashes no router sends it. Crashes that one
+// outage may have caused are not independent: then only trials tell the prompt from the outage. A router that
 // reaches no owner uses its own evidence. A few lenders, the keepers, store the owner's evidence
 // as well, since all routers may restart together.
 type promptGuard struct {
@@ -44,6 +45,7 @@
 	links    *link.Pool
 	dial     dialFunc
 	metrics  *gatewayMetrics
+	retries  serving.RetryBudget
 	log      zerolog.Logger
 	breaks   chan brokenAttempt
 	// answeredParts holds the parts of prompts that upstreams answered through this router.
@@ -54,6 +56,7 @@
 	keeperOutbox, routerOutbox *promptOutbox
 
 	received receivedPrompts
+	trials   trialWaits
 	// lastRouters holds the incarnations of the routers at the last check, by VM. Only the routerOutbox's
 	// goroutine uses it.
 	lastRouters map[string]string
@@ -75,6 +78,7 @@
 		links:   g.Links,
 		dial:    g.Network.DialTimeout(time.Duration(g.settings.Upstreams.DialTimeout)),
 		metrics: g.metrics,
+		retries: g.retryBudgets,
 		log:     g.Log,
 		breaks:  make(chan brokenAttempt, maxQueuedBreaks),
 	}
@@ -112,22 +116,28 @@
 			all = append(all, e)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b poison.Evidence) int {
-		return cmp.Or(cmp.Compare(b.Standing(), a.Standing()), cmp.Compare(len(b.Crashes), len(a.Crashes)))
+	slices.SortFunc(all, func(a, b poison.Evidence) int {
+		return cmp.Or(cmp.Compare(b.Standing(), a.Standing()), cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Prompt, b.Prompt))
 	})
 	return all
 }
 
-// Refuse implements serving.PromptGuard.
+// Refuse implements serving.PromptGuard. A trial tries all of the request's parts, so it needs no permission for a part
+// that had no other crashes than one for which it has the permission.
 func (p *promptGuard) Refuse(ctx context.Context, r *serving.Request) *contract.Refusal {
+	var permitted []poison.Evidence
 	for _, evidence := range p.evidenceFor(r) {
 		switch evidence.Standing() {
 		case poison.Proven:
 			return provenRefusal(evidence)
 		case poison.OnTrial:
+			if slices.ContainsFunc(permitted, evidence.CrashedWith) {
+				continue
+			}
 			if refusal := p.requestTrial(ctx, r, evidence); refusal != nil {
 				return refusal
 			}
+			permitted = append(permitted, evidence)
 		}
 	}
 	return nil
@@ -167,9 +177,11 @@
 		reply, _ = p.handleTry(ctx, trial) // decides by local evidence; never returns an error
 	}
 	p.log.Info().Str("id", r.ID).Str("prompt", string(evidence.Prompt)).Bool("allowed", reply.Allowed).
-		Bool("asked_others", err == nil).Str("evidence", describeEvidence(reply.Known)).Msg("prompt_on_trial")
+		Bool("asked_others", err == nil).Int("independent", reply.Known.Independent()).
+		Str("evidence", describeEvidence(reply.Known)).Msg("prompt_on_trial")
 	p.addEvidence(reply.Known)
 	if reply.Allowed {
+		p.trials.permit(time.Now(), evidence.Prompt, r.ID)
 		return nil
 	}
 	relevant := reply.Known.ForService(r.Service.Name)
@@ -177,7 +189,7 @@
 	if relevant.Standing() == poison.Proven {
 		return provenRefusal(relevant)
 	}
-	refusal := contract.Refuse(contract.PromptOnTrial, "upstreams ended under this prompt, and another request is trying it")
+	refusal := trialRefusal()
 	refusal.Detail = describeEvidence(reply.Known)
 	return refusal
 }
@@ -202,6 +214,7 @@
 	}
 	p.log.Info().Str("id", request).Str("prompt", string(prompt)).Str("service", service).Str("was", before.Standing().String()).
 		Str("evidence", describeEvidence(before)).Msg("prompt_cleared")
+	p.trials.notify()
 	p.received.add(prompt)
 	p.notifyOwner(prompt, true)
 	if before.Standing() >= poison.OnTrial {
@@ -211,14 +224,14 @@
 }
 
 // ConnectionBroken implements serving.PromptGuard. It does not wait for the investigation of the
-// first break for a prompt: the first retry is allowed whatever the result.
+// first break for a prompt whose parts were answered before: the first retry is allowed whatever the result.
 func (p *promptGuard) ConnectionBroken(ctx context.Context, r *serving.Request, attempts []serving.Attempt) {
 	prompt := poison.Identify(r)
 	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1], prompt: prompt,
 		at: p.registry.CrashTime(time.Now(), prompt, r.Service.Name)} // an answer may come during the probe
 	p.probed.add(prompt, 1)
 	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
-	if earlier || len(p.evidenceFor(r)) > 0 {
+	if earlier || p.hasUnansweredPart(r) || len(p.evidenceFor(r)) > 0 {
 		p.investigateBreak(ctx, b)
 		return
 	}
@@ -230,6 +243,12 @@
 	}
 }
 
+// Crashed implements serving.PromptGuard.
+func (p *promptGuard) Crashed(r *serving.Request, a serving.Attempt) bool {
+	known := p.registry.Known(time.Now(), poison.Identify(r))
+	return slices.ContainsFunc(known.Crashes, func(c poison.Crash) bool { return c.Upstream == a.Upstream.String() })
+}
+
 // probeUpstreams investigates broken attempts until the context ends.
 func (p *promptGuard) probeUpstreams(ctx context.Context) {
 	for {
@@ -259,7 +278,8 @@
 	now := time.Now()
 	before := p.registry.Known(now, b.prompt)
 	local, isNew := p.addEvidence(poison.Evidence{Prompt: b.prompt, Crashes: []poison.Crash{{
-		Upstream: b.attempt.Upstream.String(), Service: b.request.Service.Name, Age: now.Sub(time.UnixMilli(b.at)), UnixMS: b.at}}})
+		Upstream: b.attempt.Upstream.String(), Service: b.request.Service.Name, Age: now.Sub(time.UnixMilli(b.at)), UnixMS: b.at,
+		Generation: p.registry.Generation(b.prompt, b.attempt.Break.Sent)}}})
 	if len(local.Crashes) == 0 {
 		return // the prompt was answered meanwhile
 	}
--- a/gateway/promptupdates.go
+++ b/gateway/promptupdates.go
@@ -132,7 +132,11 @@
 func (p *promptGuard) handleCleared(_ context.Context, in link.PromptAnswered) (link.Empty, error) {
 	now := time.Now()
 	before := p.registry.Known(now, in.Prompt)
-	if after, isNew := p.registry.AddAnswer(now, in.Prompt, in.Answer()); isNew && p.isOwner(in.Prompt) {
+	after, isNew := p.registry.AddAnswer(now, in.Prompt, in.Answer())
+	if isNew {
+		p.trials.notify()
+	}
+	if isNew && p.isOwner(in.Prompt) {
 		p.publish(before, after)
 	}
 	return link.Empty{}, nil
--- a/gateway/recall.go
+++ b/gateway/recall.go
@@ -10,6 +10,10 @@
 	"github.com/arbutusmill/arbutusmill/serving"
 )
 
+// maxUnpaidCrashes is the number of crashes under a prompt on trial from which attempts are recalled although the
+// retry budget may not permit another one.
+const maxUnpaidCrashes = 5
+
 // trackedAttempts holds this router's attempts whose responses have not begun, by prompt. Their prompts
 // are queued or in prefill at upstreams. Each attempt with a prompt that causes crashes would crash one
 // more upstream.
@@ -18,14 +22,19 @@
 	byPrompt map[poison.Prompt]map[*trackedAttempt]struct{}
 }
 
-// trackedAttempt is an attempt that can be recalled: canceled if its prompt is found to crash
-// upstreams.
+// trackedAttempt is an attempt that can be recalled: canceled if other upstreams crash under its prompt.
 type trackedAttempt struct {
 	request *serving.Request
 	// prompts are the identities of the prompt and of its parts.
 	prompts []poison.Prompt
 	cancel  context.CancelCauseFunc
 	removed atomic.Bool
+	// mu is held while it is decided whether to recall the attempt. recalled is set once it is, and considered once
+	// the retry budget was asked for a further attempt.
+	mu                   sync.Mutex
+	recalled, considered bool
+	// postponable is set if the request could be sent again, and the attempt is not a trial itself.
+	postponable bool
 }
 
 func (t *trackedAttempts) add(a *trackedAttempt) {
@@ -69,13 +78,14 @@
 }
 
 // TrackAttempt implements serving.PromptGuard. It doesn't track requests without parts: they are short.
-func (p *promptGuard) TrackAttempt(ctx context.Context, r *serving.Request) (tracked context.Context, began, done func()) {
+func (p *promptGuard) TrackAttempt(ctx context.Context, r *serving.Request, repeatable bool) (tracked context.Context, began, done func()) {
 	if len(r.Parts) == 0 {
 		return ctx, func() {}, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	parts := poison.IdentifyParts(r)
-	a := &trackedAttempt{request: r, prompts: append([]poison.Prompt{poison.Identify(r)}, parts...), cancel: cancel}
+	a := &trackedAttempt{request: r, prompts: append([]poison.Prompt{poison.Identify(r)}, parts...), cancel: cancel,
+		postponable: repeatable && !p.isOnTrial(r)}
 	p.attempts.add(a)
 	began = func() {
 		p.attempts.remove(a)
@@ -88,22 +98,66 @@
 }
 
 // addEvidence adds evidence on a prompt and returns all evidence on it, and whether any was new. If
-// the prompt is now proven to crash upstreams, it cancels the prompt's tracked attempts.
+// the prompt is now on trial or proven to crash upstreams, it recalls attempts with it.
 func (p *promptGuard) addEvidence(e poison.Evidence) (merged poison.Evidence, isNew bool) {
 	merged, isNew = p.registry.Add(time.Now(), e)
-	if isNew && p.clearAnswered(merged) {
-		return p.registry.Known(time.Now(), e.Prompt), isNew
+	if !isNew {
+		return merged, false
+	}
+	if p.clearAnswered(merged) {
+		return p.registry.Known(time.Now(), e.Prompt), true
+	}
+	if merged.Standing() == poison.Proven || len(merged.Answers) > 0 {
+		p.trials.notify()
 	}
-	if !isNew || merged.Standing() < poison.Proven {
-		return merged, isNew
+	if merged.Standing() >= poison.OnTrial {
+		p.recall(merged)
 	}
-	for _, a := range p.attempts.forPrompt(merged.Prompt) {
-		if merged.ForService(a.request.Service.Name).Standing() < poison.Proven {
+	return merged, true
+}
+
+// recall cancels the tracked attempts that must not go on with a prompt.
+func (p *promptGuard) recall(e poison.Evidence) {
+	for _, a := range p.attempts.forPrompt(e.Prompt) {
+		relevant := e.ForService(a.request.Service.Name)
+		cause := p.recallAttempt(a, relevant)
+		if cause == nil {
 			continue
 		}
 		p.metrics.attemptRecalled(a.request.Service.Name)
-		p.log.Warn().Str("id", a.request.ID).Str("prompt", string(merged.Prompt)).Str("evidence", describeEvidence(merged)).Msg("prompt_recalled")
-		a.cancel(serving.ErrRecalled)
+		p.log.Warn().Str("id", a.request.ID).Str("prompt", string(e.Prompt)).Stringer("standing", relevant.Standing()).AnErr("cause", cause).
+			Int("independent", e.Independent()).Str("evidence", describeEvidence(e)).Msg("prompt_recalled")
+	}
+}
+
+// recallAttempt cancels an attempt if it must not go on with a prompt, and returns why, nil if it was not canceled.
+func (p *promptGuard) recallAttempt(a *trackedAttempt, e poison.Evidence) (cause error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.recalled {
+		return nil
+	}
+	if cause = p.recallCauseLocked(a, e); cause != nil {
+		a.recalled = true
+		a.cancel(cause)
+	}
+	return cause
+}
+
+// recallCauseLocked returns why an attempt must not go on with a prompt, nil if it may. While the prompt is on trial,
+// attempts that could not be sent again go on, since their callers would get no answer; beyond what the retry budget
+// permits only until maxUnpaidCrashes upstreams have crashed.
+func (p *promptGuard) recallCauseLocked(a *trackedAttempt, e poison.Evidence) error {
+	switch standing := e.Standing(); {
+	case standing == poison.Proven:
+		return serving.ErrRecalled
+	case standing < poison.OnTrial || !a.postponable:
+		return nil
+	case !a.considered && p.retries.Allow(a.request):
+		return serving.ErrPostponed
+	case len(e.Crashes) >= maxUnpaidCrashes:
+		return serving.ErrRecalled
 	}
-	return merged, isNew
+	a.considered = true
+	return nil
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -44,7 +44,7 @@
 
 // Send implements serving.Upstreams.
 func (u *upstreams) Send(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
-	x := exchange{request: r, target: t, out: out, callerContext: ctx, now: u.Now}
+	x := exchange{request: r, target: t, out: out, callerContext: ctx, now: u.Now, sent: u.Now()}
 	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
 	defer cancel()
 	tracker := &hop.ConnTracker{}
@@ -88,6 +88,7 @@
 	// callerContext ends when the caller disconnects or the request's deadline passes.
 	callerContext context.Context
 	now           func() time.Time
+	sent          time.Time
 	events        int64
 	// firstEvent and lastEvent are the arrival times of the first and the last event.
 	firstEvent, lastEvent time.Time
@@ -138,8 +139,8 @@
 // failedAttempt returns the result of an attempt without a valid response. connected reports whether
 // the request got a connection; without one, the upstream cannot have run it.
 func (x *exchange) failedAttempt(connected bool, err error) serving.Attempt {
-	if errors.Is(context.Cause(x.callerContext), serving.ErrRecalled) {
-		return x.recalledAttempt(connected)
+	if cause := context.Cause(x.callerContext); errors.Is(cause, serving.ErrRecalled) || errors.Is(cause, serving.ErrPostponed) {
+		return x.recalledAttempt(connected, errors.Is(cause, serving.ErrPostponed))
 	}
 	switch cause := x.callerContext.Err(); {
 	case !connected && errors.Is(cause, context.Canceled):
@@ -161,20 +162,23 @@
 }
 
 // recalledAttempt returns the result of an attempt that was canceled before its response began,
-// since its prompt was found to crash upstreams.
-func (x *exchange) recalledAttempt(connected bool) serving.Attempt {
+// since upstreams crashed under its prompt.
+func (x *exchange) recalledAttempt(connected, retryPermitted bool) serving.Attempt {
 	result := serving.Unknown
 	if !connected {
 		result = serving.Unreached
 	}
 	a := x.newAttempt(result, "recalled")
-	a.Recalled = true
+	a.Recalled, a.RetryPermitted = true, retryPermitted
+	if a.Began && x.request.Service.Engine != nil {
+		a.Output = min(x.request.MaxOutput, x.eventsInFlight()*x.request.Service.Engine.TokensPerEvent)
+	}
 	return a
 }
 
 // connectionBreak describes a broken connection.
 func (x *exchange) connectionBreak() *serving.Break {
-	b := &serving.Break{Address: x.target.Address, Events: x.events}
+	b := &serving.Break{Address: x.target.Address, Events: x.events, Sent: x.sent}
 	if x.events > 0 {
 		b.Running = x.now().Sub(x.firstEvent)
 	}
--- a/poison/document.go
+++ b/poison/document.go
@@ -25,6 +25,8 @@
 	Upstream string `json:"upstream"`
 	Service  string `json:"service"`
 	UnixMS   int64  `json:"unix_ms"`
+	// Generation is absent in documents of processes without it.
+	Generation int `json:"generation,omitempty"`
 }
 
 type storedAnswer struct {
@@ -52,7 +54,7 @@
 		p := storedPrompt{Prompt: e.Prompt, Answered: e.Answered}
 		for _, c := range e.Crashes {
 			at, _ := eventTime(now, c.UnixMS, c.Age)
-			p.Crashes = append(p.Crashes, storedCrash{Upstream: c.Upstream, Service: c.Service, UnixMS: at})
+			p.Crashes = append(p.Crashes, storedCrash{Upstream: c.Upstream, Service: c.Service, UnixMS: at, Generation: c.Generation})
 		}
 		for _, a := range e.Answers {
 			p.Answers = append(p.Answers, storedAnswer{Service: a.Service, UnixMS: a.UnixMS})
@@ -92,7 +94,7 @@
 				return nil, fmt.Errorf("prompts[%d].ends[%d].upstream is missing", n, k)
 			}
 			if age := ageOf(now, c.UnixMS); age < evidenceTTL {
-				e.Crashes = append(e.Crashes, Crash{Upstream: c.Upstream, Service: c.Service, Age: age, UnixMS: c.UnixMS})
+				e.Crashes = append(e.Crashes, Crash{Upstream: c.Upstream, Service: c.Service, Age: age, UnixMS: c.UnixMS, Generation: c.Generation})
 			}
 		}
 		for k, a := range p.Answers {
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -15,9 +15,9 @@
 	Clear Standing = iota
 	// Suspect means that one upstream crashed while running the prompt.
 	Suspect
-	// OnTrial means that at most one request per trialInterval may send the prompt.
+	// OnTrial means that one request at a time may send the prompt.
 	OnTrial
-	// Proven means that the prompt must not be sent.
+	// Proven means that independent crashes prove that the prompt causes them: it must not be sent.
 	Proven
 )
 
@@ -50,6 +50,9 @@
 	// UnixMS is the wall-clock time of the crash in milliseconds, which the process that observed it
 	// assigned. It is 0 in messages of processes without this field.
 	UnixMS int64 `json:"unix_ms,omitempty"`
+	// Generation is one more than the number of independent crashes that the observer had recorded when it
+	// sent the prompt to the upstream. It is 0 in messages of processes without this field.
+	Generation int `json:"generation,omitempty"`
 }
 
 // Answer is the last answer of a service to a prompt.
@@ -73,15 +76,31 @@
 	return e
 }
 
+// Independent returns the number of independent crashes: see countIndependent.
+func (e Evidence) Independent() int {
+	moments := make([]moment, 0, len(e.Crashes))
+	for _, c := range e.Crashes {
+		moments = append(moments, moment{at: c.UnixMS, generation: c.Generation})
+	}
+	return countIndependent(moments)
+}
+
 // Standing returns the standing that the evidence implies.
 func (e Evidence) Standing() Standing {
-	s := standing(len(e.Crashes), e.newestAge())
+	s := standing(len(e.Crashes), e.Independent(), e.newestAge())
 	if e.Explained {
 		s = min(s, OnTrial)
 	}
 	return s
 }
 
+// CrashedWith reports whether the other evidence has all crashes of this one.
+func (e Evidence) CrashedWith(other Evidence) bool {
+	return !slices.ContainsFunc(e.Crashes, func(c Crash) bool {
+		return !slices.ContainsFunc(other.Crashes, func(o Crash) bool { return o.Upstream == c.Upstream })
+	})
+}
+
 // newestAge returns the age of the latest crash, 0 if there is none.
 func (e Evidence) newestAge() time.Duration {
 	if len(e.Crashes) == 0 {
@@ -99,9 +118,10 @@
 	return age
 }
 
-// standing returns the standing for a number of crashes and the time since the last one.
-func standing(crashes int, since time.Duration) Standing {
-	trials := crashes - provenThreshold
+// standing returns the standing for a number of crashes, of which some are independent, and the time since the
+// last one.
+func standing(crashes, independent int, since time.Duration) Standing {
+	trials := independent - provenThreshold
 	switch {
 	case trials >= maxTrials, trials >= 0 && since < refusalPeriod<<trials:
 		return Proven
--- a/poison/record.go
+++ b/poison/record.go
@@ -30,14 +30,20 @@
 	// its id.
 	lastTrial    time.Time
 	trialRequest string
+	// trialIndependent is the number of independent crashes at that time.
+	trialIndependent int
 	// lastStanding is the standing at the last check for expired evidence.
 	lastStanding Standing
 }
 
-// crash is the time at which an upstream of a service crashed.
+// crash is the crash of an upstream of a service.
 type crash struct {
 	service string
 	at      int64
+	// generation is that of Crash.
+	generation int
+	// recorded is the time at which this process recorded the crash.
+	recorded time.Time
 }
 
 // ageOf returns the time since a wall-clock time in milliseconds, 0 if it is in the future.
@@ -98,9 +104,15 @@
 	if c.UnixMS == 0 && c.Age <= 0 {
 		at = max(at, r.answers[c.Service])
 	}
-	if known, exists := r.crashes[c.Upstream]; !exists || isLater(at, known.at, exact) {
-		r.crashes[c.Upstream] = crash{service: c.Service, at: at}
+	known, exists := r.crashes[c.Upstream]
+	switch {
+	case !exists:
+		known = crash{service: c.Service, at: at, recorded: now}
+	case isLater(at, known.at, exact):
+		known.service, known.at = c.Service, at
 	}
+	known.generation = max(known.generation, c.Generation)
+	r.crashes[c.Upstream] = known
 }
 
 // dropCleared drops the crashes before the last answer of their service, those of a part whatever their
@@ -171,7 +183,23 @@
 
 // standing returns the standing for services that have not answered the prompt.
 func (r *record) standing(now time.Time) Standing {
-	return standing(len(r.crashes), now.Sub(r.lastCrash()))
+	return standing(len(r.crashes), r.independent(), now.Sub(r.lastCrash()))
+}
+
+// independent returns the number of independent crashes.
+func (r *record) independent() int {
+	return r.independentIf(func(crash) bool { return true })
+}
+
+// independentIf returns the number of independent ones among some crashes.
+func (r *record) independentIf(counts func(c crash) bool) int {
+	moments := make([]moment, 0, len(r.crashes))
+	for _, c := range r.crashes {
+		if counts(c) {
+			moments = append(moments, moment{at: c.at, generation: c.generation})
+		}
+	}
+	return countIndependent(moments)
 }
 
 // limitToNow replaces times in the future by the current one. Such times were assigned before this process's
@@ -180,7 +208,8 @@
 	latest := now.Add(clockTolerance).UnixMilli()
 	for upstream, c := range r.crashes {
 		if c.at > latest {
-			r.crashes[upstream] = crash{service: c.service, at: now.UnixMilli()}
+			c.at = now.UnixMilli()
+			r.crashes[upstream] = c
 		}
 	}
 	for service, at := range r.answers {
@@ -213,7 +242,7 @@
 	e := Evidence{Prompt: p}
 	for _, upstream := range slices.Sorted(maps.Keys(r.crashes)) {
 		c := r.crashes[upstream]
-		e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Service: c.service, Age: ageOf(now, c.at), UnixMS: c.at})
+		e.Crashes = append(e.Crashes, Crash{Upstream: upstream, Service: c.service, Age: ageOf(now, c.at), UnixMS: c.at, Generation: c.generation})
 	}
 	for _, service := range slices.Sorted(maps.Keys(r.answers)) {
 		at := r.answers[service]
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -11,7 +11,7 @@
 	// trialThreshold is the number of crashes from which only one request per trialInterval may
 	// try the prompt. A single crash may be coincidence, so interrupted requests keep their retry.
 	trialThreshold = 2
-	// provenThreshold is the number of crashes that prove that the prompt causes them.
+	// provenThreshold is the number of independent crashes that prove that the prompt causes them.
 	provenThreshold = 3
 	// ambiguousThreshold is the number of crashes from which a part is not tried only because other parts
 	// with few crashes may be the cause.
@@ -20,8 +20,8 @@
 	maxUnexplained = 1
 	// maxTrials limits how often a proven prompt is tried again.
 	maxTrials = 3
-	// trialInterval is the time between the starts of two requests that try a prompt on trial:
-	// longer than engines usually take to prefill a prompt and begin to answer.
+	// trialInterval is the time between the starts of two requests that try a prompt on trial, unless the
+	// first one's upstream crashes before: longer than engines usually take to prefill a prompt and begin to answer.
 	trialInterval = 2 * time.Second
 	// refusalPeriod is how long a prompt is refused after the crash that proved it. Then it is on
 	// trial again, since engines are upgraded. Each further crash doubles the period.
@@ -240,10 +240,10 @@
 		return false
 	case rec.trialRequest == request && !rec.lastCrash().After(rec.lastTrial):
 		return true // the first upstream chosen for it could not be reached
-	case now.Sub(rec.lastTrial) < trialInterval:
+	case now.Sub(rec.lastTrial) < trialInterval && rec.independent() <= rec.trialIndependent:
 		return false
 	}
-	rec.lastTrial, rec.trialRequest = now, request
+	rec.lastTrial, rec.trialRequest, rec.trialIndependent = now, request, rec.independent()
 	return true
 }
 
@@ -280,6 +280,16 @@
 	return now.UnixMilli()
 }
 
+// Generation returns the generation of a crash under a prompt that was sent at a time: see Crash.
+func (r *Registry) Generation(p Prompt, sent time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec := r.records[p]; rec != nil {
+		return 1 + rec.independentIf(func(c crash) bool { return !c.recorded.After(sent) })
+	}
+	return 1
+}
+
 // StandingChange is a prompt whose standing improved because evidence expired.
 type StandingChange struct {
 	Prompt   Prompt
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -320,6 +320,9 @@
 	defer p.mu.Unlock()
 	s := p.stateLocked(incarnation)
 	s.running--
+	if a.Recalled {
+		return
+	}
 	now := p.Now()
 	switch a.Result {
 	case serving.Complete, serving.Declined:
--- a/pool/run.go
+++ b/pool/run.go
@@ -85,7 +85,7 @@
 	att.prefillDone()
 	att.pool.attemptDone(att.upstream, a)
 	if att.versionDone != nil {
-		att.reportVersion(a.Result)
+		att.reportVersion(a)
 	}
 	a.Version = att.version
 	a.Cost, a.PendingPrefill, a.Gap = att.choice.Cost, att.choice.PrefillTokens, att.longestGap
@@ -93,8 +93,12 @@
 	return a
 }
 
-// reportVersion reports the result to Versions.
-func (att *attempt) reportVersion(result serving.Result) {
+// reportVersion reports the result to Versions. A recalled attempt counts like one whose caller left.
+func (att *attempt) reportVersion(a serving.Attempt) {
+	result := a.Result
+	if a.Recalled {
+		result = serving.CallerGone
+	}
 	ran := att.pool.Now().Sub(att.sent)
 	first := ran
 	if !att.firstEvent.IsZero() {
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -77,9 +77,13 @@
 	Refusal *contract.Refusal
 	// Break is set if the connection broke while the upstream had the request.
 	Break *Break
-	// Recalled reports whether the attempt was canceled because its prompt was found to crash
-	// upstreams.
+	// Recalled reports whether the attempt was canceled because other upstreams crashed under its prompt. It
+	// says nothing about its upstream.
 	Recalled bool
+	// RetryPermitted reports whether the retry budget has permitted the next attempt already.
+	RetryPermitted bool
+	// Crashed reports whether the upstream is known to have crashed.
+	Crashed bool
 	// Output is the maximum number of tokens that the run may have produced.
 	Output int64
 	// Began reports whether the upstream may have processed the prompt.
@@ -130,6 +134,8 @@
 	// them.
 	Events  int64
 	Running time.Duration
+	// Sent is when the attempt began.
+	Sent time.Time
 }
 
 // Gap is the time between two consecutive events of a stream.
--- a/serving/decide.go
+++ b/serving/decide.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/contract"
@@ -24,12 +25,13 @@
 
 // decideRetry implements the retry rule. A request that may have run is sent again only if it is
 // idempotent, and to no more upstreams than its route allows; one that provably did not run may
-// always be sent again.
+// always be sent again. A recalled request keeps the runs that crashes of its upstreams took from it.
 func decideRetry(r *Request, attempts []Attempt, now time.Time) retryDecision {
 	last := attempts[len(attempts)-1]
 	if last.Result.final() || !now.Before(r.Deadline) {
 		return retryDecision{}
 	}
+	recalled := slices.ContainsFunc(attempts, func(a Attempt) bool { return a.Recalled })
 	var reached, runs, unreached int
 	for _, a := range attempts {
 		switch {
@@ -37,6 +39,8 @@
 			unreached++
 		case a.Result.NotRun():
 			reached++
+		case a.Crashed && recalled:
+			reached++
 		default:
 			reached++
 			runs++
@@ -45,7 +49,13 @@
 	if reached >= maxReached || unreached >= maxUnreached || runs >= r.maxRuns() {
 		return retryDecision{}
 	}
-	return retryDecision{retry: true, countsAsRetry: reached > 0 && last.Result != Unreached}
+	return retryDecision{retry: true, countsAsRetry: reached > 0 && last.Result != Unreached && !last.RetryPermitted}
+}
+
+// isRepeatable reports whether a request could be sent again if its next attempt were recalled.
+func isRepeatable(r *Request, attempts []Attempt, now time.Time) bool {
+	recalled := Attempt{Result: Unknown, Recalled: true}
+	return decideRetry(r, append(slices.Clone(attempts), recalled), now).retry
 }
 
 // refusalFor returns the refusal of a request without an answer. It states that the request did
--- a/serving/decide_test.go
+++ b/serving/decide_test.go
@@ -105,3 +105,29 @@
 	require.Equal(t, 500, failureAnswer(at).Status)
 	require.Equal(t, contract.OutcomeUnknown, refusalFor(requestOn(safe), attempts(Failed, Unknown), start).Kind)
 }
+
+// Guards against a recalled request that is not sent again because an upstream had crashed under it before, and against
+// one that runs on more upstreams than its route allows.
+func TestRecalledRequestKeepsTheRunOfACrash(t *testing.T) {
+	crashed, broken := Attempt{Result: Unknown, Crashed: true}, Attempt{Result: Unknown}
+	recalled := Attempt{Result: Unknown, Recalled: true, RetryPermitted: true}
+	for name, c := range map[string]struct {
+		route    *catalog.Route
+		attempts []Attempt
+		want     retryDecision
+	}{
+		"recalled":                          {review, []Attempt{recalled}, retryDecision{retry: true}},
+		"after a crash":                     {review, []Attempt{crashed, recalled}, retryDecision{retry: true}},
+		"after a crash, and unreached":      {review, []Attempt{crashed, recalled, {Result: Unreached}}, retryDecision{retry: true}},
+		"after a break without a crash":     {review, []Attempt{broken, recalled}, retryDecision{}},
+		"recalled twice":                    {review, []Attempt{recalled, recalled}, retryDecision{}},
+		"two crashes without a recall":      {review, []Attempt{crashed, crashed}, retryDecision{}},
+		"a request that must not run again": {chat, []Attempt{recalled}, retryDecision{}},
+	} {
+		require.Equal(t, c.want, decideRetry(requestOn(c.route), c.attempts, start), name)
+		last := c.attempts[len(c.attempts)-1]
+		if last.Recalled {
+			require.Equal(t, c.want.retry, isRepeatable(requestOn(c.route), c.attempts[:len(c.attempts)-1], start), name)
+		}
+	}
+}
--- a/serving/path.go
+++ b/serving/path.go
@@ -79,8 +79,11 @@
 
 // PromptGuard prevents repeated attempts with prompts that crash upstreams.
 type PromptGuard interface {
-	// Refuse is called before each attempt; nil permits it.
+	// Refuse is called before the first attempt; nil permits it.
 	Refuse(ctx context.Context, r *Request) *contract.Refusal
+	// RefuseRetry is called before each further attempt; nil permits it. While another request tries the
+	// prompt, it waits for the result.
+	RefuseRetry(ctx context.Context, r *Request) *contract.Refusal
 	// Proven returns the final refusal of a prompt that is proven to crash upstreams, nil for
 	// other prompts.
 	Proven(r *Request) *contract.Refusal
@@ -88,12 +91,14 @@
 	// attempts. Unless it was the first break for its prompt, ConnectionBroken returns after Refuse takes it
 	// into account.
 	ConnectionBroken(ctx context.Context, r *Request, attempts []Attempt)
+	// Crashed reports whether the upstream of a request's broken attempt is known to have crashed.
+	Crashed(r *Request, a Attempt) bool
 	// RecordAnswer is called when a request was answered.
 	RecordAnswer(r *Request)
-	// TrackAttempt is called for each attempt. The returned context is canceled with the cause ErrRecalled
-	// if the request's prompt is found to crash upstreams, unless began was called before, with
-	// the first chunk of the answer. done is called when the attempt has ended.
-	TrackAttempt(ctx context.Context, r *Request) (tracked context.Context, began, done func())
+	// TrackAttempt is called for each attempt. The returned context is canceled with the cause ErrRecalled or
+	// ErrPostponed if other upstreams crash under the request's prompt, unless began was called before, with
+	// the first chunk of the answer. It is postponed only if it is repeatable. done is called when the attempt has ended.
+	TrackAttempt(ctx context.Context, r *Request, repeatable bool) (tracked context.Context, began, done func())
 }
 
 // StreamVersions knows which software version of a service began each stream.
@@ -106,8 +111,14 @@
 	Find(ctx context.Context, r *Request) (version string, refusal *contract.Refusal)
 }
 
-// ErrRecalled is the cause of a canceled attempt whose prompt was found to crash upstreams.
-var ErrRecalled = errors.New("the prompt was found to crash upstreams")
+// Causes of a canceled attempt under whose prompt other upstreams crashed.
+var (
+	// ErrRecalled means that the prompt is proven to cause the crashes.
+	ErrRecalled = errors.New("the prompt was found to crash upstreams")
+	// ErrPostponed means that another request tries the prompt first. The retry budget has permitted the next
+	// attempt already.
+	ErrPostponed = errors.New("other upstreams crashed under the prompt")
+)
 
 // Dispatcher serves requests: it reserves tokens, sends to upstreams and retries.
 type Dispatcher struct {
@@ -162,10 +173,12 @@
 		if !ok {
 			return d.finish(r, attempts, out)
 		}
-		attempts = append(attempts, target.Done(d.send(ctx, r, target, out)))
+		repeatable := isRepeatable(r, attempts, d.Now())
+		attempts = append(attempts, target.Done(d.send(ctx, r, target, out, repeatable)))
 		d.recordOutcome(ctx, r, attempts)
 		next := decideRetry(r, attempts, d.Now())
-		if !next.retry || d.refusePoisoned(ctx, r) != nil || next.countsAsRetry && !d.RetryBudget.Allow(r) {
+		// The retry budget comes first: a permission to try the prompt must not be lost for lack of it.
+		if !next.retry || next.countsAsRetry && !d.RetryBudget.Allow(r) || d.refuseRetry(ctx, r) != nil {
 			return d.finish(r, attempts, out)
 		}
 	}
@@ -173,7 +186,7 @@
 
 // send makes one attempt, which can be recalled until its answer begins. The version that begins a stream is
 // recorded.
-func (d *Dispatcher) send(ctx context.Context, r *Request, t Target, out Caller) Attempt {
+func (d *Dispatcher) send(ctx context.Context, r *Request, t Target, out Caller, repeatable bool) Attempt {
 	if out.Began() {
 		return d.Upstreams.Send(ctx, r, t, out)
 	}
@@ -183,7 +196,7 @@
 	if d.PromptGuard == nil {
 		return d.Upstreams.Send(ctx, r, t, out)
 	}
-	ctx, began, done := d.PromptGuard.TrackAttempt(ctx, r)
+	ctx, began, done := d.PromptGuard.TrackAttempt(ctx, r, repeatable)
 	defer done()
 	t.Event = beforeFirst(t.Event, began)
 	return d.Upstreams.Send(ctx, r, t, out)
@@ -209,6 +222,14 @@
 	return d.PromptGuard.Refuse(ctx, r)
 }
 
+// refuseRetry returns the refusal of a prompt that must not be sent again.
+func (d *Dispatcher) refuseRetry(ctx context.Context, r *Request) *contract.Refusal {
+	if d.PromptGuard == nil {
+		return nil
+	}
+	return d.PromptGuard.RefuseRetry(ctx, r)
+}
+
 // recordOutcome reports the last attempt's evidence on the request's prompt to PromptGuard.
 func (d *Dispatcher) recordOutcome(ctx context.Context, r *Request, attempts []Attempt) {
 	last := attempts[len(attempts)-1]
@@ -216,6 +237,7 @@
 	case d.PromptGuard == nil:
 	case last.Break != nil:
 		d.PromptGuard.ConnectionBroken(ctx, r, attempts)
+		attempts[len(attempts)-1].Crashed = d.PromptGuard.Crashed(r, last)
 	case last.Result == Complete:
 		d.PromptGuard.RecordAnswer(r)
 	}
