--- a/gateway/prompttrials.go
+++ b/gateway/prompttrials.go
@@ -63,6 +63,13 @@
 	t.waiting--
 }
 
+// count returns the number of waiting requests.
+func (t *trialWaits) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.waiting
+}
+
 // change returns a channel that is closed at the next call of notify.
 func (t *trialWaits) change() <-chan struct{} {
 	t.mu.Lock()
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -62,6 +62,8 @@
 	Relay    any      `json:"relay"`
 	// Prompts are the prompts that are on trial, or proven to crash upstreams.
 	Prompts any `json:"prompts"`
+	// TrialWaits is the number of interrupted requests that wait for the trial of their prompt.
+	TrialWaits int `json:"trial_waits"`
 	// Rollouts are the moves of services to new versions.
 	Rollouts any `json:"rollouts"`
 	// Crowding is nil unless the settings let a crowded router hand callers over.
@@ -73,7 +75,7 @@
 		Incarnation: g.Incarnation, Ready: g.ready(), Stopping: g.stopping.Load(), Active: g.activeRequests.Load(),
 		Version: g.configVersion(), Budgets: g.Budgets.State(), Upstreams: g.directory.All(), Drained: g.directory.Drained(),
 		Pool: g.pool.States(), Members: g.Members.Members(), Followed: g.Follower.State(), Relay: g.Hub.State(),
-		Prompts: g.prompts.registry.Restricted(time.Now()), Rollouts: g.rollouts.state(),
+		Prompts: g.prompts.registry.Restricted(time.Now()), TrialWaits: g.prompts.trials.count(), Rollouts: g.rollouts.state(),
 		Crowding: g.crowdingState(time.Now()),
 	}
 }
