Tests of prompts: an outage before an answer, for evidence from the store and for the same prompt to the letter

The related paths of the fault before last: crashes that lenders have stored and routers fetch after all processes restarted, and whole prompts.

--- a/gateway/crashtogether_test.go
+++ b/gateway/crashtogether_test.go
@@ -172,6 +172,75 @@
 	}
 }
 
+// Guards against proper prompts that are refused after all routers and lenders restarted, because of the crashes that the
+// store holds of an outage before any answer.
+func TestStoredCrashesOfAnOutageAreNoProof(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		engines := f.startReadingEngines(12, 2*time.Second)
+		var kills []func()
+		for n := 1; n <= 4; n++ {
+			_, kill := f.startLender(firstLender+n, fmt.Sprint("i-", n))
+			kills = append(kills, kill)
+		}
+		f.startRouters(3)
+		prompt := func(id string, n int) request {
+			req := review(id)
+			req.vm, req.parts = 1+n%3, fmt.Sprintf("aa:13300,own-%s:300", id)
+			return req
+		}
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Go(func() { f.send(prompt(fmt.Sprint("before-", n), n)) })
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range busiest(engines)[:3] {
+			e.crash()
+		}
+		time.Sleep(1500 * time.Millisecond) // no answer yet, and the store has the crashes
+		require.Contains(t, f.log.String(), `"event":"prompts_stored"`)
+		f.stopVMs(3)
+		for _, kill := range kills {
+			kill()
+		}
+		wg.Wait()
+		for n := 5; n <= 8; n++ {
+			f.startLender(firstLender+n, fmt.Sprint("i-", n))
+		}
+		f.startVMs(3)
+		time.Sleep(15 * time.Second)
+		require.Contains(t, f.log.String(), `"event":"prompts_loaded"`)
+		require.Equal(t, 200, f.send(prompt("first", 1)).status)
+		for n := range 12 {
+			require.Equal(t, 200, f.send(prompt(fmt.Sprint("after-", n), n)).status)
+		}
+	})
+}
+
+// Guards against a prompt that many callers send to the letter and that is refused because engines crashed together before its
+// first answer was complete.
+func TestSamePromptIsServedAfterEnginesCrashedTogether(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		engines := f.startReadingEngines(16, 336*time.Millisecond)
+		f.startRouters(4)
+		var wg sync.WaitGroup
+		for n := range 24 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(n) * 3 * time.Millisecond)
+				req := review(fmt.Sprint("r-", n))
+				req.vm, req.parts = 1+n%4, "aa:600,same:400"
+				require.Equal(t, 200, f.send(req).status)
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, e := range busiest(engines)[:3] {
+			e.crash()
+		}
+		wg.Wait()
+	})
+}
+
 // crashingLoad is a load of prompts with parts that crash engines, sent at the same moment, and more of them later.
 type crashingLoad struct {
 	routers, callers int
