--- a/gateway/crashtogether_test.go
+++ b/gateway/crashtogether_test.go
@@ -18,10 +18,7 @@
 
 // readingEngine is an engine that reads each prompt for a while before it answers. It crashes when it begins to answer a
 // prompt with a crashing part, and drops a prompt whose caller disconnects.
-type readingEngine struct {
-	*fragileEngine
-	readTime time.Duration
-}
+type readingEngine struct{ *fragileEngine }
 
 // ServeHTTP implements http.Handler.
 func (e *readingEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -35,7 +32,7 @@
 	id := r.Header.Get(standin.HeaderID)
 	e.reading.Store(id, true)
 	defer e.reading.Delete(id)
-	timer := time.NewTimer(e.readTime)
+	timer := time.NewTimer(time.Duration(e.readTime.Load()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -55,11 +52,18 @@
 func (f *fleet) startReadingEngines(n int, reading time.Duration) []*fragileEngine {
 	engines := f.startFragileEngines(n)
 	for _, e := range engines {
-		e.server.Handler = &readingEngine{e, reading}
+		e.server.Handler = &readingEngine{e}
 	}
+	setReadTime(engines, reading)
 	return engines
 }
 
+func setReadTime(engines []*fragileEngine, reading time.Duration) {
+	for _, e := range engines {
+		e.readTime.Store(int64(reading))
+	}
+}
+
 // busiest returns the running engines in the order of the requests that they have got, the most first.
 func busiest(engines []*fragileEngine) []*fragileEngine {
 	running := slices.DeleteFunc(slices.Clone(engines), func(e *fragileEngine) bool { return e.crashed.Load() })
@@ -177,7 +181,7 @@
 func TestStoredCrashesOfAnOutageAreNoProof(t *testing.T) {
 	withFleet(t, func(f *fleet) {
 		f.putConfig(0, "k1")
-		engines := f.startReadingEngines(12, 2*time.Second)
+		engines := f.startReadingEngines(12, time.Minute)
 		var kills []func()
 		for n := 1; n <= 4; n++ {
 			_, kill := f.startLender(firstLender+n, fmt.Sprint("i-", n))
@@ -197,19 +201,21 @@
 		for _, e := range busiest(engines)[:3] {
 			e.crash()
 		}
-		time.Sleep(1500 * time.Millisecond) // no answer yet, and the store has the crashes
-		require.Contains(t, f.log.String(), `"event":"prompts_stored"`)
+		time.Sleep(1500 * time.Millisecond)
+		require.NotZero(t, f.countEvents(`"event":"prompts_stored"`))
 		f.stopVMs(3)
 		for _, kill := range kills {
 			kill()
 		}
 		wg.Wait()
+		setReadTime(engines, 336*time.Millisecond)
 		for n := 5; n <= 8; n++ {
 			f.startLender(firstLender+n, fmt.Sprint("i-", n))
 		}
 		f.startVMs(3)
 		time.Sleep(15 * time.Second)
-		require.Contains(t, f.log.String(), `"event":"prompts_loaded"`)
+		require.NotZero(t, f.countEvents(`"event":"prompts_loaded"`))
+		require.Zero(t, f.countEvents(`"event":"prompt_cleared"`))
 		require.Equal(t, 200, f.send(prompt("first", 1)).status)
 		for n := range 12 {
 			require.Equal(t, 200, f.send(prompt(fmt.Sprint("after-", n), n)).status)
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -25,6 +25,8 @@
 	// got is the number of requests that it has got, and reading holds the ids of those that it reads.
 	got     atomic.Int64
 	reading sync.Map
+	// readTime is how long a readingEngine reads a prompt, in nanoseconds.
+	readTime atomic.Int64
 	// cause is the part of the prompt that crashed the engine, nil if none did.
 	cause atomic.Pointer[string]
 }
