Prompts: several parts that crash engines end no more than five again, and refuse no harmless prompt

Cause, three of them: after a trial that crashed the next one followed at once, also where the crashes had another explanation, so that one request's retries gave the harmless parts in it five crashes within 300 ms; attempts were recalled from the second crash on, and an upstream that crashes under a recalled attempt is no evidence; and without retry budget nothing was recalled, also when a trial had crashed.

Ruled out: the count of independent crashes (the failing plays have the same crashes one after the other that were three before), and the permission for one of several parts (with one router all parts have the same owner).

Change: a trial follows at once only if one more independent crash would prove the prompt; a request whose trial has crashed does not wait for another one; crashes that follow one another recall attempts from the third one on, as before, and only those at once from the second one; without retry budget attempts go on only while one small outage may explain the crashes.

--- a/gateway/prompttrials.go
+++ b/gateway/prompttrials.go
@@ -148,8 +148,11 @@
 func (p *promptGuard) awaitTrial(ctx context.Context, r *serving.Request) *contract.Refusal {
 	ctx, cancel := context.WithTimeout(ctx, maxTrialWait)
 	defer cancel()
+	if p.hasPermission(r) { // its first upstream could not be reached, or crashed: then it is not sent again
+		return p.Refuse(ctx, r)
+	}
 	changed := p.trials.change()
-	for pause := p.firstPause(r); ; pause = trialAskInterval {
+	for pause := settleTime; ; pause = trialAskInterval {
 		select {
 		case <-changed:
 		case <-time.After(pause):
@@ -166,12 +169,10 @@
 	}
 }
 
-// firstPause returns the time before the first question about a waiting request.
-func (p *promptGuard) firstPause(r *serving.Request) time.Duration {
-	if prompt, onTrial := p.promptOnTrial(r); onTrial && p.trials.isPermitted(prompt, r.ID) {
-		return 0
-	}
-	return settleTime
+// hasPermission reports whether a request has the permission to try its prompt.
+func (p *promptGuard) hasPermission(r *serving.Request) bool {
+	prompt, onTrial := p.promptOnTrial(r)
+	return onTrial && p.trials.isPermitted(prompt, r.ID)
 }
 
 // promptOnTrial returns the prompt or part of a request whose owner decides about its trial, and false if none is on
--- a/gateway/recall.go
+++ b/gateway/recall.go
@@ -10,10 +10,14 @@
 	"github.com/arbutusmill/arbutusmill/serving"
 )
 
-// maxUnpaidCrashes is the number of crashes under a prompt on trial from which attempts are recalled although the
-// retry budget may not permit another one.
+// maxUnpaidCrashes is the number of crashes in one outage from which attempts with a prompt on trial are recalled although
+// the retry budget may not permit another one.
 const maxUnpaidCrashes = 5
 
+// minRecallCrashes is the number of crashes, one after the other, from which attempts are recalled while the prompt is on
+// trial. If upstreams crash at once, others may follow at once, so then two crashes suffice.
+const minRecallCrashes = 3
+
 // trackedAttempts holds this router's attempts whose responses have not begun, by prompt. Their prompts
 // are queued or in prefill at upstreams. Each attempt with a prompt that causes crashes would crash one
 // more upstream.
@@ -146,16 +150,16 @@
 
 // recallCauseLocked returns why an attempt must not go on with a prompt, nil if it may. While the prompt is on trial,
 // attempts that could not be sent again go on, since their callers would get no answer; beyond what the retry budget
-// permits only until maxUnpaidCrashes upstreams have crashed.
+// permits only while a small outage may explain the crashes.
 func (p *promptGuard) recallCauseLocked(a *trackedAttempt, e poison.Evidence) error {
 	switch standing := e.Standing(); {
 	case standing == poison.Proven:
 		return serving.ErrRecalled
-	case standing < poison.OnTrial || !a.postponable:
+	case standing < poison.OnTrial || !a.postponable || len(e.Crashes) < minRecallCrashes && e.Independent() > 1:
 		return nil
 	case !a.considered && p.retries.Allow(a.request):
 		return serving.ErrPostponed
-	case len(e.Crashes) >= maxUnpaidCrashes:
+	case len(e.Crashes) >= maxUnpaidCrashes || e.Independent() > 1:
 		return serving.ErrRecalled
 	}
 	a.considered = true
--- a/poison/record.go
+++ b/poison/record.go
@@ -186,6 +186,13 @@
 	return standing(len(r.crashes), r.independent(), now.Sub(r.lastCrash()))
 }
 
+// mayTryAgain reports whether the prompt may be tried although the last trial began a short time ago: that one ended with
+// a crash, and another one would prove the prompt.
+func (r *record) mayTryAgain() bool {
+	independent := r.independent()
+	return independent > r.trialIndependent && independent < provenThreshold
+}
+
 // independent returns the number of independent crashes.
 func (r *record) independent() int {
 	return r.independentIf(func(crash) bool { return true })
--- a/poison/registry.go
+++ b/poison/registry.go
@@ -20,8 +20,8 @@
 	maxUnexplained = 1
 	// maxTrials limits how often a proven prompt is tried again.
 	maxTrials = 3
-	// trialInterval is the time between the starts of two requests that try a prompt on trial, unless the
-	// first one's upstream crashes before: longer than engines usually take to prefill a prompt and begin to answer.
+	// trialInterval is the time between the starts of two requests that try a prompt on trial: longer than
+	// engines usually take to prefill a prompt and begin to answer.
 	trialInterval = 2 * time.Second
 	// refusalPeriod is how long a prompt is refused after the crash that proved it. Then it is on
 	// trial again, since engines are upgraded. Each further crash doubles the period.
@@ -240,7 +240,7 @@
 		return false
 	case rec.trialRequest == request && !rec.lastCrash().After(rec.lastTrial):
 		return true // the first upstream chosen for it could not be reached
-	case now.Sub(rec.lastTrial) < trialInterval && rec.independent() <= rec.trialIndependent:
+	case now.Sub(rec.lastTrial) < trialInterval && !rec.mayTryAgain():
 		return false
 	}
 	rec.lastTrial, rec.trialRequest, rec.trialIndependent = now, request, rec.independent()
