Logs: the connection of each response that refuses a request or is not its own

An attempt's line named neither its connection nor how many requests that had carried, so a copy of a refusal could not be told from a refusal. One line a response, response_without_run, and a counter by result.

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -56,6 +56,11 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_broken_attempts_not_looked_at_total").Inc()
 }
 
+// responseDoubted counts a response that refuses a request or does not belong to it, by the result of its attempt.
+func (m *gatewayMetrics) responseDoubted(service string, r serving.Result) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_responses_without_run_total{service=%q,result=%q}", service, r)).Inc()
+}
+
 // headersNotRead counts a response with headers of the platform that no code reads.
 func (m *gatewayMetrics) headersNotRead() {
 	m.set.GetOrCreateCounter("arbutusmill_gateway_responses_with_unread_headers_total").Inc()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -17,6 +17,7 @@
 	"github.com/arbutusmill/arbutusmill/pool"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/settings"
+	"github.com/rs/zerolog"
 )
 
 // maxResponseBytes limits a response that is buffered until it is complete.
@@ -27,11 +28,13 @@
 	*pool.Pool
 	transport http.RoundTripper
 	unread    *unreadHeaders
+	log       zerolog.Logger
+	metrics   *gatewayMetrics
 }
 
 func newTransport(n hosted.Network, s settings.Upstreams) *http.Transport {
 	return &http.Transport{
-		DialContext:         n.DialTimeout(time.Duration(s.DialTimeout)),
+		DialContext:         upstreamDialer(n.DialTimeout(time.Duration(s.DialTimeout))),
 		DisableCompression:  true, // callers get the upstream's bytes unchanged
 		MaxIdleConnsPerHost: idleConnsPerUpstream,
 		IdleConnTimeout:     time.Duration(s.IdleTimeout),
@@ -47,15 +50,30 @@
 	x := exchange{request: r, target: t, out: out, callerContext: ctx, now: u.Now, sent: u.Now()}
 	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
 	defer cancel()
-	tracker := &hop.ConnTracker{}
-	req := u.upstreamRequest(tracker.Trace(ctx), r, t, out)
+	req := u.upstreamRequest(x.use.trace(ctx), r, t, out)
 	resp, err := u.transport.RoundTrip(req)
 	if err != nil {
-		return x.failedAttempt(tracker.Connected(), err)
+		return x.failedAttempt(x.use.connected(), err)
 	}
 	defer resp.Body.Close()
 	u.unread.record(r.ID, t.Incarnation.String(), platform.UnreadResponseHeaders(resp.Header))
-	return x.handleResponse(resp)
+	a := x.handleResponse(resp)
+	u.recordDoubt(&x, resp, a)
+	return a
+}
+
+// recordDoubt logs and counts a response that refuses a request, or does not belong to it. With the connection's
+// number, a copy of an earlier response can be traced to its original.
+func (u *upstreams) recordDoubt(x *exchange, resp *http.Response, a serving.Attempt) {
+	info := platform.ReadResponseInfo(resp.StatusCode, resp.Header)
+	if info.ID == x.request.ID && !info.NotRun {
+		return
+	}
+	u.metrics.responseDoubted(x.request.Service.Name, a.Result)
+	u.log.Info().Str("id", x.request.ID).Str("response_id", abbreviate(info.ID)).Int("status", resp.StatusCode).Bool("says_not_run", info.NotRun).
+		Str("upstream", x.target.Incarnation.String()).Str("address", x.target.Address).Uint64("connection", x.use.conn.number).
+		Int64("exchange", x.use.exchange).Int64("connection_age_ms", time.Since(x.use.conn.opened).Milliseconds()).
+		Stringer("result", a.Result).Msg("response_without_run")
 }
 
 func (u *upstreams) upstreamRequest(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) *http.Request {
@@ -87,6 +105,7 @@
 	out     serving.Caller
 	// callerContext ends when the caller disconnects or the request's deadline passes.
 	callerContext context.Context
+	use           connUse
 	now           func() time.Time
 	sent          time.Time
 	events        int64
