Responses of upstreams: a refusal counts only with its id, and none precedes another response

Cause: a response was taken for the answer to whatever request its id, or no id at all, allowed. The id names the request and not the attempt: a request that was refused and sent again over the same connection met the copy of its own refusal. A refusal without an id counted for any request. And net/http gives a connection back to its pool before a response without a body is judged, so that after one extra response all later ones met the wrong request.

Now judge() alone decides which responses count: none without the request's id. A connection carries a further request only after the whole response of a run; after a refusal, a foreign or an invalid response it is closed before any other request can be written to it. So no refusal can precede a response that is judged, and none can be a copy. A request that was given a connection closed in this way was not written, and takes another one.

TestCopyOfARefusalDoesNotAnswerTheNextAttempt removes the entry of each ended incarnation after its request: they had added up to the four attempts that a request may take.

--- a/gateway/refusaltwice_test.go
+++ b/gateway/refusaltwice_test.go
@@ -105,6 +105,7 @@
 					f.settle()
 					id := fmt.Sprint("r", n)
 					told[id] = f.send(alert(id))
+					require.NoError(t, f.store.Unregister(ended)) // a request is sent to four addresses at most
 				}
 				requireTrueRefusals(t, append(slices.Clone(up.ran), sound.ran...), told)
 				for id, resp := range told {
@@ -174,3 +175,34 @@
 		require.Equal(t, map[string]int{"r0": 200, "r1": 502, "r2": 200, "r3": 200}, statuses)
 	})
 }
+
+// Guards against a refusal that belongs to no request: an upstream sends one without an id, late, after a complete
+// response. The next request on the connection runs.
+func TestRefusalWithoutIDIsNotBelieved(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		var ran []string
+		f.rawUpstream("i-1", func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+			for n := 0; ; n++ {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+				id := u.recordRequest(r)
+				ran = append(ran, id)
+				if n > 0 {
+					_, _ = io.WriteString(conn, refusal(http.StatusServiceUnavailable, ""))
+				}
+				_, _ = io.WriteString(conn, signedResponse(id, "of "+id))
+			}
+		})
+		f.start()
+		told := map[string]response{}
+		for n := range 6 {
+			id := fmt.Sprint("r", n)
+			told[id] = f.send(alert(id))
+		}
+		requireTrueRefusals(t, ran, told)
+	})
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -50,18 +50,38 @@
 	x := exchange{request: r, target: t, out: out, callerContext: ctx, now: u.Now, sent: u.Now()}
 	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
 	defer cancel()
-	req := u.upstreamRequest(x.use.trace(ctx), r, t, out)
-	resp, err := u.transport.RoundTrip(req)
+	resp, err := u.roundTrip(ctx, &x)
 	if err != nil {
+		x.use.end(false)
 		return x.failedAttempt(x.use.connected(), err)
 	}
 	defer resp.Body.Close()
+	defer x.use.end(false)
 	u.unread.record(r.ID, t.Incarnation.String(), platform.UnreadResponseHeaders(resp.Header))
 	a := x.handleResponse(resp)
 	u.recordDoubt(&x, resp, a)
 	return a
 }
 
+// errConnsRetired is returned if each connection was retired before the request was written to it.
+var errConnsRetired = errors.New("all idle connections were retired")
+
+// roundTrip sends the request and returns the response. If the connection is retired before the request is written to
+// it, it takes another one; the upstream cannot have received the request then.
+func (u *upstreams) roundTrip(ctx context.Context, x *exchange) (*http.Response, error) {
+	for range idleConnsPerUpstream + 1 {
+		x.use = connUse{}
+		resp, err := u.transport.RoundTrip(u.upstreamRequest(x.use.trace(ctx), x.request, x.target, x.out))
+		if !x.use.refused {
+			return resp, err
+		}
+		if err == nil {
+			_ = resp.Body.Close() // left over from an earlier request
+		}
+	}
+	return nil, errConnsRetired
+}
+
 // recordDoubt logs and counts a response that refuses a request, or does not belong to it. With the connection's
 // number, a copy of an earlier response can be traced to its original.
 func (u *upstreams) recordDoubt(x *exchange, resp *http.Response, a serving.Attempt) {
@@ -207,74 +227,51 @@
 // handleResponse forwards a valid response, or returns why it is invalid.
 func (x *exchange) handleResponse(resp *http.Response) serving.Attempt {
 	info := platform.ReadResponseInfo(resp.StatusCode, resp.Header)
-	if info.ID != x.request.ID && (info.ID != "" || !info.NotRun) {
-		// The response to another request: an upstream may send a second one on
-		// a keep-alive connection, where the next response is expected. The
-		// outcome of this request is unknown.
-		return x.newAttempt(serving.Unknown, "response to request %q", info.ID)
-	}
-	if !info.Misdirected {
+	found, why := judge(x.request.ID, resp.StatusCode, info)
+	if found != foreign && found != misdirected {
 		x.target.Observe(info.Statement)
 	}
-	switch {
-	case info.Misdirected:
+	switch found {
+	case misdirected:
 		return x.newAttempt(serving.Misdirected, "another process listens at the address")
-	case info.NotRun:
-		discardBody(resp)
+	case notRun:
 		return x.newAttempt(serving.Declined, "status %d", resp.StatusCode)
-	case info.Encoded:
-		return x.newAttempt(serving.Unknown, "encoded response")
-	case resp.StatusCode >= 300:
-		return x.handleFailure(resp, info)
-	case !info.Signed:
-		return x.newAttempt(serving.Unknown, "response without signature")
-	case x.request.Route.Kind == catalog.Streaming:
-		return x.forwardStream(resp)
+	case failed:
+		return x.handleFailure(resp)
+	case succeeded:
+		if x.request.Route.Kind == catalog.Streaming {
+			return x.forwardStream(resp)
+		}
+		return x.forwardComplete(resp)
 	}
-	return x.forwardComplete(resp)
-}
-
-// discardBody reads the rest of a short response, so that its connection can be reused.
-func discardBody(resp *http.Response) {
-	const maxDiscard = 4 << 10
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscard) // after a longer one the connection is closed
+	return x.newAttempt(serving.Unknown, "%s", why)
 }
 
-// handleFailure reads an error response. A status that implies "not run" without proof of it is
-// not forwarded.
-func (x *exchange) handleFailure(resp *http.Response, info platform.ResponseInfo) serving.Attempt {
-	body, err := readResponse(resp)
+// handleFailure reads an upstream's failure response.
+func (x *exchange) handleFailure(resp *http.Response) serving.Attempt {
+	body, err := x.readResponse(resp)
 	if err != nil {
 		return x.failedAttempt(true, err)
 	}
-	if !info.Signed || impliesNotRun(resp.StatusCode) {
-		return x.newAttempt(serving.Unknown, "status %d without proof", resp.StatusCode)
-	}
 	a := x.newAttempt(serving.Failed, "status %d", resp.StatusCode)
 	a.Answer = &serving.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	return a
 }
 
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
-func readResponse(resp *http.Response) ([]byte, error) {
+// readResponse reads a whole response and releases its connection.
+func (x *exchange) readResponse(resp *http.Response) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.New("the response is too long")
 	}
+	x.use.end(err == nil)
 	return body, err
 }
 
 // forwardComplete buffers a response until it is complete: if the connection breaks, the caller has
 // received nothing yet, and the request may be retried where that is allowed.
 func (x *exchange) forwardComplete(resp *http.Response) serving.Attempt {
-	body, err := readResponse(resp)
+	body, err := x.readResponse(resp)
 	if err != nil {
 		return x.failedAttempt(true, err)
 	}
@@ -292,6 +289,7 @@
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && x.out.Began() {
+			x.use.end(true)
 			return x.newAttempt(serving.Complete, "")
 		}
 		if err != nil {
--- a/gateway/upstreamconn.go
+++ b/gateway/upstreamconn.go
@@ -8,14 +8,19 @@
 	"time"
 )
 
-// upstreamConn is a connection to an upstream.
+// upstreamConn is a connection to an upstream. It carries a further request only after the response to the one before was
+// judged; net/http would send one as soon as a response without a body is parsed.
 type upstreamConn struct {
 	net.Conn
 	// number identifies the connection in this process's logs.
 	number uint64
 	opened time.Time
+	// turn holds a value unless a request uses the connection. It guards the fields below.
+	turn chan struct{}
 	// exchanges is the number of requests that got the connection.
-	exchanges atomic.Int64
+	exchanges int64
+	// retired is set once the connection must not carry a further request. It is closed then.
+	retired bool
 }
 
 // upstreamDialer returns a dial function that returns an *upstreamConn.
@@ -26,7 +31,9 @@
 		if err != nil {
 			return nil, err
 		}
-		return &upstreamConn{Conn: conn, number: last.Add(1), opened: time.Now()}, nil
+		c := &upstreamConn{Conn: conn, number: last.Add(1), opened: time.Now(), turn: make(chan struct{}, 1)}
+		c.turn <- struct{}{}
+		return c, nil
 	}
 }
 
@@ -35,15 +42,39 @@
 	conn *upstreamConn
 	// exchange is the request's place among those that the connection carried, from 1.
 	exchange int64
+	ended    bool
+	// refused is set if the connection was retired before the request could be written to it.
+	refused bool
 }
 
-// trace returns a context with which a request must be sent for u to record its connection.
+// trace returns a context with which a request must be sent for u to take its connection. It waits until the response to
+// the request before was judged, which that request's goroutine does as soon as it has the response.
 func (u *connUse) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		u.conn = info.Conn.(*upstreamConn)
-		u.exchange = u.conn.exchanges.Add(1)
+		c := info.Conn.(*upstreamConn)
+		<-c.turn
+		if c.retired {
+			u.refused = true
+			c.turn <- struct{}{}
+			return
+		}
+		c.exchanges++
+		u.conn, u.exchange = c, c.exchanges
 	}})
 }
 
 // connected reports whether the request got a connection. Without one, no upstream can have run it.
 func (u *connUse) connected() bool { return u.conn != nil }
+
+// end ends the use. The connection is closed unless it may carry a further request. Only the first call counts.
+func (u *connUse) end(keep bool) {
+	if u.conn == nil || u.ended {
+		return
+	}
+	u.ended = true
+	if !keep {
+		u.conn.retired = true
+		_ = u.conn.Close() // the transport may have closed it
+	}
+	u.conn.turn <- struct{}{}
+}
