Requests without an answer end their connection instead of an empty success

A caller that ends its side of the connection after its request counts as gone, but reads on.

Now a handler that began no response aborts the connection, whatever ended the request.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -207,9 +207,9 @@
 		return
 	}
 	h.logOutcome(outcome, out.Status(), out.TimeToFirstChunk(h.arrived))
-	if outcome.Truncated {
-		// A normal return would end the body as if it were complete; aborting
-		// closes the connection, so that the caller detects the truncation.
+	if outcome.Truncated || !out.Began() {
+		// A normal return would complete the response: a truncated body would look
+		// whole, and without a response net/http sends status 200.
 		panic(http.ErrAbortHandler)
 	}
 }
