Responses of upstreams: a refusal without an id counts as the first one on its connection

Nothing precedes it there, so it cannot be a copy, and its caller is told the truth instead of "may have run" (502).

--- a/gateway/judge.go
+++ b/gateway/judge.go
@@ -24,16 +24,18 @@
 	succeeded
 )
 
-// judge returns what a response shows about the request with an id, and why if the request may have run. It alone decides
+// judge returns what a response shows about the request with an id, which is the given one of the exchanges on its
+// connection, counted from 1, and why if the request may have run. It alone decides
 // which responses of upstreams are believed.
 //
 // Upstreams may send a response again, late, where the next one is expected. The id shows to which request a response
-// belongs, but not to which of its attempts. So no response counts without the id, refusals included, and a
-// connection is used again only after the whole response of a run (see connUse.end): no refusal precedes on a connection
-// any response that is judged here, so a refusal is never a copy.
-func judge(id string, status int, info platform.ResponseInfo) (f finding, why string) {
+// belongs, but not to which of its attempts. So no response counts without the id, but for a refusal as the first response
+// on its connection, and a connection is used again only after the whole response of a run (see connUse.end): no refusal
+// precedes on a connection any response that is judged here, so a refusal is never a copy.
+func judge(id string, exchange int64, status int, info platform.ResponseInfo) (f finding, why string) {
+	nothingPrecedes := info.ID == "" && info.NotRun && exchange == 1
 	switch {
-	case info.ID != id:
+	case info.ID != id && !nothingPrecedes:
 		return foreign, fmt.Sprintf("response to request %q", abbreviate(info.ID))
 	case info.Misdirected:
 		return misdirected, ""
--- a/gateway/refusaltwice_test.go
+++ b/gateway/refusaltwice_test.go
@@ -136,7 +136,7 @@
 					}
 					requireTrueRefusals(t, up.ran, told)
 					if withoutID {
-						return // its refusals are not believed, so their callers get 502
+						return // its refusals are believed only as the first response on a connection
 					}
 					for id, resp := range told {
 						require.NotEqual(t, http.StatusBadGateway, resp.status, "%s: %s", id, resp.body)
@@ -206,3 +206,15 @@
 		requireTrueRefusals(t, ran, told)
 	})
 }
+
+// Guards against a caller that is told "may have run" for a refusal that cannot be a copy.
+func TestRefusalWithoutIDIsBelievedOnANewConnection(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		up := &copyingUpstream{incarnation: "i-1", withoutID: true,
+			refuses: func(int) (int, bool) { return http.StatusServiceUnavailable, true }}
+		f.rawUpstream("i-1", up.serve)
+		f.start()
+		require.Equal(t, http.StatusTooManyRequests, f.send(alert("r1")).status)
+	})
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -227,7 +227,7 @@
 // handleResponse forwards a valid response, or returns why it is invalid.
 func (x *exchange) handleResponse(resp *http.Response) serving.Attempt {
 	info := platform.ReadResponseInfo(resp.StatusCode, resp.Header)
-	found, why := judge(x.request.ID, resp.StatusCode, info)
+	found, why := judge(x.request.ID, x.use.exchange, resp.StatusCode, info)
 	if found != foreign && found != misdirected {
 		x.target.Observe(info.Statement)
 	}
