Requests without an id are refused with 400

Responses belong to requests by their ids: without one, any response without an id answered the request. The test got 200 before.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -112,6 +112,9 @@
 			return contract.Refuse(contract.BadRequest, "the request does not say how many tokens it may take")
 		}
 	}
+	if r.ID == "" {
+		return contract.Refuse(contract.BadRequest, "the request has no id: the header %s is missing", platform.IDHeader)
+	}
 	h.request = r
 	return nil
 }
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -384,3 +384,16 @@
 		require.GreaterOrEqual(t, used, int64(prompt+delivered*perEvent))
 	})
 }
+
+// Guards against a request without an id, to which any response without one would belong.
+func TestRequestWithoutIDIsRefused(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		u := f.upstream("i-1", "plain", 0)
+		f.start()
+		resp := f.send(alert(""))
+		require.Equal(t, http.StatusBadRequest, resp.status, resp.body)
+		require.Contains(t, resp.body, standin.HeaderID)
+		require.Empty(t, u.Requests())
+	})
+}
