Paths that begin with two slashes reach the upstream unchanged

net/http writes the scheme before an opaque path that begins with two slashes, so the upstream got another path than the caller had sent. Such a path is now set as a path; one that net/http would encode differently is refused with 400. The test failed before: the upstream of //x got http://x.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -34,3 +34,6 @@
 
 // ObserveHeartbeat records the round trip of a heartbeat to another process.
 func (g *Gateway) ObserveHeartbeat(took time.Duration) { g.Links.OnHeartbeat(took) }
+
+// CanForward is canForward.
+var CanForward = canForward
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -70,6 +70,9 @@
 	if err := platform.CheckCallerHeaders(req.Header); err != nil {
 		return contract.Refuse(contract.BadRequest, "%v", err)
 	}
+	if !canForward(req.RequestURI) {
+		return contract.Refuse(contract.BadRequest, "the path %q cannot be sent on unchanged", abbreviate(req.RequestURI))
+	}
 	path, _, _ := strings.Cut(req.RequestURI, "?")
 	route := table.Route(hostname(req.Host), path)
 	if route == nil {
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/gateway"
 	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
 )
@@ -397,3 +399,26 @@
 		require.Empty(t, u.Requests())
 	})
 }
+
+// Guards against a changed path: net/http writes the scheme before one that begins with two slashes.
+func TestPathReachesTheUpstreamUnchanged(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.template = strings.Replace(configTemplate, `"prefix":"/alert/"`, `"prefix":"/"`, 1)
+		f.putConfig(0, "k1")
+		u := f.upstream("i-1", "plain", 0)
+		f.start()
+		for n, path := range []string{"//x", "//alert/x?y=1&z=//", "///", "//a%2Fb/%20", "//x?", "/x//y?%zz", "/?", "//a:b@c/d;e"} {
+			req := alert(fmt.Sprint("r", n))
+			req.path = path
+			require.Equal(t, http.StatusOK, f.send(req).status, path)
+			require.Equal(t, path, u.Requests()[n].URI)
+		}
+	})
+}
+
+// Guards against a path that is sent on in another form.
+func TestPathThatWouldBeChangedIsRefused(t *testing.T) {
+	for uri, want := range map[string]bool{"//x": true, "//a\"b": false, "//a b": false, "/a\"b": true, "//%zz": false} {
+		require.Equal(t, want, gateway.CanForward(uri), uri)
+	}
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/catalog"
@@ -340,8 +341,19 @@
 	return a
 }
 
-// requestURL returns the upstream's URL with path and query byte for byte as the caller sent them:
-// the opaque part of a URL is written unchanged.
+// requestURL returns the upstream's URL with path and query byte for byte as the caller sent them: the opaque part of a URL
+// is written unchanged, but for one that begins with two slashes, before which net/http writes the scheme.
 func requestURL(address, uri string) *url.URL {
-	return &url.URL{Scheme: "http", Host: address, Opaque: uri}
+	if !strings.HasPrefix(uri, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: uri}
+	}
+	path, query, hasQuery := strings.Cut(uri, "?")
+	u := &url.URL{Scheme: "http", Host: address, RawPath: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if unescaped, err := url.PathUnescape(path); err == nil { // else the path is not that of the caller, see canForward
+		u.Path = unescaped
+	}
+	return u
 }
+
+// canForward reports whether a request's path and query reach an upstream unchanged.
+func canForward(uri string) bool { return requestURL("", uri).RequestURI() == uri }
