--- a/gateway/refusaltwice_test.go
+++ b/gateway/refusaltwice_test.go
@@ -218,3 +218,24 @@
 		require.Equal(t, http.StatusTooManyRequests, f.send(alert("r1")).status)
 	})
 }
+
+// Guards against a copy of a refusal that answers the same request when its caller sends it again.
+func TestCopyOfARefusalDoesNotAnswerARequestThatComesAgain(t *testing.T) {
+	for name, kind := range map[string]func(id string) request{"unsafe": alert, "safe": level} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				f.putConfig(0, "k1")
+				up := &copyingUpstream{incarnation: "i-1", refuses: func(n int) (int, bool) { return http.StatusServiceUnavailable, n%2 == 0 }}
+				f.rawUpstream("i-1", up.serve)
+				f.start()
+				for n := range 10 {
+					id := fmt.Sprint("r", n)
+					require.Equal(t, http.StatusTooManyRequests, f.send(kind(id)).status)
+					resp := f.send(kind(id))
+					require.Equal(t, http.StatusOK, resp.status, resp.body)
+				}
+				require.Len(t, up.ran, 10)
+			})
+		})
+	}
+}
