A team with a total of 0 prepaid tokens gets 402 instead of no limit

A team without the field keeps having no limit. Plain requests need no tokens and are served. The test got 200 for 0 before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -111,6 +111,8 @@
 	Rank *int
 	// Prepaid is the total number of tokens that the team may use; 0 is no limit.
 	Prepaid int64
+	// NoTokens is set if the team has paid for none, so that all its requests for tokens are refused.
+	NoTokens bool
 	// Regions are those in which its requests may be served.
 	Regions Regions
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -111,6 +111,9 @@
 	if route.Generative || r.Service.Engine != nil {
 		r.Prompt, r.MaxOutput = h.headers.Prompt, h.headers.MaxOutput
 		r.Parts = h.headers.Parts
+		if team != nil && team.NoTokens {
+			return contract.Refuse(contract.BudgetExhausted, "team %s has no tokens", team.Name)
+		}
 		if r.Prepaid > 0 && r.MaxTokens() == 0 {
 			return contract.Refuse(contract.BadRequest, "the request does not say how many tokens it may take")
 		}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -422,3 +422,19 @@
 		require.Equal(t, want, gateway.CanForward(uri), uri)
 	}
 }
+
+// Guards against a team without tokens that is served without a limit.
+func TestTeamWithoutTokensIsRefused(t *testing.T) {
+	for tokens, status := range map[string]int{`"prepaid": 0%.0d`: http.StatusPaymentRequired, `"prepaid": -5%.0d`: http.StatusPaymentRequired, `"priority":1%.0d`: http.StatusOK} {
+		withFleet(t, func(f *fleet) {
+			f.template = strings.Replace(configTemplate, `"prepaid":%d`, tokens, 1)
+			f.putConfig(0, "k1")
+			f.upstream("i-1", "plain", 0)
+			f.upstream("i-2", "model", 3)
+			f.start()
+			prompt := request{id: "r1", path: "/chat/x", key: "k1", usage: "100,9", deadline: 5 * time.Second}
+			require.Equal(t, status, f.send(prompt).status, tokens)
+			require.Equal(t, http.StatusOK, f.send(alert("r2")).status, "needs no tokens")
+		})
+	}
+}
