Responses of upstreams: a stream's connection is released at its end, not after the caller took the last event

Requests waited for callers of other requests, up to the write timeout and beyond their own deadlines, and were refused.

Cause: net/http gives a connection to the next request once the end of the response is read. The use of the connection ended only after the last events were written to the caller, and the next request waits for that without its context.

Now the use ends where net/http reports the end of the response.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -285,11 +285,10 @@
 
 // forwardStream forwards events as they arrive.
 func (x *exchange) forwardStream(resp *http.Response) serving.Attempt {
-	events := newEventReader(resp.Body)
+	events := newEventReader(&releasingReader{resp.Body, &x.use})
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && x.out.Began() {
-			x.use.end(true)
 			return x.newAttempt(serving.Complete, "")
 		}
 		if err != nil {
--- a/gateway/upstreamconn.go
+++ b/gateway/upstreamconn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -78,3 +80,19 @@
 	}
 	u.conn.turn <- struct{}{}
 }
+
+// releasingReader reads a response and ends the use of its connection at the end of the response: net/http gives the
+// connection to other requests then, and the last bytes may still have to wait for a slow caller.
+type releasingReader struct {
+	io.Reader
+	use *connUse
+}
+
+// Read implements io.Reader.
+func (r *releasingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.use.end(true)
+	}
+	return n, err
+}
