Responses of upstreams: a head made of two responses belongs to neither

Callers were told 429 for a request that ran, or got the signature of another response.

Cause: an extra response that ends inside a header line continues with the next response's status line as the header's value, and net/http parses one head: the first one's status and "not executed", and the second one's id.

Now a head with two ids, signatures or statements that the request did not run, or with a signature and such a statement, is not believed. The test failed before in both cases: "r1 ran, and its caller got 429"; signatures "other", "s".

--- a/gateway/judge.go
+++ b/gateway/judge.go
@@ -35,6 +35,8 @@
 func judge(id string, exchange int64, status int, info platform.ResponseInfo) (f finding, why string) {
 	nothingPrecedes := info.ID == "" && info.NotRun && exchange == 1
 	switch {
+	case info.Mixed:
+		return foreign, "head of more than one response"
 	case info.ID != id && !nothingPrecedes:
 		return foreign, fmt.Sprintf("response to request %q", abbreviate(info.ID))
 	case info.Misdirected:
