Responses of upstreams, agents and stores: every client has limits on heads and documents

Callers lost requests: an engine, or a store, that sends bytes without end took the memory of the process that had called it, and all requests there ended with it. Reports, cache lists and the store's answers were decoded for as long as bytes came, heads could have 10 MiB, an agent checked a line's length after it had read the line, and passed a body cut off at 8 MiB on as complete.

An error names path and limit; hosted processes count and log it.

The calls already had timeouts over the whole response, which end slow ones.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/billing"
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/claim"
@@ -79,7 +80,7 @@
 		outbox:  ledger.NewOutbox(layout, sender, s.Ledger.Backlog),
 		claims:  claim.Registry{Store: base.Store, Prefix: process.ClaimPrefix},
 		upstream: &upstreamClient{url: s.Upstream.URL, client: &http.Client{
-			Transport: &http.Transport{MaxIdleConnsPerHost: s.Upstream.Slots, DisableCompression: true}}},
+			Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: s.Upstream.Slots, DisableCompression: true})}},
 		idle: make(chan struct{}),
 	}
 	a.metrics = newMetrics(a)
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/hop"
 	"github.com/arbutusmill/arbutusmill/openai"
 )
@@ -82,7 +83,7 @@
 	var m openai.Meter
 	to.start(resp.StatusCode, resp.Header)
 	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+		b, err := io.ReadAll(bounded.NewReader(resp.Body, maxBufferedBody, "response"))
 		if err != nil {
 			return m, err
 		}
@@ -109,16 +110,21 @@
 // errOutputLimit means that an engine ignored the output limit.
 var errOutputLimit = errors.New("engine passed the output limit")
 
+// readLine returns the next line, which is valid until the next call.
 func readLine(r *bufio.Reader) ([]byte, error) {
 	line, err := r.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		rest, err := r.ReadBytes('\n')
-		line = append(bytes.Clone(line), rest...)
-		if len(line) > maxLine {
-			return nil, errors.New("line too long")
-		}
+	if !errors.Is(err, bufio.ErrBufferFull) {
 		return line, err
 	}
+	line = bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		var more []byte
+		more, err = r.ReadSlice('\n')
+		if len(line)+len(more) > maxLine {
+			return nil, &bounded.TooLongError{What: "line of a stream", Limit: maxLine}
+		}
+		line = append(line, more...)
+	}
 	return line, err
 }
 
--- a/etcd/etcd.go
+++ b/etcd/etcd.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
@@ -39,8 +40,8 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return unknownOutcome(path, err)
+	if err := bounded.DecodeJSON(resp.Body, maxAnswerBytes, path, out); err != nil {
+		return store.Error.Wrap(fmt.Errorf("%w: %w", store.ErrUnknown, err))
 	}
 	return nil
 }
@@ -70,6 +71,10 @@
 	return store.Error.Wrap(fmt.Errorf("%s: %w: %w", path, store.ErrUnknown, err))
 }
 
+// maxAnswerBytes limits an answer, and each message of a watch. A range is one answer: 8,000 entries of 4 KB, as base64
+// text.
+const maxAnswerBytes = 48 << 20
+
 // maxErrorBytes bounds how much of an error's body is read.
 const maxErrorBytes = 4 << 10
 
@@ -212,8 +217,10 @@
 func (e *Store) readWatch(ctx context.Context, body io.ReadCloser, events chan<- store.Event) {
 	defer close(events)
 	defer body.Close()
-	dec := json.NewDecoder(body)
+	limited := bounded.NewReader(body, maxAnswerBytes, "watch")
+	dec := json.NewDecoder(limited)
 	for {
+		limited.Reset()
 		var msg WatchResult
 		if err := dec.Decode(&msg); err != nil || msg.Result.Canceled {
 			return
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/hop"
 	"github.com/arbutusmill/arbutusmill/hosted"
@@ -33,12 +34,12 @@
 }
 
 func newTransport(n hosted.Network, s settings.Upstreams) *http.Transport {
-	return &http.Transport{
+	return bounded.Transport(&http.Transport{
 		DialContext:         upstreamDialer(n.DialTimeout(time.Duration(s.DialTimeout))),
 		DisableCompression:  true, // callers get the upstream's bytes unchanged
 		MaxIdleConnsPerHost: idleConnsPerUpstream,
 		IdleConnTimeout:     time.Duration(s.IdleTimeout),
-	}
+	})
 }
 
 // idleConnsPerUpstream limits the idle connections to one upstream, which accepts a few hundred
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/relay"
@@ -156,8 +157,8 @@
 func newStore(s settings.HostedStore, n Network) *platform.Store {
 	return &platform.Store{
 		Address: s.Address,
-		Client: &http.Client{Transport: &http.Transport{
-			DialContext: n.DialTimeout(storeDialTimeout), MaxIdleConnsPerHost: storeIdleConns}},
+		Client: &http.Client{Transport: bounded.Transport(&http.Transport{
+			DialContext: n.DialTimeout(storeDialTimeout), MaxIdleConnsPerHost: storeIdleConns})},
 		Timeout:    time.Duration(s.Timeout),
 		WatchWait:  time.Duration(s.WatchWait),
 		WatchPause: time.Duration(s.WatchPause),
@@ -236,3 +237,13 @@
 func (b *Base) RecordUnreadable(of string) {
 	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_unreadable_entries_total{of=%q}", of)).Inc()
 }
+
+// RecordTooLong counts and logs an error due to a response of the store or the upstream beyond a limit of package bounded;
+// it ignores others.
+func (b *Base) RecordTooLong(from string, err error) {
+	if !bounded.IsTooLong(err) {
+		return
+	}
+	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_too_long_responses_total{from=%q}", from)).Inc()
+	b.Log.Error().Str("from", from).Err(err).Msg("response_too_long")
+}
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -17,6 +17,7 @@
 func (b *Base) recordStoreCall(call string, took time.Duration, err error) {
 	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_store_calls_total{call=%q,result=%q}", call, storeResult(err))).Inc()
 	b.Metrics.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_store_call_duration_seconds{call=%q}", call)).Update(took.Seconds())
+	b.RecordTooLong("store", err)
 }
 
 // storeResult returns the result label of a call.
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/hosted"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/observe"
@@ -79,7 +80,7 @@
 	l.upstream = upstreamMonitor{
 		address: s.Upstream.Address,
 		timeout: time.Duration(s.Upstream.Timeout),
-		client:  &http.Client{Transport: &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1}},
+		client:  &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1})},
 	}
 	l.Admin.Dump = l.dump
 	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.registry.List(time.Now()))) })
--- a/lender/upstream.go
+++ b/lender/upstream.go
@@ -43,6 +43,8 @@
 	// poll; reason explains it.
 	eligible, changed bool
 	reason            string
+	// err is the error of the poll.
+	err error
 	// restarted is set if another incarnation of the upstream answers at the address.
 	restarted bool
 }
@@ -59,7 +61,7 @@
 // that no poll fails; the changed start time then reveals it.
 func (m *upstreamMonitor) observe(r platform.Report, err error) observation {
 	eligible, reason := m.assess(r, err)
-	out := observation{report: r, eligible: eligible, changed: eligible != m.eligible, reason: reason}
+	out := observation{report: r, eligible: eligible, changed: eligible != m.eligible, reason: reason, err: err}
 	m.eligible = eligible
 	if err == nil {
 		m.leaving = r.SaysLeaving
@@ -97,6 +99,7 @@
 // pollUpstream polls the upstream once and withdraws this process or ends its withdrawal.
 func (l *Lender) pollUpstream(ctx context.Context) {
 	o := l.upstream.poll(ctx)
+	l.RecordTooLong("upstream", o.err)
 	if capacity := o.report.MemoryTokens - o.report.HeldTokens; capacity > 0 {
 		l.engine.SetCacheCapacity(capacity)
 	}
@@ -127,6 +130,7 @@
 		err = errRestarted
 	}
 	if err != nil {
+		l.RecordTooLong("upstream", err)
 		l.Log.Warn().Err(err).Msg("cache_not_read") // prompts are treated as not cached
 		return nil, false
 	}
--- a/operator/command.go
+++ b/operator/command.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/ledger"
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -123,8 +124,11 @@
 	f.DurationVar(&s.timeout, "timeout", defaultCallTimeout, "bound of one store call")
 }
 
+// httpClient sends the commands' calls.
+var httpClient = &http.Client{Transport: bounded.Transport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 func (s *storeFlags) store() store.Store {
-	return &etcd.Store{URL: s.url, Client: http.DefaultClient, Timeout: s.timeout}
+	return &etcd.Store{URL: s.url, Client: httpClient, Timeout: s.timeout}
 }
 
 func (s *storeFlags) accounts() account.AdminClient {
--- a/operator/load.go
+++ b/operator/load.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/openai"
 )
@@ -36,6 +37,7 @@
 	maxLoadRequests = 100_000
 	maxLoadRate     = 2000
 	loadTimeout     = 2 * time.Minute
+	maxRefusalBytes = 64 << 10
 )
 
 func loadCommand() *command {
@@ -102,7 +104,7 @@
 		return err
 	}
 	res := newLoadResult()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: loadTimeout}
+	client := &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: 256}), Timeout: loadTimeout}
 	tick := time.NewTicker(time.Duration(float64(time.Second) / l.rate))
 	defer tick.Stop()
 	var wg sync.WaitGroup
@@ -146,7 +148,7 @@
 
 func refusalKind(r io.Reader) string {
 	var e contract.ErrorBody
-	if json.NewDecoder(r).Decode(&e) != nil || e.Error.Kind == "" {
+	if bounded.DecodeJSON(r, maxRefusalBytes, "refusal", &e) != nil || e.Error.Kind == "" {
 		return "unreadable_refusal"
 	}
 	return string(e.Error.Kind)
--- a/operator/local.go
+++ b/operator/local.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return usagef("%v", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/process/process.go
+++ b/process/process.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/coord/incarnation"
 	"github.com/arbutusmill/arbutusmill/coord/recovery"
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost}}
+	client := &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost})}
 	st := &etcd.Store{URL: s.Platform.Store, Client: client, Timeout: time.Duration(s.Platform.Timeout)}
 	return &Base{
 		Settings: s,
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
@@ -96,9 +97,9 @@
 }
 
 func newAgentClient(sec link.Security) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: bounded.Transport(&http.Transport{
 		TLSClientConfig: sec.Client, MaxIdleConnsPerHost: maxIdleConnsPerAgent, DisableCompression: true,
-	}}
+	})}
 }
 
 // Run serves until stop is done, then shuts down in order: it reports not ready to the
--- a/vm/httplist.go
+++ b/vm/httplist.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
+
+	"github.com/arbutusmill/arbutusmill/bounded"
 )
 
+// maxListBytes limits the list: 40,000 VMs of 200 bytes each.
+const maxListBytes = 8 << 20
+
 // HTTPList reads the platform's list of VMs over HTTP, as a JSON array of VM.
 type HTTPList struct {
 	URL    string
@@ -30,8 +34,8 @@
 		return nil, fmt.Errorf("VM list: status %d", resp.StatusCode)
 	}
 	var list []VM
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
-		return nil, fmt.Errorf("VM list: %w", err)
+	if err := bounded.DecodeJSON(resp.Body, maxListBytes, "VM list", &list); err != nil {
+		return nil, err
 	}
 	return list, nil
 }
