Control messages: a message has at most 16 MiB and ends within a minute

A process whose peer sends a control message without end kept all of it, in both directions, and a server waited for the end of a slow one for as long as it came. The stream of messages had no limit on one message. Now the reader counts the bytes since the last message, and gives each message a deadline from its first bytes; beyond either the connection is closed, as for any protocol error, and the next call opens a new one. Too long messages are counted and logged (response_too_long).

--- a/hosted/base.go
+++ b/hosted/base.go
@@ -140,7 +140,7 @@
 	b.Hub = b.newHub(p.Store)
 	b.Follower = b.newFollower(p.Store.Address, p.Readers)
 	b.Links = &link.Pool{From: b.Incarnation, Security: internalSecurity, Heartbeat: linkHeartbeat, DialTimeout: linkDialTimeout,
-		Log: b.Log.Printf, Dial: p.Network.Dial}
+		Log: b.Log.Printf, Dial: p.Network.Dial, OnTooLong: b.messageTooLong}
 	b.Budgets = prepaid.New(prepaid.Parts{Incarnation: b.Incarnation, Settings: p.Budgets, Store: b.Store, Members: b.Members, Era: b.Store.Era, ObserveEra: b.Store.ObserveEra,
 		Links: b.Links, Limits: p.Limits, LendsOnly: p.Role == prepaid.RoleLender, Topology: b.budgetTopology(p.Budgets), Queueing: p.Queueing, Metrics: b.Metrics, Log: b.Log})
 	return b
@@ -175,7 +175,7 @@
 	for name, h := range methods {
 		methods[name] = b.instrumented(name, h)
 	}
-	s := &link.Server{Security: internalSecurity, Heartbeat: linkHeartbeat, Log: b.Log.Printf, Methods: methods}
+	s := &link.Server{Security: internalSecurity, Heartbeat: linkHeartbeat, Log: b.Log.Printf, Methods: methods, OnTooLong: b.messageTooLong}
 	tasks.Go(func(ctx context.Context) { s.Serve(ctx, links) })
 }
 
@@ -238,7 +238,9 @@
 	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_unreadable_entries_total{of=%q}", of)).Inc()
 }
 
-// RecordTooLong counts and logs an error due to a response of the store or the upstream beyond a limit of package bounded;
+func (b *Base) messageTooLong(err error) { b.RecordTooLong("process", err) }
+
+// RecordTooLong counts and logs an error due to a response of the store or the upstream, or a control message, beyond a limit of package bounded;
 // it ignores others.
 func (b *Base) RecordTooLong(from string, err error) {
 	if !bounded.IsTooLong(err) {
--- a/link/conn.go
+++ b/link/conn.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
 	"net"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -93,9 +95,67 @@
 	timeout time.Duration
 }
 
-// newStream returns a stream of messages whose writes have a timeout of maxMissedHeartbeats intervals.
-func newStream(nc net.Conn, heartbeat time.Duration) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewPlainObjectStream(&timeoutWriter{Conn: nc, timeout: maxMissedHeartbeats * heartbeat})
+// Limits on a message that is read. Beyond them the connection is closed.
+const (
+	// maxMessageBytes is several times the largest message, 2 MB of exposure limits for a new witness.
+	maxMessageBytes = 16 << 20
+	// maxMessageTime is the time from a message's first bytes to its end.
+	maxMessageTime = time.Minute
+)
+
+// newStream returns a stream of messages whose writes have a timeout of maxMissedHeartbeats intervals. onTooLong may be
+// nil; it is called with the error for a message of more than maxMessageBytes.
+func newStream(nc net.Conn, heartbeat time.Duration, onTooLong func(error)) jsonrpc2.ObjectStream {
+	conn := &timeoutWriter{Conn: nc, timeout: maxMissedHeartbeats * heartbeat}
+	in := &messageReader{conn: conn}
+	in.limited = bounded.NewReader(in, maxMessageBytes, "control message")
+	plain := jsonrpc2.NewPlainObjectStream(struct {
+		io.Reader
+		io.Writer
+		io.Closer
+	}{in.limited, conn, conn})
+	return limitedStream{ObjectStream: plain, in: in, onTooLong: onTooLong}
+}
+
+// messageReader reads messages, each of which must end within maxMessageTime.
+type messageReader struct {
+	conn    net.Conn
+	limited *bounded.Reader
+	began   bool
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(b []byte) (int, error) {
+	n, err := r.conn.Read(b)
+	if n > 0 && !r.began {
+		r.began = true
+		_ = r.conn.SetReadDeadline(time.Now().Add(maxMessageTime)) // fails only for a closed connection
+	}
+	return n, err
+}
+
+// next begins the next message, for whose first bytes there is no deadline.
+func (r *messageReader) next() {
+	r.limited.Reset()
+	r.began = false
+	_ = r.conn.SetReadDeadline(time.Time{}) // fails only for a closed connection
+}
+
+// limitedStream is a stream whose messages are read by a messageReader.
+type limitedStream struct {
+	jsonrpc2.ObjectStream
+	in        *messageReader
+	onTooLong func(error)
+}
+
+// ReadObject implements jsonrpc2.ObjectStream.
+func (s limitedStream) ReadObject(v any) error {
+	s.in.next()
+	err := s.ObjectStream.ReadObject(v)
+	if s.onTooLong != nil && bounded.IsTooLong(err) {
+		s.onTooLong(err)
+	}
+	return err
 }
 
 // Write implements net.Conn.
