Responses in memory: all of a router together have a bound, a quarter of its memory

Callers lost requests when a router ran out of memory: each response was bounded by 8 MiB and each event of a stream by 1 MiB, but nothing bounded all of them together, and a router serves 2,000 requests at a time. Each engine that sends bytes without end could fill that for every request sent to it.

A router now counts what it buffers of responses and events above 16 KiB, and lets each have half of what the others leave of a quarter of limits.memory_mb: many responses without end are ended early, and others of ordinary size still find room; one alone may have 8 MiB from 64 MB on. A response without room ends its own attempt, as unknown, and its connection. Small ones are never counted. The count is held until the response was sent, for failures until the request has ended. Each response beyond a limit is one log line (response_too_long) and is counted.

--- a/bounded/sum.go
+++ b/bounded/sum.go
@@ -1,21 +1,35 @@
 package bounded
 
-import "sync/atomic"
+import (
+	"errors"
+	"io"
+	"sync"
+)
 
-// Sum limits what several responses hold in memory together.
+// minReadBytes is the size of the first buffer of ReadAll.
+const minReadBytes = 512
+
+// Sum limits what several responses hold in memory together. Each may hold half of what the others leave, so responses
+// without end leave room for the others.
 type Sum struct {
 	limit int64
-	held  atomic.Int64
+
+	mu   sync.Mutex
+	held int64
 }
 
 // NewSum returns a Sum of at most limit bytes.
 func NewSum(limit int64) *Sum { return &Sum{limit: limit} }
 
 // Held returns the bytes that are held.
-func (s *Sum) Held() int64 { return s.held.Load() }
+func (s *Sum) Held() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
 
 // Share is what one response holds of a Sum. Its first bytes, up to a free size, do not count, so that small responses
-// need no room. It must not be used concurrently.
+// need no room. It must not be used concurrently. A nil *Share counts nothing.
 type Share struct {
 	sum  *Sum
 	free int64
@@ -25,17 +39,45 @@
 // Share returns a share that holds nothing.
 func (s *Sum) Share(free int64) *Share { return &Share{sum: s, free: free} }
 
-// Resize sets the size of the response's buffer. It returns an error of the type *TooLongError, and holds what it held
-// before, if the sum has no room.
+// Resize sets the size of the response's buffer. If the sum has no room for it, it returns an error of the type
+// *TooLongError, and the share holds what it held before.
 func (s *Share) Resize(size int64) error {
+	if s == nil {
+		return nil
+	}
+	s.sum.mu.Lock()
+	defer s.sum.mu.Unlock()
 	counted := max(0, size-s.free)
-	if s.sum.held.Add(counted-s.held) > s.sum.limit && counted > s.held {
-		s.sum.held.Add(s.held - counted)
-		return &TooLongError{What: "all responses in memory", Limit: s.sum.limit}
+	if most := (s.sum.limit - (s.sum.held - s.held)) / 2; counted > s.held && counted > most {
+		return &TooLongError{What: "share of the memory for responses", Limit: most + s.free}
 	}
+	s.sum.held += counted - s.held
 	s.held = counted
 	return nil
 }
 
 // Release returns everything that the share holds.
 func (s *Share) Release() { _ = s.Resize(0) } // only growing fails
+
+// ReadAll reads at most limit bytes into a buffer that share covers. what names the response in errors.
+func ReadAll(r io.Reader, limit int64, what string, share *Share) ([]byte, error) {
+	limited := NewReader(r, limit, what)
+	var buf []byte
+	for {
+		if len(buf) == cap(buf) {
+			size := min(max(minReadBytes, 2*int64(cap(buf))), limit+1)
+			if err := share.Resize(size); err != nil {
+				return nil, err
+			}
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := limited.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/arbutusmill/arbutusmill/bounded"
 )
 
 // maxEventBytes limits the size of one event of a stream; a larger one is invalid.
@@ -14,7 +16,7 @@
 var errPartialEvent = errors.New("the stream ended inside an event")
 
 // errLongEvent is returned for an event of more than maxEventBytes.
-var errLongEvent = errors.New("an event is too long")
+var errLongEvent error = &bounded.TooLongError{What: "event", Limit: maxEventBytes}
 
 // eventReader splits a stream of server-sent events into complete events. Only complete ones are
 // forwarded: if the stream breaks inside an event, another upstream can continue after the last
@@ -23,6 +25,8 @@
 	r   *bufio.Reader
 	buf []byte
 	id  string
+	// share covers buf.
+	share *bounded.Share
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -33,6 +37,10 @@
 // if it has none. The bytes are valid until the next call. At the end of the stream it
 // returns io.EOF, or errPartialEvent if the last event is incomplete.
 func (e *eventReader) next() ([]byte, string, error) {
+	if cap(e.buf) > freeResponseBytes {
+		e.buf = nil
+		e.share.Release()
+	}
 	e.buf, e.id = e.buf[:0], ""
 	for {
 		start := len(e.buf)
@@ -60,6 +68,9 @@
 		if len(e.buf) > maxEventBytes {
 			return errLongEvent
 		}
+		if err := e.share.Resize(int64(cap(e.buf))); err != nil {
+			return err
+		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,7 +151,7 @@
 	}
 	g.dispatcher = &serving.Dispatcher{
 		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(g.Network, s.Upstreams), unread: &unreadHeaders{log: g.Log, metrics: g.metrics},
-			log: g.Log, metrics: g.metrics},
+			memory: newResponseMemory(s.Limits.MemoryMB), log: g.Log, metrics: g.metrics},
 		Budgets:     g.Budgets,
 		RetryBudget: g.retryBudgets,
 		PromptGuard: g.prompts,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -61,6 +61,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_responses_without_run_total{service=%q,result=%q}", service, r)).Inc()
 }
 
+// responseTooLong counts a response that passed a limit of package bounded.
+func (m *gatewayMetrics) responseTooLong(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_too_long_responses_total{service=%q}", service)).Inc()
+}
+
 // headersNotRead counts a response with headers of the platform that no code reads.
 func (m *gatewayMetrics) headersNotRead() {
 	m.set.GetOrCreateCounter("arbutusmill_gateway_responses_with_unread_headers_total").Inc()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -21,16 +21,29 @@
 	"github.com/rs/zerolog"
 )
 
-// maxResponseBytes limits a response that is buffered until it is complete.
-const maxResponseBytes = 8 << 20
+const (
+	// maxResponseBytes limits a response that is buffered until it is complete.
+	maxResponseBytes = 8 << 20
+	// freeResponseBytes is the size up to which a response, or an event, does not count for responseMemoryShare.
+	freeResponseBytes = 16 << 10
+	// responseMemoryShare is the part of the process's memory that larger responses may take together.
+	responseMemoryShare = 0.25
+)
+
+// newResponseMemory returns the limit on the responses that a process with mib MiB of memory buffers.
+func newResponseMemory(mib int) *bounded.Sum {
+	return bounded.NewSum(int64(responseMemoryShare * float64(mib<<20)))
+}
 
 // upstreams implements serving.Upstreams with the platform's HTTP protocol.
 type upstreams struct {
 	*pool.Pool
 	transport http.RoundTripper
 	unread    *unreadHeaders
-	log       zerolog.Logger
-	metrics   *gatewayMetrics
+	// memory limits the responses that are buffered at a time.
+	memory  *bounded.Sum
+	log     zerolog.Logger
+	metrics *gatewayMetrics
 }
 
 func newTransport(n hosted.Network, s settings.Upstreams) *http.Transport {
@@ -48,22 +61,38 @@
 
 // Send implements serving.Upstreams.
 func (u *upstreams) Send(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
-	x := exchange{request: r, target: t, out: out, callerContext: ctx, now: u.Now, sent: u.Now()}
+	x := exchange{request: r, target: t, out: out, callerContext: ctx, now: u.Now, sent: u.Now(), memory: u.memory.Share(freeResponseBytes)}
 	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
 	defer cancel()
 	resp, err := u.roundTrip(ctx, &x)
 	if err != nil {
 		x.use.end(false)
-		return x.failedAttempt(x.use.connected(), err)
+		a := x.failedAttempt(x.use.connected(), err)
+		u.recordTooLong(&x, a)
+		return a
 	}
 	defer resp.Body.Close()
 	defer x.use.end(false)
 	u.unread.record(r.ID, t.Incarnation.String(), platform.UnreadResponseHeaders(resp.Header))
 	a := x.handleResponse(resp)
+	if a.Answer == nil {
+		x.memory.Release()
+	}
 	u.recordDoubt(&x, resp, a)
+	u.recordTooLong(&x, a)
 	return a
 }
 
+// recordTooLong logs and counts a response that passed a limit.
+func (u *upstreams) recordTooLong(x *exchange, a serving.Attempt) {
+	if !bounded.IsTooLong(x.err) {
+		return
+	}
+	u.metrics.responseTooLong(x.request.Service.Name)
+	u.log.Error().Str("id", x.request.ID).Str("upstream", x.target.Incarnation.String()).Str("address", x.target.Address).
+		Stringer("result", a.Result).Int64("memory", u.memory.Held()).Err(x.err).Msg("response_too_long")
+}
+
 // errConnsRetired is returned if each connection was retired before the request was written to it.
 var errConnsRetired = errors.New("all idle connections were retired")
 
@@ -127,9 +156,13 @@
 	// callerContext ends when the caller disconnects or the request's deadline passes.
 	callerContext context.Context
 	use           connUse
-	now           func() time.Time
-	sent          time.Time
-	events        int64
+	// memory covers what is buffered of the response.
+	memory *bounded.Share
+	// err is why the response is not valid, if reading it failed.
+	err    error
+	now    func() time.Time
+	sent   time.Time
+	events int64
 	// firstEvent and lastEvent are the arrival times of the first and the last event.
 	firstEvent, lastEvent time.Time
 }
@@ -179,6 +212,7 @@
 // failedAttempt returns the result of an attempt without a valid response. connected reports whether
 // the request got a connection; without one, the upstream cannot have run it.
 func (x *exchange) failedAttempt(connected bool, err error) serving.Attempt {
+	x.err = err
 	if cause := context.Cause(x.callerContext); errors.Is(cause, serving.ErrRecalled) || errors.Is(cause, serving.ErrPostponed) {
 		return x.recalledAttempt(connected, errors.Is(cause, serving.ErrPostponed))
 	}
@@ -255,16 +289,13 @@
 		return x.failedAttempt(true, err)
 	}
 	a := x.newAttempt(serving.Failed, "status %d", resp.StatusCode)
-	a.Answer = &serving.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	a.Answer = &serving.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Release: x.memory.Release}
 	return a
 }
 
 // readResponse reads a whole response and releases its connection.
 func (x *exchange) readResponse(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.New("the response is too long")
-	}
+	body, err := bounded.ReadAll(resp.Body, maxResponseBytes, "response", x.memory)
 	x.use.end(err == nil)
 	return body, err
 }
@@ -287,6 +318,7 @@
 // forwardStream forwards events as they arrive.
 func (x *exchange) forwardStream(resp *http.Response) serving.Attempt {
 	events := newEventReader(resp.Body)
+	events.share = x.memory
 	for {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) && x.out.Began() {
--- a/serving/attempt.go
+++ b/serving/attempt.go
@@ -159,6 +159,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Release, if set, is called once the request has ended, and releases the memory that Body was counted for.
+	Release func()
 }
 
 // SendTo writes the complete answer to a caller that has received nothing yet.
--- a/serving/path.go
+++ b/serving/path.go
@@ -150,6 +150,7 @@
 		return Outcome{Refusal: refused}
 	}
 	outcome := d.run(ctx, r, out)
+	releaseAnswers(outcome.Attempts)
 	outcome.Used = chargedTokens(r, outcome.Attempts)
 	settle(outcome.Used)
 	return outcome
@@ -286,6 +287,14 @@
 	return o
 }
 
+func releaseAnswers(attempts []Attempt) {
+	for _, a := range attempts {
+		if a.Answer != nil && a.Answer.Release != nil {
+			a.Answer.Release()
+		}
+	}
+}
+
 // failureAnswer returns the upstream's failure response that the caller gets: that of the last
 // run, and only if no later run may have continued, since the outcome is unknown then.
 func failureAnswer(attempts []Attempt) *Answer {
