Soak: memory of processes whose upstreams answer without end, by hand

Half of the engines and of the plain upstreams answer requests and reports with a head or body that does not end, beside 72 callers.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -64,6 +64,8 @@
 	*standin.Upstream
 	service string
 	proxy   *proxy
+	// endless is how it answers without end, nil while it does not.
+	endless atomic.Pointer[endlessAnswer]
 	// entry guards starts, the number of its incarnation, and state, that of its entry.
 	entry  sync.Mutex
 	starts int64
@@ -110,6 +112,10 @@
 		if id := r.Header.Get(standin.HeaderID); id != "" {
 			tf.record(&tf.received, requestRecord{service: service, id: id, at: time.Now(), upstream: u.ID})
 		}
+		if answer := u.endless.Load(); answer != nil {
+			answer.serve(rw, r)
+			return
+		}
 		u.ServeHTTP(rw, r)
 	}))
 	u.proxy = tf.newProxy(address)
