Tests: streams taken up after all routers were killed keep their version

Routers that all start at once know no version of before. Take-ups that name the attempt go on at the version that began the stream, or are refused if it has left; those that name none are refused with 503 and Retry-After, although the routers list one version only.

--- /dev/null
+++ b/gateway/killedstreams_test.go
@@ -0,0 +1,79 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// killRouters ends the routers of VMs 1 to n at once and without notice, and starts them again after a pause. They
+// serve at the VMs numbered from the returned one on.
+func (f *fleet) killRouters(n int, pause time.Duration) (first int) {
+	for vm := 1; vm <= n; vm++ {
+		f.kill(vm)
+	}
+	time.Sleep(pause)
+	for vm := 1; vm <= n; vm++ {
+		f.startVMAs(f.settings(vm).VM, nextRouter+vm)
+	}
+	time.Sleep(2 * time.Second)
+	return nextRouter + 1
+}
+
+// leave ends the engines of a version, as their last requests end before they do.
+func leave(f *fleet, engines []*versionedEngine, version string) {
+	for _, e := range engines {
+		if e.Version == version {
+			require.NoError(f.t, f.store.Unregister(e.ID))
+			e.crash()
+		}
+	}
+}
+
+// leaving is when the version that began a stream leaves, if it does.
+type leaving struct{ before, meanwhile bool }
+
+func (l leaving) serve() bool { return !l.before && !l.meanwhile }
+
+// Guards against streams joined from two versions after all routers were killed at once: those that start know of
+// no version before. The old version still serves, has just left, or leaves while no router runs.
+func TestStreamTakenUpAfterAllRoutersWereKilled(t *testing.T) {
+	const routers = 2
+	for _, named := range []bool{true, false} {
+		for name, leaves := range map[string]leaving{
+			"both versions serve": {}, "left before": {before: true}, "left meanwhile": {meanwhile: true},
+		} {
+			t.Run(fmt.Sprintf("%s/named-%t", name, named), func(t *testing.T) {
+				withVersions(t, routers, []string{"v1", "v2"}, func(f *fleet, engines []*versionedEngine) {
+					c := &streamCaller{f: f, name: "s", key: "k1"}
+					c.attempt(1, 10)
+					version := c.versions[0]
+					if leaves.before {
+						leave(f, engines, version)
+						f.settle()
+					}
+					if leaves.meanwhile {
+						time.AfterFunc(time.Second, func() { leave(f, engines, version) })
+					}
+					first := f.killRouters(routers, 2*time.Second)
+					if !named {
+						c.first = ""
+					}
+					for vm := first; vm < first+routers; vm++ {
+						result := c.takeUp(vm, 20)
+						c.requireOneStream()
+						if named && leaves.serve() {
+							require.Equal(t, http.StatusOK, result.status)
+							continue
+						}
+						require.Equal(t, http.StatusServiceUnavailable, result.status)
+						require.NotEmpty(t, result.retryAfter)
+					}
+				})
+			})
+		}
+	}
+}
--- a/gateway/streamversions_test.go
+++ b/gateway/streamversions_test.go
@@ -21,6 +21,8 @@
 	*standin.Upstream
 	f      *fleet
 	server *http.Server
+	// stopLender stops the lender beside the engine as planned.
+	stopLender func()
 }
 
 // startVersioned starts and registers an engine of a version whose streams have the given number of events.
@@ -189,7 +191,7 @@
 		}
 		f.startVMs(routers)
 		for n, e := range engines {
-			f.startLenderAs(fmt.Sprint("engine-", n+1), firstStreamLender+n, e.ID)
+			e.stopLender, _ = f.startLenderAs(fmt.Sprint("engine-", n+1), firstStreamLender+n, e.ID)
 		}
 		time.Sleep(time.Duration(f.settings(1).Retries.Window) + 2*time.Second) // retries are allowed from then on
 		test(f, engines)
