Records of streams follow the ranking of lenders

Callers that took up their streams after all routers were killed were refused with stream_unknown although upstreams of their version served. The record of a stream is kept by the router that began it and by the lender that ranks first at that moment. When that lender withdrew with its upstream, as in each release, others ranked first: nobody asked it although it still ran for seconds, and its records ended with it.

A lender now sends the records for which it does not rank among the first two any more to the one that does, when the ranking changes and as records come in late; a planned stop waits for it. A record of which the versions contradict each other is not sent, so a lost record still leads to a refusal only.

--- a/gateway/killedstreams_test.go
+++ b/gateway/killedstreams_test.go
@@ -77,3 +77,34 @@
 		}
 	}
 }
+
+// Guards against refusals of streams whose version serves, after all routers were killed: the lenders that had the
+// records withdrew with their upstreams, or stopped, and others ranked first then.
+func TestRecordsOfStreamsOutliveTheirLenders(t *testing.T) {
+	const routers = 2
+	for name, end := range map[string]func(e *versionedEngine){
+		"withdrawn": func(e *versionedEngine) { e.SetState("draining") },
+		"stopped":   func(e *versionedEngine) { e.stopLender() },
+	} {
+		for n := range prompts {
+			t.Run(fmt.Sprintf("%s/prompt-%d", name, n), func(t *testing.T) {
+				withVersions(t, routers, []string{"v1", "v2"}, func(f *fleet, engines []*versionedEngine) {
+					c := &streamCaller{f: f, name: fmt.Sprint("s", n), key: "k1"}
+					c.attempt(1, 10)
+					stays := engines[0]
+					if c.versions[0] != stays.Version {
+						stays = engines[1]
+					}
+					for _, e := range engines {
+						if e != stays {
+							end(e)
+						}
+					}
+					result := c.attempt(f.killRouters(routers, 2*time.Second), all)
+					require.True(t, result.complete, "status %d", result.status)
+					c.requireOneStream()
+				})
+			})
+		}
+	}
+}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -29,9 +29,6 @@
 	// recordWorkers is how many records are sent at a time: a process that does not reply takes
 	// streamCallTimeout.
 	recordWorkers = 4
-	// recorderCandidates is how many processes of a role may have a record: the second one is used if the first
-	// one does not reply, and members join and leave between a record and its use.
-	recorderCandidates = 2
 )
 
 // versionSource says where the version that began a stream was found.
@@ -132,8 +129,8 @@
 // recorders returns the other processes that may have the record of a stream, in the order in which they are
 // asked to keep it.
 func (s *streamVersions) recorders(attempt string) (routers, lenders []member.Member) {
-	routers = s.routers.top(s.g.Members, attempt, recorderCandidates, s.g.settings.VM)
-	return routers, s.lenders.top(s.g.Members, attempt, recorderCandidates, s.g.settings.VM)
+	routers = s.routers.top(s.g.Members, attempt, streamversion.Keepers, s.g.settings.VM)
+	return routers, s.lenders.top(s.g.Members, attempt, streamversion.Keepers, s.g.settings.VM)
 }
 
 // sendToFirst sends a record to the first process that replies.
--- a/hosted/streams.go
+++ b/hosted/streams.go
@@ -15,6 +15,12 @@
 			r.Add(time.Now(), in)
 			return link.Empty{}, nil
 		}),
+		link.MethodStreamsMoved: link.Handle(func(_ context.Context, in []streamversion.Record) (link.Empty, error) {
+			for _, rec := range in {
+				r.Add(time.Now(), rec)
+			}
+			return link.Empty{}, nil
+		}),
 		link.MethodStreamFind: link.Handle(func(_ context.Context, in streamversion.Stream) (link.VersionReply, error) {
 			version, age, known := r.Find(time.Now(), in)
 			return link.VersionReply{Version: version, Known: known, Age: age}, nil
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -29,7 +29,6 @@
 	"github.com/arbutusmill/arbutusmill/process"
 	"github.com/arbutusmill/arbutusmill/ratelimit"
 	"github.com/arbutusmill/arbutusmill/settings"
-	"github.com/arbutusmill/arbutusmill/streamversion"
 )
 
 // reloadableFields are the settings that a reload applies without a restart.
@@ -46,8 +45,7 @@
 	engine *prefill.Engine
 	// prompts stores the prompts that crash upstreams, as reported by routers.
 	prompts *promptKeeper
-	// streams holds records of the versions that began streams, as reported by routers.
-	streams streamversion.Registry
+	streams *streamKeeper
 	// loggedLimit is the last logged limit of the upstream, as the bits of a float64.
 	loggedLimit atomic.Uint64
 	// stopping is set when a planned stop begins.
@@ -59,8 +57,9 @@
 func New(s *settings.Lender, network hosted.Network, log io.Writer, dropped func() uint64) *Lender {
 	l := &Lender{settings: s, engine: prefill.NewEngine(time.Now(), s.Upstream.PrefillPerMs)}
 	l.prompts = &promptKeeper{isWriter: l.isPromptWriter}
+	l.streams = &streamKeeper{}
 	methods := l.prompts.methods()
-	maps.Copy(methods, hosted.StreamMethods(&l.streams))
+	maps.Copy(methods, hosted.StreamMethods(&l.streams.registry))
 	maps.Copy(methods, map[string]link.Handler{
 		link.MethodAnnounce:      link.Handle(l.announce),
 		link.MethodWithdraw:      link.Handle(l.withdraw),
@@ -75,6 +74,8 @@
 		Network:  network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
 	l.prompts.store, l.prompts.recordUnreadable, l.prompts.log = l.Store, l.RecordUnreadable, l.Log
+	l.streams.incarnation, l.streams.members, l.streams.links, l.streams.log = l.Incarnation, l.Members, l.Links, l.Log
+	l.streams.moved = l.Metrics.NewCounter("arbutusmill_lender_moved_streams_total")
 	l.current.Store(s)
 	l.upstream = upstreamMonitor{
 		address: s.Upstream.Address,
@@ -83,7 +84,7 @@
 	}
 	l.Admin.Dump = l.dump
 	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.registry.List(time.Now()))) })
-	l.Metrics.NewGauge("arbutusmill_lender_kept_streams", func() float64 { return float64(l.streams.Len()) })
+	l.Metrics.NewGauge("arbutusmill_lender_kept_streams", func() float64 { return float64(l.streams.registry.Len()) })
 	l.Metrics.NewGauge("arbutusmill_lender_limit_per_second", func() float64 { return l.engine.State(time.Now()).Limit })
 	return l
 }
@@ -139,6 +140,7 @@
 	}
 	tasks.Every(expireInterval, l.prompts.expire)
 	tasks.Every(storeInterval, l.prompts.write)
+	tasks.Every(moveInterval, l.streams.move)
 	l.Start(tasks)
 	l.Admin.SetReady(true)
 	<-stop.Done()
@@ -211,6 +213,7 @@
 	defer cancel()
 	l.Members.SetWithdrawn(true)
 	l.Hub.Stop()
+	l.streams.move(ctx)
 	l.Leave(ctx)
 	l.Log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
--- a/link/messages.go
+++ b/link/messages.go
@@ -95,6 +95,9 @@
 const (
 	// MethodStreamBegan records which version began a stream, at any process: streamversion.Record, Empty.
 	MethodStreamBegan = "stream.began"
+	// MethodStreamsMoved passes on records of a process that is not asked for them any more:
+	// []streamversion.Record, Empty.
+	MethodStreamsMoved = "stream.moved"
 	// MethodStreamFind asks a process which version began a stream: streamversion.Stream, VersionReply.
 	MethodStreamFind = "stream.find"
 	// MethodSoleVersion asks a router whether all streams of a service that can still be taken up began at one
--- a/streamversion/registry.go
+++ b/streamversion/registry.go
@@ -12,6 +12,9 @@
 	MaxRecords = 8192
 	// MaxAttemptLen is the maximum length in bytes of the id of an attempt that is recorded.
 	MaxAttemptLen = 128
+	// Keepers is how many processes of a role may have a record: the second one in the ranking is used if the first
+	// one does not reply, and members join and leave between a record and its use.
+	Keepers = 2
 	// MaxTTL bounds how long a record is kept: callers wait for a fraction of that.
 	MaxTTL = 2 * time.Minute
 )
@@ -49,6 +52,17 @@
 	// version is "" if different versions were recorded.
 	version      string
 	since, until time.Time
+	// settled is set while the record need not be sent to another process; sentTo is the last one that has it.
+	settled bool
+	sentTo  string
+}
+
+// Held is a record that a process holds.
+type Held struct {
+	// Record has the remaining time as its TTL.
+	Record
+	// SentTo is the other process that has the record, or "".
+	SentTo string
 }
 
 // Add adds a record. A stream for which another version was recorded before has no known version any more.
@@ -100,6 +114,40 @@
 	return rec.version, now.Sub(rec.since), true
 }
 
+// Unsettled returns the records for which Settle was not called since they were added, or since UnsettleAll.
+func (r *Registry) Unsettled(now time.Time) (out []Held) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.added {
+		rec := r.records[s]
+		if rec.settled || rec.version == "" || !now.Before(rec.until) {
+			continue
+		}
+		out = append(out, Held{Record: Record{Stream: s, Version: rec.version, TTL: rec.until.Sub(now)}, SentTo: rec.sentTo})
+	}
+	return out
+}
+
+// Settle records that a record is where it should be, and which other process has it, "" for none.
+func (r *Registry) Settle(s Stream, sentTo string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rec, ok := r.records[s]; ok {
+		rec.settled, rec.sentTo = true, sentTo
+		r.records[s] = rec
+	}
+}
+
+// UnsettleAll makes Unsettled return all records again.
+func (r *Registry) UnsettleAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for s, rec := range r.records {
+		rec.settled = false
+		r.records[s] = rec
+	}
+}
+
 // Len returns the number of records, expired ones included.
 func (r *Registry) Len() int {
 	r.mu.Lock()
--- a/streamversion/registry_test.go
+++ b/streamversion/registry_test.go
@@ -97,3 +97,22 @@
 	t.Logf("%d records: %d bytes, %d each", streamversion.MaxRecords, size, size/streamversion.MaxRecords)
 	require.Less(t, size, uint64(maxBytes))
 }
+
+// Guards against records that stay at a process which nobody asks any more, against those that are sent again and
+// again, and against a record of two versions that is sent as one of the first.
+func TestRecordsAreUnsettledUntilTheyAreSent(t *testing.T) {
+	var r streamversion.Registry
+	rec, two := began("a", "v1"), began("two", "v1")
+	r.Add(start, rec)
+	r.Add(start, two)
+	two.Version = "v2"
+	r.Add(start, two)
+	later := start.Add(4 * time.Second)
+	rec.TTL -= 4 * time.Second
+	require.Equal(t, []streamversion.Held{{Record: rec}}, r.Unsettled(later))
+	r.Settle(rec.Stream, "lender-2")
+	require.Empty(t, r.Unsettled(later))
+	r.UnsettleAll()
+	require.Equal(t, []streamversion.Held{{Record: rec, SentTo: "lender-2"}}, r.Unsettled(later))
+	require.Empty(t, r.Unsettled(start.Add(time.Minute)), "expired")
+}
