A restored store without a configuration is not that of a new fleet

A caller that named no attempt took its stream up at a router that had just started, and the text was joined from two versions. The router had read a store without a configuration and concluded that no request had been served before, so the only version listed counted as the only one there was. A store that is restored from a copy made before the first configuration reads the same. The conclusion now needs a store that was never restored (era 0).

TestStreamTakenUpAfterAStoreWithoutConfigurationWasRestored got 200 from the other version before, and gets 503 now.

--- a/gateway/killedstreams_test.go
+++ b/gateway/killedstreams_test.go
@@ -108,3 +108,29 @@
 		}
 	}
 }
+
+// Guards against a restored store without a configuration that is taken for the store of a new fleet, which has
+// served no stream yet: the only version that is listed is not the one that began the caller's stream.
+func TestStreamTakenUpAfterAStoreWithoutConfigurationWasRestored(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		older := f.store.Copy()
+		f.putConfig(0, "k1")
+		old := []*versionedEngine{f.startVersioned("i-1", "v1", streamEvents)}
+		f.startVM(1)
+		time.Sleep(2 * time.Second)
+		c := &streamCaller{f: f, name: "s", key: "k1"}
+		c.attempt(1, 10)
+		leave(f, old, "v1")
+		replacement := f.startVersioned("i-2", "v2", streamEvents)
+		f.kill(1)
+		f.store.Restore(older)
+		f.startVM(2)
+		time.Sleep(time.Second)
+		replacement.register()
+		f.putConfig(0, "k1")
+		time.Sleep(2 * time.Second)
+		c.first = ""
+		require.Equal(t, http.StatusServiceUnavailable, c.takeUp(2, 20).status)
+		c.requireOneStream()
+	})
+}
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -39,8 +39,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.g.configWatch.RecordSuccess(o.g.Log, "configuration")
-	if !slices.ContainsFunc(items, func(it store.Item) bool { return it.Key == platform.ConfigKey }) {
-		o.g.directory.NoRequestsUntil(time.Now()) // without a configuration no router serves
+	if o.g.Store.Era() == 0 && !slices.ContainsFunc(items, func(it store.Item) bool { return it.Key == platform.ConfigKey }) {
+		// Without a configuration no router serves. A store that was restored may have lost one.
+		o.g.directory.NoRequestsUntil(time.Now())
 	}
 	drained := map[string]store.Revision{}
 	for _, it := range items {
