Responses of upstreams: two requests with the same id never follow one another on a connection

Now a connection whose last request had the same id is closed before anything is written, so the response before the one that is judged always bears another id. This also covers attempts of one request, whatever the response to the first one was, without resting on the closing after refusals.

--- a/gateway/send.go
+++ b/gateway/send.go
@@ -70,7 +70,7 @@
 // it, it takes another one; the upstream cannot have received the request then.
 func (u *upstreams) roundTrip(ctx context.Context, x *exchange) (*http.Response, error) {
 	for range idleConnsPerUpstream + 1 {
-		x.use = connUse{}
+		x.use = connUse{id: x.request.ID}
 		resp, err := u.transport.RoundTrip(u.upstreamRequest(x.use.trace(ctx), x.request, x.target, x.out))
 		if !x.use.refused {
 			return resp, err
--- a/gateway/upstreamconn.go
+++ b/gateway/upstreamconn.go
@@ -21,6 +21,8 @@
 	turn chan struct{}
 	// exchanges is the number of requests that got the connection.
 	exchanges int64
+	// lastID is the id of the request that got the connection last.
+	lastID string
 	// retired is set once the connection must not carry a further request. It is closed then.
 	retired bool
 }
@@ -41,6 +43,8 @@
 
 // connUse is one request's use of a connection; conn is nil until it has one.
 type connUse struct {
+	// id is the request's.
+	id   string
 	conn *upstreamConn
 	// exchange is the request's place among those that the connection carried, from 1.
 	exchange int64
@@ -55,12 +59,17 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c := info.Conn.(*upstreamConn)
 		<-c.turn
+		if c.exchanges > 0 && c.lastID == u.id {
+			// A copy of the last response could not be told from the response to this request.
+			c.retire()
+		}
 		if c.retired {
 			u.refused = true
 			c.turn <- struct{}{}
 			return
 		}
 		c.exchanges++
+		c.lastID = u.id
 		u.conn, u.exchange = c, c.exchanges
 	}})
 }
@@ -75,12 +84,17 @@
 	}
 	u.ended = true
 	if !keep {
-		u.conn.retired = true
-		_ = u.conn.Close() // the transport may have closed it
+		u.conn.retire()
 	}
 	u.conn.turn <- struct{}{}
 }
 
+// retire closes the connection, so that nothing more is written to it. The caller holds the turn.
+func (c *upstreamConn) retire() {
+	c.retired = true
+	_ = c.Close() // the transport may have closed it
+}
+
 // releasingReader reads a response and ends the use of its connection at the end of the response: net/http gives the
 // connection to other requests then, and the last bytes may still have to wait for a slow caller.
 type releasingReader struct {
