--- a/gateway/killedstreams_test.go
+++ b/gateway/killedstreams_test.go
@@ -23,7 +23,7 @@
 	return nextRouter + 1
 }
 
-// leave ends the engines of a version, as their last requests end before they do.
+// leave removes the entries of the engines of a version and ends them.
 func leave(f *fleet, engines []*versionedEngine, version string) {
 	for _, e := range engines {
 		if e.Version == version {
