Roll-outs: attempts that find no connection are not requests sent

Cause, by the log of decisions: the router that is cut off tries one upstream of the new version after the other for each request, and each attempt counts as sent, though no connection was made. That uses up what the version may get until the deadline, and the last route moves only at the deadline. Attempts at the previous version made the bound too loose in the same way.

An attempt that ends as Unreached is taken back from what was sent, so the sums are the requests that upstreams got or may get. A falling count does not drop the answers that a router reports after another decider took over.

--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -163,6 +165,50 @@
 	})
 }
 
+// Guards against attempts without a connection that count as requests sent: a router that reaches no upstream of the new version tries one
+// after the other for each request, which used up what the version may get, and the last route moved only at the deadline.
+func TestAttemptsWithoutAConnectionAreNotSent(t *testing.T) {
+	for _, version := range []string{"previous", "new"} {
+		t.Run(version+" version unreachable", func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				r := startRolloutFleet(f, 1, 6)
+				r.order(standin.Serve, 0)
+				first := 20 // the number of the version's first upstream
+				if version == "previous" {
+					first = 1
+				}
+				for n := range rolloutUpstreams {
+					f.cut(linkEnds{1, upstreamAddress(fmt.Sprint("i-", first+n))})
+				}
+				r.play(r.duration, func(time.Duration) { r.requireNoMoreReported() })
+				time.Sleep(time.Second)
+				r.observeState()
+				require.Equal(t, "completed", r.state, r.reasons())
+				require.LessOrEqual(t, r.endedAt.Sub(r.ordered), r.duration)
+				r.checkOldStopped()
+			})
+		})
+	}
+}
+
+// requireNoMoreReported requires that routers report no more requests than arrived at upstreams, apart from those on their way.
+func (r *rolloutFleet) requireNoMoreReported() {
+	synctest.Wait()
+	reported := 0
+	for _, p := range r.gateways {
+		if report, ordered := p.gateway.RolloutReport("plain"); ordered {
+			for _, route := range report.Routes {
+				reported += route.Old.Sent
+				for _, s := range route.New {
+					reported += s.Sent
+				}
+			}
+		}
+	}
+	arrived := r.count(append(slices.Clone(r.old), r.new...), r.ordered, time.Now().Add(time.Millisecond))
+	require.LessOrEqual(r.t, reported, arrived)
+}
+
 // Guards against a bad version that gets more requests than allowed.
 func TestBadVersionIsRolledBack(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/gateway/rolloutversions.go
+++ b/gateway/rolloutversions.go
@@ -166,6 +166,9 @@
 		if countsAsRunning {
 			sr.runningOld--
 		}
+		if result == serving.Unreached {
+			sr.updateLocked(req.Route.Name, u, func(s *rollout.Samples) { s.Sent-- })
+		}
 		if outcome, counts := rolloutOutcome(result); counts {
 			sr.updateLocked(req.Route.Name, u, func(s *rollout.Samples) { s.Add(outcome, first, prefill+answerOverhead, ran) })
 		}
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -260,9 +260,11 @@
 }
 
 // since returns the samples without earlier ones; none if they are not later ones, since reports may
-// arrive in another order.
+// arrive in another order. Requests that found no connection count as sent in earlier ones only.
 func (s Samples) since(earlier Samples) Samples {
-	if later := s.without(earlier); !later.invalid() {
+	later := s.without(earlier)
+	later.Sent = max(0, later.Sent)
+	if !later.invalid() {
 		return later
 	}
 	return Samples{}
--- a/rollout/samples.go
+++ b/rollout/samples.go
@@ -16,7 +16,7 @@
 
 // Samples counts the results of requests on one route.
 type Samples struct {
-	// Sent are the requests sent to upstreams, including those that the upstreams declined.
+	// Sent are the requests sent to upstreams, including those that the upstreams declined, and those that wait for a connection.
 	Sent int `json:"sent"`
 	// Answered are the requests that were answered or failed, Failed those that failed.
 	Answered int `json:"answered"`
--- a/rollout/takeover_test.go
+++ b/rollout/takeover_test.go
@@ -28,6 +28,14 @@
 	requireTotals(t, next, now, 660, 60)
 }
 
+// Guards against answers since another process took over that are dropped, since requests that had waited for a connection then are not
+// counted as sent any more.
+func TestAnswersCountAfterRequestsWithoutAConnection(t *testing.T) {
+	earlier, later := Samples{Sent: 10, Answered: 5}, Samples{Sent: 8, Answered: 7, Failed: 2}
+	require.Equal(t, Samples{Answered: 2, Failed: 2}, later.since(earlier))
+	require.Equal(t, Samples{}, earlier.since(Samples{Sent: 10, Answered: 6}), "an older report")
+}
+
 // Guards against a good version of a service without requests that is rolled back since all routers restarted in the
 // last quarter of the time: that no request came for the first three quarters was observed too.
 func TestIdleServiceIsCompletedAfterAllRoutersRestarted(t *testing.T) {
