Planned stop: requests that may not end in time are refused once the notice is over

Callers saw: a request whose body ended up to 4 s after the notice was passed on and cut without an answer when the grace period ended, also one that may not be repeated. Cause: the handler of a request begins with its head, and http.Server.Shutdown waits for it; nothing between the body, the waits in the router and the attempts looked at the stop again. Now the dispatcher asks before each attempt of a request that has not run, and refuses it with 503 and Retry-After if its deadline is later than the end of the router. One with an earlier deadline is served.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"maps"
 	"net"
@@ -16,7 +15,6 @@
 
 	"github.com/arbutusmill/arbutusmill/admission"
 	"github.com/arbutusmill/arbutusmill/catalog"
-	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
 	"github.com/arbutusmill/arbutusmill/coord/store"
@@ -57,8 +55,6 @@
 	// minRelayMbps is the minimum rate of a VM's link (Mbit/s) for relaying the store's
 	// changes: at this rate, a hundred followers that request a copy at once are served in a second.
 	minRelayMbps = 100
-	// stopMargin is the part of the grace period reserved for the final writes.
-	stopMargin = 700 * time.Millisecond
 )
 
 // Gateway is one router process.
@@ -93,6 +89,8 @@
 
 	activeRequests atomic.Int64
 	stopping       atomic.Bool
+	// endOfStop is when a stopping router ends its requests. It is set when the notice period is over.
+	endOfStop atomic.Pointer[time.Time]
 	// wasOverloaded is the last result of linkOverloaded.
 	wasOverloaded atomic.Bool
 }
@@ -156,6 +154,7 @@
 		RetryBudget: g.retryBudgets,
 		PromptGuard: g.prompts,
 		Streams:     g.streams,
+		RefuseLate:  g.refuseLate,
 		Now:         time.Now,
 	}
 	g.Admin.Dump = g.dump
@@ -304,22 +303,3 @@
 	})
 	tasks.Every(pruneInterval, func(context.Context) { g.pool.Prune() })
 }
-
-// shutdown stops the gateway within the grace period: it waits for the notice period, shuts the
-// caller server down, returns unused tokens and ends the membership.
-func (g *Gateway) shutdown(ctx context.Context, callers *http.Server) {
-	start := time.Now()
-	s := g.current.Load().Stop
-	g.stopping.Store(true)
-	g.Log.Info().Int64("active", g.activeRequests.Load()).Msg("stopping")
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Grace)-stopMargin)
-	defer cancel()
-	_ = backoff.Sleep(ctx, time.Duration(s.Notice)) // ends early if the grace period is shorter
-	if err := callers.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		g.Log.Error().Err(err).Msg("shutdown_failed")
-	}
-	leaveCtx, cancelLeave := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
-	defer cancelLeave()
-	g.Leave(leaveCtx)
-	g.Log.Info().Int64("active", g.activeRequests.Load()).Int64("took_ms", time.Since(start).Milliseconds()).Msg("stopped")
-}
--- a/serving/path.go
+++ b/serving/path.go
@@ -129,6 +129,9 @@
 	PromptGuard PromptGuard
 	// Streams may be nil: then streams continue at any version.
 	Streams StreamVersions
+	// RefuseLate is called before each attempt of a request that has not run. It returns the refusal of a request that may
+	// not end before this router does; nil permits the attempt. RefuseLate may be nil.
+	RefuseLate func(r *Request) *contract.Refusal
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -169,6 +172,9 @@
 func (d *Dispatcher) run(ctx context.Context, r *Request, out Caller) Outcome {
 	var attempts []Attempt
 	for {
+		if refused := d.refuseLate(r, attempts); refused != nil {
+			return Outcome{Attempts: attempts, Refusal: refused}
+		}
 		target, ok := d.Upstreams.Pick(r, attempts)
 		if !ok {
 			return d.finish(r, attempts, out)
@@ -184,6 +190,14 @@
 	}
 }
 
+// refuseLate returns the refusal of a request that has not run and may not end before this router does.
+func (d *Dispatcher) refuseLate(r *Request, attempts []Attempt) *contract.Refusal {
+	if d.RefuseLate == nil || slices.ContainsFunc(attempts, func(a Attempt) bool { return !a.Result.NotRun() }) {
+		return nil
+	}
+	return d.RefuseLate(r)
+}
+
 // send makes one attempt, which can be recalled until its answer begins. The version that begins a stream is
 // recorded.
 func (d *Dispatcher) send(ctx context.Context, r *Request, t Target, out Caller, repeatable bool) Attempt {
