Planned stop: requests that are active at its end are answered

Callers saw: a request that was still at an upstream when the grace period ended got no answer; its connection ended with the process. So did one that waited in the router. Cause: http.Server.Shutdown gave up after the grace period, and nothing ended the handlers that were left.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -186,6 +186,7 @@
 	return &http.Server{
 		Handler:        g,
 		MaxHeaderBytes: maxHeaderBytes,
+		BaseContext:    func(net.Listener) context.Context { return g.requestsContext },
 		ConnContext:    callerConnContext,
 		ConnState:      g.onConnState,
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,9 @@
 	stopping       atomic.Bool
 	// endOfStop is when a stopping router ends its requests. It is set when the notice period is over.
 	endOfStop atomic.Pointer[time.Time]
+	// requestsContext is the parent of all requests' contexts; cancelRequests cancels it.
+	requestsContext context.Context
+	cancelRequests  context.CancelCauseFunc
 	// wasOverloaded is the last result of linkOverloaded.
 	wasOverloaded atomic.Bool
 }
@@ -105,6 +108,7 @@
 		lag:      &admission.Lag{Period: lagPeriod},
 	}
 	g.current.Store(s)
+	g.requestsContext, g.cancelRequests = context.WithCancelCause(context.Background())
 	g.operatorReader = &operatorReader{g: g, drained: map[string]store.Revision{}}
 	g.directory = &directory.Directory{Decode: platform.DecodeUpstream, Report: g, Now: time.Now}
 	g.rollouts = newRollouts(g)
@@ -246,6 +250,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
+	defer g.cancelRequests(context.Canceled)
 	tasks := process.NewTaskGroup(ctx)
 	g.Log.Info().Str("datacentre", g.settings.Datacentre).Str("callers", g.settings.Listen.Callers).Msg("started")
 	callers := g.callerServer()
--- a/gateway/plannedstop_test.go
+++ b/gateway/plannedstop_test.go
@@ -166,6 +166,7 @@
 	require.Less(f.t, time.Since(signal), stopGrace, "the process has ended before it is killed")
 	exit()
 	wg.Wait()
+	time.Sleep(time.Second) // net/http lingers on some connections
 	seen := map[string]int{}
 	for _, r := range results {
 		err := r.verdict(f.reached(r.id))
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -181,7 +181,12 @@
 	if cause := context.Cause(x.callerContext); errors.Is(cause, serving.ErrRecalled) || errors.Is(cause, serving.ErrPostponed) {
 		return x.recalledAttempt(connected, errors.Is(cause, serving.ErrPostponed))
 	}
+	stopping := errors.Is(context.Cause(x.callerContext), serving.ErrStopping)
 	switch cause := x.callerContext.Err(); {
+	case connected && stopping:
+		return x.newAttempt(serving.OutOfTime, "%v", serving.ErrStopping)
+	case stopping:
+		return x.newAttempt(serving.Unreached, "%v", serving.ErrStopping)
 	case !connected && errors.Is(cause, context.Canceled):
 		a := x.newAttempt(serving.CallerGone, "before the request was sent")
 		a.Began, a.Output = false, 0
--- a/serving/path.go
+++ b/serving/path.go
@@ -120,6 +120,9 @@
 	ErrPostponed = errors.New("other upstreams crashed under the prompt")
 )
 
+// ErrStopping is the cause of canceled requests that are active when their router ends.
+var ErrStopping = errors.New("the router ends")
+
 // Dispatcher serves requests: it reserves tokens, sends to upstreams and retries.
 type Dispatcher struct {
 	Upstreams   Upstreams
