Planned stop: idle connections to upstreams are closed

A router that ends before its idle connections' time (3 s) left them to the end of its process, which an upstream sees as a reset connection at an arbitrary time. Seen as goroutines that outlive the router in TestCopyOfARefusalDoesNotAnswerTheNextAttempt, since the default notice is shorter than that time.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,7 @@
 	prompts        *promptGuard
 	rollouts       *rollouts
 	streams        *streamVersions
+	transport      *http.Transport
 	dispatcher     *serving.Dispatcher
 	metrics        *gatewayMetrics
 
@@ -151,8 +152,9 @@
 		MeasureWork:         g.handsOver(),
 		Now:                 time.Now,
 	}
+	g.transport = newTransport(g.Network, s.Upstreams)
 	g.dispatcher = &serving.Dispatcher{
-		Upstreams: &upstreams{Pool: g.pool, transport: newTransport(g.Network, s.Upstreams), unread: &unreadHeaders{log: g.Log, metrics: g.metrics},
+		Upstreams: &upstreams{Pool: g.pool, transport: g.transport, unread: &unreadHeaders{log: g.Log, metrics: g.metrics},
 			log: g.Log, metrics: g.metrics},
 		Budgets:     g.Budgets,
 		RetryBudget: g.retryBudgets,
@@ -258,6 +260,7 @@
 	g.startTasks(tasks)
 	<-stop.Done()
 	g.shutdown(ctx, callers)
+	g.transport.CloseIdleConnections()
 	cancel()
 	g.Links.Close()
 	tasks.Wait()
