Planned stop: the notice ends before the platform's limit for long requests

Callers saw: requests sent 3.0 to 3.3 s after the signal were taken and ended unfinished at the end of the grace period, if the router handled the signal 0.3 s late. Cause: the notice was as long as the 3 s after the signal until which the platform accepts that a stop cuts a long request, but counts from when the router handles the signal. The default notice is now 2.5 s; the balancer needs 2 s to detect that a router is not ready.

--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -196,8 +196,9 @@
 		Cold:     Cold{Overshoot: 1},
 		Rollouts: Rollouts{MaxShare: 0.1, MaxExtra: 50, RollBack: fleet.Duration(5 * time.Second)},
 		Limits:   GatewayLimits{Concurrent: 2000, WriteTimeout: fleet.Duration(10 * time.Second), MemoryMB: 128},
-		// The balancer probes once a second and needs two failures.
-		Stop: Stop{Notice: fleet.Duration(3 * time.Second), Grace: fleet.Duration(8 * time.Second)},
+		// The balancer probes once a second and needs two failures. The platform lets a stop cut long requests only if
+		// they were sent within three seconds of the signal, which a busy VM handles late.
+		Stop: Stop{Notice: fleet.Duration(2500 * time.Millisecond), Grace: fleet.Duration(8 * time.Second)},
 	}
 }
 
