Responses of upstreams: a status line inside a head's lines shows that two responses were joined

An extra response that ends inside a line of its head takes the next response's status line as the rest of that line. With its id and signature left to the second one, the first one's status answered the request: 204 and 201 for a response with status 200 in the test, failing before.

--- a/gateway/partialresponse_test.go
+++ b/gateway/partialresponse_test.go
@@ -12,10 +12,12 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against a part of an extra response, which ends inside a header, that is taken with the head of the next response
+// Guards against a part of an extra response, which ends inside a line of its head, that is taken with the head of the next response
 // for one head: a request that ran would seem refused, or get the signature of another one.
 func TestPartOfAnExtraResponseDoesNotChangeTheNext(t *testing.T) {
 	parts := map[string]string{
+		"status":   "HTTP/1.1 204 ",
+		"header":   "HTTP/1.1 201 Created\r\nX-Node: a",
 		"refusal":  "HTTP/1.1 503 Service Unavailable\r\n" + standin.HeaderNotRun + ": 1\r\nX-Node: a",
 		"response": "HTTP/1.1 200 OK\r\n" + standin.HeaderSignature + ": other\r\nX-Node: a",
 	}
@@ -44,6 +46,7 @@
 				for n := range 6 {
 					id := fmt.Sprint("r", n)
 					told[id] = f.send(alert(id))
+					require.Contains(t, []int{http.StatusOK, http.StatusBadGateway}, told[id].status, id)
 					if told[id].status == http.StatusOK {
 						require.Equal(t, []string{"s"}, told[id].header.Values(standin.HeaderSignature), id)
 					}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -85,7 +85,7 @@
 // recordDoubt logs and counts a response that refuses a request, or does not belong to it. With the connection's
 // number, a copy of an earlier response can be traced to its original.
 func (u *upstreams) recordDoubt(x *exchange, resp *http.Response, a serving.Attempt) {
-	info := platform.ReadResponseInfo(resp.StatusCode, resp.Header)
+	info := platform.ReadResponseInfo(resp)
 	if info.ID == x.request.ID && !info.NotRun {
 		return
 	}
@@ -226,7 +226,7 @@
 
 // handleResponse forwards a valid response, or returns why it is invalid.
 func (x *exchange) handleResponse(resp *http.Response) serving.Attempt {
-	info := platform.ReadResponseInfo(resp.StatusCode, resp.Header)
+	info := platform.ReadResponseInfo(resp)
 	found, why := judge(x.request.ID, x.use.exchange, resp.StatusCode, info)
 	if found != foreign && found != misdirected {
 		x.target.Observe(info.Statement)
