Tests of responses without end: limits that tests can set, cheap under the race detector

With the race detector the tests of link took 131 s and those of platform 69 s, and that of etcd failed, since 48 MiB were not decoded within its timeout of a minute.

--- a/etcd/etcd.go
+++ b/etcd/etcd.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -25,6 +26,8 @@
 	Client *http.Client
 	// Timeout bounds each call except watches.
 	Timeout time.Duration
+	// MaxAnswerBytes limits an answer, and each message of a watch; 0 stands for 48 MiB.
+	MaxAnswerBytes int64
 }
 
 var _ store.Store = (*Store)(nil)
@@ -40,7 +43,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	if err := bounded.DecodeJSON(resp.Body, maxAnswerBytes, path, out); err != nil {
+	if err := bounded.DecodeJSON(resp.Body, cmp.Or(e.MaxAnswerBytes, defaultMaxAnswerBytes), path, out); err != nil {
 		return store.Error.Wrap(fmt.Errorf("%w: %w", store.ErrUnknown, err))
 	}
 	return nil
@@ -71,9 +74,9 @@
 	return store.Error.Wrap(fmt.Errorf("%s: %w: %w", path, store.ErrUnknown, err))
 }
 
-// maxAnswerBytes limits an answer, and each message of a watch. A range is one answer: 8,000 entries of 4 KB, as base64
+// defaultMaxAnswerBytes is the default of Store.MaxAnswerBytes. A range is one answer: 8,000 entries of 4 KB, as base64
 // text.
-const maxAnswerBytes = 48 << 20
+const defaultMaxAnswerBytes = 48 << 20
 
 // maxErrorBytes bounds how much of an error's body is read.
 const maxErrorBytes = 4 << 10
@@ -217,7 +220,7 @@
 func (e *Store) readWatch(ctx context.Context, body io.ReadCloser, events chan<- store.Event) {
 	defer close(events)
 	defer body.Close()
-	limited := bounded.NewReader(body, maxAnswerBytes, "watch")
+	limited := bounded.NewReader(body, cmp.Or(e.MaxAnswerBytes, defaultMaxAnswerBytes), "watch")
 	dec := json.NewDecoder(limited)
 	for {
 		limited.Reset()
--- a/link/conn.go
+++ b/link/conn.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -97,18 +98,18 @@
 
 // Limits on a message that is read. Beyond them the connection is closed.
 const (
-	// maxMessageBytes is several times the largest message, 2 MB of exposure limits for a new witness.
-	maxMessageBytes = 16 << 20
+	// defaultMaxMessageBytes is several times the largest message, 2 MB of exposure limits for a new witness.
+	defaultMaxMessageBytes = 16 << 20
 	// maxMessageTime is the time from a message's first bytes to its end.
 	maxMessageTime = time.Minute
 )
 
 // newStream returns a stream of messages whose writes have a timeout of maxMissedHeartbeats intervals. onTooLong may be
-// nil; it is called with the error for a message of more than maxMessageBytes.
-func newStream(nc net.Conn, heartbeat time.Duration, onTooLong func(error)) jsonrpc2.ObjectStream {
+// nil; it is called with the error for a message of more than maxBytes; 0 stands for the default.
+func newStream(nc net.Conn, heartbeat time.Duration, maxBytes int64, onTooLong func(error)) jsonrpc2.ObjectStream {
 	conn := &timeoutWriter{Conn: nc, timeout: maxMissedHeartbeats * heartbeat}
 	in := &messageReader{conn: conn}
-	in.limited = bounded.NewReader(in, maxMessageBytes, "control message")
+	in.limited = bounded.NewReader(in, cmp.Or(maxBytes, defaultMaxMessageBytes), "control message")
 	plain := jsonrpc2.NewPlainObjectStream(struct {
 		io.Reader
 		io.Writer
--- a/link/link.go
+++ b/link/link.go
@@ -112,6 +112,8 @@
 	// Log logs protocol errors of connections; nil drops them.
 	Log     func(format string, args ...any)
 	Methods map[string]Handler
+	// MaxMessageBytes limits a message; 0 stands for 16 MiB.
+	MaxMessageBytes int64
 	// OnTooLong, if set, is called when a connection is closed for a message beyond the limit. It must not block.
 	OnTooLong func(err error)
 }
@@ -148,7 +150,7 @@
 
 func (s *Server) serveConn(ctx context.Context, nc net.Conn) {
 	session := &session{server: s, replies: make(chan struct{}, maxReplies)}
-	stream := newStream(nc, cmp.Or(s.Heartbeat, defaultHeartbeat), s.OnTooLong)
+	stream := newStream(nc, cmp.Or(s.Heartbeat, defaultHeartbeat), s.MaxMessageBytes, s.OnTooLong)
 	conn := jsonrpc2.NewConn(ctx, stream, session, jsonrpc2.SetLogger(logFunc(s.Log)))
 	select {
 	case <-conn.DisconnectNotify():
@@ -311,8 +313,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnHeartbeat, if set, is called with the time that each answered heartbeat took. It must not block.
 	OnHeartbeat func(took time.Duration)
-	// OnTooLong is that of Server.
-	OnTooLong func(err error)
+	// MaxMessageBytes and OnTooLong are those of Server.
+	MaxMessageBytes int64
+	OnTooLong       func(err error)
 
 	mu     sync.Mutex
 	conns  map[string]*peerConn
@@ -389,7 +392,7 @@
 	if err != nil {
 		return nil, Error.Wrap(errors.Join(ErrDown, err))
 	}
-	conn := newClientConn(jsonrpc2.NewConn(context.Background(), newStream(nc, p.Heartbeat, p.OnTooLong), jsonrpc2.AsyncHandler(noMethods{}),
+	conn := newClientConn(jsonrpc2.NewConn(context.Background(), newStream(nc, p.Heartbeat, p.MaxMessageBytes, p.OnTooLong), jsonrpc2.AsyncHandler(noMethods{}),
 		jsonrpc2.SetLogger(logFunc(p.Log))))
 	if err := conn.call(ctx, methodHello, hello{From: p.From, Secret: p.Security.Secret}, nil); err != nil {
 		_ = conn.Close()
