--- a/gateway/judge.go
+++ b/gateway/judge.go
@@ -24,9 +24,8 @@
 	succeeded
 )
 
-// judge returns what a response shows about the request with an id, which is the given one of the exchanges on its
-// connection, counted from 1, and why if the request may have run. It alone decides
-// which responses of upstreams are believed.
+// judge returns what a response shows about the request with an id, and why if that request may have run. exchange is the
+// request's place on its connection, from 1. judge alone decides which responses of upstreams are believed.
 //
 // Upstreams may send a response again, late, where the next one is expected. The id shows to which request a response
 // belongs, but not to which of its attempts. So no response counts without the id, but for a refusal as the first response
