Budgets: a lot that arrives during a raise is covered by the next one

Cause: a lot that joined a raise already under way was not covered by it, yet stopped being pending when it ended. It tried to lend, was refused, and became pending again; the first of these lots to do so started a raise that covered only the lots that had come back by then. Ruled out: the bound. A burst of 40 lots needs two raises: the first lot's and one for all others. Change: a lot stays pending until a raise that began after it has ended. Lots have numbers; a raise returns the newest it covers.

--- a/coord/settlement/exposure.go
+++ b/coord/settlement/exposure.go
@@ -40,10 +40,12 @@
 	witnesses []string
 	// notified are the witnesses that have received all limits of this term.
 	notified map[string]bool
-	// pending are the tokens of lots that wait for a raise, by budget and borrower; raises
-	// merges the concurrent raises of one budget and borrower.
-	pending map[lotKey]int64
-	raises  singleflight.Group
+	// pending are the tokens of lots that wait for a raise, by budget and borrower; newestLot is the
+	// number of the last lot that began to wait. raises merges the concurrent raises of one budget
+	// and borrower.
+	pending   map[lotKey]int64
+	newestLot int64
+	raises    singleflight.Group
 }
 
 // lotKey identifies the lots of one budget that one borrower requests.
@@ -96,38 +98,53 @@
 }
 
 // Expose implements grant.Exposer. Pending lots of one borrower and budget share a raise that covers
-// all lots pending when it starts; otherwise each lot of a burst would wait for those before it.
+// all lots pending when it starts; otherwise each lot of a burst would wait for those before it. A
+// lot that arrives during a raise stays pending for the next one.
 func (e *Exposure) Expose(ctx context.Context, budget, borrower string, n int64) error {
 	key := lotKey{budget, borrower}
-	e.addPending(key, n)
-	defer e.addPending(key, -n)
-	done := e.raises.DoChan(budget+" "+borrower, func() (any, error) {
-		limits := e.Holder.ExposureFor(e.Now(), budget, borrower, e.pendingTokens(key), e.Lookahead)
-		return nil, e.raise(ctx, limits)
-	})
-	select {
-	case r := <-done:
-		return r.Err
-	case <-ctx.Done():
-		return Error.Wrap(ErrNoWitness)
+	number := e.addPending(key, n)
+	defer e.removePending(key, n)
+	for {
+		done := e.raises.DoChan(budget+" "+borrower, func() (any, error) {
+			tokens, newest := e.pendingLots(key)
+			return newest, e.raise(ctx, e.Holder.ExposureFor(e.Now(), budget, borrower, tokens, e.Lookahead))
+		})
+		select {
+		case r := <-done:
+			if newest, _ := r.Val.(int64); r.Err != nil || number <= newest {
+				return r.Err
+			}
+		case <-ctx.Done():
+			return Error.Wrap(ErrNoWitness)
+		}
 	}
 }
 
-func (e *Exposure) addPending(key lotKey, n int64) {
+// addPending adds the tokens of a lot and returns the lot's number, which increases with each lot.
+func (e *Exposure) addPending(key lotKey, n int64) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.pending == nil {
 		e.pending = map[lotKey]int64{}
 	}
-	if e.pending[key] += n; e.pending[key] == 0 {
+	e.pending[key] += n
+	e.newestLot++
+	return e.newestLot
+}
+
+func (e *Exposure) removePending(key lotKey, n int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.pending[key] -= n; e.pending[key] == 0 {
 		delete(e.pending, key)
 	}
 }
 
-func (e *Exposure) pendingTokens(key lotKey) int64 {
+// pendingLots returns the tokens of the pending lots of a key, and the number of the newest lot.
+func (e *Exposure) pendingLots(key lotKey) (tokens, newest int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.pending[key]
+	return e.pending[key], e.newestLot
 }
 
 // raise sends limits to all witnesses concurrently and applies them once the first one accepts.
