Roll-outs: the test of an order given again reads one state

Cause: the fixture read the state that operators see, then in a second read its revision, to leave out the state of the order before. If the first state of the new order was stored in between, the old "rolled_back" passed for that of the new order.

Ruled out: a change of a final state in the store. A state is written with the revisions of the order and of the record as conditions, so neither an order that was removed nor a former decider can write after the new one.

Change: the revision is read first. A state that is read later is not older. The check itself is as it was.

--- a/gateway/rolloutreplaced_test.go
+++ b/gateway/rolloutreplaced_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/require"
@@ -124,6 +126,33 @@
 	}
 }
 
+// Guards against checks that take the end of the order before for that of the order given again: the state of the latter was stored
+// while the fixture read the state and its revision.
+func TestObservedStateIsOfTheLastOrder(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		const readTime = 20 * time.Millisecond
+		r := &rolloutFleet{fleet: f}
+		key := platform.RolloutStatusPrefix + "plain"
+		put := func(state string, at store.Revision) {
+			_, err := f.store.CompareAndSwap(context.Background(), key, at, fmt.Appendf(nil, `{"state":%q,"to":"v2"}`, state), 0)
+			require.NoError(t, err)
+		}
+		put("rolled_back", 0)
+		r.orderVersion("v2", time.Second)
+		ended := r.revision(key)
+		f.store.SetFaults(memstore.Faults{Delay: readTime})
+		var writes sync.WaitGroup
+		writes.Go(func() {
+			time.Sleep(readTime / 2)
+			put("in_progress", ended)
+		})
+		r.observeState()
+		writes.Wait()
+		r.observeState()
+		require.Equal(t, "in_progress", r.state)
+	})
+}
+
 // Guards against a bad version that is tested without end, or a good one that is not completed, since its order was removed and given
 // again, and against requests to it in between.
 func TestOrderWithdrawnAndGivenAgain(t *testing.T) {
--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -106,9 +106,12 @@
 
 // observeState records the state that operators see.
 func (r *rolloutFleet) observeState() {
+	if r.isOfReplacedOrder() {
+		return // asked first: the state may be written meanwhile
+	}
 	state, version, err := r.store.RolloutStatus("plain")
 	require.NoError(r.t, err)
-	if state == r.state || r.isOfReplacedOrder() {
+	if state == r.state {
 		return
 	}
 	require.Equal(r.t, r.version, version)
