Gateway: bodies of callers' requests are bounded together

Ruled out: reserving the given length before the first byte. A slow sender would hold room for bytes that it never sends. The same sum as responses: an upstream's response without room ends as unknown, and must not depend on how much callers send. Change: bodies above 16 KiB count for limits.bodies_mb (MiB; default a quarter of limits.memory_mb), as responses do: each may take half of what the others leave, so small ones fit beside large ones. A given length without room, or above the operators' limit, is refused before the body is read. 429 as not run, Retry-After of 0.5 to 1 s, a counter, and sizes in the line of the refusal. Nothing is refused while half of the room is free.

--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -1,5 +1,5 @@
-// Package bounded limits what this system's clients read of other processes' responses. A faulty peer may send bytes
-// without end, and must not take the memory that the requests of others need.
+// Package bounded limits what this system's clients read of other processes' responses, and what messages take in memory
+// together. A faulty peer may send bytes without end, and must not take the memory that the requests of others need.
 package bounded
 
 import (
--- a/bounded/sum.go
+++ b/bounded/sum.go
@@ -9,8 +9,8 @@
 // minReadBytes is the size of the first buffer of ReadAll.
 const minReadBytes = 512
 
-// Sum limits what several responses hold in memory together. Each may hold half of what the others leave, so responses
-// without end leave room for the others.
+// Sum limits what several messages, responses or requests, hold in memory together. Each may hold half of what the others
+// leave, so messages without end leave room for the others.
 type Sum struct {
 	limit int64
 
@@ -28,7 +28,7 @@
 	return s.held
 }
 
-// Share is what one response holds of a Sum. Its first bytes, up to a free size, do not count, so that small responses
+// Share is what one message holds of a Sum. Its first bytes, up to a free size, do not count, so that small messages
 // need no room. It must not be used concurrently. A nil *Share counts nothing.
 type Share struct {
 	sum  *Sum
@@ -39,7 +39,17 @@
 // Share returns a share that holds nothing.
 func (s *Sum) Share(free int64) *Share { return &Share{sum: s, free: free} }
 
-// Resize sets the size of the response's buffer. If the sum has no room for it, it returns an error of the type
+// Room returns the size, in bytes, to which the share can be resized now.
+func (s *Share) Room() int64 {
+	s.sum.mu.Lock()
+	defer s.sum.mu.Unlock()
+	return s.free + max(s.held, s.roomLocked())
+}
+
+// roomLocked returns the bytes that the share may hold beside the other shares.
+func (s *Share) roomLocked() int64 { return (s.sum.limit - (s.sum.held - s.held)) / 2 }
+
+// Resize sets the size of the message's buffer. If the sum has no room for it, it returns an error of the type
 // *TooLongError, and the share holds what it held before.
 func (s *Share) Resize(size int64) error {
 	if s == nil {
@@ -48,8 +58,8 @@
 	s.sum.mu.Lock()
 	defer s.sum.mu.Unlock()
 	counted := max(0, size-s.free)
-	if most := (s.sum.limit - (s.sum.held - s.held)) / 2; counted > s.held && counted > most {
-		return &TooLongError{What: "share of the memory for responses", Limit: most + s.free}
+	if most := s.roomLocked(); counted > s.held && counted > most {
+		return &TooLongError{What: "share of the memory for messages", Limit: most + s.free}
 	}
 	s.sum.held += counted - s.held
 	s.held = counted
@@ -59,7 +69,7 @@
 // Release returns everything that the share holds.
 func (s *Share) Release() { _ = s.Resize(0) } // only growing fails
 
-// ReadAll reads at most limit bytes into a buffer that share covers. what names the response in errors.
+// ReadAll reads at most limit bytes into a buffer that share covers. what names the message in errors.
 func ReadAll(r io.Reader, limit int64, what string, share *Share) ([]byte, error) {
 	limited := NewReader(r, limit, what)
 	var buf []byte
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/admission"
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/coord/mirror"
 	"github.com/arbutusmill/arbutusmill/coord/retrybudget"
@@ -83,7 +84,9 @@
 	streams        *streamVersions
 	transport      *http.Transport
 	dispatcher     *serving.Dispatcher
-	metrics        *gatewayMetrics
+	// bodies limits the bodies of callers' requests that are in memory at a time.
+	bodies  *bounded.Sum
+	metrics *gatewayMetrics
 
 	// Availability of the configuration and of the upstreams' entries in the store.
 	configWatch, upstreamWatch hosted.Dependency
@@ -107,6 +110,7 @@
 		settings: s,
 		meter:    meter,
 		lag:      &admission.Lag{Period: lagPeriod},
+		bodies:   bounded.NewSum(s.Limits.BodyBytes()),
 	}
 	g.current.Store(s)
 	g.requestsContext, g.cancelRequests = context.WithCancelCause(context.Background())
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,16 +2,14 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/admission"
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/catalog"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
@@ -36,6 +34,8 @@
 		return
 	}
 	defer g.endRequest()
+	h.body = g.bodies.Share(freeBodyBytes)
+	defer h.body.Release()
 	refusal := h.resolve(req)
 	if refusal == nil {
 		refusal = h.admit(w, req)
@@ -56,6 +56,8 @@
 	headers platform.CallerHeaders
 	arrived time.Time
 	request *serving.Request
+	// body is what the request's body takes of the memory for bodies.
+	body *bounded.Share
 }
 
 // resolve determines the request's route, team and limits from its headers.
@@ -178,33 +180,6 @@
 	return defaultTimeout
 }
 
-// readBody reads the complete body, so that the request can be retried and its length is known.
-func (h *requestHandler) readBody(w http.ResponseWriter, req *http.Request) *contract.Refusal {
-	if req.ContentLength == 0 {
-		return nil
-	}
-	limits := h.gateway.callerLimits()
-	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(h.request.Deadline); err != nil {
-		return contract.Refuse(contract.Internal, "%v", err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return contract.Refuse(contract.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return contract.Refuse(contract.DeadlineTooShort, "the body did not come in time")
-	case err != nil:
-		return contract.Refuse(contract.BadRequest, "the body could not be read: %v", err)
-	}
-	if err := rc.SetReadDeadline(time.Time{}); err != nil {
-		return contract.Refuse(contract.Internal, "%v", err)
-	}
-	h.request.Body = body
-	return nil
-}
-
 // serve dispatches the request and writes the response.
 func (h *requestHandler) serve(w http.ResponseWriter, req *http.Request) {
 	g := h.gateway
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 func newMetrics(g *Gateway) *gatewayMetrics {
 	m := &gatewayMetrics{set: g.Metrics}
 	m.set.NewGauge("arbutusmill_gateway_active_requests", func() float64 { return float64(g.activeRequests.Load()) })
+	m.set.NewGauge("arbutusmill_gateway_body_bytes", func() float64 { return float64(g.bodies.Held()) })
 	m.set.NewGauge("arbutusmill_gateway_configuration_version", func() float64 { return float64(g.configVersion()) })
 	m.set.NewGauge("arbutusmill_gateway_emptied_datacentres", func() float64 { return float64(len(g.directory.Drained())) })
 	m.set.NewGauge("arbutusmill_gateway_prompts_that_end_upstreams", func() float64 {
@@ -36,6 +37,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_refused_requests_total{kind=%q}", k)).Inc()
 }
 
+// bodyWithoutRoom counts a request that was refused since there was no room for its body.
+func (m *gatewayMetrics) bodyWithoutRoom() {
+	m.set.GetOrCreateCounter("arbutusmill_gateway_bodies_without_room_total").Inc()
+}
+
 // sentElsewhere counts a request that was refused since another router can serve it in time.
 func (m *gatewayMetrics) sentElsewhere() {
 	m.set.GetOrCreateCounter("arbutusmill_gateway_requests_sent_elsewhere_total").Inc()
--- /dev/null
+++ b/gateway/overload_test.go
@@ -0,0 +1,134 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// overloadBody is the size of a large body, and maxBodies the bytes that all bodies may take together: a quarter of
+	// the 128 MiB of the default settings.
+	overloadBody = 900 << 10
+	maxBodies    = 32 << 20
+	// overloadCallers send ten times maxBodies.
+	overloadCallers = 10 * maxBodies / overloadBody
+)
+
+// overloadFleet starts a router that takes bodies of 8 MiB, and an upstream that answers after 500 ms.
+func overloadFleet(f *fleet) *rawUpstream {
+	f.template = strings.Replace(configTemplate, `"max_body_bytes":65536`, `"max_body_bytes":8388608`, 1)
+	f.putConfig(0, "k1", "k2")
+	u := f.rawUpstream("i-1", func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+		id := u.recordRequest(r)
+		time.Sleep(500 * time.Millisecond)
+		_, _ = io.WriteString(conn, signedResponse(id, "done"))
+	})
+	f.start()
+	return u
+}
+
+// largeBody and chunkedBody are shared by all callers, so that the heap has one copy of them beside the router's.
+var (
+	largeBody   = strings.Repeat("x", overloadBody)
+	chunkedBody = strings.Repeat("1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", overloadBody/0x1000) + "0\r\n\r\n"
+)
+
+// bodySenders are the ways in which a caller sends a large body. Each returns the status of the answer and its Retry-After.
+var bodySenders = map[string]func(f *fleet, id string) (status int, retryAfter string){
+	"whole": func(f *fleet, id string) (int, string) {
+		req := alert(id)
+		req.body = largeBody
+		resp := f.send(req)
+		return resp.status, resp.header.Get("Retry-After")
+	},
+	"slow": func(f *fleet, id string) (int, string) {
+		return f.sendInParts(id, fmt.Sprint("Content-Length: ", overloadBody), largeBody, 300*time.Millisecond)
+	},
+	"in chunks": func(f *fleet, id string) (int, string) {
+		return f.sendInParts(id, "Transfer-Encoding: chunked", chunkedBody, 0)
+	},
+}
+
+// sendInParts sends a request with a pause before its last kilobyte, and returns the status and Retry-After of the answer.
+// framing is the header that says how long the body is.
+func (f *fleet) sendInParts(id, framing, body string, pause time.Duration) (status int, retryAfter string) {
+	conn := f.dialAndWrite(strings.Replace(rawAlert(id, ""), "Content-Length: 0", framing, 1))
+	defer func() { _ = conn.Close() }()
+	go func() {
+		_, _ = io.WriteString(conn, body[:len(body)-1024]) // fails if the request is refused
+		time.Sleep(pause)
+		_, _ = io.WriteString(conn, body[len(body)-1024:])
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+// Guards against bodies that are each within their limit and together take the router's memory. What finds no room is
+// refused as not run, with the time to come back; other callers are served, and changes are in force in time.
+func TestSumOfLargeBodies(t *testing.T) {
+	for way, send := range bodySenders {
+		t.Run(way, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				u := overloadFleet(f)
+				before, began := heapBytes(), time.Now()
+				var mu sync.Mutex
+				byStatus := map[int]int{}
+				var wg sync.WaitGroup
+				for n := range overloadCallers {
+					wg.Go(func() {
+						status, retryAfter := send(f, fmt.Sprint("r", n))
+						mu.Lock()
+						defer mu.Unlock()
+						byStatus[status]++
+						if status == http.StatusTooManyRequests {
+							seconds, err := strconv.ParseFloat(retryAfter, 64)
+							require.NoError(t, err)
+							require.InDelta(t, 0.5, seconds, 0.5)
+							require.Less(t, time.Since(began), 400*time.Millisecond, "refused at once")
+						}
+					})
+				}
+				time.Sleep(200 * time.Millisecond)
+				synctest.Wait()
+				held := heapBytes() - before
+				t.Logf("%d callers: %d MiB", overloadCallers, held>>20)
+				require.Equal(t, 200, f.send(alert("small")).status)
+				f.putConfig(0, "k1")
+				f.settle()
+				removed := level("removed-key")
+				removed.key = "k2"
+				require.Equal(t, 401, f.send(removed).status)
+				wg.Wait()
+				t.Log("answers by status:", byStatus)
+				require.Less(t, held, int64(maxBodies+16<<20), "the bodies, and buffers of connections")
+				require.Equal(t, overloadCallers, byStatus[200]+byStatus[429])
+				require.GreaterOrEqual(t, byStatus[200]*overloadBody, maxBodies/2, "nothing is refused while half of the room is free")
+				require.Equal(t, byStatus[200]+1, len(u.receivedIDs()), "what was refused did not run")
+				for n := range 100 { // all that was held was released
+					status, _ := send(f, fmt.Sprint("next-", n))
+					require.Equal(t, 200, status)
+				}
+			})
+		})
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -132,10 +132,26 @@
 	WriteTimeout fleet.Duration `yaml:"write_timeout"`
 	// MemoryMB is the memory (MiB) that the process may use.
 	MemoryMB int `yaml:"memory_mb"`
+	// BodiesMB is the memory (MiB) that the bodies of callers' requests may take together; 0 is a quarter of MemoryMB.
+	BodiesMB int `yaml:"bodies_mb"`
 	// LinkMbps is the rate (Mbit/s) of the VM's network link; 0 is no limit.
 	LinkMbps float64 `yaml:"link_mbps"`
 }
 
+// defaultBodiesShare is the part of the process's memory that callers' bodies may take together if it is not set.
+const defaultBodiesShare = 0.25
+
+// bytesPerMiB converts MiB to bytes.
+const bytesPerMiB = 1 << 20
+
+// BodyBytes returns the bytes that the bodies of callers' requests may take together.
+func (l GatewayLimits) BodyBytes() int64 {
+	if l.BodiesMB > 0 {
+		return int64(l.BodiesMB) * bytesPerMiB
+	}
+	return int64(defaultBodiesShare * float64(l.MemoryMB) * bytesPerMiB)
+}
+
 // Stop configures a planned stop.
 type Stop struct {
 	// Notice is how long new connections of callers are still served after the
@@ -246,6 +262,7 @@
 	c.require(s.Limits.Concurrent > 0, "limits.concurrent_requests", "must be positive")
 	c.require(s.Limits.LinkMbps >= 0, "limits.link_mbps", "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
+	c.require(s.Limits.BodiesMB >= 0 && s.Limits.BodiesMB <= s.Limits.MemoryMB, "limits.bodies_mb", "must not be negative, nor above limits.memory_mb")
 	c.require(s.Stop.Notice < s.Stop.Grace, "stop.notice", "must be shorter than stop.grace")
 	c.positive("repeats.window", s.Retries.Window)
 	c.positive("upstreams.dial_timeout", s.Upstreams.DialTimeout)
