Budgets: lots of a router are settled once it has ended, not after 45 s

Cause: a lender settled the lots of a router that does not return them after the router had been unlisted for 45 s, also if its VM had a newer incarnation, or if it had announced its end. An entry stays listed for up to 30 s before that.

Ruled out: giving the lots back. No member has a record of the rest, so all count as used.

Change: each second a lender settles the lots of routers that have announced their end or have a newer incarnation on their VM. A router that is listed as replaced but answers goes on: an entry of an earlier incarnation may be written late. An absent router has not ended; it is settled after 45 s as before. Each settlement has a log line (who, why, lots, reserved, used, returned, age) and two counters. Settled lots no longer count in the average time after which tokens come back.

Before: TestLotsOfAReplacedRouterAreSettled failed, "Should be empty, but was map[router-0/...:[{lender-0/... 1 700}]]".

The list of members of tokenFleet numbers its entries in the order of their start, as the store does: a process that was started again had the revision of its predecessor.

--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -151,6 +151,48 @@
 	return out
 }
 
+// LostLots are the open lots of one budget whose borrower does not return them.
+type LostLots struct {
+	Budget string
+	Lots   int
+	Tokens int64
+	// Oldest is when the first of them was lent.
+	Oldest time.Time
+}
+
+// SettleLots settles the open lots of a borrower as used in full and lists them by budget. They count neither as demand nor in the
+// average time that lots stay open.
+func (h *Holder) SettleLots(borrower string) []LostLots {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []LostLots
+	for _, b := range h.budgets {
+		if lost := b.settleLots(borrower); lost.Lots > 0 {
+			b.nextSync = time.Time{}
+			out = append(out, lost)
+		}
+	}
+	return out
+}
+
+func (b *localBudget) settleLots(borrower string) LostLots {
+	lost := LostLots{Budget: b.name}
+	for id, l := range b.lent {
+		if l.borrower != borrower {
+			continue
+		}
+		if lost.Lots == 0 || l.at.Before(lost.Oldest) {
+			lost.Oldest = l.at
+		}
+		lost.Lots++
+		lost.Tokens += l.part.Tokens
+		b.settle(l.part.Seq, l.part.Tokens)
+		b.exposureOf(borrower).closeLot(l.part.Tokens, l.part.Tokens)
+		delete(b.lent, id)
+	}
+	return lost
+}
+
 // ReleaseLots makes the idle lots of a budget go back with the next CloseLots.
 func (h *Holder) ReleaseLots(budget string) {
 	h.mu.Lock()
--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -199,6 +199,34 @@
 	return false
 }
 
+// HasSuccessor reports whether the VM of an incarnation that is listed, or was lately, has or had a newer one of the same role. An
+// incarnation that was never listed here has none: the view may be older than its entry.
+func (g *Group) HasSuccessor(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old, known := g.members[g.Prefix+id]
+	if !known {
+		var former formerMember
+		former, known = g.former[g.Prefix+id]
+		old = former.Member
+	}
+	if !known {
+		return false
+	}
+	newer := func(m Member) bool { return m.VM == old.VM && m.Role == old.Role && m.revision > old.revision }
+	for _, m := range g.former {
+		if newer(m.Member) {
+			return true
+		}
+	}
+	for _, m := range g.members {
+		if newer(m) {
+			return true
+		}
+	}
+	return false
+}
+
 // Version changes with each change of the view.
 func (g *Group) Version() uint64 {
 	g.mu.Lock()
--- /dev/null
+++ b/prepaid/borrowers_internal_test.go
@@ -0,0 +1,111 @@
+package prepaid
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/coord/store"
+	"github.com/stretchr/testify/require"
+)
+
+// settlementBound is the time within which the lots of a router are settled once its VM has a newer incarnation.
+const settlementBound = 2 * settleInterval
+
+// Guards against tokens that a router which has ended had reserved, and that look reserved until it has been unlisted for 45 s: callers
+// are told to come again for them, and a lender that stops waits for them.
+func TestLotsOfAReplacedRouterAreSettled(t *testing.T) {
+	withTokenFleet(t, true, 1000, 1, 2, func(t *testing.T, f *tokenFleet) {
+		gone, other := f.routers()[0], f.routers()[1]
+		require.Nil(t, gone.reserve(t.Context(), 0, 700).refusal)
+		time.Sleep(3 * time.Second)
+		f.kill(gone)
+		time.Sleep(settlementBound)
+		require.NotEmpty(t, f.primary().holder.LentLots(), "nothing shows that it has ended")
+		require.Equal(t, contract.BudgetUnreachable, other.reserve(t.Context(), 0, 500).refusal.Kind)
+
+		f.start(RoleRouter, gone.member.VM)
+		time.Sleep(settlementBound)
+		require.Empty(t, f.primary().holder.LentLots())
+		require.Equal(t, contract.BudgetExhausted, other.reserve(t.Context(), 0, 500).refusal.Kind)
+		require.EqualValues(t, 300, f.spendRest())
+		require.Regexp(t, `"borrower":"`+gone.member.ID+`","why":"replaced","budget":"team","lots":1,"reserved":700,"used":700,"returned":0,"oldest_ms":[5-9]\d{3},`+
+			`"event":"lots_of_gone_member_counted_as_used"`, f.primary().log.String())
+		var out bytes.Buffer
+		f.primary().metrics.WritePrometheus(&out)
+		require.Contains(t, out.String(), `arbutusmill_budget_settled_tokens_total{why="replaced"} 700`)
+	})
+}
+
+// lateEntry is the entry of an earlier incarnation of a node that is written after the node's own.
+func (f *tokenFleet) lateEntry(n *tokenNode) store.Event {
+	earlier := n.member
+	earlier.ID += "-earlier"
+	value, err := json.Marshal(earlier)
+	require.NoError(f.t, err)
+	return store.Event{Item: store.Item{Key: "m/" + earlier.ID, Value: value, Revision: n.entry.Revision + 1000}}
+}
+
+// Guards against lots that are settled while their router may run on them, and against lots that are never settled.
+func TestLotsAreSettledOnceTheirRouterHasEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		happens func(f *tokenFleet, router *tokenNode)
+		after   time.Duration
+		why     string
+	}{
+		"its requests last": {after: 2 * absenceTimeout},
+		"it is unlisted for less than the timeout": {
+			happens: func(f *tokenFleet, router *tokenNode) {
+				f.primary().members.Changed(store.Event{Item: store.Item{Key: router.entry.Key}, Deleted: true})
+			},
+			after: absenceTimeout - time.Second,
+		},
+		"it is unlisted for the timeout": {
+			happens: func(f *tokenFleet, router *tokenNode) {
+				f.primary().members.Changed(store.Event{Item: store.Item{Key: router.entry.Key}, Deleted: true})
+			},
+			after: absenceTimeout + settlementBound, why: "absent",
+		},
+		"the entry of an earlier incarnation is written late": {
+			happens: func(f *tokenFleet, router *tokenNode) { f.primary().members.Changed(f.lateEntry(router)) },
+			after:   2 * absenceTimeout,
+		},
+		"it has announced its end": {
+			happens: func(f *tokenFleet, router *tokenNode) {
+				router.AnnounceEnd(f.t.Context())
+				f.kill(router)
+			},
+			after: settlementBound, why: "announced",
+		},
+		"its successor has ended too": {
+			happens: func(f *tokenFleet, router *tokenNode) {
+				f.kill(router)
+				next := f.start(RoleRouter, router.member.VM)
+				f.kill(next)
+				f.listMembers()
+			},
+			after: settlementBound, why: "replaced",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTokenFleet(t, true, 1000, 1, 3, func(t *testing.T, f *tokenFleet) {
+				router, primary := f.routers()[0], f.primary()
+				held := router.reserve(t.Context(), 0, 700)
+				require.Nil(t, held.refusal)
+				if c.happens != nil {
+					c.happens(f, router)
+				}
+				time.Sleep(c.after)
+				require.Equal(t, c.why == "", len(primary.holder.LentLots()) > 0)
+				if c.why != "" {
+					require.Contains(t, primary.log.String(), `"why":"`+c.why+`"`)
+				}
+				held.settle(100) // also by a router that was presumed dead
+				time.Sleep(5 * time.Second)
+				require.LessOrEqual(t, 100+f.spendRest(), int64(1000))
+			})
+		})
+	}
+}
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -272,7 +272,7 @@
 	tasks.Every(reopenInterval, b.openPages)
 	tasks.Every(lotReturnInterval, b.returnLots)
 	tasks.Every(auditInterval, b.endpoint.AuditLots)
-	tasks.Every(auditInterval, b.settleAbsentBorrowers)
+	tasks.Every(settleInterval, b.settleBorrowers)
 	tasks.Every(probeInterval, b.probePeers)
 	tasks.Every(settleInterval, b.settleDeadLenders)
 	tasks.Every(settleInterval, b.admitNewRouters)
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/arbutusmill/arbutusmill/coord/account"
 	"github.com/arbutusmill/arbutusmill/coord/grant"
 	"github.com/arbutusmill/arbutusmill/coord/member"
 	"github.com/arbutusmill/arbutusmill/link"
@@ -146,24 +145,3 @@
 
 // returnLots returns unused lots to their lenders.
 func (b *Budgets) returnLots(ctx context.Context) { b.endpoint.ReturnLots(ctx, lotIdleTime) }
-
-// settleAbsentBorrowers counts the lots of routers that are gone as used: a dead router may have
-// spent what it had not returned.
-func (b *Budgets) settleAbsentBorrowers(context.Context) {
-	if b.storeOutage.ongoing() {
-		return // missing members cannot be detected without the store
-	}
-	now := time.Now()
-	for borrower := range b.holder.LentLots() {
-		_, listed := b.members.Get(borrower)
-		if b.absent.heldFor(now, borrower, !listed) < absenceTimeout {
-			continue
-		}
-		lots := b.holder.LentTo(borrower)
-		for _, l := range lots {
-			l.Used = account.MaxTokens // TakeBack caps it at the lent amount
-			b.holder.TakeBack(now, l)
-		}
-		b.log.Warn().Str("borrower", borrower).Int("lots", len(lots)).Msg("lots_of_gone_member_counted_as_used")
-	}
-}
--- a/prepaid/queueing_internal_test.go
+++ b/prepaid/queueing_internal_test.go
@@ -36,12 +36,14 @@
 	queueing bool
 	limit    int64
 	nodes    []*tokenNode
+	started  int // nodes that were ever started
 }
 
 // tokenNode is one process of a tokenFleet.
 type tokenNode struct {
 	*Budgets
 	member  member.Member
+	entry   store.Item // in the list of members
 	members *member.Group
 	log     syncBuffer
 	links   *link.Pool
@@ -107,6 +109,10 @@
 	n.Budgets = New(Parts{Incarnation: n.member.ID, Settings: budgets, Store: f.store, Members: n.members, Links: n.links, Limits: limits,
 		LendsOnly: role == RoleLender, Queueing: f.queueing, Metrics: metrics.NewSet(), Log: zerolog.New(&n.log)})
 	f.nodes = append(f.nodes, n)
+	f.started++
+	value, err := json.Marshal(n.member)
+	require.NoError(f.t, err)
+	n.entry = store.Item{Key: "m/" + n.member.ID, Value: value, Revision: store.Revision(f.started)}
 	f.listMembers()
 	ctx, cancel := context.WithCancel(f.t.Context())
 	n.cancel, n.tasks = cancel, process.NewTaskGroup(ctx)
@@ -139,10 +145,8 @@
 // listMembers gives all processes the list of those that run.
 func (f *tokenFleet) listMembers() {
 	var items []store.Item
-	for i, n := range f.nodes {
-		value, err := json.Marshal(n.member)
-		require.NoError(f.t, err)
-		items = append(items, store.Item{Key: "m/" + n.member.ID, Value: value, Revision: store.Revision(i + 1)})
+	for _, n := range f.nodes {
+		items = append(items, n.entry)
 	}
 	for _, n := range f.nodes {
 		n.members.Reset(items)
