Planned stop: calls of a silent store end with the grace period

Callers saw nothing: all requests were answered. Operators saw a process that was killed: with a store that did not answer, a router ended up to 9.8 s after the signal, a lender 8.5 s, and the grace period is 8 s.

Cause: a sync of a page of budgets has a timeout of its own (2 s), since other requests wait for it, and the end of the process waited for the syncs in flight without a limit. Ruled out: the periodic tasks, the link server, the renewal and the end of the lease all follow their contexts; nothing else is waited for.

StoreGranter.Stop waits until a context ends and cancels the rest, also syncs that begin later. A router gives them the time for requests, a lender half a second of its margin, so a store that answers slowly still takes tokens back.

Open: with a silent store and callers that do not read, a router ends 7.85 s after it handled the signal; one that handled it 0.3 s late is still killed.

--- a/coord/grant/granter.go
+++ b/coord/grant/granter.go
@@ -67,7 +67,12 @@
 	// Now returns the current time.
 	Now func() time.Time
 
-	inFlight  sync.WaitGroup
+	inFlight sync.WaitGroup
+	// cancelSyncs cancels syncs, and with it all syncs in flight.
+	syncs       context.Context
+	cancelSyncs context.CancelFunc
+	once        sync.Once
+
 	mu        sync.Mutex
 	syncCalls map[string]*syncCall
 	pageCache map[string]cachedPage
@@ -147,11 +152,26 @@
 // started.
 func (g *StoreGranter) Wait() { g.inFlight.Wait() }
 
+// Stop waits for the syncs in flight until the context ends, and cancels the remaining ones and those that begin later.
+// Call it when the process ends.
+func (g *StoreGranter) Stop(ctx context.Context) {
+	g.init()
+	stop := context.AfterFunc(ctx, g.cancelSyncs)
+	defer stop()
+	g.inFlight.Wait()
+}
+
+func (g *StoreGranter) init() {
+	g.once.Do(func() { g.syncs, g.cancelSyncs = context.WithCancel(context.Background()) })
+}
+
 // runSync runs a sync. Other requests wait for it too, so it must not end when the request that
 // started it is canceled or reaches its deadline.
 func (g *StoreGranter) runSync(ctx context.Context, key string, c *syncCall) {
 	syncCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cmp.Or(g.SyncTimeout, g.Timeout))
 	defer cancel()
+	g.init()
+	defer context.AfterFunc(g.syncs, cancel)()
 	c.err = g.sync(syncCtx, key)
 	if g.OnSyncEnd != nil {
 		g.OnSyncEnd(g.Now().Sub(c.began), c.err)
--- a/coord/grant/pages_test.go
+++ b/coord/grant/pages_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
@@ -97,6 +98,24 @@
 	})
 }
 
+// Guards against a process that ends late because a sync of a silent store is in flight, or begins, when it stops.
+func TestStopCancelsSyncs(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		h := newStoreHolder(t, 100)
+		h.store.SetFaults(memstore.Faults{Delay: time.Hour})
+		key := h.pages.Layout.Key("team")
+		go func() { require.Error(t, h.pages.Sync(t.Context(), key)) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		h.pages.Stop(ctx)
+		require.Equal(t, 100*time.Millisecond, time.Since(began))
+		require.Error(t, h.pages.Sync(t.Context(), key))
+		require.Equal(t, 100*time.Millisecond, time.Since(began))
+	})
+}
+
 // Guards against a router that keeps its row, and takes more tokens from the store, after it
 // reaches a lender again.
 func TestBorrowerRemovesItsRow(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -259,12 +259,13 @@
 	g.startServers(tasks, listeners, callers)
 	g.startTasks(tasks)
 	<-stop.Done()
-	g.shutdown(ctx, callers)
+	lastCalls, cancelCalls := context.WithDeadline(context.WithoutCancel(stop), g.shutdown(ctx, callers))
+	defer cancelCalls()
 	g.transport.CloseIdleConnections()
 	cancel()
 	g.Links.Close()
 	tasks.Wait()
-	g.Budgets.Wait()
+	g.Budgets.Stop(lastCalls)
 	return nil
 }
 
--- a/gateway/plannedstop_test.go
+++ b/gateway/plannedstop_test.go
@@ -13,8 +13,11 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/account"
+	"github.com/arbutusmill/arbutusmill/coord/store/memstore"
 	settingsfleet "github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/arbutusmill/arbutusmill/platform/standin"
+	prepaidtokens "github.com/arbutusmill/arbutusmill/prepaid"
 	"github.com/stretchr/testify/require"
 )
 
@@ -169,6 +172,7 @@
 	time.Sleep(delay)
 	f.stopVM(1)
 	kill.Stop()
+	require.Less(f.t, time.Since(signal), stopGrace+delay, "the process ends within its grace period")
 	exit()
 	wg.Wait()
 	time.Sleep(time.Second) // net/http lingers on some connections
@@ -296,3 +300,59 @@
 		}
 	}
 }
+
+// Guards against a process that still waits for its last calls of the store when it is killed at the end of the grace period.
+func TestPlannedStopEndsBesideASilentStore(t *testing.T) {
+	for _, role := range []string{"router", "lender"} {
+		for _, silentAfter := range []time.Duration{0, 5 * time.Second, 6900 * time.Millisecond, 7350 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, silent after %v", role, silentAfter), func(t *testing.T) {
+				withFleet(t, func(f *fleet) {
+					f.template = strings.ReplaceAll(configTemplate, `"timeout_ms":6000`, `"timeout_ms":12000`)
+					f.putConfig(1_000_000, "k1")
+					f.upstream("i-1", "model", 1000)
+					stop := func() { f.stopVM(1) }
+					if role == "lender" {
+						stop, _ = f.startLender(firstLender, "")
+					}
+					f.start()
+					var caller sync.WaitGroup
+					defer caller.Wait()
+					long := chat("long")
+					long.deadline = 12 * time.Second
+					caller.Go(func() { f.send(long) }) // it holds tokens until the end
+					f.settle()
+					signal := time.Now()
+					time.AfterFunc(silentAfter, func() { f.store.SetUnresponsive(true) })
+					stop()
+					require.Less(f.t, time.Since(signal), stopGrace)
+				})
+			})
+		}
+	}
+}
+
+// Guards against tokens that count as used after a planned stop because the store answers their return slowly.
+func TestPlannedStopReturnsTokensToASlowStore(t *testing.T) {
+	const prepaid = 1_000_000
+	for _, role := range []string{"router", "lender"} {
+		t.Run(role, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				f.putConfig(prepaid, "k1")
+				f.upstream("i-1", "model", 5)
+				stop := func() { f.stopVM(1) }
+				if role == "lender" {
+					stop, _ = f.startLender(firstLender, "")
+				}
+				f.start()
+				require.Equal(f.t, 200, f.send(chat("c")).status)
+				time.Sleep(2 * time.Second) // unused tokens return to the lender
+				f.store.SetFaults(memstore.Faults{Delay: 500 * time.Millisecond})
+				stop()
+				accounts := account.AdminClient{Store: f.store.Store, Layout: account.Layout{Prefix: prepaidtokens.PagePrefix, Pages: f.settings(1).Budgets.Pages}}
+				a, err := accounts.Get(f.t.Context(), "pilots")
+				require.NoError(f.t, err)
+				require.EqualValues(f.t, prepaid-1015, a.Free(), "all but the tokens of the request")
+			})
+		})
+	}
+}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -22,11 +22,12 @@
 )
 
 // shutdown stops the gateway within the grace period: it waits for the notice period, shuts the
-// caller server down, returns unused tokens and ends the membership.
-func (g *Gateway) shutdown(ctx context.Context, callers *http.Server) {
+// caller server down, returns unused tokens and ends the membership. It returns the end of the time for calls of the store that
+// are still in progress.
+func (g *Gateway) shutdown(ctx context.Context, callers *http.Server) (end time.Time) {
 	start := time.Now()
 	s := g.current.Load().Stop
-	end := start.Add(time.Duration(s.Grace) - stopMargin)
+	end = start.Add(time.Duration(s.Grace) - stopMargin)
 	g.stopping.Store(true)
 	g.Log.Info().Int64("active", g.activeRequests.Load()).Msg("stopping")
 	ctx, cancel := context.WithDeadline(ctx, end)
@@ -38,6 +39,7 @@
 	defer cancelLeave()
 	g.Leave(leaveCtx)
 	g.Log.Info().Int64("active", g.activeRequests.Load()).Int64("took_ms", time.Since(start).Milliseconds()).Msg("stopped")
+	return end
 }
 
 // shutDownCallers waits for active requests until ctx ends, and cancels the remaining ones: their callers get an answer
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -145,11 +145,12 @@
 	l.Start(tasks)
 	l.Admin.SetReady(true)
 	<-stop.Done()
-	l.stop(ctx)
+	lastCalls, cancelCalls := context.WithDeadline(context.WithoutCancel(stop), l.stop(ctx))
+	defer cancelCalls()
 	cancel()
 	l.Links.Close()
 	tasks.Wait()
-	l.Budgets.Wait()
+	l.Budgets.Stop(lastCalls)
 	return nil
 }
 
@@ -201,22 +202,29 @@
 	return link.Empty{}, nil
 }
 
-// stopMargin is the part of the grace period that is reserved for the end of the process.
-const stopMargin = time.Second
+const (
+	// stopMargin is the part of the grace period that is reserved for the end of the process.
+	stopMargin = time.Second
+	// lastCallTime is the part of stopMargin for calls of the store that are still in progress.
+	lastCallTime = 500 * time.Millisecond
+)
 
 // stop performs a planned stop: other processes become primaries in this one's place, and lent
-// tokens are returned as the borrowers' requests end. Tokens still lent afterwards count as used.
-func (l *Lender) stop(ctx context.Context) {
+// tokens are returned as the borrowers' requests end. Tokens still lent afterwards count as used. It returns the end of the time
+// for calls of the store that are still in progress.
+func (l *Lender) stop(ctx context.Context) time.Time {
 	began := time.Now()
 	l.stopping.Store(true)
 	l.Log.Info().Msg("stopping")
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(l.current.Load().Stop.Grace)-stopMargin)
+	end := began.Add(time.Duration(l.current.Load().Stop.Grace) - stopMargin)
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	l.Members.SetWithdrawn(true)
 	l.Hub.Stop()
 	l.streams.move(ctx)
 	l.Leave(ctx)
 	l.Log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
+	return end.Add(lastCallTime)
 }
 
 // Reload applies validated settings as far as a running process can change them.
--- a/prepaid/pages.go
+++ b/prepaid/pages.go
@@ -11,8 +11,9 @@
 	"github.com/arbutusmill/arbutusmill/coord/store"
 )
 
-// Wait waits for calls in progress after the periodic tasks have ended.
-func (b *Budgets) Wait() { b.pages.Wait() }
+// Stop waits for calls of the store in progress until the context ends, and cancels the remaining ones. It is called after the
+// periodic tasks have ended.
+func (b *Budgets) Stop(ctx context.Context) { b.pages.Stop(ctx) }
 
 // recovering reports whether an outage of the store ended recently.
 func (b *Budgets) recovering() bool { return b.storeOutage.endedWithin(recoveryTime) }
--- a/prepaid/queueing_internal_test.go
+++ b/prepaid/queueing_internal_test.go
@@ -154,7 +154,7 @@
 	n.cancel()
 	n.links.Close()
 	n.tasks.Wait()
-	n.Budgets.Wait()
+	n.Budgets.Stop(context.Background())
 	f.nodes = slices.DeleteFunc(f.nodes, func(other *tokenNode) bool { return other == n })
 }
 
--- a/prepaid/regionfleet_test.go
+++ b/prepaid/regionfleet_test.go
@@ -124,7 +124,7 @@
 	}
 	for _, p := range f.all() {
 		p.tasks.Wait()
-		p.Wait()
+		p.Stop(context.Background())
 	}
 	time.Sleep(time.Minute) // messages and admissions in flight have ended
 }
