TestSumOfLargeResponses: the stand-in says that it closes the connection

The log shows "unknown (EOF)" for the request after a sound response: the stand-in closes the connection after a response that lets the router keep it, and the next request, which may not run twice, was sent on it. The router's answer is right; the stand-in's response is not what a server sends that closes.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -122,7 +122,8 @@
 					id := u.recordRequest(r)
 					switch id[0] {
 					case 's':
-						_, _ = io.WriteString(conn, signedResponse(id, "data: "+large[:500<<10]+"\n\n"))
+						body := "data: " + large[:500<<10] + "\n\n"
+						_, _ = io.WriteString(conn, signedHead(200, id, fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n", len(body)))+body)
 						return
 					case 'f':
 						_, _ = io.WriteString(conn, signedHead(500, id, "\r\n")+large[:500<<10])
