Budgets: a lender that has announced its end is settled at once

What callers saw: when a planned stop of a lender ended with lots still lent (`tokens_not_given_back`), all that was left in its rows stayed reserved until its VM had a newer incarnation, or for 45 s after its lease.

Cause: the announcement of an end counted only while pages were opened after a restoration of the store; the settlement of dead lenders did not ask for it.

Ruled out: treating such a lender as dead everywhere. The balance of dead rows counts as spent, so that requests get 402; here tokens may still come free.

Change: the next primary settles rows of a lender that has announced its end, by the reports of its borrowers and, for those that have ended, by its witnesses, as those of a dead one. That is safe also if the announcement were wrong: the list of borrowers is sealed, and borrowers that have reported use nothing more of that lender.

Before: TestLenderThatAnnouncedItsEndIsSettled failed in both cases (600 of 700 tokens could be spent; no `lender_settled`). It passes now.

--- a/prepaid/borrowers_internal_test.go
+++ b/prepaid/borrowers_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -109,3 +110,46 @@
 		})
 	}
 }
+
+// Guards against tokens of a lender that has stopped as planned, which stay reserved until it has been unlisted for 45 s since a router
+// had not returned its lots in time.
+func TestLenderThatAnnouncedItsEndIsSettled(t *testing.T) {
+	for name, routerEnds := range map[string]bool{"a router's request lasts longer": false, "the router has ended with it": true} {
+		t.Run(name, func(t *testing.T) {
+			withTokenFleet(t, true, 1000, 4, 3, func(t *testing.T, f *tokenFleet) {
+				lender, router := f.primary(), f.routers()[0]
+				held := router.reserve(t.Context(), 0, 400)
+				require.Nil(t, held.refusal)
+				time.Sleep(time.Second)
+				lender.members.SetWithdrawn(true)
+				stopping, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				require.Error(t, lender.ReturnTokens(stopping))
+				if routerEnds {
+					f.kill(router)
+					f.start(RoleRouter, router.member.VM)
+				}
+				lender.AnnounceEnd(t.Context())
+				f.kill(lender)
+				f.listMembers()
+				time.Sleep(settlementBound)
+				held.settle(300)
+				time.Sleep(settleWait)
+				free := int64(700) // of 1000
+				if routerEnds {
+					free = 600 // it reports no use
+				}
+				require.Equal(t, free, f.spendRest())
+				require.Contains(t, f.log(), `"event":"lender_settled"`)
+			})
+		})
+	}
+}
+
+// log returns what all running processes have logged.
+func (f *tokenFleet) log() (out string) {
+	for _, n := range f.nodes {
+		out += n.log.String()
+	}
+	return out
+}
--- a/prepaid/exposure.go
+++ b/prepaid/exposure.go
@@ -120,7 +120,7 @@
 // hasLeft reports whether a lender has left the list, was replaced or has announced its end.
 func (b *Budgets) hasLeft(id string) bool {
 	_, listed := b.members.Get(id)
-	return !listed || b.isDead(id) || b.endedLately.within(id, recentRetention)
+	return !listed || b.hasEnded(id)
 }
 
 // forgetLimits drops the limits of lenders that are long gone.
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -26,6 +26,11 @@
 	return b.absent.heldFor(time.Now(), incarnation, !listed && !b.storeOutage.ongoing()) >= absenceTimeout
 }
 
+// hasEnded reports whether an incarnation has announced its end or is dead.
+func (b *Budgets) hasEnded(incarnation string) bool {
+	return b.endedLately.within(incarnation, recentRetention) || b.isDead(incarnation)
+}
+
 // role returns this process's role for a budget. Before the members are known it is not the
 // primary: if every process of a new fleet assumed that role, each would hold tokens for large
 // requests. A withdrawn process is neither primary nor standby, even for routers that have an
--- a/prepaid/reconcile.go
+++ b/prepaid/reconcile.go
@@ -100,7 +100,7 @@
 		_, ended := r.ended[id]
 		switch {
 		case answered || ended:
-		case b.isDead(id) || b.endedLately.within(id, recentRetention):
+		case b.hasEnded(id):
 			r.ended[id] = m
 		default:
 			out = append(out, m)
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -114,11 +114,11 @@
 
 // newSettler returns a settler of dead lenders.
 func (b *Budgets) newSettler() *settlement.Settler {
-	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Answers: &b.answers, Ended: b.isDead, AskBorrower: b.endpoint.AskBorrowed,
+	return &settlement.Settler{Store: b.pages.Store, Prefix: lendsPrefix, Answers: &b.answers, Ended: b.hasEnded, AskBorrower: b.endpoint.AskBorrowed,
 		AskWitness: b.queryWitness, Routers: b.knownRouters}
 }
 
-// settleDeadLenders settles the rows of dead lenders on the pages of which this process is the primary.
+// settleDeadLenders settles the rows of lenders that are dead or have announced their end on the pages of which this process is the primary.
 func (b *Budgets) settleDeadLenders(ctx context.Context) {
 	if b.storeOutage.ongoing() {
 		return // missing members cannot be detected without the store
@@ -126,7 +126,7 @@
 	others := b.holder.OtherHolders()
 	b.unsettled.retain(others)
 	for _, lender := range others {
-		if b.isDead(lender) && !b.unsettled.has(lender) {
+		if b.hasEnded(lender) && !b.unsettled.has(lender) {
 			b.settleLender(ctx, lender)
 		}
 	}
