Budgets: what a dead lender held is not used up before its settlement

What callers saw: for up to 8 s after the VM of a killed lender had started again, requests that needed more than the rest of the budget got 402, although the settlement of that lender then freed enough for them. A caller does not come again after a 402.

Cause: the balance of dead incarnations was taken off what is left of a budget as soon as they were known to be dead, whether or not their settlement was still to come.

Ruled out: taking it off only once a settlement has failed. A process that does not settle the lender itself never finds that out; there it counts as spent after the time that a settlement takes.

Change: the balance counts as spent if the settlement has found the use unknown for good, or after 10 s at processes that do not settle it. Until then such requests get 503. Nothing is granted of it before either way.

Before: TestTokensOfADeadLenderAreNotUsedUpBeforeItsSettlement failed in both cases ("expected budget_unreachable, actual budget_exhausted"). It passes now; with the lender's witnesses and the borrower killed as well, requests get 402 once it is true.

--- a/prepaid/borrowers_internal_test.go
+++ b/prepaid/borrowers_internal_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,3 +154,50 @@
 	}
 	return out
 }
+
+// Guards against a 402 for tokens of a dead lender that its settlement frees seconds later, and against a 503 once nothing can come free.
+func TestTokensOfADeadLenderAreNotUsedUpBeforeItsSettlement(t *testing.T) {
+	for name, routerEnds := range map[string]bool{"settled": false, "cannot be settled": true} {
+		t.Run(name, func(t *testing.T) {
+			withTokenFleet(t, true, 1000, 4, 3, func(t *testing.T, f *tokenFleet) {
+				lender, router := f.primary(), f.routers()[0]
+				held := router.reserve(t.Context(), 0, 400)
+				require.Nil(t, held.refusal)
+				time.Sleep(time.Second)
+				if routerEnds { // and with it the lenders that witnessed its use
+					for _, witness := range lender.exposure.Witnesses() {
+						f.restart(f.node(witness))
+					}
+					f.restart(router)
+				}
+				f.restart(lender)
+				asking := f.routers()[0]
+				r := asking.reserve(t.Context(), 0, 600)
+				require.Equal(t, contract.BudgetUnreachable, r.refusal.Kind)
+				held.settle(100)
+				for end := time.Now().Add(settleWait + settlementBound); r.refusal != nil && time.Now().Before(end); time.Sleep(time.Second) {
+					if r = asking.reserve(t.Context(), 0, 600); r.refusal != nil && r.refusal.Kind == contract.BudgetExhausted {
+						break
+					}
+				}
+				if routerEnds {
+					require.Equal(t, contract.BudgetExhausted, r.refusal.Kind, f.log())
+					return
+				}
+				require.Nil(t, r.refusal, f.log())
+			})
+		})
+	}
+}
+
+// restart kills a node and starts the next incarnation on its VM.
+func (f *tokenFleet) restart(n *tokenNode) {
+	f.kill(n)
+	f.start(n.member.Role, n.member.VM)
+}
+
+func (f *tokenFleet) node(id string) *tokenNode {
+	i := slices.IndexFunc(f.nodes, func(n *tokenNode) bool { return n.member.ID == id })
+	require.GreaterOrEqual(f.t, i, 0)
+	return f.nodes[i]
+}
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -156,6 +156,8 @@
 	// settling tracks how long dead lenders have been waiting for their settlement,
 	// and unsettled names those that cannot be settled.
 	settling conditionTimers
+	// deadHolders tracks how long holders have been dead.
+	deadHolders conditionTimers
 	// answers caches the borrowers' reports about dead lenders.
 	answers   settlement.AnswerCache
 	unsettled nameSet
@@ -231,7 +233,7 @@
 	})
 	b.witness.ID = p.Incarnation
 	b.holder.SetDemandWindow(time.Duration(s.DemandWindow))
-	b.holder.UseMinimalRows(b.isDead)
+	b.holder.UseMinimalRows(b.isForfeit)
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout,
 		CallTimeout: callTimeout, SyncTimeout: syncTimeout, Now: time.Now, Prepare: b.prepare,
--- a/prepaid/outage.go
+++ b/prepaid/outage.go
@@ -110,6 +110,20 @@
 	return now.Sub(t.since[name])
 }
 
+// holds reports whether the condition held when it was last recorded.
+func (t *conditionTimers) holds(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.since[name].IsZero()
+}
+
+// retain removes the names that are not listed.
+func (t *conditionTimers) retain(listed []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.since, func(name string, _ time.Time) bool { return !slices.Contains(listed, name) })
+}
+
 // recentTimes records when an event last occurred, by name. It forgets times older than
 // recentRetention. It is safe for concurrent use.
 type recentTimes struct {
--- a/prepaid/settle.go
+++ b/prepaid/settle.go
@@ -21,6 +21,8 @@
 	// settleWait is how long a settlement waits for requests that run on the dead
 	// lender's tokens. Most streams end within it; what longer ones reserved counts as used.
 	settleWait = 8 * time.Second
+	// settlementTime is how long tokens of a dead lender may come free at a process that does not settle it itself.
+	settlementTime = settleWait + 2*settleInterval
 	// admitInterval is the pause between two attempts to register a router for which the store
 	// took too long. The router's requests do not wait for these attempts: each request would
 	// wait at each lender.
@@ -118,6 +120,13 @@
 		AskWitness: b.queryWitness, Routers: b.knownRouters}
 }
 
+// isForfeit reports whether what a holder has not used counts as spent: it is dead, and its settlement will free nothing.
+func (b *Budgets) isForfeit(holder string) bool {
+	dead := b.isDead(holder)
+	deadFor := b.deadHolders.heldFor(time.Now(), holder, dead)
+	return dead && (b.unsettled.has(holder) || deadFor >= settlementTime && !b.settling.holds(holder))
+}
+
 // settleDeadLenders settles the rows of lenders that are dead or have announced their end on the pages of which this process is the primary.
 func (b *Budgets) settleDeadLenders(ctx context.Context) {
 	if b.storeOutage.ongoing() {
@@ -125,6 +134,7 @@
 	}
 	others := b.holder.OtherHolders()
 	b.unsettled.retain(others)
+	b.deadHolders.retain(others)
 	for _, lender := range others {
 		if b.hasEnded(lender) && !b.unsettled.has(lender) {
 			b.settleLender(ctx, lender)
