Budgets: a refusal says when tokens of members that are gone are settled

What callers saw: a refusal because all that was left of a budget was reserved by a router that is cut off, or held by a dead lender, named no time (or the time after which requests that run return theirs), so callers came again many times before anything could change.

Cause: Retry-After was taken from the average time for which lots are open, whoever has them.

Change: if all that is reserved of a budget is lent to, or held by, members that are gone, Retry-After is the time until the first of them is settled: 1 s if it has ended, the rest of the settlement's wait for a dead lender, the rest of the 45 s for one that is only unlisted, 5 s at most. As long as a running member has some of it, nothing changes.

Before: TestRefusalsSayWhenLotsAreSettled failed ("0s" is not greater than or equal to "5s"), and TestTokensOfADeadLenderAreNotUsedUpBeforeItsSettlement has a check of the time that fails without the change. Both pass now.

--- a/coord/grant/localbudget.go
+++ b/coord/grant/localbudget.go
@@ -73,6 +73,7 @@
 	poolFree       int64               // what the page had free at the last sync
 	lotTime        time.Duration       // average time for which lent lots stay open; 0 is unknown
 	scarce         bool                // lenders of the own lots have none left
+	otherHolders   []string            // other holders with tokens at the last sync
 
 	minimalRows  bool          // copy of Holder.minimalRows
 	demandWindow time.Duration // time constant of demand
--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -1,6 +1,9 @@
 package grant
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Lend reserves a lot for a peer in the holder's own row. The lot has need tokens, or all
 // that can be lent if that is less. Beyond need it has up to want tokens, but no more than
@@ -160,6 +163,22 @@
 	Oldest time.Time
 }
 
+// ReservedBy lists the borrowers with open lots of a budget, and the other holders that had tokens of it at the last sync.
+func (h *Holder) ReservedBy(budget string) (borrowers, holders []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[budget]
+	if b == nil {
+		return nil, nil
+	}
+	for _, l := range b.lent {
+		if !slices.Contains(borrowers, l.borrower) {
+			borrowers = append(borrowers, l.borrower)
+		}
+	}
+	return borrowers, slices.Clone(b.otherHolders)
+}
+
 // SettleLots settles the open lots of a borrower as used in full and lists them by budget. They count neither as demand nor in the
 // average time that lots stay open.
 func (h *Holder) SettleLots(borrower string) []LostLots {
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -233,9 +233,14 @@
 		Waiting: b.waiting(), SmallestWaiting: b.smallestWaiting(), LargestRecent: b.largestRecent, Demand: b.currentDemand(now), Holders: max(len(a.Rows), h.expectedHolders),
 	}
 	v.Unspent, v.HeldByDead = h.unspentAndDeadLocked(a)
+	b.otherHolders = b.otherHolders[:0]
 	for id, r := range a.Rows {
-		if id != h.id {
-			v.OthersDemand += r.Demand
+		if id == h.id {
+			continue
+		}
+		v.OthersDemand += r.Demand
+		if r.Balance() > 0 {
+			b.otherHolders = append(b.otherHolders, id)
 		}
 	}
 	if !b.lastUse.IsZero() {
--- a/prepaid/borrowers.go
+++ b/prepaid/borrowers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
@@ -52,6 +54,54 @@
 	return ""
 }
 
+// withSettlementTime adds to a refusal when tokens of members that are gone will be settled, if all that is reserved is theirs. Running
+// members may return tokens at any time.
+func (b *Budgets) withSettlementTime(budget string, err error) error {
+	if !errors.Is(err, grant.ErrAllReserved) {
+		return err
+	}
+	borrowers, holders := b.holder.ReservedBy(budget)
+	due := time.Duration(math.MaxInt64)
+	for _, borrower := range borrowers {
+		due = min(due, b.borrowerSettledIn(borrower))
+	}
+	for _, holder := range holders {
+		due = min(due, b.lenderSettledIn(holder))
+	}
+	if due <= 0 || due == math.MaxInt64 {
+		return err
+	}
+	return grant.Error.Wrap(&grant.ReservedError{RetryAfter: due})
+}
+
+// borrowerSettledIn returns the time until the lots of a borrower are settled, 0 if it is listed and has not ended.
+func (b *Budgets) borrowerSettledIn(borrower string) time.Duration {
+	if b.endedLately.within(borrower, recentRetention) || b.members.HasSuccessor(borrower) {
+		return settleInterval
+	}
+	return b.absenceLeft(borrower)
+}
+
+// lenderSettledIn returns the time until the rows of a lender are settled, 0 if it is listed and has not ended. One that cannot be
+// settled is not waited for.
+func (b *Budgets) lenderSettledIn(lender string) time.Duration {
+	switch {
+	case b.unsettled.has(lender):
+		return math.MaxInt64
+	case b.hasEnded(lender):
+		return max(settleInterval, settleWait-b.settling.elapsed(time.Now(), lender))
+	}
+	return b.absenceLeft(lender)
+}
+
+// absenceLeft returns the rest of absenceTimeout of a member that is not listed, 0 if it is listed.
+func (b *Budgets) absenceLeft(incarnation string) time.Duration {
+	if _, listed := b.members.Get(incarnation); listed {
+		return 0
+	}
+	return max(settleInterval, absenceTimeout-b.absent.elapsed(time.Now(), incarnation))
+}
+
 // isRunning reports whether an incarnation answers. One that the list shows as replaced may run if an entry of an earlier one was
 // written late, or the store was restored.
 func (b *Budgets) isRunning(ctx context.Context, incarnation string) bool {
--- a/prepaid/borrowers_internal_test.go
+++ b/prepaid/borrowers_internal_test.go
@@ -155,6 +155,39 @@
 	return out
 }
 
+// unlist takes a node off the lists of the others.
+func (f *tokenFleet) unlist(n *tokenNode) {
+	for _, other := range f.nodes {
+		if other != n {
+			other.members.Changed(store.Event{Item: store.Item{Key: n.entry.Key}, Deleted: true})
+		}
+	}
+}
+
+// Guards against callers that come back long before the tokens of a router that is cut off are settled, and against a 503 after that.
+func TestRefusalsSayWhenLotsAreSettled(t *testing.T) {
+	withTokenFleet(t, true, 1000, 1, 2, func(t *testing.T, f *tokenFleet) {
+		gone, other := f.routers()[0], f.routers()[1]
+		require.Nil(t, gone.reserve(t.Context(), 0, 700).refusal)
+		refusal := func() *contract.Refusal { return other.reserve(t.Context(), 0, 500).refusal }
+		require.Zero(t, refusal().RetryAfter, "the request may end at any time")
+		f.unlist(gone)
+		for _, c := range []struct{ after, least, most time.Duration }{
+			{after: 5 * time.Second, least: maxRetryAfter, most: maxRetryAfter},
+			{after: absenceTimeout - 7*time.Second, least: time.Second, most: 3 * time.Second},
+		} {
+			time.Sleep(c.after)
+			r := refusal()
+			require.Equal(t, contract.BudgetUnreachable, r.Kind)
+			require.GreaterOrEqual(t, r.RetryAfter, c.least)
+			require.LessOrEqual(t, r.RetryAfter, c.most)
+		}
+		require.Regexp(t, `"retry_after_ms":[12]\d{3},"event":"refused_after_wait"`, f.primary().log.String())
+		time.Sleep(3 * time.Second)
+		require.Equal(t, contract.BudgetExhausted, refusal().Kind)
+	})
+}
+
 // Guards against a 402 for tokens of a dead lender that its settlement frees seconds later, and against a 503 once nothing can come free.
 func TestTokensOfADeadLenderAreNotUsedUpBeforeItsSettlement(t *testing.T) {
 	for name, routerEnds := range map[string]bool{"settled": false, "cannot be settled": true} {
@@ -174,6 +207,8 @@
 				asking := f.routers()[0]
 				r := asking.reserve(t.Context(), 0, 600)
 				require.Equal(t, contract.BudgetUnreachable, r.refusal.Kind)
+				require.Positive(t, r.refusal.RetryAfter)
+				require.LessOrEqual(t, r.refusal.RetryAfter, settleWait)
 				held.settle(100)
 				for end := time.Now().Add(settleWait + settlementBound); r.refusal != nil && time.Now().Before(end); time.Sleep(time.Second) {
 					if r = asking.reserve(t.Context(), 0, 600); r.refusal != nil && r.refusal.Kind == contract.BudgetExhausted {
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -302,6 +302,9 @@
 	res, err := b.acquirer.Acquire(grant.WithTrace(ctx, trace), r.Team, maxTokens)
 	if err != nil {
 		b.requestEnded(r.Team)
+		if grant.RetryAfter(err) == 0 { // no lender has said when
+			err = b.withSettlementTime(r.Team, err)
+		}
 		refusal := budgetRefusal(r.Team, maxTokens, err)
 		refusal.Detail = trace.String()
 		return nil, refusal
--- a/prepaid/outage.go
+++ b/prepaid/outage.go
@@ -117,6 +117,16 @@
 	return !t.since[name].IsZero()
 }
 
+// elapsed returns for how long the condition had held when it was last recorded, as of now.
+func (t *conditionTimers) elapsed(now time.Time, name string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.since[name].IsZero() {
+		return 0
+	}
+	return now.Sub(t.since[name])
+}
+
 // retain removes the names that are not listed.
 func (t *conditionTimers) retain(listed []string) {
 	t.mu.Lock()
--- a/prepaid/peers.go
+++ b/prepaid/peers.go
@@ -85,7 +85,7 @@
 		}
 		lot, err := lend(ctx, params)
 		b.recordRegionalLend(in, lot, err)
-		return lot, err
+		return lot, b.withSettlementTime(in.Budget, err)
 	}
 	if b.regions.several {
 		m[link.MethodPage] = link.Handle(b.observePage)
--- a/prepaid/queueing.go
+++ b/prepaid/queueing.go
@@ -73,6 +73,7 @@
 
 // recordWait counts a request that waited here for reserved tokens, and logs the refused ones.
 func (b *Budgets) recordWait(w grant.WaitEnd) {
+	w.Err = b.withSettlementTime(w.Budget, w.Err)
 	result := waitResult(w)
 	b.metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_budget_waits_total{result=%q}", result)).Inc()
 	b.metrics.GetOrCreateHistogram(fmt.Sprintf("arbutusmill_budget_wait_seconds{result=%q}", result)).Update(w.Waited.Seconds())
