--- a/prepaid/borrowers_internal_test.go
+++ b/prepaid/borrowers_internal_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +111,128 @@
 		})
 	}
 }
+
+// Guards against tokens of a lender that has stopped as planned, which stay reserved until it has been unlisted for 45 s since a router
+// had not returned its lots in time.
+func TestLenderThatAnnouncedItsEndIsSettled(t *testing.T) {
+	for name, routerEnds := range map[string]bool{"a router's request lasts longer": false, "the router has ended with it": true} {
+		t.Run(name, func(t *testing.T) {
+			withTokenFleet(t, true, 1000, 4, 3, func(t *testing.T, f *tokenFleet) {
+				lender, router := f.primary(), f.routers()[0]
+				held := router.reserve(t.Context(), 0, 400)
+				require.Nil(t, held.refusal)
+				time.Sleep(time.Second)
+				lender.members.SetWithdrawn(true)
+				stopping, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				require.Error(t, lender.ReturnTokens(stopping))
+				if routerEnds {
+					f.kill(router)
+					f.start(RoleRouter, router.member.VM)
+				}
+				lender.AnnounceEnd(t.Context())
+				f.kill(lender)
+				f.listMembers()
+				time.Sleep(settlementBound)
+				held.settle(300)
+				time.Sleep(settleWait)
+				free := int64(700) // of 1000
+				if routerEnds {
+					free = 600 // it reports no use
+				}
+				require.Equal(t, free, f.spendRest())
+				require.Contains(t, f.log(), `"event":"lender_settled"`)
+			})
+		})
+	}
+}
+
+// log returns what all running processes have logged.
+func (f *tokenFleet) log() (out string) {
+	for _, n := range f.nodes {
+		out += n.log.String()
+	}
+	return out
+}
+
+// unlist takes a node off the lists of the others.
+func (f *tokenFleet) unlist(n *tokenNode) {
+	for _, other := range f.nodes {
+		if other != n {
+			other.members.Changed(store.Event{Item: store.Item{Key: n.entry.Key}, Deleted: true})
+		}
+	}
+}
+
+// Guards against callers that come back long before the tokens of a router that is cut off are settled, and against a 503 after that.
+func TestRefusalsSayWhenLotsAreSettled(t *testing.T) {
+	withTokenFleet(t, true, 1000, 1, 2, func(t *testing.T, f *tokenFleet) {
+		gone, other := f.routers()[0], f.routers()[1]
+		require.Nil(t, gone.reserve(t.Context(), 0, 700).refusal)
+		refusal := func() *contract.Refusal { return other.reserve(t.Context(), 0, 500).refusal }
+		require.Zero(t, refusal().RetryAfter, "the request may end at any time")
+		f.unlist(gone)
+		for _, c := range []struct{ after, least, most time.Duration }{
+			{after: 5 * time.Second, least: maxRetryAfter, most: maxRetryAfter},
+			{after: absenceTimeout - 7*time.Second, least: time.Second, most: 3 * time.Second},
+		} {
+			time.Sleep(c.after)
+			r := refusal()
+			require.Equal(t, contract.BudgetUnreachable, r.Kind)
+			require.GreaterOrEqual(t, r.RetryAfter, c.least)
+			require.LessOrEqual(t, r.RetryAfter, c.most)
+		}
+		require.Regexp(t, `"retry_after_ms":[12]\d{3},"event":"refused_after_wait"`, f.primary().log.String())
+		time.Sleep(3 * time.Second)
+		require.Equal(t, contract.BudgetExhausted, refusal().Kind)
+	})
+}
+
+// Guards against a 402 for tokens of a dead lender that its settlement frees seconds later, and against a 503 once nothing can come free.
+func TestTokensOfADeadLenderAreNotUsedUpBeforeItsSettlement(t *testing.T) {
+	for name, routerEnds := range map[string]bool{"settled": false, "cannot be settled": true} {
+		t.Run(name, func(t *testing.T) {
+			withTokenFleet(t, true, 1000, 4, 3, func(t *testing.T, f *tokenFleet) {
+				lender, router := f.primary(), f.routers()[0]
+				held := router.reserve(t.Context(), 0, 400)
+				require.Nil(t, held.refusal)
+				time.Sleep(time.Second)
+				if routerEnds { // and with it the lenders that witnessed its use
+					for _, witness := range lender.exposure.Witnesses() {
+						f.restart(f.node(witness))
+					}
+					f.restart(router)
+				}
+				f.restart(lender)
+				asking := f.routers()[0]
+				r := asking.reserve(t.Context(), 0, 600)
+				require.Equal(t, contract.BudgetUnreachable, r.refusal.Kind)
+				require.Positive(t, r.refusal.RetryAfter)
+				require.LessOrEqual(t, r.refusal.RetryAfter, settleWait)
+				held.settle(100)
+				for end := time.Now().Add(settleWait + settlementBound); r.refusal != nil && time.Now().Before(end); time.Sleep(time.Second) {
+					if r = asking.reserve(t.Context(), 0, 600); r.refusal != nil && r.refusal.Kind == contract.BudgetExhausted {
+						break
+					}
+				}
+				if routerEnds {
+					require.Equal(t, contract.BudgetExhausted, r.refusal.Kind, f.log())
+					return
+				}
+				require.Nil(t, r.refusal, f.log())
+			})
+		})
+	}
+}
+
+// restart kills a node and starts the next incarnation on its VM.
+func (f *tokenFleet) restart(n *tokenNode) {
+	f.kill(n)
+	f.start(n.member.Role, n.member.VM)
+}
+
+func (f *tokenFleet) node(id string) *tokenNode {
+	i := slices.IndexFunc(f.nodes, func(n *tokenNode) bool { return n.member.ID == id })
+	require.GreaterOrEqual(f.t, i, 0)
+	return f.nodes[i]
+}
