Gateway: a refusal does not wait for a body that is not read

Seen: a caller that sends the headers of a request that is refused (unknown key, unknown path, full router) and then only a part of its body got no answer, and its connection stayed open for as long as it liked: 20 s in the test, and there is no limit by reading. Cause: net/http reads up to 256 KiB of a body that the handler did not read before it sends the answer, and waits for it without a deadline. Ruled out: EnableFullDuplex. The answer leaves at once, but a body whose rest does not come would be read as the next request on the connection. Change: a refusal waits 20 ms for the rest of a body of up to 16 KiB, which usually came with the headers, and keeps the connection then. With any other body the connection is closed after the refusal, and what still comes is read for the operators' header timeout at most.

--- a/gateway/callerbody.go
+++ b/gateway/callerbody.go
@@ -17,6 +17,8 @@
 	// freeBodyBytes is the size up to which a body does not count for limits.bodies_mb, so that small requests are served
 	// beside many large ones.
 	freeBodyBytes = 16 << 10
+	// dropWait is how long a refusal waits for the rest of a body of up to freeBodyBytes, which usually came with the headers.
+	dropWait = 20 * time.Millisecond
 	// noRoomDelay bounds the time after which callers without room for their bodies come back.
 	noRoomDelay = time.Second
 )
@@ -85,3 +87,22 @@
 	refusal.Detail = fmt.Sprintf("bodies hold %d bytes, room for one of %d", h.gateway.bodies.Held(), room)
 	return refusal
 }
+
+// dropBody prepares the refusal of a request whose body is not read to its end. Without it, net/http would read up to
+// 256 KiB before the refusal is sent, without a deadline. The connection can only be kept once the body has been read.
+func (h *requestHandler) dropBody(w http.ResponseWriter, req *http.Request) error {
+	if req.ContentLength == 0 {
+		return nil
+	}
+	rc := http.NewResponseController(w)
+	if req.ContentLength > 0 && req.ContentLength <= freeBodyBytes && req.Header.Get("Expect") == "" {
+		if err := rc.SetReadDeadline(time.Now().Add(dropWait)); err != nil {
+			return err
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+			return rc.SetReadDeadline(time.Time{})
+		}
+	}
+	w.Header().Set("Connection", "close")
+	return rc.SetReadDeadline(time.Now().Add(h.gateway.callerLimits().HeaderTimeout))
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -30,7 +30,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if !g.beginRequest() {
-		h.refuse(w, contract.Refuse(contract.Overloaded, "this router is full"))
+		h.refuse(w, req, contract.Refuse(contract.Overloaded, "this router is full"))
 		return
 	}
 	defer g.endRequest()
@@ -44,7 +44,7 @@
 		refusal = h.readBody(w, req)
 	}
 	if refusal != nil {
-		h.refuse(w, refusal)
+		h.refuse(w, req, refusal)
 		return
 	}
 	h.serve(w, req)
@@ -199,7 +199,10 @@
 }
 
 // refuse logs, counts and answers the refusal of a request that was not dispatched.
-func (h *requestHandler) refuse(w http.ResponseWriter, refusal *contract.Refusal) {
+func (h *requestHandler) refuse(w http.ResponseWriter, req *http.Request, refusal *contract.Refusal) {
+	if err := h.dropBody(w, req); err != nil {
+		h.gateway.Log.Debug().Err(err).Msg("caller_connection_ended") // the write of the refusal fails too
+	}
 	a := refusal.Kind.Answer()
 	h.gateway.metrics.refused(refusal.Kind)
 	h.gateway.Log.Info().Str("id", h.headers.ID).Str("kind", string(refusal.Kind)).Int("status", a.Status).
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -132,3 +132,50 @@
 		})
 	}
 }
+
+// Guards against refusals that wait for a slow body: net/http reads up to 256 KiB of a body that the handler did not read,
+// before it answers and without a deadline, so callers that are refused held their connections for as long as they liked.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for name, framing := range map[string]string{"small": "Content-Length: 100", "medium": "Content-Length: 100000",
+		"large": "Content-Length: 60000000", "chunked": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				f.putConfig(0, "k1")
+				f.start()
+				head := strings.Replace(rawAlert("r1", ""), "Content-Length: 0", framing, 1)
+				conn := f.dialAndWrite(strings.Replace(head, "k1", "unknown-key", 1) + "1")
+				in, began := bufio.NewReader(conn), time.Now()
+				require.NoError(t, conn.SetReadDeadline(began.Add(20*time.Second)))
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				require.Equal(t, 401, resp.StatusCode)
+				require.Less(t, time.Since(began), 100*time.Millisecond)
+				_, err = io.Copy(io.Discard, in)
+				require.NoError(t, err, "the router closes")
+				require.Less(t, time.Since(began), 4*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against refusals that end connections for nothing: callers that reconnect cost an overloaded router more than
+// the rest of a small body.
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		f.upstream("i-1", "plain", 0)
+		f.start()
+		refused := strings.Replace(rawAlert("r1", strings.Repeat("x", 10<<10)), "k1", "unknown-key", 1)
+		conn := f.dialAndWrite("")
+		go func() { _, _ = io.WriteString(conn, refused+rawAlert("r2", "next")) }() // a failure shows as a missing response
+		in := bufio.NewReader(conn)
+		for _, status := range []int{401, 200} {
+			resp, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			require.Equal(t, status, resp.StatusCode)
+			require.False(t, resp.Close)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+		}
+	})
+}
