Gateway: headers of callers' requests are bounded together

Seen: callers that send up to 64 KiB of headers and not their end hold what they sent until the operators' header timeout. 2,000 of them held 129 (long lines), 807 (lines of 4 bytes) and 1,774 MiB (7,500 names) of live heap. Suspected, not traced: the collector takes the processor, since the heap is at its limit of 90 MiB. Cause: net/http limits the bytes of each request's headers, not their sum, and not what lines take once they are parsed. Ruled out: a lower limit for each. Operators' limits go up to 64 KiB, and 16 KiB with names take some 240 KiB each (computed from the figures above). The sum for bodies: callers that send headers only would then refuse those with bodies. Change: a connection counts the bytes of its request's headers, and 128 for each line, up to the end of the request; above 8 KiB they count for a sixteenth of limits.memory_mb, with bytes that are read ahead of further requests. Without room the connection is closed with the request unread (a 429 needs the request's id), counted, and logged at most once a second. TestSumOfLargeHeaders failed before by the figures above. After: 8 to 14 MiB; beside them a small request is served and a removed key refused half a second later; 200 requests with 14 KB of headers are served afterwards.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -9,13 +10,23 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/catalog"
 )
 
 // maxReadAhead limits the bytes of further requests that are read ahead on one connection. If a caller
-// has sent more than that, its disconnect is only detected when its response is written.
+// has sent more than that, or more than there is room for, its disconnect is only detected when its response is written.
 const maxReadAhead = 64 << 10
 
+const (
+	// freeHeaderBytes is the size up to which a request's headers do not count for the memory for headers.
+	freeHeaderBytes = 8 << 10
+	// headerLineBytes is what a line of headers takes once it is parsed, beside its bytes.
+	headerLineBytes = 128
+	// headerMemoryShare is the part of the process's memory that larger headers may take together.
+	headerMemoryShare = 1. / 16
+)
+
 // readAheadChunk is the maximum size of one read ahead.
 const readAheadChunk = 4 << 10
 
@@ -47,6 +58,8 @@
 	net.Conn
 	// limits returns the operators' current limits.
 	limits func() catalog.Limits
+	// onNoRoom is called when the connection ends since there is no room for the headers of its request.
+	onNoRoom func()
 	// cancelRequests cancels the context of the connection's requests.
 	cancelRequests context.CancelFunc
 
@@ -55,13 +68,18 @@
 	phase         connPhase
 	phaseStart    time.Time // start of the phase
 	buffered      []byte    // read ahead and not yet read by the server
+	// memory is what the request's headers, and bytes that were read ahead, take of the memory for them; nil once the
+	// connection is closed. headerCost is the headers' part.
+	memory     *bounded.Share
+	headerCost int64
 	// readingAhead is set while a goroutine reads ahead; readErr is the error that ended it.
 	readingAhead bool
 	readErr      error
 }
 
-func newCallerConn(conn net.Conn, limits func() catalog.Limits) *callerConn {
-	c := &callerConn{Conn: conn, limits: limits, cancelRequests: func() {}, phaseStart: time.Now()}
+func newCallerConn(conn net.Conn, l callerListener) *callerConn {
+	c := &callerConn{Conn: conn, limits: l.limits, onNoRoom: l.onNoRoom, memory: l.headers.Share(freeHeaderBytes),
+		cancelRequests: func() {}, phaseStart: time.Now()}
 	c.readAheadCond = sync.NewCond(&c.mu)
 	return c
 }
@@ -84,7 +102,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordReadLocked(n)
+	if noRoom := c.recordReadLocked(p[:n]); noRoom != nil {
+		return 0, noRoom
+	}
 	if c.phase == phaseServing && len(p) == 1 && n == 1 {
 		c.readingAhead = true
 		go c.readAhead()
@@ -112,16 +132,37 @@
 		return 0, c.readErr
 	}
 	n := copy(p, c.buffered)
-	c.buffered = c.buffered[n:]
-	c.recordReadLocked(n)
+	if c.buffered = c.buffered[n:]; len(c.buffered) == 0 {
+		c.buffered = nil
+	}
+	if err := c.recordReadLocked(p[:n]); err != nil {
+		return 0, err
+	}
 	return n, nil
 }
 
-// recordReadLocked starts the headers phase when the first bytes of a request were read.
-func (c *callerConn) recordReadLocked(n int) {
-	if n > 0 && c.phase == phaseIdle {
+// recordReadLocked starts the headers phase when the first bytes of a request were read, and counts the bytes of headers. It
+// returns an error if there is no room for them.
+func (c *callerConn) recordReadLocked(b []byte) error {
+	if len(b) > 0 && c.phase == phaseIdle {
 		c.phase, c.phaseStart = phaseHeaders, time.Now()
 	}
+	if c.phase != phaseHeaders {
+		return nil
+	}
+	headers, _, _ := bytes.Cut(b, []byte("\n\r\n")) // the rest belongs to the body
+	c.headerCost += int64(len(headers) + headerLineBytes*bytes.Count(headers, []byte("\n")))
+	if err := c.resizeLocked(); err != nil {
+		c.onNoRoom()
+		// The server answers other errors with status 400; this one closes the connection.
+		return &net.OpError{Op: "read", Net: "tcp", Err: err}
+	}
+	return nil
+}
+
+// resizeLocked counts what the connection takes of the memory for headers and bytes that were read ahead.
+func (c *callerConn) resizeLocked() error {
+	return c.memory.Resize(c.headerCost + int64(cap(c.buffered)))
 }
 
 // setPhase starts a phase. The server's connection states start the idle and serving phases.
@@ -129,10 +170,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.phaseStart = p, time.Now()
-	if p != phaseServing {
-		return nil
+	if p == phaseServing {
+		return c.SetReadDeadline(time.Time{})
 	}
-	return c.SetReadDeadline(time.Time{})
+	c.headerCost = 0
+	return c.resizeLocked()
 }
 
 // readAhead reads into the buffer until the connection ends, its deadline passes or the buffer is full.
@@ -152,7 +194,7 @@
 	defer c.mu.Unlock()
 	defer c.readAheadCond.Broadcast()
 	c.buffered = append(c.buffered, b...)
-	c.readingAhead = err == nil && len(c.buffered) < maxReadAhead
+	c.readingAhead = err == nil && len(c.buffered) < maxReadAhead && c.resizeLocked() == nil
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 		c.cancelRequests()
@@ -163,6 +205,10 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.cancelRequests()
+	c.mu.Lock()
+	c.memory.Release()
+	c.memory = nil // a read that has not returned counts nothing
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -170,6 +216,17 @@
 type callerListener struct {
 	net.Listener
 	limits func() catalog.Limits
+	// headers limits what the headers of all callers, and bytes that were read ahead, take together.
+	headers  *bounded.Sum
+	onNoRoom func()
+}
+
+// callerListener returns the listener for callers.
+func (g *Gateway) callerListener(l net.Listener) callerListener {
+	headers := bounded.NewSum(int64(headerMemoryShare * float64(g.settings.Limits.MemoryMB<<20)))
+	unread := &unreadConnections{log: g.Log, metrics: g.metrics}
+	return callerListener{Listener: l, limits: g.callerLimits, headers: headers,
+		onNoRoom: func() { unread.record(headersWithoutRoom, headers.Held()) }}
 }
 
 // Accept implements net.Listener.
@@ -178,7 +235,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newCallerConn(c, l.limits), nil
+	return newCallerConn(c, l), nil
 }
 
 // callerServer returns the HTTP server for callers.
@@ -210,7 +267,7 @@
 		return
 	}
 	if err := conn.(*callerConn).setPhase(phase); err != nil {
-		g.Log.Debug().Err(err).Msg("caller_connection_ended") // the next read fails
+		g.Log.Debug().Err(err).Msg("caller_connection_ended") // the next read fails, too
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -286,7 +286,7 @@
 }
 
 func (g *Gateway) startServers(tasks *process.TaskGroup, l listeners, callers *http.Server) {
-	tasks.Serve(callers, callerListener{l.callers, g.callerLimits}, nil)
+	tasks.Serve(callers, g.callerListener(l.callers), nil)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadyPath, g.serveReady)
 	tasks.Serve(&http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}, l.ready, nil)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -42,6 +42,11 @@
 	m.set.GetOrCreateCounter("arbutusmill_gateway_bodies_without_room_total").Inc()
 }
 
+// connectionUnread counts a caller's connection that was closed without an answer to its request.
+func (m *gatewayMetrics) connectionUnread(r unreadReason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("arbutusmill_gateway_unread_connections_total{reason=%q}", r)).Inc()
+}
+
 // sentElsewhere counts a request that was refused since another router can serve it in time.
 func (m *gatewayMetrics) sentElsewhere() {
 	m.set.GetOrCreateCounter("arbutusmill_gateway_requests_sent_elsewhere_total").Inc()
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -30,14 +30,16 @@
 	f.template = strings.Replace(configTemplate, `"max_body_bytes":65536`, `"max_body_bytes":8388608`, 1)
 	f.putConfig(0, "k1", "k2")
 	u := f.rawUpstream("i-1", func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+			id := u.recordRequest(r)
+			time.Sleep(500 * time.Millisecond)
+			_, _ = io.WriteString(conn, signedResponse(id, "done"))
 		}
-		_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
-		id := u.recordRequest(r)
-		time.Sleep(500 * time.Millisecond)
-		_, _ = io.WriteString(conn, signedResponse(id, "done"))
 	})
 	f.start()
 	return u
@@ -179,3 +181,46 @@
 		}
 	})
 }
+
+// Guards against headers that are each within their limit and together take the router's memory: callers that do not end
+// them hold what they sent until the timeout for headers, and short lines take many times their bytes once they are parsed.
+func TestSumOfLargeHeaders(t *testing.T) {
+	const (
+		callers    = 2000
+		maxHeaders = 8 << 20 // a sixteenth of 128 MiB
+	)
+	for name, line := range map[string]string{"long lines": "a: " + strings.Repeat("b", 995) + "\r\n", "short lines": "a:\r\n",
+		"names": "%05x:\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				overloadFleet(f)
+				headers, _, _ := strings.Cut(rawAlert("large", ""), "Content-Length")
+				for n := 0; len(headers) < 60_000; n++ {
+					headers += strings.Replace(line, "%05x", fmt.Sprintf("%05x", n), 1)
+				}
+				before := heapBytes()
+				for range callers {
+					conn := f.dialAndWrite("")
+					go func() { _, _ = io.WriteString(conn, headers) }() // fails if the router closes
+				}
+				time.Sleep(200 * time.Millisecond)
+				synctest.Wait()
+				held := heapBytes() - before
+				t.Logf("%d callers: %d MiB", callers, held>>20)
+				require.Equal(t, 200, f.send(alert("small")).status)
+				f.putConfig(0, "k1")
+				f.settle()
+				removed := level("removed-key")
+				removed.key = "k2"
+				require.Equal(t, 401, f.send(removed).status)
+				require.Less(t, held, int64(maxHeaders+callers*16<<10), "the headers, and buffers of connections")
+				time.Sleep(5 * time.Second) // longer than the timeout for headers
+				for n := range 200 {        // all that was held was released
+					req := alert(fmt.Sprint("next-", n))
+					req.header = map[string]string{"a": strings.Repeat("b", 14_000)}
+					require.Equal(t, 200, f.send(req).status)
+				}
+			})
+		})
+	}
+}
