--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -30,14 +30,16 @@
 	f.template = strings.Replace(configTemplate, `"max_body_bytes":65536`, `"max_body_bytes":8388608`, 1)
 	f.putConfig(0, "k1", "k2")
 	u := f.rawUpstream("i-1", func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+			id := u.recordRequest(r)
+			time.Sleep(500 * time.Millisecond)
+			_, _ = io.WriteString(conn, signedResponse(id, "done"))
 		}
-		_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
-		id := u.recordRequest(r)
-		time.Sleep(500 * time.Millisecond)
-		_, _ = io.WriteString(conn, signedResponse(id, "done"))
 	})
 	f.start()
 	return u
@@ -132,3 +134,93 @@
 		})
 	}
 }
+
+// Guards against refusals that wait for a slow body: net/http reads up to 256 KiB of a body that the handler did not read,
+// before it answers and without a deadline, so callers that are refused held their connections for as long as they liked.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	for name, framing := range map[string]string{"small": "Content-Length: 100", "medium": "Content-Length: 100000",
+		"large": "Content-Length: 60000000", "chunked": "Transfer-Encoding: chunked"} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				f.putConfig(0, "k1")
+				f.start()
+				head := strings.Replace(rawAlert("r1", ""), "Content-Length: 0", framing, 1)
+				conn := f.dialAndWrite(strings.Replace(head, "k1", "unknown-key", 1) + "1")
+				in, began := bufio.NewReader(conn), time.Now()
+				require.NoError(t, conn.SetReadDeadline(began.Add(20*time.Second)))
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				require.Equal(t, 401, resp.StatusCode)
+				require.Less(t, time.Since(began), 100*time.Millisecond)
+				_, err = io.Copy(io.Discard, in)
+				require.NoError(t, err, "the router closes")
+				require.Less(t, time.Since(began), 4*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against refusals that end connections for nothing: callers that reconnect cost an overloaded router more than
+// the rest of a small body.
+func TestRefusalKeepsTheConnection(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		f.upstream("i-1", "plain", 0)
+		f.start()
+		refused := strings.Replace(rawAlert("r1", strings.Repeat("x", 10<<10)), "k1", "unknown-key", 1)
+		conn := f.dialAndWrite("")
+		go func() { _, _ = io.WriteString(conn, refused+rawAlert("r2", "next")) }() // a failure shows as a missing response
+		in := bufio.NewReader(conn)
+		for _, status := range []int{401, 200} {
+			resp, err := http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			require.Equal(t, status, resp.StatusCode)
+			require.False(t, resp.Close)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+		}
+	})
+}
+
+// Guards against headers that are each within their limit and together take the router's memory: callers that do not end
+// them hold what they sent until the timeout for headers, and short lines take many times their bytes once they are parsed.
+func TestSumOfLargeHeaders(t *testing.T) {
+	const (
+		callers    = 2000
+		maxHeaders = 8 << 20 // a sixteenth of 128 MiB
+	)
+	for name, line := range map[string]string{"long lines": "a: " + strings.Repeat("b", 995) + "\r\n", "short lines": "a:\r\n",
+		"names": "%05x:\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				overloadFleet(f)
+				headers, _, _ := strings.Cut(rawAlert("large", ""), "Content-Length")
+				for n := 0; len(headers) < 60_000; n++ {
+					headers += strings.Replace(line, "%05x", fmt.Sprintf("%05x", n), 1)
+				}
+				before := heapBytes()
+				for range callers {
+					conn := f.dialAndWrite("")
+					go func() { _, _ = io.WriteString(conn, headers) }() // fails if the router closes
+				}
+				time.Sleep(200 * time.Millisecond)
+				synctest.Wait()
+				held := heapBytes() - before
+				t.Logf("%d callers: %d MiB", callers, held>>20)
+				require.Equal(t, 200, f.send(alert("small")).status)
+				f.putConfig(0, "k1")
+				f.settle()
+				removed := level("removed-key")
+				removed.key = "k2"
+				require.Equal(t, 401, f.send(removed).status)
+				require.Less(t, held, int64(maxHeaders+callers*16<<10), "the headers, and buffers of connections")
+				time.Sleep(5 * time.Second) // longer than the timeout for headers
+				for n := range 200 {        // all that was held was released
+					req := alert(fmt.Sprint("next-", n))
+					req.header = map[string]string{"a": strings.Repeat("b", 14_000)}
+					require.Equal(t, 200, f.send(req).status)
+				}
+			})
+		})
+	}
+}
