Prompts: an answer through a router without records clears the first crash

What callers saw: an engine crashes by chance under a prompt, the prompt is answered through another router, a second engine crashes under it, and callers of the prompt wait for a trial (503), although nothing since the answer but one crash speaks against it. Known red until now: TestAnswerThroughARouterWithoutRecordsClearsThePrompt, both cases on each run ("prompt_on_trial" for after-1).

Cause: below two crashes only the observer and the owner have evidence. The router that answers has none, so its answer was dropped.

Ruled out: sending the first crash to all routers (an upstream that crashes breaks 48 connections: 48 x 330 messages, a rack of 30 some 475,000), and sending each answer to the owner (9,900 messages a second).

Change: each router keeps the times of the answers through it, by prompt and service, two generations of 8,192; so far it did so for parts only. The second crash is sent to all routers already. One that answered the prompt after an earlier crash clears that, and sends the answer with its time to the owner alone, which distributes it: many routers may have answered a popular prompt. The count of breaks under probe is gone, since an answer during a probe is kept like any other. Whether an answer or a crash came first is decided by the times as before. Identify no longer copies the body.

By the form of the messages: none in steady state; two to the owner from each router that answered, 660 at most at 330 routers.

Conclusion: what is left is an answer that 8,192 to 16,384 others followed at its router before the second crash.

--- a/gateway/promptmerge_test.go
+++ b/gateway/promptmerge_test.go
@@ -188,6 +188,22 @@
 	t.Run("the-owner-saw-the-crash", func(t *testing.T) { answerBetweenTwoCrashes(t, 1) })
 }
 
+// Guards against crashes that do not count, since a router without a record of the prompt answered it before them.
+func TestCrashesAfterAnAnswerThroughARouterWithoutRecordsCount(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		engines := f.startFragileEngines(6)
+		f.startRouters(3)
+		p, newRequest := orderedPrompt(3, 3)
+		require.Equal(t, 200, f.send(newRequest("answered", 2)).status)
+		f.crashUnder(engines, newRequest("crash-1", 1))
+		f.crashUnder(engines, newRequest("crash-2", 1))
+		for vm := 1; vm <= 3; vm++ {
+			require.Equal(t, poison.OnTrial, f.standing(vm, p), "router %d", vm)
+		}
+	})
+}
+
 // delayQueueOf lets a router broadcast crashes under many prompts: router 4 is a member and answers no dial, so
 // each of its messages takes the whole timeout.
 func (f *fleet) delayQueueOf(vm int) {
--- a/gateway/promptparts.go
+++ b/gateway/promptparts.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/poison"
@@ -14,60 +13,11 @@
 // answered: it would have crashed that engine. So the parts that are left after a few crashes are the
 // cause. Evidence on a part is kept and distributed like that on a prompt.
 
-// maxAnsweredParts limits the parts of one generation of answeredParts: more than the parts that callers
-// share within minutes. A part that was dropped counts as answered again with its next answer.
-const maxAnsweredParts = 4096
-
-// answeredParts holds the parts of prompts that services answered, in two generations: when one is full, the
-// older one is dropped. The zero value is empty; it is safe for concurrent use.
-type answeredParts struct {
-	mu             sync.Mutex
-	current, older map[servicePart]struct{}
-}
-
-// servicePart is a part that a service answered. Another service may crash under it.
-type servicePart struct {
-	part    poison.Prompt
-	service string
-}
-
-func (a *answeredParts) add(part poison.Prompt, service string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.current == nil || len(a.current) >= maxAnsweredParts {
-		a.current, a.older = map[servicePart]struct{}{}, a.current
-	}
-	a.current[servicePart{part, service}] = struct{}{}
-}
-
-func (a *answeredParts) has(part poison.Prompt, service string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	key := servicePart{part, service}
-	_, current := a.current[key]
-	_, older := a.older[key]
-	return current || older
-}
-
-// clearAnswered clears a part of which another router reports crashes although its services answered it through
-// this router, and reports whether it did.
-func (p *promptGuard) clearAnswered(e poison.Evidence) (cleared bool) {
-	if !e.Prompt.IsPart() {
-		return false
-	}
-	for _, c := range e.Crashes {
-		if p.answeredParts.has(e.Prompt, c.Service) {
-			cleared = p.clear("", e.Prompt, c.Service) || cleared
-		}
-	}
-	return cleared
-}
-
 // recordPartsAnswered records that an answer to a request began: it clears all parts of its prompt.
 func (p *promptGuard) recordPartsAnswered(r *serving.Request, parts []poison.Prompt) {
-	service := r.Service.Name
+	now, service := time.Now(), r.Service.Name
 	for _, part := range parts {
-		p.answeredParts.add(part, service)
+		p.answeredParts.add(part, service, now)
 		if !p.registry.Empty() {
 			p.clear(r.ID, part, service)
 		}
--- a/gateway/prompts.go
+++ b/gateway/prompts.go
@@ -48,10 +48,9 @@
 	retries  serving.RetryBudget
 	log      zerolog.Logger
 	breaks   chan brokenAttempt
-	// answeredParts holds the parts of prompts that upstreams answered through this router.
-	answeredParts answeredParts
-	// probed holds the prompts of the breaks that wait for the result of a probe.
-	probed promptCounts
+	// answeredParts and answeredPrompts hold the parts of prompts, and the whole prompts, that upstreams answered through this
+	// router.
+	answeredParts, answeredPrompts recentAnswers
 	// keeperOutbox and routerOutbox hold the evidence that other processes have not acknowledged.
 	keeperOutbox, routerOutbox *promptOutbox
 
@@ -81,6 +80,8 @@
 		retries: g.retryBudgets,
 		log:     g.Log,
 		breaks:  make(chan brokenAttempt, maxQueuedBreaks),
+
+		answeredParts: recentAnswers{max: maxAnsweredParts}, answeredPrompts: recentAnswers{max: maxAnsweredPrompts},
 	}
 	p.keeperOutbox, p.routerOutbox = p.newKeeperOutbox(), p.newRouterOutbox()
 	return p
@@ -194,15 +195,12 @@
 	return refusal
 }
 
-// RecordAnswer implements serving.PromptGuard.
+// RecordAnswer implements serving.PromptGuard. An answer without evidence on its prompt is kept as well: other routers may have
+// some, and a crash before the answer may be found after it.
 func (p *promptGuard) RecordAnswer(r *serving.Request) {
-	if p.registry.Empty() && p.probed.none() {
-		return
-	}
-	prompt := poison.Identify(r)
-	if !p.clear(r.ID, prompt, r.Service.Name) && p.probed.has(prompt) { // the crash that the probe may find came before
-		p.registry.AddAnswer(time.Now(), prompt, poison.Answer{Service: r.Service.Name})
-	}
+	prompt, service := poison.Identify(r), r.Service.Name
+	p.answeredPrompts.add(prompt, service, time.Now())
+	p.clear(r.ID, prompt, service)
 }
 
 // clear records that a service answered a prompt or a part of prompts, and distributes that. It reports
@@ -227,9 +225,7 @@
 // first break for a prompt whose parts were answered before: the first retry is allowed whatever the result.
 func (p *promptGuard) ConnectionBroken(ctx context.Context, r *serving.Request, attempts []serving.Attempt) {
 	prompt := poison.Identify(r)
-	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1], prompt: prompt,
-		at: p.registry.CrashTime(time.Now(), prompt, r.Service.Name)} // an answer may come during the probe
-	p.probed.add(prompt, 1)
+	b := brokenAttempt{request: r, attempt: attempts[len(attempts)-1], prompt: prompt, at: p.crashTime(prompt, r.Service.Name)}
 	earlier := slices.ContainsFunc(attempts[:len(attempts)-1], func(a serving.Attempt) bool { return a.Break != nil })
 	if earlier || p.hasUnansweredPart(r) || len(p.evidenceFor(r)) > 0 {
 		p.investigateBreak(ctx, b)
@@ -238,11 +234,17 @@
 	select {
 	case p.breaks <- b:
 	default:
-		p.probed.add(prompt, -1)
 		p.metrics.breakNotProbed()
 	}
 }
 
+// crashTime returns the time of a crash that breaks a connection now, before its probe, during which an answer may come. It is not
+// before the last answer through this router, whatever the clock.
+func (p *promptGuard) crashTime(prompt poison.Prompt, service string) (unixMS int64) {
+	answered, _ := p.answeredPrompts.last(prompt, service)
+	return max(answered, p.registry.CrashTime(time.Now(), prompt, service))
+}
+
 // Crashed implements serving.PromptGuard.
 func (p *promptGuard) Crashed(r *serving.Request, a serving.Attempt) bool {
 	known := p.registry.Known(time.Now(), poison.Identify(r))
@@ -264,7 +266,6 @@
 // investigateBreak probes the upstream of a broken attempt. If the upstream is down, it records a crash
 // as evidence against the prompt and reports it to the prompt's owner.
 func (p *promptGuard) investigateBreak(ctx context.Context, b brokenAttempt) {
-	defer p.probed.add(b.prompt, -1)
 	state := probeUpstream(ctx, p.dial, b.attempt.Break.Address)
 	p.metrics.connectionBroken(b.request.Service.Name, state)
 	p.log.Info().Str("id", b.request.ID).Str("prompt", string(b.prompt)).Str("team", b.request.Team).
--- a/gateway/recall.go
+++ b/gateway/recall.go
@@ -109,7 +109,7 @@
 		return merged, false
 	}
 	if p.clearAnswered(merged) {
-		return p.registry.Known(time.Now(), e.Prompt), true
+		merged = p.registry.Known(time.Now(), e.Prompt)
 	}
 	if merged.Standing() == poison.Proven || len(merged.Answers) > 0 {
 		p.trials.notify()
--- a/poison/prompt.go
+++ b/poison/prompt.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"io"
 	"slices"
 	"strings"
 
@@ -33,19 +32,19 @@
 // but the last differ. The service is not included, since a caller's retry may go to another one.
 func Identify(r *serving.Request) Prompt {
 	h := sha256.New()
-	writeText := func(s string) {
-		_ = binary.Write(h, binary.BigEndian, int64(len(s))) // a hash never returns an error
-		_, _ = io.WriteString(h, s)
+	write := func(b []byte) {
+		_ = binary.Write(h, binary.BigEndian, int64(len(b))) // a hash never returns an error
+		_, _ = h.Write(b)
 	}
 	_ = binary.Write(h, binary.BigEndian, r.MaxOutput)
 	for _, p := range r.Parts {
-		writeText(p.ID)
+		write([]byte(p.ID))
 		_ = binary.Write(h, binary.BigEndian, p.Tokens)
 	}
 	if len(r.Parts) == 0 {
-		writeText(r.Method)
-		writeText(r.URI)
-		writeText(string(r.Body))
+		write([]byte(r.Method))
+		write([]byte(r.URI))
+		write(r.Body) // without a copy: it may be large
 	}
 	return Prompt(hex.EncodeToString(h.Sum(nil)[:identityBytes]))
 }
