Budgets: losses and tokens at risk are bounded together

Cause: a primary lender has a tenth of what is left available. With all processes everyone who could report use is gone, so that this tenth and all reservations count as used, at each loss anew: in all 31 to 38 % of what was paid was in rows of the dead. Ruled out: evidence that outlives all processes. What may be lent while the store is silent counts as used after such a loss, whatever is recorded (docs/design/evidence-of-use.md weighs six ways). A leak of reservations: what a lender counted as reserved was what routers had in progress. Change: what rows of dead holders hold that can never be settled is subtracted from the tenth, down to a hundredth of what is left (budgets.least_held). Sizes only: nothing is freed, so nothing can be spent twice. Budgets that lost nothing are held as before. The test fixture regionFleet can now restart all its processes; incarnations are numbered by restarts instead of always 1.

--- a/coord/grant/holder.go
+++ b/coord/grant/holder.go
@@ -42,6 +42,7 @@
 	// minimalRows limits rows to what was granted; see UseMinimalRows.
 	minimalRows bool
 	isDead      func(holder string) bool
+	isUnsettled func(holder string) bool
 	// stopping removes each row as soon as nothing is open on it.
 	stopping bool
 	// exposureLimited says that exposure limits are enforced.
@@ -119,6 +120,14 @@
 	h.minimalRows, h.isDead = true, dead
 }
 
+// SetUnsettled sets the function that reports whether a holder has ended and its rows can never be settled. Call it
+// before the first request.
+func (h *Holder) SetUnsettled(unsettled func(holder string) bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isUnsettled = unsettled
+}
+
 // Revision returns the newest store revision seen by the holder.
 func (h *Holder) Revision() store.Revision {
 	h.mu.Lock()
--- a/coord/grant/horizon.go
+++ b/coord/grant/horizon.go
@@ -42,6 +42,9 @@
 	// later requests depend on it, and the less is risked. 0 disables the bound.
 	MaxLoss       float64
 	StoreDegraded func() bool
+	// MinHeld is the share of what is left (0..1) that a holder may have available although more than MaxLoss was lost
+	// with dead holders. Before, what was lost lowers the bound: a loss leaves less at risk for the next one.
+	MinHeld float64
 	// Refill limits one take to the demand of this time while Recovering reports that a
 	// partition ended recently; 0 takes all at once. After a partition the holder thus returns
 	// to its target over some seconds: a second partition is then less likely than a power
@@ -126,11 +129,21 @@
 	bound := p.Share * rest * math.Sqrt(rest/float64(max(1, v.Credit)))
 	bound = min(bound, max(bound*share, float64(v.LargestRecent)))
 	if p.MaxLoss > 0 && !p.StoreDegraded() {
-		bound = min(bound, max(p.MaxLoss*rest*share, float64(v.LargestRecent)))
+		bound = min(bound, p.atRisk(v, rest, share))
 	}
 	return int64(min(wanted, bound))
 }
 
+// atRisk returns the most that a holder has available of its share of what is left while the store is healthy. After a
+// loss it may be less than the largest request, which then waits for the store.
+func (p HorizonPolicy) atRisk(v View, rest, share float64) float64 {
+	most := max(p.MaxLoss*rest*share, float64(v.LargestRecent))
+	if v.Lost == 0 {
+		return most
+	}
+	return max(p.MinHeld*rest*share, most-float64(v.Lost)*share)
+}
+
 func (p HorizonPolicy) role(budget string) Role {
 	if p.Role == nil {
 		return RolePrimary
--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -234,8 +234,12 @@
 	}
 	v.Unspent, v.HeldByDead = h.unspentAndDeadLocked(a)
 	for id, r := range a.Rows {
-		if id != h.id {
-			v.OthersDemand += r.Demand
+		if id == h.id {
+			continue
+		}
+		v.OthersDemand += r.Demand
+		if h.isUnsettled != nil && h.isUnsettled(id) {
+			v.Lost += r.Balance()
 		}
 	}
 	if !b.lastUse.IsZero() {
--- a/coord/grant/policy.go
+++ b/coord/grant/policy.go
@@ -13,6 +13,8 @@
 	Credit, Free, Unspent int64
 	// HeldByDead is held by ended incarnations; it counts as spent and is not in Unspent.
 	HeldByDead int64
+	// Lost is the part of HeldByDead that no settlement can free; see Holder.SetUnsettled.
+	Lost int64
 	// Granted, Available and Reserved are of the holder's own row.
 	Granted, Available, Reserved int64
 	// Waiting is the total that waiting requests need, SmallestWaiting the smallest need
--- a/prepaid/budgets.go
+++ b/prepaid/budgets.go
@@ -226,12 +226,13 @@
 	}
 	b.holder = grant.NewHolder(p.Incarnation, b.layout, grant.HorizonPolicy{
 		Horizon: time.Duration(s.Horizon), LargestRequests: largestRequests, Share: maxHeldShare, Slack: heldSlack,
-		MaxLoss: s.MaxLoss, StoreDegraded: b.storeDegraded, Refill: refillStep, Recovering: b.recovering, Role: b.role, StandbyHorizon: standbyHorizon, UsingStore: b.storeRequests.has,
+		MaxLoss: s.MaxLoss, MinHeld: s.MinHeld, StoreDegraded: b.storeDegraded, Refill: refillStep, Recovering: b.recovering, Role: b.role, StandbyHorizon: standbyHorizon, UsingStore: b.storeRequests.has,
 		Regional: b.regionalPolicy(),
 	})
 	b.witness.ID = p.Incarnation
 	b.holder.SetDemandWindow(time.Duration(s.DemandWindow))
 	b.holder.UseMinimalRows(b.isDead)
+	b.holder.SetUnsettled(b.unsettled.has)
 	b.pages = &grant.StoreGranter{
 		Holder: b.holder, Store: p.Store, Layout: b.layout, Timeout: b.timeout,
 		CallTimeout: callTimeout, SyncTimeout: syncTimeout, Now: time.Now, Prepare: b.prepare,
--- a/prepaid/regionfleet_test.go
+++ b/prepaid/regionfleet_test.go
@@ -43,6 +43,8 @@
 	storeCut map[string]bool
 	messages map[string]int // by method, between regions
 	limits   ReportedLimits
+	// restarts counts how often all processes were restarted.
+	restarts int
 }
 
 // regionProcess is one process of the fleet.
@@ -99,7 +101,7 @@
 func (f *regionFleet) start(role, region string, n int) *regionProcess {
 	vm := fmt.Sprint(role, "-", region, "-", n)
 	p := &regionProcess{fleet: f, region: region}
-	p.self = member.Member{ID: vm + "/1", Role: role, VM: vm, Datacentre: fmt.Sprint(region, "-", n%2+1), Address: vm + ":1"}
+	p.self = member.Member{ID: fmt.Sprintf("%s/%d", vm, f.restarts+1), Role: role, VM: vm, Datacentre: fmt.Sprint(region, "-", n%2+1), Address: vm + ":1"}
 	s := settings.DefaultGateway().Budgets
 	var limits Limits = &f.limits
 	if role == RoleLender {
@@ -173,6 +175,28 @@
 	p.tasks.Wait()
 }
 
+// restartAll ends all processes at the same moment without notice, and starts new incarnations a second later.
+func (f *regionFleet) restartAll() {
+	ended := f.all()
+	for _, p := range ended {
+		f.mu.Lock()
+		p.dead = true
+		f.mu.Unlock()
+	}
+	for _, p := range ended {
+		f.kill(p)
+	}
+	time.Sleep(time.Second)
+	f.restarts++
+	for n, p := range ended {
+		role, number := p.self.Role, n
+		fmt.Sscanf(p.self.VM, p.self.Role+"-"+p.region+"-%d", &number)
+		f.start(role, p.region, number)
+	}
+	f.list()
+	time.Sleep(3 * time.Second) // dead lenders are settled, or are not
+}
+
 func (f *regionFleet) of(role, region string) (out []*regionProcess) {
 	for _, p := range f.all() {
 		if p.self.Role == role && p.region == region && !p.hasEnded() {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -71,6 +71,8 @@
 	// available while the store responds normally: available tokens are lost when the
 	// process dies. 0 means no bound, for processes that lose the store without warning.
 	MaxLoss float64 `yaml:"most_lost"`
+	// MinHeld is the minimum of that share: tokens lost with dead processes reduce MaxLoss down to it.
+	MinHeld float64 `yaml:"least_held"`
 	// DemandWindow is the time constant of the average of recent demand.
 	DemandWindow fleet.Duration `yaml:"demand_window"`
 	// Report is the maximum time for which usage stays unreported.
--- a/settings/lender.go
+++ b/settings/lender.go
@@ -84,6 +84,8 @@
 	// Of 6, 8, 10 and 20 percent, 10 is best across an outage of the whole store and a crash
 	// of all processes: less prolongs refusals in the former, more loses tokens in the latter.
 	s.Budgets.MaxLoss = 0.1
+	// A team that lost a tenth loses a hundredth with each further crash of all processes.
+	s.Budgets.MinHeld = 0.01
 	return s
 }
 
@@ -140,6 +142,7 @@
 	c.require(b.Pages > 0, "budgets.pages", "must be positive")
 	c.positive("budgets.horizon", b.Horizon)
 	c.require(b.MaxLoss >= 0 && b.MaxLoss <= 1, "budgets.most_lost", "must be between 0 and 1")
+	c.require(b.MinHeld >= 0 && b.MinHeld <= b.MaxLoss, "budgets.least_held", "must be between 0 and budgets.most_lost")
 	c.positive("budgets.demand_window", b.DemandWindow)
 	c.positive("budgets.report", b.Report)
 	c.positive("budgets.store_wait", b.StoreWait)
