--- a/coord/grant/lenders_property_test.go
+++ b/coord/grant/lenders_property_test.go
@@ -58,6 +58,8 @@
 	mu      sync.Mutex
 	// regions is set if each lender is the primary of a region of its own.
 	regions *lenderRegions
+	// boundsLosses makes lenders hold less after losses; see HorizonPolicy.MinHeld.
+	boundsLosses bool
 	// freedByWitnesses is what was freed although a borrower died with its lender.
 	freedByWitnesses int64
 }
@@ -150,11 +152,12 @@
 		return grant.RoleStandby
 	}
 	l.holder = grant.NewHolder(l.id, f.layout, grant.HorizonPolicy{Horizon: 4 * time.Second, StandbyHorizon: 2 * time.Second,
-		LargestRequests: 1, Share: 0.9, Slack: 0.25, Role: role, UsingStore: func(string) bool { return l.usingStore.Load() > 0 },
+		LargestRequests: 1, Share: 0.9, Slack: 0.25, MaxLoss: 0.3, MinHeld: 0.03, StoreDegraded: func() bool { return !f.boundsLosses }, Role: role, UsingStore: func(string) bool { return l.usingStore.Load() > 0 },
 		Regional: f.regions.policy()})
 	l.exposure.Holder = l.holder
 	l.holder.SetDemandWindow(10 * time.Second)
 	l.holder.UseMinimalRows(func(id string) bool { return f.dead[id] })
+	l.holder.SetUnsettled(func(id string) bool { return f.boundsLosses && f.dead[id] })
 	l.pages = &grant.StoreGranter{Holder: l.holder, Store: partitionedStore{f.store, l}, Layout: f.layout, Now: time.Now,
 		Timeout: 100 * time.Millisecond, PageCacheTTL: 10 * time.Second, MaxFreshAge: 500 * time.Millisecond,
 		Timing: grant.Timing{Rebalance: time.Second, Report: time.Second, RemoveIdleAfter: time.Minute, ExhaustedBackoff: 10 * time.Millisecond,
--- a/coord/grant/losses_test.go
+++ b/coord/grant/losses_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/coord/grant"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -36,3 +38,30 @@
 		require.GreaterOrEqual(rt, after, min(before, v.Unspent/100), "the least share")
 	})
 }
+
+// Guards against overspend while all lenders and routers end at the same moment, some of these lenders are settled, and the
+// others hold less after it, beside partitions, lost answers, witnesses that end, and rising limits.
+func TestNoOverspendWithLossesOfAll(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
+			f := newLenderFleet(rt)
+			f.settleLenders, f.boundsLosses = true, true
+			f.witnesses = []*process{f.start("witness"), f.start("witness")}
+			for range rapid.IntRange(1, 80).Draw(rt, "steps") {
+				if rapid.IntRange(0, 15).Draw(rt, "all end") == 0 {
+					for i := range f.lenders {
+						f.killLender(i)
+						f.killRouter(i)
+					}
+				}
+				f.step(t.Context())
+				for _, l := range f.all {
+					l.pages.Wait() // no call continues in the next step
+				}
+				synctest.Wait()
+				f.forgetRemovedRows(t.Context())
+				require.LessOrEqual(rt, f.used, f.limit, "overspend")
+			}
+		})
+	})
+}
