--- a/coord/grant/plan.go
+++ b/coord/grant/plan.go
@@ -242,6 +242,9 @@
 		if r.Balance() > 0 {
 			b.otherHolders = append(b.otherHolders, id)
 		}
+		if h.isUnsettled != nil && h.isUnsettled(id) {
+			v.Lost += r.Balance()
+		}
 	}
 	if !b.lastUse.IsZero() {
 		v.IdleFor = now.Sub(b.lastUse)
