--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -50,6 +51,7 @@
 	store *standin.Store
 	// storeAddress is the address of the store itself, without a proxy.
 	storeAddress string
+	additional   settingsFields
 	processes    []*process
 	upstreams    []*upstream
 	version      int64
@@ -64,8 +66,8 @@
 	*standin.Upstream
 	service string
 	proxy   *proxy
-	// endless is how it answers without end, nil while it does not.
-	endless atomic.Pointer[endlessAnswer]
+	// endless answers requests without end, or returns false; nil while all answers end.
+	endless atomic.Pointer[func(http.ResponseWriter, *http.Request) bool]
 	// entry guards starts, the number of its incarnation, and state, that of its entry.
 	entry  sync.Mutex
 	starts int64
@@ -75,8 +77,11 @@
 	limitEnded time.Time
 }
 
-func newTestFleet(t *testing.T, dir string) *testFleet {
-	tf := &testFleet{t: t, dir: dir, store: standin.NewStore()}
+func newTestFleet(t *testing.T, dir string) *testFleet { return newTestFleetWith(t, dir, nil) }
+
+// newTestFleetWith returns a fleet whose processes have additional settings.
+func newTestFleetWith(t *testing.T, dir string, additional settingsFields) *testFleet {
+	tf := &testFleet{t: t, dir: dir, store: standin.NewStore(), additional: additional}
 	tf.storeAddress = tf.serve(tf.store.Handler())
 	tf.configure()
 	for i := range *engines {
@@ -112,8 +117,7 @@
 		if id := r.Header.Get(standin.HeaderID); id != "" {
 			tf.record(&tf.received, requestRecord{service: service, id: id, at: time.Now(), upstream: u.ID})
 		}
-		if answer := u.endless.Load(); answer != nil {
-			answer.serve(rw, r)
+		if answer := u.endless.Load(); answer != nil && (*answer)(rw, r) {
 			return
 		}
 		u.ServeHTTP(rw, r)
@@ -214,11 +218,12 @@
 	log, err := os.Create(filepath.Join(tf.dir, name+".log"))
 	require.NoError(tf.t, err)
 	tf.t.Cleanup(func() { _ = log.Close() })
-	return &process{t: tf.t, role: role, name: name, settings: filepath.Join(tf.dir, name+".yaml"), store: tf.newProxy(tf.storeAddress), log: log}
+	return &process{t: tf.t, role: role, name: name, settings: filepath.Join(tf.dir, name+".yaml"), additional: tf.additional, store: tf.newProxy(tf.storeAddress), log: log}
 }
 
 // writeSettings writes the settings file of the process.
 func (p *process) writeSettings(f settingsFields) {
+	maps.Copy(f, p.additional)
 	b, err := yaml.Marshal(f)
 	require.NoError(p.t, err)
 	require.NoError(p.t, os.WriteFile(p.settings, b, 0o600))
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -15,6 +15,7 @@
 type process struct {
 	t                    *testing.T
 	role, name, settings string
+	additional           settingsFields
 	// callersAddress is the address of a router's listener for callers.
 	callersAddress string
 	store          *proxy
