Listings of the store: all pages are bounded together

The class is that of the other limits there: set for one of many.

All listings that a process reads at a time share 0.6 of limits.memory_mb; the first MiB of each is free, so small ones need no room. A listing may take all that the others leave, not half as responses do (bounded.Sum.Rest): the largest, all pages of 200,000 budgets of three rows, has 67 MB, and 77 MiB are allowed with the default of 128 MiB. A page that does not lead beyond the one before it ends the listing. Both count as an unknown outcome; the first one is logged and counted as response_too_long.

That a process passes its memory on is by reading only. Not changed: bodies of callers' requests.

--- a/bounded/sum.go
+++ b/bounded/sum.go
@@ -9,8 +9,7 @@
 // minReadBytes is the size of the first buffer of ReadAll.
 const minReadBytes = 512
 
-// Sum limits what several responses hold in memory together. Each may hold half of what the others leave, so responses
-// without end leave room for the others.
+// Sum limits what several responses hold in memory together.
 type Sum struct {
 	limit int64
 
@@ -34,11 +33,17 @@
 	sum  *Sum
 	free int64
 	held int64
+	// rest is set if it may hold all that the others leave.
+	rest bool
 }
 
-// Share returns a share that holds nothing.
+// Share returns a share that holds nothing. It may hold half of what the others leave, so responses without end leave room
+// for the others.
 func (s *Sum) Share(free int64) *Share { return &Share{sum: s, free: free} }
 
+// Rest returns a share that holds nothing and may hold all that the others leave.
+func (s *Sum) Rest(free int64) *Share { return &Share{sum: s, free: free, rest: true} }
+
 // Resize sets the size of the response's buffer. If the sum has no room for it, it returns an error of the type
 // *TooLongError, and the share holds what it held before.
 func (s *Share) Resize(size int64) error {
@@ -48,7 +53,11 @@
 	s.sum.mu.Lock()
 	defer s.sum.mu.Unlock()
 	counted := max(0, size-s.free)
-	if most := (s.sum.limit - (s.sum.held - s.held)) / 2; counted > s.held && counted > most {
+	most := s.sum.limit - (s.sum.held - s.held)
+	if !s.rest {
+		most /= 2
+	}
+	if counted > s.held && counted > most {
 		return &TooLongError{What: "share of the memory for responses", Limit: most + s.free}
 	}
 	s.sum.held += counted - s.held
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -121,7 +121,7 @@
 	g.Base = hosted.New(hosted.Parts{
 		Methods: methods,
 		Role:    prepaid.RoleRouter, VM: s.VM, Topology: s.Distances.Topology(s.Datacentre, s.Regions), Link: s.Listen.Link,
-		Store: s.Store, Budgets: s.Budgets, Limits: prepaid.ConfiguredLimits{Catalog: &g.catalog},
+		MemoryMB: s.Limits.MemoryMB, Store: s.Store, Budgets: s.Budgets, Limits: prepaid.ConfiguredLimits{Catalog: &g.catalog},
 		Readers:  map[string]mirror.Reader{platform.OperatorPrefix: g.operatorReader, platform.UpstreamPrefix: g.directory},
 		Queueing: s.Queueing.On(s.Queueing.Budgets, s.Regions),
 		CanRelay: s.Limits.LinkMbps == 0 || s.Limits.LinkMbps >= minRelayMbps,
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -71,11 +71,13 @@
 	Queueing bool
 	// OnRestored, if set, is called when the store was restored from an older copy. It must not block.
 	OnRestored func()
-	Store      settings.HostedStore
-	Budgets    settings.HostedBudgets
-	Limits     prepaid.Limits
-	Network    Network
-	Log        zerolog.Logger
+	// MemoryMB is the memory (MiB) that the process may use.
+	MemoryMB int
+	Store    settings.HostedStore
+	Budgets  settings.HostedBudgets
+	Limits   prepaid.Limits
+	Network  Network
+	Log      zerolog.Logger
 	// LogDropped returns the number of lines that the log writer dropped.
 	LogDropped func() uint64
 }
@@ -128,7 +130,8 @@
 	b.Admin.Metrics = b.Metrics
 	b.Log = p.Log.With().Str("life", b.Incarnation).Logger()
 	b.Store = newStore(p.Store, p.Network)
-	b.Store.OnCallEnd, b.Store.Eras = b.recordStoreCall, b
+	b.Store.OnCallEnd, b.Store.Eras, b.Store.OnTooLong = b.recordStoreCall, b, b.listingTooLong
+	b.Store.Listings = newListingMemory(p.MemoryMB)
 	b.Members = &member.Group{
 		Store:    b.Store,
 		Prefix:   memberPrefix,
@@ -238,6 +241,8 @@
 	b.Metrics.GetOrCreateCounter(fmt.Sprintf("arbutusmill_unreadable_entries_total{of=%q}", of)).Inc()
 }
 
+func (b *Base) listingTooLong(err error) { b.RecordTooLong("store", err) }
+
 func (b *Base) messageTooLong(err error) { b.RecordTooLong("process", err) }
 
 // RecordTooLong counts and logs an error due to a response of the store or the upstream, or a control message, beyond a limit of package bounded;
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -70,7 +70,7 @@
 	l.Base = hosted.New(hosted.Parts{
 		Role: prepaid.RoleLender, VM: s.VM, Topology: s.Distances.Topology(s.Datacentre, s.Regions), Link: s.Listen.Link, UpstreamAddress: s.Upstream.Address, CanRelay: true,
 		Methods: methods, OnRestored: l.prompts.storeRestored,
-		Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.ReportedLimits{},
+		MemoryMB: s.Limits.MemoryMB, Store: s.Store, Budgets: s.Budgets, Limits: &prepaid.ReportedLimits{},
 		Queueing: s.Queueing.On(s.Queueing.Budgets, s.Regions),
 		Network:  network, Log: observe.NewJSONLogger(log, s.Log.Level, s.VM), LogDropped: dropped,
 	})
