Agents: a request that an engine refuses goes to another engine

Cause: the agent passed every response but a 200 on as the request's outcome, so the router took it for complete.

A refusal that is the first response on its connection proves that the request did not run: the agent refuses with overloaded, and the router tries another agent. On a reused connection it may be the copy of an earlier answer, so it counts as a failure that may have run; its connection is closed. Ruled out: to believe each 429, which would say "not run" of a request that ran. Engines only: what a plain service answers stays its caller's, and may be kept for its key.

The stand-in of an engine can refuse.

Price: with engines that all refuse, the first refusal on a kept connection is answered with 502 where it was a 429, and the engine's Retry-After is lost.

--- a/agent/run.go
+++ b/agent/run.go
@@ -149,12 +149,16 @@
 // forward sends the request to the upstream and the response to the sink.
 func (t *run) forward(ctx context.Context, to sink) (contract.Outcome, *contract.Refusal) {
 	path := strings.TrimPrefix(t.r.URL.RequestURI(), WorkPath)
-	resp, err := t.agent.upstream.call(ctx, t.r, path)
+	var tracker hop.ConnTracker
+	resp, err := t.agent.upstream.call(tracker.Trace(ctx), t.r, path)
 	if err != nil {
 		return t.failed(ctx, err, 0)
 	}
 	defer resp.Body.Close()
-	if t.work.Engine {
+	switch {
+	case t.work.Engine && refusesLoad(resp.StatusCode):
+		return engineRefusal(resp.StatusCode, tracker.Reused())
+	case t.work.Engine:
 		return t.forwardEngine(ctx, resp, to)
 	}
 	if err := copyPlainResponse(resp, to); err != nil {
@@ -163,6 +167,21 @@
 	return contract.Outcome{Used: t.capUsage(t.work.Price), Complete: true}, nil
 }
 
+// refusesLoad reports whether an engine's status means that it takes no request now.
+func refusesLoad(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// engineRefusal returns the end of a request that the engine refused. It proves that the request did not run only on a new
+// connection: on a reused one it may be the copy of an earlier answer. The connection is closed in both cases.
+func engineRefusal(status int, reused bool) (contract.Outcome, *contract.Refusal) {
+	kind := contract.Overloaded
+	if reused {
+		kind = contract.UpstreamFailed
+	}
+	return contract.Outcome{Kind: kind}, contract.Refuse(kind, "the engine refused the request with status %d", status)
+}
+
 func (t *run) forwardEngine(ctx context.Context, resp *http.Response, to sink) (contract.Outcome, *contract.Refusal) {
 	if resp.StatusCode != http.StatusOK {
 		// An error response of an engine generated no tokens.
--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -154,6 +154,42 @@
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
 
+// Guards against an engine's refusal that is passed on although another engine has room.
+func TestRequestThatAnEngineRefusesGoesToAnother(t *testing.T) {
+	f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 2, Engine: standin.DefaultEngineOptions()})
+	f.fleet.Engines[0].Refuse(1000)
+	for i := range 10 {
+		a := f.chat("bergen-router-1", fmt.Sprint("one-refuses-", i), http.DefaultClient)
+		require.True(t, a.complete(), "%d %s", a.status, a.body)
+	}
+	f.fleet.Engines[1].Refuse(1000)
+	for i := range 3 { // on connections that carried a request before
+		f.chat("bergen-router-1", fmt.Sprint("both-refuse-", i), http.DefaultClient)
+	}
+	a := f.chat("bergen-router-1", "both-refuse", http.DefaultClient)
+	require.Equal(t, http.StatusTooManyRequests, a.status, a.body)
+	require.Contains(t, a.body, `"not_run":true`)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+}
+
+// Guards against a refusal that counts as a proof that a request did not run although it may be the copy of an earlier answer
+// on the same connection.
+func TestRefusalOnAUsedConnectionProvesNothing(t *testing.T) {
+	f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 1, Engine: standin.DefaultEngineOptions()})
+	send := func(key string) response {
+		body := fmt.Sprintf(`{"model":%q,"max_tokens":5,"messages":[{"role":"user","content":"low water?"}]}`, model)
+		return f.post("bergen-router-1", pilots, key, openai.ChatPath, body, http.DefaultClient)
+	}
+	require.Equal(t, http.StatusOK, send("first").status)
+	f.fleet.Engines[0].Refuse(1000)
+	a := send("used-connection")
+	require.Equal(t, http.StatusBadGateway, a.status, a.body)
+	require.Contains(t, a.body, `"not_run":false`)
+	a = send("new-connection")
+	require.Equal(t, http.StatusTooManyRequests, a.status, a.body)
+	require.Contains(t, a.body, `"not_run":true`)
+}
+
 // The upstream executes a call and then breaks the keep-alive connection of an earlier
 // call. net/http by default retries a request with an idempotency key on such a failure,
 // and the call would be executed twice.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -59,6 +59,7 @@
 	cacheOrder []uint64
 	served     Served
 	fencing    int64
+	refusals   int
 	reports    []loadReport
 	wake       chan struct{}
 }
@@ -245,11 +246,30 @@
 	return t
 }
 
+// Refuse makes the engine refuse the next n requests with 429.
+func (e *Engine) Refuse(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusals = n
+}
+
+// refuses reports whether to refuse a request.
+func (e *Engine) refuses() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusals--
+	return e.refusals >= 0
+}
+
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
 	var in engineRequest
 	if !readJSON(w, r, &in) {
 		return
 	}
+	if e.refuses() {
+		http.Error(w, "the engine's queue is full", http.StatusTooManyRequests)
+		return
+	}
 	text := in.text()
 	prompt := int64(len(text)/bytesPerToken + 1)
 	seq := e.submit(r, in, text, prompt)
