Router with agents: a body that ends late in a planned stop is refused

In the form with agents, a request whose head came in the notice and whose body ended after it was passed on, although its service's timeout was longer than the rest of the router's stop_timeout: it could be cut at the end without an answer. The cause is that of the same fault in the other form (docs/incidents/ a-planned-stop-and-late-requests.md): an admission that is decided with the head alone.

Before each attempt of a request that has not run, the dispatcher asks, as there, whether the router ends before the deadline, once the notice is over.

Agents were read and not changed: they refuse from the signal on, and bound each request by its deadline.

Open: requests of such services that were passed on in time are cut at the end; a body that never ends keeps the router until stop_timeout.

--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	settingsfleet "github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/arbutusmill/arbutusmill/openai"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/arbutusmill/arbutusmill/standin"
@@ -119,6 +120,53 @@
 	}
 }
 
+// Guards against a request whose body ends after the notice of a planned stop and that is passed on, although it may last
+// longer than the router: it would be cut without an answer.
+func TestBodyThatEndsLateInAPlannedStop(t *testing.T) {
+	const longStop = 5 * time.Second // shorter than the services' timeouts
+	f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 1, Engine: standin.DefaultEngineOptions(),
+		Tune: func(s *settings.Settings) { s.StopTimeout = settingsfleet.Duration(longStop) }})
+	body, rest := io.Pipe()
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.fleet.CallerAddresses["bergen-router-1"]+openai.ChatPath, body)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+f.keys[pilots])
+	late := make(chan response, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			late <- response{err: err}
+			return
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		late <- response{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	}()
+	text := fmt.Sprintf(`{"model":%q,"max_tokens":5,"messages":[{"role":"user","content":"low water?"}]}`, model)
+	_, err = io.WriteString(rest, text[:20]) // returns once the request's head is on its way
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, f.post("bergen-router-1", pilots, "before", openai.ChatPath, text, http.DefaultClient).status)
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); f.fleet.StopOne("bergen-router-1") }()
+	for n := 0; ; n++ {
+		a := f.post("bergen-router-1", pilots, fmt.Sprint("during-", n), openai.ChatPath, text, http.DefaultClient)
+		require.NoError(t, a.err)
+		if a.status == http.StatusServiceUnavailable {
+			break
+		}
+	}
+	served := f.fleet.Engines[0].Served().Requests
+	_, err = io.WriteString(rest, text[20:])
+	require.NoError(t, err)
+	require.NoError(t, rest.Close())
+	a := <-late
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+	require.Contains(t, a.body, `"kind":"stopping"`)
+	require.Contains(t, a.body, `"not_run":true`)
+	require.Equal(t, served, f.fleet.Engines[0].Served().Requests)
+	<-stopped
+}
+
 // notifyTransport signals when the response headers have arrived or the request failed.
 type notifyTransport struct{ started chan<- struct{} }
 
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -46,7 +46,7 @@
 // dispatch sends the request to an upstream and forwards the response to the caller.
 func (r *Router) dispatch(w http.ResponseWriter, req *http.Request, j *job) {
 	a := &agentDispatch{Router: r, job: j, req: req, byID: map[string]vm.VM{}}
-	dispatcher := serving.Dispatcher{Upstreams: a, Budgets: a, RetryBudget: a, Now: time.Now}
+	dispatcher := serving.Dispatcher{Upstreams: a, Budgets: a, RetryBudget: a, RefuseLate: r.refuseLate, Now: time.Now}
 	out := serving.NewHTTPCaller(w, time.Duration(r.base.Settings.Limits.WriteTimeout), true)
 	end := dispatcher.Serve(req.Context(), &serving.Request{
 		ID: j.key, Team: j.team.Name, Route: agentRoute, Service: catalog.Service{Name: j.service.Name},
--- a/router/router.go
+++ b/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/arbutusmill/arbutusmill/lending"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/process"
+	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/arbutusmill/arbutusmill/upstream"
 	"github.com/rs/zerolog"
@@ -55,6 +56,9 @@
 	fenced     chan struct{}
 	fencedOnce sync.Once
 
+	// endOfStop is when a stopping router ends. It is set when the notice period is over.
+	endOfStop atomic.Pointer[time.Time]
+
 	mu      sync.Mutex
 	leaving bool
 	active  int
@@ -261,10 +265,12 @@
 // stop performs a planned shutdown.
 func (r *Router) stop(ctx context.Context) {
 	s := r.base.Settings
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.StopTimeout))
+	end := time.Now().Add(time.Duration(s.StopTimeout))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	r.base.Admin.SetReady(false)
 	_ = backoff.Sleep(ctx, time.Duration(s.StopNotice)) // shorter if stop_timeout expires first
+	r.endOfStop.Store(&end)
 	r.mu.Lock()
 	r.leaving = true
 	if r.active == 0 {
@@ -282,6 +288,16 @@
 	r.log.Info().Int("charges_left", r.outbox.Waiting()).Int("lost_requests_left", r.lost.size()).Msg("stopped")
 }
 
+// refuseLate implements serving.Dispatcher.RefuseLate: once the notice period is over, callers with more time than this router
+// are better served by another one. Such a request began before, and its body ended late.
+func (r *Router) refuseLate(req *serving.Request) *contract.Refusal {
+	end := r.endOfStop.Load()
+	if end == nil || !req.Deadline.After(*end) {
+		return nil
+	}
+	return contract.Refuse(contract.Stopping, "this router stops before the deadline of the request")
+}
+
 // handOver resolves lost requests, flushes charges and returns grants. It reports whether
 // nothing is left; the incarnation is then marked clean.
 func (r *Router) handOver(ctx context.Context) bool {
