--- a/bounded/sum.go
+++ b/bounded/sum.go
@@ -9,8 +9,7 @@
 // minReadBytes is the size of the first buffer of ReadAll.
 const minReadBytes = 512
 
-// Sum limits what several messages, responses or requests, hold in memory together. Each may hold half of what the others
-// leave, so messages without end leave room for the others.
+// Sum limits what several messages, responses or requests, hold in memory together.
 type Sum struct {
 	limit int64
 
@@ -34,11 +33,17 @@
 	sum  *Sum
 	free int64
 	held int64
+	// rest is set if it may hold all that the others leave.
+	rest bool
 }
 
-// Share returns a share that holds nothing.
+// Share returns a share that holds nothing. It may hold half of what the others leave, so messages without end leave room
+// for the others.
 func (s *Sum) Share(free int64) *Share { return &Share{sum: s, free: free} }
 
+// Rest returns a share that holds nothing and may hold all that the others leave.
+func (s *Sum) Rest(free int64) *Share { return &Share{sum: s, free: free, rest: true} }
+
 // Room returns the size, in bytes, to which the share can be resized now.
 func (s *Share) Room() int64 {
 	s.sum.mu.Lock()
@@ -47,7 +52,13 @@
 }
 
 // roomLocked returns the bytes that the share may hold beside the other shares.
-func (s *Share) roomLocked() int64 { return (s.sum.limit - (s.sum.held - s.held)) / 2 }
+func (s *Share) roomLocked() int64 {
+	room := s.sum.limit - (s.sum.held - s.held)
+	if s.rest {
+		return room
+	}
+	return room / 2
+}
 
 // Resize sets the size of the message's buffer. If the sum has no room for it, it returns an error of the type
 // *TooLongError, and the share holds what it held before.
--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	settingsfleet "github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/arbutusmill/arbutusmill/openai"
 	"github.com/arbutusmill/arbutusmill/settings"
 	"github.com/arbutusmill/arbutusmill/standin"
@@ -119,6 +120,53 @@
 	}
 }
 
+// Guards against a request whose body ends after the notice of a planned stop and that is passed on, although it may last
+// longer than the router: it would be cut without an answer.
+func TestBodyThatEndsLateInAPlannedStop(t *testing.T) {
+	const longStop = 5 * time.Second // shorter than the services' timeouts
+	f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 1, Engine: standin.DefaultEngineOptions(),
+		Tune: func(s *settings.Settings) { s.StopTimeout = settingsfleet.Duration(longStop) }})
+	body, rest := io.Pipe()
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.fleet.CallerAddresses["bergen-router-1"]+openai.ChatPath, body)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+f.keys[pilots])
+	late := make(chan response, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			late <- response{err: err}
+			return
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		late <- response{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	}()
+	text := fmt.Sprintf(`{"model":%q,"max_tokens":5,"messages":[{"role":"user","content":"low water?"}]}`, model)
+	_, err = io.WriteString(rest, text[:20]) // returns once the request's head is on its way
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, f.post("bergen-router-1", pilots, "before", openai.ChatPath, text, http.DefaultClient).status)
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); f.fleet.StopOne("bergen-router-1") }()
+	for n := 0; ; n++ {
+		a := f.post("bergen-router-1", pilots, fmt.Sprint("during-", n), openai.ChatPath, text, http.DefaultClient)
+		require.NoError(t, a.err)
+		if a.status == http.StatusServiceUnavailable {
+			break
+		}
+	}
+	served := f.fleet.Engines[0].Served().Requests
+	_, err = io.WriteString(rest, text[20:])
+	require.NoError(t, err)
+	require.NoError(t, rest.Close())
+	a := <-late
+	require.NoError(t, a.err)
+	require.Equal(t, http.StatusServiceUnavailable, a.status, a.body)
+	require.Contains(t, a.body, `"kind":"stopping"`)
+	require.Contains(t, a.body, `"not_run":true`)
+	require.Equal(t, served, f.fleet.Engines[0].Served().Requests)
+	<-stopped
+}
+
 // notifyTransport signals when the response headers have arrived or the request failed.
 type notifyTransport struct{ started chan<- struct{} }
 
@@ -154,6 +202,42 @@
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
 
+// Guards against an engine's refusal that is passed on although another engine has room.
+func TestRequestThatAnEngineRefusesGoesToAnother(t *testing.T) {
+	f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 2, Engine: standin.DefaultEngineOptions()})
+	f.fleet.Engines[0].Refuse(1000)
+	for i := range 10 {
+		a := f.chat("bergen-router-1", fmt.Sprint("one-refuses-", i), http.DefaultClient)
+		require.True(t, a.complete(), "%d %s", a.status, a.body)
+	}
+	f.fleet.Engines[1].Refuse(1000)
+	for i := range 3 { // on connections that carried a request before
+		f.chat("bergen-router-1", fmt.Sprint("both-refuse-", i), http.DefaultClient)
+	}
+	a := f.chat("bergen-router-1", "both-refuse", http.DefaultClient)
+	require.Equal(t, http.StatusTooManyRequests, a.status, a.body)
+	require.Contains(t, a.body, `"not_run":true`)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+}
+
+// Guards against a refusal that counts as a proof that a request did not run although it may be the copy of an earlier answer
+// on the same connection.
+func TestRefusalOnAUsedConnectionProvesNothing(t *testing.T) {
+	f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 1, Engine: standin.DefaultEngineOptions()})
+	send := func(key string) response {
+		body := fmt.Sprintf(`{"model":%q,"max_tokens":5,"messages":[{"role":"user","content":"low water?"}]}`, model)
+		return f.post("bergen-router-1", pilots, key, openai.ChatPath, body, http.DefaultClient)
+	}
+	require.Equal(t, http.StatusOK, send("first").status)
+	f.fleet.Engines[0].Refuse(1000)
+	a := send("used-connection")
+	require.Equal(t, http.StatusBadGateway, a.status, a.body)
+	require.Contains(t, a.body, `"not_run":false`)
+	a = send("new-connection")
+	require.Equal(t, http.StatusTooManyRequests, a.status, a.body)
+	require.Contains(t, a.body, `"not_run":true`)
+}
+
 // The upstream executes a call and then breaks the keep-alive connection of an earlier
 // call. net/http by default retries a request with an idempotency key on such a failure,
 // and the call would be executed twice.
