--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -373,20 +373,44 @@
 		f.send(req)
 		time.Sleep(100 * time.Millisecond)
 		const prompt, delivered, inFlight, perEvent = 1000, 26, 51, 3
-		used := int64(0)
-		for line := range strings.Lines(f.log.String()) {
-			if _, rest, ok := strings.Cut(line, `"used":`); ok && strings.Contains(line, `"id":"r-1"`) {
-				digits, _, _ := strings.Cut(rest, ",")
-				n, err := strconv.ParseInt(digits, 10, 64)
-				require.NoError(t, err)
-				used = n
-			}
-		}
+		used := f.usedTokens("r-1")
 		require.InDelta(t, prompt+(delivered+inFlight)*perEvent, used, 2*perEvent)
 		require.GreaterOrEqual(t, used, int64(prompt+delivered*perEvent))
 	})
 }
 
+// usedTokens returns the tokens that a request was charged, by its log line.
+func (f *fleet) usedTokens(id string) (used int64) {
+	for line := range strings.Lines(f.log.String()) {
+		if _, rest, ok := strings.Cut(line, `"used":`); ok && strings.Contains(line, `"id":"`+id+`"`) {
+			digits, _, _ := strings.Cut(rest, ",")
+			n, err := strconv.ParseInt(digits, 10, 64)
+			require.NoError(f.t, err)
+			used = n
+		}
+	}
+	return used
+}
+
+// Guards against a charge for attempts that upstreams declined: they did not run.
+func TestDeclinedAttemptsAreNotCharged(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(1_000_000, "k1")
+		declines, serves := f.upstream("i-1", "model", 5), f.upstream("i-2", "model", 5)
+		f.start()
+		declines.SetMode(standin.Decline)
+		for n := range 6 {
+			id := fmt.Sprint("served-", n)
+			require.Equal(t, 200, f.send(chat(id)).status)
+			require.EqualValues(t, 1000+5*3, f.usedTokens(id))
+		}
+		require.NotEmpty(t, declines.Requests(), "some were declined first")
+		serves.SetMode(standin.Decline)
+		require.Equal(t, 429, f.send(chat("declined")).status)
+		require.Zero(t, f.usedTokens("declined"))
+	})
+}
+
 // Guards against a request without an id, to which any response without one would belong.
 func TestRequestWithoutIDIsRefused(t *testing.T) {
 	withFleet(t, func(f *fleet) {
--- a/serving/decide_test.go
+++ b/serving/decide_test.go
@@ -94,6 +94,19 @@
 	})
 }
 
+// Guards against a charge that leaves out a run of a request, or counts its prompt for each.
+func TestChargeCoversAllRuns(t *testing.T) {
+	ran, declined := Attempt{Result: Broken, Began: true, Output: 4}, Attempt{Result: Declined}
+	left := Attempt{Result: CallerGone, Began: true, Output: 3}
+	for _, c := range []struct {
+		attempts []Attempt
+		want     int64
+	}{{[]Attempt{ran, left}, 107}, {[]Attempt{left}, 103}, {[]Attempt{declined, left}, 103}, {[]Attempt{ran, declined}, 104},
+		{[]Attempt{declined, declined}, 0}, {[]Attempt{ran, ran, left}, 110}} {
+		require.Equal(t, c.want, chargedTokens(requestOn(chat), c.attempts), "%v", c.attempts)
+	}
+}
+
 // Guards against passing on the failure of an earlier run when a later run may have continued: the
 // caller needs the outcome of the later one.
 func TestFailureThenUnknownOutcome(t *testing.T) {
