--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -19,8 +19,6 @@
 const maxReadAhead = 64 << 10
 
 const (
-	// maxConnectionsShare is the share of the connections above which new callers go to other routers.
-	maxConnectionsShare = 7. / 8
 	// freeHeaderBytes is the size up to which a request's headers do not count for the memory for headers.
 	freeHeaderBytes = 8 << 10
 	// headerLineBytes is what a line of headers takes once it is parsed, beside its bytes.
@@ -60,9 +58,8 @@
 	net.Conn
 	// limits returns the operators' current limits.
 	limits func() catalog.Limits
-	// onNoRoom is called when the connection ends since there is no room for the headers of its request, onClose once when
-	// it is closed.
-	onNoRoom, onClose func()
+	// onNoRoom is called when the connection ends since there is no room for the headers of its request.
+	onNoRoom func()
 	// cancelRequests cancels the context of the connection's requests.
 	cancelRequests context.CancelFunc
 
@@ -81,7 +78,7 @@
 }
 
 func newCallerConn(conn net.Conn, l callerListener) *callerConn {
-	c := &callerConn{Conn: conn, limits: l.limits, onNoRoom: l.onNoRoom, onClose: sync.OnceFunc(l.onClose), memory: l.headers.Share(freeHeaderBytes),
+	c := &callerConn{Conn: conn, limits: l.limits, onNoRoom: l.onNoRoom, memory: l.headers.Share(freeHeaderBytes),
 		cancelRequests: func() {}, phaseStart: time.Now()}
 	c.readAheadCond = sync.NewCond(&c.mu)
 	return c
@@ -212,7 +209,6 @@
 	c.memory.Release()
 	c.memory = nil // a read that has not returned counts nothing
 	c.mu.Unlock()
-	defer c.onClose()
 	return c.Conn.Close()
 }
 
@@ -223,9 +219,6 @@
 	// headers limits what the headers of all callers, and bytes that were read ahead, take together.
 	headers  *bounded.Sum
 	onNoRoom func()
-	// open counts a connection if there is room for it, onClose its end; onFull is called if there is none.
-	open            func() bool
-	onClose, onFull func()
 }
 
 // callerListener returns the listener for callers.
@@ -233,40 +226,16 @@
 	headers := bounded.NewSum(int64(headerMemoryShare * float64(g.settings.Limits.MemoryMB<<20)))
 	unread := &unreadConnections{log: g.Log, metrics: g.metrics}
 	return callerListener{Listener: l, limits: g.callerLimits, headers: headers,
-		onNoRoom: func() { unread.record(headersWithoutRoom, headers.Held()) },
-		open:     g.openConnection,
-		onClose:  func() { g.callerConns.Add(-1) },
-		onFull:   func() { unread.record(tooManyConnections, g.callerConns.Load()) }}
+		onNoRoom: func() { unread.record(headersWithoutRoom, headers.Held()) }}
 }
 
-// openConnection counts a connection of a caller. It returns false if the limit is reached.
-func (g *Gateway) openConnection() bool {
-	if g.callerConns.Add(1) > int64(g.settings.Limits.MaxConnections()) {
-		g.callerConns.Add(-1)
-		return false
-	}
-	return true
-}
-
-// connectionsRunOut reports whether new callers should go to other routers before this one has to close their connections.
-func (g *Gateway) connectionsRunOut() bool {
-	return float64(g.callerConns.Load()) > maxConnectionsShare*float64(g.settings.Limits.MaxConnections())
-}
-
-// Accept implements net.Listener. It closes connections for which there is no room: those that wait to be accepted take
-// memory for what callers send, and their callers are better served elsewhere.
+// Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.open() {
-			return newCallerConn(c, l), nil
-		}
-		l.onFull()
-		_ = c.Close() // there is nothing to do about an error
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	return newCallerConn(c, l), nil
 }
 
 // callerServer returns the HTTP server for callers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,9 +92,7 @@
 	configWatch, upstreamWatch hosted.Dependency
 
 	activeRequests atomic.Int64
-	// callerConns is the number of callers' open connections.
-	callerConns atomic.Int64
-	stopping    atomic.Bool
+	stopping       atomic.Bool
 	// endOfStop is when a stopping router ends its requests. It is set when the notice period is over.
 	endOfStop atomic.Pointer[time.Time]
 	// requestsContext is the parent of all requests' contexts; cancelRequests cancels it.
@@ -222,10 +220,9 @@
 
 // ready reports whether the balancer should send callers here. A router that lost its
 // connection to the store continues with its last copy; one that never read the store cannot serve.
-// A router with an overloaded link, one that is crowded, or one with many connections, serves its present callers better if
-// it gets no new ones.
+// A router with an overloaded link, or one that is crowded, serves its present callers better if it gets no new ones.
 func (g *Gateway) ready() bool {
-	return !g.closesConnections() && g.catalog.Load() != nil && g.directory.Read() && g.rollouts.ready()
+	return !g.stopping.Load() && !g.linkOverloaded() && !g.crowding.Crowded(time.Now()) && g.catalog.Load() != nil && g.directory.Read() && g.rollouts.ready()
 }
 
 // linkOverloaded reports whether this VM's link has been overloaded for some time.
--- a/gateway/unreadconns.go
+++ b/gateway/unreadconns.go
@@ -10,12 +10,8 @@
 // unreadReason is why a caller's connection was closed without an answer to its request.
 type unreadReason string
 
-const (
-	// headersWithoutRoom means that there was no room for the headers of the request.
-	headersWithoutRoom unreadReason = "headers_without_room"
-	// tooManyConnections means that callers have limits.connections open.
-	tooManyConnections unreadReason = "too_many_connections"
-)
+// headersWithoutRoom means that there was no room for the headers of the request.
+const headersWithoutRoom unreadReason = "headers_without_room"
 
 // unreadLogInterval is the minimum time between log lines about unread connections.
 const unreadLogInterval = time.Second
