Gateway: callers' connections are limited; those that wait make room for new ones

Seen (by reading, and in the test): a router accepts connections of callers as long as it has descriptors, and then it can open none itself: neither to the store (changes are late), nor to upstreams and lenders. 1,000 callers were all accepted; there was no setting. Running out of descriptors itself was not played. Cause: only requests in progress had a limit (concurrent_requests); connections that wait for a request or receive its headers had none. Ruled out: connections that wait unaccepted. What their callers send takes memory all the same, and they wait until their timeout instead of going elsewhere. Change: limits.connections, by default half of limits.descriptors (which the platform states; 4,096 by default) without 500 for files, the store and other processes: each connection may need one to an upstream. A connection beyond the limit takes the place of the one that has waited for a request the longest, if for a second or more; otherwise it is closed unread. Both are counted, and logged at most once a second. While 7/8 of the connections have requests the router is not ready, and its answers ask callers to reconnect. TestConnectionsBeyondTheLimit failed before: 1,000 connections of 100 were open. After: 100 are, and as soon as half of them are closed new callers are served. TestWaitingConnectionsMakeRoom: beside 1,000 callers that send nothing new ones are served after a second, and a change is in force half a second later.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -60,6 +60,8 @@
 	limits func() catalog.Limits
 	// onNoRoom is called when the connection ends since there is no room for the headers of its request.
 	onNoRoom func()
+	// conns holds the router's open connections.
+	conns *callerConns
 	// cancelRequests cancels the context of the connection's requests.
 	cancelRequests context.CancelFunc
 
@@ -72,13 +74,15 @@
 	// connection is closed. headerCost is the headers' part.
 	memory     *bounded.Share
 	headerCost int64
+	// closedIdle is set when the router closed the connection to make room; what is read from then on is dropped.
+	closedIdle bool
 	// readingAhead is set while a goroutine reads ahead; readErr is the error that ended it.
 	readingAhead bool
 	readErr      error
 }
 
 func newCallerConn(conn net.Conn, l callerListener) *callerConn {
-	c := &callerConn{Conn: conn, limits: l.limits, onNoRoom: l.onNoRoom, memory: l.headers.Share(freeHeaderBytes),
+	c := &callerConn{Conn: conn, limits: l.limits, onNoRoom: l.onNoRoom, conns: l.conns, memory: l.headers.Share(freeHeaderBytes),
 		cancelRequests: func() {}, phaseStart: time.Now()}
 	c.readAheadCond = sync.NewCond(&c.mu)
 	return c
@@ -102,6 +106,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closedIdle {
+		return 0, net.ErrClosed
+	}
 	if noRoom := c.recordReadLocked(p[:n]); noRoom != nil {
 		return 0, noRoom
 	}
@@ -146,6 +153,7 @@
 func (c *callerConn) recordReadLocked(b []byte) error {
 	if len(b) > 0 && c.phase == phaseIdle {
 		c.phase, c.phaseStart = phaseHeaders, time.Now()
+		c.conns.used(c)
 	}
 	if c.phase != phaseHeaders {
 		return nil
@@ -171,8 +179,10 @@
 	defer c.mu.Unlock()
 	c.phase, c.phaseStart = p, time.Now()
 	if p == phaseServing {
+		c.conns.used(c)
 		return c.SetReadDeadline(time.Time{})
 	}
+	c.conns.idle(c)
 	c.headerCost = 0
 	return c.resizeLocked()
 }
@@ -209,9 +219,22 @@
 	c.memory.Release()
 	c.memory = nil // a read that has not returned counts nothing
 	c.mu.Unlock()
+	c.conns.closed(c)
 	return c.Conn.Close()
 }
 
+// closeIdle closes the connection if it waits for a request. It returns false if a request, or a part of one, was read.
+func (c *callerConn) closeIdle() bool {
+	c.mu.Lock()
+	idle := c.phase == phaseIdle && len(c.buffered) == 0 && !c.readingAhead
+	c.closedIdle = idle
+	c.mu.Unlock()
+	if idle {
+		_ = c.Close() // there is nothing to do about an error
+	}
+	return idle
+}
+
 // callerListener accepts callers' connections as callerConn.
 type callerListener struct {
 	net.Listener
@@ -219,23 +242,31 @@
 	// headers limits what the headers of all callers, and bytes that were read ahead, take together.
 	headers  *bounded.Sum
 	onNoRoom func()
+	conns    *callerConns
 }
 
 // callerListener returns the listener for callers.
 func (g *Gateway) callerListener(l net.Listener) callerListener {
 	headers := bounded.NewSum(int64(headerMemoryShare * float64(g.settings.Limits.MemoryMB<<20)))
-	unread := &unreadConnections{log: g.Log, metrics: g.metrics}
+	g.callerConns.unread = unreadConnections{log: g.Log, metrics: g.metrics}
 	return callerListener{Listener: l, limits: g.callerLimits, headers: headers,
-		onNoRoom: func() { unread.record(headersWithoutRoom, headers.Held()) }}
+		onNoRoom: func() { g.callerConns.unread.record(headersWithoutRoom, headers.Held()) },
+		conns:    g.callerConns}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It closes connections for which there is no room: those that wait to be accepted take
+// memory for what callers send, and their callers are better served elsewhere.
 func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if conn := newCallerConn(c, l); l.conns.open(conn) {
+			return conn, nil
+		}
+		_ = c.Close() // there is nothing to do about an error
 	}
-	return newCallerConn(c, l), nil
 }
 
 // callerServer returns the HTTP server for callers.
--- a/gateway/crowding.go
+++ b/gateway/crowding.go
@@ -62,7 +62,7 @@
 // closesConnections reports whether callers should open a new connection, which reaches another router, for their next
 // request.
 func (g *Gateway) closesConnections() bool {
-	return g.stopping.Load() || g.linkOverloaded() || g.crowding.Crowded(time.Now())
+	return g.stopping.Load() || g.linkOverloaded() || g.crowding.Crowded(time.Now()) || g.callerConns.runOut()
 }
 
 // sendElsewhere refuses a request that would miss its goal here and that another router can serve in time.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,9 @@
 	configWatch, upstreamWatch hosted.Dependency
 
 	activeRequests atomic.Int64
-	stopping       atomic.Bool
+	// callerConns holds callers' open connections.
+	callerConns *callerConns
+	stopping    atomic.Bool
 	// endOfStop is when a stopping router ends its requests. It is set when the notice period is over.
 	endOfStop atomic.Pointer[time.Time]
 	// requestsContext is the parent of all requests' contexts; cancelRequests cancels it.
@@ -107,10 +109,11 @@
 func New(s *settings.Gateway, network hosted.Network, log io.Writer, dropped func() uint64) *Gateway {
 	meter := newLinkMeter(s.Limits.LinkMbps)
 	g := &Gateway{
-		settings: s,
-		meter:    meter,
-		lag:      &admission.Lag{Period: lagPeriod},
-		bodies:   bounded.NewSum(s.Limits.BodyBytes()),
+		settings:    s,
+		meter:       meter,
+		lag:         &admission.Lag{Period: lagPeriod},
+		bodies:      bounded.NewSum(s.Limits.BodyBytes()),
+		callerConns: newCallerConns(s.Limits.MaxConnections()),
 	}
 	g.current.Store(s)
 	g.requestsContext, g.cancelRequests = context.WithCancelCause(context.Background())
@@ -220,9 +223,10 @@
 
 // ready reports whether the balancer should send callers here. A router that lost its
 // connection to the store continues with its last copy; one that never read the store cannot serve.
-// A router with an overloaded link, or one that is crowded, serves its present callers better if it gets no new ones.
+// A router with an overloaded link, one that is crowded, or one whose connections run out, serves its present callers better if
+// it gets no new ones.
 func (g *Gateway) ready() bool {
-	return !g.stopping.Load() && !g.linkOverloaded() && !g.crowding.Crowded(time.Now()) && g.catalog.Load() != nil && g.directory.Read() && g.rollouts.ready()
+	return !g.closesConnections() && g.catalog.Load() != nil && g.directory.Read() && g.rollouts.ready()
 }
 
 // linkOverloaded reports whether this VM's link has been overloaded for some time.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -80,6 +80,8 @@
 	unreachable sync.Map
 	// notice is how long a stopping router still serves; 0 means the default.
 	notice time.Duration
+	// connections is the maximum number of callers' connections of a router; 0 means the default.
+	connections int
 	// queueing makes work wait for room; see settings.Queueing.
 	queueing bool
 	// linkRate is the capacity of the routers' links in bytes/s; 0 means unlimited.
@@ -271,6 +273,7 @@
 	s.Store.Address = storeAddress
 	s.Cold = settings.Cold{Overshoot: 1.5, Slack: 5}
 	s.Queueing.Enabled = &f.queueing
+	s.Limits.Connections = f.connections
 	if f.notice > 0 {
 		s.Stop.Notice = settingsfleet.Duration(f.notice)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,10 @@
 	m := &gatewayMetrics{set: g.Metrics}
 	m.set.NewGauge("arbutusmill_gateway_active_requests", func() float64 { return float64(g.activeRequests.Load()) })
 	m.set.NewGauge("arbutusmill_gateway_body_bytes", func() float64 { return float64(g.bodies.Held()) })
+	m.set.NewGauge("arbutusmill_gateway_caller_connections", func() float64 {
+		open, _ := g.callerConns.counts()
+		return float64(open)
+	})
 	m.set.NewGauge("arbutusmill_gateway_configuration_version", func() float64 { return float64(g.configVersion()) })
 	m.set.NewGauge("arbutusmill_gateway_emptied_datacentres", func() float64 { return float64(len(g.directory.Drained())) })
 	m.set.NewGauge("arbutusmill_gateway_prompts_that_end_upstreams", func() float64 {
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -224,3 +227,107 @@
 		})
 	}
 }
+
+// connectionLimit is the maximum number of callers' connections in the tests of more connections.
+const connectionLimit = 100
+
+// overConnected starts a router and opens ten times as many connections as it may have, with the same bytes on each. It
+// returns those that stay open.
+func overConnected(f *fleet, bytes string) (u *rawUpstream, open []net.Conn) {
+	f.connections = connectionLimit
+	u = overloadFleet(f)
+	var conns []net.Conn
+	for range 10 * connectionLimit {
+		conn, err := f.network.Dial(context.Background(), "tcp", address(1, callersPort))
+		require.NoError(f.t, err)
+		f.t.Cleanup(func() { _ = conn.Close() }) // the test may have closed it
+		_, _ = io.WriteString(conn, bytes)       // fails if the router closes
+		conns = append(conns, conn)
+	}
+	synctest.Wait()
+	open = openConns(conns)
+	require.Equal(f.t, connectionLimit, len(open))
+	return u, open
+}
+
+// Guards against more connections than a router has descriptors for: it could reach neither the store nor upstreams while
+// callers kept them open. Those beyond the limit are closed with their request unread, and the balancer is sent elsewhere.
+func TestConnectionsBeyondTheLimit(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		half := len(rawAlert("r", "")) / 2
+		u, open := overConnected(f, rawAlert("r", "")[:half])
+		require.Equal(t, 503, f.readyStatus())
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			require.Error(t, f.send(alert("beyond")).err)
+		}
+		require.Empty(t, u.receivedIDs())
+		status, closes := exchange(t, open[0], rawAlert("r", "")[half:])
+		require.Equal(t, 200, status)
+		require.True(t, closes, "callers are handed over")
+		for _, conn := range open[:connectionLimit/2] {
+			require.NoError(t, conn.Close())
+		}
+		f.settle()
+		require.Equal(t, 200, f.readyStatus())
+		for n := range connectionLimit/2 - 1 {
+			require.Equal(t, 200, f.send(alert(fmt.Sprint("next-", n))).status)
+		}
+		lines := strings.Count(f.log.String(), `"event":"caller_connection_unread"`)
+		require.Greater(t, lines, 0)
+		require.LessOrEqual(t, lines, 3, "one a second")
+	})
+}
+
+// Guards against callers without requests that hold all connections: those that have waited the longest make room, and
+// changes are in force in time. None is closed while it has a request.
+func TestWaitingConnectionsMakeRoom(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		u, open := overConnected(f, "")
+		status, _ := exchange(t, open[0], rawAlert("used", ""))
+		require.Equal(t, 200, status)
+		f.settle()
+		active := f.dialAndWrite("")
+		done := make(chan int)
+		go func() {
+			status, _ := exchange(t, active, rawAlert("active", ""))
+			done <- status
+		}()
+		f.putConfig(0, "k1")
+		f.settle()
+		removed := level("removed-key")
+		removed.key = "k2"
+		for range 2 * connectionLimit {
+			time.Sleep(20 * time.Millisecond) // new callers replace all others in 2 s
+			resp := f.send(removed)
+			require.Equal(t, 401, resp.status)
+			require.False(t, resp.closes)
+		}
+		require.Equal(t, 200, <-done)
+		require.Equal(t, 200, f.readyStatus())
+		require.Equal(t, 200, f.send(alert("next")).status)
+		require.Len(t, u.receivedIDs(), 3)
+	})
+}
+
+// openConns returns the connections that the router has not closed.
+func openConns(conns []net.Conn) (open []net.Conn) {
+	for _, c := range conns {
+		_ = c.SetReadDeadline(time.Now().Add(time.Millisecond)) // fails if it is closed, like the read
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			open = append(open, c)
+		}
+	}
+	return open
+}
+
+// exchange sends a request, and returns the status of the answer and whether the router closes the connection.
+func exchange(t *testing.T, conn net.Conn, request string) (status int, closes bool) {
+	require.NoError(t, conn.SetReadDeadline(time.Time{}))
+	_, err := io.WriteString(conn, request)
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode, resp.Close
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -128,6 +128,11 @@
 type GatewayLimits struct {
 	// Concurrent is the maximum number of requests in progress.
 	Concurrent int `yaml:"concurrent_requests"`
+	// Descriptors is the number of file descriptors that the process may use.
+	Descriptors int `yaml:"descriptors"`
+	// Connections is the maximum number of callers' connections; 0 is half of Descriptors without those that are
+	// reserved, since each connection may need one to an upstream.
+	Connections int `yaml:"connections"`
 	// WriteTimeout bounds one write to a slow caller.
 	WriteTimeout fleet.Duration `yaml:"write_timeout"`
 	// MemoryMB is the memory (MiB) that the process may use.
@@ -138,6 +143,17 @@
 	LinkMbps float64 `yaml:"link_mbps"`
 }
 
+// reservedDescriptors is the number of descriptors for files, and for connections to the store and other processes.
+const reservedDescriptors = 500
+
+// MaxConnections returns the maximum number of callers' connections.
+func (l GatewayLimits) MaxConnections() int {
+	if l.Connections > 0 {
+		return l.Connections
+	}
+	return (l.Descriptors - reservedDescriptors) / 2
+}
+
 // defaultBodiesShare is the part of the process's memory that callers' bodies may take together if it is not set.
 const defaultBodiesShare = 0.25
 
@@ -211,7 +227,7 @@
 		},
 		Cold:     Cold{Overshoot: 1},
 		Rollouts: Rollouts{MaxShare: 0.1, MaxExtra: 50, RollBack: fleet.Duration(5 * time.Second)},
-		Limits:   GatewayLimits{Concurrent: 2000, WriteTimeout: fleet.Duration(10 * time.Second), MemoryMB: 128},
+		Limits:   GatewayLimits{Concurrent: 2000, Descriptors: 4096, WriteTimeout: fleet.Duration(10 * time.Second), MemoryMB: 128},
 		// The balancer probes once a second and needs two failures. The platform lets a stop cut long requests only if
 		// they were sent within three seconds of the signal, which a busy VM handles late.
 		Stop: Stop{Notice: fleet.Duration(2500 * time.Millisecond), Grace: fleet.Duration(8 * time.Second)},
@@ -262,6 +278,8 @@
 	c.require(s.Limits.Concurrent > 0, "limits.concurrent_requests", "must be positive")
 	c.require(s.Limits.LinkMbps >= 0, "limits.link_mbps", "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
+	c.require(s.Limits.Descriptors > 2*reservedDescriptors, "limits.descriptors", "must be above %d", 2*reservedDescriptors)
+	c.require(s.Limits.Connections >= 0, "limits.connections", "must not be negative")
 	c.require(s.Limits.BodiesMB >= 0 && s.Limits.BodiesMB <= s.Limits.MemoryMB, "limits.bodies_mb", "must not be negative, nor above limits.memory_mb")
 	c.require(s.Stop.Notice < s.Stop.Grace, "stop.notice", "must be shorter than stop.grace")
 	c.positive("repeats.window", s.Retries.Window)
