Budgets: no alarm about a lender that has given everything back

Cause: the primary knows a lender from the last page that it read. Its rows and its list of borrowers are gone by then, and a missing list reads as a use that nobody knows.

Change: before that is reported the page is read; a lender without rows there needs no settlement.

Before: TestLenderThatGaveEverythingBackNeedsNoSettlement failed (the line is in the log). It passes now.

--- a/coord/settlement/settler.go
+++ b/coord/settlement/settler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 
 	"github.com/arbutusmill/arbutusmill/coord/account"
@@ -48,6 +49,9 @@
 // store's; each of them leaves the rows unchanged.
 func (s *Settler) Settle(ctx context.Context, lender, page string, waitForRunning bool) (Settlement, error) {
 	sealed, err := s.seal(ctx, lender)
+	if errors.Is(err, ErrUsageUnknown) && s.hasNoRows(ctx, lender, page) {
+		return Settlement{}, nil // it has given everything back, and its list is removed
+	}
 	if err != nil {
 		return Settlement{}, err
 	}
@@ -180,6 +184,24 @@
 	return sealed, err
 }
 
+// hasNoRows reports whether a page is known to have no row of a lender.
+func (s *Settler) hasNoRows(ctx context.Context, lender, page string) bool {
+	item, err := s.Store.Get(ctx, page)
+	if err != nil {
+		return false
+	}
+	p, err := account.Decode(item.Value)
+	if err != nil {
+		return false
+	}
+	for _, a := range p.Accounts {
+		if a.Rows[lender] != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // endRows removes the lender's rows from the page. What the lender itself had reported as settled is
 // part of the usage: some lots were returned before it died.
 func (s *Settler) endRows(ctx context.Context, lender, page string, used map[string]int64) (Settlement, error) {
--- a/prepaid/borrowers_internal_test.go
+++ b/prepaid/borrowers_internal_test.go
@@ -236,3 +236,23 @@
 	require.GreaterOrEqual(f.t, i, 0)
 	return f.nodes[i]
 }
+
+// Guards against an alarm about a lender that has given everything back before it announced its end.
+func TestLenderThatGaveEverythingBackNeedsNoSettlement(t *testing.T) {
+	withTokenFleet(t, true, 1000, 4, 2, func(t *testing.T, f *tokenFleet) {
+		lender, router := f.primary(), f.routers()[0]
+		r := router.reserve(t.Context(), 0, 400)
+		require.Nil(t, r.refusal)
+		lender.members.SetWithdrawn(true)
+		f.unlist(lender)
+		require.Nil(t, router.reserve(t.Context(), 0, 10).refusal, "the next primary finds the rows of this one")
+		r.settle(400)
+		stopping, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		require.NoError(t, lender.ReturnTokens(stopping))
+		lender.AnnounceEnd(t.Context())
+		f.kill(lender)
+		time.Sleep(settleWait)
+		require.NotContains(t, f.log(), `"event":"lender_not_settled"`)
+	})
+}
