--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -134,7 +134,7 @@
 	// Descriptors is the number of file descriptors that the process may use.
 	Descriptors int `yaml:"descriptors"`
 	// Connections is the maximum number of callers' connections; 0 is half of Descriptors without those that are
-	// reserved, since each connection may need one to an upstream.
+	// reserved, since each connection may need one to an upstream, but a quarter of Descriptors at least.
 	Connections int `yaml:"connections"`
 	// WriteTimeout bounds one write to a slow caller.
 	WriteTimeout fleet.Duration `yaml:"write_timeout"`
@@ -166,12 +166,15 @@
 // reservedDescriptors is the number of descriptors for files, and for connections to the store and other processes.
 const reservedDescriptors = 500
 
+// minConnectionsPart is the part of the descriptors that callers' connections may take at least if their number is not set.
+const minConnectionsPart = 4
+
 // MaxConnections returns the maximum number of callers' connections.
 func (l GatewayLimits) MaxConnections() int {
 	if l.Connections > 0 {
 		return l.Connections
 	}
-	return (l.Descriptors - reservedDescriptors) / 2
+	return max(1, l.Descriptors/minConnectionsPart, (l.Descriptors-reservedDescriptors)/2)
 }
 
 // defaultBodiesShare is the part of the process's memory that callers' bodies may take together if it is not set.
@@ -298,7 +301,7 @@
 	c.require(s.Limits.Concurrent >= 0, "limits.concurrent_requests", "must not be negative")
 	c.require(s.Limits.LinkMbps >= 0, "limits.link_mbps", "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memory_mb", "must be positive")
-	c.require(s.Limits.Descriptors > 2*reservedDescriptors, "limits.descriptors", "must be above %d", 2*reservedDescriptors)
+	c.require(s.Limits.Descriptors > 0, "limits.descriptors", "must be positive")
 	c.require(s.Limits.Connections >= 0, "limits.connections", "must not be negative")
 	c.require(s.Limits.BodiesMB >= 0 && s.Limits.BodiesMB <= s.Limits.MemoryMB, "limits.bodies_mb", "must not be negative, nor above limits.memory_mb")
 	c.require(s.Stop.Notice < s.Stop.Grace, "stop.notice", "must be shorter than stop.grace")
