Members: whether a VM has a newer incarnation is not asked of the whole list

What callers saw: nothing yet; found by reading the change that settles the lots of ended routers.

Cause: HasSuccessor read all members and former members under the lock of the list, for each router with open lots, each second, and again for each refusal of a budget whose tokens are reserved.

Ruled out: asking less often. The round of each second is what settles lots soon, and a refusal needs the answer at once.

Change: the newest revision of each VM and role is computed once for each change of the list, and when former members are forgotten.

TestHasSuccessorFollowsTheList passed before and passes.

--- a/coord/member/member.go
+++ b/coord/member/member.go
@@ -60,6 +60,8 @@
 	members    map[string]Member // nil before the first read
 	byUpstream map[string]Member // by the upstream's address; nil until it is computed
 	former     map[string]formerMember
+	// newest holds the revision of the newest of members and former by VM and role; nil until it is computed.
+	newest map[vmRole]store.Revision
 	// reportedCount is the number of members reported last.
 	reportedCount int
 	// rankings caches the results of Rank for this view; the slices are never modified.
@@ -213,18 +215,28 @@
 	if !known {
 		return false
 	}
-	newer := func(m Member) bool { return m.VM == old.VM && m.Role == old.Role && m.revision > old.revision }
-	for _, m := range g.former {
-		if newer(m.Member) {
-			return true
-		}
+	if g.newest == nil {
+		g.newest = g.newestRevisionsLocked()
+	}
+	return g.newest[vmRole{old.VM, old.Role}] > old.revision
+}
+
+// vmRole identifies the incarnations of one process.
+type vmRole struct{ vm, role string }
+
+func (g *Group) newestRevisionsLocked() map[vmRole]store.Revision {
+	newest := make(map[vmRole]store.Revision, len(g.members))
+	add := func(m Member) {
+		key := vmRole{m.VM, m.Role}
+		newest[key] = max(newest[key], m.revision)
 	}
 	for _, m := range g.members {
-		if newer(m) {
-			return true
-		}
+		add(m)
 	}
-	return false
+	for _, m := range g.former {
+		add(m.Member)
+	}
+	return newest
 }
 
 // Version changes with each change of the view.
--- a/coord/member/view.go
+++ b/coord/member/view.go
@@ -108,7 +108,11 @@
 		g.update(now, func(time.Time) {})
 	}
 	g.mu.Lock()
+	before := len(g.former)
 	maps.DeleteFunc(g.former, func(_ string, m formerMember) bool { return now.Sub(m.left) > formerRetention })
+	if len(g.former) < before {
+		g.newest = nil
+	}
 	g.mu.Unlock()
 	if n, changed := g.takeCountChange(); changed {
 		g.Report.MembersChanged(n)
@@ -137,7 +141,7 @@
 	g.mu.Lock()
 	change(now)
 	g.resolveMissingLocked(now)
-	g.byUpstream, g.rankings, g.candidates = nil, nil, nil
+	g.byUpstream, g.newest, g.rankings, g.candidates = nil, nil, nil, nil
 	g.version++
 	_, missing := g.missing[g.Prefix+g.Self.ID]
 	unlisted := g.lease != 0 && !g.withdrawn && (missing || g.wasListedLocked())
