Budgets: a refusal does not compare each lot with each borrower

Cause: Holder.ReservedBy looked for each lot's borrower among those found so far, with the holder locked, for each refusal of a budget whose tokens are reserved; then all borrowers were asked for although one that runs settles the question.

Ruled out: a list of borrowers that is kept with the lots. It would change with each lot, and refusals are rarer.

Change: the borrowers are collected in a map, and the first one that runs ends the search. What a refusal says is unchanged.

--- a/coord/grant/lots.go
+++ b/coord/grant/lots.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -171,12 +172,11 @@
 	if b == nil {
 		return nil, nil
 	}
+	lentTo := map[string]struct{}{}
 	for _, l := range b.lent {
-		if !slices.Contains(borrowers, l.borrower) {
-			borrowers = append(borrowers, l.borrower)
-		}
+		lentTo[l.borrower] = struct{}{}
 	}
-	return borrowers, slices.Clone(b.otherHolders)
+	return slices.Collect(maps.Keys(lentTo)), slices.Clone(b.otherHolders)
 }
 
 // SettleLots settles the open lots of a borrower as used in full and lists them by budget. They count neither as demand nor in the
--- a/prepaid/borrowers.go
+++ b/prepaid/borrowers.go
@@ -63,12 +63,16 @@
 	borrowers, holders := b.holder.ReservedBy(budget)
 	due := time.Duration(math.MaxInt64)
 	for _, borrower := range borrowers {
-		due = min(due, b.borrowerSettledIn(borrower))
+		if due = min(due, b.borrowerSettledIn(borrower)); due <= 0 {
+			return err
+		}
 	}
 	for _, holder := range holders {
-		due = min(due, b.lenderSettledIn(holder))
+		if due = min(due, b.lenderSettledIn(holder)); due <= 0 {
+			return err
+		}
 	}
-	if due <= 0 || due == math.MaxInt64 {
+	if due == math.MaxInt64 {
 		return err
 	}
 	return grant.Error.Wrap(&grant.ReservedError{RetryAfter: due})
