Agents: a refusal without a body does not leave its connection to the next request

What callers saw (by test): in the form with agents, once an engine had refused on a connection that was kept, each further refusal came as 502 upstream_failed, not_run false, and no other engine was tried, for as long as the engine refused.

Cause: a refusal on a reused connection proves nothing, so it counts as a failure. The agent closes the body of a refusal, which ends the connection only if there is one: net/http gives the connection of a response without a body back to its pool before the agent has it.

Ruled out: closing the refusal's connection itself. Another request may have taken it from the pool, and would be cut.

Change: after a refusal the agent closes its connections to the engine that no request uses. The first refusal on a connection that carried a request is a 502 as before.

TestRefusalOnAUsedConnectionProvesNothing has both kinds of refusals now, and three requests after the first one instead of one. Price: new connections while an engine refuses, not measured.

--- a/agent/run.go
+++ b/agent/run.go
@@ -157,6 +157,8 @@
 	defer resp.Body.Close()
 	switch {
 	case t.work.Engine && refusesLoad(resp.StatusCode):
+		// net/http keeps the connection of a response without a body, and a later refusal there would prove nothing.
+		t.agent.upstream.client.CloseIdleConnections()
 		return engineRefusal(resp.StatusCode, tracker.Reused())
 	case t.work.Engine:
 		return t.forwardEngine(ctx, resp, to)
@@ -173,7 +175,7 @@
 }
 
 // engineRefusal returns the end of a request that the engine refused. It proves that the request did not run only on a new
-// connection: on a reused one it may be the copy of an earlier answer. The connection is closed in both cases.
+// connection: on a reused one it may be the copy of an earlier answer.
 func engineRefusal(status int, reused bool) (contract.Outcome, *contract.Refusal) {
 	kind := contract.Overloaded
 	if reused {
--- a/demo/fleet_test.go
+++ b/demo/fleet_test.go
@@ -223,19 +223,25 @@
 // Guards against a refusal that counts as a proof that a request did not run although it may be the copy of an earlier answer
 // on the same connection.
 func TestRefusalOnAUsedConnectionProvesNothing(t *testing.T) {
-	f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 1, Engine: standin.DefaultEngineOptions()})
-	send := func(key string) response {
-		body := fmt.Sprintf(`{"model":%q,"max_tokens":5,"messages":[{"role":"user","content":"low water?"}]}`, model)
-		return f.post("bergen-router-1", pilots, key, openai.ChatPath, body, http.DefaultClient)
+	for name, refuse := range map[string]func(e *standin.Engine, n int){"with a body": (*standin.Engine).Refuse, "without": (*standin.Engine).RefuseWithoutBody} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, Options{Datacentres: []string{"bergen"}, Routers: 1, Engines: 1, Engine: standin.DefaultEngineOptions()})
+			send := func(key string) response {
+				body := fmt.Sprintf(`{"model":%q,"max_tokens":5,"messages":[{"role":"user","content":"low water?"}]}`, model)
+				return f.post("bergen-router-1", pilots, key, openai.ChatPath, body, http.DefaultClient)
+			}
+			require.Equal(t, http.StatusOK, send("first").status)
+			refuse(f.fleet.Engines[0], 1000)
+			a := send("used-connection")
+			require.Equal(t, http.StatusBadGateway, a.status, a.body)
+			require.Contains(t, a.body, `"not_run":false`)
+			for n := range 3 { // a refusal never leaves its connection to the next request
+				a = send(fmt.Sprint("new-connection-", n))
+				require.Equal(t, http.StatusTooManyRequests, a.status, a.body)
+				require.Contains(t, a.body, `"not_run":true`)
+			}
+		})
 	}
-	require.Equal(t, http.StatusOK, send("first").status)
-	f.fleet.Engines[0].Refuse(1000)
-	a := send("used-connection")
-	require.Equal(t, http.StatusBadGateway, a.status, a.body)
-	require.Contains(t, a.body, `"not_run":false`)
-	a = send("new-connection")
-	require.Equal(t, http.StatusTooManyRequests, a.status, a.body)
-	require.Contains(t, a.body, `"not_run":true`)
 }
 
 // The upstream executes a call and then breaks the keep-alive connection of an earlier
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -60,8 +60,10 @@
 	served     Served
 	fencing    int64
 	refusals   int
-	reports    []loadReport
-	wake       chan struct{}
+	// silentRefusals makes refusals have no body.
+	silentRefusals bool
+	reports        []loadReport
+	wake           chan struct{}
 }
 
 // Served counts the work that the engine has done.
@@ -250,15 +252,29 @@
 func (e *Engine) Refuse(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.refusals = n
+	e.refusals, e.silentRefusals = n, false
 }
 
-// refuses reports whether to refuse a request.
-func (e *Engine) refuses() bool {
+// RefuseWithoutBody makes the engine refuse the next n requests with 429 and no body, which leaves the connection open.
+func (e *Engine) RefuseWithoutBody(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.refusals, e.silentRefusals = n, true
+}
+
+// refuses reports whether it refused a request.
+func (e *Engine) refuses(w http.ResponseWriter) bool {
+	e.mu.Lock()
 	e.refusals--
-	return e.refusals >= 0
+	refuses, silent := e.refusals >= 0, e.silentRefusals
+	e.mu.Unlock()
+	switch {
+	case refuses && silent:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case refuses:
+		http.Error(w, "the engine's queue is full", http.StatusTooManyRequests)
+	}
+	return refuses
 }
 
 func (e *Engine) handleCompletion(w http.ResponseWriter, r *http.Request) {
@@ -266,8 +282,7 @@
 	if !readJSON(w, r, &in) {
 		return
 	}
-	if e.refuses() {
-		http.Error(w, "the engine's queue is full", http.StatusTooManyRequests)
+	if e.refuses(w) {
 		return
 	}
 	text := in.text()
