Gateway: a refusal keeps the connection of a caller that sent its body in chunks

What callers saw (by test): each refusal of a request with a body in chunks ended the connection, also with a small body that had come whole, and callers of a full router had to connect again.

Cause: since refusals no longer wait for bodies, the connection is closed unless the rest of the body was read, and that was tried for bodies of a given length only.

Ruled out: nothing else closes it; a body with a given length was kept.

Change: a refusal reads up to 16 KiB of a body whose length is not given, for 20 ms at most, as of others.

TestRefusalKeepsTheConnection has a case with chunks, which failed before ("Should be false", the answer closes); its former case is unchanged.

--- a/gateway/callerbody.go
+++ b/gateway/callerbody.go
@@ -95,11 +95,11 @@
 		return nil
 	}
 	rc := http.NewResponseController(w)
-	if req.ContentLength > 0 && req.ContentLength <= freeBodyBytes && req.Header.Get("Expect") == "" {
+	if req.ContentLength <= freeBodyBytes && req.Header.Get("Expect") == "" {
 		if err := rc.SetReadDeadline(time.Now().Add(dropWait)); err != nil {
 			return err
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err == nil {
+		if _, err := io.CopyN(io.Discard, req.Body, freeBodyBytes+1); errors.Is(err, io.EOF) {
 			return rc.SetReadDeadline(time.Time{})
 		}
 	}
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -166,23 +166,30 @@
 // Guards against refusals that end connections for nothing: callers that reconnect cost an overloaded router more than
 // the rest of a small body.
 func TestRefusalKeepsTheConnection(t *testing.T) {
-	withFleet(t, func(f *fleet) {
-		f.putConfig(0, "k1")
-		f.upstream("i-1", "plain", 0)
-		f.start()
-		refused := strings.Replace(rawAlert("r1", strings.Repeat("x", 10<<10)), "k1", "unknown-key", 1)
-		conn := f.dialAndWrite("")
-		go func() { _, _ = io.WriteString(conn, refused+rawAlert("r2", "next")) }() // a failure shows as a missing response
-		in := bufio.NewReader(conn)
-		for _, status := range []int{401, 200} {
-			resp, err := http.ReadResponse(in, nil)
-			require.NoError(t, err)
-			require.Equal(t, status, resp.StatusCode)
-			require.False(t, resp.Close)
-			_, err = io.Copy(io.Discard, resp.Body)
-			require.NoError(t, err)
-		}
-	})
+	whole := rawAlert("r1", strings.Repeat("x", 10<<10))
+	head, _, _ := strings.Cut(whole, "Content-Length")
+	for name, request := range map[string]string{"length given": whole,
+		"chunks": head + "Transfer-Encoding: chunked\r\n\r\n2800\r\n" + strings.Repeat("x", 0x2800) + "\r\n0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, func(f *fleet) {
+				f.putConfig(0, "k1")
+				f.upstream("i-1", "plain", 0)
+				f.start()
+				refused := strings.Replace(request, "k1", "unknown-key", 1)
+				conn := f.dialAndWrite("")
+				go func() { _, _ = io.WriteString(conn, refused+rawAlert("r2", "next")) }() // a failure shows as a missing response
+				in := bufio.NewReader(conn)
+				for _, status := range []int{401, 200} {
+					resp, err := http.ReadResponse(in, nil)
+					require.NoError(t, err)
+					require.Equal(t, status, resp.StatusCode)
+					require.False(t, resp.Close)
+					_, err = io.Copy(io.Discard, resp.Body)
+					require.NoError(t, err)
+				}
+			})
+		})
+	}
 }
 
 // Guards against headers that are each within their limit and together take the router's memory: callers that do not end
