Roll-outs: canaries of a service with few requests get enough of them

The bound allows 168 requests, but three quarters are kept for the moves of the last second, which need 3 at this rate.

Change: canaries get up to 150 requests if the bound leaves them beside twice what the moves need, and a quarter of it otherwise, as before. The bound itself is as it was. With many requests nothing changes.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -13,6 +13,11 @@
 	allowanceUse = 0.93
 	// canaryPart is the part of the planned requests that go to canaries before anything is moved.
 	canaryPart = 0.25
+	// minCanaryRequests is how many requests canaries get instead if the allowance leaves as many beside the moves, as it does with few
+	// requests a second: fewer do not tell a version of which a third fails from one upstream that fails. moveReserve is
+	// how many times the requests of the moves are kept for them, since the rate may rise.
+	minCanaryRequests = 150
+	moveReserve       = 2
 	// maxCanaryShare bounds the share of the requests that go to canaries at any time, and firstCanaryShare
 	// is the share while the rate of requests is not known.
 	maxCanaryShare   = 0.5
@@ -55,7 +60,7 @@
 
 // canaryShare returns the share of the requests that go to canaries now.
 func (d *demand) canaryShare(l Limits) float64 {
-	rest := canaryPart*d.allowance(l) - float64(d.sentToNew)
+	rest := d.canaryBudget(l) - float64(d.sentToNew)
 	coming := d.expected(d.sent, d.left())
 	if rest <= 0 {
 		return 0
@@ -66,6 +71,16 @@
 	return min(maxCanaryShare, rest/coming)
 }
 
+// canaryBudget returns how many requests may go to canaries until the deadline.
+func (d *demand) canaryBudget(l Limits) float64 {
+	allowance := d.allowance(l)
+	beside := allowance
+	for name, e := range d.routes {
+		beside -= moveReserve * d.expected(e.sent(), l.Margin+d.drain(name))
+	}
+	return max(canaryPart*allowance, min(beside, minCanaryRequests))
+}
+
 // moved returns the routes whose requests all go to the new version from now on. Even if the version
 // turned bad now, it would get no more than allowed until the deadline. Routes whose requests can't
 // be interrupted are moved earlier, by the time that these run, but leave enough for the others to move in time.
