Streams: records reach a lender that runs when several lenders stop at once

What callers saw: a stream was refused (503 stream_unknown) although its version served, after lenders had stopped one after the other and all routers were killed. Cause, by the log of a failing run: a lender that stops moves its records to the two processes that rank first. Those had ended just before and were still in its list of members; both refused the connection, and the records ended with it. Ruled out: waiting for the list. Change: a process that does not take records is left out, and the next one of the ranking is tried, four at most. Records that come while a lender leaves are moved afterwards.

--- a/lender/lender.go
+++ b/lender/lender.go
@@ -223,6 +223,7 @@
 	l.Hub.Stop()
 	l.streams.move(ctx)
 	l.Leave(ctx)
+	l.streams.move(ctx) // those that came meanwhile
 	l.Log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 	return end.Add(lastCallTime)
 }
--- a/lender/streams.go
+++ b/lender/streams.go
@@ -22,6 +22,9 @@
 	moveInterval = 200 * time.Millisecond
 	// moveTimeout is the timeout of one message with records: many times the latency between two processes.
 	moveTimeout = 300 * time.Millisecond
+	// maxMoveAttempts is the number of processes that are tried for a record: those that ended at the same time as others are
+	// still listed for a while.
+	maxMoveAttempts = 4
 	// maxMovedRecords limits the records in one message.
 	maxMovedRecords = 512
 )
@@ -64,8 +67,11 @@
 		return
 	}
 	keepers := k.keepers()
-	for choice := range streamversion.Keepers {
-		pending = k.moveTo(ctx, keepers, choice, pending)
+	for range maxMoveAttempts {
+		pending = k.moveTo(ctx, keepers, pending)
+		if len(pending) == 0 {
+			return
+		}
 	}
 }
 
@@ -81,8 +87,9 @@
 	return k.members.Newest(prepaid.RoleRouter)
 }
 
-// moveTo sends records to the process of the given rank for each of them, and returns those that were not kept.
-func (k *streamKeeper) moveTo(ctx context.Context, keepers map[string]member.Member, choice int, records []streamversion.Held) (left []streamversion.Held) {
+// moveTo sends records to the first process for each of them, and returns those that were not kept. Processes that do not take
+// them are removed from keepers.
+func (k *streamKeeper) moveTo(ctx context.Context, keepers map[string]member.Member, records []streamversion.Held) (left []streamversion.Held) {
 	vms := slices.Collect(maps.Keys(keepers))
 	batches := map[string][]streamversion.Held{}
 	for _, held := range records {
@@ -94,17 +101,21 @@
 		switch {
 		case kept:
 			k.registry.Settle(held.Stream, held.SentTo)
-		case choice < len(top):
-			batches[top[choice]] = append(batches[top[choice]], held)
+		case len(top) > 0:
+			batches[top[0]] = append(batches[top[0]], held)
 		}
 	}
 	var mu sync.Mutex
 	var sends sync.WaitGroup
 	for vm, batch := range batches {
+		to := keepers[vm]
 		sends.Go(func() {
-			failed := k.send(ctx, keepers[vm], batch)
+			failed := k.send(ctx, to, batch)
 			mu.Lock()
 			defer mu.Unlock()
+			if len(failed) > 0 {
+				delete(keepers, vm)
+			}
 			left = append(left, failed...)
 		})
 	}
