--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -98,6 +98,8 @@
 func (nopReporter) SourceChanged(string, error) {}
 func (nopReporter) SourceRefused(string, error) {}
 
+func (nopReporter) SourceFailed(string, error, time.Duration) {}
+
 func (nopReporter) SourceBehind(string, store.Revision, store.Revision) {}
 
 func (nopReporter) Restored(store.Era) {}
@@ -112,6 +114,8 @@
 }
 func (ownHubReleaser) SourceRefused(string, error) {}
 
+func (ownHubReleaser) SourceFailed(string, error, time.Duration) {}
+
 func (ownHubReleaser) SourceBehind(string, store.Revision, store.Revision) {}
 
 func (ownHubReleaser) Restored(store.Era) {}
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -42,6 +42,8 @@
 type Reporter interface {
 	// SourceChanged is called when another source is followed, with the reason.
 	SourceChanged(source string, reason error)
+	// SourceFailed is called for each poll that failed, with the time that it took.
+	SourceFailed(source string, reason error, took time.Duration)
 	// SourceRefused is called for each invalid answer.
 	SourceRefused(source string, reason error)
 	// Restored is called when a source shows a later era of the store than known before, before the
@@ -198,11 +200,13 @@
 			f.dueAt = state.dueAt
 		}
 	case errors.Is(err, ErrNotUsable):
+		f.Report.SourceFailed(r.poll.source.Name, err, f.Now().Sub(r.poll.sent))
 		state.markUnusable(f.Now())
 	case errors.Is(err, ErrStoreLost):
 		f.leaveReason = err
 		state.markStoreLost(f.Now())
 	default:
+		f.Report.SourceFailed(r.poll.source.Name, err, f.Now().Sub(r.poll.sent))
 		f.markFailed(r.poll.source.Name, state, err)
 	}
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -206,7 +206,8 @@
 	a := refusal.Kind.Answer()
 	h.gateway.metrics.refused(refusal.Kind)
 	h.gateway.Log.Info().Str("id", h.headers.ID).Str("kind", string(refusal.Kind)).Int("status", a.Status).
-		Str("why", refusal.Message).Str("detail", refusal.Detail).Int64("version", h.gateway.configVersion()).Msg("refused")
+		Str("why", refusal.Message).Str("detail", refusal.Detail).Int64("version", h.gateway.configVersion()).
+		Int64("view_age_ms", h.gateway.FollowedAge().Milliseconds()).Msg("refused")
 	h.writeRefusal(w, refusal)
 }
 
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -224,6 +224,12 @@
 	line.Msg("changes_followed_at")
 }
 
+// SourceFailed implements relay.Reporter. A source is not polled for a second after it failed, so the lines are few.
+func (b *Base) SourceFailed(source string, reason error, took time.Duration) {
+	b.Log.Info().Str("source", source).Err(reason).Int64("took_ms", took.Milliseconds()).
+		Int64("view_age_ms", b.FollowedAge().Milliseconds()).Msg("source_failed")
+}
+
 // SourceRefused implements relay.Reporter.
 func (b *Base) SourceRefused(source string, reason error) {
 	b.Log.Warn().Err(reason).Str("source", source).Msg("answer_of_relay_refused")
