--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -37,3 +37,6 @@
 
 // CanForward is canForward.
 var CanForward = canForward
+
+// ConfigVersion returns the version of the active configuration.
+func (g *Gateway) ConfigVersion() int64 { return g.configVersion() }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	settingsfleet "github.com/arbutusmill/arbutusmill/fleet"
 	"github.com/arbutusmill/arbutusmill/gateway"
@@ -94,6 +95,11 @@
 	cutLinks sync.Map
 	// linkConns holds the linkEnds of routers' net.Conn to other processes.
 	linkConns sync.Map
+	// delaysVMs is set if delayVM is used; delays holds the time by which what a VM receives from others is delayed, by the number of the VM.
+	delaysVMs bool
+	delays    sync.Map
+	// addedRoutes are the prefixes of the routes that addRoute added.
+	addedRoutes []string
 }
 
 // cutLink closes all connections to an address, and lets new dials block until joinLink.
@@ -309,6 +315,9 @@
 		if _, found := f.cutLinks.Load(linkEnds{vm, to}); found {
 			return nil, memnet.ErrRefused
 		}
+		if backoff.Sleep(ctx, f.delayOf(vm)) != nil { // the answer to the first packet
+			return nil, ctx.Err()
+		}
 		conn, err := f.network.Dial(ctx, network, to)
 		if err == nil && to == storeAddress {
 			f.storeConns.Store(conn, vm)
@@ -320,6 +329,9 @@
 		if err == nil && f.linkRate > 0 {
 			conn = newSlowConn(conn, f.linkRate)
 		}
+		if err == nil && f.delaysVMs {
+			conn = newDelayedConn(conn, func() time.Duration { return f.delayOf(vm) })
+		}
 		return conn, err
 	}
 	g := gateway.New(s, hosted.Network{Listen: f.network.Listen, Dial: dial}, f.log,
