Links: a connection that opens late is used by the calls that follow

Cause: opening a connection takes two round trips and had 0.4 s. Where messages reach a process 0.2 s late or more, each attempt was given up, and the next one began anew: once the connection to its relay had ended, for whatever reason, the router reached no other process and followed nothing, for as long as the delay lasted. Class: a time limit that repeats the attempt that it ended.

Calls still fail after DialTimeout, so nothing waits longer than before. The opening goes on for up to 4 s, and its connection serves the calls that follow; two such openings an address at most.

Ruled out as sufficient: the limits alone cannot be raised, as a silent process would then hold up its callers.

--- a/link/link.go
+++ b/link/link.go
@@ -305,7 +305,8 @@
 	Security Security
 	// Heartbeat is the interval of heartbeats.
 	Heartbeat time.Duration
-	// DialTimeout bounds dialling and the first message of a connection.
+	// DialTimeout is how long calls wait for a connection to be opened. Beyond it they fail, the next call opens another one,
+	// and one that is ready later is used by the calls that follow; see maxOpening.
 	DialTimeout time.Duration
 	// Log logs connections that end in the middle of a message; nil drops the messages.
 	Log func(format string, args ...any)
@@ -317,18 +318,39 @@
 	MaxMessageBytes int64
 	OnTooLong       func(err error)
 
-	mu     sync.Mutex
-	conns  map[string]*peerConn
+	mu    sync.Mutex
+	conns map[string]*peerConn
+	// late counts the connections, by address, that are being opened although no call waits for them.
+	late   map[string]int
 	closed bool
+	// stopOpening ends the opening of all connections.
+	stopOpening context.CancelFunc
+	opening     context.Context
 }
 
-// peerConn is a connection that is open or being opened.
+const (
+	// maxOpening bounds the opening of a connection. A process whose link or processor is behind takes several times the
+	// usual time for it, and would reach nobody if it gave each one up.
+	maxOpening = 4 * time.Second
+	// maxLate bounds the connections to one address that are being opened although no call waits for them.
+	maxLate = 2
+)
+
+// peerConn is a connection that is open, or for which calls wait. Its fields are set before ready is closed.
 type peerConn struct {
-	// cancel aborts the opening.
-	cancel context.CancelFunc
-	ready  chan struct{}
-	conn   *clientConn
-	err    error
+	ready chan struct{}
+	conn  *clientConn
+	err   error
+}
+
+// isReady reports whether calls no longer wait for the connection.
+func (pc *peerConn) isReady() bool {
+	select {
+	case <-pc.ready:
+		return true
+	default:
+		return false
+	}
 }
 
 // Call sends one message and waits for the response. After an error that wraps ErrDown the
@@ -347,7 +369,8 @@
 func (p *Pool) conn(ctx context.Context, addr string) (*clientConn, error) {
 	p.mu.Lock()
 	if p.conns == nil {
-		p.conns = map[string]*peerConn{}
+		p.conns, p.late = map[string]*peerConn{}, map[string]int{}
+		p.opening, p.stopOpening = context.WithCancel(context.Background())
 	}
 	if p.closed {
 		p.mu.Unlock()
@@ -355,10 +378,9 @@
 	}
 	pc := p.conns[addr]
 	if pc == nil {
-		dialing, cancel := context.WithTimeout(context.Background(), p.DialTimeout)
-		pc = &peerConn{ready: make(chan struct{}), cancel: cancel}
+		pc = &peerConn{ready: make(chan struct{})}
 		p.conns[addr] = pc
-		go p.dial(dialing, addr, pc)
+		go p.open(addr, pc)
 	}
 	p.mu.Unlock()
 	select {
@@ -369,17 +391,39 @@
 	}
 }
 
-// dial opens the connection, and removes it from the pool when it ends. A connection that is
-// opened while the pool closes is closed here.
-func (p *Pool) dial(ctx context.Context, addr string, pc *peerConn) {
-	pc.conn, pc.err = p.connect(ctx, addr)
-	pc.cancel()
-	close(pc.ready)
-	if pc.err == nil && p.isClosed() {
-		_ = pc.conn.Close()
-	} else if pc.err == nil {
-		p.heartbeat(pc.conn)
+// openResult is the outcome of the opening of a connection.
+type openResult struct {
+	conn *clientConn
+	err  error
+}
+
+// open opens a connection for the calls that wait for pc, and removes it from the pool when it ends.
+func (p *Pool) open(addr string, pc *peerConn) {
+	ctx, cancel := context.WithTimeout(p.opening, max(maxOpening, p.DialTimeout))
+	defer cancel()
+	opened := make(chan openResult, 1)
+	go func() {
+		conn, err := p.connect(ctx, addr)
+		opened <- openResult{conn, err}
+	}()
+	timeout := time.NewTimer(p.DialTimeout)
+	defer timeout.Stop()
+	var r openResult
+	select {
+	case r = <-opened:
+	case <-timeout.C:
+		if !p.beginLate(addr, pc) {
+			cancel()
+			r = <-opened
+			break
+		}
+		r = <-opened
+		p.endLate(addr)
+	}
+	if pc = p.settle(addr, pc, r); pc == nil {
+		return
 	}
+	p.heartbeat(pc.conn)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[addr] == pc {
@@ -387,6 +431,58 @@
 	}
 }
 
+// beginLate ends the wait of calls for a connection that is not open in time. It returns false if the connection is of no use any more.
+func (p *Pool) beginLate(addr string, pc *peerConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pc.isReady() {
+		return false // another connection was opened
+	}
+	pc.err = Error.Wrap(errors.Join(ErrDown, context.DeadlineExceeded))
+	close(pc.ready)
+	delete(p.conns, addr)
+	if p.late[addr] >= maxLate {
+		return false
+	}
+	p.late[addr]++
+	return true
+}
+
+func (p *Pool) endLate(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.late[addr]--; p.late[addr] == 0 {
+		delete(p.late, addr)
+	}
+}
+
+// settle gives the calls that wait for a connection to addr the one that was opened, for pc or in place of an earlier one. It returns the entry
+// of the connection in the pool, nil if there is none: it was not opened, or is not needed.
+func (p *Pool) settle(addr string, pc *peerConn, r openResult) *peerConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	have := p.conns[addr]
+	if r.err == nil && (p.closed || have != nil && have.isReady()) {
+		_ = r.conn.Close()
+		r.err = Error.Wrap(ErrDown)
+	}
+	switch {
+	case r.err != nil && pc.isReady():
+		return nil
+	case r.err != nil:
+		pc.err = r.err
+		close(pc.ready)
+		delete(p.conns, addr)
+		return nil
+	case have == nil:
+		have = &peerConn{ready: make(chan struct{})}
+		p.conns[addr] = have
+	}
+	have.conn = r.conn
+	close(have.ready)
+	return have
+}
+
 func (p *Pool) connect(ctx context.Context, addr string) (*clientConn, error) {
 	nc, err := p.dialNet(ctx, addr)
 	if err != nil {
@@ -449,29 +545,21 @@
 	return err
 }
 
-// Close closes all connections and aborts those being opened. Later calls fail with ErrDown.
+// Close closes all connections and ends the opening of others. Later calls fail with ErrDown.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	if p.stopOpening != nil {
+		p.stopOpening()
+	}
 	for _, pc := range p.conns {
-		select {
-		case <-pc.ready:
-			if pc.conn != nil {
-				_ = pc.conn.Close()
-			}
-		default:
-			pc.cancel()
+		if pc.isReady() {
+			_ = pc.conn.Close()
 		}
 	}
 }
 
-func (p *Pool) isClosed() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.closed
-}
-
 // Peers returns the addresses with a connection that is open or being opened.
 func (p *Pool) Peers() []string {
 	p.mu.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -173,7 +173,7 @@
 	// Heartbeat is the interval of heartbeats; three without a response close
 	// a connection.
 	Heartbeat fleet.Duration `yaml:"heartbeat"`
-	// DialTimeout bounds connection setup.
+	// DialTimeout is how long messages wait for a connection to be opened.
 	DialTimeout fleet.Duration `yaml:"dial_timeout"`
 }
 
