Relays: answers that take seconds are not given up

Cause: a follower dropped an answer 2 s beyond its wait and asked anew, so above that delay it received no change although each message arrived; and it reported the store as lost 2 s after the last answer, whatever part of that was its own delay, and then requested all keys again over the slow link.

Answers count for 10 s, while other sources are polled as before, and the delay of recent answers, 2 s of it at most, is no sign of a loss.

--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -19,12 +19,14 @@
 	pollWait = 700 * time.Millisecond
 	// answerTimeout is how long an answer may take beyond its wait. It exceeds the patience: another source
 	// is polled meanwhile, and the late answer is still used. A link or processor that
-	// is behind delays the answers of all sources alike.
-	answerTimeout = 2 * time.Second
+	// is behind delays the answers of all sources alike; a follower that gave them up would receive no change for as long.
+	answerTimeout = 10 * time.Second
 	// noSourcePause is the pause before the next attempt when there is no source to poll.
 	noSourcePause = 100 * time.Millisecond
-	// lostAfter is how long no source has answered before readers are told that the store is lost.
-	lostAfter = 2 * time.Second
+	// lostAfter is how long no source has answered before readers are told that the store is lost. The delay of recent
+	// answers comes on top of it, up to maxLostDelay.
+	lostAfter    = 2 * time.Second
+	maxLostDelay = 2 * time.Second
 )
 
 // Source serves followers: a relay, or this process's own Hub.
--- a/coord/relay/polls.go
+++ b/coord/relay/polls.go
@@ -258,7 +258,7 @@
 		if !waiting {
 			f.startPoll(ctx, polls, lost[0], pollWait, 0, true)
 		}
-	case now.Sub(f.lastAnswer) >= lostAfter:
+	case now.Sub(f.lastAnswer) >= lostAfter+min(f.delay, maxLostDelay):
 		f.reportLost(func(*progress) bool { return true })
 	}
 	return now.Add(noSourcePause)
--- a/coord/relay/worstorder_test.go
+++ b/coord/relay/worstorder_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -39,8 +40,10 @@
 
 // changeLog checks that followers receive changes in time.
 type changeLog struct {
-	tc   *testCluster
-	puts []putChange
+	tc *testCluster
+	// within replaces applyWithin if it is set.
+	within time.Duration
+	puts   []putChange
 	// checked is the number of changes that were checked, late lists those that a follower lacked.
 	checked int
 	late    []string
@@ -74,7 +77,7 @@
 
 // check checks the changes that followers must have by now.
 func (l *changeLog) check() {
-	for ; l.checked < len(l.puts) && time.Since(l.puts[l.checked].at) >= applyWithin; l.checked++ {
+	for ; l.checked < len(l.puts) && time.Since(l.puts[l.checked].at) >= cmp.Or(l.within, applyWithin); l.checked++ {
 		for i, c := range l.tc.copies {
 			if have, want := c.revision("a"), l.puts[l.checked].revision; have < want {
 				l.late = append(l.late, fmt.Sprintf("follower %d has revision %d, change %d of %d is %d", i, have, l.checked, len(l.puts), want))
@@ -135,6 +138,29 @@
 	}
 }
 
+// Guards against a follower that gives up each answer that would bring it a change, since all of its messages take seconds: changes must
+// arrive within the time of an answer that has just missed them and of the next one, and nobody has lost the store.
+func TestLateAnswersAreNotGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{1000, 1500, 2200, 2800, 4000} {
+		t.Run(fmt.Sprint(int64(delay), " ms"), func(t *testing.T) {
+			withCluster(t, 2, 1, func(tc *testCluster) {
+				l := &changeLog{tc: tc, within: watchDelay + pollWait + 2*delay*time.Millisecond}
+				l.run(5*time.Second, time.Second)
+				for _, conn := range append(tc.hubConns[0], tc.storeConns[2]) {
+					conn.setDelay(delay * time.Millisecond)
+				}
+				l.run(10*time.Second, 500*time.Millisecond)
+				l.run(30*time.Second, 3*time.Second)
+				assert.Empty(t, l.late)
+				if delay <= 1500 {
+					_, losses := tc.copies[0].lossState()
+					assert.Zero(t, losses)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a relay that counts as followed although it has read nothing: a follower returns to its
 // relay, which starts to read a store that does not answer it.
 func TestRelayThatHasReadNothingDelaysNoChanges(t *testing.T) {
