Relays: the probe of the store allows for the process's own delay

Cause: a router that no relay answers follows the store itself if a probe is answered within 0.3 s. Behind a delay of that size it never is, and the router follows nothing.

The probe has two delays of recent answers more, up to the time of any call of the store; without any answer the assumed delay grows with each attempt. While a source says that it has lost the store nothing changes, so an outage of the store brings no more reads.

--- a/coord/relay/cluster_test.go
+++ b/coord/relay/cluster_test.go
@@ -265,7 +265,7 @@
 		}
 		tc.hubConns = append(tc.hubConns, conns)
 		conn := tc.storeConns[len(tc.storeConns)-1]
-		sources = append(sources, Source{Name: "own", Follow: local.Follow, Usable: func(ctx context.Context) bool {
+		sources = append(sources, Source{Name: "own", Follow: local.Follow, Usable: func(ctx context.Context, _ time.Duration) bool {
 			ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
 			defer cancel()
 			return conn.check(ctx) == nil
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -36,8 +36,8 @@
 	Follow func(ctx context.Context, r Request) (Reply, error)
 	// Usable, if set, is called before the source is polled, for sources whose use adds load
 	// to the store: they are polled only if no other source follows the store. Nil means
-	// always usable.
-	Usable func(ctx context.Context) bool
+	// always usable. delay is how much longer than usual messages take to this process, as far as is known.
+	Usable func(ctx context.Context, delay time.Duration) bool
 }
 
 // Reporter receives the events of a follower.
--- a/coord/relay/polls.go
+++ b/coord/relay/polls.go
@@ -24,6 +24,8 @@
 	// overduePatience is how long a follower waits for a relay to which the store's answer is overdue before it
 	// follows the store itself.
 	overduePatience = 300 * time.Millisecond
+	// delayStep is by how much the assumed delay of a process to which no source answers grows with each attempt.
+	delayStep = 250 * time.Millisecond
 	// lostCooldown is how long a source that lost the store is not polled while another source
 	// still follows it.
 	lostCooldown = time.Second
@@ -40,6 +42,8 @@
 	// notBefore is the end of the cooldown.
 	notBefore time.Time
 	failures  int
+	// unusable counts how often in a row the source was not usable.
+	unusable int
 	// storeLost is set if the source answered, but has lost the store.
 	storeLost bool
 	// dueAt is when the store's answer to the source is overdue, zero if that is not known. overdue is set if
@@ -69,7 +73,9 @@
 	*s = sourceState{storeLost: true, notBefore: now.Add(lostCooldown)}
 }
 
-func (s *sourceState) markUnusable(now time.Time) { *s = sourceState{notBefore: now.Add(minCooldown)} }
+func (s *sourceState) markUnusable(now time.Time) {
+	*s = sourceState{notBefore: now.Add(minCooldown), unusable: s.unusable + 1}
+}
 
 // markFailed starts the cooldown after a failed poll. It grows only while another source answers.
 func (s *sourceState) markFailed(now time.Time, otherAnswers bool) {
@@ -88,7 +94,9 @@
 	sent   time.Time
 	// patientUntil is when the next source is polled too.
 	patientUntil time.Time
-	cancel       context.CancelFunc
+	// delay is the process's own delay; see Source.Usable.
+	delay  time.Duration
+	cancel context.CancelFunc
 }
 
 // pollResult is the outcome of a poll.
@@ -269,7 +277,7 @@
 func (f *Follower) startPoll(ctx context.Context, polls *sync.WaitGroup, s Source, wait, patience time.Duration, knownLost bool) {
 	now := f.Now()
 	pollCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
-	p := &poll{source: s, asked: f.ask(knownLost), wait: wait, sent: now, patientUntil: now.Add(patience), cancel: cancel}
+	p := &poll{source: s, asked: f.ask(knownLost), wait: wait, sent: now, patientUntil: now.Add(patience), delay: f.ownDelay(f.sources[s.Name]), cancel: cancel}
 	f.sources[s.Name].poll = p
 	polls.Go(func() {
 		defer cancel()
@@ -281,8 +289,21 @@
 	})
 }
 
+// ownDelay returns how much longer than usual messages take to this process: the delay of recent answers, or a guess that grows with
+// each attempt if no source answers at all, not even that it has lost the store.
+func (f *Follower) ownDelay(state *sourceState) time.Duration {
+	silent := f.Now().Sub(f.lastAnswer) >= lostAfter
+	for _, s := range f.sources {
+		silent = silent && !s.storeLost
+	}
+	if !silent {
+		return f.delay
+	}
+	return max(f.delay, time.Duration(state.unusable)*delayStep)
+}
+
 func (p *poll) run(ctx context.Context, storeName string) (Reply, error) {
-	if p.source.Usable != nil && !p.source.Usable(ctx) {
+	if p.source.Usable != nil && !p.source.Usable(ctx, p.delay) {
 		return Reply{}, Error.Wrap(ErrNotUsable)
 	}
 	return p.source.Follow(ctx, Request{Store: storeName, Positions: p.asked.positions, Eras: true, Wait: p.wait})
--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -106,6 +106,13 @@
 		f.resetConns(follower)
 		f.stopVM(relay)
 	}},
+	{"all routers cut off", func(f *fleet, _, follower int) {
+		for vm := range f.gateways {
+			if vm != follower {
+				f.cut(linkEnds{follower, address(vm, linkPort)})
+			}
+		}
+	}},
 	{"history compacted", func(f *fleet, _, _ int) { f.store.Compact() }},
 }
 
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -39,8 +39,10 @@
 	// maxRelays is how many relays a process tries before it calls the store itself. Each one that
 	// does not answer takes half a second of the time within which changes must be active.
 	maxRelays = 2
-	// probeTimeout bounds the probe of whether the store answers this process.
+	// probeTimeout bounds the probe of whether the store answers this process, beside the process's own delay.
 	probeTimeout = 300 * time.Millisecond
+	// probeTurns is how many messages to this process the probe may take: one to open a connection, and the reply.
+	probeTurns = 2
 	// ownHub is the name of this process's own hub among the sources.
 	ownHub = "store"
 )
@@ -198,9 +200,9 @@
 
 // storeReachable probes the store with a cheap read. A process that no relay can serve calls the
 // store only if the probe succeeds: during an outage of the store, hundreds of processes would
-// otherwise keep requesting all keys from it.
-func (b *Base) storeReachable(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+// otherwise keep requesting all keys from it. delay is how much longer than usual messages take to this process.
+func (b *Base) storeReachable(ctx context.Context, delay time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, min(probeTimeout+probeTurns*delay, max(probeTimeout, b.Store.Timeout)))
 	defer cancel()
 	_, err := b.Store.StaleSnapshot(ctx, memberPrefix+"none")
 	return err == nil
