--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/prepaid"
 	"github.com/arbutusmill/arbutusmill/rollout"
 )
 
@@ -38,5 +41,10 @@
 // CanForward is canForward.
 var CanForward = canForward
 
+// RouterVMs returns the VMs of the routers that this one has in its list.
+func (g *Gateway) RouterVMs() []string {
+	return slices.Collect(maps.Keys(g.Members.Newest(prepaid.RoleRouter)))
+}
+
 // ConfigVersion returns the version of the active configuration.
 func (g *Gateway) ConfigVersion() int64 { return g.configVersion() }
