--- /dev/null
+++ b/agent/cuthead_test.go
@@ -0,0 +1,77 @@
+package agent
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
+	"github.com/arbutusmill/arbutusmill/memnet"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an engine's response whose head ended in the middle and that counts as a success, after any byte of the head, as the
+// first and as a later response of its connection.
+func TestHeadOfAnEngineThatEndsInTheMiddleIsAnError(t *testing.T) {
+	const body = `{"usage":{"completion_tokens":3}}`
+	for _, framing := range []string{fmt.Sprintf("Content-Length: %d", len(body)), "Transfer-Encoding: chunked", "Connection: close"} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framing + "\r\nX-Node: a\r\n\r\n"
+		for _, later := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, later %t", framing, later), func(t *testing.T) {
+				for cut := range len(head) {
+					virtualtime.Test(t, func(t *testing.T) { requireHeadError(t, head[:cut], later) })
+				}
+			})
+		}
+	}
+}
+
+// requireHeadError requires an error of the request to which an engine answers with a part of a head; with later, the connection has carried
+// a whole response before.
+func requireHeadError(t *testing.T, part string, later bool) {
+	var network memnet.Network
+	l, err := network.Listen("tcp", "engine:80")
+	require.NoError(t, err)
+	defer l.Close()
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			in := bufio.NewReader(conn)
+			for n := 0; ; n++ {
+				r, err := http.ReadRequest(in)
+				if err != nil {
+					break
+				}
+				_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+				if !later || n > 0 {
+					_, _ = io.WriteString(conn, part)
+					break
+				}
+				_, _ = io.WriteString(conn, whole)
+			}
+			_ = conn.Close()
+		}
+	}()
+	transport := &http.Transport{DialContext: network.Dial}
+	defer transport.CloseIdleConnections()
+	u := &upstreamClient{url: "http://engine:80", client: &http.Client{Transport: transport}}
+	call := func() (*http.Response, error) {
+		return u.call(t.Context(), &http.Request{Method: http.MethodPost, Header: http.Header{}, ContentLength: 5, Body: io.NopCloser(strings.NewReader("tide?"))}, "/chat")
+	}
+	if later {
+		resp, err := call()
+		require.NoError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	_, err = call()
+	require.Error(t, err, "after %q", part)
+}
