Streams: the only version of a service needs a view that is not behind

Can happen here, by reading, and shown by tests of the directory: a stream without a record goes on if its service had a single version for as long as streams can be taken up. A view counted for that until the loss of the store was detected, 2 s and more after the last answer; a process that stood still detects nothing before it serves. And a whole list, as from another relay, was no gap although it skips what joined and ended before it. TestSoleVersionOfAViewThatIsBehind and TestSoleVersionAfterAWholeListThatSkipsChanges failed before.

The view must be confirmed within 2 s, for which an entry is listed at least, and a whole list after a longer gap begins the history anew. The question waits up to a second for a view of 1.5 s, since between two answers of the store the view is that old in calm. Not played with a process that is frozen.

--- a/contract/kind.go
+++ b/contract/kind.go
@@ -83,7 +83,7 @@
 	UpstreamLimit:       {Status: http.StatusTooManyRequests, NotRun: true, RetryAfter: time.Second},
 	Stopping:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second, TryOther: true},
 	NotReady:            {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 2 * time.Second, TryOther: true},
-	ConfigUnconfirmed:   {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 500 * time.Millisecond, TryOther: true},
+	ConfigUnconfirmed:   {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 500 * time.Millisecond},
 	ChargeBacklog:       {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 10 * time.Second, TryOther: true},
 	ClaimUnavailable:    {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: 5 * time.Second},
 	Fenced:              {Status: http.StatusServiceUnavailable, NotRun: true, RetryAfter: time.Second},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -82,6 +82,8 @@
 	Report Reporter
 	// Now is the clock.
 	Now func() time.Time
+	// ConfirmedAt returns a time up to which this directory has all changes. Nil means that it has all of them at any time.
+	ConfirmedAt func() time.Time
 
 	mu      sync.Mutex
 	entries map[string]*entry // by key
@@ -136,7 +138,7 @@
 	if d.outage {
 		d.lapseDetector.StartGrace(now, missingGrace)
 	}
-	if d.outage || !d.read {
+	if d.outage || !d.read || d.unseenLocked(now) > maxUnseen {
 		d.history.since = now
 	}
 	restored := d.restored
--- a/directory/versions.go
+++ b/directory/versions.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxUnreadStart is the longest time between the last moment at which no request could be served and the first
-// read of the entries for which no version is missed: an upstream that served is listed for longer than that.
-const maxUnreadStart = 2 * time.Second
+// maxUnseen is the longest time without the changes of the entries, as from the last moment at which no request could be served to the first
+// read, in which no version is missed: an upstream that served is listed for longer than that.
+const maxUnseen = 2 * time.Second
 
 // versionHistory records which versions of each service were listed when.
 type versionHistory struct {
@@ -30,7 +30,7 @@
 
 // covers reports whether all versions are known that served in the window before now.
 func (h *versionHistory) covers(now time.Time, window time.Duration) bool {
-	return now.Sub(h.since) >= window || !h.noRequestsUntil.IsZero() && h.since.Sub(h.noRequestsUntil) <= maxUnreadStart
+	return now.Sub(h.since) >= window || !h.noRequestsUntil.IsZero() && h.since.Sub(h.noRequestsUntil) <= maxUnseen
 }
 
 // NoRequestsUntil records that no request can have been served until now, by any process.
@@ -40,14 +40,28 @@
 	d.history.noRequestsUntil = now
 }
 
+// Unseen returns how old the oldest change is that this directory may lack.
+func (d *Directory) Unseen() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unseenLocked(d.Now())
+}
+
+func (d *Directory) unseenLocked(now time.Time) time.Duration {
+	if d.ConfirmedAt == nil {
+		return 0
+	}
+	return now.Sub(d.ConfirmedAt())
+}
+
 // SoleVersion returns the version of a service's software if no other one was listed within the window before
 // now. It returns false if that is not known: entries may have changed unnoticed while the store could not be
-// reached, or before this process started.
+// reached, while this process was behind, or before it started.
 func (d *Directory) SoleVersion(service string, window time.Duration) (version string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Now()
-	if !d.read || d.outage || !d.history.covers(now, window) {
+	if !d.read || d.outage || d.unseenLocked(now) > maxUnseen || !d.history.covers(now, window) {
 		return "", false
 	}
 	versions := map[string]bool{}
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -74,7 +74,7 @@
 
 	d = versionedDirectory(&now)
 	d.NoRequestsUntil(now)
-	now = now.Add(maxUnreadStart + time.Second)
+	now = now.Add(maxUnseen + time.Second)
 	d.Reset([]store.Item{versioned("a", "v1", 1)})
 	requireSole(t, d, "")
 }
@@ -91,3 +91,43 @@
 	require.Empty(t, d.ForService("s")[0].StreamVersion())
 	require.Equal(t, "v1", d.ForService("s")[0].Version)
 }
+
+// Guards against a version that is taken for the only one by a process that stood still, was cut off or is behind: one that joined and ended
+// meanwhile is in no entry any more, and the loss of the store is not detected yet.
+func TestSoleVersionOfAViewThatIsBehind(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := versionedDirectory(&now)
+	confirmed := now
+	d.ConfirmedAt = func() time.Time { return confirmed }
+	d.Reset([]store.Item{versioned("a", "v1", 1)})
+	now = now.Add(takeUpWindow)
+	confirmed = now.Add(-maxUnseen)
+	requireSole(t, d, "v1")
+
+	now = now.Add(time.Millisecond)
+	requireSole(t, d, "")
+	now = now.Add(4 * time.Second)
+	requireSole(t, d, "")
+	confirmed = now
+	requireSole(t, d, "v1")
+}
+
+// Guards against a version that is taken for the only one although another one joined and ended between the changes that a process received and
+// the whole list that it got next, as from another relay.
+func TestSoleVersionAfterAWholeListThatSkipsChanges(t *testing.T) {
+	for gap, want := range map[time.Duration]string{maxUnseen: "v1", maxUnseen + time.Millisecond: ""} {
+		now := time.Unix(1000, 0)
+		d := versionedDirectory(&now)
+		confirmed := now
+		d.ConfirmedAt = func() time.Time { return confirmed }
+		d.Reset([]store.Item{versioned("a", "v1", 1)})
+		now = now.Add(takeUpWindow)
+		confirmed = now.Add(-gap)
+		d.Reset([]store.Item{versioned("a", "v1", 1)})
+		confirmed = now
+		requireSole(t, d, want)
+		now = now.Add(takeUpWindow)
+		confirmed = now
+		requireSole(t, d, "v1")
+	}
+}
--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -252,3 +252,16 @@
 		}
 	})
 }
+
+// Guards against conclusions from a list of upstreams whose age the router does not have.
+func TestRouterHasTheAgeOfItsListOfUpstreams(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		f.upstream("i-1", "plain", 0)
+		f.start()
+		require.Less(t, f.gateways[1].gateway.UnseenUpstreams(), 2*time.Second)
+		f.store.SetUnresponsive(true)
+		time.Sleep(6 * time.Second) // a pending call is still answered, within a second
+		require.GreaterOrEqual(t, f.gateways[1].gateway.UnseenUpstreams(), 5*time.Second)
+	})
+}
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -48,3 +48,6 @@
 
 // ConfigVersion returns the version of the active configuration.
 func (g *Gateway) ConfigVersion() int64 { return g.configVersion() }
+
+// UnseenUpstreams returns how old the oldest change of the list of upstreams is that the router may lack.
+func (g *Gateway) UnseenUpstreams() time.Duration { return g.directory.Unseen() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,6 +159,7 @@
 		MeasureWork:         g.handsOver(),
 		Now:                 time.Now,
 	}
+	g.directory.ConfirmedAt = func() time.Time { return g.Follower.ConfirmedAt(platform.UpstreamPrefix) }
 	g.transport = newTransport(g.Network, s.Upstreams)
 	g.dispatcher = &serving.Dispatcher{
 		Upstreams: &upstreams{Pool: g.pool, transport: g.transport, unread: &unreadHeaders{log: g.Log, metrics: g.metrics},
--- a/gateway/soleversions.go
+++ b/gateway/soleversions.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/platform"
 	"github.com/arbutusmill/arbutusmill/prepaid"
@@ -15,8 +16,13 @@
 	entriesTimeout = 300 * time.Millisecond
 	// entriesInterval is the minimum interval between two such reads by one router.
 	entriesInterval = 250 * time.Millisecond
+	// maxViewAge is the age of this router's view for which an answer waits no longer, viewTimeout how long it waits at most, and viewInterval the
+	// interval between two looks.
+	maxViewAge   = 1500 * time.Millisecond
+	viewTimeout  = time.Second
+	viewInterval = 25 * time.Millisecond
 	// soleVersionTimeout bounds the question to another router, which reads the entries for it.
-	soleVersionTimeout = entriesInterval + entriesTimeout
+	soleVersionTimeout = viewTimeout + entriesInterval + entriesTimeout
 	// soleVersionPeers is how many other routers are asked for a service's only version.
 	soleVersionPeers = 3
 )
@@ -70,8 +76,19 @@
 	return link.VersionReply{Version: version, Known: known}, nil
 }
 
+// awaitView waits for a while until this router has the changes of the entries that a version could be missed without: between two answers
+// of the store it may lack those of the last seconds.
+func (v *soleVersions) awaitView(ctx context.Context) {
+	for until := time.Now().Add(viewTimeout); v.g.directory.Unseen() > maxViewAge && time.Now().Before(until); {
+		if backoff.Sleep(ctx, viewInterval) != nil {
+			return
+		}
+	}
+}
+
 // findLocally returns the only version of a service by this router's view and the store's present entries.
 func (v *soleVersions) findLocally(ctx context.Context, service string) (version string, ok bool) {
+	v.awaitView(ctx)
 	if version, ok = v.g.directory.SoleVersion(service, takeUpWindow); !ok {
 		return "", false
 	}
