Lenders: the list of processes is not changed while it is read

Lenders could end by themselves while they moved records of streams past processes that had ended.

Class: a map that is shared with the goroutines that it starts.

--- a/lender/streams.go
+++ b/lender/streams.go
@@ -107,6 +107,7 @@
 	}
 	var mu sync.Mutex
 	var sends sync.WaitGroup
+	var failedVMs []string
 	for vm, batch := range batches {
 		to := keepers[vm]
 		sends.Go(func() {
@@ -114,12 +115,15 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if len(failed) > 0 {
-				delete(keepers, vm)
+				failedVMs = append(failedVMs, vm)
 			}
 			left = append(left, failed...)
 		})
 	}
 	sends.Wait()
+	for _, vm := range failedVMs {
+		delete(keepers, vm)
+	}
 	return left
 }
 
