Relays: the time since the store was asked is stated only beside a slow store

Each answer of a relay had grown by up to 51 B for three fields that differ from the age by the milliseconds of a store in calm.

--- a/coord/relay/feed.go
+++ b/coord/relay/feed.go
@@ -15,6 +15,10 @@
 // follower that missed more gets all keys again.
 const maxKeptChanges = 1024
 
+// maxUnstatedLag is how much longer than its Age the Lag of an update may be without being stated: the store answers within it in calm, and
+// a hundred followers get three updates each, more than once a second.
+const maxUnstatedLag = 20 * time.Millisecond
+
 // feed is a copy of the keys under one prefix, with their last changes. It implements
 // mirror.Reader; followers read it concurrently.
 type feed struct {
@@ -149,7 +153,10 @@
 		return u, false
 	}
 	u.Due = cmp.Or(f.overdueAfter-u.Age, -1)
-	u.At, u.Held, u.Lag = f.at, f.now().Sub(f.lastChange), f.now().Sub(f.asOf)
+	u.At, u.Held = f.at, f.now().Sub(f.lastChange)
+	if lag := f.now().Sub(f.asOf); lag > u.Age+maxUnstatedLag {
+		u.Lag = lag
+	}
 	if p.After == 0 || p.After < f.from {
 		u.Whole, u.AfterOutage, u.Changes = true, f.outage, f.allLocked()
 		return u, true
--- a/coord/relay/follower.go
+++ b/coord/relay/follower.go
@@ -139,7 +139,7 @@
 	}
 	for _, u := range r.Updates {
 		c := f.progress[u.Prefix]
-		if at := answered.Add(-max(u.Age, u.Lag)); !u.Lost && !u.Unread && c.at >= u.At && !c.lossReported && at.After(f.confirmed[u.Prefix]) {
+		if at := answered.Add(-u.lag()); !u.Lost && !u.Unread && c.at >= u.At && !c.lossReported && at.After(f.confirmed[u.Prefix]) {
 			f.confirmed[u.Prefix] = at
 		}
 	}
--- a/coord/relay/relay.go
+++ b/coord/relay/relay.go
@@ -77,6 +77,9 @@
 	Updates []Update `json:"updates"`
 }
 
+// lag returns the time since a time up to which the relay's copy is complete.
+func (u Update) lag() time.Duration { return max(u.Lag, u.Age+maxUnstatedLag) }
+
 // age returns the age of the oldest update.
 func (r Reply) age() time.Duration {
 	var oldest time.Duration
@@ -137,8 +140,8 @@
 	Due time.Duration `json:"due,omitempty"`
 	// Age is the time (ns) since the store last answered the relay, or since it began to read the prefix.
 	Age time.Duration `json:"age"`
-	// Lag is the time (ns) since a time up to which the relay's copy is complete; it includes what the store's answer took. 0 if
-	// the relay does not say.
+	// Lag is the time (ns) since a time up to which the relay's copy is complete; it includes what the store's answer took. 0 stands for
+	// Age and maxUnstatedLag.
 	Lag time.Duration `json:"lag,omitempty"`
 	// Held is how long (ns) the relay has had the newest of the changes.
 	Held    time.Duration `json:"held,omitempty"`
--- a/coord/relay/state_test.go
+++ b/coord/relay/state_test.go
@@ -23,3 +23,17 @@
 		require.Equal(t, "own", tc.followers[0].State().Source)
 	})
 }
+
+// Guards against answers that grow by a field that says nothing, and against a copy that counts as confirmed while the store's answer was on its
+// way.
+func TestLagIsStatedOnlyWhenTheStoreIsSlow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for took, stated := range map[time.Duration]time.Duration{0: 0, maxUnstatedLag: 0, time.Second: time.Second} {
+		f := &feed{now: func() time.Time { return now }, staleAfter: time.Minute, overdueAfter: time.Minute, notify: func() {}}
+		f.Reset(nil)
+		f.complete(5, now.Add(-took))
+		u, _ := f.since(Position{Prefix: keys, After: 5})
+		require.Equal(t, stated, u.Lag)
+		require.GreaterOrEqual(t, u.lag(), took)
+	}
+}
