--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -15,21 +15,20 @@
 	VM         string `yaml:"vm"`
 	Datacentre string `yaml:"datacentre"`
 	// Regions maps each data centre to its region.
-	Regions   map[string]string `yaml:"regions"`
-	Distances Distances         `yaml:"distances"`
-	Listen    GatewayListen     `yaml:"listen"`
-	Store     HostedStore       `yaml:"store"`
-	// Configuration is about what operators write.
-	Configuration Configuration `yaml:"configuration"`
-	Log           Log           `yaml:"log"`
-	Budgets       HostedBudgets `yaml:"budgets"`
-	Retries       Retries       `yaml:"repeats"`
-	Upstreams     Upstreams     `yaml:"upstreams"`
-	Cold          Cold          `yaml:"cold"`
-	Rollouts      Rollouts      `yaml:"rollouts"`
-	Queueing      Queueing      `yaml:"queueing"`
-	Limits        GatewayLimits `yaml:"limits"`
-	Stop          Stop          `yaml:"stop"`
+	Regions       map[string]string `yaml:"regions"`
+	Distances     Distances         `yaml:"distances"`
+	Listen        GatewayListen     `yaml:"listen"`
+	Store         HostedStore       `yaml:"store"`
+	Configuration Configuration     `yaml:"configuration"`
+	Log           Log               `yaml:"log"`
+	Budgets       HostedBudgets     `yaml:"budgets"`
+	Retries       Retries           `yaml:"repeats"`
+	Upstreams     Upstreams         `yaml:"upstreams"`
+	Cold          Cold              `yaml:"cold"`
+	Rollouts      Rollouts          `yaml:"rollouts"`
+	Queueing      Queueing          `yaml:"queueing"`
+	Limits        GatewayLimits     `yaml:"limits"`
+	Stop          Stop              `yaml:"stop"`
 }
 
 // GatewayListen holds the addresses (host:port) that a gateway listens on.
