--- a/link/link.go
+++ b/link/link.go
@@ -297,4 +297,3 @@
 	}
 	return &grant.ReservedError{RetryAfter: time.Duration(d.RetryAfterMS) * time.Millisecond}
 }
-
