Responses with a status that HTTP does not have are no answers

Callers saw: an engine answered with the status 000, 001 or 099 and the caller's connection ended without any answer, as the handler panicked in WriteHeader. With 101, 600 and 999 the caller got that status with the engine's signature. A status line of another major version of HTTP (0.9, 2.0) was passed on as a success.

Cause: net/http takes any three characters that parse as a number from 0 on as a status and any version, and gateway/judge.go asks only whether the status is below 300. Nothing between the two checked that the status is that of a final response.

Change: bounded.Transport, through which every client of this system goes (TestAllClientsAreBounded), returns a transport that gives an error for a head that is not that of a final response. The request counts as interrupted: a further attempt where one may be made, otherwise 502, which promises nothing. It holds for the store, reports and engines behind an agent too, since no client can be without it.

Ruled out: a check in judge alone, which agents and the other clients do not pass.

--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -1,5 +1,6 @@
 // Package bounded limits what this system's clients read of other processes' responses, and what messages take in memory
-// together. A faulty peer may send bytes without end, and must not take the memory that the requests of others need.
+// together. A faulty peer may send bytes without end, and must not take the memory that the requests of others need. Its
+// transport also rejects responses that HTTP does not allow.
 package bounded
 
 import (
@@ -14,10 +15,10 @@
 // MaxHeaderBytes limits the status line and headers of a response, together with the informational responses before it.
 const MaxHeaderBytes = 32 << 10
 
-// Transport limits the headers of the responses that t reads, and returns t.
-func Transport(t *http.Transport) *http.Transport {
+// Transport limits the headers of the responses that t reads, and returns a transport that checks them. It changes t.
+func Transport(t *http.Transport) *CheckedTransport {
 	t.MaxResponseHeaderBytes = MaxHeaderBytes
-	return t
+	return &CheckedTransport{t}
 }
 
 // TooLongError is returned for a response, or a part of one, that is longer than its limit.
--- /dev/null
+++ b/bounded/transport.go
@@ -0,0 +1,40 @@
+package bounded
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// CheckedTransport is an http.Transport that returns an error in place of a response that HTTP does not allow. net/http accepts some of
+// them, and whoever forwards one sends callers an answer that no sound peer gave.
+type CheckedTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper. After an error, the peer may have run the request.
+func (t *CheckedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(resp); err != nil {
+		_ = resp.Body.Close() // what is wrong with the response is known
+		return nil, err
+	}
+	return resp, nil
+}
+
+// Bounds of the statuses of final responses.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// checkHead returns an error if HTTP does not allow the head of a final response.
+func checkHead(resp *http.Response) error {
+	if resp.TLS == nil && resp.ProtoMajor != 1 {
+		return fmt.Errorf("malformed response: version %q without TLS", resp.Proto)
+	}
+	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
+		return fmt.Errorf("malformed response: status %03d is not that of a final response", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/brokenanswers_test.go
@@ -0,0 +1,57 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/arbutusmill/arbutusmill/platform/standin"
+	"github.com/stretchr/testify/assert"
+)
+
+// brokenHeads returns heads of signed responses that no sound upstream sends, without the blank line. %s stands for the request's id.
+func brokenHeads() map[string]string {
+	heads := map[string]string{}
+	const fields = standin.HeaderID + ": %s\r\n" + standin.HeaderSignature + ": s\r\n"
+	for _, status := range []string{"000", "001", "099", "101", "199", "600", "999", "-20", "+99"} {
+		heads["status "+status] = "HTTP/1.1 " + status + " OK\r\n" + fields
+	}
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0"} {
+		heads[version] = version + " 200 OK\r\n" + fields
+	}
+	return heads
+}
+
+// Guards against responses with a broken head that reach the caller as the upstream's answer: with a status or a version that HTTP/1.1 does not have.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for name, head := range brokenHeads() {
+		for kind, newRequest := range map[string]func(id string) request{"once": alert, "twice": level, "stream": chat, "resumable stream": review} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				withFleet(t, func(f *fleet) {
+					f.putConfig(0, "k1")
+					service, body := "plain", "ok"
+					if strings.Contains(kind, "stream") {
+						service, body = "model", events(3)
+					}
+					u := f.rawUpstream("i-1", func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+						if r, err := http.ReadRequest(in); err == nil {
+							_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+							_, _ = fmt.Fprintf(conn, head+"\r\n%s", u.recordRequest(r), body)
+						}
+					})
+					f.register("i-1", service, "ready")
+					f.start()
+					resp := f.send(newRequest("r"))
+					assert.NoError(t, resp.err)
+					assert.Equal(t, http.StatusBadGateway, resp.status)
+					assert.Empty(t, resp.header.Values(standin.HeaderSignature))
+					assert.Contains(t, u.receivedIDs(), "r")
+				})
+			})
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,7 @@
 	prompts        *promptGuard
 	rollouts       *rollouts
 	streams        *streamVersions
-	transport      *http.Transport
+	transport      *bounded.CheckedTransport
 	dispatcher     *serving.Dispatcher
 	// bodies limits the bodies of callers' requests that are in memory at a time.
 	bodies  *bounded.Sum
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -47,7 +47,7 @@
 	metrics *gatewayMetrics
 }
 
-func newTransport(n hosted.Network, s settings.Upstreams) *http.Transport {
+func newTransport(n hosted.Network, s settings.Upstreams) *bounded.CheckedTransport {
 	return bounded.Transport(&http.Transport{
 		DialContext:         upstreamDialer(n.DialTimeout(time.Duration(s.DialTimeout))),
 		DisableCompression:  true, // callers get the upstream's bytes unchanged
