Responses with a blank in the name of a header are no answers

Callers saw: an engine sent "X Bad: v" or "X-Bad : v" in the head of a signed 200, and the caller got a 200 with that line passed on. With "Content-Length : 1" or "Content Length: 1" the body went on to the end of the connection, and with "Transfer-Encoding : chunked" the sizes of the chunks were part of it.

Cause: net/http rejects each name that is no token but one with a blank, which it keeps as it is. Such a line is then forwarded, and one that should say where the body ends does not count.

Evidence: TestBrokenHeadIsNoAnswer on the code before: 20 of the 56 new cases fail (five lines, four kinds of requests). The other nine lines (a tab, a control byte, a byte over 127 or a bracket in the name, no name, no colon, a control byte in a value) were 502 already; they stay in the test.

Change: checkHead of bounded gives an error for such a name, for all clients. Names are compared after the parse of net/http, so nothing is parsed twice.

--- a/bounded/transport.go
+++ b/bounded/transport.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // CheckedTransport is an http.Transport that returns an error in place of a response that HTTP does not allow. net/http accepts some of
@@ -36,5 +37,11 @@
 	if resp.StatusCode < minFinalStatus || resp.StatusCode > maxFinalStatus {
 		return fmt.Errorf("malformed response: status %03d is not that of a final response", resp.StatusCode)
 	}
+	for name := range resp.Header {
+		// net/http rejects all other names that are no tokens.
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("malformed response: header name %q", name)
+		}
+	}
 	return nil
 }
--- a/gateway/brokenanswers_test.go
+++ b/gateway/brokenanswers_test.go
@@ -23,10 +23,17 @@
 	for _, version := range []string{"HTTP/0.9", "HTTP/2.0"} {
 		heads[version] = version + " 200 OK\r\n" + fields
 	}
+	for _, line := range []string{
+		"X Bad: v", "X-Bad : v", "X-Bad\t: v", "X\tBad: v", "X\x01Bad: v", "X\x7fBad: v", "X-B\xe4d: v", "X[Bad]: v", ": v", "X-Bad", "X-Bad: \x01",
+		"Content-Length : 1", "Content Length: 1", "Transfer-Encoding : chunked",
+	} {
+		heads[fmt.Sprintf("line %q", line)] = "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n"
+	}
 	return heads
 }
 
-// Guards against responses with a broken head that reach the caller as the upstream's answer: with a status or a version that HTTP/1.1 does not have.
+// Guards against responses with a broken head that reach the caller as the upstream's answer: with a status or a version that HTTP/1.1 does not
+// have, or with a line that is no header field.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
 	for name, head := range brokenHeads() {
 		for kind, newRequest := range map[string]func(id string) request{"once": alert, "twice": level, "stream": chat, "resumable stream": review} {
