Responses with a line that begins with a blank in the head are no answers

Callers saw: an engine sent a line that begins with a blank after the one with its signature, and the caller got a 200 with that line as a part of the signature's value.

Cause: net/http joins such a line with the one before it, an obsolete form of HTTP that a gateway must reject or replace. The joined value cannot be told from one that was sent on one line, so no check of the parsed head can find it.

A blank line right after the status line was 502 already.

Change: connections of bounded.Transport look at how the lines of a head begin, until the blank line that ends it, and the response is an error if one begins with a blank. Nothing else is read from these bytes; net/http parses them as before. Over TLS, where only this system's own processes answer, they are not looked at. A connection with a malformed response is closed, also after one without a body, which net/http would keep (TestSoundResponsesShareAConnection).

--- a/bounded/bounded.go
+++ b/bounded/bounded.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 )
@@ -18,6 +19,11 @@
 // Transport limits the headers of the responses that t reads, and returns a transport that checks them. It changes t.
 func Transport(t *http.Transport) *CheckedTransport {
 	t.MaxResponseHeaderBytes = MaxHeaderBytes
+	if t.DialContext == nil {
+		t.DialContext = (&net.Dialer{}).DialContext
+		t.ForceAttemptHTTP2 = t.TLSClientConfig == nil // which net/http does if there is no DialContext
+	}
+	t.DialContext = checkedDialer(t.DialContext)
 	return &CheckedTransport{t}
 }
 
--- /dev/null
+++ b/bounded/conn.go
@@ -0,0 +1,146 @@
+package bounded
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// dialFunc opens a connection, like net.Dialer.DialContext.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// checkedDialer returns a dial function that returns a *checkedConn.
+func checkedDialer(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: conn}, nil
+	}
+}
+
+// DialedConn returns the connection that the DialContext of a transport returned, given the one that httptrace reports.
+func DialedConn(conn net.Conn) net.Conn {
+	if c, ok := conn.(*checkedConn); ok {
+		return c.Conn
+	}
+	return conn
+}
+
+// checkedConn is a connection on which the bytes of responses are checked, as far as net/http does not show them.
+type checkedConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// head is that of the next response; nil before the first request.
+	head *headLines
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.head != nil {
+		c.head.scan(b[:n])
+	}
+	return n, err
+}
+
+// exchange is one request and the response to it. conn is nil over TLS, where the connection carries other bytes than those of the response.
+type exchange struct {
+	conn *checkedConn
+	head *headLines
+}
+
+// trace returns a context with which the request must be sent for x to take its connection.
+func (x *exchange) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		x.conn, _ = info.Conn.(*checkedConn)
+		if x.conn == nil {
+			return
+		}
+		x.head = &headLines{}
+		x.conn.mu.Lock()
+		defer x.conn.mu.Unlock()
+		x.conn.head = x.head
+	}})
+}
+
+// errContinuedLine is returned for a head with a line that begins with a blank. It continues the line before it, whose value is then not the
+// one that the peer meant, such as that of a signature.
+var errContinuedLine = errors.New("malformed response: a line of the head begins with a blank")
+
+// checkLines returns an error if a line of the response's head begins with a blank.
+func (x *exchange) checkLines() error {
+	if x.conn == nil {
+		return nil
+	}
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	if x.head.continued {
+		return errContinuedLine
+	}
+	return nil
+}
+
+// close closes the connection, on which no further response can be told from the rest of this one.
+func (x *exchange) close() {
+	if x.conn != nil {
+		_ = x.conn.Close() // the transport may have closed it
+	}
+}
+
+// headLines finds lines that begin with a blank in the head of a response and in those of the informational responses before it. net/http
+// joins such a line with the one before it.
+type headLines struct {
+	// continued is set once such a line was found, ended after the blank line at the end of the head.
+	continued, ended bool
+	// line and column, from 0, are those of the next byte.
+	line, column int
+	// informational is set if another head follows.
+	informational bool
+}
+
+// statusColumn is the column of the first digit of the status in a status line.
+const statusColumn = len("HTTP/1.1 ")
+
+// scan takes the next bytes of the connection.
+func (h *headLines) scan(b []byte) {
+	for _, c := range b {
+		if h.ended {
+			return
+		}
+		h.next(c)
+	}
+}
+
+func (h *headLines) next(c byte) {
+	switch {
+	case c == '\n':
+		h.endLine()
+		return
+	case c == '\r':
+		return
+	case h.line == 0 && h.column == statusColumn:
+		h.informational = c == '1'
+	case h.column == 0 && (c == ' ' || c == '\t'):
+		h.continued = true
+	}
+	h.column++
+}
+
+func (h *headLines) endLine() {
+	switch {
+	case h.column > 0:
+		h.line++
+		h.column = 0
+	case h.informational:
+		h.line, h.informational = 0, false
+	default:
+		h.ended = true
+	}
+}
--- a/bounded/transport.go
+++ b/bounded/transport.go
@@ -1,6 +1,7 @@
 package bounded
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,12 +13,14 @@
 
 // RoundTrip implements http.RoundTripper. After an error, the peer may have run the request.
 func (t *CheckedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	var x exchange
+	resp, err := t.Transport.RoundTrip(req.WithContext(x.trace(req.Context())))
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(resp); err != nil {
+	if err := errors.Join(checkHead(resp), x.checkLines()); err != nil {
 		_ = resp.Body.Close() // what is wrong with the response is known
+		x.close()
 		return nil, err
 	}
 	return resp, nil
--- a/gateway/brokenanswers_test.go
+++ b/gateway/brokenanswers_test.go
@@ -29,11 +29,17 @@
 	} {
 		heads[fmt.Sprintf("line %q", line)] = "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n"
 	}
+	heads["blank line after the status line"] = "HTTP/1.1 200 OK\r\n " + standin.HeaderSignature + ": s\r\n" + fields
+	for _, line := range []string{" X-Bad: v", "\tX-Bad: v", " v", " "} {
+		for name, informational := range map[string]string{"": "", " after an informational response": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"} {
+			heads[fmt.Sprintf("line %q%s", line, name)] = informational + "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n"
+		}
+	}
 	return heads
 }
 
 // Guards against responses with a broken head that reach the caller as the upstream's answer: with a status or a version that HTTP/1.1 does not
-// have, or with a line that is no header field.
+// have, or with a line that is no header field or that continues the one before it.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
 	for name, head := range brokenHeads() {
 		for kind, newRequest := range map[string]func(id string) request{"once": alert, "twice": level, "stream": chat, "resumable stream": review} {
--- a/gateway/upstreamconn.go
+++ b/gateway/upstreamconn.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/arbutusmill/arbutusmill/bounded"
 )
 
 // upstreamConn is a connection to an upstream. It carries a further request only after the response to the one before was
@@ -57,7 +59,7 @@
 // the request before was judged, which that request's goroutine does as soon as it has the response.
 func (u *connUse) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c := info.Conn.(*upstreamConn)
+		c := bounded.DialedConn(info.Conn).(*upstreamConn)
 		<-c.turn
 		if c.exchanges > 0 && c.lastID == u.id {
 			// A copy of the last response could not be told from the response to this request.
