A response whose connection ends before its request was written is not whole

Callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer. On streams some events were framed as all.

Cause: a response without a length ends with its connection, and only the error of a read tells a reset from an orderly end. The kernel reports a reset to one call. During an upload that is often the write; the reads after it return a plain end, and net/http takes the body as whole before it learns that the write failed.

Change: connections of bounded.Transport keep the error of a write. At the end of the connection a read waits until the request is written, which a reset or closed connection ends at once, and returns an error if a write failed. The end of the connection is returned after the result of each write that precedes it, whichever call the kernel tells of a reset. An upstream that answers early without a length, reads the rest and closes is whole as before (cases "sound" and "closed after the upload").

Price: an upstream that answers without a length, whole, and closes with a part of the upload unread counts as cut off. Nothing tells the two apart.

Ruled out: the trace of a written request alone; net/http calls it before it flushes the last 4 KiB.

--- a/bounded/conn.go
+++ b/bounded/conn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -18,7 +20,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: conn}, nil
+		return &checkedConn{Conn: conn, closed: make(chan struct{})}, nil
 	}
 }
 
@@ -34,40 +36,102 @@
 type checkedConn struct {
 	net.Conn
 
-	mu sync.Mutex
-	// head is that of the next response; nil before the first request.
-	head *headLines
+	closeOnce sync.Once
+	closed    chan struct{}
+
+	// writing is held during a write; it guards writeErr, the error of the first write that failed.
+	writing  sync.Mutex
+	writeErr error
+
+	// mu guards current, which is nil before the first request, and its head.
+	mu      sync.Mutex
+	current *exchange
 }
 
 // Read implements net.Conn.
 func (c *checkedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	x := c.scan(b[:n])
+	if errors.Is(err, io.EOF) {
+		err = c.checkEnd(x)
+	}
+	return n, err
+}
+
+// scan passes bytes to the current exchange, and returns it.
+func (c *checkedConn) scan(b []byte) *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.head != nil {
-		c.head.scan(b[:n])
+	if c.current != nil {
+		c.current.head.scan(b)
+	}
+	return c.current
+}
+
+// checkEnd returns io.EOF, or an error if the connection ended before the request was written. A response without a length is whole only if
+// its connection ends in order, and a reset is reported to a single call: after a write that failed with it, reads return io.EOF.
+func (c *checkedConn) checkEnd(x *exchange) error {
+	if x != nil {
+		select {
+		case <-x.written:
+		case <-c.closed:
+			return net.ErrClosed
+		}
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return fmt.Errorf("the connection ended while the request was written: %w", c.writeErr)
+	}
+	return io.EOF
+}
+
+// Write implements net.Conn.
+func (c *checkedConn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if c.writeErr == nil {
+		c.writeErr = err
 	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *checkedConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // exchange is one request and the response to it. conn is nil over TLS, where the connection carries other bytes than those of the response.
 type exchange struct {
 	conn *checkedConn
-	head *headLines
+	head headLines
+
+	writeOnce sync.Once
+	// written is closed once net/http writes no more of the request, but for what it buffers.
+	written chan struct{}
 }
 
+func newExchange() *exchange { return &exchange{written: make(chan struct{})} }
+
 // trace returns a context with which the request must be sent for x to take its connection.
 func (x *exchange) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		x.conn, _ = info.Conn.(*checkedConn)
-		if x.conn == nil {
-			return
-		}
-		x.head = &headLines{}
-		x.conn.mu.Lock()
-		defer x.conn.mu.Unlock()
-		x.conn.head = x.head
-	}})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      x.gotConn,
+		WroteRequest: func(httptrace.WroteRequestInfo) { x.writeOnce.Do(func() { close(x.written) }) },
+	})
+}
+
+func (x *exchange) gotConn(info httptrace.GotConnInfo) {
+	x.conn, _ = info.Conn.(*checkedConn)
+	if x.conn == nil {
+		return
+	}
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	x.head = headLines{}
+	x.conn.current = x
 }
 
 // errContinuedLine is returned for a head with a line that begins with a blank. It continues the line before it, whose value is then not the
--- a/bounded/transport.go
+++ b/bounded/transport.go
@@ -13,7 +13,7 @@
 
 // RoundTrip implements http.RoundTripper. After an error, the peer may have run the request.
 func (t *CheckedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var x exchange
+	x := newExchange()
 	resp, err := t.Transport.RoundTrip(req.WithContext(x.trace(req.Context())))
 	if err != nil {
 		return nil, err
--- a/bounded/transport_test.go
+++ b/bounded/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,8 +10,10 @@
 	"net/http"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 
 	"github.com/arbutusmill/arbutusmill/bounded"
+	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/stretchr/testify/require"
 )
 
@@ -78,3 +81,93 @@
 	require.NoError(t, err)
 	require.NoError(t, resp.Body.Close())
 }
+
+// peerEnds are the ways in which a peer ends the connection on which it answered an upload early, without a length.
+var peerEnds = map[string]struct {
+	// read is how much of the upload it reads before, reset whether it resets the connection.
+	read  int64
+	reset bool
+	whole bool
+}{
+	"reset during the upload":  {read: 1 << 20, reset: true},
+	"closed with bytes unread": {read: 1 << 20},
+	"reset before the upload":  {reset: true},
+	"reset after the upload":   {read: uploadBytes, reset: true},
+	"closed after the upload":  {read: uploadBytes, whole: true},
+}
+
+// uploadBytes is the size of an upload. It is larger than what sockets buffer.
+const uploadBytes = 8 << 20
+
+// Guards against a part of a response without a length that counts as whole: a reset during the upload is reported to the write, and the
+// reads after it return a plain end.
+func TestResponseThatIsResetDuringTheUploadIsAnError(t *testing.T) {
+	for name, end := range peerEnds {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+					in := bufio.NewReader(conn)
+					_, _ = http.ReadRequest(in) // the client sends no other
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+					_, _ = io.CopyN(io.Discard, in, end.read) // an error shows at the other end
+					if end.reset {
+						_ = conn.(*net.TCPConn).SetLinger(0)
+					}
+					_ = conn.Close()
+				}
+			}()
+			client := http.Client{Transport: bounded.Transport(&http.Transport{})}
+			for range 30 {
+				require.Equal(t, end.whole, upload(&client, l.Addr().String()) == nil)
+			}
+		})
+	}
+}
+
+// upload sends a body and returns an error unless it gets a whole response.
+func upload(client *http.Client, address string) error {
+	body := io.MultiReader(bytes.NewReader(make([]byte, uploadBytes))) // net/http cannot send it again
+	req, err := http.NewRequest(http.MethodPost, "http://"+address, body)
+	if err != nil {
+		return err
+	}
+	req.ContentLength = uploadBytes
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// Guards against a response without a length that counts as whole although its peer closed the connection while the sender of the upload paused.
+func TestResponseEndsAfterItsRequest(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		rest, restWriter := io.Pipe()
+		client := http.Client{Transport: bounded.Transport(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				_, _ = http.ReadRequest(bufio.NewReader(server)) // the client sends no other
+				_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\n\r\na part")
+				_ = server.Close()
+			}()
+			return client, nil
+		}})}
+		resp, err := client.Post("http://peer:80/", "text/plain", rest)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		ended := make(chan error, 1)
+		go func() {
+			_, err := io.Copy(io.Discard, resp.Body)
+			ended <- err
+		}()
+		synctest.Wait()
+		require.Empty(t, ended)
+		_, _ = io.WriteString(restWriter, "the rest") // an error shows at the other end
+		require.Error(t, <-ended)
+	})
+}
--- a/gateway/brokenanswers_test.go
+++ b/gateway/brokenanswers_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/arbutusmill/arbutusmill/platform/standin"
 	"github.com/stretchr/testify/assert"
@@ -68,3 +69,47 @@
 		}
 	}
 }
+
+// earlyAnswer answers each request, before its body was read, with a response without a length. Then it reads the body if it is sound, and
+// ends the connection: unless all was read, the write of the body fails and the end of the response looks like an orderly one.
+func earlyAnswer(body string, sound bool) func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+	return func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, unframedResponse(u.recordRequest(r), body))
+		if sound {
+			_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+		}
+	}
+}
+
+// Guards against a part of an answer that the caller gets as whole: an upstream answers a long upload at once, without a length, and resets
+// the connection while the upload is still being written.
+func TestAnswerThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
+	for kind, newRequest := range map[string]func(id string) request{"once": alert, "twice": level, "stream": chat, "resumable stream": review} {
+		for _, sound := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, sound %t", kind, sound), func(t *testing.T) {
+				withFleet(t, func(f *fleet) {
+					f.putConfig(0, "k1")
+					service, body := "plain", "a body"
+					if strings.Contains(kind, "stream") {
+						service, body = "model", events(2)
+					}
+					f.rawUpstream("i-1", earlyAnswer(body, sound))
+					f.register("i-1", service, "ready")
+					f.start()
+					for n := range 40 {
+						req := newRequest(fmt.Sprint("r", n))
+						req.body = strings.Repeat("x", 60_000)
+						resp := f.send(req)
+						whole := resp.err == nil && !resp.truncated && resp.status == http.StatusOK
+						assert.Equal(t, sound, whole, "status %d, body %q", resp.status, resp.body)
+						time.Sleep(100 * time.Millisecond) // the fleet's clock is virtual
+					}
+				})
+			})
+		}
+	}
+}
