Test: heads that HTTP does not allow, from engines behind an agent

The checks of bounded hold for agents, whose client goes through bounded.Transport. On the code before them 14 of the 16 cases fail: the head counts as an answer; a control byte in a name was an error already. TestHeadOfAnEngineThatEndsInTheMiddleIsAnError uses the transport that agents use, too.

--- a/agent/cuthead_test.go
+++ b/agent/cuthead_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/coord/virtualtime"
 	"github.com/arbutusmill/arbutusmill/memnet"
 	"github.com/stretchr/testify/require"
@@ -29,6 +30,20 @@
 	}
 }
 
+// Guards against a response of an engine that counts as a success although HTTP does not allow its head.
+func TestBrokenHeadOfAnEngineIsAnError(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 101 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 200 OK\r\nX Bad: v\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n", "HTTP/1.1 200 OK\r\nX-Bad\x01: v\r\n", "HTTP/1.1 200 OK\r\nX-Node: a\r\n b\r\n",
+	} {
+		for _, later := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%q, later %t", head, later), func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) { requireHeadError(t, head+"\r\n{}", later) })
+			})
+		}
+	}
+}
+
 // requireHeadError requires an error of the request to which an engine answers with a part of a head; with later, the connection has carried
 // a whole response before.
 func requireHeadError(t *testing.T, part string, later bool) {
@@ -59,7 +74,7 @@
 			_ = conn.Close()
 		}
 	}()
-	transport := &http.Transport{DialContext: network.Dial}
+	transport := bounded.Transport(&http.Transport{DialContext: network.Dial})
 	defer transport.CloseIdleConnections()
 	u := &upstreamClient{url: "http://engine:80", client: &http.Client{Transport: transport}}
 	call := func() (*http.Response, error) {
