A redirect of an upstream is its answer and is not followed

Callers saw, with engines and services behind an agent: an upstream answered 301, 302 or 303 with a Location, and the caller got what another address answered to a GET.

Cause: http.Client follows redirects unless told otherwise, at the agent and again at the router. Routers on the operators' platform use the transport directly and pass redirects on.

Change: bounded.KeepRedirects is the CheckRedirect of every client. Reports and answers of the store followed redirects too (by reading): a report from another address would have counted as that of the upstream. TestAllClientsAreBounded fails for a client without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/arbutusmill/arbutusmill/billing"
-	"github.com/arbutusmill/arbutusmill/bounded"
 	"github.com/arbutusmill/arbutusmill/contract"
 	"github.com/arbutusmill/arbutusmill/coord/backoff"
 	"github.com/arbutusmill/arbutusmill/coord/claim"
@@ -75,13 +74,12 @@
 	sender := &billing.Sender{Self: s.VM, Links: base.Links, View: base.View, Timeout: sendTimeout}
 	a := &Agent{
 		base: base, id: s.VM, log: base.Log,
-		queue:   NewQueue(s.Upstream.Slots, s.Upstream.Queue),
-		witness: witness.New(maxWitnessRuns),
-		outbox:  ledger.NewOutbox(layout, sender, s.Ledger.Backlog),
-		claims:  claim.Registry{Store: base.Store, Prefix: process.ClaimPrefix},
-		upstream: &upstreamClient{url: s.Upstream.URL, client: &http.Client{
-			Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: s.Upstream.Slots, DisableCompression: true})}},
-		idle: make(chan struct{}),
+		queue:    NewQueue(s.Upstream.Slots, s.Upstream.Queue),
+		witness:  witness.New(maxWitnessRuns),
+		outbox:   ledger.NewOutbox(layout, sender, s.Ledger.Backlog),
+		claims:   claim.Registry{Store: base.Store, Prefix: process.ClaimPrefix},
+		upstream: newUpstreamClient(s.Upstream.URL, s.Upstream.Slots),
+		idle:     make(chan struct{}),
 	}
 	a.metrics = newMetrics(a)
 	base.Admin.Metrics, base.Admin.Dump = a.metrics.set, a.dump
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -34,6 +34,14 @@
 	client *http.Client
 }
 
+// newUpstreamClient returns a client of the upstream at a URL that keeps slots idle connections.
+func newUpstreamClient(url string, slots int) *upstreamClient {
+	return &upstreamClient{url: url, client: &http.Client{
+		Transport:     bounded.Transport(&http.Transport{MaxIdleConnsPerHost: slots, DisableCompression: true}),
+		CheckRedirect: bounded.KeepRedirects,
+	}}
+}
+
 // errUnreached means that the request did not reach the upstream.
 var errUnreached = errors.New("upstream not reached")
 
--- a/bounded/bounded_test.go
+++ b/bounded/bounded_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -86,7 +87,7 @@
 var ownPeers = []string{"demo", "localfleet", "review", "soak", "standin", "platform/standin"}
 
 // Guards against an HTTP client without limits: each transport goes through bounded.Transport, JSON documents of responses
-// are decoded with a limit, and the default client, which has none, is not used.
+// are decoded with a limit, and the default client, which has none, is not used. No client follows redirects.
 func TestAllClientsAreBounded(t *testing.T) {
 	files := 0
 	require.NoError(t, filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
@@ -126,6 +127,9 @@
 			if isName(n.Type, "http", "Transport") && !wrapped[n] || isName(n.Type, "http", "Client") && len(n.Elts) == 0 {
 				found = append(found, set.Position(n.Pos()).String()+": a client without limits")
 			}
+			if isName(n.Type, "http", "Client") && !hasField(n, "CheckRedirect") {
+				found = append(found, set.Position(n.Pos()).String()+": a client that follows redirects")
+			}
 		case *ast.SelectorExpr:
 			for _, name := range []string{"DefaultClient", "DefaultTransport", "Get", "Post", "PostForm", "Head"} {
 				if isName(n, "http", name) {
@@ -138,6 +142,18 @@
 	return found
 }
 
+// hasField reports whether a literal sets a field.
+func hasField(lit *ast.CompositeLit, name string) bool {
+	return slices.ContainsFunc(lit.Elts, func(e ast.Expr) bool {
+		kv, ok := e.(*ast.KeyValueExpr)
+		if !ok {
+			return false
+		}
+		key, ok := kv.Key.(*ast.Ident)
+		return ok && key.Name == name
+	})
+}
+
 func isName(e ast.Expr, pkg, name string) bool { return exprText(e) == pkg+"."+name }
 
 // exprText returns the text of a selector, "" for other expressions.
--- a/bounded/transport.go
+++ b/bounded/transport.go
@@ -48,3 +48,7 @@
 	}
 	return nil
 }
+
+// KeepRedirects is the CheckRedirect of all clients: a redirect is the answer of the peer that was asked. To follow it would send the request
+// elsewhere, with another method, and take an answer from there for the peer's.
+func KeepRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/hosted/base.go
+++ b/hosted/base.go
@@ -160,8 +160,10 @@
 func newStore(s settings.HostedStore, n Network) *platform.Store {
 	return &platform.Store{
 		Address: s.Address,
-		Client: &http.Client{Transport: bounded.Transport(&http.Transport{
-			DialContext: n.DialTimeout(storeDialTimeout), MaxIdleConnsPerHost: storeIdleConns})},
+		Client: &http.Client{
+			Transport:     bounded.Transport(&http.Transport{DialContext: n.DialTimeout(storeDialTimeout), MaxIdleConnsPerHost: storeIdleConns}),
+			CheckRedirect: bounded.KeepRedirects,
+		},
 		Timeout:    time.Duration(s.Timeout),
 		WatchWait:  time.Duration(s.WatchWait),
 		WatchPause: time.Duration(s.WatchPause),
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -81,7 +81,10 @@
 	l.upstream = upstreamMonitor{
 		address: s.Upstream.Address,
 		timeout: time.Duration(s.Upstream.Timeout),
-		client:  &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1})},
+		client: &http.Client{
+			Transport:     bounded.Transport(&http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: 1}),
+			CheckRedirect: bounded.KeepRedirects,
+		},
 	}
 	l.Admin.Dump = l.dump
 	l.Metrics.NewGauge("arbutusmill_lender_kept_prompts", func() float64 { return float64(len(l.prompts.registry.List(time.Now()))) })
--- a/operator/command.go
+++ b/operator/command.go
@@ -125,7 +125,10 @@
 }
 
 // httpClient sends the commands' calls.
-var httpClient = &http.Client{Transport: bounded.Transport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+var httpClient = &http.Client{
+	Transport:     bounded.Transport(&http.Transport{Proxy: http.ProxyFromEnvironment}),
+	CheckRedirect: bounded.KeepRedirects,
+}
 
 func (s *storeFlags) store() store.Store {
 	return &etcd.Store{URL: s.url, Client: httpClient, Timeout: s.timeout}
--- a/operator/load.go
+++ b/operator/load.go
@@ -104,7 +104,11 @@
 		return err
 	}
 	res := newLoadResult()
-	client := &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: 256}), Timeout: loadTimeout}
+	client := &http.Client{
+		Transport:     bounded.Transport(&http.Transport{MaxIdleConnsPerHost: 256}),
+		CheckRedirect: bounded.KeepRedirects,
+		Timeout:       loadTimeout,
+	}
 	tick := time.NewTicker(time.Duration(float64(time.Second) / l.rate))
 	defer tick.Stop()
 	var wg sync.WaitGroup
--- a/process/process.go
+++ b/process/process.go
@@ -71,7 +71,10 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: bounded.Transport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost})}
+	client := &http.Client{
+		Transport:     bounded.Transport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost}),
+		CheckRedirect: bounded.KeepRedirects,
+	}
 	st := &etcd.Store{URL: s.Platform.Store, Client: client, Timeout: time.Duration(s.Platform.Timeout)}
 	return &Base{
 		Settings: s,
--- a/router/dispatch_test.go
+++ b/router/dispatch_test.go
@@ -1,9 +1,13 @@
 package router
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/arbutusmill/arbutusmill/contract"
+	"github.com/arbutusmill/arbutusmill/link"
 	"github.com/arbutusmill/arbutusmill/serving"
 	"github.com/arbutusmill/arbutusmill/vm"
 	"github.com/stretchr/testify/require"
@@ -27,3 +31,17 @@
 		require.Equal(t, kind, at.Refusal.Kind)
 	}
 }
+
+// Guards against a router that follows the redirect with which an upstream answered, instead of passing it on.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		agent := httptest.NewServer(http.RedirectHandler("/elsewhere", status))
+		client := newAgentClient(link.Security{})
+		resp, err := client.Post(agent.URL, "text/plain", strings.NewReader("tide?"))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, status, resp.StatusCode)
+		client.CloseIdleConnections()
+		agent.Close()
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -101,9 +101,12 @@
 }
 
 func newAgentClient(sec link.Security) *http.Client {
-	return &http.Client{Transport: bounded.Transport(&http.Transport{
-		TLSClientConfig: sec.Client, MaxIdleConnsPerHost: maxIdleConnsPerAgent, DisableCompression: true,
-	})}
+	return &http.Client{
+		Transport: bounded.Transport(&http.Transport{
+			TLSClientConfig: sec.Client, MaxIdleConnsPerHost: maxIdleConnsPerAgent, DisableCompression: true,
+		}),
+		CheckRedirect: bounded.KeepRedirects,
+	}
 }
 
 // Run serves until stop is done, then shuts down in order: it reports not ready to the
