--- a/gateway/brokenanswers_test.go
+++ b/gateway/brokenanswers_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// Guards against a request that may run again and ends with the broken response of its first upstream although another one answers.
+func TestRequestGoesOnAfterABrokenHead(t *testing.T) {
+	withFleet(t, func(f *fleet) {
+		f.putConfig(0, "k1")
+		broken := f.rawUpstream("i-1", func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+			if r, err := http.ReadRequest(in); err == nil {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 000 OK\r\n"+standin.HeaderID+": %s\r\n"+standin.HeaderSignature+": s\r\n\r\n", u.recordRequest(r))
+			}
+		})
+		f.upstream("i-2", "plain", 0)
+		f.start()
+		for n := range 10 {
+			resp := f.send(level(fmt.Sprint("r", n)))
+			assert.Equal(t, http.StatusOK, resp.status)
+			assert.Equal(t, standin.PlainAnswer(fmt.Sprint("r", n)), resp.body)
+		}
+		assert.NotEmpty(t, broken.receivedIDs())
+	})
+}
+
 // earlyAnswer answers each request, before its body was read, with a response without a length. Then it reads the body if it is sound, and
 // ends the connection: unless all was read, the write of the body fails and the end of the response looks like an orderly one.
 func earlyAnswer(body string, sound bool) func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
