--- a/bounded/transport.go
+++ b/bounded/transport.go
@@ -43,7 +43,7 @@
 	for name := range resp.Header {
 		// net/http rejects all other names that are no tokens.
 		if strings.Contains(name, " ") {
-			return fmt.Errorf("malformed response: header name %q", name)
+			return fmt.Errorf("malformed response: header name %.80q", name)
 		}
 	}
 	return nil
