Connections hold what they check of an exchange themselves

net/http may send a request that it can repeat on a second connection while the first one is still being closed, so two connections could use the state of one exchange at a time. By reading; no run of the race detector showed it. The head that a connection checks is now a value of its own.

--- a/bounded/conn.go
+++ b/bounded/conn.go
@@ -32,7 +32,8 @@
 	return conn
 }
 
-// checkedConn is a connection on which the bytes of responses are checked, as far as net/http does not show them.
+// checkedConn is a connection that finds what net/http does not report of a response: lines that begin with a blank in its head, and an end
+// before the request was written.
 type checkedConn struct {
 	net.Conn
 
@@ -43,37 +44,38 @@
 	writing  sync.Mutex
 	writeErr error
 
-	// mu guards current, which is nil before the first request, and its head.
+	// mu guards the fields below. They belong to the last exchange and are nil before the first one.
 	mu      sync.Mutex
-	current *exchange
+	head    *headLines
+	written <-chan struct{}
 }
 
 // Read implements net.Conn.
 func (c *checkedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	x := c.scan(b[:n])
+	written := c.scan(b[:n])
 	if errors.Is(err, io.EOF) {
-		err = c.checkEnd(x)
+		err = c.checkEnd(written)
 	}
 	return n, err
 }
 
-// scan passes bytes to the current exchange, and returns it.
-func (c *checkedConn) scan(b []byte) *exchange {
+// scan passes bytes that were read to the check of the head, and returns written of the last exchange.
+func (c *checkedConn) scan(b []byte) (written <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current != nil {
-		c.current.head.scan(b)
+	if c.head != nil {
+		c.head.scan(b)
 	}
-	return c.current
+	return c.written
 }
 
 // checkEnd returns io.EOF, or an error if the connection ended before the request was written. A response without a length is whole only if
 // its connection ends in order, and a reset is reported to a single call: after a write that failed with it, reads return io.EOF.
-func (c *checkedConn) checkEnd(x *exchange) error {
-	if x != nil {
+func (c *checkedConn) checkEnd(written <-chan struct{}) error {
+	if written != nil {
 		select {
-		case <-x.written:
+		case <-written:
 		case <-c.closed:
 			return net.ErrClosed
 		}
@@ -106,7 +108,7 @@
 // exchange is one request and the response to it. conn is nil over TLS, where the connection carries other bytes than those of the response.
 type exchange struct {
 	conn *checkedConn
-	head headLines
+	head *headLines
 
 	writeOnce sync.Once
 	// written is closed once net/http writes no more of the request, but for what it buffers.
@@ -128,10 +130,10 @@
 	if x.conn == nil {
 		return
 	}
+	x.head = &headLines{}
 	x.conn.mu.Lock()
 	defer x.conn.mu.Unlock()
-	x.head = headLines{}
-	x.conn.current = x
+	x.conn.head, x.conn.written = x.head, x.written
 }
 
 // errContinuedLine is returned for a head with a line that begins with a blank. It continues the line before it, whose value is then not the
