--- a/bounded/conn.go
+++ b/bounded/conn.go
@@ -32,7 +32,7 @@
 	return conn
 }
 
-// checkedConn is a connection that finds what net/http does not report of a response: lines that begin with a blank in its head, and an end
+// checkedConn is a connection that finds what net/http does not report of a response: folded lines in its head, and an end
 // before the request was written.
 type checkedConn struct {
 	net.Conn
@@ -136,19 +136,19 @@
 	x.conn.head, x.conn.written = x.head, x.written
 }
 
-// errContinuedLine is returned for a head with a line that begins with a blank. It continues the line before it, whose value is then not the
+// errFoldedLine is returned for a head with a line that begins with a space or tab. It continues the line before it, whose value is then not the
 // one that the peer meant, such as that of a signature.
-var errContinuedLine = errors.New("malformed response: a line of the head begins with a blank")
+var errFoldedLine = errors.New("malformed response: a line of the head begins with a space or tab")
 
-// checkLines returns an error if a line of the response's head begins with a blank.
+// checkLines returns an error if a line of the response's head is folded.
 func (x *exchange) checkLines() error {
 	if x.conn == nil {
 		return nil
 	}
 	x.conn.mu.Lock()
 	defer x.conn.mu.Unlock()
-	if x.head.continued {
-		return errContinuedLine
+	if x.head.folded {
+		return errFoldedLine
 	}
 	return nil
 }
--- a/bounded/headlines.go
+++ b/bounded/headlines.go
@@ -1,10 +1,10 @@
 package bounded
 
-// headLines finds lines that begin with a blank in the head of a response and in those of the informational responses before it. net/http
-// joins such a line with the one before it.
+// headLines finds obsolete line folding, lines that begin with a space or tab, in the head of a response and in those of the informational
+// responses before it. net/http joins such a line with the one before it.
 type headLines struct {
-	// continued is set once such a line was found, ended after the blank line at the end of the head.
-	continued, ended bool
+	// folded is set once such a line was found, ended after the empty line at the end of the head.
+	folded, ended bool
 	// line and column, from 0, are those of the next byte.
 	line, column int
 	// informational is set if another head follows.
@@ -34,7 +34,7 @@
 	case h.line == 0 && h.column == statusColumn:
 		h.informational = c == '1'
 	case h.column == 0 && (c == ' ' || c == '\t'):
-		h.continued = true
+		h.folded = true
 	}
 	h.column++
 }
