A panic during an attempt releases what the request held

Callers saw, when the answer of an upstream made the router panic: the connection ended without an answer. The request had no log line; its reserved tokens, its place at the upstream and its room for a buffered response were kept for as long as the router ran.

Cause: only net/http recovered the panic, above the code that settles tokens, ends the attempt and writes the log line.

Change: the dispatcher recovers a panic during an attempt, logs it (attempt_panicked, value and stack limited) and takes the attempt's outcome for unknown, so all that follows an interrupted attempt follows it too: a further attempt where one may be made, otherwise 502. An answer counts as begun only once its status was written; before, nothing of the upstream's headers is left to the refusal. Both forms use the dispatcher.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -169,6 +169,7 @@
 		PromptGuard: g.prompts,
 		Streams:     g.streams,
 		RefuseLate:  g.refuseLate,
+		Panicked:    g.logPanic,
 		Now:         time.Now,
 	}
 	g.Admin.Dump = g.dump
--- a/gateway/report.go
+++ b/gateway/report.go
@@ -86,6 +86,11 @@
 		Msg("engine_left_to_short_prompts")
 }
 
+// logPanic logs a panic during an attempt.
+func (g *Gateway) logPanic(r *serving.Request, t serving.Target, value, stack string) {
+	g.Log.Error().Str("id", r.ID).Stringer("upstream", t.Incarnation).Str("value", value).Str("stack", stack).Msg("attempt_panicked")
+}
+
 // logStatement logs and counts what an upstream's answer says about it.
 func (g *Gateway) logStatement(incarnation directory.Incarnation, request string, s serving.Statement) {
 	g.metrics.upstreamStated(s)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -61,24 +61,26 @@
 const idleConnsPerUpstream = 16
 
 // Send implements serving.Upstreams.
-func (u *upstreams) Send(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) serving.Attempt {
+func (u *upstreams) Send(ctx context.Context, r *serving.Request, t serving.Target, out serving.Caller) (a serving.Attempt) {
 	x := exchange{request: r, target: t, out: out, callerContext: ctx, now: u.Now, sent: u.Now(), memory: u.memory.Share(freeResponseBytes)}
+	defer func() {
+		if a.Answer == nil {
+			x.memory.Release()
+		}
+	}()
 	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
 	defer cancel()
 	resp, err := u.roundTrip(ctx, &x)
 	if err != nil {
 		x.use.end(false)
-		a := x.failedAttempt(x.use.connected(), err)
+		a = x.failedAttempt(x.use.connected(), err)
 		u.recordTooLong(&x, a)
 		return a
 	}
 	defer resp.Body.Close()
 	defer x.use.end(false)
 	u.unread.record(r.ID, t.Incarnation.String(), platform.UnreadResponseHeaders(resp.Header))
-	a := x.handleResponse(resp)
-	if a.Answer == nil {
-		x.memory.Release()
-	}
+	a = x.handleResponse(resp)
 	u.recordDoubt(&x, resp, a)
 	u.recordTooLong(&x, a)
 	return a
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -46,7 +46,7 @@
 // dispatch sends the request to an upstream and forwards the response to the caller.
 func (r *Router) dispatch(w http.ResponseWriter, req *http.Request, j *job) {
 	a := &agentDispatch{Router: r, job: j, req: req, byID: map[string]vm.VM{}}
-	dispatcher := serving.Dispatcher{Upstreams: a, Budgets: a, RetryBudget: a, RefuseLate: r.refuseLate, Now: time.Now}
+	dispatcher := serving.Dispatcher{Upstreams: a, Budgets: a, RetryBudget: a, RefuseLate: r.refuseLate, Panicked: r.logPanic, Now: time.Now}
 	out := serving.NewHTTPCaller(w, time.Duration(r.base.Settings.Limits.WriteTimeout), true)
 	end := dispatcher.Serve(req.Context(), &serving.Request{
 		ID: j.key, Team: j.team.Name, Route: agentRoute, Service: catalog.Service{Name: j.service.Name},
@@ -65,6 +65,11 @@
 	}
 }
 
+// logPanic logs a panic during an attempt.
+func (r *Router) logPanic(req *serving.Request, t serving.Target, value, stack string) {
+	r.base.Log.Error().Str("id", req.ID).Str("agent", t.Incarnation.ID).Str("value", value).Str("stack", stack).Msg("attempt_panicked")
+}
+
 // Pick implements serving.Upstreams.
 func (a *agentDispatch) Pick(_ *serving.Request, attempts []serving.Attempt) (serving.Target, bool) {
 	tried := map[string]bool{}
--- a/serving/httpcaller.go
+++ b/serving/httpcaller.go
@@ -28,8 +28,12 @@
 
 // Begin implements Caller.
 func (c *HTTPCaller) Begin(status int, header map[string][]string) error {
-	c.began, c.status, c.first = true, status, time.Now()
 	h := c.w.Header()
+	defer func() {
+		if !c.began {
+			clear(h) // after a panic, a refusal must not carry the upstream's headers
+		}
+	}()
 	hop.CopyHeaders(h, header)
 	if c.stream {
 		h.Del("Content-Length")
@@ -41,6 +45,7 @@
 		}
 	}
 	c.w.WriteHeader(status)
+	c.began, c.status, c.first = true, status, time.Now()
 	return nil
 }
 
--- a/serving/path.go
+++ b/serving/path.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -135,6 +137,8 @@
 	// RefuseLate is called before each attempt of a request that has not run. It returns the refusal of a request that may
 	// not end before this router does; nil permits the attempt. RefuseLate may be nil.
 	RefuseLate func(r *Request) *contract.Refusal
+	// Panicked is called with the value and the beginning of the stack of a panic during an attempt. It may be nil.
+	Panicked func(r *Request, t Target, value, stack string)
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -203,8 +207,14 @@
 }
 
 // send makes one attempt, which can be recalled until its answer begins. The version that begins a stream is
-// recorded.
-func (d *Dispatcher) send(ctx context.Context, r *Request, t Target, out Caller, repeatable bool) Attempt {
+// recorded. After a panic the attempt's outcome is unknown: its tokens and its place at the upstream are released as
+// after any attempt, and the caller gets a refusal.
+func (d *Dispatcher) send(ctx context.Context, r *Request, t Target, out Caller, repeatable bool) (a Attempt) {
+	defer func() {
+		if v := recover(); v != nil {
+			a = d.panickedAttempt(r, t, out, v)
+		}
+	}()
 	if out.Began() {
 		return d.Upstreams.Send(ctx, r, t, out)
 	}
@@ -220,6 +230,26 @@
 	return d.Upstreams.Send(ctx, r, t, out)
 }
 
+// Limits on what is logged of a panic, in bytes.
+const (
+	maxPanicValue = 256
+	maxPanicStack = 4 << 10
+)
+
+// panickedAttempt reports a panic, and returns the attempt that it ended.
+func (d *Dispatcher) panickedAttempt(r *Request, t Target, out Caller, panicked any) Attempt {
+	value, stack := fmt.Sprint(panicked), debug.Stack()
+	value = value[:min(len(value), maxPanicValue)]
+	if d.Panicked != nil {
+		d.Panicked(r, t, value, string(stack[:min(len(stack), maxPanicStack)]))
+	}
+	a := Attempt{Upstream: t.Incarnation, Result: Unknown, Began: true, Output: r.MaxOutput, Detail: "panic: " + value}
+	if out.Began() {
+		a.Result = Broken
+	}
+	return a
+}
+
 // beforeFirst returns a function that calls event, and do before the first call.
 func beforeFirst(event func(time.Time), do func()) func(time.Time) {
 	first := true
