--- a/agent/cuthead_test.go
+++ b/agent/cuthead_test.go
@@ -90,3 +90,33 @@
 	_, err = call()
 	require.Error(t, err, "after %q", part)
 }
+
+// Guards against a part of an engine's response that counts as whole: the engine answers at once, without a length, and ends the connection
+// while the request is still being written.
+func TestResponseOfAnEngineThatEndsDuringTheUploadIsAnError(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		var network memnet.Network
+		l, err := network.Listen("tcp", "engine:80")
+		require.NoError(t, err)
+		defer l.Close()
+		go func() {
+			for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+				_, _ = http.ReadRequest(bufio.NewReader(conn)) // the client sends no other
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n{}")
+				_ = conn.Close()
+			}
+		}()
+		u := &upstreamClient{url: "http://engine:80", client: &http.Client{Transport: bounded.Transport(&http.Transport{DialContext: network.Dial})}}
+		defer u.client.CloseIdleConnections()
+		for range 40 {
+			body := strings.NewReader(strings.Repeat("x", 60_000))
+			resp, err := u.call(t.Context(), &http.Request{Method: http.MethodPost, Header: http.Header{}, ContentLength: body.Size(), Body: io.NopCloser(body)}, "/chat")
+			if err != nil {
+				continue // the write failed first
+			}
+			_, err = io.ReadAll(resp.Body)
+			require.Error(t, err)
+			require.NoError(t, resp.Body.Close())
+		}
+	})
+}
--- a/gateway/brokenanswers_test.go
+++ b/gateway/brokenanswers_test.go
@@ -44,28 +44,49 @@
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
 	for name, head := range brokenHeads() {
 		for kind, newRequest := range map[string]func(id string) request{"once": alert, "twice": level, "stream": chat, "resumable stream": review} {
-			t.Run(name+", "+kind, func(t *testing.T) {
-				withFleet(t, func(f *fleet) {
-					f.putConfig(0, "k1")
-					service, body := "plain", "ok"
-					if strings.Contains(kind, "stream") {
-						service, body = "model", events(3)
-					}
-					u := f.rawUpstream("i-1", func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
-						if r, err := http.ReadRequest(in); err == nil {
-							_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
-							_, _ = fmt.Fprintf(conn, head+"\r\n%s", u.recordRequest(r), body)
+			for _, later := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, later %t", name, kind, later), func(t *testing.T) {
+					withFleet(t, func(f *fleet) {
+						f.putConfig(0, "k1")
+						service, body := "plain", "ok"
+						if strings.Contains(kind, "stream") {
+							service, body = "model", events(3)
+						}
+						u := f.rawUpstream("i-1", brokenAfter(later, head, body))
+						f.register("i-1", service, "ready")
+						f.start()
+						if later {
+							resp := f.send(newRequest("r0"))
+							assert.Equal(t, body, resp.body)
+							f.settle()
 						}
+						resp := f.send(newRequest("r"))
+						assert.NoError(t, resp.err)
+						assert.Equal(t, http.StatusBadGateway, resp.status)
+						assert.Empty(t, resp.header.Values(standin.HeaderSignature))
+						assert.Contains(t, u.receivedIDs(), "r")
 					})
-					f.register("i-1", service, "ready")
-					f.start()
-					resp := f.send(newRequest("r"))
-					assert.NoError(t, resp.err)
-					assert.Equal(t, http.StatusBadGateway, resp.status)
-					assert.Empty(t, resp.header.Values(standin.HeaderSignature))
-					assert.Contains(t, u.receivedIDs(), "r")
 				})
-			})
+			}
+		}
+	}
+}
+
+// brokenAfter answers the first request of a connection with a broken head, or, with later, the one after a whole response.
+func brokenAfter(later bool, head, body string) func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+	return func(u *rawUpstream, conn net.Conn, in *bufio.Reader) {
+		for first := true; ; first = false {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body) // its content is irrelevant here
+			id := u.recordRequest(r)
+			if !later || !first {
+				_, _ = fmt.Fprintf(conn, head+"\r\n%s", id, body)
+				return
+			}
+			_, _ = io.WriteString(conn, signedResponse(id, body))
 		}
 	}
 }
