review: case 4, a tenant gets more than its prepaid in a long partition

Cause: while two data centres are cut from each other, the next primary settles the row of a lender that still runs, with limits that one of its witnesses goes on raising afterwards. Change: a script that cuts bergen and the store from floro, its stand-ins, and their build; nothing outside review/.

--- /dev/null
+++ b/review/harness2/network.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+)
+
+// network decides which pairs of ends are cut from each other. A cut is silent: what is sent is held, and new connections get no
+// answer. It is safe for concurrent use.
+type network struct {
+	mu      sync.Mutex
+	cuts    map[[2]string]bool
+	changed chan struct{}
+}
+
+func newNetwork() *network {
+	return &network{cuts: map[[2]string]bool{}, changed: make(chan struct{})}
+}
+
+// cut cuts two ends from each other, in both directions.
+func (n *network) cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}], n.cuts[[2]string{b, a}] = true, true
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// wait waits while two ends are cut from each other.
+func (n *network) wait(a, b string, closed <-chan struct{}) error {
+	for {
+		n.mu.Lock()
+		isCut, changed := n.cuts[[2]string{a, b}], n.changed
+		n.mu.Unlock()
+		if !isCut {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-closed:
+			return net.ErrClosed
+		}
+	}
+}
+
+// proxy forwards connections to one end of the network.
+type proxy struct {
+	network *network
+	// to names the end behind the proxy, target is its address.
+	to, target string
+	// callerOf names the caller of a connection.
+	callerOf func(net.Conn) string
+	ln       net.Listener
+	closed   chan struct{}
+}
+
+// newProxy starts a proxy, which runs until the end of the case.
+func (f *fleet) newProxy(to, target string) (*proxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{network: f.network, callerOf: f.callerOf, to: to, target: target, ln: ln, closed: make(chan struct{})}
+	f.run.onClose(func() { close(p.closed); _ = ln.Close() })
+	go p.serve()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.ln.Addr().String() }
+
+func (p *proxy) serve() {
+	for {
+		conn, err := p.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go p.forward(conn)
+		}
+	}
+}
+
+// forward forwards one connection until both directions have ended.
+func (p *proxy) forward(caller net.Conn) {
+	defer func() { _ = caller.Close() }()
+	from := p.callerOf(caller)
+	if from == "" {
+		return // it has ended already
+	}
+	if p.network.wait(from, p.to, p.closed) != nil {
+		return
+	}
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		if tcp, ok := caller.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // resets the connection, as an address without a listener does
+		}
+		return
+	}
+	defer func() { _ = server.Close() }()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(server, caller, from) })
+	both.Go(func() { p.copy(caller, server, from) })
+	both.Wait()
+}
+
+// copy forwards one direction.
+func (p *proxy) copy(to, from net.Conn, caller string) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if p.network.wait(caller, p.to, p.closed) != nil {
+			return
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
+				_ = tcp.CloseWrite()
+				return
+			}
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+// The list of connections is not read at one moment, and may lack one while others come and go.
+const (
+	callerAttempts = 40
+	callerPause    = 5 * time.Millisecond
+)
+
+// callerOf returns the name of the daemon that opened a loopback connection, "" if it is none of them.
+func (f *fleet) callerOf(conn net.Conn) string {
+	address, ok := conn.RemoteAddr().(*net.TCPAddr)
+	listener, isTCP := conn.LocalAddr().(*net.TCPAddr)
+	if !ok || !isTCP {
+		return ""
+	}
+	for range callerAttempts {
+		if inode := socketInode(address.Port, listener.Port); inode != "" {
+			for name, pid := range f.pids() {
+				if hasSocket(pid, inode) {
+					return name
+				}
+			}
+		}
+		time.Sleep(callerPause)
+	}
+	f.run.note("a connection from port %d has no known caller", address.Port)
+	return ""
+}
+
+// Columns of /proc/net/tcp.
+const (
+	localColumn  = 1
+	remoteColumn = 2
+	stateColumn  = 3
+	inodeColumn  = 9
+	established  = "01"
+)
+
+// socketInode returns the inode of the established connection from a local port to another one, "" if there is none.
+func socketInode(from, to int) string {
+	b, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	local, remote := fmt.Sprintf(":%04X", from), fmt.Sprintf(":%04X", to)
+	for line := range strings.SplitSeq(string(b), "\n") {
+		columns := strings.Fields(line)
+		if len(columns) > inodeColumn && columns[stateColumn] == established &&
+			strings.HasSuffix(columns[localColumn], local) && strings.HasSuffix(columns[remoteColumn], remote) {
+			return columns[inodeColumn]
+		}
+	}
+	return ""
+}
+
+// hasSocket reports whether a process has a socket.
+func hasSocket(pid int, inode string) bool {
+	dir := fmt.Sprintf("/proc/%d/fd", pid)
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return false
+	}
+	for _, file := range files {
+		if target, err := os.Readlink(filepath.Join(dir, file.Name())); err == nil && target == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
