--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -42,6 +42,7 @@
 	daemons map[string]*daemon
 	// storeProxy is the address of the store for all processes.
 	storeProxy string
+	callers    callerTable
 
 	mu   sync.Mutex
 	byVM map[string]int // process ids
--- a/review/harness2/network.go
+++ b/review/harness2/network.go
@@ -2,14 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
-	"os"
-	"path/filepath"
-	"strings"
 	"sync"
-	"time"
 )
 
 // network decides which pairs of ends are cut from each other. A cut is silent: what is sent is held, and new connections get no
@@ -135,71 +130,3 @@
 		}
 	}
 }
-
-// The list of connections is not read at one moment, and may lack one while others come and go.
-const (
-	callerAttempts = 40
-	callerPause    = 5 * time.Millisecond
-)
-
-// callerOf returns the name of the daemon that opened a loopback connection, "" if it is none of them.
-func (f *fleet) callerOf(conn net.Conn) string {
-	address, ok := conn.RemoteAddr().(*net.TCPAddr)
-	listener, isTCP := conn.LocalAddr().(*net.TCPAddr)
-	if !ok || !isTCP {
-		return ""
-	}
-	for range callerAttempts {
-		if inode := socketInode(address.Port, listener.Port); inode != "" {
-			for name, pid := range f.pids() {
-				if hasSocket(pid, inode) {
-					return name
-				}
-			}
-		}
-		time.Sleep(callerPause)
-	}
-	f.run.note("a connection from port %d has no known caller", address.Port)
-	return ""
-}
-
-// Columns of /proc/net/tcp.
-const (
-	localColumn  = 1
-	remoteColumn = 2
-	stateColumn  = 3
-	inodeColumn  = 9
-	established  = "01"
-)
-
-// socketInode returns the inode of the established connection from a local port to another one, "" if there is none.
-func socketInode(from, to int) string {
-	b, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	local, remote := fmt.Sprintf(":%04X", from), fmt.Sprintf(":%04X", to)
-	for line := range strings.SplitSeq(string(b), "\n") {
-		columns := strings.Fields(line)
-		if len(columns) > inodeColumn && columns[stateColumn] == established &&
-			strings.HasSuffix(columns[localColumn], local) && strings.HasSuffix(columns[remoteColumn], remote) {
-			return columns[inodeColumn]
-		}
-	}
-	return ""
-}
-
-// hasSocket reports whether a process has a socket.
-func hasSocket(pid int, inode string) bool {
-	dir := fmt.Sprintf("/proc/%d/fd", pid)
-	files, err := os.ReadDir(dir)
-	if err != nil {
-		return false
-	}
-	for _, file := range files {
-		if target, err := os.Readlink(filepath.Join(dir, file.Name())); err == nil && target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
